--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! The process beside each backend server instance.
+
+fn main() {}
--- /dev/null
+++ b/crates/backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients for backend servers: model engines and plain services.
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! What callers see: HTTP routes, problem documents, streams.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry process and the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins, load, fault injection and experiments; never shipped.
+
+fn main() {}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,3 @@
+//! What operators see: files, checks, published documents, audit, status.
+
+pub mod documents;
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocols between the system's own processes.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,3 @@
+//! Readers of the platform: configuration service, live list, weight store.
+
+pub mod wire;
--- /dev/null
+++ b/crates/utils/src/events.rs
@@ -0,0 +1,72 @@
+//! Catalogue of numbered log events; docs/EVENTS.md describes each for operators.
+
+use log::Level;
+
+/// One kind of log event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    /// Number in the catalogue, printed as `JJ-<code>`.
+    pub code: u16,
+    /// Level at which it is logged.
+    pub level: Level,
+    /// Short name used in metrics and tests.
+    pub name: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($ident:ident = $code:literal $level:ident $name:literal;)*) => {
+        $(
+            #[doc = concat!("JJ-", $code, ": ", $name, ".")]
+            pub const $ident: Event = Event { code: $code, level: Level::$level, name: $name };
+        )*
+
+        /// Every event, in the order of its number.
+        pub const ALL: &[Event] = &[$($ident),*];
+    };
+}
+
+catalogue! {
+    // 10xx: process
+    PROCESS_STARTED = 1001 Info "process_started";
+    PROCESS_DRAINING = 1002 Info "process_draining";
+    PROCESS_STOPPED = 1003 Info "process_stopped";
+    PROCESS_FAILED = 1004 Error "process_failed";
+    // 11xx: requests
+    REQUEST_REFUSED = 1101 Debug "request_refused";
+    ATTEMPT_RETRIED = 1102 Info "attempt_retried";
+    OUTCOME_UNKNOWN = 1103 Warn "outcome_unknown";
+    STREAM_RESUMED = 1104 Info "stream_resumed";
+    ANSWER_DROPPED = 1105 Warn "answer_dropped";
+    KEY_REPLAYED = 1106 Info "key_replayed";
+    // 12xx: admission
+    LIMIT_TO_FLOOR = 1201 Warn "limit_to_floor";
+    SERVER_WARM = 1202 Info "server_warm";
+    SERVER_UNREACHABLE = 1203 Warn "server_unreachable";
+    // 13xx: configuration
+    CONFIG_ACCEPTED = 1301 Info "config_accepted";
+    CONFIG_REFUSED = 1302 Error "config_refused";
+    CONFIG_SERVICE_DOWN = 1303 Warn "config_service_down";
+    CONFIG_SERVICE_BACK = 1304 Info "config_service_back";
+    CONFIG_STALE_READ = 1305 Warn "config_stale_read";
+    // 14xx: membership and failure domains
+    MEMBER_CHANGED = 1401 Info "member_changed";
+    DOMAIN_WITHDRAWN = 1402 Warn "domain_withdrawn";
+    DOMAIN_RETURNED = 1403 Info "domain_returned";
+    AUTHORITY_LOST = 1404 Warn "authority_lost";
+    AUTHORITY_BACK = 1405 Info "authority_back";
+    // 15xx: groups
+    MAP_PREPARED = 1501 Info "map_prepared";
+    MAP_COMMITTED = 1502 Info "map_committed";
+    MAP_ABORTED = 1503 Warn "map_aborted";
+    ORDER_FENCED = 1504 Warn "order_fenced";
+    REBALANCE_PLANNED = 1505 Info "rebalance_planned";
+}
+
+/// Logs one numbered event: `log_event!(events::CONFIG_ACCEPTED, "accepted index {index}")`.
+#[macro_export]
+macro_rules! log_event {
+    ($event:expr, $($arg:tt)+) => {{
+        let event: $crate::events::Event = $event;
+        ::log::log!(target: "jujube", event.level, event = event.code; $($arg)+)
+    }};
+}
--- /dev/null
+++ b/crates/utils/src/lib.rs
@@ -0,0 +1,9 @@
+//! Helpers shared by every package: clock, collections, ids, settings, logging.
+
+pub mod clock;
+pub mod collections;
+pub mod derives;
+pub mod events;
+pub mod ids;
+pub mod logging;
+pub mod settings;
