--- /dev/null
+++ b/crates/policy/src/keys.rs
@@ -0,0 +1,202 @@
+//! Idempotency keys: those issued by the system, those made by callers, and where each belongs.
+//!
+//! An issued key `jk1.<agent>.<incarnation>.<random>` names the only agent life that may run it,
+//! so no two processes have to agree on a view. A caller-made key has no home of its own.
+
+use std::{fmt, str::FromStr};
+
+use jj_utils::{
+    common_derives,
+    ids::{Incarnation, InstanceId},
+};
+use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Start of every issued key.
+pub const ISSUED_PREFIX: &str = "jk1.";
+
+/// Longest accepted key, in bytes.
+pub const MAX_KEY_LEN: usize = 200;
+
+const RANDOM_DIGITS: usize = 32;
+
+/// Why a key is refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum KeyError {
+    /// No characters at all.
+    #[error("the idempotency key is empty")]
+    Empty,
+    /// More than [`MAX_KEY_LEN`] bytes.
+    #[error("the idempotency key has {0} bytes; at most {MAX_KEY_LEN} are allowed")]
+    TooLong(usize),
+    /// A space, a control character or one outside ASCII.
+    #[error("the idempotency key has a character that is not printable ASCII at byte {0}")]
+    BadCharacter(usize),
+    /// An issued key that lacks one of its four parts.
+    #[error("an issued key has the form jk1.<agent>.<incarnation>.<random>")]
+    BadForm,
+    /// The agent part is empty or has other characters than letters, digits, `-`, `_` and `.`.
+    #[error("the agent in the issued key is not an instance name")]
+    BadAgent,
+    /// The incarnation part is not a decimal number without leading zeros.
+    #[error("the incarnation in the issued key is not a decimal number")]
+    BadIncarnation,
+    /// The random part is not 32 lower-case hexadecimal digits.
+    #[error("the random part of the issued key is not 32 lower-case hexadecimal digits")]
+    BadRandom,
+}
+
+common_derives! {key:
+    /// One life of an agent.
+    pub struct AgentLife {
+        /// Name of the agent's instance.
+        pub agent: InstanceId,
+        /// Which of its lives.
+        pub incarnation: Incarnation,
+    }
+}
+
+common_derives! {key:
+    /// A key handed out by the system.
+    pub struct IssuedKey {
+        /// The only agent life that may run it.
+        pub home: AgentLife,
+        /// Tells keys of one home apart.
+        pub random: u128,
+    }
+}
+
+impl IssuedKey {
+    /// A fresh key for a home.
+    pub fn issue(home: AgentLife, rng: &mut impl Rng) -> Self {
+        let random = u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64());
+        Self { home, random }
+    }
+}
+
+impl fmt::Display for IssuedKey {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let AgentLife { agent, incarnation } = &self.home;
+        write!(
+            out,
+            "{ISSUED_PREFIX}{agent}.{incarnation}.{:032x}",
+            self.random
+        )
+    }
+}
+
+impl FromStr for IssuedKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        let rest = text.strip_prefix(ISSUED_PREFIX).ok_or(KeyError::BadForm)?;
+        let mut parts = rest.rsplitn(3, '.');
+        let (Some(random), Some(incarnation), Some(agent)) =
+            (parts.next(), parts.next(), parts.next())
+        else {
+            return Err(KeyError::BadForm);
+        };
+        let home = AgentLife {
+            agent: parse_agent(agent)?,
+            incarnation: parse_incarnation(incarnation)?,
+        };
+        let random = parse_random(random)?;
+        Ok(Self { home, random })
+    }
+}
+
+common_derives! {key:
+    /// A key as it arrived with a request.
+    pub enum OnceKey {
+        /// Handed out by the system.
+        Issued(IssuedKey),
+        /// Made by the caller.
+        CallerMade(String),
+    }
+}
+
+impl FromStr for OnceKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        if text.is_empty() {
+            return Err(KeyError::Empty);
+        }
+        if text.len() > MAX_KEY_LEN {
+            return Err(KeyError::TooLong(text.len()));
+        }
+        if let Some(at) = text.bytes().position(|byte| !byte.is_ascii_graphic()) {
+            return Err(KeyError::BadCharacter(at));
+        }
+        if text.starts_with(ISSUED_PREFIX) {
+            return text.parse().map(Self::Issued);
+        }
+        Ok(Self::CallerMade(text.to_owned()))
+    }
+}
+
+impl fmt::Display for OnceKey {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Issued(key) => key.fmt(out),
+            Self::CallerMade(key) => out.write_str(key),
+        }
+    }
+}
+
+common_derives! {key:
+    /// Where a request with an issued key may go.
+    pub enum KeyHome {
+        /// To this life of this agent and no other.
+        At(AgentLife),
+        /// That life is over, or not known here: the answer is "may have run".
+        Gone,
+    }
+}
+
+/// Where an issued key may go, as far as one entry's view of the agents tells.
+///
+/// A view older than the key still names the agent, which then checks its own incarnation; only a
+/// newer incarnation, or no such agent, means that the home is gone.
+pub fn key_home(key: &IssuedKey, view: &[AgentLife]) -> KeyHome {
+    let seen = view.iter().find(|life| life.agent == key.home.agent);
+    match seen {
+        Some(life) if life.incarnation <= key.home.incarnation => KeyHome::At(key.home.clone()),
+        _ => KeyHome::Gone,
+    }
+}
+
+/// Every possible home of a caller-made key, the preferred one first (rendezvous hashing).
+pub fn ranked_homes<'a>(key: &str, agents: &'a [InstanceId]) -> Vec<&'a InstanceId> {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    let mut homes: Vec<&InstanceId> = agents.iter().collect();
+    homes.sort_by_key(|agent| {
+        let score = xxh3_64_with_seed(agent.as_bytes(), seed);
+        (std::cmp::Reverse(score), *agent)
+    });
+    homes
+}
+
+fn parse_agent(text: &str) -> Result<InstanceId, KeyError> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if text.is_empty() || !text.bytes().all(allowed) {
+        return Err(KeyError::BadAgent);
+    }
+    Ok(text.to_owned())
+}
+
+fn parse_incarnation(text: &str) -> Result<Incarnation, KeyError> {
+    let canonical = text == "0" || !text.starts_with(['0', '+']);
+    if !canonical {
+        return Err(KeyError::BadIncarnation);
+    }
+    text.parse().map_err(|_| KeyError::BadIncarnation)
+}
+
+fn parse_random(text: &str) -> Result<u128, KeyError> {
+    let lower_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    if text.len() != RANDOM_DIGITS || !text.bytes().all(lower_hex) {
+        return Err(KeyError::BadRandom);
+    }
+    u128::from_str_radix(text, 16).map_err(|_| KeyError::BadRandom)
+}
