feat: agent runs attempts behind a gate and keeps their answers

Attempts outlive their connections: frames go into a log that any connection may read, and asking for an attempt that never arrived fences it. Frames are length-delimited postcard over HTTP, a connection an attempt; JSON-RPC carries control calls. Not yet tried end to end.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,3 +1,137 @@
-//! The process beside each backend server instance.
+//! The process beside each backend server instance: the only way to that server.
 
-fn main() {}
+mod attempts;
+mod control;
+mod control_port;
+mod gate;
+mod lifecycle;
+mod runner;
+mod settings;
+mod traffic;
+
+use std::{process::ExitCode, sync::Arc, time::Duration};
+
+use attempts::{Attempts, AttemptsConfig};
+use jj_backend::call::BackendClient;
+use jj_peer::client::LinkConfig;
+use jj_utils::{
+    clock::{SystemClock, unix_millis},
+    events, log_event, logging,
+    settings::process_env,
+};
+use lifecycle::Lifecycle;
+use settings::{JujubeAgent, Settings};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// Longest time to open a connection to the backend server, which is on the same instance.
+const BACKEND_CONNECT: Duration = Duration::from_millis(250);
+
+/// Exit code for wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = JujubeAgent::from_env_or_exit();
+    if flags.version {
+        println!("jujube-agent {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let settings = match Settings::read(flags, &process_env) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match start(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log_event!(events::PROCESS_FAILED, "{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(settings: Settings) -> anyhow::Result<()> {
+    logging::install(settings.log_format, settings.log_level)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> anyhow::Result<()> {
+    let incarnation = unix_millis();
+    let clock = SystemClock::shared();
+    let token = CancellationToken::new();
+    let attempts = Arc::new(Attempts::new(AttemptsConfig::default()));
+    let lifecycle = Arc::new(Lifecycle::default());
+    let gate = gate::Gate::new(settings.cold_floor, settings.concurrency, 256);
+    let control = control::start(
+        gate,
+        Arc::clone(&attempts),
+        Arc::clone(&clock),
+        token.clone(),
+    )?;
+    let backend = BackendClient::new(&settings.backend, BACKEND_CONNECT)?;
+    let context = runner::Context {
+        backend,
+        control: control.clone(),
+        lifecycle: Arc::clone(&lifecycle),
+        clock,
+    };
+    let traffic = Arc::new(traffic::Traffic {
+        incarnation,
+        attempts: Arc::clone(&attempts),
+        context,
+        link: LinkConfig::default(),
+    });
+    let port = control_port::ControlPort {
+        instance: settings.instance.clone(),
+        incarnation,
+        domain: settings.domain.clone(),
+        control,
+        lifecycle: Arc::clone(&lifecycle),
+    };
+    let _control_port = control_port::serve(settings.control_addr, port).await?;
+    let server = tokio::spawn(traffic::serve(
+        settings.traffic_addr,
+        traffic,
+        settings.grace,
+        token.clone(),
+    ));
+    let instance = &settings.instance;
+    log_event!(
+        events::PROCESS_STARTED,
+        "agent {instance} started, incarnation {incarnation}"
+    );
+    wait_for_stop().await?;
+    lifecycle.drain();
+    log_event!(events::PROCESS_DRAINING, "agent {instance} draining");
+    wait_until_idle(&attempts, settings.grace).await;
+    token.cancel();
+    server.await??;
+    log_event!(events::PROCESS_STOPPED, "agent {instance} stopped");
+    Ok(())
+}
+
+async fn wait_for_stop() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+async fn wait_until_idle(attempts: &Attempts, grace: Duration) {
+    let idle = async {
+        while attempts.open_count() > 0 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let _ = tokio::time::timeout(grace, idle).await;
+}
--- /dev/null
+++ b/crates/agent/src/traffic.rs
@@ -0,0 +1,202 @@
+//! The traffic port: attempts from entries, their outcomes, and cancellations.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_stream::stream;
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt, stream::BoxStream};
+use jj_peer::{
+    attempt::{self, ATTEMPTS_PATH, AttemptRef},
+    client::LinkConfig,
+    frames::{self, CONTENT_TYPE, Failure, Frame},
+};
+use jj_policy::verdict::Verdict;
+use jj_utils::ids::{AttemptId, Incarnation, RequestId};
+use poem::{
+    Body, EndpointExt, Response, Route, Server, handler,
+    http::StatusCode,
+    listener::TcpAcceptor,
+    web::{Data, Path, Query},
+};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    attempts::{Attempt, Attempts, Opened, ReadStep},
+    runner::{self, Context},
+};
+
+/// Largest attempt, head and body, in bytes.
+const MAX_ATTEMPT: usize = 16 << 20;
+
+/// Time to come back when this agent keeps too many attempts.
+const FULL_RETRY: Duration = Duration::from_secs(1);
+
+/// What the traffic port needs.
+pub struct Traffic {
+    /// Life of this agent.
+    pub incarnation: Incarnation,
+    /// Attempts seen.
+    pub attempts: Arc<Attempts>,
+    /// For running new ones.
+    pub context: Context,
+    /// Timing of the links to entries.
+    pub link: LinkConfig,
+}
+
+/// Serves attempts until `token` is cancelled, then waits up to `grace` for open connections.
+///
+/// # Errors
+/// When the address can't be bound.
+pub async fn serve(
+    addr: SocketAddr,
+    traffic: Arc<Traffic>,
+    grace: Duration,
+    token: CancellationToken,
+) -> anyhow::Result<()> {
+    let acceptor = TcpAcceptor::from_tokio(TcpListener::bind(addr).await?)?;
+    let one = format!("{ATTEMPTS_PATH}/:request/:attempt/:incarnation");
+    let routes = Route::new()
+        .at(ATTEMPTS_PATH, poem::post(submit))
+        .at(one, poem::get(outcome).delete(cancel))
+        .data(traffic);
+    let server = Server::new_with_acceptor(acceptor);
+    server
+        .run_with_graceful_shutdown(routes, token.cancelled(), Some(grace))
+        .await?;
+    Ok(())
+}
+
+#[handler]
+async fn submit(traffic: Data<&Arc<Traffic>>, body: Body) -> Response {
+    let traffic = Arc::clone(traffic.0);
+    let Ok(bytes) = body.into_bytes_limit(MAX_ATTEMPT).await else {
+        return StatusCode::PAYLOAD_TOO_LARGE.into();
+    };
+    let attempt = match attempt::decode(&bytes) {
+        Ok(attempt) => attempt,
+        Err(error) => return bad_request(&error.to_string()),
+    };
+    let attempt::Attempt { head, body } = attempt;
+    if head.id.incarnation != traffic.incarnation {
+        let reason = "the attempt was chosen for another life of this agent";
+        return failed(
+            Verdict::NotRun {
+                retry_after: Duration::ZERO,
+            },
+            reason,
+        );
+    }
+    match traffic.attempts.open(&head.id, head.resume) {
+        Opened::New(attempt) => {
+            let first = head.resume;
+            let context = traffic.context.clone();
+            tokio::spawn(runner::run(context, Arc::clone(&attempt), head, body));
+            frames_response(&traffic, attempt, first)
+        }
+        Opened::Seen(attempt) => frames_response(&traffic, attempt, head.resume),
+        Opened::Full => failed(
+            Verdict::NotRun {
+                retry_after: FULL_RETRY,
+            },
+            "too many attempts",
+        ),
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct From {
+    #[serde(default)]
+    from: u64,
+}
+
+#[handler]
+async fn outcome(
+    traffic: Data<&Arc<Traffic>>,
+    Path((request, attempt, incarnation)): Path<(RequestId, AttemptId, Incarnation)>,
+    Query(query): Query<From>,
+) -> Response {
+    let id = AttemptRef {
+        request,
+        attempt,
+        incarnation,
+    };
+    if id.incarnation != traffic.incarnation {
+        return failed(Verdict::MayHaveRun, "the agent that could tell is gone");
+    }
+    match traffic.attempts.outcome(&id) {
+        Opened::New(attempt) | Opened::Seen(attempt) => {
+            frames_response(&traffic, attempt, query.from)
+        }
+        Opened::Full => bad_status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+#[handler]
+async fn cancel(
+    traffic: Data<&Arc<Traffic>>,
+    Path((request, attempt, incarnation)): Path<(RequestId, AttemptId, Incarnation)>,
+) -> StatusCode {
+    let id = AttemptRef {
+        request,
+        attempt,
+        incarnation,
+    };
+    if id.incarnation == traffic.incarnation {
+        traffic.attempts.cancel(&id);
+    }
+    StatusCode::NO_CONTENT
+}
+
+fn frames_response(traffic: &Traffic, attempt: Arc<Attempt>, from: u64) -> Response {
+    let body = frame_bytes(attempt, from, traffic.link.progress);
+    Response::builder()
+        .content_type(CONTENT_TYPE)
+        .body(Body::from_bytes_stream(body.map(Ok::<_, std::io::Error>)))
+}
+
+/// The frames of an attempt from a data frame on, with progress frames while it is quiet.
+fn frame_bytes(attempt: Arc<Attempt>, from: u64, progress: Duration) -> BoxStream<'static, Bytes> {
+    let frames: std::pin::Pin<Box<dyn Stream<Item = Bytes> + Send>> = Box::pin(stream! {
+        let mut position = attempt.position(from);
+        loop {
+            match attempt.read(position) {
+                ReadStep::Bytes(bytes) => {
+                    position += bytes.len();
+                    yield bytes;
+                }
+                ReadStep::End => return,
+                ReadStep::Pending => {
+                    if tokio::time::timeout(progress, attempt.changed(position)).await.is_err() {
+                        yield encoded(&Frame::Progress);
+                    }
+                }
+            }
+        }
+    });
+    frames
+}
+
+fn failed(verdict: Verdict, reason: &str) -> Response {
+    let frame = Frame::Failed(Failure::new(verdict, reason));
+    Response::builder()
+        .content_type(CONTENT_TYPE)
+        .body(encoded(&frame))
+}
+
+fn encoded(frame: &Frame) -> Bytes {
+    let mut out = BytesMut::new();
+    // Frames of this agent's own making are far below the limit.
+    let _ = frames::encode(frame, &mut out);
+    out.freeze()
+}
+
+fn bad_request(detail: &str) -> Response {
+    Response::builder()
+        .status(StatusCode::BAD_REQUEST)
+        .body(detail.to_owned())
+}
+
+fn bad_status(status: StatusCode) -> Response {
+    status.into()
+}
--- /dev/null
+++ b/crates/backend/src/call.rs
@@ -0,0 +1,197 @@
+//! One HTTP call to the backend server beside an agent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{StreamExt, TryStreamExt, stream::BoxStream};
+use jj_peer::{
+    attempt::{AttemptHead, Call},
+    frames::{Head, Header},
+};
+use reqwest::{Client, Method, RequestBuilder, Response};
+
+use crate::stream::token_events;
+
+/// Header that names the request towards the backend server.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Header that asks an engine to start a stream at a token.
+pub const RESUME_HEADER: &str = "x-resume-from";
+
+/// Header with the priority for an engine.
+pub const PRIORITY_HEADER: &str = "x-priority";
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+];
+
+/// Why a call to a backend server failed.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No connection could be opened: no byte was sent.
+    #[error("backend server not reachable: {0}")]
+    Unreachable(reqwest::Error),
+    /// The call itself is malformed: no byte was sent.
+    #[error("malformed call: {0}")]
+    Malformed(String),
+    /// The connection was lost after bytes were sent.
+    #[error("connection to the backend server lost: {0}")]
+    Lost(reqwest::Error),
+    /// The stream broke or ended without its end marker.
+    #[error("answer of the backend server is not whole: {0}")]
+    Truncated(String),
+}
+
+/// The parts of an answer's body, in order: pieces of a plain body or tokens of a stream.
+pub type Parts = BoxStream<'static, Result<Bytes, CallError>>;
+
+/// An answer whose body is still arriving.
+pub struct BackendAnswer {
+    /// Status and end-to-end headers.
+    pub head: Head,
+    /// The body.
+    pub parts: Parts,
+}
+
+/// Client of one backend server.
+#[derive(Debug, Clone)]
+pub struct BackendClient {
+    http: Client,
+    base: String,
+}
+
+impl BackendClient {
+    /// Builds a client for the backend server at `base`, such as `http://127.0.0.1:8000`.
+    ///
+    /// # Errors
+    /// When the HTTP client can't be built.
+    pub fn new(base: &str, connect: Duration) -> anyhow::Result<Self> {
+        let http = Client::builder()
+            .connect_timeout(connect)
+            .pool_idle_timeout(Duration::from_secs(5))
+            .tcp_nodelay(true)
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .build()?;
+        Ok(Self {
+            http,
+            base: base.trim_end_matches('/').to_owned(),
+        })
+    }
+
+    /// Makes the call of an attempt.
+    ///
+    /// # Errors
+    /// [`CallError::Unreachable`] and [`CallError::Malformed`] when no byte was sent.
+    pub async fn call(&self, head: &AttemptHead, body: Bytes) -> Result<BackendAnswer, CallError> {
+        let request = self.request(head)?.body(body);
+        let response = request.send().await.map_err(classify)?;
+        let answer = Head {
+            status: response.status().as_u16(),
+            headers: kept_headers(&response),
+        };
+        let whole_stream = head.call.stream && response.status().is_success();
+        let parts = if whole_stream {
+            token_events(response)
+        } else {
+            plain_parts(response)
+        };
+        Ok(BackendAnswer {
+            head: answer,
+            parts,
+        })
+    }
+
+    /// Reads a JSON document from the backend server.
+    ///
+    /// # Errors
+    /// When the server can't be reached in time or does not answer with such a document.
+    pub async fn get_json<T: serde::de::DeserializeOwned>(
+        &self,
+        path: &str,
+        limit: Duration,
+    ) -> Result<T, reqwest::Error> {
+        let call = self.http.get(format!("{}{path}", self.base)).timeout(limit);
+        call.send().await?.error_for_status()?.json().await
+    }
+
+    /// Posts a JSON document to the backend server and returns the response.
+    ///
+    /// # Errors
+    /// When the server can't be reached in time.
+    pub async fn post_json<T: serde::Serialize>(
+        &self,
+        path: &str,
+        document: &T,
+        limit: Duration,
+    ) -> Result<Response, reqwest::Error> {
+        let call = self
+            .http
+            .post(format!("{}{path}", self.base))
+            .timeout(limit);
+        call.json(document).send().await
+    }
+
+    fn request(&self, head: &AttemptHead) -> Result<RequestBuilder, CallError> {
+        let Call {
+            method,
+            target,
+            headers,
+            ..
+        } = &head.call;
+        let method = Method::from_bytes(method.as_bytes())
+            .map_err(|error| CallError::Malformed(error.to_string()))?;
+        let mut request = self.http.request(method, format!("{}{target}", self.base));
+        for header in headers.iter().filter(|header| is_end_to_end(&header.name)) {
+            request = request.header(&header.name, &header.value);
+        }
+        request = request.header(REQUEST_ID_HEADER, &head.id.request);
+        if head.call.stream {
+            request = request.header(PRIORITY_HEADER, head.priority);
+            request = request.header(RESUME_HEADER, head.resume);
+        }
+        Ok(request)
+    }
+}
+
+/// True for headers that are passed on between caller and backend server.
+pub fn is_end_to_end(name: &str) -> bool {
+    !HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+fn classify(error: reqwest::Error) -> CallError {
+    if error.is_connect() {
+        CallError::Unreachable(error)
+    } else if error.is_builder() {
+        CallError::Malformed(error.to_string())
+    } else {
+        CallError::Lost(error)
+    }
+}
+
+fn kept_headers(response: &Response) -> Vec<Header> {
+    let headers = response.headers().iter();
+    let kept = headers.filter(|(name, _)| is_end_to_end(name.as_str()));
+    kept.filter_map(|(name, value)| {
+        let value = value.to_str().ok()?.to_owned();
+        Some(Header {
+            name: name.as_str().to_owned(),
+            value,
+        })
+    })
+    .collect()
+}
+
+fn plain_parts(response: Response) -> Parts {
+    response.bytes_stream().map_err(CallError::Lost).boxed()
+}
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,203 @@
+//! The entry's side of an attempt: send it, read its frames, and ask for its outcome on a new
+//! connection when the old one is lost or goes silent.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use reqwest::Client;
+
+use crate::{
+    attempt::{self, ATTEMPTS_PATH, AttemptError, AttemptHead, AttemptRef},
+    frames::{Frame, FrameError, FrameReader},
+};
+
+/// Timing of the link between an entry and an agent.
+#[derive(Debug, Clone)]
+pub struct LinkConfig {
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Interval of progress frames on a quiet stream.
+    pub progress: Duration,
+}
+
+impl Default for LinkConfig {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            progress: Duration::from_millis(500),
+        }
+    }
+}
+
+impl LinkConfig {
+    /// Quiet time after which a connection is taken for dead: two progress intervals.
+    pub fn silence(&self) -> Duration {
+        self.progress * 2
+    }
+}
+
+/// Why a connection to an agent gave no further frame.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// No connection could be opened: no byte of the request was sent.
+    #[error("agent not reachable: {0}")]
+    Unreachable(reqwest::Error),
+    /// The connection was lost or refused after bytes were sent.
+    #[error("connection lost: {0}")]
+    Lost(reqwest::Error),
+    /// The agent answered with something other than frames.
+    #[error("agent answered status {0}")]
+    Status(u16),
+    /// The connection went silent.
+    #[error("connection silent")]
+    Silent,
+    /// The body ended without an end marker.
+    #[error("answer cut short")]
+    Truncated,
+    /// The agent does not follow the protocol.
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    /// The attempt can't be encoded.
+    #[error(transparent)]
+    Attempt(#[from] AttemptError),
+}
+
+/// Client of every agent's traffic port.
+#[derive(Debug, Clone)]
+pub struct AgentClient {
+    http: Client,
+    config: LinkConfig,
+}
+
+impl AgentClient {
+    /// Builds a client.
+    ///
+    /// # Errors
+    /// When the HTTP client can't be built.
+    pub fn new(config: LinkConfig) -> anyhow::Result<Self> {
+        let http = Client::builder()
+            .connect_timeout(config.connect)
+            .pool_max_idle_per_host(64)
+            .pool_idle_timeout(Duration::from_secs(20))
+            .tcp_nodelay(true)
+            .no_proxy()
+            .build()?;
+        Ok(Self { http, config })
+    }
+
+    /// Sends an attempt and returns the stream of its frames.
+    ///
+    /// # Errors
+    /// [`LinkError::Unreachable`] when no byte was sent; any other error leaves the outcome open.
+    pub async fn send(
+        &self,
+        agent: SocketAddr,
+        head: &AttemptHead,
+        body: &Bytes,
+    ) -> Result<impl Stream<Item = Result<Frame, LinkError>> + use<>, LinkError> {
+        let url = format!("http://{agent}{ATTEMPTS_PATH}");
+        let body = attempt::encode(head, body)?;
+        self.open(self.http.post(url).body(body)).await
+    }
+
+    /// Asks for the outcome of an attempt, from data frame `from` on. An attempt that the agent
+    /// has not seen is fenced by the question.
+    ///
+    /// # Errors
+    /// As [`AgentClient::send`].
+    pub async fn outcome(
+        &self,
+        agent: SocketAddr,
+        id: &AttemptRef,
+        from: u64,
+    ) -> Result<impl Stream<Item = Result<Frame, LinkError>> + use<>, LinkError> {
+        let AttemptRef {
+            request,
+            attempt,
+            incarnation,
+        } = id;
+        let url =
+            format!("http://{agent}{ATTEMPTS_PATH}/{request}/{attempt}/{incarnation}?from={from}");
+        self.open(self.http.get(url)).await
+    }
+
+    /// Tells an agent that nobody waits for an attempt any more.
+    pub async fn cancel(&self, agent: SocketAddr, id: &AttemptRef) {
+        let AttemptRef {
+            request,
+            attempt,
+            incarnation,
+        } = id;
+        let url = format!("http://{agent}{ATTEMPTS_PATH}/{request}/{attempt}/{incarnation}");
+        let call = self.http.delete(url).timeout(self.config.silence());
+        // A lost cancellation costs work, not correctness: the attempt's deadline ends it.
+        let _ = call.send().await;
+    }
+
+    async fn open(
+        &self,
+        call: reqwest::RequestBuilder,
+    ) -> Result<impl Stream<Item = Result<Frame, LinkError>> + use<>, LinkError> {
+        let silence = self.config.silence();
+        let limit = self.config.connect + silence;
+        let sent = tokio::time::timeout(limit, call.send()).await;
+        let response = sent.map_err(|_| LinkError::Silent)?.map_err(classify)?;
+        if !response.status().is_success() {
+            return Err(LinkError::Status(response.status().as_u16()));
+        }
+        Ok(read_frames(response, silence))
+    }
+}
+
+fn classify(error: reqwest::Error) -> LinkError {
+    if error.is_connect() {
+        LinkError::Unreachable(error)
+    } else {
+        LinkError::Lost(error)
+    }
+}
+
+fn read_frames(
+    response: reqwest::Response,
+    silence: Duration,
+) -> impl Stream<Item = Result<Frame, LinkError>> {
+    async_stream::stream! {
+        let mut reader = FrameReader::default();
+        let mut body = response.bytes_stream();
+        loop {
+            match reader.next_frame() {
+                Ok(Some(frame)) => {
+                    if !matches!(frame, Frame::End { .. } | Frame::Failed(_)) {
+                        yield Ok(frame);
+                        continue;
+                    }
+                    // Reading up to the end of the body lets the connection be used again.
+                    let _ = tokio::time::timeout(silence, body.next()).await;
+                    yield Ok(frame);
+                    return;
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    yield Err(error.into());
+                    return;
+                }
+            }
+            match tokio::time::timeout(silence, body.next()).await {
+                Ok(Some(Ok(bytes))) => reader.push(&bytes),
+                Ok(Some(Err(error))) => {
+                    yield Err(LinkError::Lost(error));
+                    return;
+                }
+                Ok(None) => {
+                    yield Err(LinkError::Truncated);
+                    return;
+                }
+                Err(_) => {
+                    yield Err(LinkError::Silent);
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/control.rs
@@ -0,0 +1,72 @@
+//! JSON-RPC between the system's processes: heartbeats, load reports and configuration news.
+
+use jj_utils::{
+    common_derives,
+    ids::{ConfigIndex, FailureDomainId, Incarnation, InstanceId},
+};
+use jsonrpsee::{core::RpcResult, proc_macros::rpc};
+
+common_derives! {wire:
+    /// What a process tells another about itself.
+    #[derive(Default)]
+    pub struct Heartbeat {
+        /// The sender.
+        pub instance: InstanceId,
+        /// Its life.
+        pub incarnation: Incarnation,
+        /// Its failure domain.
+        pub domain: FailureDomainId,
+        /// Index of the configuration in force at the sender.
+        pub index: ConfigIndex,
+        /// Digest of that configuration's manifest.
+        pub digest: String,
+        /// Time since the sender last reached the configuration service, in milliseconds.
+        pub platform_age: Option<u64>,
+        /// True when the sender takes no new work.
+        pub draining: bool,
+        /// Load of the sender's backend server; agents only.
+        pub load: Option<LoadReport>,
+    }
+}
+
+common_derives! {wire:
+    /// Load of an agent and its backend server.
+    #[derive(Default)]
+    pub struct LoadReport {
+        /// Concurrent requests that the agent admits now.
+        pub limit: u32,
+        /// Requests at the backend server.
+        pub running: u32,
+        /// Requests waiting in the agent.
+        pub waiting: u32,
+        /// Smoothed time to the first byte, in microseconds.
+        pub latency: u64,
+        /// True while the agent's backend server answers.
+        pub reachable: bool,
+    }
+}
+
+common_derives! {wire:
+    /// A publication, as one process hands it to another.
+    pub struct PublicationWire {
+        /// Index of the manifest.
+        pub index: ConfigIndex,
+        /// The manifest's text.
+        pub manifest: String,
+        /// Text of each document that was asked for.
+        pub documents: Vec<String>,
+    }
+}
+
+/// What every process offers the others.
+#[rpc(client, server, namespace = "jujube")]
+pub trait Control {
+    /// Exchanges heartbeats.
+    #[method(name = "heartbeat")]
+    async fn heartbeat(&self, from: Heartbeat) -> RpcResult<Heartbeat>;
+
+    /// The configuration in force, with those of its documents whose digests are in `wanted`;
+    /// with all of them when `wanted` is absent.
+    #[method(name = "publication")]
+    async fn publication(&self, wanted: Option<Vec<String>>) -> RpcResult<Option<PublicationWire>>;
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,10 @@
 //! Protocols between the system's own processes.
+//!
+//! Control goes over JSON-RPC ([`control`]). Requests and answers go over HTTP with framed bodies
+//! ([`attempt`], [`frames`]): each attempt has a connection of its own, so that one connection
+//! going silent takes no other attempt with it.
+
+pub mod attempt;
+pub mod client;
+pub mod control;
+pub mod frames;
