feat(lab): add the stand-in platform with faults and counted calls

Blocking queries on a key-value store, a lagging live list and a weight store over HTTP; a control side injects outage, silence, stale reads and lag. The pacing of calls to the platform is a pure decision in policy.

--- /dev/null
+++ b/crates/lab/src/experiments/mod.rs
@@ -0,0 +1,1 @@
+//! Experiments that measure the system or make it fail.
--- /dev/null
+++ b/crates/lab/src/standins/platform_state.rs
@@ -0,0 +1,209 @@
+//! State of the stand-in platform: every value ever put, faults to inject, and counted calls.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use jj_platform::wire::InstanceList;
+use jj_utils::common_derives;
+use tokio::sync::watch;
+
+common_derives! {wire:
+    /// Faults that a test injects; a missing field keeps its present value.
+    #[derive(Default)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct Control {
+        /// Reads of the configuration service and the live list answer 503.
+        pub down: Option<bool>,
+        /// Reads never answer, as on a connection that nobody tracks any more.
+        pub silent: Option<bool>,
+        /// Reads see the state at this index and nothing newer; 0 ends the fault.
+        pub stale_at: Option<u64>,
+        /// Reads see the present state and nothing newer.
+        pub frozen: Option<bool>,
+        /// With a stale index, only each n-th read is stale; 0 and 1 mean every read.
+        pub stale_every: Option<u64>,
+        /// Time before a new live list can be read.
+        pub lag_ms: Option<u64>,
+    }
+}
+
+common_derives! {wire:
+    /// Calls received since the start.
+    #[derive(Default)]
+    pub struct Calls {
+        /// Reads of the manifest.
+        pub manifest: u64,
+        /// Reads of other keys.
+        pub documents: u64,
+        /// Reads of the live list.
+        pub instances: u64,
+        /// Reads of the weight store.
+        pub weights: u64,
+    }
+}
+
+impl Calls {
+    /// Calls that count against the configuration service.
+    pub fn configuration(&self) -> u64 {
+        self.manifest + self.documents
+    }
+}
+
+common_derives! {value:
+    /// One value and the index at which it was put.
+    pub struct Version {
+        /// Index of the put.
+        pub index: u64,
+        /// Bytes of the value.
+        pub value: Vec<u8>,
+    }
+}
+
+/// What a read sees.
+pub enum View {
+    /// The service is down.
+    Down,
+    /// The service never answers.
+    Silent,
+    /// Nothing newer than this index.
+    At(u64),
+}
+
+#[derive(Default)]
+struct Inner {
+    index: u64,
+    history: BTreeMap<String, Vec<Version>>,
+    instances: InstanceList,
+    instances_index: u64,
+    control: Control,
+    reads: u64,
+    calls: Calls,
+}
+
+/// The stand-in platform's state, shared by its handlers.
+pub struct Platform {
+    inner: Mutex<Inner>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            inner: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Platform {
+    /// Puts one value and returns its index.
+    pub fn put(&self, key: &str, value: Vec<u8>) -> u64 {
+        let index = self.with(|inner| {
+            inner.index += 1;
+            let index = inner.index;
+            let versions = inner.history.entry(key.to_owned()).or_default();
+            versions.push(Version { index, value });
+            index
+        });
+        self.notify();
+        index
+    }
+
+    /// Replaces the live list at once.
+    pub fn set_instances(&self, list: InstanceList) {
+        self.with(|inner| {
+            inner.instances = list;
+            inner.instances_index += 1;
+        });
+        self.notify();
+    }
+
+    /// Changes the injected faults.
+    pub fn set_control(&self, change: Control) {
+        self.with(|inner| {
+            let present = inner.index;
+            let control = &mut inner.control;
+            control.down = change.down.or(control.down);
+            control.silent = change.silent.or(control.silent);
+            control.stale_every = change.stale_every.or(control.stale_every);
+            control.lag_ms = change.lag_ms.or(control.lag_ms);
+            control.stale_at = change.stale_at.or(control.stale_at);
+            match change.frozen {
+                Some(true) => control.stale_at = Some(present),
+                Some(false) => control.stale_at = None,
+                None => {}
+            }
+        });
+        self.notify();
+    }
+
+    /// Calls received since the start.
+    pub fn calls(&self) -> Calls {
+        self.with(|inner| inner.calls.clone())
+    }
+
+    /// Index of the latest put.
+    pub fn index(&self) -> u64 {
+        self.with(|inner| inner.index)
+    }
+
+    /// Time before a new live list can be read.
+    pub fn lag(&self) -> Duration {
+        self.with(|inner| Duration::from_millis(inner.control.lag_ms.unwrap_or(0)))
+    }
+
+    /// Counts one call.
+    pub fn count(&self, add: impl FnOnce(&mut Calls)) {
+        self.with(|inner| add(&mut inner.calls));
+    }
+
+    /// Chooses what one read sees.
+    pub fn view(&self) -> View {
+        self.with(|inner| {
+            inner.reads += 1;
+            let every = inner.control.stale_every.unwrap_or(0).max(1);
+            let stale = inner.control.stale_at.filter(|&index| index > 0);
+            let hit = inner.reads.is_multiple_of(every);
+            if inner.control.down == Some(true) {
+                return View::Down;
+            }
+            if inner.control.silent == Some(true) {
+                return View::Silent;
+            }
+            match stale {
+                Some(index) if hit => View::At(index),
+                _ => View::At(u64::MAX),
+            }
+        })
+    }
+
+    /// The value of a key as a view that ends at `newest` sees it.
+    pub fn read(&self, key: &str, newest: u64) -> Option<Version> {
+        self.with(|inner| {
+            let versions = inner.history.get(key)?;
+            let seen = versions.iter().rfind(|version| version.index <= newest);
+            seen.cloned()
+        })
+    }
+
+    /// The live list and its index.
+    pub fn instances(&self) -> (u64, InstanceList) {
+        self.with(|inner| (inner.instances_index, inner.instances.clone()))
+    }
+
+    /// A receiver that wakes at every change.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn with<T>(&self, work: impl FnOnce(&mut Inner) -> T) -> T {
+        work(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,4 +1,5 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
+pub mod call_budget;
 pub mod verdict;
