feat: choose a backend server by expected time to the first token

Two random draws and the prefix's rendezvous home are compared by distance, load report (corrected by own requests, pulled to the mean as it ages) and prefix hit. Membership, refusals and earlier attempts exclude candidates; near the deadline all candidates are compared. Not measured yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,4 +1,8 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
+pub mod membership;
+pub mod prefix;
+pub mod rendezvous;
+pub mod routing;
 pub mod verdict;
