--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,10 +2,15 @@
 //! randomness. Time, random numbers and observations are passed in.
 
 pub mod admission;
+pub mod call_budget;
 pub mod cold;
 pub mod fairness;
 pub mod keys;
 pub mod limit;
+pub mod membership;
 pub mod once;
 pub mod orphans;
+pub mod prefix;
+pub mod rendezvous;
+pub mod routing;
 pub mod verdict;
