--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -319,6 +319,7 @@
     }
 
     fn notice_overdue(&mut self, now: Timestamp) {
+        self.limit.refresh(now);
         let Some(bound) = self.limit.overdue_after() else {
             return;
         };
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -176,6 +176,11 @@
         self.resets.clear();
     }
 
+    /// Whether the server has ever reported.
+    pub fn has_report(&self) -> bool {
+        self.report.is_some()
+    }
+
     /// Whether the server takes itself for warm; `None` when it does not say.
     pub fn reported_warm(&self) -> Option<bool> {
         self.report.as_ref()?.warm
--- a/crates/policy/src/keys.rs
+++ b/crates/policy/src/keys.rs
@@ -10,7 +10,8 @@
     ids::{Incarnation, InstanceId},
 };
 use rand::Rng;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::rendezvous;
 
 /// Start of every issued key.
 pub const ISSUED_PREFIX: &str = "jk1.";
@@ -168,13 +169,9 @@
 
 /// Every possible home of a caller-made key, the preferred one first (rendezvous hashing).
 pub fn ranked_homes<'a>(key: &str, agents: &'a [InstanceId]) -> Vec<&'a InstanceId> {
-    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
-    let mut homes: Vec<&InstanceId> = agents.iter().collect();
-    homes.sort_by_key(|agent| {
-        let score = xxh3_64_with_seed(agent.as_bytes(), seed);
-        (std::cmp::Reverse(score), *agent)
-    });
-    homes
+    let names = agents.iter().map(String::as_str);
+    let ranking = rendezvous::ranking(rendezvous::key_hash(key), names);
+    ranking.into_iter().map(|at| &agents[at]).collect()
 }
 
 fn parse_agent(text: &str) -> Result<InstanceId, KeyError> {
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -73,6 +73,7 @@
     steady: u32,
     since: Timestamp,
     turned: bool,
+    suspect: Option<Timestamp>,
     change: Option<LimitChange>,
 }
 
@@ -85,6 +86,7 @@
             steady: 0,
             since: now,
             turned: false,
+            suspect: None,
             change: None,
             config,
         }
@@ -101,9 +103,23 @@
         };
     }
 
-    /// Concurrent requests allowed now.
+    /// Concurrent requests allowed now: the floor while a broken connection makes a restart of
+    /// the server likely.
     pub fn value(&self) -> u32 {
-        self.value
+        match self.suspect {
+            Some(_) => self.config.floor(),
+            None => self.value,
+        }
+    }
+
+    /// Lifts the suspicion of a restart after its time, for a server that makes no reports; one
+    /// that does clears itself by its next report.
+    pub fn refresh(&mut self, now: Timestamp) {
+        let window = self.config.cold.reset_window;
+        let over = self.suspect.is_some_and(|since| now >= since + window);
+        if over && !self.detector.has_report() {
+            self.suspect = None;
+        }
     }
 
     /// Whether the limit is at its floor because the server is taken for cold.
@@ -135,6 +151,7 @@
     /// Takes in a broken connection.
     pub fn reset(&mut self, now: Timestamp) {
         self.steady = 0;
+        self.suspect = Some(now);
         if self.detector.reset(now) {
             self.fall(now, ColdCause::Resets);
         }
@@ -167,6 +184,9 @@
 
     /// Takes in a report of the server; true when it shows that the server restarted.
     pub fn report(&mut self, now: Timestamp, report: &ServerReport) -> bool {
+        if self.suspect.is_some_and(|since| report.measured >= since) {
+            self.suspect = None;
+        }
         let Some(cause) = self.detector.report(report) else {
             return false;
         };
--- /dev/null
+++ b/crates/policy/tests/admission.rs
@@ -0,0 +1,327 @@
+//! The gate: when its limit grows and falls, and what it answers to requests.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::admission::{
+    Admission, AdmissionConfig, ColdCause, FairnessConfig, Finish, LimitChange, LimitConfig, Offer,
+    RefusalReason, ServerReport, Waiting,
+};
+use jj_utils::clock::Timestamp;
+
+const USUAL: u64 = 50;
+const WARM: u32 = 8;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn config() -> AdmissionConfig {
+    AdmissionConfig {
+        limit: LimitConfig {
+            cold_floor: 2,
+            concurrency: WARM,
+            ..LimitConfig::default()
+        },
+        queue: FairnessConfig {
+            queue_limit: 4,
+            account_limit: 3,
+        },
+        ..AdmissionConfig::default()
+    }
+}
+
+fn report(now: Timestamp, boot: &str) -> ServerReport {
+    ServerReport {
+        measured: now,
+        boot_id: Some(boot.into()),
+        uptime: Some(Duration::from_secs(3600) + now),
+        warm: None,
+        in_flight: Some(0),
+    }
+}
+
+fn request(ticket: u64, deadline: Timestamp) -> Waiting {
+    Waiting {
+        ticket,
+        account: "a".into(),
+        weight: 1,
+        deadline,
+        cost: 1,
+    }
+}
+
+/// A gate whose server is known, with the present time and the next free ticket.
+struct Fixture {
+    gate: Admission,
+    now: Timestamp,
+    ticket: u64,
+}
+
+impl Fixture {
+    fn cold() -> Self {
+        let now = ms(1);
+        let mut gate = Admission::new(config(), Duration::ZERO);
+        gate.observe(now, &report(now, "one"));
+        Self {
+            gate,
+            now,
+            ticket: 0,
+        }
+    }
+
+    fn warm() -> Self {
+        let mut it = Self::cold();
+        while it.limit() < WARM {
+            let batch = it.fill();
+            it.now += ms(USUAL);
+            it.end(&batch, Finish::Ok);
+        }
+        it.gate.take_change();
+        it
+    }
+
+    fn limit(&self) -> u32 {
+        self.gate.snapshot(self.now).limit
+    }
+
+    fn offer(&mut self) -> Offer {
+        self.ticket += 1;
+        let deadline = self.now + Duration::from_secs(10);
+        self.gate.offer(self.now, request(self.ticket, deadline))
+    }
+
+    fn fill(&mut self) -> Vec<u64> {
+        let mut batch = Vec::new();
+        while self.gate.snapshot(self.now).in_flight < self.limit() {
+            assert_eq!(self.offer(), Offer::Start);
+            batch.push(self.ticket);
+        }
+        batch
+    }
+
+    fn end(&mut self, tickets: &[u64], finish: Finish) {
+        for ticket in tickets {
+            self.gate.finished(self.now, *ticket, finish);
+        }
+    }
+}
+
+#[gtest]
+fn nothing_starts_until_it_is_known_what_an_earlier_life_left() {
+    let mut gate = Admission::new(config(), Duration::ZERO);
+    let busy = ServerReport {
+        in_flight: Some(1),
+        ..report(ms(10), "one")
+    };
+
+    let before = gate.offer(ms(5), request(1, ms(9000)));
+    let settled = gate.observe(ms(10), &busy);
+    let second = gate.offer(ms(11), request(2, ms(9000)));
+
+    expect_that!(before, eq(&Offer::Queued(None)));
+    expect_that!(settled.started, elements_are![eq(&1)]);
+    expect_that!(second, eq(&Offer::Queued(None)));
+}
+
+#[gtest]
+fn without_reports_the_first_start_waits_for_the_life_of_orphans() {
+    let mut gate = Admission::new(config(), Duration::ZERO);
+    gate.offer(ms(5), request(1, ms(9000)));
+
+    expect_that!(gate.advance(ms(4999)).started, is_empty());
+    expect_that!(gate.advance(ms(5000)).started, elements_are![eq(&1)]);
+}
+
+#[gtest]
+fn steady_successes_raise_the_limit_to_the_declared_concurrency_and_no_further() {
+    let mut it = Fixture::warm();
+
+    for _ in 0..20 {
+        let batch = it.fill();
+        it.now += ms(USUAL);
+        it.end(&batch, Finish::Ok);
+    }
+
+    expect_that!(it.limit(), eq(WARM));
+}
+
+#[gtest]
+fn rising_latency_does_not_raise_the_limit() {
+    let mut it = Fixture::cold();
+    let mut latency = 30;
+    for _ in 0..20 {
+        let batch = it.fill();
+        it.now += ms(latency);
+        it.end(&batch, Finish::Ok);
+        latency = latency * 8 / 5;
+    }
+
+    expect_that!(it.limit(), eq(2));
+}
+
+#[gtest]
+fn each_sign_of_a_cold_turn_brings_the_limit_to_the_floor_at_once() {
+    type Sign = fn(&mut Fixture);
+    let signs: [(Sign, ColdCause); 5] = [
+        (
+            |it| drop(it.gate.observe(it.now, &report(it.now, "two"))),
+            ColdCause::Restarted,
+        ),
+        (
+            |it| {
+                let uptime = Some(ms(10));
+                let back = ServerReport {
+                    uptime,
+                    ..report(it.now, "one")
+                };
+                it.gate.observe(it.now, &back);
+            },
+            ColdCause::Restarted,
+        ),
+        (
+            |it| {
+                let warm = Some(false);
+                let cold = ServerReport {
+                    warm,
+                    ..report(it.now, "one")
+                };
+                it.gate.observe(it.now, &cold);
+            },
+            ColdCause::Reported,
+        ),
+        (
+            |it| {
+                let batch = it.fill();
+                it.end(&batch[..2], Finish::Reset);
+            },
+            ColdCause::Resets,
+        ),
+        (
+            |it| {
+                it.fill();
+                it.now += ms(USUAL * 5);
+                it.gate.advance(it.now);
+            },
+            ColdCause::Latency,
+        ),
+    ];
+    for (sign, cause) in signs {
+        let mut it = Fixture::warm();
+        it.now += ms(10);
+
+        sign(&mut it);
+
+        let change = LimitChange {
+            from: WARM,
+            to: 2,
+            cause: Some(cause),
+        };
+        expect_that!(it.gate.take_change(), some(eq(change)));
+        expect_that!(it.limit(), eq(2));
+    }
+}
+
+#[gtest]
+fn work_from_before_the_cold_turn_counts_against_the_floor() {
+    let mut it = Fixture::warm();
+    let batch = it.fill();
+    it.now += ms(10);
+    it.gate.observe(it.now, &report(it.now, "two"));
+
+    it.offer();
+    it.end(&batch[..6], Finish::Ok);
+    let held = it.gate.snapshot(it.now).queued;
+    it.end(&batch[6..7], Finish::Ok);
+    let released = it.gate.snapshot(it.now).queued;
+
+    expect_that!((held, released), eq((1, 0)));
+}
+
+#[gtest]
+fn one_broken_connection_holds_the_floor_until_a_report_clears_it() {
+    let mut it = Fixture::warm();
+    let batch = it.fill();
+    it.end(&batch[..1], Finish::Reset);
+    let suspected = it.limit();
+
+    it.now += ms(100);
+    it.gate.observe(it.now, &report(it.now, "one"));
+
+    expect_that!((suspected, it.limit()), eq((2, WARM)));
+}
+
+#[gtest]
+fn an_abandoned_request_counts_until_the_server_has_let_go_of_it() {
+    let mut it = Fixture::cold();
+    let batch = it.fill();
+    it.end(&batch, Finish::Abandoned);
+    let held = it.offer();
+    let busy = |now, in_flight| ServerReport {
+        in_flight: Some(in_flight),
+        ..report(now, "one")
+    };
+
+    it.now += ms(10);
+    let still = it.gate.observe(it.now, &busy(it.now, 2)).started;
+    it.now += ms(10);
+    let gone = it.gate.observe(it.now, &busy(it.now, 0)).started;
+
+    expect_that!(held, eq(&Offer::Queued(None)));
+    expect_that!(still, is_empty());
+    expect_that!(gone, len(eq(1)));
+}
+
+#[gtest]
+fn requests_that_cannot_be_answered_in_time_are_refused_at_once() {
+    let mut it = Fixture::warm();
+    it.fill();
+    let now = it.now;
+    let cases = [
+        (now, Some(RefusalReason::Deadline)),
+        (now + ms(USUAL), Some(RefusalReason::Deadline)),
+        (now + ms(USUAL * 2), None),
+    ];
+    for (deadline, refused) in cases {
+        it.ticket += 1;
+        let reason = match it.gate.offer(now, request(it.ticket, deadline)) {
+            Offer::Refused(refusal) => Some(refusal.reason),
+            _ => None,
+        };
+        expect_that!(reason, eq(refused), "{deadline:?}");
+    }
+    let late = it.gate.advance(now + ms(USUAL + 1)).refused;
+    expect_that!(late, len(eq(1)));
+}
+
+#[gtest]
+fn overflow_is_refused_with_the_time_that_the_queue_takes_to_drain() {
+    let mut it = Fixture::warm();
+    it.fill();
+    for _ in 0..3 {
+        it.offer();
+    }
+
+    let refused = it.offer();
+
+    let Offer::Refused(refusal) = refused else {
+        panic!("{refused:?}");
+    };
+    expect_that!(refusal.reason, eq(RefusalReason::AccountFull));
+    expect_that!(refusal.retry_after, eq(config().retry_least));
+}
+
+#[gtest]
+fn a_draining_gate_refuses_what_waits_and_lets_the_rest_finish() {
+    let mut it = Fixture::cold();
+    let batch = it.fill();
+    it.offer();
+
+    let refused = it.gate.drain();
+    let after = it.offer();
+    it.end(&batch, Finish::Ok);
+
+    expect_that!(refused, len(eq(1)));
+    expect_that!(matches!(after, Offer::Refused(_)), eq(true));
+    expect_that!(it.gate.snapshot(it.now).in_flight, eq(0));
+}
--- /dev/null
+++ b/crates/policy/tests/cold_start.rs
@@ -0,0 +1,277 @@
+//! Cold start: the gate beside the server against a slow start of its own in each entry.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::admission::{
+    Admission, AdmissionConfig, Finish, LimitConfig, Offer, ServerReport, Waiting,
+};
+use jj_utils::clock::Timestamp;
+
+const FLOOR: u32 = 2;
+const WARM: u32 = 32;
+const STEP: Duration = Duration::from_millis(10);
+const COLD_TIME: Duration = Duration::from_secs(5);
+const FAULT_AT: Duration = Duration::from_secs(20);
+const END: Duration = Duration::from_secs(40);
+const REPORT_EVERY: Duration = Duration::from_millis(250);
+const RAMP: Duration = Duration::from_secs(10);
+/// Requests that each entry keeps asking for.
+const DEMAND: usize = 8;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    AgentRestart,
+    ColdAgentRestart,
+    ServerRestart,
+    BothRestart,
+    SilentCold,
+}
+
+const FAULTS: [Fault; 6] = [
+    Fault::None,
+    Fault::AgentRestart,
+    Fault::ColdAgentRestart,
+    Fault::ServerRestart,
+    Fault::BothRestart,
+    Fault::SilentCold,
+];
+
+/// A backend server that is slow and bears little while cold.
+#[derive(Default)]
+struct Server {
+    boot: u32,
+    booted: Timestamp,
+    cold_from: Timestamp,
+    work: Vec<(u64, Timestamp)>,
+    peak_cold: u32,
+    excess_starts: u32,
+}
+
+impl Server {
+    fn is_cold(&self, now: Timestamp) -> bool {
+        now < self.cold_from + COLD_TIME
+    }
+
+    fn start(&mut self, now: Timestamp, ticket: u64) {
+        let cold = self.is_cold(now);
+        let time = if cold { 400 } else { 50 };
+        self.work.push((ticket, now + Duration::from_millis(time)));
+        let busy = self.work.len() as u32;
+        if cold && busy > FLOOR {
+            self.excess_starts += 1;
+        }
+        if cold {
+            self.peak_cold = self.peak_cold.max(busy);
+        }
+    }
+
+    fn finish(&mut self, now: Timestamp) -> Vec<u64> {
+        let (done, left) = self.work.iter().partition(|(_, ends)| *ends <= now);
+        self.work = left;
+        let done: Vec<(u64, Timestamp)> = done;
+        done.into_iter().map(|(ticket, _)| ticket).collect()
+    }
+
+    /// Restarts the process; what was in flight is lost.
+    fn restart(&mut self, now: Timestamp) -> Vec<u64> {
+        self.boot += 1;
+        self.booted = now;
+        self.cold_from = now;
+        self.work.drain(..).map(|(ticket, _)| ticket).collect()
+    }
+
+    /// Turns cold without a sign: what is in flight takes as long as on a cold server.
+    fn turn_cold(&mut self, now: Timestamp) {
+        self.cold_from = now;
+        for (_, ends) in &mut self.work {
+            *ends += Duration::from_millis(350);
+        }
+    }
+
+    fn report(&self, now: Timestamp) -> ServerReport {
+        ServerReport {
+            measured: now,
+            boot_id: Some(self.boot.to_string()),
+            uptime: Some(now - self.booted),
+            warm: None,
+            in_flight: Some(self.work.len() as u32),
+        }
+    }
+}
+
+fn steps() -> impl Iterator<Item = Timestamp> {
+    (0..).map(|n| STEP * n).take_while(|now| *now < END)
+}
+
+fn config() -> AdmissionConfig {
+    AdmissionConfig {
+        limit: LimitConfig {
+            cold_floor: FLOOR,
+            concurrency: WARM,
+            ..LimitConfig::default()
+        },
+        ..AdmissionConfig::default()
+    }
+}
+
+struct Measured {
+    server: Server,
+    completed: usize,
+}
+
+/// Every entry sends through the one gate; the server reports but does not say "cold".
+fn run_gate(entries: usize, fault: Fault, config: AdmissionConfig) -> Measured {
+    let mut server = Server::default();
+    let mut gate = Admission::new(config, Duration::ZERO);
+    let mut completed = 0;
+    let mut ticket = 0;
+    for now in steps() {
+        for done in server.finish(now) {
+            completed += 1;
+            let started = gate.finished(now, done, Finish::Ok).started;
+            started.into_iter().for_each(|it| server.start(now, it));
+        }
+        if is_due(fault, now) {
+            strike(fault, now, config, &mut server, &mut gate);
+        }
+        if now.as_millis().is_multiple_of(REPORT_EVERY.as_millis()) {
+            let started = gate.observe(now, &server.report(now)).started;
+            started.into_iter().for_each(|it| server.start(now, it));
+        }
+        let snapshot = gate.snapshot(now);
+        let wanted = (entries * DEMAND) as u32;
+        for _ in snapshot.in_flight + snapshot.queued..wanted {
+            ticket += 1;
+            if gate.offer(now, waiting(ticket, now)) == Offer::Start {
+                server.start(now, ticket);
+            }
+        }
+        let started = gate.advance(now).started;
+        started.into_iter().for_each(|it| server.start(now, it));
+    }
+    Measured { server, completed }
+}
+
+fn is_due(fault: Fault, now: Timestamp) -> bool {
+    match fault {
+        Fault::None => false,
+        Fault::ColdAgentRestart => now == Duration::from_millis(2_010),
+        _ => now == FAULT_AT + STEP,
+    }
+}
+
+fn strike(
+    fault: Fault,
+    now: Timestamp,
+    gate_config: AdmissionConfig,
+    server: &mut Server,
+    gate: &mut Admission,
+) {
+    let lost = match fault {
+        Fault::ServerRestart | Fault::BothRestart => server.restart(now),
+        _ => Vec::new(),
+    };
+    match fault {
+        Fault::None => {}
+        Fault::SilentCold => server.turn_cold(now),
+        Fault::ServerRestart => {
+            for ticket in lost {
+                let started = gate.finished(now, ticket, Finish::Reset).started;
+                started.into_iter().for_each(|it| server.start(now, it));
+            }
+        }
+        Fault::AgentRestart | Fault::ColdAgentRestart | Fault::BothRestart => {
+            *gate = Admission::new(gate_config, now);
+        }
+    }
+}
+
+fn waiting(ticket: u64, now: Timestamp) -> Waiting {
+    Waiting {
+        ticket,
+        account: format!("account-{}", ticket % 10),
+        weight: 1,
+        deadline: now + Duration::from_secs(10),
+        cost: 1,
+    }
+}
+
+/// Naive: each entry raises its own limit with the time since it first saw the server, and starts
+/// anew when it notices a restart by its own broken connections.
+fn run_naive(entries: usize, fault: Fault) -> Measured {
+    let mut server = Server::default();
+    let mut since = vec![Duration::ZERO; entries];
+    let mut completed = 0;
+    let mut ticket = 0_u64;
+    for now in steps() {
+        completed += server.finish(now).len();
+        if is_due(fault, now) {
+            match fault {
+                Fault::ServerRestart | Fault::BothRestart => {
+                    server.restart(now);
+                    since.fill(now);
+                }
+                Fault::SilentCold => server.turn_cold(now),
+                _ => {}
+            }
+        }
+        let mut busy = vec![0; entries];
+        for (it, _) in &server.work {
+            busy[*it as usize % entries] += 1;
+        }
+        for (entry, since) in since.iter().enumerate() {
+            let limit = naive_limit(now - *since).min(DEMAND);
+            for _ in busy[entry]..limit {
+                ticket += 1;
+                server.start(now, ticket * entries as u64 + entry as u64);
+            }
+        }
+    }
+    Measured { server, completed }
+}
+
+fn naive_limit(age: Duration) -> usize {
+    let share = age.as_secs_f64() / RAMP.as_secs_f64();
+    (f64::from(FLOOR) + f64::from(WARM - FLOOR) * share.min(1.0)) as usize
+}
+
+#[gtest]
+fn gate_holds_the_floor_where_a_slow_start_in_each_entry_does_not() {
+    println!(
+        "| entries | fault | naive peak | naive excess | gate peak | gate excess | gate done |"
+    );
+    for entries in [6, 9, 60] {
+        for fault in FAULTS {
+            let naive = run_naive(entries, fault);
+            let gate = run_gate(entries, fault, config());
+
+            println!(
+                "| {entries} | {fault:?} | {} | {} | {} | {} | {} |",
+                naive.server.peak_cold,
+                naive.server.excess_starts,
+                gate.server.peak_cold,
+                gate.server.excess_starts,
+                gate.completed,
+            );
+            expect_that!(naive.server.excess_starts, gt(0), "{entries} {fault:?}");
+            expect_that!(gate.server.excess_starts, eq(0), "{entries} {fault:?}");
+            expect_that!(gate.completed, gt(1000), "{entries} {fault:?}");
+        }
+    }
+}
+
+#[gtest]
+fn a_gate_that_forgets_what_an_earlier_life_left_breaks_the_floor() {
+    let forgetful = AdmissionConfig {
+        orphan_life: Duration::ZERO,
+        ..config()
+    };
+
+    let broken = run_gate(6, Fault::ColdAgentRestart, forgetful);
+    let held = run_gate(6, Fault::ColdAgentRestart, config());
+
+    expect_that!(broken.server.peak_cold, gt(FLOOR));
+    expect_that!(held.server.peak_cold, eq(FLOOR));
+}
--- /dev/null
+++ b/crates/policy/tests/fairness.rs
@@ -0,0 +1,142 @@
+//! The queue of an agent: bounds, shares of client accounts, and what a large account cannot do.
+
+use std::{collections::VecDeque, time::Duration};
+
+use googletest::prelude::*;
+use jj_policy::fairness::{FairQueue, FairnessConfig, Push, Waiting};
+use proptest::{prelude::any, test_runner::TestRunner};
+
+fn waiting(ticket: u64, account: &str, weight: u32) -> Waiting {
+    Waiting {
+        ticket,
+        account: account.into(),
+        weight,
+        deadline: Duration::from_secs(60),
+        cost: 1,
+    }
+}
+
+fn queue(queue_limit: u32, account_limit: u32) -> FairQueue {
+    FairQueue::new(FairnessConfig {
+        queue_limit,
+        account_limit,
+    })
+}
+
+fn drain(queue: &mut FairQueue) -> Vec<Waiting> {
+    std::iter::from_fn(|| queue.pop()).collect()
+}
+
+#[gtest]
+fn small_accounts_wait_behind_one_turn_of_a_large_one() {
+    let mut fair = queue(100, 100);
+    let mut fifo = VecDeque::new();
+    let large = (0..50).map(|n| waiting(n, "large", 1));
+    let small = (50..55).map(|n| waiting(n, "small", 1));
+    for request in large.chain(small) {
+        fifo.push_back(request.clone());
+        fair.push(request);
+    }
+
+    let last_small = |order: &[Waiting]| order.iter().rposition(|it| it.account == "small");
+    let fair_last = last_small(&drain(&mut fair));
+    let fifo_last = last_small(fifo.make_contiguous());
+
+    println!("place of the last small request: first come {fifo_last:?}, fair {fair_last:?}");
+    expect_that!(fifo_last, some(eq(54)));
+    expect_that!(fair_last, some(le(10)));
+}
+
+#[gtest]
+fn shares_follow_the_weights() {
+    let mut queue = queue(400, 200);
+    for n in 0..100 {
+        queue.push(waiting(n, "one", 1));
+        queue.push(waiting(100 + n, "three", 3));
+    }
+
+    let first: Vec<Waiting> = drain(&mut queue).into_iter().take(80).collect();
+    let three = first.iter().filter(|it| it.account == "three").count();
+
+    expect_that!(three, all!(ge(58), le(62)));
+}
+
+#[gtest]
+fn a_full_queue_takes_the_place_of_the_account_that_holds_most() {
+    let mut queue = queue(4, 4);
+    for n in 0..4 {
+        queue.push(waiting(n, "large", 1));
+    }
+
+    let small = queue.push(waiting(4, "small", 1));
+    let more = queue.push(waiting(5, "large", 1));
+    let other = queue.push(waiting(6, "other", 1));
+
+    expect_that!(small, eq(&Push::Displaced(waiting(3, "large", 1))));
+    expect_that!(more, eq(&Push::QueueFull));
+    expect_that!(other, eq(&Push::Displaced(waiting(2, "large", 1))));
+}
+
+#[gtest]
+fn an_account_has_a_bound_of_its_own() {
+    let mut queue = queue(10, 2);
+    queue.push(waiting(0, "a", 1));
+    queue.push(waiting(1, "a", 1));
+
+    expect_that!(queue.push(waiting(2, "a", 1)), eq(&Push::AccountFull));
+    expect_that!(queue.push(waiting(3, "b", 1)), eq(&Push::Queued));
+}
+
+/// Whatever is pushed and popped: bounds hold, and nothing is lost or doubled.
+#[gtest]
+fn bounds_and_shares_hold_for_any_sequence() {
+    let operations = proptest::collection::vec((0_u8..5, 1_u32..4, any::<bool>()), 1..200);
+    let mut runner = TestRunner::deterministic();
+
+    let result = runner.run(&operations, |operations| {
+        let mut queue = queue(16, 6);
+        let (mut inside, mut ticket) = (0_u32, 0);
+        for (account, weight, push) in operations {
+            if !push {
+                inside -= u32::from(queue.pop().is_some());
+                continue;
+            }
+            ticket += 1;
+            let pushed = queue.push(waiting(ticket, &format!("a{account}"), weight));
+            inside += u32::from(pushed == Push::Queued);
+            assert!(queue.len() <= 16 && queue.account_len(&format!("a{account}")) <= 6);
+        }
+        assert_eq!(queue.len(), inside);
+        assert_eq!(drain(&mut queue).len() as u32, inside);
+        assert!(queue.is_empty());
+        Ok(())
+    });
+
+    expect_that!(result, ok(anything()));
+}
+
+/// While all accounts stay backlogged with equal weights, their served counts differ by one.
+#[gtest]
+fn backlogged_accounts_are_served_in_turn() {
+    let mut runner = TestRunner::deterministic();
+    let sizes = proptest::collection::vec(10_usize..30, 2..6);
+
+    let result = runner.run(&sizes, |sizes| {
+        let mut queue = queue(200, 200);
+        for (account, size) in sizes.iter().enumerate() {
+            for n in 0..*size {
+                queue.push(waiting(n as u64, &account.to_string(), 2));
+            }
+        }
+        let mut served = vec![0_usize; sizes.len()];
+        for _ in 0..10 * sizes.len() {
+            let next = queue.pop().expect("backlogged");
+            served[next.account.parse::<usize>().expect("a number")] += 1;
+            let spread = served.iter().max().unwrap() - served.iter().min().unwrap();
+            assert!(spread <= 1, "{served:?}");
+        }
+        Ok(())
+    });
+
+    expect_that!(result, ok(anything()));
+}
