--- /dev/null
+++ b/crates/policy/tests/keys.rs
@@ -0,0 +1,104 @@
+//! Idempotency keys: their form, and where an issued key may go.
+
+use googletest::prelude::*;
+use jj_policy::keys::{AgentLife, IssuedKey, KeyError, KeyHome, OnceKey, key_home, ranked_homes};
+use proptest::test_runner::TestRunner;
+use rand_pcg::{Pcg64, rand_core::SeedableRng};
+
+const RANDOM: &str = "0123456789abcdef0123456789abcdef";
+
+fn life(agent: &str, incarnation: u64) -> AgentLife {
+    AgentLife {
+        agent: agent.into(),
+        incarnation,
+    }
+}
+
+#[gtest]
+fn every_issued_key_is_read_back() {
+    let mut runner = TestRunner::deterministic();
+    let lives = ("[a-z0-9._-]{1,40}", proptest::num::u64::ANY);
+
+    let result = runner.run(&lives, |(agent, incarnation)| {
+        let mut rng = Pcg64::seed_from_u64(incarnation);
+        let key = IssuedKey::issue(life(&agent, incarnation), &mut rng);
+        let text = key.to_string();
+        assert_eq!(text.parse(), Ok(OnceKey::Issued(key)), "{text}");
+        Ok(())
+    });
+
+    expect_that!(result, ok(anything()));
+}
+
+#[gtest]
+fn malformed_keys_are_refused_with_the_reason() {
+    let long = "x".repeat(201);
+    let cases = [
+        ("", KeyError::Empty),
+        (long.as_str(), KeyError::TooLong(201)),
+        ("a b", KeyError::BadCharacter(1)),
+        ("n\u{fc}", KeyError::BadCharacter(1)),
+        ("jk1.", KeyError::BadForm),
+        ("jk1.agent.7", KeyError::BadForm),
+        (
+            "jk1..7.0123456789abcdef0123456789abcdef",
+            KeyError::BadAgent,
+        ),
+        (
+            "jk1.a/b.7.0123456789abcdef0123456789abcdef",
+            KeyError::BadAgent,
+        ),
+        (
+            "jk1.a.07.0123456789abcdef0123456789abcdef",
+            KeyError::BadIncarnation,
+        ),
+        (
+            "jk1.a.+7.0123456789abcdef0123456789abcdef",
+            KeyError::BadIncarnation,
+        ),
+        (
+            "jk1.a.x.0123456789abcdef0123456789abcdef",
+            KeyError::BadIncarnation,
+        ),
+        ("jk1.a.7.0123", KeyError::BadRandom),
+        (
+            "jk1.a.7.0123456789ABCDEF0123456789abcdef",
+            KeyError::BadRandom,
+        ),
+    ];
+    for (text, error) in cases {
+        expect_that!(text.parse::<OnceKey>(), err(eq(&error)), "{text}");
+    }
+}
+
+#[gtest]
+fn an_issued_key_goes_to_its_home_or_nowhere() {
+    let key: IssuedKey = format!("jk1.a.7.{RANDOM}").parse().unwrap();
+    let home = KeyHome::At(life("a", 7));
+    let cases = [
+        (vec![life("b", 9), life("a", 7)], home.clone()),
+        (vec![life("a", 6)], home),
+        (vec![life("a", 8)], KeyHome::Gone),
+        (vec![life("b", 7)], KeyHome::Gone),
+        (vec![], KeyHome::Gone),
+    ];
+    for (view, expected) in cases {
+        expect_that!(key_home(&key, &view), eq(&expected), "{view:?}");
+    }
+}
+
+#[gtest]
+fn homes_rank_alike_in_any_order_and_move_only_their_own_keys() {
+    let agents: Vec<String> = (0..5).map(|n| format!("agent-{n}")).collect();
+    let turned: Vec<String> = agents.iter().rev().cloned().collect();
+    let fewer = &agents[1..];
+    for n in 0..100 {
+        let key = format!("key-{n}");
+        let homes = ranked_homes(&key, &agents);
+        let mut left = homes.clone();
+        left.retain(|home| **home != agents[0]);
+
+        expect_that!(ranked_homes(&key, &turned), eq(&homes));
+        expect_that!(ranked_homes(&key, fewer), eq(&left));
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/once.rs
@@ -0,0 +1,223 @@
+//! The once-only register: what each state answers to a claim, a fence and the passing of time.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::{
+    keys::{AgentLife, IssuedKey, OnceKey},
+    once::{
+        AttemptState, Claim, Fingerprint, Inquiry, KeyCheck, OnceConfig, OnceRegister, Outcome,
+        Resolution, Testimony, check_key, may_run, resolve,
+    },
+    verdict::Verdict,
+};
+use proptest::test_runner::TestRunner;
+
+const KEY: &str = "claim-17";
+const RETENTION: Duration = Duration::from_secs(60);
+
+type Register = OnceRegister<u32>;
+
+fn register(capacity: usize) -> Register {
+    Register::new(OnceConfig {
+        capacity,
+        retention: RETENTION,
+    })
+}
+
+fn print(body: &str) -> Fingerprint {
+    Fingerprint::new("runner-club", "POST /claims", body.as_bytes())
+}
+
+fn claim(register: &mut Register, now: u64, key: &str) -> Claim<u32> {
+    register.claim(Duration::from_secs(now), key, print("bib 17"))
+}
+
+#[gtest]
+fn a_key_runs_once_whatever_state_it_is_in() {
+    type Step = fn(&mut Register);
+    let zero = Duration::ZERO;
+    let states: [(Step, Outcome<u32>); 5] = [
+        (|_| {}, Outcome::Claimed),
+        (|it| drop(it.start(KEY)), Outcome::Running),
+        (
+            |it| {
+                it.start(KEY);
+                it.finish(Duration::ZERO, KEY, 7);
+            },
+            Outcome::Finished(7),
+        ),
+        (|it| drop(it.fence(Duration::ZERO, KEY)), Outcome::Fenced),
+        (
+            |it| {
+                it.start(KEY);
+                it.lose(Duration::ZERO, KEY);
+            },
+            Outcome::Lost,
+        ),
+    ];
+    for (step, state) in states {
+        let mut register = register(8);
+        expect_that!(claim(&mut register, 0, KEY), eq(&Claim::Run));
+
+        step(&mut register);
+
+        expect_that!(claim(&mut register, 0, KEY), eq(&Claim::Known(state)));
+        let other = register.claim(zero, KEY, print("bib 18"));
+        expect_that!(other, eq(&Claim::Conflict));
+    }
+}
+
+#[gtest]
+fn a_fence_stops_a_claimed_key_but_not_a_running_one() {
+    let mut claimed = register(8);
+    claim(&mut claimed, 0, KEY);
+    let mut running = claimed.clone();
+    running.start(KEY);
+
+    let fenced = claimed.fence(Duration::ZERO, KEY);
+    let late = running.fence(Duration::ZERO, KEY);
+
+    expect_that!(fenced, some(eq(&Outcome::Fenced)));
+    expect_that!(claimed.start(KEY), eq(false));
+    expect_that!(late, some(eq(&Outcome::Running)));
+}
+
+#[gtest]
+fn a_refused_request_gives_its_key_back() {
+    let mut register = register(8);
+    claim(&mut register, 0, KEY);
+    register.release(KEY);
+    let again = claim(&mut register, 0, KEY);
+    register.start(KEY);
+    register.release(KEY);
+
+    expect_that!(again, eq(&Claim::Run));
+    expect_that!(
+        claim(&mut register, 0, KEY),
+        eq(&Claim::Known(Outcome::Running))
+    );
+}
+
+#[gtest]
+fn a_full_register_refuses_new_keys_and_evicts_none_inside_the_retention() {
+    let mut register = register(2);
+    claim(&mut register, 0, "a");
+    register.start("a");
+    register.finish(Duration::ZERO, "a", 1);
+    claim(&mut register, 0, "b");
+
+    let full = claim(&mut register, 59, "c");
+    let known = claim(&mut register, 59, "a");
+    let fence = register.fence(Duration::from_secs(59), "c");
+    let later = claim(&mut register, 60, "c");
+    let open = claim(&mut register, 600, "b");
+
+    let retry_after = Duration::from_secs(1);
+    expect_that!(full, eq(&Claim::Full { retry_after }));
+    expect_that!(known, eq(&Claim::Known(Outcome::Finished(1))));
+    expect_that!(fence, none());
+    expect_that!(later, eq(&Claim::Run));
+    expect_that!(open, eq(&Claim::Known(Outcome::Claimed)));
+}
+
+#[gtest]
+fn a_key_belongs_to_one_life_of_one_agent() {
+    let home = AgentLife {
+        agent: "agent-1".into(),
+        incarnation: 7,
+    };
+    let issued = |agent: &str, incarnation| {
+        OnceKey::Issued(IssuedKey {
+            home: AgentLife {
+                agent: agent.into(),
+                incarnation,
+            },
+            random: 1,
+        })
+    };
+
+    expect_that!(check_key(&issued("agent-1", 7), &home), eq(KeyCheck::Ours));
+    for other in [issued("agent-1", 6), issued("agent-1", 8), issued("b", 7)] {
+        expect_that!(check_key(&other, &home), eq(KeyCheck::OtherLife));
+    }
+    let own = OnceKey::CallerMade("x".into());
+    expect_that!(check_key(&own, &home), eq(KeyCheck::Ours));
+}
+
+#[gtest]
+fn outcomes_become_verdicts() {
+    let retry_after = Duration::from_millis(5);
+    let cases = [
+        (Inquiry::Told(AttemptState::Running), Resolution::Attach),
+        (Inquiry::Told(AttemptState::Finished), Resolution::Fetch),
+        (
+            Inquiry::Told(AttemptState::Fenced),
+            Resolution::Final(Verdict::NotRun { retry_after }),
+        ),
+        (
+            Inquiry::Told(AttemptState::Lost),
+            Resolution::Final(Verdict::MayHaveRun),
+        ),
+        (
+            Inquiry::OtherLife(9),
+            Resolution::Final(Verdict::MayHaveRun),
+        ),
+        (
+            Inquiry::Unreachable("agent-1".into()),
+            Resolution::Final(Verdict::MayHaveRun),
+        ),
+    ];
+    for (inquiry, resolution) in cases {
+        expect_that!(
+            resolve(&inquiry, retry_after),
+            eq(resolution),
+            "{inquiry:?}"
+        );
+    }
+}
+
+#[gtest]
+fn a_caller_made_key_needs_the_fence_of_every_other_home() {
+    use Testimony::{Fenced, Held, Unknown};
+
+    expect_that!(may_run([]), ok(anything()));
+    expect_that!(may_run([Fenced, Fenced]), ok(anything()));
+    expect_that!(may_run([Fenced, Held]), err(eq(Verdict::MayHaveRun)));
+    expect_that!(may_run([Unknown, Fenced]), err(eq(Verdict::MayHaveRun)));
+}
+
+/// Any sequence of calls: a key starts at most once inside its retention, and never after a fence.
+#[gtest]
+fn no_sequence_of_calls_starts_a_key_twice() {
+    let calls = proptest::collection::vec((0_u8..6, 0_u8..3), 1..100);
+    let mut runner = TestRunner::deterministic();
+
+    let result = runner.run(&calls, |calls| {
+        let mut register = register(2);
+        let mut starts = [0_u32; 3];
+        let mut fenced = [false; 3];
+        for (call, which) in calls {
+            let key = ["a", "b", "c"][which as usize];
+            let at = which as usize;
+            match call {
+                0 => drop(claim(&mut register, 1, key)),
+                1 if register.start(key) => {
+                    assert!(!fenced[at]);
+                    starts[at] += 1;
+                }
+                2 => register.finish(Duration::from_secs(1), key, 1),
+                3 => register.lose(Duration::from_secs(1), key),
+                4 => {
+                    fenced[at] |=
+                        register.fence(Duration::from_secs(2), key) == Some(Outcome::Fenced)
+                }
+                _ => register.release(key),
+            }
+            assert!(starts[at] <= 1 && register.len() <= 2);
+        }
+        Ok(())
+    });
+
+    expect_that!(result, ok(anything()));
+}
