--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -253,6 +253,12 @@
         }
     }
 
+    /// Age beyond which an arriving attempt must not start: half the retention, so that a fence
+    /// outlives every attempt that it stands against.
+    pub fn max_age(&self) -> Duration {
+        self.config.retention / 2
+    }
+
     /// Opens an attempt that has arrived; `first` is the index of its first data frame.
     pub fn open(&self, id: &AttemptRef, first: u64) -> Opened {
         let mut known = self.lock();
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -51,6 +51,14 @@
         }
     }
 
+    /// Takes new limits; a limit above the new ceiling falls to it.
+    pub fn configure(&mut self, floor: u32, ceiling: u32, queue_limit: usize) {
+        self.floor = floor;
+        self.ceiling = ceiling;
+        self.queue_limit = queue_limit;
+        self.limit = self.limit.clamp(floor, ceiling);
+    }
+
     /// Offers a request.
     pub fn offer(&mut self, _now: Timestamp, ticket: Ticket) -> Offer {
         if self.running < self.limit {
@@ -81,13 +89,6 @@
         started
     }
 
-    /// Takes a request out of the queue; false when it has left it already.
-    pub fn withdraw(&mut self, ticket: Ticket) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|queued| *queued != ticket);
-        self.queue.len() < before
-    }
-
     /// The limit now.
     pub fn limit(&self) -> u32 {
         self.limit
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,7 +2,6 @@
 
 mod attempts;
 mod control;
-mod control_port;
 mod gate;
 mod lifecycle;
 mod runner;
@@ -13,6 +12,7 @@
 
 use attempts::{Attempts, AttemptsConfig};
 use jj_backend::call::BackendClient;
+use jj_node::shutdown;
 use jj_peer::client::LinkConfig;
 use jj_utils::{
     clock::{SystemClock, unix_millis},
@@ -21,7 +21,6 @@
 };
 use lifecycle::Lifecycle;
 use settings::{JujubeAgent, Settings};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
 /// Longest time to open a connection to the backend server, which is on the same instance.
@@ -69,16 +68,23 @@
     let attempts = Arc::new(Attempts::new(AttemptsConfig::default()));
     let lifecycle = Arc::new(Lifecycle::default());
     let gate = gate::Gate::new(settings.cold_floor, settings.concurrency, 256);
-    let control = control::start(
-        gate,
-        Arc::clone(&attempts),
-        Arc::clone(&clock),
-        token.clone(),
-    )?;
+    let control = control::ControlContext {
+        instance: settings.instance.clone(),
+        incarnation,
+        domain: settings.domain.clone(),
+        service: settings.service.clone(),
+        platform: settings.platform.clone(),
+        control_addr: settings.control_addr,
+        attempts: Arc::clone(&attempts),
+        lifecycle: Arc::clone(&lifecycle),
+        clock: Arc::clone(&clock),
+        token: token.clone(),
+    };
+    let control = control::start(control, gate).await?;
     let backend = BackendClient::new(&settings.backend, BACKEND_CONNECT)?;
     let context = runner::Context {
         backend,
-        control: control.clone(),
+        control,
         lifecycle: Arc::clone(&lifecycle),
         clock,
     };
@@ -88,14 +94,6 @@
         context,
         link: LinkConfig::default(),
     });
-    let port = control_port::ControlPort {
-        instance: settings.instance.clone(),
-        incarnation,
-        domain: settings.domain.clone(),
-        control,
-        lifecycle: Arc::clone(&lifecycle),
-    };
-    let _control_port = control_port::serve(settings.control_addr, port).await?;
     let server = tokio::spawn(traffic::serve(
         settings.traffic_addr,
         traffic,
@@ -107,7 +105,7 @@
         events::PROCESS_STARTED,
         "agent {instance} started, incarnation {incarnation}"
     );
-    wait_for_stop().await?;
+    shutdown::requested().await?;
     lifecycle.drain();
     log_event!(events::PROCESS_DRAINING, "agent {instance} draining");
     wait_until_idle(&attempts, settings.grace).await;
@@ -117,16 +115,6 @@
     Ok(())
 }
 
-async fn wait_for_stop() -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 async fn wait_until_idle(attempts: &Attempts, grace: Duration) {
     let idle = async {
         while attempts.open_count() > 0 {
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -65,11 +65,12 @@
     head: &AttemptHead,
     body: Bytes,
 ) -> Result<(), Ended> {
-    let due = context.clock.now() + head.deadline;
+    let due = head.sent + head.deadline;
+    let left = due.saturating_sub(context.clock.now());
     let admitted = tokio::select! {
         admitted = context.control.admit() => admitted,
         () = attempt.token.cancelled() => return Err(Ended::not_run("cancelled while waiting")),
-        () = tokio::time::sleep(head.deadline) => return Err(Ended::not_run("no place in time")),
+        () = tokio::time::sleep(left) => return Err(Ended::not_run("no place in time")),
     };
     let mut permit = admitted.map_err(|verdict| Ended {
         verdict,
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -87,6 +87,17 @@
             reason,
         );
     }
+    // An attempt so late that its fence may be forgotten must not start.
+    let age = traffic.context.clock.now().saturating_sub(head.sent);
+    if age > traffic.attempts.max_age() {
+        let reason = format!("the attempt arrived {} ms late", age.as_millis());
+        return failed(
+            Verdict::NotRun {
+                retry_after: Duration::ZERO,
+            },
+            &reason,
+        );
+    }
     match traffic.attempts.open(&head.id, head.resume) {
         Opened::New(attempt) => {
             let first = head.resume;
--- /dev/null
+++ b/crates/entry/src/cli.rs
@@ -0,0 +1,38 @@
+//! The command line.
+
+xflags::xflags! {
+    /// jujubejunction: load balancer for expert-parallel model groups.
+    cmd jujubejunction {
+        /// Print the version and exit.
+        optional --version
+
+        /// Runs an entry. Every flag can also be given as an environment variable:
+        /// --traffic-addr is JUJUBE_TRAFFIC_ADDR. The flag wins.
+        cmd serve {
+            /// Name of this instance, as the platform lists it.
+            optional --instance name: String
+            /// Failure domain of this instance.
+            optional --domain name: String
+            /// Base URL of the platform.
+            optional --platform url: String
+            /// Address for callers.
+            optional --traffic-addr addr: String
+            /// Address for control calls from the system's other processes.
+            optional --control-addr addr: String
+            /// Address of the operators' port.
+            optional --operator-addr addr: String
+            /// How long callers may keep an address answer, such as 10s.
+            optional --lifetime duration: String
+            /// Longest wait for open requests after SIGTERM, such as 60s.
+            optional --grace duration: String
+            /// Largest body of a caller's request, in bytes.
+            optional --max-body bytes: String
+            /// Threads for traffic.
+            optional --threads count: String
+            /// Form of log lines: `text` or `json`.
+            optional --log-format format: String
+            /// Least level of log lines: error, warn, info, debug.
+            optional --log-level level: String
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,65 @@
+//! What every request handler is given.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError, atomic::AtomicUsize},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use jj_peer::client::AgentClient;
+use jj_policy::routing::RoutingConfig;
+use jj_utils::{clock::SharedClock, ids::RequestId};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::view::View;
+
+/// Shared by all traffic threads.
+pub struct Context {
+    /// Time.
+    pub clock: SharedClock,
+    /// Client of every agent.
+    pub client: AgentClient,
+    /// What the control thread published last.
+    pub view: Arc<ArcSwap<View>>,
+    /// Tunables of the choice of a backend server.
+    pub routing: RoutingConfig,
+    /// How long callers may keep an address answer.
+    pub lifetime: Duration,
+    /// Requests being handled, streams included.
+    pub open: Arc<AtomicUsize>,
+    random: Mutex<Pcg64Mcg>,
+}
+
+impl Context {
+    /// A context whose random numbers start from `seed`.
+    pub fn new(
+        clock: SharedClock,
+        client: AgentClient,
+        view: Arc<ArcSwap<View>>,
+        lifetime: Duration,
+        seed: u64,
+    ) -> Self {
+        Self {
+            clock,
+            client,
+            view,
+            routing: RoutingConfig::default(),
+            lifetime,
+            open: Arc::default(),
+            random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
+        }
+    }
+
+    /// Two random numbers for one decision.
+    pub fn draws(&self) -> [u64; 2] {
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        [random.next_u64(), random.next_u64()]
+    }
+
+    /// A new request's id, unique over the fleet.
+    pub fn request_id(&self) -> RequestId {
+        let [high, low] = self.draws();
+        format!("{high:016x}{low:016x}")
+    }
+}
--- /dev/null
+++ b/crates/entry/src/forward.rs
@@ -0,0 +1,380 @@
+//! Takes a request through as many attempts as its deadline and the verdicts allow.
+
+use std::{sync::Arc, time::Duration};
+
+use async_stream::stream;
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt, stream::BoxStream};
+use jj_caller::{
+    answer::{Answer, TokenEvent, WholeAnswer},
+    problem::Refusal,
+    request::CallerRequest,
+};
+use jj_peer::{
+    attempt::{AttemptHead, AttemptRef, Call},
+    frames::{Failure, Frame, Head},
+};
+use jj_policy::{
+    rendezvous::key_hash,
+    routing::{self, Candidate, RequestFacts},
+    verdict::Verdict,
+};
+use jj_utils::{
+    clock::Timestamp,
+    events,
+    ids::{AttemptId, InstanceId, RequestId},
+    log_event,
+};
+use poem::http::StatusCode;
+
+use crate::{
+    context::Context,
+    link,
+    resume::EventId,
+    routes::Routed,
+    view::{Agent, InFlight},
+};
+
+/// Attempts of one request at the most.
+const MAX_ATTEMPTS: AttemptId = 4;
+
+/// Time that a cached prompt prefix is taken to save.
+const PREFILL: Duration = Duration::from_millis(200);
+
+/// Frames of one attempt at one agent.
+type Frames = BoxStream<'static, Frame>;
+
+/// A request on its way.
+pub struct Forward {
+    context: Arc<Context>,
+    request: CallerRequest,
+    routed: Routed,
+    id: RequestId,
+    due: Timestamp,
+    attempts: AttemptId,
+    tried: Vec<InstanceId>,
+    /// Next token that the caller needs.
+    next: u64,
+}
+
+/// One attempt in progress.
+struct Running {
+    id: AttemptRef,
+    agent: Agent,
+    frames: Frames,
+    _count: InFlight,
+}
+
+/// Counts a request as open until dropped.
+struct OpenGuard(Arc<Context>);
+
+impl OpenGuard {
+    fn new(context: &Arc<Context>) -> Self {
+        context
+            .open
+            .fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        Self(Arc::clone(context))
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0
+            .open
+            .fetch_sub(1, std::sync::atomic::Ordering::SeqCst);
+    }
+}
+
+impl Forward {
+    /// A request that has just arrived.
+    pub fn new(context: Arc<Context>, request: CallerRequest, routed: Routed) -> Self {
+        let id = context.request_id();
+        let due = context.clock.now() + routed.timeout;
+        Self {
+            context,
+            request,
+            routed,
+            id,
+            due,
+            attempts: 0,
+            tried: Vec::new(),
+            next: 0,
+        }
+    }
+
+    /// The answer: whole, or a stream that ends whole or with a refusal.
+    ///
+    /// # Errors
+    /// The refusal, when no part of the answer can be had.
+    pub async fn run(mut self) -> Result<Answer, Refusal> {
+        let guard = OpenGuard::new(&self.context);
+        if !self.routed.stream {
+            let answer = self.whole().await;
+            drop(guard);
+            return answer.map(Answer::Whole);
+        }
+        let seen = self.request.last_event.clone();
+        let seen = seen.map(|text| text.parse::<EventId>()).transpose()?;
+        let mut running = match seen {
+            Some(event) => self.pick_up(event)?,
+            None => self.begin()?,
+        };
+        loop {
+            match running.frames.next().await {
+                Some(Frame::Head(head)) if head.status == StatusCode::OK => {
+                    return Ok(Answer::Stream(self.tokens(running, guard).boxed()));
+                }
+                Some(Frame::Head(head)) => {
+                    return collect(head, running.frames)
+                        .await
+                        .map(Answer::Whole)
+                        .map_err(|f| Refusal::given_up(f.verdict, f.reason));
+                }
+                // A resumed log begins with data: the caller has had the head before.
+                Some(Frame::Data(data)) => {
+                    let first = futures_util::stream::iter([Frame::Data(data)]);
+                    let rest = std::mem::replace(
+                        &mut running.frames,
+                        futures_util::stream::empty().boxed(),
+                    );
+                    running.frames = first.chain(rest).boxed();
+                    return Ok(Answer::Stream(self.tokens(running, guard).boxed()));
+                }
+                Some(Frame::End { .. }) => {
+                    return Ok(Answer::Stream(futures_util::stream::empty().boxed()));
+                }
+                Some(Frame::Failed(failure)) => running = self.again(&running, failure)?,
+                Some(Frame::Progress) => {}
+                None => running = self.again(&running, broken())?,
+            }
+        }
+    }
+
+    async fn whole(&mut self) -> Result<WholeAnswer, Refusal> {
+        let mut running = self.begin()?;
+        loop {
+            let failure = match running.frames.next().await {
+                Some(Frame::Head(head)) => {
+                    let frames = std::mem::replace(
+                        &mut running.frames,
+                        futures_util::stream::empty().boxed(),
+                    );
+                    match collect(head, frames).await {
+                        Ok(answer) => return Ok(answer),
+                        Err(failure) => failure,
+                    }
+                }
+                Some(Frame::Failed(failure)) => failure,
+                Some(_) => continue,
+                None => broken(),
+            };
+            running = self.again(&running, failure)?;
+        }
+    }
+
+    /// Tokens from the first to the last, over as many attempts as it takes.
+    fn tokens(
+        mut self,
+        mut running: Running,
+        guard: OpenGuard,
+    ) -> impl Stream<Item = Result<TokenEvent, Refusal>> {
+        stream! {
+            let _guard = guard;
+            loop {
+                let failure = match running.frames.next().await {
+                    Some(Frame::Data(data)) => {
+                        self.next = data.index + 1;
+                        let id = EventId::new(&running.agent.id, &running.id, data.index);
+                        yield Ok(TokenEvent { id: id.to_string(), data: data.bytes.into() });
+                        continue;
+                    }
+                    Some(Frame::End { .. }) => return,
+                    Some(Frame::Failed(failure)) => failure,
+                    Some(Frame::Head(_) | Frame::Progress) => continue,
+                    None => broken(),
+                };
+                match self.again(&running, failure) {
+                    Ok(next) => running = next,
+                    Err(refusal) => {
+                        yield Err(refusal);
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Another attempt after a failure, or the request's final answer at once.
+    fn again(&mut self, last: &Running, failure: Failure) -> Result<Running, Refusal> {
+        let now = self.context.clock.now();
+        let Failure { verdict, reason } = failure;
+        if let Verdict::NotRun { retry_after } = verdict {
+            last.agent.local.refused_until(now + retry_after);
+        }
+        let may_retry = verdict.is_retryable(self.routed.idempotent);
+        if !may_retry || self.attempts >= MAX_ATTEMPTS {
+            return Err(self.give_up(verdict, reason));
+        }
+        if now >= self.due {
+            return Err(Refusal::timeout(verdict, reason));
+        }
+        let (request, agent) = (&self.id, &last.agent.id);
+        log_event!(
+            events::ATTEMPT_RETRIED,
+            "request {request} at {agent}: {reason}"
+        );
+        self.begin().map_err(|refusal| match verdict {
+            Verdict::NotRun { .. } => refusal,
+            _ => self.give_up(verdict, reason),
+        })
+    }
+
+    fn give_up(&self, verdict: Verdict, reason: String) -> Refusal {
+        if verdict == Verdict::MayHaveRun {
+            log_event!(events::OUTCOME_UNKNOWN, "request {}: {reason}", self.id);
+        }
+        Refusal::given_up(verdict, reason)
+    }
+
+    /// Chooses an agent and starts an attempt there.
+    fn begin(&mut self) -> Result<Running, Refusal> {
+        let agent = self.choose()?;
+        let head = self.head(&agent);
+        let (client, body) = (self.context.client.clone(), self.request.body.clone());
+        let id = head.id.clone();
+        let frames = link::run(client, agent.traffic, head, body).boxed();
+        Ok(self.started(agent, id, frames))
+    }
+
+    /// Goes on with an attempt that another process may have begun.
+    fn pick_up(&mut self, event: EventId) -> Result<Running, Refusal> {
+        self.next = event.index + 1;
+        let view = self.context.view.load();
+        let Some(agent) = view.agent(&event.agent).cloned() else {
+            return self.begin();
+        };
+        self.id = event.id.request.clone();
+        self.attempts = event.id.attempt;
+        let mut head = self.head(&agent);
+        head.id = event.id.clone();
+        let frames = link::resume(self.context.client.clone(), agent.traffic, head).boxed();
+        Ok(self.started(agent, event.id, frames))
+    }
+
+    fn started(&mut self, agent: Agent, id: AttemptRef, frames: Frames) -> Running {
+        self.attempts += 1;
+        self.tried.push(agent.id.clone());
+        let count = agent.local.begin();
+        Running {
+            id,
+            agent,
+            frames,
+            _count: count,
+        }
+    }
+
+    fn choose(&self) -> Result<Agent, Refusal> {
+        let now = self.context.clock.now();
+        let view = self.context.view.load();
+        if let Some(reason) = view.refusal {
+            let verdict = Verdict::NotRun {
+                retry_after: Duration::from_secs(1),
+            };
+            return Err(Refusal::given_up(verdict, reason));
+        }
+        let agents: Vec<&Agent> = view.agents_of(&self.routed.service).collect();
+        let candidates: Vec<Candidate<'_>> = agents.iter().map(|agent| candidate(agent)).collect();
+        let tried: Vec<&str> = self.tried.iter().map(String::as_str).collect();
+        let facts = RequestFacts {
+            prefix: self.routed.prefix.as_deref().map(key_hash),
+            prefill: PREFILL,
+            deadline: self.due,
+            tried: &tried,
+        };
+        let context = &self.context;
+        let choice = routing::choose(&context.routing, &candidates, &facts, now, context.draws());
+        match choice {
+            Ok(choice) => Ok(agents[choice.index].clone()),
+            Err(none) => {
+                let verdict = Verdict::NotRun {
+                    retry_after: none.retry_after,
+                };
+                Err(Refusal::given_up(verdict, none.to_string()))
+            }
+        }
+    }
+
+    fn head(&self, agent: &Agent) -> AttemptHead {
+        let now = self.context.clock.now();
+        let id = AttemptRef {
+            request: self.id.clone(),
+            attempt: self.attempts,
+            incarnation: agent.incarnation,
+        };
+        AttemptHead {
+            id,
+            service: self.routed.service.clone(),
+            account: self.routed.account.clone(),
+            weight: self.routed.weight,
+            sent: agent.clock.at(now),
+            deadline: self.due.saturating_sub(now),
+            idempotent: self.routed.idempotent,
+            key: self.request.key.clone(),
+            fingerprint: self.fingerprint(),
+            resume: self.next,
+            priority: self.routed.priority,
+            call: Call {
+                method: self.request.method.clone(),
+                target: self.request.target(),
+                headers: self.request.headers.clone(),
+                stream: self.routed.stream,
+            },
+        }
+    }
+
+    fn fingerprint(&self) -> u64 {
+        let CallerRequest { method, body, .. } = &self.request;
+        let text = format!(
+            "{} {method} {} ",
+            self.routed.account,
+            self.request.target()
+        );
+        let bytes = [text.as_bytes(), body].concat();
+        xxhash_rust::xxh3::xxh3_64(&bytes)
+    }
+}
+
+fn candidate(agent: &Agent) -> Candidate<'_> {
+    Candidate {
+        id: &agent.id,
+        state: agent.state,
+        distance: agent.distance,
+        report: agent.report,
+        own_since: agent.local.in_flight(),
+        prefix_hit: 0.0,
+        not_before: agent.local.not_before(),
+    }
+}
+
+fn broken() -> Failure {
+    Failure::new(Verdict::MayHaveRun, "the attempt ended without an answer")
+}
+
+/// Reads an answer to its end.
+async fn collect(head: Head, mut frames: Frames) -> Result<WholeAnswer, Failure> {
+    let mut body = BytesMut::new();
+    while let Some(frame) = frames.next().await {
+        match frame {
+            Frame::Data(data) => body.extend_from_slice(&data.bytes),
+            Frame::End { .. } => {
+                return Ok(WholeAnswer {
+                    head,
+                    body: Bytes::from(body),
+                });
+            }
+            Frame::Failed(failure) => return Err(failure),
+            Frame::Head(_) | Frame::Progress => {}
+        }
+    }
+    Err(broken())
+}
--- /dev/null
+++ b/crates/entry/src/handler.rs
@@ -0,0 +1,63 @@
+//! Answers callers: addresses, models, and requests for the services.
+
+use std::sync::Arc;
+
+use jj_caller::{answer::Answer, problem::Refusal, request::CallerRequest, server::Handler};
+use jj_operator::published::Published;
+use poem::http::StatusCode;
+use serde_json::json;
+
+use crate::{context::Context, forward::Forward, routes};
+
+/// Path at which callers ask which addresses to use.
+const ADDRESSES_PATH: &str = "/v1/addresses";
+
+/// Path of the list of models.
+const MODELS_PATH: &str = "/v1/models";
+
+/// The handler of every request.
+pub fn new(context: Arc<Context>) -> Handler {
+    Arc::new(move |request| {
+        let context = Arc::clone(&context);
+        Box::pin(async move { handle(context, request).await })
+    })
+}
+
+async fn handle(context: Arc<Context>, request: CallerRequest) -> Result<Answer, Refusal> {
+    let view = context.view.load_full();
+    if request.method == "GET" && request.path == ADDRESSES_PATH {
+        return Ok(addresses(&context));
+    }
+    let Some(published) = &view.published else {
+        let detail = "no configuration yet";
+        return Err(Refusal::given_up(crate::serve::NOT_READY, detail));
+    };
+    if request.method == "GET" && request.path == MODELS_PATH {
+        return Ok(models(published));
+    }
+    if request.path == MODELS_PATH || request.path == ADDRESSES_PATH {
+        let detail = format!("{} allows GET only", request.path);
+        return Err(Refusal::invalid(StatusCode::METHOD_NOT_ALLOWED, detail));
+    }
+    let routed = routes::resolve(published, &request)?;
+    Forward::new(context, request, routed).run().await
+}
+
+fn addresses(context: &Context) -> Answer {
+    let view = context.view.load();
+    Answer::json(&json!({
+        "addresses": view.addresses,
+        "lifetime_s": context.lifetime.as_secs(),
+    }))
+}
+
+fn models(published: &Published) -> Answer {
+    let models = published
+        .services
+        .values()
+        .flat_map(|service| &service.models);
+    let data: Vec<_> = models
+        .map(|id| json!({"id": id, "object": "model", "owned_by": "jujubejunction"}))
+        .collect();
+    Answer::json(&json!({"object": "list", "data": data}))
+}
--- /dev/null
+++ b/crates/entry/src/link.rs
@@ -0,0 +1,214 @@
+//! One attempt at one agent, over as many connections as it takes.
+//!
+//! A lost or silent connection is no answer. The attempt's outcome is asked for on a new one, and
+//! its frames go on where they stopped; late and repeated frames are dropped by their index.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_stream::stream;
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt, stream::BoxStream};
+use jj_peer::{
+    attempt::AttemptHead,
+    client::{AgentClient, LinkError},
+    frames::{Failure, Frame},
+};
+use jj_policy::verdict::Verdict;
+use jj_utils::{events, log_event};
+
+/// Connections tried in a row without a new frame before the agent is taken for gone.
+const MAX_RECONNECTS: u32 = 4;
+
+/// Pause before the first reconnect; doubles with each.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time to come back when an agent could not be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_millis(100);
+
+/// Connection to an agent, whichever call opened it.
+type Connection = BoxStream<'static, Result<Frame, LinkError>>;
+
+/// Sends the attempt and yields its frames: the head once, data without gaps from
+/// `head.resume` on, then `End` or `Failed`.
+pub fn run(
+    client: AgentClient,
+    agent: SocketAddr,
+    head: AttemptHead,
+    body: Bytes,
+) -> impl Stream<Item = Frame> {
+    stream! {
+        let first = open(&client, agent, &head, &body).await;
+        let mut link = Link::new(client, agent, head);
+        let connection = match first {
+            Ok(connection) => Some(connection),
+            Err(error) => match refusal(&error) {
+                Some(failure) => {
+                    yield Frame::Failed(failure);
+                    return;
+                }
+                None => {
+                    link.note(&error);
+                    None
+                }
+            },
+        };
+        let mut frames = Box::pin(follow(link, connection));
+        while let Some(frame) = frames.next().await {
+            yield frame;
+        }
+    }
+}
+
+/// Reads on from frame `head.resume` of an attempt that was sent by another process.
+pub fn resume(
+    client: AgentClient,
+    agent: SocketAddr,
+    head: AttemptHead,
+) -> impl Stream<Item = Frame> {
+    follow(Link::new(client, agent, head), None)
+}
+
+/// Yields the attempt's frames, over a new connection whenever there is none.
+fn follow(mut link: Link, mut connection: Option<Connection>) -> impl Stream<Item = Frame> {
+    stream! {
+        loop {
+            let Some(frames) = &mut connection else {
+                match link.reconnect().await {
+                    Ok(next) => connection = next,
+                    Err(failure) => {
+                        yield Frame::Failed(failure);
+                        return;
+                    }
+                }
+                continue;
+            };
+            match frames.next().await {
+                Some(Ok(frame)) => {
+                    let Some(frame) = link.accept(frame) else { continue };
+                    let is_last = matches!(frame, Frame::End { .. } | Frame::Failed(_));
+                    yield frame;
+                    if is_last {
+                        return;
+                    }
+                }
+                Some(Err(error)) => {
+                    link.note(&error);
+                    connection = None;
+                }
+                None => connection = None,
+            }
+        }
+    }
+}
+
+async fn open(
+    client: &AgentClient,
+    agent: SocketAddr,
+    head: &AttemptHead,
+    body: &Bytes,
+) -> Result<Connection, LinkError> {
+    Ok(client.send(agent, head, body).await?.boxed())
+}
+
+/// The failure of a first connection over which nothing can have run.
+fn refusal(error: &LinkError) -> Option<Failure> {
+    let retry_after = match error {
+        LinkError::Unreachable(_) => UNREACHABLE_RETRY,
+        LinkError::Status(status) if (400..500).contains(status) => Duration::ZERO,
+        LinkError::Attempt(_) => Duration::ZERO,
+        _ => return None,
+    };
+    Some(Failure::new(
+        Verdict::NotRun { retry_after },
+        error.to_string(),
+    ))
+}
+
+/// Progress of one attempt.
+struct Link {
+    client: AgentClient,
+    agent: SocketAddr,
+    head: AttemptHead,
+    next: u64,
+    has_head: bool,
+    failures: u32,
+}
+
+impl Link {
+    fn new(client: AgentClient, agent: SocketAddr, head: AttemptHead) -> Self {
+        let next = head.resume;
+        Self {
+            client,
+            agent,
+            head,
+            next,
+            has_head: false,
+            failures: 0,
+        }
+    }
+
+    /// Asks for the outcome; `Ok(None)` means to try again.
+    async fn reconnect(&mut self) -> Result<Option<Connection>, Failure> {
+        if self.failures >= MAX_RECONNECTS {
+            let reason = "the agent that could tell the outcome can't be reached";
+            return Err(Failure::new(Verdict::MayHaveRun, reason));
+        }
+        if self.failures > 1 {
+            tokio::time::sleep(RECONNECT_PAUSE * (1 << (self.failures - 1))).await;
+        }
+        // Without the head the log is read from its start; frames seen before are dropped.
+        let from = if self.has_head {
+            self.next
+        } else {
+            self.head.resume
+        };
+        match self.client.outcome(self.agent, &self.head.id, from).await {
+            Ok(frames) => Ok(Some(frames.boxed())),
+            Err(error) => {
+                self.note(&error);
+                Ok(None)
+            }
+        }
+    }
+
+    fn note(&mut self, error: &LinkError) {
+        self.failures += 1;
+        let Self { agent, next, .. } = self;
+        let request = &self.head.id.request;
+        log_event!(
+            events::STREAM_RESUMED,
+            "request {request}: link to {agent} at frame {next}: {error}"
+        );
+    }
+
+    /// The frame, if it is the next one.
+    fn accept(&mut self, frame: Frame) -> Option<Frame> {
+        match &frame {
+            Frame::Head(_) => {
+                let is_first = !self.has_head;
+                self.has_head = true;
+                self.failures = 0;
+                is_first.then_some(frame)
+            }
+            Frame::Data(data) if data.index == self.next => {
+                self.next += 1;
+                self.failures = 0;
+                Some(frame)
+            }
+            Frame::Data(data) => {
+                let (index, next) = (data.index, self.next);
+                log_event!(
+                    events::ANSWER_DROPPED,
+                    "frame {index} dropped; {next} is next"
+                );
+                None
+            }
+            Frame::Progress => None,
+            Frame::End { count } if *count != self.next => {
+                let reason = format!("the answer ended at frame {} of {count}", self.next);
+                Some(Frame::Failed(Failure::new(Verdict::MayHaveRun, reason)))
+            }
+            Frame::End { .. } | Frame::Failed(_) => Some(frame),
+        }
+    }
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,49 @@
 //! The entry process and the operators' command line.
 
-fn main() {}
+mod cli;
+mod context;
+mod control;
+mod forward;
+mod handler;
+mod link;
+mod resume;
+mod routes;
+mod serve;
+mod settings;
+mod view;
+
+use std::process::ExitCode;
+
+use cli::{Jujubejunction, JujubejunctionCmd};
+use jj_utils::{events, log_event, settings::process_env};
+use settings::Settings;
+
+/// Exit code for a wrong command line or wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    if std::env::args().nth(1).as_deref() == Some("--version") {
+        println!("jujubejunction {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match Jujubejunction::from_env_or_exit().subcommand {
+        JujubejunctionCmd::Serve(flags) => serve(flags),
+    }
+}
+
+fn serve(flags: cli::Serve) -> ExitCode {
+    let settings = match Settings::read(flags, &process_env) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match serve::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log_event!(events::PROCESS_FAILED, "{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/routes.rs
@@ -0,0 +1,194 @@
+//! Finds the service, route and client account of a caller's request in the configuration.
+
+use std::time::Duration;
+
+use jj_caller::{problem::Refusal, request::CallerRequest};
+use jj_operator::{
+    documents::{Account, Route, ServiceDocument, ServiceKind},
+    published::{Published, digest_of},
+};
+use jj_utils::ids::{ClientAccountId, ServiceId};
+use poem::http::StatusCode;
+use serde::Deserialize;
+
+/// Paths of model services, which are told apart by the model in the body.
+const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
+/// Longest time to a whole model answer whose route declares none.
+const MODEL_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// A request with all that the configuration says about it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Routed {
+    /// Service that the request is for.
+    pub service: ServiceId,
+    /// Client account that pays for it.
+    pub account: ClientAccountId,
+    /// Weight of the account under contention.
+    pub weight: u32,
+    /// True when running it twice does no harm.
+    pub idempotent: bool,
+    /// True when the answer is a stream of tokens.
+    pub stream: bool,
+    /// Time from arrival to the whole answer.
+    pub timeout: Duration,
+    /// Shared beginning of the prompt, for models.
+    pub prefix: Option<String>,
+    /// Priority in the engine.
+    pub priority: i32,
+}
+
+/// The members of a model request's body that decide where it goes.
+#[derive(Debug, Deserialize)]
+struct ModelBody {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    priority: i32,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    prompt: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+/// Resolves a request.
+///
+/// # Errors
+/// A refusal that names what is unknown.
+pub fn resolve(published: &Published, request: &CallerRequest) -> Result<Routed, Refusal> {
+    let (account, settings) = find_account(published, request)?;
+    let mut routed = if MODEL_PATHS.contains(&request.path.as_str()) {
+        resolve_model(published, request)?
+    } else {
+        resolve_plain(published, request)?
+    };
+    routed.account = account.clone();
+    routed.weight = settings.weight;
+    routed.timeout = request
+        .timeout
+        .map_or(routed.timeout, |timeout| timeout.min(routed.timeout));
+    if routed.timeout.is_zero() {
+        let detail = "the request's deadline has passed";
+        return Err(Refusal::invalid(StatusCode::GATEWAY_TIMEOUT, detail));
+    }
+    Ok(routed)
+}
+
+fn find_account<'a>(
+    published: &'a Published,
+    request: &CallerRequest,
+) -> Result<(&'a ClientAccountId, &'a Account), Refusal> {
+    let accounts = &published.fleet.accounts;
+    if let Some(token) = &request.token {
+        let digest = digest_of(token.as_bytes());
+        let found = accounts
+            .iter()
+            .find(|(_, account)| account.keys.contains(&digest));
+        return found.ok_or_else(|| unauthorized("the API key is not known"));
+    }
+    let Some(name) = &request.account else {
+        return Err(unauthorized(
+            "an API key or the header x-client-account is required",
+        ));
+    };
+    let found = accounts.get_key_value(name);
+    let (name, account) =
+        found.ok_or_else(|| unauthorized(format!("client account `{name}` is not known")))?;
+    if !account.keys.is_empty() {
+        return Err(unauthorized(format!(
+            "client account `{name}` requires its API key"
+        )));
+    }
+    Ok((name, account))
+}
+
+fn resolve_model(published: &Published, request: &CallerRequest) -> Result<Routed, Refusal> {
+    let body: ModelBody = serde_json::from_slice(&request.body).map_err(|error| {
+        Refusal::invalid(
+            StatusCode::BAD_REQUEST,
+            format!("the body is not a request: {error}"),
+        )
+    })?;
+    let serves = |document: &&ServiceDocument| document.models.contains(&body.model);
+    let Some(document) = published.services.values().find(serves) else {
+        return Err(not_found(format!(
+            "model `{}` is not served here",
+            body.model
+        )));
+    };
+    let route = document.routes.iter().find(|route| matches(route, request));
+    let prefix = body
+        .prompt
+        .or_else(|| body.messages.first().map(|m| m.content.to_string()));
+    Ok(Routed {
+        service: document.service.clone(),
+        account: ClientAccountId::new(),
+        weight: 1,
+        idempotent: route.is_none_or(|route| route.idempotent),
+        stream: body.stream,
+        timeout: route.map_or(MODEL_TIMEOUT, |route| route.timeout),
+        prefix,
+        priority: body.priority,
+    })
+}
+
+fn resolve_plain(published: &Published, request: &CallerRequest) -> Result<Routed, Refusal> {
+    let plain = published
+        .services
+        .values()
+        .filter(|d| d.kind == ServiceKind::Plain);
+    let mut routes = plain.flat_map(|d| d.routes.iter().map(move |route| (d, route)));
+    let Some((document, route)) = routes.find(|(_, route)| matches(route, request)) else {
+        let CallerRequest { method, path, .. } = request;
+        return Err(not_found(format!("no service declares {method} {path}")));
+    };
+    Ok(Routed {
+        service: document.service.clone(),
+        account: ClientAccountId::new(),
+        weight: 1,
+        idempotent: route.idempotent,
+        stream: false,
+        timeout: route.timeout,
+        prefix: None,
+        priority: 0,
+    })
+}
+
+/// True when the route's method and path pattern fit the request.
+fn matches(route: &Route, request: &CallerRequest) -> bool {
+    route.method == request.method && path_matches(&route.path, &request.path)
+}
+
+/// True when `path` fits `pattern`, in which a segment `*` stands for any one segment and a last
+/// `**` for any rest.
+pub fn path_matches(pattern: &str, path: &str) -> bool {
+    let mut given = path.split('/');
+    for wanted in pattern.split('/') {
+        if wanted == "**" {
+            return true;
+        }
+        let Some(segment) = given.next() else {
+            return false;
+        };
+        let fits = segment == wanted || (wanted == "*" && !segment.is_empty());
+        if !fits {
+            return false;
+        }
+    }
+    given.next().is_none()
+}
+
+fn unauthorized(detail: impl Into<String>) -> Refusal {
+    Refusal::invalid(StatusCode::UNAUTHORIZED, detail)
+}
+
+fn not_found(detail: impl Into<String>) -> Refusal {
+    Refusal::invalid(StatusCode::NOT_FOUND, detail)
+}
--- /dev/null
+++ b/crates/entry/src/serve.rs
@@ -0,0 +1,108 @@
+//! The entry process.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use jj_caller::{request::CallerConfig, server};
+use jj_node::shutdown;
+use jj_peer::client::{AgentClient, LinkConfig};
+use jj_policy::verdict::Verdict;
+use jj_utils::{
+    clock::{SystemClock, unix_millis},
+    events, log_event, logging,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    context::Context,
+    control::{self, ControlContext},
+    handler,
+    settings::Settings,
+    view::View,
+};
+
+/// Verdict on requests that arrive before the first configuration.
+pub const NOT_READY: Verdict = Verdict::NotRun {
+    retry_after: Duration::from_secs(1),
+};
+
+/// Interval of looking whether requests are still open while draining.
+const IDLE_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs an entry until it is asked to leave and has drained.
+///
+/// # Errors
+/// When the process can't start.
+pub fn run(settings: Settings) -> anyhow::Result<()> {
+    logging::install(settings.log_format, settings.log_level)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> anyhow::Result<()> {
+    let incarnation = unix_millis();
+    let clock = SystemClock::shared();
+    let token = CancellationToken::new();
+    let view = Arc::new(ArcSwap::from_pointee(View::default()));
+    let draining = Arc::new(AtomicBool::new(false));
+    let control = ControlContext {
+        instance: settings.instance.clone(),
+        incarnation,
+        domain: settings.domain.clone(),
+        platform: settings.platform.clone(),
+        control_addr: settings.control_addr,
+        clock: Arc::clone(&clock),
+        draining: Arc::clone(&draining),
+        view: Arc::clone(&view),
+        token: token.clone(),
+    };
+    let _config = control::start(control).await?;
+    let client = AgentClient::new(LinkConfig::default())?;
+    let seed = rand::random();
+    let context = Arc::new(Context::new(clock, client, view, settings.lifetime, seed));
+    let callers = CallerConfig {
+        max_body: settings.max_body,
+        ..CallerConfig::default()
+    };
+    let server = tokio::spawn(server::serve(
+        settings.traffic_addr,
+        callers,
+        handler::new(Arc::clone(&context)),
+        settings.grace,
+        token.clone(),
+    ));
+    let instance = &settings.instance;
+    log_event!(
+        events::PROCESS_STARTED,
+        "entry {instance} started, incarnation {incarnation}"
+    );
+    shutdown::requested().await?;
+    draining.store(true, Ordering::SeqCst);
+    log_event!(events::PROCESS_DRAINING, "entry {instance} draining");
+    drain(&context, &settings).await;
+    token.cancel();
+    server.await??;
+    log_event!(events::PROCESS_STOPPED, "entry {instance} stopped");
+    Ok(())
+}
+
+/// Serves on until callers' address answers have run out and nothing is open.
+async fn drain(context: &Context, settings: &Settings) {
+    tokio::time::sleep(settings.lifetime).await;
+    let idle = async {
+        while context.open.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(IDLE_LOOK).await;
+        }
+    };
+    let _ = tokio::time::timeout(settings.grace, idle).await;
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,130 @@
+//! What the control thread publishes and traffic threads read.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use jj_operator::published::Published;
+use jj_policy::{membership::MemberState, routing::LoadReport};
+use jj_utils::{
+    clock::Timestamp,
+    ids::{FailureDomainId, Incarnation, InstanceId, ServiceId},
+};
+
+/// One consistent picture of the fleet.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Configuration in force, once there is one.
+    pub published: Option<Arc<Published>>,
+    /// Agents, in the order of their names.
+    pub agents: Vec<Agent>,
+    /// Addresses that callers may use.
+    pub addresses: Vec<SocketAddr>,
+    /// Why this process takes no new work, if it doesn't.
+    pub refusal: Option<&'static str>,
+}
+
+impl View {
+    /// The agent of that name.
+    pub fn agent(&self, id: &str) -> Option<&Agent> {
+        self.agents.iter().find(|agent| agent.id == id)
+    }
+
+    /// Agents of a service.
+    pub fn agents_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Agent> {
+        self.agents
+            .iter()
+            .filter(move |agent| agent.service == service)
+    }
+}
+
+/// One agent as this process sees it.
+#[derive(Debug, Clone)]
+pub struct Agent {
+    /// Name of its instance.
+    pub id: InstanceId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+    /// Where attempts go.
+    pub traffic: SocketAddr,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// What membership believes.
+    pub state: MemberState,
+    /// One-way time to its failure domain.
+    pub distance: Duration,
+    /// Its last load report.
+    pub report: Option<LoadReport>,
+    /// Its clock, as its last heartbeat told it.
+    pub clock: RemoteClock,
+    /// Counters that traffic threads keep.
+    pub local: Arc<Local>,
+}
+
+/// Another process's clock, never ahead of the true one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RemoteClock {
+    /// What it showed when it answered.
+    pub shown: Duration,
+    /// When that answer arrived here.
+    pub heard: Timestamp,
+}
+
+impl RemoteClock {
+    /// What it shows at least, at `now` on the local clock.
+    pub fn at(&self, now: Timestamp) -> Duration {
+        self.shown + now.saturating_sub(self.heard)
+    }
+}
+
+/// This process's own dealings with one agent.
+#[derive(Debug, Default)]
+pub struct Local {
+    in_flight: AtomicU32,
+    not_before: AtomicU64,
+}
+
+impl Local {
+    /// Requests of this process in flight there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// When the agent may be asked again after a refusal.
+    pub fn not_before(&self) -> Timestamp {
+        Duration::from_micros(self.not_before.load(Ordering::Relaxed))
+    }
+
+    /// Notes a refusal.
+    pub fn refused_until(&self, until: Timestamp) {
+        let micros = u64::try_from(until.as_micros()).unwrap_or(u64::MAX);
+        self.not_before.store(micros, Ordering::Relaxed);
+    }
+
+    /// Counts one request in flight until the guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight {
+            local: Arc::clone(self),
+        }
+    }
+}
+
+/// Counts one request in flight.
+#[derive(Debug)]
+pub struct InFlight {
+    local: Arc<Local>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.local.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/node/src/control_client.rs
@@ -0,0 +1,44 @@
+//! Client of another process's control port.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jj_utils::collections::FastMap;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+
+/// Longest time for a control call.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Clients by address, each with its own connections.
+#[derive(Debug, Default)]
+pub struct ControlClients {
+    clients: FastMap<SocketAddr, HttpClient>,
+}
+
+impl ControlClients {
+    /// The client of one address.
+    ///
+    /// # Errors
+    /// When the client can't be built.
+    pub fn get(&mut self, addr: SocketAddr) -> anyhow::Result<HttpClient> {
+        if let Some(client) = self.clients.get(&addr) {
+            return Ok(client.clone());
+        }
+        let client = build(addr)?;
+        self.clients.insert(addr, client.clone());
+        Ok(client)
+    }
+
+    /// Drops clients whose address is not in use any more.
+    pub fn keep(&mut self, in_use: impl Fn(&SocketAddr) -> bool) {
+        self.clients.retain(|addr, _| in_use(addr));
+    }
+}
+
+/// A client of one address.
+///
+/// # Errors
+/// When the client can't be built.
+pub fn build(addr: SocketAddr) -> anyhow::Result<HttpClient> {
+    let builder = HttpClientBuilder::default().request_timeout(TIMEOUT);
+    Ok(builder.build(format!("http://{addr}"))?)
+}
--- /dev/null
+++ b/crates/node/src/control_port.rs
@@ -0,0 +1,57 @@
+//! The control port: JSON-RPC from the system's other processes.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use jj_operator::published::Published;
+use jj_peer::control::{ControlServer, Heartbeat, PublicationWire};
+use jj_platform::config_reader::ConfigView;
+use jj_utils::ids::ConfigIndex;
+use jsonrpsee::{
+    core::{RpcResult, async_trait},
+    server::{Server, ServerHandle},
+};
+use tokio::sync::watch;
+
+/// Takes another process's heartbeat and makes this one's.
+pub type Exchange = Arc<dyn Fn(Heartbeat) -> Heartbeat + Send + Sync>;
+
+/// Answers control calls.
+pub struct ControlPort {
+    /// Heartbeats.
+    pub exchange: Exchange,
+    /// Configuration in force.
+    pub config: watch::Receiver<ConfigView>,
+}
+
+#[async_trait]
+impl ControlServer for ControlPort {
+    async fn heartbeat(&self, from: Heartbeat) -> RpcResult<Heartbeat> {
+        Ok((self.exchange)(from))
+    }
+
+    async fn publication(&self, newer_than: ConfigIndex) -> RpcResult<Option<PublicationWire>> {
+        let view = self.config.borrow();
+        let newer = view
+            .published
+            .as_ref()
+            .filter(|published| published.index > newer_than);
+        Ok(newer.map(|published| publication(published)))
+    }
+}
+
+/// Serves control calls until the handle is stopped or dropped.
+///
+/// # Errors
+/// When the address can't be bound.
+pub async fn serve(addr: SocketAddr, port: ControlPort) -> anyhow::Result<ServerHandle> {
+    let server = Server::builder().build(addr).await?;
+    Ok(server.start(port.into_rpc()))
+}
+
+fn publication(published: &Published) -> PublicationWire {
+    PublicationWire {
+        index: published.index,
+        manifest: published.bundle.manifest.clone(),
+        documents: published.bundle.documents.clone(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/follower.rs
@@ -0,0 +1,176 @@
+//! Follows the platform: configuration and live list, with peers as a second source of the former.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
+use jj_operator::published::{Bundle, Offer};
+use jj_peer::control::{ControlClient, PublicationWire};
+use jj_platform::{
+    budget::SharedBudget,
+    config_reader::{self, ConfigView, NewestFromPeers, ReaderConfig, ReaderContext},
+    live_list::{self, LiveList, LiveListConfig, LiveListContext},
+    wire::{InstanceList, Role},
+};
+use jj_policy::call_budget::CallBudget;
+use jj_utils::{
+    clock::SharedClock,
+    collections::FastSet,
+    ids::{ConfigIndex, InstanceId},
+};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::control_client;
+
+/// Fleet size assumed until the live list tells.
+const ASSUMED_FLEET: u32 = 32;
+
+/// Entries of each failure domain that a starting process asks.
+const ASKED_PER_DOMAIN: usize = 2;
+
+/// Longest time that a starting process waits for the live list.
+const LIST_WAIT: Duration = Duration::from_millis(500);
+
+/// What following needs.
+#[derive(Clone)]
+pub struct FollowContext {
+    /// Base URL of the platform.
+    pub platform: String,
+    /// Name of this instance, which is never asked.
+    pub instance: InstanceId,
+    /// Time.
+    pub clock: SharedClock,
+    /// Seed of the jitter.
+    pub seed: u64,
+    /// Ends the following.
+    pub token: CancellationToken,
+}
+
+/// What is followed.
+#[derive(Debug, Clone)]
+pub struct Follower {
+    /// The configuration.
+    pub config: watch::Receiver<ConfigView>,
+    /// The live list.
+    pub list: watch::Receiver<LiveList>,
+    heard: Arc<AtomicU64>,
+}
+
+impl Follower {
+    /// Notes an index that another process told; a newer one is asked for at the next look.
+    pub fn note_index(&self, index: ConfigIndex) {
+        self.heard.fetch_max(index, Ordering::Relaxed);
+    }
+}
+
+/// Starts following on the current runtime.
+///
+/// # Errors
+/// When the HTTP client can't be built.
+pub fn start(context: FollowContext) -> anyhow::Result<Follower> {
+    let client = reqwest::Client::builder().no_proxy().build()?;
+    let budget = CallBudget::default();
+    let clock = Arc::clone(&context.clock);
+    let budget = SharedBudget::new(budget, ASSUMED_FLEET, context.seed, clock);
+    let (list_sender, list) = watch::channel(LiveList::default());
+    let (config_sender, config) = watch::channel(ConfigView::default());
+    let heard = Arc::new(AtomicU64::new(0));
+
+    let live = LiveListContext {
+        config: LiveListConfig {
+            base_url: context.platform.clone(),
+            ..Default::default()
+        },
+        client: client.clone(),
+        budget: budget.clone(),
+        token: context.token.clone(),
+    };
+    let reader = ReaderContext {
+        config: ReaderConfig {
+            base_url: context.platform.clone(),
+            ..Default::default()
+        },
+        client,
+        clock: context.clock,
+        budget,
+        newest_from_peers: peers(context.instance, list.clone(), Arc::clone(&heard)),
+        token: context.token,
+    };
+    tokio::spawn(live_list::run(live, list_sender));
+    tokio::spawn(config_reader::run(reader, config_sender));
+    Ok(Follower {
+        config,
+        list,
+        heard,
+    })
+}
+
+/// Asks peers: at the start those of every domain, later only when a newer index was heard of.
+fn peers(
+    instance: InstanceId,
+    list: watch::Receiver<LiveList>,
+    heard: Arc<AtomicU64>,
+) -> NewestFromPeers {
+    Arc::new(move |known| {
+        let (mut list, instance, heard) = (list.clone(), instance.clone(), Arc::clone(&heard));
+        async move {
+            if known > 0 && heard.load(Ordering::Relaxed) <= known {
+                return None;
+            }
+            let has_list = list.wait_for(|list| list.index > 0);
+            let _ = tokio::time::timeout(LIST_WAIT, has_list).await;
+            let asked = peers_to_ask(&list.borrow().list, &instance);
+            newest(asked, known).await
+        }
+        .boxed()
+    })
+}
+
+/// Control addresses of some entries in each failure domain.
+fn peers_to_ask(list: &InstanceList, own: &str) -> Vec<SocketAddr> {
+    let mut counts = FastSet::default();
+    let mut asked = Vec::new();
+    let entries = list
+        .instances
+        .iter()
+        .filter(|i| i.role == Role::Entry && i.id != own);
+    for entry in entries {
+        let place = (0..ASKED_PER_DOMAIN).find(|place| counts.insert((&entry.domain, *place)));
+        if place.is_some() {
+            asked.push(entry.control);
+        }
+    }
+    asked
+}
+
+async fn newest(asked: Vec<SocketAddr>, known: ConfigIndex) -> Option<Offer> {
+    let calls: FuturesUnordered<_> = asked.into_iter().map(|addr| ask(addr, known)).collect();
+    let answers: Vec<Option<Offer>> = calls.collect().await;
+    answers
+        .into_iter()
+        .flatten()
+        .max_by_key(|offer| offer.index)
+}
+
+async fn ask(addr: SocketAddr, known: ConfigIndex) -> Option<Offer> {
+    let client = control_client::build(addr).ok()?;
+    let PublicationWire {
+        index,
+        manifest,
+        documents,
+    } = client.publication(known).await.ok()??;
+    Some(Offer {
+        index,
+        bundle: Bundle {
+            manifest,
+            documents,
+        },
+    })
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,6 @@
+//! What entry and agent have in common: following the platform, control calls, shutdown.
+
+pub mod control_client;
+pub mod control_port;
+pub mod follower;
+pub mod shutdown;
--- /dev/null
+++ b/crates/node/src/shutdown.rs
@@ -0,0 +1,17 @@
+//! Waits for the signals that ask a process to leave.
+
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Returns on SIGTERM or SIGINT.
+///
+/// # Errors
+/// When no handler can be installed.
+pub async fn requested() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/peer/src/attempt.rs
+++ b/crates/peer/src/attempt.rs
@@ -25,7 +25,10 @@
         pub account: ClientAccountId,
         /// Weight of the account under contention.
         pub weight: u32,
-        /// Time left until the whole answer is due, when the head was sent.
+        /// When the attempt was made, on the agent's own clock as its last heartbeat told it; never
+        /// later than the true time, so that a late arrival shows.
+        pub sent: Duration,
+        /// Time from then until the whole answer is due.
         pub deadline: Duration,
         /// True when running it twice does no harm.
         pub idempotent: bool,
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -1,5 +1,7 @@
 //! JSON-RPC between the system's processes: heartbeats, load reports and configuration news.
 
+use std::collections::BTreeMap;
+
 use jj_utils::{
     common_derives,
     ids::{ConfigIndex, FailureDomainId, Incarnation, InstanceId},
@@ -22,6 +24,8 @@
         pub digest: String,
         /// Time since the sender last reached the configuration service, in milliseconds.
         pub platform_age: Option<u64>,
+        /// The sender's own clock, in microseconds since its origin.
+        pub clock: u64,
         /// True when the sender takes no new work.
         pub draining: bool,
         /// Load of the sender's backend server; agents only.
@@ -49,12 +53,12 @@
 common_derives! {wire:
     /// A publication, as one process hands it to another.
     pub struct PublicationWire {
-        /// Index of the manifest.
+        /// Index of the manifest in the configuration service.
         pub index: ConfigIndex,
         /// The manifest's text.
         pub manifest: String,
-        /// Text of each document that was asked for.
-        pub documents: Vec<String>,
+        /// Text of each document under its digest.
+        pub documents: BTreeMap<String, String>,
     }
 }
 
@@ -65,8 +69,7 @@
     #[method(name = "heartbeat")]
     async fn heartbeat(&self, from: Heartbeat) -> RpcResult<Heartbeat>;
 
-    /// The configuration in force, with those of its documents whose digests are in `wanted`;
-    /// with all of them when `wanted` is absent.
+    /// The configuration in force, when its index is above `newer_than`.
     #[method(name = "publication")]
-    async fn publication(&self, wanted: Option<Vec<String>>) -> RpcResult<Option<PublicationWire>>;
+    async fn publication(&self, newer_than: ConfigIndex) -> RpcResult<Option<PublicationWire>>;
 }
