feat(platform): follow the configuration, the live list and the weight store

A manifest is watched, documents are fetched by digest, checked and taken only when the index is newer. Peers are asked before anything is handed on.

The bytes of one fleet document at 8,100 accounts come near a megabyte, so the manifest may name further documents of accounts.

--- a/crates/operator/src/documents.rs
+++ b/crates/operator/src/documents.rs
@@ -28,6 +28,12 @@
         pub fleet: Digest,
         /// Digest of each service's document.
         pub services: BTreeMap<ServiceId, Digest>,
+        /// Digests of the documents that hold the accounts of a large fleet.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub accounts: Vec<Digest>,
+        /// File that each document was made from, for messages.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        pub sources: BTreeMap<Digest, String>,
     }
 }
 
@@ -43,6 +49,16 @@
     }
 }
 
+common_derives! {wire:
+    /// A part of the accounts of a large fleet, so that a change moves few bytes.
+    #[derive(Default)]
+    #[serde(deny_unknown_fields)]
+    pub struct AccountsDocument {
+        /// Client accounts of this part.
+        pub accounts: BTreeMap<ClientAccountId, Account>,
+    }
+}
+
 common_derives! {wire:
     /// Whether a failure domain takes new work.
     #[derive(Copy, Eq)]
--- /dev/null
+++ b/crates/platform/src/blocking_query.rs
@@ -0,0 +1,132 @@
+//! Blocking queries over HTTP: an answer comes when the value is newer than the index sent, or
+//! when the wait is over.
+
+use std::time::Duration;
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use jj_utils::{common_derives, ids::ConfigIndex};
+use reqwest::{Client, Response, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::wire::{INDEX_HEADER, KeyValue};
+
+/// Longest answer that is read, in bytes: a value of a megabyte in base64, and its frame.
+const MAX_ANSWER_BYTES: usize = 1_500_000;
+
+/// Time for the way there and back on top of the wait; then the connection counts as dead.
+const ANSWER_MARGIN: Duration = Duration::from_millis(750);
+
+/// Why a read gave no value.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    /// No answer: refused, cut off or silent.
+    #[error("no answer: {0}")]
+    Unreachable(#[from] reqwest::Error),
+    /// An answer with this status.
+    #[error("answered {0}")]
+    Status(u16),
+    /// The answer is longer than any value may be.
+    #[error("the answer is longer than {MAX_ANSWER_BYTES} bytes")]
+    TooLong,
+    /// The answer is not what the protocol says.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+common_derives! {value:
+    /// One value and its place in the order of changes.
+    pub struct Indexed<T> {
+        /// Index of the last change.
+        pub index: ConfigIndex,
+        /// The value.
+        pub value: T,
+    }
+}
+
+common_derives! {value:
+    /// What to wait for.
+    #[derive(Copy, Eq)]
+    pub struct Wait {
+        /// Index that is known already.
+        pub seen: ConfigIndex,
+        /// Longest wait.
+        pub longest: Duration,
+    }
+}
+
+/// Reads one key; `None` when it is absent.
+///
+/// # Errors
+/// Every [`ReadError`].
+pub async fn read_key(
+    client: &Client,
+    base: &str,
+    key: &str,
+    wait: Option<Wait>,
+) -> Result<Option<Indexed<String>>, ReadError> {
+    let url = query_url(&format!("{base}/v1/kv/{key}"), wait);
+    let response = send(client, &url, wait).await?;
+    if response.status() == StatusCode::NOT_FOUND {
+        return Ok(None);
+    }
+    let values: Vec<KeyValue> = decode(response).await?;
+    let found = values.into_iter().find(|value| value.key == key);
+    let found = found.ok_or_else(|| ReadError::Malformed(format!("no value of `{key}`")))?;
+    let bytes = STANDARD.decode(&found.value);
+    let bytes = bytes.map_err(|error| ReadError::Malformed(error.to_string()))?;
+    let value = String::from_utf8(bytes);
+    let value = value.map_err(|error| ReadError::Malformed(error.to_string()))?;
+    Ok(Some(Indexed {
+        index: found.modify_index,
+        value,
+    }))
+}
+
+/// Reads a JSON value whose index stands in the answer's header.
+///
+/// # Errors
+/// Every [`ReadError`].
+pub async fn read_json<T: DeserializeOwned>(
+    client: &Client,
+    url: &str,
+    wait: Option<Wait>,
+) -> Result<Indexed<T>, ReadError> {
+    let response = send(client, &query_url(url, wait), wait).await?;
+    let header = response.headers().get(INDEX_HEADER);
+    let index = header.and_then(|text| text.to_str().ok()?.parse().ok());
+    let index = index.ok_or_else(|| ReadError::Malformed(format!("no {INDEX_HEADER}")))?;
+    let value = decode(response).await?;
+    Ok(Indexed { index, value })
+}
+
+fn query_url(url: &str, wait: Option<Wait>) -> String {
+    match wait {
+        Some(wait) => format!(
+            "{url}?index={}&wait={}ms",
+            wait.seen,
+            wait.longest.as_millis()
+        ),
+        None => url.to_owned(),
+    }
+}
+
+async fn send(client: &Client, url: &str, wait: Option<Wait>) -> Result<Response, ReadError> {
+    let longest = wait.map_or(Duration::ZERO, |wait| wait.longest);
+    let request = client.get(url).timeout(longest + ANSWER_MARGIN);
+    let response = request.send().await?;
+    match response.status() {
+        StatusCode::OK | StatusCode::NOT_FOUND => Ok(response),
+        status => Err(ReadError::Status(status.as_u16())),
+    }
+}
+
+async fn decode<T: DeserializeOwned>(mut response: Response) -> Result<T, ReadError> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = response.chunk().await? {
+        if bytes.len() + chunk.len() > MAX_ANSWER_BYTES {
+            return Err(ReadError::TooLong);
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    serde_json::from_slice(&bytes).map_err(|error| ReadError::Malformed(error.to_string()))
+}
--- /dev/null
+++ b/crates/platform/src/config_reader.rs
@@ -0,0 +1,391 @@
+//! Follows the published configuration: watches the manifest, fetches the documents that it names,
+//! checks them, and hands on what is newer than the last accepted publication.
+//!
+//! Two sources feed the same rule: the configuration service, and peers that may have read a newer
+//! index from a less stale replica. Peers are asked before anything is handed on, so that a process
+//! that starts into a stale read does not go back.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use futures_util::future::BoxFuture;
+use jj_operator::{
+    documents::{DOCUMENT_PREFIX, Digest, MANIFEST_KEY, Manifest},
+    finding::Finding,
+    published::{Bundle, Offer, Published, Refusal, digest_of, document_digests, parse_manifest},
+};
+use jj_policy::call_budget::CallCause;
+use jj_utils::{
+    clock::{SharedClock, Timestamp},
+    events,
+    ids::ConfigIndex,
+    log_event,
+};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    blocking_query::{Indexed, ReadError, Wait, read_key},
+    budget::SharedBudget,
+};
+
+/// Asks peers for a publication newer than the given index.
+pub type NewestFromPeers =
+    Arc<dyn Fn(ConfigIndex) -> BoxFuture<'static, Option<Offer>> + Send + Sync>;
+
+/// How the configuration is followed.
+#[derive(Debug, Clone)]
+pub struct ReaderConfig {
+    /// Base URL of the configuration service, without a slash at its end.
+    pub base_url: String,
+    /// Shortest wait of a watch; a larger fleet waits longer, to stay in its budget.
+    pub min_wait: Duration,
+    /// Longest wait of a watch.
+    pub max_wait: Duration,
+    /// Longest time that peers are given to answer.
+    pub peer_timeout: Duration,
+    /// Time between two looks at what peers have.
+    pub peer_interval: Duration,
+}
+
+impl Default for ReaderConfig {
+    fn default() -> Self {
+        Self {
+            base_url: "http://127.0.0.1:8500".to_owned(),
+            min_wait: Duration::from_secs(2),
+            max_wait: Duration::from_secs(10),
+            peer_timeout: Duration::from_secs(1),
+            peer_interval: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What the process knows of the configuration.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigView {
+    /// The last accepted publication.
+    pub published: Option<Arc<Published>>,
+    /// When the configuration service last answered with nothing older than that.
+    pub reached: Option<Timestamp>,
+    /// The last refused publication newer than the accepted one.
+    pub refused: Option<Arc<Refusal>>,
+    /// True once peers have been asked and a publication is accepted.
+    pub ready: bool,
+}
+
+impl ConfigView {
+    /// Index of the accepted publication; 0 before the first.
+    pub fn index(&self) -> ConfigIndex {
+        self.published
+            .as_ref()
+            .map_or(0, |published| published.index)
+    }
+}
+
+/// What the reader works with.
+#[derive(Clone)]
+pub struct ReaderContext {
+    /// Its settings.
+    pub config: ReaderConfig,
+    /// HTTP client for the configuration service.
+    pub client: reqwest::Client,
+    /// The process's clock.
+    pub clock: SharedClock,
+    /// Calls left to this process.
+    pub budget: SharedBudget,
+    /// Where peers are asked.
+    pub newest_from_peers: NewestFromPeers,
+    /// Ends the reader.
+    pub token: CancellationToken,
+}
+
+/// Follows the configuration until the token is cancelled.
+pub async fn run(context: ReaderContext, view: watch::Sender<ConfigView>) {
+    let follow = async {
+        ask_peers(&context, &view).await;
+        let service = Service::new(&context, &view).follow();
+        tokio::join!(service, follow_peers(&context, &view));
+    };
+    tokio::select! {
+        () = follow => {}
+        () = context.token.cancelled() => {}
+    }
+}
+
+async fn follow_peers(context: &ReaderContext, view: &watch::Sender<ConfigView>) {
+    loop {
+        tokio::time::sleep(context.config.peer_interval).await;
+        ask_peers(context, view).await;
+    }
+}
+
+async fn ask_peers(context: &ReaderContext, view: &watch::Sender<ConfigView>) {
+    let known = view.borrow().index();
+    let asked = (context.newest_from_peers)(known);
+    let answer = tokio::time::timeout(context.config.peer_timeout, asked).await;
+    if let Ok(Some(offer)) = answer {
+        accept(view, offer);
+    }
+}
+
+/// Checks a publication and takes it when it is newer than the accepted one.
+pub fn accept(view: &watch::Sender<ConfigView>, offer: Offer) {
+    if offer.index <= view.borrow().index() {
+        return;
+    }
+    match Published::parse(offer.index, Arc::new(offer.bundle)) {
+        Ok(published) => install(view, published),
+        Err(refusal) => refuse(view, refusal),
+    }
+}
+
+fn install(view: &watch::Sender<ConfigView>, published: Published) {
+    let (index, digest) = (published.index, published.digest.clone());
+    let published = Arc::new(published);
+    let taken = view.send_if_modified(|view| {
+        let newer = published.index > view.index();
+        if newer {
+            view.published = Some(published);
+            view.ready = true;
+            view.refused = view.refused.take().filter(|refusal| refusal.index > index);
+        }
+        newer
+    });
+    if taken {
+        log_event!(
+            events::CONFIG_ACCEPTED,
+            "accepted publication {digest} at index {index}"
+        );
+    }
+}
+
+fn refuse(view: &watch::Sender<ConfigView>, refusal: Refusal) {
+    let known = view
+        .borrow()
+        .refused
+        .as_ref()
+        .map_or(0, |known| known.index);
+    if refusal.index <= known {
+        return;
+    }
+    log_event!(
+        events::CONFIG_REFUSED,
+        "{refusal}; the last accepted publication stays in force"
+    );
+    view.send_modify(|view| view.refused = Some(Arc::new(refusal)));
+}
+
+/// Follows the configuration service alone.
+struct Service<'a> {
+    context: &'a ReaderContext,
+    view: &'a watch::Sender<ConfigView>,
+    seen: ConfigIndex,
+    failures: u32,
+    stale: bool,
+    fetched: BTreeMap<Digest, String>,
+}
+
+/// How one read of the manifest ended.
+enum Read {
+    /// Nothing new, or something new that needed further calls.
+    Done,
+    /// Something new that needed no call.
+    Changed,
+}
+
+impl<'a> Service<'a> {
+    fn new(context: &'a ReaderContext, view: &'a watch::Sender<ConfigView>) -> Self {
+        Self {
+            context,
+            view,
+            seen: 0,
+            failures: 0,
+            stale: false,
+            fetched: BTreeMap::new(),
+        }
+    }
+
+    async fn follow(mut self) {
+        let mut cause = CallCause::Woken;
+        loop {
+            self.context.budget.turn(cause).await;
+            cause = match self.read_manifest().await {
+                Ok(Read::Done) => CallCause::Turn,
+                Ok(Read::Changed) => CallCause::Woken,
+                Err(error) => self.note_failure(&error),
+            };
+        }
+    }
+
+    async fn read_manifest(&mut self) -> Result<Read, ReadError> {
+        let wait = Wait {
+            seen: self.seen,
+            longest: self.watch_wait(),
+        };
+        // The first read does not wait, so that a starting process learns the present state.
+        let wait = (self.seen > 0).then_some(wait);
+        let found = self.read(MANIFEST_KEY, wait).await?;
+        self.note_answer();
+        let Some(found) = found else {
+            self.seen = self.seen.max(1);
+            self.note_reached();
+            return Ok(Read::Done);
+        };
+        if found.index < self.view.borrow().index() {
+            self.note_stale(found.index);
+            return Ok(Read::Done);
+        }
+        self.stale = false;
+        if found.index <= self.seen {
+            self.note_reached();
+            return Ok(Read::Done);
+        }
+        self.take(found).await
+    }
+
+    async fn take(&mut self, found: Indexed<String>) -> Result<Read, ReadError> {
+        let manifest = match parse_manifest(&found.value) {
+            Ok(manifest) => manifest,
+            Err(finding) => {
+                self.refuse_manifest(&found, finding);
+                return Ok(Read::Changed);
+            }
+        };
+        let calls = self.fetch(&manifest, found.index).await?;
+        let documents = self.chosen(&manifest);
+        let bundle = Bundle {
+            manifest: found.value,
+            documents,
+        };
+        let index = found.index;
+        accept(self.view, Offer { index, bundle });
+        self.seen = index;
+        self.fetched.clear();
+        self.note_reached();
+        match calls {
+            0 => Ok(Read::Changed),
+            _ => Ok(Read::Done),
+        }
+    }
+
+    /// Fetches what neither the accepted publication nor an earlier try holds; returns the calls.
+    async fn fetch(&mut self, manifest: &Manifest, index: ConfigIndex) -> Result<u32, ReadError> {
+        let mut calls = 0;
+        for digest in document_digests(manifest) {
+            if self.has(&digest) {
+                continue;
+            }
+            let cause = match calls {
+                0 => CallCause::Woken,
+                _ => CallCause::Turn,
+            };
+            self.context.budget.turn(cause).await;
+            if self.view.borrow().index() >= index {
+                return Ok(calls);
+            }
+            calls += 1;
+            let text = self.fetch_document(&digest).await?;
+            self.fetched.insert(digest, text);
+        }
+        Ok(calls)
+    }
+
+    async fn fetch_document(&self, digest: &str) -> Result<String, ReadError> {
+        let key = format!("{DOCUMENT_PREFIX}{digest}");
+        let found = self.read(&key, None).await?;
+        // A replica that does not have the document yet may have it at the next try.
+        let found = found.ok_or_else(|| ReadError::Malformed(format!("{key} is absent")))?;
+        if digest_of(found.value.as_bytes()) != digest {
+            return Err(ReadError::Malformed(format!("{key} has other bytes")));
+        }
+        Ok(found.value)
+    }
+
+    fn has(&self, digest: &str) -> bool {
+        if self.fetched.contains_key(digest) {
+            return true;
+        }
+        let view = self.view.borrow();
+        let published = view.published.as_ref();
+        published.is_some_and(|published| published.bundle.documents.contains_key(digest))
+    }
+
+    fn chosen(&self, manifest: &Manifest) -> BTreeMap<Digest, String> {
+        let view = self.view.borrow();
+        let published = view.published.as_ref();
+        let known = published.map(|published| &published.bundle.documents);
+        let find = |digest: Digest| {
+            let text = self.fetched.get(&digest);
+            let text = text.or_else(|| known?.get(&digest))?.clone();
+            Some((digest, text))
+        };
+        let digests = document_digests(manifest).into_iter();
+        digests.filter_map(find).collect()
+    }
+
+    fn refuse_manifest(&mut self, found: &Indexed<String>, finding: Finding) {
+        self.seen = found.index;
+        self.note_reached();
+        let refusal = Refusal {
+            index: found.index,
+            digest: digest_of(found.value.as_bytes()),
+            findings: vec![finding],
+        };
+        refuse(self.view, refusal);
+    }
+
+    async fn read(
+        &self,
+        key: &str,
+        wait: Option<Wait>,
+    ) -> Result<Option<Indexed<String>>, ReadError> {
+        metrics::counter!("jujube_config_calls_total").increment(1);
+        let base = &self.context.config.base_url;
+        read_key(&self.context.client, base, key, wait).await
+    }
+
+    fn watch_wait(&self) -> Duration {
+        let config = &self.context.config;
+        let paced = self.context.budget.interval() * 2;
+        paced.clamp(config.min_wait, config.max_wait)
+    }
+
+    fn note_reached(&self) {
+        let now = self.context.clock.now();
+        self.view.send_modify(|view| view.reached = Some(now));
+    }
+
+    fn note_answer(&mut self) {
+        if self.failures > 0 {
+            log_event!(
+                events::CONFIG_SERVICE_BACK,
+                "the configuration service answers again"
+            );
+        }
+        self.failures = 0;
+    }
+
+    fn note_stale(&mut self, index: ConfigIndex) {
+        self.seen = self.view.borrow().index();
+        if !self.stale {
+            let accepted = self.seen;
+            log_event!(
+                events::CONFIG_STALE_READ,
+                "read index {index}, older than the accepted {accepted}"
+            );
+        }
+        self.stale = true;
+    }
+
+    fn note_failure(&mut self, error: &ReadError) -> CallCause {
+        if self.failures == 0 {
+            log_event!(
+                events::CONFIG_SERVICE_DOWN,
+                "the configuration service fails: {error}"
+            );
+        }
+        self.failures = self.failures.saturating_add(1);
+        CallCause::Failed {
+            failures: self.failures,
+        }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,3 +1,8 @@
 //! Readers of the platform: configuration service, live list, weight store.
 
+pub mod blocking_query;
+pub mod budget;
+pub mod config_reader;
+pub mod live_list;
+pub mod weight_store;
 pub mod wire;
--- /dev/null
+++ b/crates/platform/src/live_list.rs
@@ -0,0 +1,114 @@
+//! Follows the platform's list of instances, which lags and may be stale.
+
+use std::{sync::Arc, time::Duration};
+
+use jj_policy::call_budget::CallCause;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    blocking_query::{Indexed, ReadError, Wait, read_json},
+    budget::SharedBudget,
+    wire::InstanceList,
+};
+
+/// How the list is followed.
+#[derive(Debug, Clone)]
+pub struct LiveListConfig {
+    /// Base URL of the platform, without a slash at its end.
+    pub base_url: String,
+    /// Longest wait of a watch.
+    pub max_wait: Duration,
+}
+
+impl Default for LiveListConfig {
+    fn default() -> Self {
+        Self {
+            base_url: "http://127.0.0.1:8500".to_owned(),
+            max_wait: Duration::from_secs(10),
+        }
+    }
+}
+
+/// The list as last read.
+#[derive(Debug, Clone, Default)]
+pub struct LiveList {
+    /// Index of the list; 0 before the first answer.
+    pub index: u64,
+    /// Its instances.
+    pub list: Arc<InstanceList>,
+}
+
+/// What the reader works with.
+#[derive(Clone)]
+pub struct LiveListContext {
+    /// Its settings.
+    pub config: LiveListConfig,
+    /// HTTP client for the platform.
+    pub client: reqwest::Client,
+    /// Calls left to this process; learns the size of the fleet from the list.
+    pub budget: SharedBudget,
+    /// Ends the reader.
+    pub token: CancellationToken,
+}
+
+/// Follows the list until the token is cancelled; the last list stays when the platform is down.
+pub async fn run(context: LiveListContext, list: watch::Sender<LiveList>) {
+    tokio::select! {
+        () = follow(&context, &list) => {}
+        () = context.token.cancelled() => {}
+    }
+}
+
+async fn follow(context: &LiveListContext, list: &watch::Sender<LiveList>) {
+    let mut cause = CallCause::Woken;
+    let mut failures = 0;
+    loop {
+        context.budget.turn(cause).await;
+        let seen = list.borrow().index;
+        match read(context, seen).await {
+            Ok(found) => {
+                failures = 0;
+                cause = match found.index == seen {
+                    true => CallCause::Turn,
+                    false => CallCause::Woken,
+                };
+                install(context, list, found);
+            }
+            Err(error) => {
+                failures += 1;
+                log::debug!(target: "jujube", "the live list is not read: {error}");
+                cause = CallCause::Failed { failures };
+            }
+        }
+    }
+}
+
+async fn read(context: &LiveListContext, seen: u64) -> Result<Indexed<InstanceList>, ReadError> {
+    metrics::counter!("jujube_live_list_calls_total").increment(1);
+    let url = format!("{}/v1/instances", context.config.base_url);
+    let wait = Wait {
+        seen,
+        longest: context.config.max_wait,
+    };
+    read_json(&context.client, &url, (seen > 0).then_some(wait)).await
+}
+
+fn install(
+    context: &LiveListContext,
+    list: &watch::Sender<LiveList>,
+    found: Indexed<InstanceList>,
+) {
+    let fleet = u32::try_from(found.value.instances.len()).unwrap_or(u32::MAX);
+    if fleet > 0 {
+        context.budget.set_fleet(fleet);
+    }
+    list.send_if_modified(|list| {
+        if list.index == found.index && *list.list == found.value {
+            return false;
+        }
+        list.index = found.index;
+        list.list = Arc::new(found.value);
+        true
+    });
+}
--- /dev/null
+++ b/crates/platform/src/weight_store.rs
@@ -0,0 +1,128 @@
+//! Reads weights from the rate-limited weight store without exceeding this process's share.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use jj_utils::clock::SharedClock;
+use reqwest::{Client, Response, StatusCode};
+use tokio_util::sync::CancellationToken;
+
+/// How weights are read.
+#[derive(Debug, Clone)]
+pub struct WeightStoreConfig {
+    /// Base URL of the weight store, without a slash at its end.
+    pub base_url: String,
+    /// Bytes a second that this process may read.
+    pub byte_rate: u64,
+    /// Tries of one read before it fails.
+    pub max_tries: u32,
+    /// Wait after a refusal that names none.
+    pub retry_wait: Duration,
+    /// Longest wait between two pieces of an answer.
+    pub read_timeout: Duration,
+}
+
+impl Default for WeightStoreConfig {
+    fn default() -> Self {
+        Self {
+            base_url: "http://127.0.0.1:8500".to_owned(),
+            byte_rate: 256 * 1024 * 1024,
+            max_tries: 8,
+            retry_wait: Duration::from_secs(1),
+            read_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Why weights could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum WeightError {
+    /// No answer, or one that broke off.
+    #[error("the weight store does not answer: {0}")]
+    Unreachable(#[from] reqwest::Error),
+    /// No further piece came in time.
+    #[error("the weight store went silent")]
+    Silent,
+    /// An answer with this status.
+    #[error("the weight store answered {0}")]
+    Status(u16),
+    /// Every try was refused for its rate.
+    #[error("the weight store refused {0} tries for their rate")]
+    Limited(u32),
+    /// The process ends.
+    #[error("cancelled")]
+    Cancelled,
+}
+
+/// Reader of the weight store.
+#[derive(Clone)]
+pub struct WeightStore {
+    /// Its settings.
+    pub config: WeightStoreConfig,
+    /// HTTP client for the weight store.
+    pub client: Client,
+    /// The process's clock.
+    pub clock: SharedClock,
+    /// Ends every read.
+    pub token: CancellationToken,
+}
+
+impl WeightStore {
+    /// Reads `name` and hands each piece to `piece`; returns the bytes read.
+    ///
+    /// # Errors
+    /// Every [`WeightError`].
+    pub async fn read(&self, name: &str, piece: impl FnMut(Bytes)) -> Result<u64, WeightError> {
+        tokio::select! {
+            result = self.read_whole(name, piece) => result,
+            () = self.token.cancelled() => Err(WeightError::Cancelled),
+        }
+    }
+
+    async fn read_whole(
+        &self,
+        name: &str,
+        mut piece: impl FnMut(Bytes),
+    ) -> Result<u64, WeightError> {
+        let mut response = self.open(name).await?;
+        let start = self.clock.now();
+        let mut total: u64 = 0;
+        loop {
+            let next = tokio::time::timeout(self.config.read_timeout, response.chunk()).await;
+            let Some(chunk) = next.map_err(|_| WeightError::Silent)?? else {
+                return Ok(total);
+            };
+            total += chunk.len() as u64;
+            piece(chunk);
+            let due = start + transfer_time(total, self.config.byte_rate);
+            tokio::time::sleep(due.saturating_sub(self.clock.now())).await;
+        }
+    }
+
+    async fn open(&self, name: &str) -> Result<Response, WeightError> {
+        let url = format!("{}/weights/{name}", self.config.base_url);
+        for _ in 0..self.config.max_tries {
+            let response = self.client.get(&url).send().await?;
+            match response.status() {
+                StatusCode::OK => return Ok(response),
+                StatusCode::TOO_MANY_REQUESTS => {
+                    tokio::time::sleep(self.wait_named(&response)).await;
+                }
+                status => return Err(WeightError::Status(status.as_u16())),
+            }
+        }
+        Err(WeightError::Limited(self.config.max_tries))
+    }
+
+    fn wait_named(&self, response: &Response) -> Duration {
+        let header = response.headers().get("retry-after");
+        let seconds = header.and_then(|text| text.to_str().ok()?.parse().ok());
+        seconds.map_or(self.config.retry_wait, Duration::from_secs)
+    }
+}
+
+/// Time that `bytes` take at `rate` bytes a second.
+pub fn transfer_time(bytes: u64, rate: u64) -> Duration {
+    let seconds = bytes as f64 / rate.max(1) as f64;
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
