feat(lab): stand-ins of a model engine and a plain service, and a relay that injects faults

Tests need a caller-checkable answer: each token follows from the prompt's hash and its index, so a truncated, crossed, doubled or wrong token shows. The stand-ins count executions by request id, idempotency key and marker, so that a refusal can be compared with what ran. poem's own TCP listener leaves Nagle's algorithm on, which holds single tokens back; the stand-ins accept with TCP_NODELAY.

--- /dev/null
+++ b/crates/lab/src/flags.rs
@@ -0,0 +1,52 @@
+//! Command line of `jujube-lab`.
+
+use std::net::SocketAddr;
+
+xflags::xflags! {
+    /// Stand-ins, load, fault injection and experiments for jujubejunction.
+    cmd jujube-lab {
+        /// Runs a stand-in of a model engine.
+        cmd engine {
+            /// Where it listens.
+            required --addr addr: SocketAddr
+            /// A model that it serves; may be given again.
+            repeated --model model: String
+            /// Requests in the batch at once.
+            optional --capacity count: u32
+            /// Time of each token, in microseconds.
+            optional --token-delay-us micros: u64
+            /// Time before the first token of an unknown prefix, in microseconds.
+            optional --prefill-delay-us micros: u64
+            /// Requests that it bears while cold.
+            optional --cold-floor count: u32
+            /// Time from the start to being warm, in milliseconds.
+            optional --warm-after-ms millis: u64
+            /// Whether it refuses orders with an old fencing number.
+            optional --fencing on: bool
+            /// Lag of cache events, in milliseconds.
+            optional --event-lag-ms millis: u64
+            /// Each nth cache event is lost.
+            optional --event-loss nth: u64
+        }
+        /// Runs a stand-in of a plain service.
+        cmd service {
+            /// Where it listens.
+            required --addr addr: SocketAddr
+            /// Time of each call, in microseconds.
+            optional --delay-us micros: u64
+            /// Requests that it bears while cold.
+            optional --cold-floor count: u32
+            /// Time from the start to being warm, in milliseconds.
+            optional --warm-after-ms millis: u64
+        }
+        /// Runs a relay that injects faults.
+        cmd relay {
+            /// Where it listens.
+            required --addr addr: SocketAddr
+            /// Where it connects to.
+            required --target addr: SocketAddr
+            /// Where tests set its mode.
+            required --control addr: SocketAddr
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,6 @@
+//! Stand-ins, load, fault injection and experiments; never shipped.
+
+pub mod http;
+pub mod relay;
+pub mod standins;
+pub mod tokens;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,3 +1,93 @@
-//! Stand-ins, load, fault injection and experiments; never shipped.
+//! `jujube-lab`: stand-ins, load, fault injection and experiments; never shipped.
 
-fn main() {}
+mod flags;
+
+use std::{future::Future, time::Duration};
+
+use flags::{JujubeLab, JujubeLabCmd};
+use jujube_lab::{
+    relay,
+    standins::{
+        cold_start::ColdConfig,
+        engine::{self, EngineConfig},
+        prefix_cache::CacheConfig,
+        service::{self, ServiceConfig},
+    },
+};
+use tokio_util::sync::CancellationToken;
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let cancel = CancellationToken::new();
+    match JujubeLab::from_env_or_exit().subcommand {
+        JujubeLabCmd::Engine(flags) => {
+            let addr = flags.addr;
+            let config = engine_config(flags);
+            until_ended(engine::serve(config, addr, cancel.clone()), cancel).await
+        }
+        JujubeLabCmd::Service(flags) => {
+            let config = ServiceConfig {
+                delay: Duration::from_micros(flags.delay_us.unwrap_or(0)),
+                cold: cold_config(flags.cold_floor, flags.warm_after_ms),
+            };
+            until_ended(service::serve(config, flags.addr, cancel.clone()), cancel).await
+        }
+        JujubeLabCmd::Relay(flags) => {
+            let served = relay::serve(flags.addr, flags.target, flags.control, cancel.clone());
+            until_ended(served, cancel).await
+        }
+    }
+}
+
+/// Runs `work` to its end; SIGTERM and SIGINT cancel it.
+async fn until_ended(
+    work: impl Future<Output = anyhow::Result<()>>,
+    cancel: CancellationToken,
+) -> anyhow::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let signals = async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+        cancel.cancel();
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        result = work => result,
+        () = signals => Ok(()),
+    }
+}
+
+fn engine_config(flags: flags::Engine) -> EngineConfig {
+    let default = EngineConfig::default();
+    let models = if flags.model.is_empty() {
+        default.models
+    } else {
+        flags.model
+    };
+    EngineConfig {
+        models,
+        capacity: flags.capacity.unwrap_or(default.capacity),
+        token_delay: Duration::from_micros(flags.token_delay_us.unwrap_or(0)),
+        prefill_delay: Duration::from_micros(flags.prefill_delay_us.unwrap_or(0)),
+        fencing: flags.fencing.unwrap_or(default.fencing),
+        cold: cold_config(flags.cold_floor, flags.warm_after_ms),
+        cache: CacheConfig {
+            event_lag: Duration::from_millis(flags.event_lag_ms.unwrap_or(0)),
+            lose_each: flags.event_loss.unwrap_or(0),
+            ..default.cache
+        },
+        ..default
+    }
+}
+
+fn cold_config(floor: Option<u32>, warm_after_ms: Option<u64>) -> ColdConfig {
+    let default = ColdConfig::default();
+    ColdConfig {
+        floor: floor.unwrap_or(default.floor),
+        warm_after: Duration::from_millis(warm_after_ms.unwrap_or(0)),
+        ..default
+    }
+}
--- /dev/null
+++ b/crates/lab/src/standins/mod.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for what surrounds the system.
+
+pub mod cold_start;
+pub mod engine;
+pub mod engine_api;
+pub mod engine_control;
+pub mod faults;
+pub mod ledger;
+pub mod orders;
+pub mod prefix_cache;
+pub mod service;
+pub mod slots;
