--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, load, fault injection and experiments; never shipped.
 
+pub mod experiments;
 pub mod http;
 pub mod relay;
 pub mod standins;
--- a/crates/lab/src/standins/mod.rs
+++ b/crates/lab/src/standins/mod.rs
@@ -7,6 +7,8 @@
 pub mod faults;
 pub mod ledger;
 pub mod orders;
+pub mod platform;
+pub mod platform_state;
 pub mod prefix_cache;
 pub mod service;
 pub mod slots;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,4 +1,9 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
+pub mod call_budget;
+pub mod membership;
+pub mod prefix;
+pub mod rendezvous;
+pub mod routing;
 pub mod verdict;
