--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,4 +1,7 @@
 //! Stand-ins, load, fault injection and experiments; never shipped.
 
 pub mod experiments;
+pub mod http;
+pub mod relay;
 pub mod standins;
+pub mod tokens;
--- a/crates/lab/src/standins/mod.rs
+++ b/crates/lab/src/standins/mod.rs
@@ -1,4 +1,14 @@
-//! Small stand-ins for what the system talks to.
+//! Stand-ins for what surrounds the system.
 
+pub mod cold_start;
+pub mod engine;
+pub mod engine_api;
+pub mod engine_control;
+pub mod faults;
+pub mod ledger;
+pub mod orders;
 pub mod platform;
 pub mod platform_state;
+pub mod prefix_cache;
+pub mod service;
+pub mod slots;
