--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -28,6 +28,11 @@
             /// Each nth cache event is lost.
             optional --event-loss nth: u64
         }
+        /// Runs a stand-in of the platform: configuration service and live list.
+        cmd platform {
+            /// Where it listens.
+            required --addr addr: SocketAddr
+        }
         /// Runs a stand-in of a plain service.
         cmd service {
             /// Where it listens.
