--- /dev/null
+++ b/crates/operator/src/fields.rs
@@ -0,0 +1,251 @@
+//! Reads a parsed TOML table field by field and keeps every finding with its line.
+
+use std::{fmt::Display, ops::Range, time::Duration};
+
+use toml::de::{DeTable, DeValue};
+
+use crate::finding::Finding;
+
+/// A TOML value with the place where it stands.
+pub type Value<'i> = toml::Spanned<DeValue<'i>>;
+
+/// One file's text, and what is wrong in it.
+pub struct Source<'t> {
+    name: &'t str,
+    text: &'t str,
+    /// Findings so far.
+    pub findings: Vec<Finding>,
+}
+
+impl<'t> Source<'t> {
+    /// Starts on one file.
+    pub fn new(name: &'t str, text: &'t str) -> Self {
+        Self {
+            name,
+            text,
+            findings: Vec::new(),
+        }
+    }
+
+    /// Name of the file.
+    pub fn name(&self) -> &'t str {
+        self.name
+    }
+
+    /// Adds a finding at a place of the text.
+    pub fn report(&mut self, span: Range<usize>, field: impl Display, reason: impl Display) {
+        self.findings.push(Finding {
+            file: self.name.to_owned(),
+            line: Some(self.line(span.start)),
+            field: field.to_string(),
+            reason: reason.to_string(),
+        });
+    }
+
+    /// Line of a byte offset, from 1.
+    pub fn line(&self, offset: usize) -> usize {
+        let before = self.text.as_bytes().iter().take(offset);
+        before.filter(|byte| **byte == b'\n').count() + 1
+    }
+}
+
+/// One table and the path that leads to it.
+pub struct Fields<'a, 'i> {
+    table: &'a DeTable<'i>,
+    span: Range<usize>,
+    path: String,
+}
+
+impl<'a, 'i> Fields<'a, 'i> {
+    /// Reads `table`, which stands at `span` under `path`; an empty path is the whole file.
+    pub fn new(table: &'a DeTable<'i>, span: Range<usize>, path: impl Into<String>) -> Self {
+        Self {
+            table,
+            span,
+            path: path.into(),
+        }
+    }
+
+    /// Path of a field of this table.
+    pub fn path(&self, key: &str) -> String {
+        match self.path.is_empty() {
+            true => key.to_owned(),
+            false => format!("{}.{key}", self.path),
+        }
+    }
+
+    /// Place of this table.
+    pub fn span(&self) -> Range<usize> {
+        self.span.clone()
+    }
+
+    /// Reports every key that is none of `allowed`.
+    pub fn only(&self, source: &mut Source<'_>, allowed: &[&str]) {
+        for key in self.table.keys() {
+            let name = key.get_ref().as_ref();
+            if !allowed.contains(&name) {
+                let reason = format!("unknown field; allowed: {}", allowed.join(", "));
+                source.report(key.span(), self.path(name), reason);
+            }
+        }
+    }
+
+    /// A value, if the key is there.
+    pub fn get(&self, key: &str) -> Option<&'a Value<'i>> {
+        self.table.get(key)
+    }
+
+    /// Every key with its value.
+    pub fn entries(&self) -> impl Iterator<Item = (&'a str, &'a Value<'i>)> {
+        let entries = self.table.iter();
+        entries.map(|(key, value)| (key.get_ref().as_ref(), value))
+    }
+
+    /// A string; reported when absent or of another type.
+    pub fn string(&self, source: &mut Source<'_>, key: &str) -> Option<String> {
+        let value = self.required(source, key, "a string")?;
+        self.string_of(source, key, value)
+    }
+
+    /// A string that may be absent.
+    pub fn optional_string(&self, source: &mut Source<'_>, key: &str) -> Option<String> {
+        let value = self.get(key)?;
+        self.string_of(source, key, value)
+    }
+
+    /// `true` or `false`; reported when absent or of another type.
+    pub fn boolean(&self, source: &mut Source<'_>, key: &str) -> Option<bool> {
+        let value = self.required(source, key, "true or false")?;
+        let found = value.get_ref().as_bool();
+        self.typed(source, key, value, found, "true or false")
+    }
+
+    /// A whole number; `default` when absent.
+    pub fn number(&self, source: &mut Source<'_>, key: &str, default: Option<u32>) -> Option<u32> {
+        let Some(value) = self.get(key) else {
+            return default.or_else(|| {
+                self.required(source, key, "a whole number");
+                None
+            });
+        };
+        let found = value.get_ref().as_integer().and_then(|number| {
+            let digits = number.as_str();
+            u32::from_str_radix(digits, number.radix()).ok()
+        });
+        self.typed(
+            source,
+            key,
+            value,
+            found,
+            "a whole number from 0 to 4294967295",
+        )
+    }
+
+    /// A duration such as `"1.4s"`, `"250ms"`, `"2m"` or `"1h"`; `default` when absent.
+    pub fn duration(
+        &self,
+        source: &mut Source<'_>,
+        key: &str,
+        default: Duration,
+    ) -> Option<Duration> {
+        let Some(value) = self.get(key) else {
+            return Some(default);
+        };
+        let found = value.get_ref().as_str().and_then(parse_duration);
+        let allowed = "a duration in quotes such as \"250ms\", \"1.4s\", \"2m\" or \"1h\"";
+        self.typed(source, key, value, found, allowed)
+    }
+
+    /// A list of strings; empty when absent.
+    pub fn strings(&self, source: &mut Source<'_>, key: &str) -> Option<Vec<String>> {
+        let Some(value) = self.get(key) else {
+            return Some(Vec::new());
+        };
+        let found = value.get_ref().as_array().and_then(|array| {
+            let texts = array
+                .iter()
+                .map(|item| item.get_ref().as_str().map(str::to_owned));
+            texts.collect::<Option<Vec<String>>>()
+        });
+        self.typed(source, key, value, found, "a list of strings")
+    }
+
+    /// A table; `None` when absent, reported when of another type.
+    pub fn table(&self, source: &mut Source<'_>, key: &str) -> Option<Fields<'a, 'i>> {
+        let value = self.get(key)?;
+        let found = value.get_ref().as_table();
+        let table = self.typed(source, key, value, found, "a table")?;
+        Some(Fields::new(table, value.span(), self.path(key)))
+    }
+
+    /// A list of tables; empty when absent.
+    pub fn tables(&self, source: &mut Source<'_>, key: &str) -> Vec<Fields<'a, 'i>> {
+        let Some(value) = self.get(key) else {
+            return Vec::new();
+        };
+        let found = value.get_ref().as_array();
+        let Some(array) = self.typed(source, key, value, found, "a list of tables") else {
+            return Vec::new();
+        };
+        let mut tables = Vec::new();
+        for (position, item) in array.iter().enumerate() {
+            let path = format!("{}[{position}]", self.path(key));
+            match item.get_ref().as_table() {
+                Some(table) => tables.push(Fields::new(table, item.span(), path)),
+                None => source.report(item.span(), path, "not a table"),
+            }
+        }
+        tables
+    }
+
+    fn string_of(&self, source: &mut Source<'_>, key: &str, value: &Value<'_>) -> Option<String> {
+        let found = value.get_ref().as_str().map(str::to_owned);
+        self.typed(source, key, value, found, "a string")
+    }
+
+    fn required(&self, source: &mut Source<'_>, key: &str, allowed: &str) -> Option<&'a Value<'i>> {
+        let value = self.get(key);
+        if value.is_none() {
+            let reason = format!("missing; allowed: {allowed}");
+            source.report(self.span(), self.path(key), reason);
+        }
+        value
+    }
+
+    fn typed<T>(
+        &self,
+        source: &mut Source<'_>,
+        key: &str,
+        value: &Value<'_>,
+        found: Option<T>,
+        allowed: &str,
+    ) -> Option<T> {
+        if found.is_none() {
+            let reason = format!(
+                "not valid ({}); allowed: {allowed}",
+                value.get_ref().type_str()
+            );
+            source.report(value.span(), self.path(key), reason);
+        }
+        found
+    }
+}
+
+/// Reads `1.4s`, `250ms`, `2m` or `1h`; finer than a millisecond is not kept.
+pub fn parse_duration(text: &str) -> Option<Duration> {
+    let split = text.find(|letter: char| letter.is_ascii_alphabetic())?;
+    let (number, unit) = text.split_at(split);
+    let plain = |byte: u8| byte.is_ascii_digit() || byte == b'.';
+    if number.is_empty() || !number.bytes().all(plain) {
+        return None;
+    }
+    let millis_per_unit = match unit {
+        "ms" => 1.0,
+        "s" => 1_000.0,
+        "m" => 60_000.0,
+        "h" => 3_600_000.0,
+        _ => return None,
+    };
+    let millis = (number.parse::<f64>().ok()? * millis_per_unit).round();
+    Duration::try_from_secs_f64(millis / 1_000.0).ok()
+}
