--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,4 +2,8 @@
 //! randomness. Time, random numbers and observations are passed in.
 
 pub mod call_budget;
+pub mod membership;
+pub mod prefix;
+pub mod rendezvous;
+pub mod routing;
 pub mod verdict;
