--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,10 +1,12 @@
 //! What operators see: files, checks, published documents, audit, status.
 
+pub mod audit;
 pub mod check;
 pub mod collect;
 pub mod documents;
 pub mod fields;
 pub mod files;
 pub mod finding;
+pub mod port;
 pub mod published;
 pub mod rules;
