--- a/crates/operator/src/audit.rs
+++ b/crates/operator/src/audit.rs
@@ -104,7 +104,11 @@
 
 fn shorten(mut text: String) -> String {
     if text.len() > MAX_FIELD_BYTES {
-        text.truncate(text.floor_char_boundary(MAX_FIELD_BYTES));
+        let mut end = MAX_FIELD_BYTES;
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        text.truncate(end);
         text.push_str("...");
     }
     text
