--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+use std::{net::SocketAddr, path::PathBuf};
+
 xflags::xflags! {
     /// jujubejunction: load balancer for expert-parallel model groups.
     cmd jujubejunction {
@@ -34,5 +36,32 @@
             /// Least level of log lines: error, warn, info, debug.
             optional --log-level level: String
         }
+
+        /// Checks the operators' files below a directory and reports every fault at once.
+        /// Exit codes: 0 nothing wrong, 1 faults found, 2 wrong usage or unreadable files.
+        cmd check {
+            /// Directory that holds the files: `jujube.toml` or `<name>.jujube.toml`.
+            required dir: PathBuf
+            /// Print the faults as a JSON list on standard output.
+            optional --json
+        }
+
+        /// Checks the operators' files and merges them into the published form. The same files give
+        /// the same bytes. Exit codes as for `check`.
+        cmd collect {
+            /// Directory that holds the files.
+            required dir: PathBuf
+            /// Directory to write `manifest.json` and `documents/` to; without it, one JSON bundle
+            /// goes to standard output.
+            optional --out out: PathBuf
+        }
+
+        /// Shows what one process believes and why. Exit codes: 0 answered, 2 no answer.
+        cmd status {
+            /// Address of the process's operators' port, such as 10.0.0.4:7003.
+            required addr: SocketAddr
+            /// Print the answer as JSON.
+            optional --json
+        }
     }
 }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,6 +1,7 @@
 //! The entry process and the operators' command line.
 
 mod cli;
+mod commands;
 mod context;
 mod control;
 mod forward;
@@ -28,6 +29,9 @@
     }
     match Jujubejunction::from_env_or_exit().subcommand {
         JujubejunctionCmd::Serve(flags) => serve(flags),
+        JujubejunctionCmd::Check(flags) => commands::check(&flags),
+        JujubejunctionCmd::Collect(flags) => commands::collect(&flags),
+        JujubejunctionCmd::Status(flags) => commands::status(&flags),
     }
 }
 
--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -1,6 +1,6 @@
 //! Command line of `jujube-lab`.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 xflags::xflags! {
     /// Stand-ins, load, fault injection and experiments for jujubejunction.
@@ -48,5 +48,17 @@
             /// Where tests set its mode.
             required --control addr: SocketAddr
         }
+        /// Runs a stand-in of the platform.
+        cmd platform {
+            /// Where it listens.
+            required --addr addr: SocketAddr
+        }
+        /// Checks, collects and publishes operators' files to the stand-in of the platform.
+        cmd publish {
+            /// Directory that holds the files.
+            required dir: PathBuf
+            /// Base URL of the platform.
+            required --platform url: String
+        }
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod experiments;
 pub mod http;
+pub mod publish;
 pub mod relay;
 pub mod standins;
 pub mod tokens;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,10 +6,11 @@
 
 use flags::{JujubeLab, JujubeLabCmd};
 use jujube_lab::{
-    relay,
+    publish, relay,
     standins::{
         cold_start::ColdConfig,
         engine::{self, EngineConfig},
+        platform,
         prefix_cache::CacheConfig,
         service::{self, ServiceConfig},
     },
@@ -36,6 +37,15 @@
             let served = relay::serve(flags.addr, flags.target, flags.control, cancel.clone());
             until_ended(served, cancel).await
         }
+        JujubeLabCmd::Platform(flags) => {
+            until_ended(platform::serve(flags.addr, cancel.clone()), cancel).await
+        }
+        JujubeLabCmd::Publish(flags) => {
+            let client = reqwest::Client::builder().no_proxy().build()?;
+            let index = publish::publish_directory(&client, &flags.platform, &flags.dir).await?;
+            println!("published at index {index}");
+            Ok(())
+        }
     }
 }
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod port;
 pub mod published;
 pub mod rules;
+pub mod status_text;
