fix(lab): a broken answer breaks its connection off

A body stream that ended with an error reached callers as a clean chunked end ('0\r\n\r\n'): poem polls the connection once more after hyper has given it up, and hyper then ends the body. Seen with a raw socket. The stand-ins now mark the connection itself as broken; curl reports 18 as it should.

--- a/crates/lab/src/standins/engine_api.rs
+++ b/crates/lab/src/standins/engine_api.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    http::Breaker,
     standins::{cold_start::Working, engine::Engine, faults::Fault, ledger::Names, slots::Slot},
     tokens,
 };
@@ -82,6 +83,7 @@
     fault: Fault,
     falls: u32,
     cancel: CancellationToken,
+    breaker: Breaker,
     _working: Working,
     _slot: Slot,
 }
@@ -158,6 +160,7 @@
     Job {
         engine: Arc::clone(engine),
         cancel: engine.register(request_id.clone()),
+        breaker: Breaker::of(request),
         request: request_id,
         hash: tokens::prompt_hash(&names.marker),
         names,
@@ -179,13 +182,13 @@
         let chunk = ChunkFormat::new(&job);
         for index in job.first..job.count {
             if !wait_turn(&job).await {
-                yield Err(io::Error::from(io::ErrorKind::ConnectionReset));
+                yield Err(broken(&job));
                 return;
             }
             match job.fault {
                 Fault::Freeze { after } if index >= after => std::future::pending().await,
                 Fault::Reset { after } if index >= after => {
-                    yield Err(io::Error::from(io::ErrorKind::ConnectionReset));
+                    yield Err(broken(&job));
                     return;
                 }
                 Fault::Truncate { after } if index >= after => return,
@@ -222,18 +225,21 @@
     job.engine.ledger.complete(&job.names);
     match job.fault {
         Fault::Freeze { .. } => std::future::pending().await,
-        Fault::Reset { .. } | Fault::Truncate { .. } => return broken_body(),
+        Fault::Reset { .. } | Fault::Truncate { .. } => return broken_body(job),
         _ => {}
     }
     Json(answer(&job, &text)).into_response()
 }
 
-/// A body that breaks off, so that the connection is reset.
-fn broken_body() -> Response {
-    let broken = io::Error::from(io::ErrorKind::ConnectionReset);
-    let stream =
-        futures_util::stream::iter([Ok::<_, io::Error>(Bytes::from_static(b"{")), Err(broken)]);
-    Response::builder().body(Body::from_bytes_stream(stream))
+/// Breaks the connection of `job` off, and gives the error that its body ends with.
+fn broken(job: &Job) -> io::Error {
+    job.breaker.break_off();
+    io::Error::from(io::ErrorKind::ConnectionReset)
+}
+
+fn broken_body(job: Job) -> Response {
+    let parts = [Ok(Bytes::from_static(b"{")), Err(broken(&job))];
+    Response::builder().body(Body::from_bytes_stream(futures_util::stream::iter(parts)))
 }
 
 fn answer(job: &Job, text: &str) -> serde_json::Value {
--- a/crates/lab/src/standins/service.rs
+++ b/crates/lab/src/standins/service.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    http::serve_app,
+    http::{Breaker, serve_app},
     standins::{
         cold_start::{ColdConfig, ColdStart},
         faults::{ControlRequest, Fault, Faults},
@@ -125,7 +125,7 @@
     let answer = Json(describe(request, &body, service.ledger.started()));
     match fault {
         Fault::Freeze { .. } => std::future::pending().await,
-        Fault::Reset { .. } | Fault::Truncate { .. } => broken_body(),
+        Fault::Reset { .. } | Fault::Truncate { .. } => broken_body(&Breaker::of(request)),
         _ => answer.into_response(),
     }
 }
@@ -154,7 +154,9 @@
     }
 }
 
-fn broken_body() -> Response {
+/// A body that breaks off, and its connection with it.
+fn broken_body(breaker: &Breaker) -> Response {
+    breaker.break_off();
     let broken = io::Error::from(io::ErrorKind::ConnectionReset);
     let parts = [Ok::<_, io::Error>(Bytes::from_static(b"{")), Err(broken)];
     Response::builder().body(Body::from_bytes_stream(futures_util::stream::iter(parts)))
