feat: membership, retries, authority, configuration order and subsets as pure decisions

Authority dates evidence by when it was asked for, so answers that waited in the socket of a frozen process prove nothing. Limits: two domains that see each other but neither the third nor the service go on serving.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,8 +1,13 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
+pub mod addresses;
+pub mod authority;
+pub mod config_order;
 pub mod membership;
 pub mod prefix;
 pub mod rendezvous;
+pub mod retry;
 pub mod routing;
+pub mod subset;
 pub mod verdict;
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,169 @@
+//! Whether a failed attempt is followed by another one.
+//!
+//! Retries are paid from a budget that requests taken in fill, so that attempts stay under a fixed
+//! multiple of requests also when every server refuses. A request that is given up is answered at
+//! once with the gravest verdict over all of its attempts.
+
+use std::time::Duration;
+
+use jj_utils::{clock::Timestamp, common_derives, ids::BackendServerId};
+
+use crate::verdict::Verdict;
+
+/// What one retry costs, in thousandths of a retry.
+const RETRY_COST_MILLI: u64 = 1_000;
+
+/// Tunables of retries.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RetryConfig {
+    /// Thousandths of a retry that each request taken in adds to the budget.
+    pub share_milli: u64,
+    /// Most retries that the budget can hold; bounds the burst after a quiet time.
+    pub burst: u64,
+    /// Most attempts of one request.
+    pub max_attempts: u32,
+    /// Least time left before the deadline that makes an attempt worth starting.
+    pub min_left: Duration,
+    /// Longest wait before the second retry; doubles with each later one.
+    pub backoff: Duration,
+    /// Wait told to the caller when the verdict names none.
+    pub retry_after: Duration,
+}
+
+impl Default for RetryConfig {
+    fn default() -> Self {
+        Self {
+            share_milli: 100,
+            burst: 64,
+            max_attempts: 4,
+            min_left: Duration::from_millis(20),
+            backoff: Duration::from_millis(20),
+            retry_after: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Retries that this process may still make.
+#[derive(Debug, Clone, Default)]
+pub struct RetryBudget {
+    balance_milli: u64,
+}
+
+impl RetryBudget {
+    /// Counts one request taken in; call once a request, before its first attempt.
+    pub fn take_in(&mut self, config: &RetryConfig) {
+        let full = config.burst * RETRY_COST_MILLI;
+        self.balance_milli = (self.balance_milli + config.share_milli).min(full);
+    }
+
+    /// Pays for one retry; false when the budget is spent.
+    fn pay(&mut self) -> bool {
+        let Some(rest) = self.balance_milli.checked_sub(RETRY_COST_MILLI) else {
+            return false;
+        };
+        self.balance_milli = rest;
+        true
+    }
+}
+
+common_derives! {value:
+    /// What became of the attempts of one request so far.
+    #[derive(Default)]
+    pub struct Attempts {
+        /// Servers that an attempt was sent to.
+        pub tried: Vec<BackendServerId>,
+        /// Gravest verdict so far.
+        worst: Option<Verdict>,
+    }
+}
+
+impl Attempts {
+    /// Records the end of one attempt.
+    pub fn record(&mut self, server: &str, verdict: Verdict) {
+        self.tried.push(server.to_owned());
+        let worst = self.worst.unwrap_or(verdict);
+        self.worst = Some(graver(worst, verdict));
+    }
+
+    /// Verdict on the whole request, if it is given up now.
+    pub fn verdict(&self, retry_after: Duration) -> Verdict {
+        match self.worst {
+            None | Some(Verdict::NotRun { .. }) => Verdict::NotRun { retry_after },
+            Some(verdict) => verdict,
+        }
+    }
+}
+
+/// The one that says more surely that the request ran; the later one of two equal ones.
+fn graver(earlier: Verdict, later: Verdict) -> Verdict {
+    let rank = |verdict: Verdict| match verdict {
+        Verdict::NotRun { .. } => 0,
+        Verdict::MayHaveRun => 1,
+        Verdict::Ran => 2,
+    };
+    if rank(earlier) > rank(later) {
+        return earlier;
+    }
+    later
+}
+
+common_derives! {copy:
+    /// Facts on the request whose attempt just failed.
+    pub struct RetryFacts {
+        /// Whether running it twice does no harm.
+        pub idempotent: bool,
+        /// When its answer is worth nothing any more.
+        pub deadline: Timestamp,
+        /// Whether a server that was not tried yet takes new work.
+        pub has_untried: bool,
+    }
+}
+
+/// What to do after a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// Try another server after this wait.
+    Retry {
+        /// Time to wait first.
+        after: Duration,
+    },
+    /// Answer the caller now.
+    GiveUp(Verdict),
+}
+
+/// Decides after `attempts` recorded the failed attempt; `draw` is a random number for the wait.
+pub fn decide(
+    config: &RetryConfig,
+    budget: &mut RetryBudget,
+    attempts: &Attempts,
+    facts: &RetryFacts,
+    now: Timestamp,
+    draw: u64,
+) -> RetryDecision {
+    let hint = match attempts.worst {
+        Some(Verdict::NotRun { retry_after }) if !retry_after.is_zero() => retry_after,
+        _ => config.retry_after,
+    };
+    let verdict = attempts.verdict(hint);
+    let made = u32::try_from(attempts.tried.len()).unwrap_or(u32::MAX);
+    let after = backoff(config, made, draw);
+    let in_time = now + after + config.min_left < facts.deadline;
+    let allowed = verdict.is_retryable(facts.idempotent)
+        && facts.has_untried
+        && made < config.max_attempts
+        && in_time;
+    if allowed && budget.pay() {
+        return RetryDecision::Retry { after };
+    }
+    RetryDecision::GiveUp(verdict)
+}
+
+/// No wait before the first retry, which goes to another server; then a random, growing one.
+fn backoff(config: &RetryConfig, made: u32, draw: u64) -> Duration {
+    if made < 2 {
+        return Duration::ZERO;
+    }
+    let longest = config.backoff * 2_u32.saturating_pow(made - 2);
+    let micros = u64::try_from(longest.as_micros()).unwrap_or(u64::MAX);
+    Duration::from_micros(draw % micros.max(1))
+}
--- /dev/null
+++ b/crates/policy/tests/authority.rs
@@ -0,0 +1,289 @@
+//! Who may take new work while the configuration service is out of reach.
+
+use std::{path::PathBuf, time::Duration};
+
+use googletest::prelude::*;
+use jj_policy::authority::{Authority, AuthorityConfig, PeerAnswer, WITHDRAWAL_BOUND};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SEED: u64 = 7;
+/// When the operators withdraw the domain of the process under test.
+const WITHDRAWN_MS: u64 = 20_000;
+const END_MS: u64 = 40_000;
+/// While the process stands still in the trace `frozen`.
+const FROZEN_MS: std::ops::Range<u64> = WITHDRAWN_MS - 1_000..END_MS - 9_000;
+
+/// One line of a trace: an answer that arrived, or a moment just before a write.
+#[derive(Debug, Clone, PartialEq)]
+struct Line {
+    at: u64,
+    event: Event,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Event {
+    Service {
+        index: u64,
+        asked: u64,
+    },
+    Peer {
+        domain: String,
+        index: u64,
+        age: Option<u64>,
+        asked: u64,
+    },
+    Write,
+}
+
+/// What fails from the withdrawal on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    CutAlone,
+    ServiceDown,
+    StaleReplica,
+    Frozen,
+}
+
+const FAULTS: [(Fault, &str); 4] = [
+    (Fault::CutAlone, "cut_alone"),
+    (Fault::ServiceDown, "service_down"),
+    (Fault::StaleReplica, "stale_replica"),
+    (Fault::Frozen, "frozen"),
+];
+
+/// Questions each 500 to 900 ms, answers within 40 ms; a frozen process reads them on waking.
+fn generate(fault: Fault) -> Vec<Line> {
+    let mut rng = Pcg64Mcg::seed_from_u64(SEED);
+    let mut lines = Vec::new();
+    let mut asked = 0;
+    while asked < END_MS {
+        let is_faulty = asked >= WITHDRAWN_MS;
+        let frozen = fault == Fault::Frozen && FROZEN_MS.contains(&asked);
+        let arrives = if frozen {
+            FROZEN_MS.end
+        } else {
+            asked + rng.random_range(2..40)
+        };
+        let service_reached = !is_faulty || fault == Fault::StaleReplica;
+        if service_reached {
+            lines.push(Line {
+                at: arrives,
+                event: Event::Service { index: 5, asked },
+            });
+        }
+        if !is_faulty || fault == Fault::ServiceDown {
+            let age = if is_faulty {
+                asked - WITHDRAWN_MS + 300
+            } else {
+                rng.random_range(0..900)
+            };
+            let domain = ["b", "c"][rng.random_range(0..2)].to_owned();
+            let event = Event::Peer {
+                domain,
+                index: 5,
+                age: Some(age),
+                asked,
+            };
+            lines.push(Line { at: arrives, event });
+        }
+        if fault == Fault::StaleReplica && (WITHDRAWN_MS..WITHDRAWN_MS + 1_000).contains(&asked) {
+            let event = Event::Peer {
+                domain: "b".into(),
+                index: 6,
+                age: Some(10),
+                asked,
+            };
+            lines.push(Line { at: arrives, event });
+        }
+        asked += rng.random_range(500..900);
+    }
+    let stands_still = |at: &u64| fault == Fault::Frozen && FROZEN_MS.contains(at);
+    let writes = (2..END_MS / 500)
+        .map(|step| step * 500 + 1)
+        .filter(|at| !stands_still(at));
+    lines.extend(writes.map(|at| Line {
+        at,
+        event: Event::Write,
+    }));
+    lines.sort_by_key(|line| line.at);
+    lines
+}
+
+fn render(lines: &[Line]) -> String {
+    let text = |line: &Line| match &line.event {
+        Event::Service { index, asked } => format!("{} service {index} {asked}\n", line.at),
+        Event::Peer {
+            domain,
+            index,
+            age,
+            asked,
+        } => {
+            let age = age.map_or("-".to_owned(), |age| age.to_string());
+            format!("{} peer {domain} {index} {age} {asked}\n", line.at)
+        }
+        Event::Write => format!("{} write\n", line.at),
+    };
+    lines.iter().map(text).collect()
+}
+
+fn parse(text: &str) -> Vec<Line> {
+    let line = |line: &str| {
+        let words: Vec<&str> = line.split(' ').collect();
+        let number = |i: usize| words[i].parse().expect("a number");
+        let event = match words[1] {
+            "service" => Event::Service {
+                index: number(2),
+                asked: number(3),
+            },
+            "peer" => Event::Peer {
+                domain: words[2].to_owned(),
+                index: number(3),
+                age: words[4].parse().ok(),
+                asked: number(5),
+            },
+            _ => Event::Write,
+        };
+        Line {
+            at: number(0),
+            event,
+        }
+    };
+    text.lines().map(line).collect()
+}
+
+fn recorded(fault: Fault, name: &str) -> Vec<Line> {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join(format!("tests/traces/authority_{name}.txt"));
+    if std::env::var_os("JUJUBE_RECORD").is_some() {
+        std::fs::write(&path, render(&generate(fault))).expect("trace is written");
+    }
+    parse(&std::fs::read_to_string(path).expect("trace is recorded"))
+}
+
+/// How evidence is dated and judged: the policy, or a naive way.
+#[derive(Clone, Copy, PartialEq)]
+enum Rule {
+    Policy,
+    /// Goes on with the last accepted configuration.
+    LastAccepted,
+    /// Dates evidence by when the answer was read.
+    DatedOnArrival,
+    /// Needs the service itself.
+    ServiceOnly,
+}
+
+/// Moments in milliseconds at which new work was taken.
+fn taken(lines: &[Line], rule: Rule) -> Vec<u64> {
+    let ms = Duration::from_millis;
+    let mut authority = Authority::new(AuthorityConfig::default(), "a".into());
+    authority.set_in_force(5, ["a", "b", "c"].map(str::to_owned));
+    let mut writes = Vec::new();
+    for Line { at, event } in lines {
+        let dated = |asked: u64| {
+            ms(if rule == Rule::DatedOnArrival {
+                *at
+            } else {
+                asked
+            })
+        };
+        match event {
+            Event::Service { index, asked } => authority.observe_service(*index, dated(*asked)),
+            Event::Peer {
+                domain,
+                index,
+                age,
+                asked,
+            } if rule != Rule::ServiceOnly => {
+                authority.observe_peer(&PeerAnswer {
+                    peer: domain.clone(),
+                    domain: domain.clone(),
+                    index: *index,
+                    service_age: age.map(ms),
+                    asked: dated(*asked),
+                });
+            }
+            Event::Write if rule == Rule::LastAccepted => writes.push(*at),
+            Event::Write if authority.permit(ms(*at)).is_some() => writes.push(*at),
+            Event::Peer { .. } | Event::Write => {}
+        }
+    }
+    writes
+}
+
+fn bound_ms() -> u64 {
+    WITHDRAWN_MS + u64::try_from(WITHDRAWAL_BOUND.as_millis()).expect("small")
+}
+
+fn late(writes: &[u64]) -> usize {
+    writes.iter().filter(|&&at| at > bound_ms()).count()
+}
+
+#[gtest]
+fn recorded_traces_are_the_generators() {
+    for (fault, name) in FAULTS {
+        expect_that!(recorded(fault, name), eq(&generate(fault)), "{name}");
+    }
+}
+
+#[gtest]
+fn cut_off_alone_stops_within_the_bound() {
+    for (fault, name) in FAULTS {
+        let lines = recorded(fault, name);
+        let writes = taken(&lines, Rule::Policy);
+        let before = writes.iter().filter(|&&at| at < WITHDRAWN_MS - 500).count();
+
+        let all_before = lines
+            .iter()
+            .filter(|l| l.event == Event::Write && l.at < WITHDRAWN_MS - 500);
+        expect_that!(
+            before,
+            eq(all_before.count()),
+            "{name}: works before the fault"
+        );
+        if fault != Fault::ServiceDown {
+            expect_that!(late(&writes), eq(0), "{name}");
+        }
+    }
+}
+
+#[gtest]
+fn all_cut_off_alike_keep_serving() {
+    let lines = recorded(Fault::ServiceDown, "service_down");
+    let all = lines
+        .iter()
+        .filter(|line| line.event == Event::Write)
+        .count();
+
+    expect_that!(taken(&lines, Rule::Policy).len(), eq(all));
+    expect_that!(taken(&lines, Rule::ServiceOnly).len(), lt(all));
+}
+
+#[gtest]
+fn naive_rules_take_work_after_the_bound() {
+    let cases = [
+        (Fault::CutAlone, "cut_alone", Rule::LastAccepted),
+        (Fault::Frozen, "frozen", Rule::LastAccepted),
+        (Fault::Frozen, "frozen", Rule::DatedOnArrival),
+        (Fault::StaleReplica, "stale_replica", Rule::ServiceOnly),
+    ];
+
+    for (fault, name, rule) in cases {
+        let count = late(&taken(&recorded(fault, name), rule));
+        println!("{name}: {count} writes after the bound");
+        expect_that!(count, gt(0), "{name}");
+    }
+}
+
+#[gtest]
+fn permit_ends_with_its_evidence() {
+    let mut authority = Authority::new(AuthorityConfig::default(), "a".into());
+    authority.observe_service(3, Duration::from_secs(10));
+
+    let permit = authority
+        .permit(Duration::from_secs(11))
+        .expect("confirmed");
+
+    expect_that!(permit.holds(Duration::from_millis(13_999)), eq(true));
+    expect_that!(permit.holds(Duration::from_secs(14)), eq(false));
+}
