--- a/crates/policy/tests/authority.rs
+++ b/crates/policy/tests/authority.rs
@@ -1,6 +1,8 @@
 //! Who may take new work while the configuration service is out of reach.
 
-use std::{path::PathBuf, time::Duration};
+mod common;
+
+use std::time::Duration;
 
 use googletest::prelude::*;
 use jj_policy::authority::{Authority, AuthorityConfig, PeerAnswer, WITHDRAWAL_BOUND};
@@ -153,12 +155,8 @@
 }
 
 fn recorded(fault: Fault, name: &str) -> Vec<Line> {
-    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
-        .join(format!("tests/traces/authority_{name}.txt"));
-    if std::env::var_os("JUJUBE_RECORD").is_some() {
-        std::fs::write(&path, render(&generate(fault))).expect("trace is written");
-    }
-    parse(&std::fs::read_to_string(path).expect("trace is recorded"))
+    let text = render(&generate(fault));
+    parse(&common::recorded(&format!("authority_{name}"), text))
 }
 
 /// How evidence is dated and judged: the policy, or a naive way.
@@ -219,13 +217,6 @@
     writes.iter().filter(|&&at| at > bound_ms()).count()
 }
 
-#[gtest]
-fn recorded_traces_are_the_generators() {
-    for (fault, name) in FAULTS {
-        expect_that!(recorded(fault, name), eq(&generate(fault)), "{name}");
-    }
-}
-
 #[gtest]
 fn cut_off_alone_stops_within_the_bound() {
     for (fault, name) in FAULTS {
--- /dev/null
+++ b/crates/policy/tests/config_order.rs
@@ -0,0 +1,175 @@
+//! Which configuration is in force, and when a starting process may serve.
+
+mod common;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::config_order::{ConfigOrder, Offer, Readiness, StartCheck, Version};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Silent, unreachable, or the index that a failure domain's peers have in force.
+type DomainAnswer = Option<Option<u64>>;
+
+fn version(index: u64) -> Version {
+    Version {
+        index,
+        digest: format!("d{index}"),
+    }
+}
+
+/// Odd multiples of five are invalid publications.
+fn check(index: u64) -> std::result::Result<(), String> {
+    if index % 10 == 5 {
+        return Err(format!("clients.toml:{index}: weight must be positive"));
+    }
+    Ok(())
+}
+
+/// Index in force after each read of `reads`, by the policy or by the last read alone.
+fn in_force(reads: &[u64], naive: bool) -> Vec<u64> {
+    let mut order = ConfigOrder::default();
+    let mut history = Vec::new();
+    for &index in reads {
+        order.offer(&version(index), || check(index));
+        history.push(if naive { index } else { order.index() });
+    }
+    history
+}
+
+#[gtest]
+fn offers_are_decided_by_index_digest_and_validity() {
+    let mut order = ConfigOrder::default();
+    let other = Version {
+        digest: "other".into(),
+        ..version(12)
+    };
+    let cases = [
+        (version(10), Offer::Accepted),
+        (version(10), Offer::Same),
+        (version(9), Offer::Stale),
+        (
+            version(15),
+            Offer::Refused("clients.toml:15: weight must be positive".into()),
+        ),
+        (version(12), Offer::Accepted),
+        (other, Offer::Conflict),
+    ];
+
+    for (offered, expected) in cases {
+        expect_that!(
+            order.offer(&offered, || check(offered.index)),
+            eq(&expected)
+        );
+    }
+    expect_that!(order.index(), eq(12));
+    expect_that!(order.refused(), some(eq(&version(15))));
+}
+
+/// Reads of three replicas that lag by different amounts, one index a line.
+fn generate() -> String {
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let mut replicas = [1_u64; 3];
+    let reads = (0..120).map(|step: u64| {
+        let replica = rng.random_range(0..3);
+        if rng.random_bool(0.6) {
+            replicas[replica] = replicas[replica].max(step / 3);
+        }
+        replicas[replica]
+    });
+    reads.map(|index| format!("{index}\n")).collect()
+}
+
+#[gtest]
+fn recorded_reads_of_stale_replicas_never_go_back() {
+    let trace = common::recorded("config_reads", generate());
+    let reads: Vec<u64> = trace.lines().filter_map(|line| line.parse().ok()).collect();
+    let falls = |history: &[u64]| history.windows(2).filter(|pair| pair[1] < pair[0]).count();
+
+    let policy = in_force(&reads, false);
+    let naive = in_force(&reads, true);
+
+    expect_that!(falls(&policy), eq(0));
+    expect_that!(falls(&naive), gt(0));
+    let newest = reads
+        .iter()
+        .copied()
+        .filter(|index| check(*index).is_ok())
+        .max();
+    expect_that!(policy.last().copied(), eq(newest));
+}
+
+#[gtest]
+fn every_order_of_arrival_ends_alike() {
+    let reads = [10, 15, 20, 11];
+    for start in 0..reads.len() {
+        let mut turned = reads;
+        turned.rotate_left(start);
+        expect_that!(in_force(&turned, false).last(), some(eq(&20)));
+    }
+}
+
+#[gtest]
+fn a_starting_process_asks_each_domain_first() {
+    let limit = Duration::from_secs(3);
+    let early = Duration::from_secs(1);
+    // Answers of the domains a, b, c (none is unreachable), index read, moment, expected.
+    let cases: [(&str, [DomainAnswer; 3], u64, Duration, Readiness); 6] = [
+        (
+            "one is silent",
+            [Some(Some(7)), Some(Some(7)), None],
+            7,
+            early,
+            Readiness::Waiting,
+        ),
+        (
+            "a stale read",
+            [Some(Some(7)), Some(Some(9)), Some(None)],
+            7,
+            early,
+            Readiness::Behind(9),
+        ),
+        (
+            "all agree",
+            [Some(Some(9)), Some(None), Some(Some(9))],
+            9,
+            early,
+            Readiness::Ready,
+        ),
+        (
+            "the limit passed",
+            [Some(Some(9)), None, None],
+            9,
+            limit,
+            Readiness::Ready,
+        ),
+        (
+            "the first of the fleet",
+            [Some(None), Some(None), Some(None)],
+            4,
+            early,
+            Readiness::Ready,
+        ),
+        (
+            "nobody and nothing",
+            [Some(None), Some(None), Some(None)],
+            0,
+            early,
+            Readiness::Empty,
+        ),
+    ];
+
+    for (name, answers, in_force, now, expected) in cases {
+        let domains = ["a", "b", "c"];
+        let mut start = StartCheck::new(domains.map(str::to_owned), limit);
+        for (domain, answer) in domains.into_iter().zip(answers) {
+            match answer {
+                Some(Some(index)) => start.observe_answer(domain, index),
+                Some(None) => start.observe_unreachable(domain),
+                None => {}
+            }
+        }
+        expect_that!(start.readiness(in_force, now), eq(expected), "{name}");
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/membership.rs
@@ -0,0 +1,237 @@
+//! Where new work may go while the live list lags, and which entries callers are given.
+
+mod common;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::{
+    addresses::{self, AddressConfig},
+    membership::{Heartbeat, Listed, MemberState, Membership, MembershipConfig},
+    subset::Node,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Time after which a leaving, withdrawn or dead instance must get no new work.
+const BOUND: Duration = Duration::from_secs(5);
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// Replays a trace and returns the state of instance `x` at its `read` lines.
+///
+/// Lines: `ms beat INCARNATION live|leaving ASKED`, `ms list live|leaving|absent`,
+/// `ms fail INCARNATION`, `ms refuse INCARNATION`, `ms withdraw DOMAIN`, `ms return`, `ms read`.
+fn replay(trace: &str) -> Vec<(u64, MemberState)> {
+    let mut membership = Membership::new(MembershipConfig::default());
+    let mut states = Vec::new();
+    for line in trace.lines().filter(|line| !line.starts_with('#')) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let number = |index: usize| words[index].parse::<u64>().expect("a number");
+        let now = Duration::from_millis(number(0));
+        match words[1] {
+            "beat" => membership.observe_heartbeat(&Heartbeat {
+                id: "x".into(),
+                domain: "a".into(),
+                incarnation: number(2),
+                leaving: words[3] == "leaving",
+                asked: Duration::from_millis(number(4)),
+            }),
+            "list" if words[2] == "absent" => membership.observe_list(&[]),
+            "list" => membership.observe_list(&[Listed {
+                id: "x".into(),
+                domain: "a".into(),
+                leaving: words[2] == "leaving",
+            }]),
+            "fail" => membership.observe_failure("x", number(2), now),
+            "refuse" => membership.observe_leaving("x", number(2)),
+            "withdraw" => membership.set_withdrawn([words[2].to_owned()]),
+            "return" => membership.set_withdrawn([]),
+            _ => states.push((number(0), membership.state("x", now))),
+        }
+    }
+    states
+}
+
+#[gtest]
+fn evidence_merges_to_one_state() {
+    use MemberState::{Gone, Leaving, Live, Suspect, Unknown};
+    let cases: [(&str, &str, &[MemberState]); 12] = [
+        ("listed only", "0 list live\n1 read", &[Unknown]),
+        (
+            "list lags behind a start",
+            "0 list absent\n1 beat 1 live 1\n2 read",
+            &[Live],
+        ),
+        (
+            "silence",
+            "0 list live\n0 beat 1 live 0\n1000 read\n2000 read\n4000 read",
+            &[Live, Suspect, Gone],
+        ),
+        (
+            "refused as leaving",
+            "0 list live\n0 beat 1 live 0\n9 refuse 1\n10 read",
+            &[Leaving],
+        ),
+        (
+            "a late beat does not take leaving back",
+            "0 beat 1 leaving 5\n6 beat 1 live 1\n7 read",
+            &[Leaving],
+        ),
+        (
+            "the next life starts afresh, a beat of the old one is ignored",
+            "0 beat 1 leaving 0\n5 beat 2 live 5\n6 read\n7 beat 1 leaving 7\n8 read",
+            &[Live, Live],
+        ),
+        (
+            "the list still says leaving of the former life",
+            "0 beat 1 live 0\n1 list leaving\n2 read\n3 beat 2 live 3\n4 list leaving\n5 read",
+            &[Leaving, Live],
+        ),
+        (
+            "the list said leaving before the first beat",
+            "0 list leaving\n1 beat 1 live 1\n2 read",
+            &[Leaving],
+        ),
+        (
+            "connects fail",
+            "0 beat 1 live 0\n1 fail 1\n2 read\n3 fail 1\n4 fail 1\n5 read\n6 beat 1 live 6\n7 read",
+            &[Suspect, Gone, Live],
+        ),
+        (
+            "a beat asked for before the failure does not undo it",
+            "0 beat 1 live 0\n5 fail 1\n6 beat 1 live 2\n7 read",
+            &[Suspect],
+        ),
+        (
+            "withdrawn and back",
+            "0 beat 1 live 0\n1 withdraw a\n2 read\n3 return\n4 read",
+            &[Leaving, Live],
+        ),
+        (
+            "answers that waited while this process was frozen",
+            "0 beat 1 live 0\n30000 beat 1 live 900\n30001 read",
+            &[Gone],
+        ),
+    ];
+
+    for (name, trace, expected) in cases {
+        let states: Vec<MemberState> = replay(trace).into_iter().map(|(_, state)| state).collect();
+        expect_that!(states, eq(&expected.to_vec()), "{name}");
+    }
+}
+
+/// When the instance of a recorded trace begins to leave.
+const LEFT_MS: u64 = 10_000;
+
+/// Heartbeats each 400 to 900 ms; the list says live until the end, 20 s after the instance left.
+fn generate(way: &str) -> String {
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    let mut lines: Vec<(u64, String)> = vec![(0, "list live".into()), (25_000, "list live".into())];
+    let mut asked = 0;
+    while asked < 30_000 {
+        let is_left = asked >= LEFT_MS;
+        let state = if is_left { "leaving" } else { "live" };
+        let at = asked + rng.random_range(1..30);
+        match way {
+            "killed" if is_left => lines.push((at, "fail 1".into())),
+            "withdrawn" => lines.push((at, format!("beat 1 live {asked}"))),
+            _ => lines.push((at, format!("beat 1 {state} {asked}"))),
+        }
+        asked += rng.random_range(400..900);
+    }
+    if way == "withdrawn" {
+        lines.push((LEFT_MS + 2_000, "withdraw a".into()));
+    }
+    lines.extend((2..60).map(|step| (step * 500, "read".to_owned())));
+    lines.sort_by_key(|(at, _)| *at);
+    lines
+        .iter()
+        .map(|(at, text)| format!("{at} {text}\n"))
+        .collect()
+}
+
+#[gtest]
+fn no_new_work_after_the_bound_while_the_list_lags() {
+    let left = Duration::from_millis(LEFT_MS);
+
+    for name in ["drained", "killed", "withdrawn"] {
+        let trace = &common::recorded(&format!("membership_{name}"), generate(name));
+        let late = |at: u64| Duration::from_millis(at) > left + BOUND;
+        let states = replay(trace);
+        let policy = states
+            .iter()
+            .filter(|(at, s)| late(*at) && s.may_take_work());
+        let list_only = states
+            .iter()
+            .filter(|(at, _)| late(*at) && listed_at(trace, *at));
+        let before = states
+            .iter()
+            .filter(|(at, _)| Duration::from_millis(*at) < left);
+        let served = before.clone().filter(|(_, state)| state.may_take_work());
+
+        expect_that!(policy.count(), eq(0), "{name}");
+        expect_that!(
+            list_only.count(),
+            gt(0),
+            "{name}: the naive rule must break it"
+        );
+        expect_that!(served.count(), eq(before.count()), "{name}: works before");
+    }
+}
+
+/// The naive rule: what the last list before `at` said.
+fn listed_at(trace: &str, at: u64) -> bool {
+    let is_earlier = |line: &&str| {
+        let ms = line.split(' ').next().and_then(|word| word.parse().ok());
+        line.contains(" list ") && ms.is_some_and(|ms: u64| ms <= at)
+    };
+    let last = trace.lines().rev().find(is_earlier);
+    last.is_some_and(|line| line.ends_with("live"))
+}
+
+#[gtest]
+fn answers_drop_a_leaving_entry_at_once_and_spread_over_domains() {
+    let names: Vec<String> = (0..9).map(|i| format!("e{i}")).collect();
+    let nodes: Vec<Node<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(i, id)| Node {
+            id,
+            domain: DOMAINS[i % 3],
+        })
+        .collect();
+    let now = Duration::from_secs(1);
+    let mut membership = Membership::new(MembershipConfig::default());
+    for node in &nodes {
+        membership.observe_heartbeat(&Heartbeat {
+            id: node.id.into(),
+            domain: node.domain.into(),
+            incarnation: 1,
+            leaving: false,
+            asked: now,
+        });
+    }
+    let config = AddressConfig::default();
+
+    for caller in 0..50 {
+        let first = addresses::answer(&config, &membership, &nodes, caller, now);
+        let domains = first
+            .entries
+            .iter()
+            .map(|id| id[1..].parse::<usize>().map(|i| i % 3));
+        let mut domains: Vec<usize> = domains.map(|i| i.expect("a number")).collect();
+        domains.sort_unstable();
+        expect_that!(domains, eq(&vec![0, 1, 2]));
+    }
+    let before = addresses::answer(&config, &membership, &nodes, 4, now);
+    membership.observe_leaving(&before.entries[0], 1);
+    let after = addresses::answer(&config, &membership, &nodes, 4, now);
+
+    expect_that!(after.entries, not(contains(eq(&before.entries[0]))));
+    expect_that!(after.entries.len(), eq(3));
+    let kept = after
+        .entries
+        .iter()
+        .filter(|id| before.entries.contains(id));
+    expect_that!(kept.count(), eq(2));
+}
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,136 @@
+//! Retries: their budget, their deadline, and the truth of the last word.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::{
+    retry::{Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts, decide},
+    verdict::Verdict,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const NOW: Duration = Duration::from_secs(50);
+const NOT_RUN: Verdict = Verdict::NotRun {
+    retry_after: Duration::from_millis(700),
+};
+
+fn facts(idempotent: bool) -> RetryFacts {
+    RetryFacts {
+        idempotent,
+        deadline: NOW + Duration::from_secs(5),
+        has_untried: true,
+    }
+}
+
+fn full_budget(config: &RetryConfig) -> RetryBudget {
+    let mut budget = RetryBudget::default();
+    (0..1_000).for_each(|_| budget.take_in(config));
+    budget
+}
+
+fn attempts(verdicts: &[Verdict]) -> Attempts {
+    let mut attempts = Attempts::default();
+    for (server, verdict) in verdicts.iter().enumerate() {
+        attempts.record(&format!("s{server}"), *verdict);
+    }
+    attempts
+}
+
+#[gtest]
+fn each_fact_decides() {
+    let config = RetryConfig::default();
+    let retry = RetryDecision::Retry {
+        after: Duration::ZERO,
+    };
+    let give_up = RetryDecision::GiveUp;
+    let late = RetryFacts {
+        deadline: NOW + Duration::from_millis(5),
+        ..facts(true)
+    };
+    let exhausted = RetryFacts {
+        has_untried: false,
+        ..facts(true)
+    };
+    let lost = Verdict::MayHaveRun;
+    let cases = [
+        ("not run, once-only", vec![NOT_RUN], facts(false), retry),
+        ("lost, idempotent", vec![lost], facts(true), retry),
+        ("lost, once-only", vec![lost], facts(false), give_up(lost)),
+        ("deadline", vec![NOT_RUN], late, give_up(NOT_RUN)),
+        ("all tried", vec![NOT_RUN], exhausted, give_up(NOT_RUN)),
+        ("attempts", vec![NOT_RUN; 4], facts(true), give_up(NOT_RUN)),
+        // A later "not run" speaks of its own attempt only: the first one may have run.
+        (
+            "lost, then not run",
+            vec![lost, NOT_RUN],
+            late,
+            give_up(lost),
+        ),
+    ];
+
+    for (name, verdicts, facts, expected) in cases {
+        let mut budget = full_budget(&config);
+        let decision = decide(&config, &mut budget, &attempts(&verdicts), &facts, NOW, 0);
+        expect_that!(decision, eq(expected), "{name}");
+    }
+}
+
+/// Attempts per request when each attempt fails with the share given in percent.
+fn attempts_per_request(config: &RetryConfig, failing: u32, requests: u64) -> f64 {
+    let mut rng = Pcg64Mcg::seed_from_u64(11);
+    let mut budget = RetryBudget::default();
+    let mut total = 0_u64;
+    for _ in 0..requests {
+        budget.take_in(config);
+        let mut made = Attempts::default();
+        loop {
+            total += 1;
+            if rng.random_range(0..100) >= failing {
+                break;
+            }
+            made.record("s", NOT_RUN);
+            let decision = decide(config, &mut budget, &made, &facts(true), NOW, rng.random());
+            if matches!(decision, RetryDecision::GiveUp(_)) {
+                break;
+            }
+        }
+    }
+    total as f64 / requests as f64
+}
+
+#[gtest]
+fn attempts_stay_under_the_bound_where_naive_retries_multiply() {
+    let config = RetryConfig::default();
+    let unlimited = RetryConfig {
+        share_milli: 1_000_000,
+        burst: u64::from(u32::MAX),
+        ..config.clone()
+    };
+
+    for failing in [1, 10, 50, 100] {
+        let bounded = attempts_per_request(&config, failing, 20_000);
+        let naive = attempts_per_request(&unlimited, failing, 20_000);
+        println!("{failing}% failing: {bounded:.3} attempts a request, naive {naive:.3}");
+        expect_that!(bounded, le(1.1), "{failing}%");
+        if failing >= 50 {
+            expect_that!(naive, gt(1.1), "{failing}%");
+        }
+    }
+}
+
+#[gtest]
+fn a_quiet_time_saves_up_no_more_than_the_burst() {
+    let config = RetryConfig::default();
+    let mut budget = full_budget(&config);
+    let made = attempts(&[NOT_RUN]);
+
+    let retried = (0..10_000)
+        .filter(|_| {
+            let decision = decide(&config, &mut budget, &made, &facts(true), NOW, 0);
+            matches!(decision, RetryDecision::Retry { .. })
+        })
+        .count();
+
+    expect_that!(retried, eq(64));
+}
