--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod control_client;
 pub mod control_port;
 pub mod follower;
+pub mod operator_port;
 pub mod shutdown;
