--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -1,1 +1,4 @@
 //! Experiments that measure the system or make it fail.
+
+pub mod once;
+pub mod once_world;
