--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -4,20 +4,18 @@
 use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use arc_swap::ArcSwap;
-use jj_node::{
-    control_port::{self, ControlPort},
-    follower::{self, FollowContext, Follower},
-};
-use jj_operator::documents::DomainState;
-use jj_peer::control::{Heartbeat, LoadReport};
+use jj_node::fleet::{self, Fleet, OpenContext, Own};
+use jj_operator::audit::AuditTrail;
+use jj_peer::control::LoadReport;
+use jj_platform::{config_reader::ConfigView, wire::Role};
 use jj_policy::verdict::Verdict;
 use jj_utils::{
     clock::SharedClock,
     collections::FastMap,
-    ids::{FailureDomainId, Incarnation, InstanceId, ServiceId},
+    ids::{ConfigIndex, FailureDomainId, Incarnation, InstanceId, ServiceId},
 };
 use jsonrpsee::server::ServerHandle;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -118,6 +116,8 @@
     pub attempts: Arc<Attempts>,
     /// Whether new work is taken.
     pub lifecycle: Arc<Lifecycle>,
+    /// Changes made here, for operators.
+    pub audit: Arc<AuditTrail>,
     /// Time.
     pub clock: SharedClock,
     /// Ends the thread.
@@ -128,7 +128,10 @@
 ///
 /// # Errors
 /// When the thread can't be started or the port can't be bound.
-pub async fn start(context: ControlContext, gate: Gate) -> anyhow::Result<Control> {
+pub async fn start(
+    context: ControlContext,
+    gate: Gate,
+) -> anyhow::Result<(Control, watch::Receiver<ConfigView>)> {
     let (offers, offered) = mpsc::channel(QUEUE);
     let (finishes, finished) = mpsc::unbounded_channel();
     let load = Arc::new(ArcSwap::from_pointee(LoadReport::default()));
@@ -146,102 +149,85 @@
         .name("control".into())
         .spawn(move || {
             runtime.block_on(async {
-                let opened = open_port(&context, &control).await;
-                let (port, follower) = match opened {
+                let opened = open(&context, &control).await;
+                let (fleet, port) = match opened {
                     Ok(opened) => opened,
                     Err(error) => {
                         let _ = started.send(Err(error));
                         return;
                     }
                 };
-                let _ = started.send(Ok(()));
-                State::new(context, control, gate, follower)
+                let _ = started.send(Ok(fleet.config()));
+                State::new(context, control, gate, fleet)
                     .run(offered, finished)
                     .await;
                 let _ = port.stop();
             });
         })?;
-    result.await??;
-    Ok(handle)
+    let config = result.await??;
+    Ok((handle, config))
 }
 
-async fn open_port(
+async fn open(
     context: &ControlContext,
     control: &Control,
-) -> anyhow::Result<(ServerHandle, Follower)> {
-    let follower = follower::start(FollowContext {
-        platform: context.platform.clone(),
+) -> anyhow::Result<(Fleet, ServerHandle)> {
+    let (load, lifecycle) = (control.clone(), Arc::clone(&context.lifecycle));
+    let own = Own {
         instance: context.instance.clone(),
+        incarnation: context.incarnation,
+        domain: context.domain.clone(),
+        role: Role::Agent,
+        load: Box::new(move || Some((*load.load()).clone())),
+        draining: Box::new(move || lifecycle.is_draining()),
+    };
+    let opening = OpenContext {
+        platform: context.platform.clone(),
+        control_addr: context.control_addr,
         clock: Arc::clone(&context.clock),
-        seed: context.incarnation,
+        audit: Arc::clone(&context.audit),
         token: context.token.clone(),
-    })?;
-    let (own, control, heard) = (context.clone(), control.clone(), follower.clone());
-    let exchange = Arc::new(move |from: Heartbeat| {
-        heard.note_index(from.index);
-        own_heartbeat(&own, &control, &heard)
-    });
-    let port = ControlPort {
-        exchange,
-        config: follower.config.clone(),
     };
-    Ok((
-        control_port::serve(context.control_addr, port).await?,
-        follower,
-    ))
-}
-
-fn own_heartbeat(context: &ControlContext, control: &Control, follower: &Follower) -> Heartbeat {
-    let now = context.clock.now();
-    let config = follower.config.borrow();
-    let age = config
-        .reached
-        .map(|reached| now.saturating_sub(reached).as_millis());
-    Heartbeat {
-        instance: context.instance.clone(),
-        incarnation: context.incarnation,
-        domain: context.domain.clone(),
-        index: config.index(),
-        platform_age: age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
-        clock: u64::try_from(now.as_micros()).unwrap_or(u64::MAX),
-        draining: context.lifecycle.refusal().is_some(),
-        load: Some((*control.load()).clone()),
-        ..Heartbeat::default()
-    }
+    fleet::open(opening, own).await
 }
 
 struct State {
     context: ControlContext,
-    follower: Follower,
+    fleet: Fleet,
     gate: Gate,
     control: Control,
     replies: FastMap<Ticket, oneshot::Sender<Result<Permit, Verdict>>>,
     next_ticket: Ticket,
     latency: Duration,
+    index: ConfigIndex,
 }
 
 impl State {
-    fn new(context: ControlContext, control: Control, gate: Gate, follower: Follower) -> Self {
+    fn new(context: ControlContext, control: Control, gate: Gate, fleet: Fleet) -> Self {
         Self {
             context,
-            follower,
+            fleet,
             gate,
             control,
             replies: FastMap::default(),
             next_ticket: 0,
             latency: Duration::ZERO,
+            index: 0,
         }
     }
 
-    /// Puts a new configuration in force.
-    fn configure(&mut self) {
-        let config = self.follower.config.borrow_and_update();
-        let Some(published) = &config.published else {
+    /// Puts the newest configuration and the leave to take new work in force.
+    fn refresh(&mut self) {
+        let lifecycle = &self.context.lifecycle;
+        lifecycle.set_withdrawn(self.fleet.is_withdrawn());
+        lifecycle.set_permit(self.fleet.permit());
+        let Some(published) = self.fleet.published() else {
             return;
         };
-        let state = published.fleet.domains.get(&self.context.domain);
-        let withdrawn = state == Some(&DomainState::Withdrawn);
-        self.context.lifecycle.set_withdrawn(withdrawn);
+        if published.index == self.index {
+            return;
+        }
+        self.index = published.index;
         if let Some(service) = published.services.get(&self.context.service) {
             let limits = &service.limits;
             self.gate
@@ -262,9 +248,10 @@
                 () = token.cancelled() => return,
                 Some(message) = finished.recv() => self.handle(message),
                 Some(message) = offered.recv() => self.handle(message),
-                Ok(()) = self.follower.config.changed() => self.configure(),
+                () = self.fleet.step() => {}
                 _ = tick.tick() => self.context.attempts.sweep(self.context.clock.now()),
             }
+            self.refresh();
             self.publish();
         }
     }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod gate;
 mod lifecycle;
+mod operators;
 mod runner;
 mod settings;
 mod traffic;
@@ -12,7 +13,8 @@
 
 use attempts::{Attempts, AttemptsConfig};
 use jj_backend::call::BackendClient;
-use jj_node::shutdown;
+use jj_node::{operator_port, shutdown};
+use jj_operator::audit::AuditTrail;
 use jj_peer::client::LinkConfig;
 use jj_utils::{
     clock::{SystemClock, unix_millis},
@@ -67,6 +69,7 @@
     let token = CancellationToken::new();
     let attempts = Arc::new(Attempts::new(AttemptsConfig::default()));
     let lifecycle = Arc::new(Lifecycle::default());
+    let audit = Arc::new(AuditTrail::default());
     let gate = gate::Gate::new(settings.cold_floor, settings.concurrency, 256);
     let control = control::ControlContext {
         instance: settings.instance.clone(),
@@ -77,10 +80,21 @@
         control_addr: settings.control_addr,
         attempts: Arc::clone(&attempts),
         lifecycle: Arc::clone(&lifecycle),
+        audit: Arc::clone(&audit),
         clock: Arc::clone(&clock),
         token: token.clone(),
     };
-    let control = control::start(control, gate).await?;
+    let (control, config) = control::start(control, gate).await?;
+    let seen = operators::Seen {
+        settings: settings.clone(),
+        control: control.clone(),
+        lifecycle: Arc::clone(&lifecycle),
+        config,
+        clock: Arc::clone(&clock),
+    };
+    let addr = settings.operator_addr;
+    let (readiness, status) = (seen.readiness(), seen.status());
+    operator_port::start(addr, readiness, status, audit, token.clone()).await?;
     let backend = BackendClient::new(&settings.backend, BACKEND_CONNECT)?;
     let context = runner::Context {
         backend,
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -97,7 +97,7 @@
     if context.clock.now() >= due {
         return Err(Ended::not_run("deadline passed before the start"));
     }
-    if let Some(reason) = context.lifecycle.refusal() {
+    if let Some(reason) = context.lifecycle.refusal(context.clock.now()) {
         return Err(Ended::not_run(reason));
     }
     if !attempt.start() {
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -160,7 +160,9 @@
 }
 
 fn frames_response(traffic: &Traffic, attempt: Arc<Attempt>, from: u64) -> Response {
-    let body = frame_bytes(attempt, from, traffic.link.progress);
+    let load = encoded(&Frame::Load((*traffic.context.control.load()).clone()));
+    let frames = frame_bytes(attempt, from, traffic.link.progress);
+    let body = futures_util::stream::once(async { load }).chain(frames);
     Response::builder()
         .content_type(CONTENT_TYPE)
         .body(Body::from_bytes_stream(body.map(Ok::<_, std::io::Error>)))
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,13 +1,16 @@
 //! What every request handler is given.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError, atomic::AtomicUsize},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use jj_peer::client::AgentClient;
-use jj_policy::routing::RoutingConfig;
+use jj_policy::{
+    retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
+    routing::RoutingConfig,
+};
 use jj_utils::{clock::SharedClock, ids::RequestId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -28,6 +31,9 @@
     pub lifetime: Duration,
     /// Requests being handled, streams included.
     pub open: Arc<AtomicUsize>,
+    /// Tunables of retries.
+    pub retry: RetryConfig,
+    budget: Mutex<RetryBudget>,
     random: Mutex<Pcg64Mcg>,
 }
 
@@ -47,6 +53,8 @@
             routing: RoutingConfig::default(),
             lifetime,
             open: Arc::default(),
+            retry: RetryConfig::default(),
+            budget: Mutex::default(),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         }
     }
@@ -57,6 +65,29 @@
         [random.next_u64(), random.next_u64()]
     }
 
+    /// Counts one request taken in, which adds to the retry budget.
+    pub fn take_in(&self) {
+        self.lock_budget().take_in(&self.retry);
+    }
+
+    /// Decides whether a failed attempt is followed by another.
+    pub fn decide_retry(&self, attempts: &Attempts, facts: &RetryFacts) -> RetryDecision {
+        let now = self.clock.now();
+        let [draw, _] = self.draws();
+        retry::decide(
+            &self.retry,
+            &mut self.lock_budget(),
+            attempts,
+            facts,
+            now,
+            draw,
+        )
+    }
+
+    fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A new request's id, unique over the fleet.
     pub fn request_id(&self) -> RequestId {
         let [high, low] = self.draws();
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -16,6 +16,7 @@
 };
 use jj_policy::{
     rendezvous::key_hash,
+    retry::{Attempts, RetryDecision, RetryFacts},
     routing::{self, Candidate, RequestFacts},
     verdict::Verdict,
 };
@@ -29,14 +30,14 @@
 
 use crate::{
     context::Context,
-    link,
+    link::{self, Target},
     resume::EventId,
     routes::Routed,
     view::{Agent, InFlight},
 };
 
-/// Attempts of one request at the most.
-const MAX_ATTEMPTS: AttemptId = 4;
+/// Statuses of a backend server that another one may do better on.
+const RETRIED_STATUSES: [u16; 3] = [502, 503, 504];
 
 /// Time that a cached prompt prefix is taken to save.
 const PREFILL: Duration = Duration::from_millis(200);
@@ -51,7 +52,8 @@
     routed: Routed,
     id: RequestId,
     due: Timestamp,
-    attempts: AttemptId,
+    number: AttemptId,
+    attempts: Attempts,
     tried: Vec<InstanceId>,
     /// Next token that the caller needs.
     next: u64,
@@ -90,13 +92,15 @@
     pub fn new(context: Arc<Context>, request: CallerRequest, routed: Routed) -> Self {
         let id = context.request_id();
         let due = context.clock.now() + routed.timeout;
+        context.take_in();
         Self {
             context,
             request,
             routed,
             id,
             due,
-            attempts: 0,
+            number: 0,
+            attempts: Attempts::default(),
             tried: Vec::new(),
             next: 0,
         }
@@ -143,9 +147,11 @@
                 Some(Frame::End { .. }) => {
                     return Ok(Answer::Stream(futures_util::stream::empty().boxed()));
                 }
-                Some(Frame::Failed(failure)) => running = self.again(&running, failure)?,
-                Some(Frame::Progress) => {}
-                None => running = self.again(&running, broken())?,
+                Some(Frame::Failed(failure)) => {
+                    running = self.again(&running.agent, failure).await?
+                }
+                Some(Frame::Load(_) | Frame::Progress) => {}
+                None => running = self.again(&running.agent, broken()).await?,
             }
         }
     }
@@ -160,6 +166,14 @@
                         futures_util::stream::empty().boxed(),
                     );
                     match collect(head, frames).await {
+                        Ok(answer) if self.is_worth_retrying(&answer) => {
+                            let failure = Failure::new(Verdict::Ran, "the backend server failed");
+                            match self.again(&running.agent, failure).await {
+                                Ok(next) => running = next,
+                                Err(_) => return Ok(answer),
+                            }
+                            continue;
+                        }
                         Ok(answer) => return Ok(answer),
                         Err(failure) => failure,
                     }
@@ -168,10 +182,14 @@
                 Some(_) => continue,
                 None => broken(),
             };
-            running = self.again(&running, failure)?;
+            running = self.again(&running.agent, failure).await?;
         }
     }
 
+    fn is_worth_retrying(&self, answer: &WholeAnswer) -> bool {
+        self.routed.idempotent && RETRIED_STATUSES.contains(&answer.head.status)
+    }
+
     /// Tokens from the first to the last, over as many attempts as it takes.
     fn tokens(
         mut self,
@@ -190,10 +208,10 @@
                     }
                     Some(Frame::End { .. }) => return,
                     Some(Frame::Failed(failure)) => failure,
-                    Some(Frame::Head(_) | Frame::Progress) => continue,
+                    Some(Frame::Head(_) | Frame::Load(_) | Frame::Progress) => continue,
                     None => broken(),
                 };
-                match self.again(&running, failure) {
+                match self.again(&running.agent, failure).await {
                     Ok(next) => running = next,
                     Err(refusal) => {
                         yield Err(refusal);
@@ -205,27 +223,40 @@
     }
 
     /// Another attempt after a failure, or the request's final answer at once.
-    fn again(&mut self, last: &Running, failure: Failure) -> Result<Running, Refusal> {
+    async fn again(&mut self, last: &Agent, failure: Failure) -> Result<Running, Refusal> {
         let now = self.context.clock.now();
         let Failure { verdict, reason } = failure;
         if let Verdict::NotRun { retry_after } = verdict {
-            last.agent.local.refused_until(now + retry_after);
-        }
-        let may_retry = verdict.is_retryable(self.routed.idempotent);
-        if !may_retry || self.attempts >= MAX_ATTEMPTS {
-            return Err(self.give_up(verdict, reason));
-        }
-        if now >= self.due {
-            return Err(Refusal::timeout(verdict, reason));
+            last.local.refused_until(now + retry_after);
         }
-        let (request, agent) = (&self.id, &last.agent.id);
+        self.attempts.record(&last.id, verdict);
+        let facts = RetryFacts {
+            idempotent: self.routed.idempotent,
+            deadline: self.due,
+            has_untried: self.has_untried(now),
+        };
+        let after = match self.context.decide_retry(&self.attempts, &facts) {
+            RetryDecision::Retry { after } => after,
+            RetryDecision::GiveUp(verdict) => return Err(self.give_up(verdict, reason)),
+        };
+        let (request, agent) = (&self.id, &last.id);
         log_event!(
             events::ATTEMPT_RETRIED,
             "request {request} at {agent}: {reason}"
         );
-        self.begin().map_err(|refusal| match verdict {
-            Verdict::NotRun { .. } => refusal,
-            _ => self.give_up(verdict, reason),
+        tokio::time::sleep(after).await;
+        self.begin().map_err(|refusal| {
+            let verdict = self.attempts.verdict(self.context.retry.retry_after);
+            self.give_up(verdict, format!("{reason}; then {}", refusal.detail))
+        })
+    }
+
+    fn has_untried(&self, now: Timestamp) -> bool {
+        let view = self.context.view.load();
+        view.agents_of(&self.routed.service).any(|agent| {
+            agent.state.may_take_work()
+                && agent.local.not_before() <= now
+                && !self.tried.contains(&agent.id)
         })
     }
 
@@ -233,6 +264,9 @@
         if verdict == Verdict::MayHaveRun {
             log_event!(events::OUTCOME_UNKNOWN, "request {}: {reason}", self.id);
         }
+        if self.context.clock.now() >= self.due {
+            return Refusal::timeout(verdict, reason);
+        }
         Refusal::given_up(verdict, reason)
     }
 
@@ -240,9 +274,8 @@
     fn begin(&mut self) -> Result<Running, Refusal> {
         let agent = self.choose()?;
         let head = self.head(&agent);
-        let (client, body) = (self.context.client.clone(), self.request.body.clone());
         let id = head.id.clone();
-        let frames = link::run(client, agent.traffic, head, body).boxed();
+        let frames = link::run(self.target(&agent), head, self.request.body.clone()).boxed();
         Ok(self.started(agent, id, frames))
     }
 
@@ -254,15 +287,24 @@
             return self.begin();
         };
         self.id = event.id.request.clone();
-        self.attempts = event.id.attempt;
+        self.number = event.id.attempt;
         let mut head = self.head(&agent);
         head.id = event.id.clone();
-        let frames = link::resume(self.context.client.clone(), agent.traffic, head).boxed();
+        let frames = link::resume(self.target(&agent), head).boxed();
         Ok(self.started(agent, event.id, frames))
     }
 
+    fn target(&self, agent: &Agent) -> Target {
+        Target {
+            client: self.context.client.clone(),
+            addr: agent.traffic,
+            local: Arc::clone(&agent.local),
+            clock: Arc::clone(&self.context.clock),
+        }
+    }
+
     fn started(&mut self, agent: Agent, id: AttemptRef, frames: Frames) -> Running {
-        self.attempts += 1;
+        self.number += 1;
         self.tried.push(agent.id.clone());
         let count = agent.local.begin();
         Running {
@@ -276,11 +318,12 @@
     fn choose(&self) -> Result<Agent, Refusal> {
         let now = self.context.clock.now();
         let view = self.context.view.load();
-        if let Some(reason) = view.refusal {
+        if !view.permit.is_some_and(|permit| permit.holds(now)) {
             let verdict = Verdict::NotRun {
-                retry_after: Duration::from_secs(1),
+                retry_after: self.context.retry.retry_after,
             };
-            return Err(Refusal::given_up(verdict, reason));
+            let detail = "this entry takes no new work: use another address";
+            return Err(Refusal::given_up(verdict, detail));
         }
         let agents: Vec<&Agent> = view.agents_of(&self.routed.service).collect();
         let candidates: Vec<Candidate<'_>> = agents.iter().map(|agent| candidate(agent)).collect();
@@ -308,7 +351,7 @@
         let now = self.context.clock.now();
         let id = AttemptRef {
             request: self.id.clone(),
-            attempt: self.attempts,
+            attempt: self.number,
             incarnation: agent.incarnation,
         };
         AttemptHead {
@@ -349,8 +392,8 @@
         id: &agent.id,
         state: agent.state,
         distance: agent.distance,
-        report: agent.report,
-        own_since: agent.local.in_flight(),
+        report: agent.local.newest_report(agent.report),
+        own_since: agent.local.since_report(),
         prefix_hit: 0.0,
         not_before: agent.local.not_before(),
     }
@@ -373,7 +416,7 @@
                 });
             }
             Frame::Failed(failure) => return Err(failure),
-            Frame::Head(_) | Frame::Progress => {}
+            Frame::Head(_) | Frame::Load(_) | Frame::Progress => {}
         }
     }
     Err(broken())
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -4,10 +4,11 @@
 
 use jj_caller::{answer::Answer, problem::Refusal, request::CallerRequest, server::Handler};
 use jj_operator::published::Published;
+use jj_policy::rendezvous::key_hash;
 use poem::http::StatusCode;
 use serde_json::json;
 
-use crate::{context::Context, forward::Forward, routes};
+use crate::{context::Context, control::CALLER_GROUPS, forward::Forward, routes};
 
 /// Path at which callers ask which addresses to use.
 const ADDRESSES_PATH: &str = "/v1/addresses";
@@ -26,7 +27,7 @@
 async fn handle(context: Arc<Context>, request: CallerRequest) -> Result<Answer, Refusal> {
     let view = context.view.load_full();
     if request.method == "GET" && request.path == ADDRESSES_PATH {
-        return Ok(addresses(&context));
+        return Ok(addresses(&context, &request));
     }
     let Some(published) = &view.published else {
         let detail = "no configuration yet";
@@ -43,10 +44,14 @@
     Forward::new(context, request, routed).run().await
 }
 
-fn addresses(context: &Context) -> Answer {
+/// Addresses for the caller; one caller gets the same ones while the entries stay the same.
+fn addresses(context: &Context, request: &CallerRequest) -> Answer {
     let view = context.view.load();
+    let caller = request.token.as_ref().or(request.account.as_ref());
+    let group = caller.map_or(0, |caller| key_hash(caller) % CALLER_GROUPS);
+    let addresses = view.addresses.get(group as usize);
     Answer::json(&json!({
-        "addresses": view.addresses,
+        "addresses": addresses.cloned().unwrap_or_default(),
         "lifetime_s": context.lifetime.as_secs(),
     }))
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -3,7 +3,7 @@
 //! A lost or silent connection is no answer. The attempt's outcome is asked for on a new one, and
 //! its frames go on where they stopped; late and repeated frames are dropped by their index.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_stream::stream;
 use bytes::Bytes;
@@ -14,7 +14,9 @@
     frames::{Failure, Frame},
 };
 use jj_policy::verdict::Verdict;
-use jj_utils::{events, log_event};
+use jj_utils::{clock::SharedClock, events, log_event};
+
+use crate::view::{self, Local};
 
 /// Connections tried in a row without a new frame before the agent is taken for gone.
 const MAX_RECONNECTS: u32 = 4;
@@ -28,21 +30,30 @@
 /// Connection to an agent, whichever call opened it.
 type Connection = BoxStream<'static, Result<Frame, LinkError>>;
 
+/// The agent that an attempt goes to, and what this process keeps of it.
+#[derive(Clone)]
+pub struct Target {
+    /// Client of every agent.
+    pub client: AgentClient,
+    /// Where the agent takes attempts.
+    pub addr: SocketAddr,
+    /// This process's dealings with it.
+    pub local: Arc<Local>,
+    /// Time.
+    pub clock: SharedClock,
+}
+
 /// Sends the attempt and yields its frames: the head once, data without gaps from
 /// `head.resume` on, then `End` or `Failed`.
-pub fn run(
-    client: AgentClient,
-    agent: SocketAddr,
-    head: AttemptHead,
-    body: Bytes,
-) -> impl Stream<Item = Frame> {
+pub fn run(target: Target, head: AttemptHead, body: Bytes) -> impl Stream<Item = Frame> {
     stream! {
-        let first = open(&client, agent, &head, &body).await;
-        let mut link = Link::new(client, agent, head);
+        let first = open(&target, &head, &body).await;
+        let mut link = Link::new(target, head);
         let connection = match first {
             Ok(connection) => Some(connection),
             Err(error) => match refusal(&error) {
                 Some(failure) => {
+                    link.note_refusal(&error);
                     yield Frame::Failed(failure);
                     return;
                 }
@@ -60,12 +71,8 @@
 }
 
 /// Reads on from frame `head.resume` of an attempt that was sent by another process.
-pub fn resume(
-    client: AgentClient,
-    agent: SocketAddr,
-    head: AttemptHead,
-) -> impl Stream<Item = Frame> {
-    follow(Link::new(client, agent, head), None)
+pub fn resume(target: Target, head: AttemptHead) -> impl Stream<Item = Frame> {
+    follow(Link::new(target, head), None)
 }
 
 /// Yields the attempt's frames, over a new connection whenever there is none.
@@ -101,13 +108,8 @@
     }
 }
 
-async fn open(
-    client: &AgentClient,
-    agent: SocketAddr,
-    head: &AttemptHead,
-    body: &Bytes,
-) -> Result<Connection, LinkError> {
-    Ok(client.send(agent, head, body).await?.boxed())
+async fn open(target: &Target, head: &AttemptHead, body: &Bytes) -> Result<Connection, LinkError> {
+    Ok(target.client.send(target.addr, head, body).await?.boxed())
 }
 
 /// The failure of a first connection over which nothing can have run.
@@ -126,8 +128,7 @@
 
 /// Progress of one attempt.
 struct Link {
-    client: AgentClient,
-    agent: SocketAddr,
+    target: Target,
     head: AttemptHead,
     next: u64,
     has_head: bool,
@@ -135,11 +136,10 @@
 }
 
 impl Link {
-    fn new(client: AgentClient, agent: SocketAddr, head: AttemptHead) -> Self {
+    fn new(target: Target, head: AttemptHead) -> Self {
         let next = head.resume;
         Self {
-            client,
-            agent,
+            target,
             head,
             next,
             has_head: false,
@@ -162,7 +162,12 @@
         } else {
             self.head.resume
         };
-        match self.client.outcome(self.agent, &self.head.id, from).await {
+        match self
+            .target
+            .client
+            .outcome(self.target.addr, &self.head.id, from)
+            .await
+        {
             Ok(frames) => Ok(Some(frames.boxed())),
             Err(error) => {
                 self.note(&error);
@@ -171,9 +176,17 @@
         }
     }
 
+    /// Lets membership know of an agent that no connection could be opened to.
+    fn note_refusal(&self, error: &LinkError) {
+        if matches!(error, LinkError::Unreachable(_)) {
+            self.target.local.note_failure(self.head.id.incarnation);
+        }
+    }
+
     fn note(&mut self, error: &LinkError) {
+        self.note_refusal(error);
         self.failures += 1;
-        let Self { agent, next, .. } = self;
+        let (agent, next) = (self.target.addr, self.next);
         let request = &self.head.id.request;
         log_event!(
             events::STREAM_RESUMED,
@@ -203,6 +216,11 @@
                 );
                 None
             }
+            Frame::Load(load) => {
+                let report = view::report(load, self.target.clock.now());
+                self.target.local.take_report(report);
+                None
+            }
             Frame::Progress => None,
             Frame::End { count } if *count != self.next => {
                 let reason = format!("the answer ended at frame {} of {count}", self.next);
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,13 +10,20 @@
 
 use arc_swap::ArcSwap;
 use jj_caller::{request::CallerConfig, server};
-use jj_node::shutdown;
+use jj_node::{operator_port, shutdown};
+use jj_operator::{
+    audit::AuditTrail,
+    port::{Readiness, Status},
+};
 use jj_peer::client::{AgentClient, LinkConfig};
+use jj_platform::config_reader::ConfigView;
 use jj_policy::verdict::Verdict;
 use jj_utils::{
     clock::{SystemClock, unix_millis},
     events, log_event, logging,
 };
+use serde_json::json;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -55,6 +62,7 @@
     let token = CancellationToken::new();
     let view = Arc::new(ArcSwap::from_pointee(View::default()));
     let draining = Arc::new(AtomicBool::new(false));
+    let audit = Arc::new(AuditTrail::default());
     let control = ControlContext {
         instance: settings.instance.clone(),
         incarnation,
@@ -63,10 +71,20 @@
         control_addr: settings.control_addr,
         clock: Arc::clone(&clock),
         draining: Arc::clone(&draining),
+        audit: Arc::clone(&audit),
         view: Arc::clone(&view),
         token: token.clone(),
     };
-    let _config = control::start(control).await?;
+    let config = control::start(control).await?;
+    let (readiness, status) = operator_view(&view, &config, &draining, &settings);
+    operator_port::start(
+        settings.operator_addr,
+        readiness,
+        status,
+        audit,
+        token.clone(),
+    )
+    .await?;
     let client = AgentClient::new(LinkConfig::default())?;
     let seed = rand::random();
     let context = Arc::new(Context::new(clock, client, view, settings.lifetime, seed));
@@ -96,6 +114,52 @@
     Ok(())
 }
 
+/// What operators see of this process.
+fn operator_view(
+    view: &Arc<ArcSwap<View>>,
+    config: &watch::Receiver<ConfigView>,
+    draining: &Arc<AtomicBool>,
+    settings: &Settings,
+) -> (Readiness, Status) {
+    let (ready_view, leaving) = (Arc::clone(view), Arc::clone(draining));
+    let readiness = Arc::new(move || {
+        if leaving.load(Ordering::SeqCst) {
+            return Err("draining".to_owned());
+        }
+        let view = ready_view.load();
+        match view.published.is_some() && view.permit.is_some() {
+            true => Ok(()),
+            false => Err(format!("takes no new work: {}", view.standing)),
+        }
+    });
+    let (view, config, draining) = (Arc::clone(view), config.clone(), Arc::clone(draining));
+    let instance = settings.instance.clone();
+    let status = Arc::new(move || {
+        let (view, config) = (view.load(), config.borrow().clone());
+        let agents = view.agents.iter().map(|agent| {
+            json!({
+                "instance": agent.id,
+                "service": agent.service,
+                "state": format!("{:?}", agent.state),
+                "incarnation": agent.incarnation,
+                "load": agent.local.newest_report(agent.report).map(|r| format!("{r:?}")),
+            })
+        });
+        json!({
+            "role": "entry",
+            "instance": instance,
+            "draining": draining.load(Ordering::SeqCst),
+            "standing": view.standing,
+            "takes_work": view.permit.is_some(),
+            "config_index": config.index(),
+            "config_refused": config.refused.map(|refusal| refusal.to_string()),
+            "agents": agents.collect::<Vec<_>>(),
+            "addresses": view.addresses,
+        })
+    });
+    (readiness, status)
+}
+
 /// Serves on until callers' address answers have run out and nothing is open.
 async fn drain(context: &Context, settings: &Settings) {
     tokio::time::sleep(settings.lifetime).await;
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -9,11 +9,12 @@
     time::Duration,
 };
 
+use arc_swap::ArcSwapOption;
 use jj_operator::published::Published;
-use jj_policy::{membership::MemberState, routing::LoadReport};
+use jj_policy::{authority::Permit, membership::MemberState, routing::LoadReport};
 use jj_utils::{
     clock::Timestamp,
-    ids::{FailureDomainId, Incarnation, InstanceId, ServiceId},
+    ids::{Incarnation, InstanceId, ServiceId},
 };
 
 /// One consistent picture of the fleet.
@@ -23,10 +24,12 @@
     pub published: Option<Arc<Published>>,
     /// Agents, in the order of their names.
     pub agents: Vec<Agent>,
-    /// Addresses that callers may use.
-    pub addresses: Vec<SocketAddr>,
-    /// Why this process takes no new work, if it doesn't.
-    pub refusal: Option<&'static str>,
+    /// Addresses that callers may use, for each group of callers.
+    pub addresses: Vec<Vec<SocketAddr>>,
+    /// Leave to take new work; checked again directly before each attempt.
+    pub permit: Option<Permit>,
+    /// How this process stands, for operators.
+    pub standing: String,
 }
 
 impl View {
@@ -50,8 +53,6 @@
     pub id: InstanceId,
     /// Its service.
     pub service: ServiceId,
-    /// Its failure domain.
-    pub domain: FailureDomainId,
     /// Where attempts go.
     pub traffic: SocketAddr,
     /// Its life.
@@ -88,13 +89,35 @@
 #[derive(Debug, Default)]
 pub struct Local {
     in_flight: AtomicU32,
+    since_report: AtomicU32,
     not_before: AtomicU64,
+    failed: AtomicU64,
+    report: ArcSwapOption<LoadReport>,
 }
 
 impl Local {
-    /// Requests of this process in flight there.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Relaxed)
+    /// Requests of this process in flight there that its last report can't count yet.
+    pub fn since_report(&self) -> u32 {
+        self.since_report
+            .load(Ordering::Relaxed)
+            .min(self.in_flight.load(Ordering::Relaxed))
+    }
+
+    /// The newer one of the report on the last answer and that of the last heartbeat.
+    pub fn newest_report(&self, heard: Option<LoadReport>) -> Option<LoadReport> {
+        let answered = self.report.load().as_deref().copied();
+        let at = |report: &Option<LoadReport>| report.map(|report| report.at);
+        if at(&answered) >= at(&heard) {
+            answered
+        } else {
+            heard
+        }
+    }
+
+    /// Takes in the report on an answer.
+    pub fn take_report(&self, report: LoadReport) {
+        self.since_report.store(0, Ordering::Relaxed);
+        self.report.store(Some(Arc::new(report)));
     }
 
     /// When the agent may be asked again after a refusal.
@@ -108,15 +131,38 @@
         self.not_before.store(micros, Ordering::Relaxed);
     }
 
+    /// Notes that no connection to a life of the agent could be opened.
+    pub fn note_failure(&self, incarnation: Incarnation) {
+        self.failed.store(incarnation, Ordering::Relaxed);
+    }
+
+    /// The life that no connection could be opened to, since the last look.
+    pub fn take_failure(&self) -> Option<Incarnation> {
+        let incarnation = self.failed.swap(0, Ordering::Relaxed);
+        (incarnation != 0).then_some(incarnation)
+    }
+
     /// Counts one request in flight until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.since_report.fetch_add(1, Ordering::Relaxed);
         InFlight {
             local: Arc::clone(self),
         }
     }
 }
 
+/// A load report as routing takes it.
+pub fn report(load: &jj_peer::control::LoadReport, at: Timestamp) -> LoadReport {
+    LoadReport {
+        in_flight: load.running,
+        queued: load.waiting,
+        limit: load.limit,
+        service: Duration::from_micros(load.latency),
+        at,
+    }
+}
+
 /// Counts one request in flight.
 #[derive(Debug)]
 pub struct InFlight {
--- a/crates/node/src/control_port.rs
+++ b/crates/node/src/control_port.rs
@@ -1,9 +1,9 @@
 //! The control port: JSON-RPC from the system's other processes.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
 use jj_operator::published::Published;
-use jj_peer::control::{ControlServer, Heartbeat, PublicationWire};
+use jj_peer::control::{ControlServer, PublicationWire};
 use jj_platform::config_reader::ConfigView;
 use jj_utils::ids::ConfigIndex;
 use jsonrpsee::{
@@ -12,23 +12,14 @@
 };
 use tokio::sync::watch;
 
-/// Takes another process's heartbeat and makes this one's.
-pub type Exchange = Arc<dyn Fn(Heartbeat) -> Heartbeat + Send + Sync>;
-
 /// Answers control calls.
 pub struct ControlPort {
-    /// Heartbeats.
-    pub exchange: Exchange,
     /// Configuration in force.
     pub config: watch::Receiver<ConfigView>,
 }
 
 #[async_trait]
 impl ControlServer for ControlPort {
-    async fn heartbeat(&self, from: Heartbeat) -> RpcResult<Heartbeat> {
-        Ok((self.exchange)(from))
-    }
-
     async fn publication(&self, newer_than: ConfigIndex) -> RpcResult<Option<PublicationWire>> {
         let view = self.config.borrow();
         let newer = view
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,474 @@
+//! What one process knows of the others, and whether it may take new work: live list, heartbeats
+//! and configuration feed the membership and authority decisions.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use jj_operator::{
+    audit::{AuditTrail, Change},
+    documents::DomainState,
+    published::Published,
+};
+use jj_peer::control::{Heartbeat, LoadReport};
+use jj_platform::{
+    config_reader::ConfigView,
+    wire::{Instance, InstanceList, Role},
+};
+use jj_policy::{
+    authority::{Authority, AuthorityConfig, PeerAnswer, Permit, Standing},
+    membership::{self, Listed, MemberState, Membership, MembershipConfig},
+    rendezvous::key_hash,
+    subset::{self, Node},
+};
+use jj_utils::{
+    clock::{SharedClock, Timestamp},
+    collections::FastMap,
+    events,
+    ids::{FailureDomainId, Incarnation, InstanceId},
+};
+use jsonrpsee::server::ServerHandle;
+use tokio::{
+    sync::watch,
+    time::{Interval, MissedTickBehavior},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    control_port::{self, ControlPort},
+    follower::{self, FollowContext, Follower},
+    heartbeats::{Answer, Heartbeats, Received},
+};
+
+/// How peers are asked.
+#[derive(Debug, Clone)]
+pub struct FleetConfig {
+    /// Time between two heartbeats to one peer.
+    pub interval: Duration,
+    /// Entries that each agent talks to; all of them in a small fleet.
+    pub entries_per_agent: usize,
+    /// Entries that a process asks only to learn of configuration and partitions.
+    pub witnesses: usize,
+}
+
+impl Default for FleetConfig {
+    fn default() -> Self {
+        Self {
+            interval: Duration::from_secs(1),
+            entries_per_agent: 16,
+            witnesses: 6,
+        }
+    }
+}
+
+/// Tells the load of this process's backend server; none for an entry.
+pub type LoadSource = Box<dyn Fn() -> Option<LoadReport> + Send>;
+
+/// Tells whether this process is leaving.
+pub type DrainSource = Box<dyn Fn() -> bool + Send>;
+
+/// What this process is.
+pub struct Own {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+    /// What runs here.
+    pub role: Role,
+    /// Its load.
+    pub load: LoadSource,
+    /// Whether it is leaving.
+    pub draining: DrainSource,
+}
+
+/// What opening needs beside what this process is.
+#[derive(Clone)]
+pub struct OpenContext {
+    /// Base URL of the platform.
+    pub platform: String,
+    /// Where control calls and heartbeats arrive.
+    pub control_addr: SocketAddr,
+    /// Time.
+    pub clock: SharedClock,
+    /// Where changes are recorded.
+    pub audit: Arc<AuditTrail>,
+    /// Ends the following of the platform.
+    pub token: CancellationToken,
+}
+
+/// Opens the control port and starts following, on the current runtime. The port closes when its
+/// handle is dropped.
+///
+/// # Errors
+/// When the port can't be bound.
+pub async fn open(context: OpenContext, own: Own) -> anyhow::Result<(Fleet, ServerHandle)> {
+    let follower = follower::start(FollowContext {
+        platform: context.platform,
+        instance: own.instance.clone(),
+        clock: Arc::clone(&context.clock),
+        seed: own.incarnation,
+        token: context.token,
+    })?;
+    let port = ControlPort {
+        config: follower.config.clone(),
+    };
+    let port = control_port::serve(context.control_addr, port).await?;
+    let clock = Arc::clone(&context.clock);
+    let heartbeats = Heartbeats::bind(context.control_addr, clock, own.incarnation)?;
+    let config = FleetConfig::default();
+    let fleet = Fleet::new(
+        config,
+        own,
+        context.clock,
+        follower,
+        heartbeats,
+        context.audit,
+    );
+    Ok((fleet, port))
+}
+
+/// The other processes, as this one sees them.
+pub struct Fleet {
+    config: FleetConfig,
+    own: Own,
+    clock: SharedClock,
+    follower: Follower,
+    heartbeats: Heartbeats,
+    membership: Membership,
+    authority: Authority,
+    audit: Arc<AuditTrail>,
+    heard: FastMap<InstanceId, Heard>,
+    states: FastMap<InstanceId, MemberState>,
+    withdrawn: Vec<FailureDomainId>,
+    standing: Option<Standing>,
+    tick: Interval,
+}
+
+/// The last heartbeat of one process.
+#[derive(Debug, Clone)]
+pub struct Heard {
+    /// What it said.
+    pub heartbeat: Heartbeat,
+    /// When it was asked.
+    pub asked: Timestamp,
+    /// When the answer arrived.
+    pub arrived: Timestamp,
+}
+
+impl Fleet {
+    /// A fleet of which nothing is known yet.
+    fn new(
+        config: FleetConfig,
+        own: Own,
+        clock: SharedClock,
+        follower: Follower,
+        heartbeats: Heartbeats,
+        audit: Arc<AuditTrail>,
+    ) -> Self {
+        let mut tick = tokio::time::interval(config.interval);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let authority = Authority::new(AuthorityConfig::default(), own.domain.clone());
+        Self {
+            config,
+            own,
+            clock,
+            follower,
+            heartbeats,
+            membership: Membership::new(MembershipConfig::default()),
+            authority,
+            audit,
+            heard: FastMap::default(),
+            states: FastMap::default(),
+            withdrawn: Vec::new(),
+            standing: None,
+            tick,
+        }
+    }
+
+    /// Waits for the next event and takes it in; cancel-safe.
+    pub async fn step(&mut self) {
+        tokio::select! {
+            _ = self.tick.tick() => self.ask_peers(),
+            Ok(()) = self.follower.config.changed() => self.take_config(),
+            Ok(()) = self.follower.list.changed() => self.take_list(),
+            received = self.heartbeats.receive() => self.take_datagram(received),
+        }
+        self.audit_changes();
+    }
+
+    /// The configuration in force.
+    pub fn published(&self) -> Option<Arc<Published>> {
+        self.follower.config.borrow().published.clone()
+    }
+
+    /// Follows the configuration, for other threads.
+    pub fn config(&self) -> watch::Receiver<ConfigView> {
+        self.follower.config.clone()
+    }
+
+    /// The live list as last read.
+    pub fn list(&self) -> Arc<InstanceList> {
+        Arc::clone(&self.follower.list.borrow().list)
+    }
+
+    /// What is believed of an instance.
+    pub fn state(&self, id: &str) -> MemberState {
+        self.membership.state(id, self.clock.now())
+    }
+
+    /// The last heartbeat of an instance.
+    pub fn heard(&self, id: &str) -> Option<&Heard> {
+        self.heard.get(id)
+    }
+
+    /// Membership, for decisions that need all of it.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Leave to take new work, while this process's configuration is known to be fresh.
+    pub fn permit(&self) -> Option<Permit> {
+        self.authority.permit(self.clock.now())
+    }
+
+    /// How this process stands.
+    pub fn standing(&self) -> Standing {
+        self.authority.standing(self.clock.now())
+    }
+
+    /// True when operators have taken this process's failure domain out of service.
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawn.contains(&self.own.domain)
+    }
+
+    /// Notes that no connection to an instance could be opened.
+    pub fn note_failure(&mut self, id: &str, incarnation: Incarnation) {
+        self.membership
+            .observe_failure(id, incarnation, self.clock.now());
+    }
+
+    fn ask_peers(&mut self) {
+        self.heartbeats.prune();
+        self.membership.prune(self.clock.now());
+        self.observe_self();
+        let own = self.own_heartbeat();
+        let list = self.list();
+        for peer in self.peers(&list) {
+            self.heartbeats.ask(&peer.id, peer.control, &own);
+        }
+        self.heard
+            .retain(|id, _| list.instances.iter().any(|i| i.id == *id));
+    }
+
+    fn peers<'a>(&self, list: &'a InstanceList) -> Vec<&'a Instance> {
+        let others = list.instances.iter().filter(|i| i.id != self.own.instance);
+        let (entries, agents): (Vec<&Instance>, Vec<&Instance>) =
+            others.partition(|i| i.role == Role::Entry);
+        let nodes = nodes(&entries);
+        let own = key_hash(&self.own.instance);
+        let witnesses = subset::pick(own, &nodes, self.config.witnesses);
+        let mut peers: Vec<&Instance> = witnesses.into_iter().map(|i| entries[i]).collect();
+        if self.own.role == Role::Entry {
+            peers.extend(self.own_agents(&agents, &nodes));
+        }
+        peers
+    }
+
+    /// Agents that this entry talks to.
+    fn own_agents<'a>(&self, agents: &[&'a Instance], others: &[Node<'_>]) -> Vec<&'a Instance> {
+        let mut entries = others.to_vec();
+        entries.push(Node {
+            id: &self.own.instance,
+            domain: &self.own.domain,
+        });
+        let count = self.config.entries_per_agent;
+        let picked = subset::agents_of(&self.own.instance, &nodes(agents), &entries, count);
+        picked.into_iter().map(|i| agents[i]).collect()
+    }
+
+    fn own_heartbeat(&self) -> Heartbeat {
+        let now = self.clock.now();
+        let config = self.follower.config.borrow();
+        Heartbeat {
+            instance: self.own.instance.clone(),
+            incarnation: self.own.incarnation,
+            domain: self.own.domain.clone(),
+            index: config.index(),
+            platform_age: self.authority.service_age(now).map(millis),
+            clock: u64::try_from(now.as_micros()).unwrap_or(u64::MAX),
+            draining: (self.own.draining)(),
+            load: (self.own.load)(),
+        }
+    }
+
+    fn observe_self(&mut self) {
+        let beat = membership::Heartbeat {
+            id: self.own.instance.clone(),
+            domain: self.own.domain.clone(),
+            incarnation: self.own.incarnation,
+            leaving: (self.own.draining)(),
+            asked: self.clock.now(),
+        };
+        self.membership.observe_heartbeat(&beat);
+    }
+
+    fn take_datagram(&mut self, received: Received) {
+        match received {
+            Received::Question(question) => {
+                self.follower.note_index(question.heartbeat.index);
+                self.heartbeats.answer(&question, self.own_heartbeat());
+            }
+            Received::Answer(answer) => self.take_answer(answer),
+        }
+    }
+
+    fn take_answer(&mut self, answer: Answer) {
+        let Answer {
+            peer,
+            asked,
+            heartbeat,
+        } = answer;
+        self.follower.note_index(heartbeat.index);
+        self.membership.observe_heartbeat(&membership::Heartbeat {
+            id: peer.clone(),
+            domain: heartbeat.domain.clone(),
+            incarnation: heartbeat.incarnation,
+            leaving: heartbeat.draining,
+            asked,
+        });
+        self.authority.observe_peer(&PeerAnswer {
+            peer: peer.clone(),
+            domain: heartbeat.domain.clone(),
+            index: heartbeat.index,
+            service_age: heartbeat.platform_age.map(Duration::from_millis),
+            asked,
+        });
+        self.heard.insert(
+            peer,
+            Heard {
+                heartbeat,
+                asked,
+                arrived: self.clock.now(),
+            },
+        );
+    }
+
+    fn take_config(&mut self) {
+        let view = self.follower.config.borrow_and_update().clone();
+        if let Some(published) = &view.published {
+            let domains = || published.fleet.domains.iter();
+            let in_service = domains().filter(|(_, state)| **state == DomainState::InService);
+            let in_service = in_service.map(|(id, _)| id.clone());
+            self.authority.set_in_force(published.index, in_service);
+            let withdrawn = domains().filter(|(_, state)| **state == DomainState::Withdrawn);
+            let withdrawn: Vec<_> = withdrawn.map(|(id, _)| id.clone()).collect();
+            self.membership.set_withdrawn(withdrawn.iter().cloned());
+            self.audit_domains(&withdrawn, published.index);
+            self.withdrawn = withdrawn;
+        }
+        if let Some(reached) = view.reached {
+            self.authority.observe_service(view.index(), reached);
+        }
+    }
+
+    fn take_list(&mut self) {
+        let list = Arc::clone(&self.follower.list.borrow_and_update().list);
+        let listed = list.instances.iter().map(|i| Listed {
+            id: i.id.clone(),
+            domain: i.domain.clone(),
+            leaving: i.leaving,
+        });
+        self.membership.observe_list(&listed.collect::<Vec<_>>());
+        self.ask_peers();
+    }
+
+    fn audit_domains(&self, withdrawn: &[FailureDomainId], index: u64) {
+        let change = |domain: &FailureDomainId, from: &str, to: &str| Change {
+            subject: format!("failure domain {domain}"),
+            from: from.into(),
+            to: to.into(),
+            reason: "published configuration".into(),
+            index,
+        };
+        for domain in withdrawn
+            .iter()
+            .filter(|domain| !self.withdrawn.contains(domain))
+        {
+            let change = change(domain, "in service", "withdrawn");
+            self.audit.record(events::DOMAIN_WITHDRAWN, change);
+        }
+        for domain in self
+            .withdrawn
+            .iter()
+            .filter(|domain| !withdrawn.contains(domain))
+        {
+            let change = change(domain, "withdrawn", "in service");
+            self.audit.record(events::DOMAIN_RETURNED, change);
+        }
+    }
+
+    fn audit_changes(&mut self) {
+        let now = self.clock.now();
+        let index = self.follower.config.borrow().index();
+        let states: Vec<_> = self
+            .membership
+            .states(now)
+            .into_iter()
+            .filter(|(id, _)| *id != self.own.instance)
+            .map(|(id, state)| (id.to_owned(), state))
+            .collect();
+        for (id, state) in states {
+            let before = self
+                .states
+                .insert(id.clone(), state)
+                .unwrap_or(MemberState::Unknown);
+            if before != state {
+                let change = Change {
+                    subject: format!("instance {id}"),
+                    from: format!("{before:?}"),
+                    to: format!("{state:?}"),
+                    reason: "live list, heartbeats and connects".into(),
+                    index,
+                };
+                self.audit.record(events::MEMBER_CHANGED, change);
+            }
+        }
+        self.audit_standing(index);
+    }
+
+    fn audit_standing(&mut self, index: u64) {
+        let standing = self.standing();
+        let before = self.standing.replace(standing);
+        let was = before.is_none_or(Standing::may_take_work);
+        if was == standing.may_take_work() {
+            return;
+        }
+        let event = if was {
+            events::AUTHORITY_LOST
+        } else {
+            events::AUTHORITY_BACK
+        };
+        let change = Change {
+            subject: "authority to take new work".into(),
+            from: before.map_or("unknown".into(), |before| format!("{before:?}")),
+            to: format!("{standing:?}"),
+            reason: "age of the configuration's evidence".into(),
+            index,
+        };
+        self.audit.record(event, change);
+    }
+}
+
+fn nodes<'a>(instances: &[&'a Instance]) -> Vec<Node<'a>> {
+    instances
+        .iter()
+        .map(|i| Node {
+            id: &i.id,
+            domain: &i.domain,
+        })
+        .collect()
+}
+
+fn millis(age: Duration) -> u64 {
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/heartbeats.rs
@@ -0,0 +1,193 @@
+//! Heartbeats over UDP: a question with a number, and an answer with the same number.
+//!
+//! A lost datagram is a missed heartbeat, nothing else; evidence is dated by its question.
+
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket as StdSocket},
+    time::Duration,
+};
+
+use jj_peer::control::Heartbeat;
+use jj_utils::{
+    clock::{SharedClock, Timestamp},
+    collections::FastMap,
+    common_derives,
+    ids::InstanceId,
+};
+use tokio::net::UdpSocket;
+
+/// Largest datagram read, in bytes.
+const MAX_DATAGRAM: usize = 2048;
+
+/// Age after which a question is forgotten.
+const QUESTION_LIFETIME: Duration = Duration::from_secs(5);
+
+common_derives! {wire:
+    /// What goes over the wire.
+    struct Datagram {
+        /// Number of the question.
+        number: u64,
+        /// True for the answer to it.
+        is_answer: bool,
+        /// What the sender says of itself.
+        heartbeat: Heartbeat,
+    }
+}
+
+/// A question of another process.
+#[derive(Debug, Clone)]
+pub struct Question {
+    /// Where the answer goes.
+    pub from: SocketAddr,
+    /// Number to answer under.
+    pub number: u64,
+    /// What the asking process says of itself.
+    pub heartbeat: Heartbeat,
+}
+
+/// The answer to one of this process's questions.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Who was asked.
+    pub peer: InstanceId,
+    /// When it was asked.
+    pub asked: Timestamp,
+    /// What it says of itself.
+    pub heartbeat: Heartbeat,
+}
+
+/// What arrived.
+#[derive(Debug, Clone)]
+pub enum Received {
+    /// Another process asks.
+    Question(Question),
+    /// Another process answers.
+    Answer(Answer),
+}
+
+#[derive(Debug)]
+struct Asked {
+    peer: InstanceId,
+    addr: SocketAddr,
+    at: Timestamp,
+}
+
+/// The socket and the questions that are open.
+pub struct Heartbeats {
+    socket: UdpSocket,
+    clock: SharedClock,
+    open: FastMap<u64, Asked>,
+    next: u64,
+}
+
+impl Heartbeats {
+    /// Binds the socket; numbers start from `seed`, so that answers to an earlier life don't fit.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub fn bind(addr: SocketAddr, clock: SharedClock, seed: u64) -> io::Result<Self> {
+        let socket = StdSocket::bind(addr)?;
+        socket.set_nonblocking(true)?;
+        let socket = UdpSocket::from_std(socket)?;
+        Ok(Self {
+            socket,
+            clock,
+            open: FastMap::default(),
+            next: seed,
+        })
+    }
+
+    /// Sends a question; one that can't be sent counts as lost.
+    pub fn ask(&mut self, peer: &str, addr: SocketAddr, own: &Heartbeat) {
+        let at = self.clock.now();
+        let number = self.next;
+        self.next = self.next.wrapping_add(1);
+        self.open.insert(
+            number,
+            Asked {
+                peer: peer.to_owned(),
+                addr,
+                at,
+            },
+        );
+        self.send(
+            addr,
+            Datagram {
+                number,
+                is_answer: false,
+                heartbeat: own.clone(),
+            },
+        );
+    }
+
+    /// Answers a question.
+    pub fn answer(&self, question: &Question, own: Heartbeat) {
+        let Question { from, number, .. } = question;
+        self.send(
+            *from,
+            Datagram {
+                number: *number,
+                is_answer: true,
+                heartbeat: own,
+            },
+        );
+    }
+
+    /// The next valid datagram; cancel-safe.
+    pub async fn receive(&mut self) -> Received {
+        let mut buffer = [0; MAX_DATAGRAM];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let Ok(datagram) = postcard::from_bytes::<Datagram>(&buffer[..length]) else {
+                continue;
+            };
+            if let Some(received) = self.accept(datagram, from) {
+                return received;
+            }
+        }
+    }
+
+    /// Forgets questions that are too old to be answered.
+    pub fn prune(&mut self) {
+        let now = self.clock.now();
+        self.open
+            .retain(|_, asked| now.saturating_sub(asked.at) < QUESTION_LIFETIME);
+    }
+
+    fn accept(&mut self, datagram: Datagram, from: SocketAddr) -> Option<Received> {
+        let Datagram {
+            number,
+            is_answer,
+            heartbeat,
+        } = datagram;
+        if !is_answer {
+            return Some(Received::Question(Question {
+                from,
+                number,
+                heartbeat,
+            }));
+        }
+        let asked = self.open.get(&number)?;
+        if asked.addr != from || asked.peer != heartbeat.instance {
+            return None;
+        }
+        let Asked { peer, at, .. } = self.open.remove(&number)?;
+        Some(Received::Answer(Answer {
+            peer,
+            asked: at,
+            heartbeat,
+        }))
+    }
+
+    fn send(&self, addr: SocketAddr, datagram: Datagram) {
+        let Ok(bytes) = postcard::to_stdvec(&datagram) else {
+            return;
+        };
+        metrics::counter!("jujube_heartbeat_bytes_total").increment(bytes.len() as u64);
+        // A datagram that the socket does not take is lost like any other.
+        let _ = self.socket.try_send_to(&bytes, addr);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod control_client;
 pub mod control_port;
+pub mod fleet;
 pub mod follower;
+pub mod heartbeats;
 pub mod operator_port;
 pub mod shutdown;
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -1,4 +1,5 @@
-//! JSON-RPC between the system's processes: heartbeats, load reports and configuration news.
+//! Control between the system's processes: heartbeats with load reports and configuration news, and
+//! JSON-RPC for publications.
 
 use std::collections::BTreeMap;
 
@@ -20,8 +21,6 @@
         pub domain: FailureDomainId,
         /// Index of the configuration in force at the sender.
         pub index: ConfigIndex,
-        /// Digest of that configuration's manifest.
-        pub digest: String,
         /// Time since the sender last reached the configuration service, in milliseconds.
         pub platform_age: Option<u64>,
         /// The sender's own clock, in microseconds since its origin.
@@ -65,10 +64,6 @@
 /// What every process offers the others.
 #[rpc(client, server, namespace = "jujube")]
 pub trait Control {
-    /// Exchanges heartbeats.
-    #[method(name = "heartbeat")]
-    async fn heartbeat(&self, from: Heartbeat) -> RpcResult<Heartbeat>;
-
     /// The configuration in force, when its index is above `newer_than`.
     #[method(name = "publication")]
     async fn publication(&self, newer_than: ConfigIndex) -> RpcResult<Option<PublicationWire>>;
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -1,5 +1,6 @@
 //! Frames of an answer on its way from an agent to an entry.
 
+use crate::control::LoadReport;
 use bytes::{Bytes, BytesMut};
 use jj_policy::verdict::Verdict;
 use jj_utils::common_derives;
@@ -18,6 +19,8 @@
         Head(Head),
         /// One contiguous part of the body: one token of a stream, or one piece of a plain body.
         Data(Data),
+        /// The agent's load when it began to answer.
+        Load(LoadReport),
         /// Nothing new, but the attempt is alive.
         Progress,
         /// The answer is whole.
--- a/crates/platform/src/config_reader.rs
+++ b/crates/platform/src/config_reader.rs
@@ -64,7 +64,8 @@
 pub struct ConfigView {
     /// The last accepted publication.
     pub published: Option<Arc<Published>>,
-    /// When the configuration service last answered with nothing older than that.
+    /// Latest moment at which the configuration service is known to have had nothing newer. An
+    /// answer is dated by when it must have been made, not by when it was read here.
     pub reached: Option<Timestamp>,
     /// The last refused publication newer than the accepted one.
     pub refused: Option<Arc<Refusal>>,
@@ -223,11 +224,14 @@
         };
         // The first read does not wait, so that a starting process learns the present state.
         let wait = (self.seen > 0).then_some(wait);
+        let asked = self.context.clock.now();
         let found = self.read(MANIFEST_KEY, wait).await?;
         self.note_answer();
+        let waited = wait.map_or(Duration::ZERO, |wait| wait.longest);
+        let unchanged = (asked + waited).min(self.context.clock.now());
         let Some(found) = found else {
             self.seen = self.seen.max(1);
-            self.note_reached();
+            self.note_reached(asked);
             return Ok(Read::Done);
         };
         if found.index < self.view.borrow().index() {
@@ -236,17 +240,17 @@
         }
         self.stale = false;
         if found.index <= self.seen {
-            self.note_reached();
+            self.note_reached(unchanged);
             return Ok(Read::Done);
         }
-        self.take(found).await
+        self.take(found, asked).await
     }
 
-    async fn take(&mut self, found: Indexed<String>) -> Result<Read, ReadError> {
+    async fn take(&mut self, found: Indexed<String>, asked: Timestamp) -> Result<Read, ReadError> {
         let manifest = match parse_manifest(&found.value) {
             Ok(manifest) => manifest,
             Err(finding) => {
-                self.refuse_manifest(&found, finding);
+                self.refuse_manifest(&found, asked, finding);
                 return Ok(Read::Changed);
             }
         };
@@ -260,7 +264,7 @@
         accept(self.view, Offer { index, bundle });
         self.seen = index;
         self.fetched.clear();
-        self.note_reached();
+        self.note_reached(asked);
         match calls {
             0 => Ok(Read::Changed),
             _ => Ok(Read::Done),
@@ -322,9 +326,9 @@
         digests.filter_map(find).collect()
     }
 
-    fn refuse_manifest(&mut self, found: &Indexed<String>, finding: Finding) {
+    fn refuse_manifest(&mut self, found: &Indexed<String>, asked: Timestamp, finding: Finding) {
         self.seen = found.index;
-        self.note_reached();
+        self.note_reached(asked);
         let refusal = Refusal {
             index: found.index,
             digest: digest_of(found.value.as_bytes()),
@@ -349,9 +353,9 @@
         paced.clamp(config.min_wait, config.max_wait)
     }
 
-    fn note_reached(&self) {
-        let now = self.context.clock.now();
-        self.view.send_modify(|view| view.reached = Some(now));
+    fn note_reached(&self, at: Timestamp) {
+        self.view
+            .send_modify(|view| view.reached = view.reached.max(Some(at)));
     }
 
     fn note_answer(&mut self) {
