--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -39,6 +39,11 @@
             /// Time from the start to being warm, in milliseconds.
             optional --warm-after-ms millis: u64
         }
+        /// Runs a stand-in of the platform.
+        cmd platform {
+            /// Where it listens.
+            required --addr addr: SocketAddr
+        }
         /// Runs a relay that injects faults.
         cmd relay {
             /// Where it listens.
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,376 @@
+//! A small fleet of real processes around the stand-in platform.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::{Context, ensure};
+use jj_platform::wire::{Instance, InstanceList, Role};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    process::{Process, free_addr, wait_until},
+    publication::{DOMAINS, MODEL_SERVICE, PLAIN_SERVICE, Publication},
+    relay::Relay,
+    standins::{
+        faults::{ControlRequest, Fault},
+        ledger::Executions,
+    },
+};
+
+/// Longest wait for a process to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct FleetConfig {
+    /// Entries.
+    pub entries: usize,
+    /// Model engines, each with an agent.
+    pub engines: usize,
+    /// Plain services, each with an agent.
+    pub services: usize,
+    /// Concurrent requests that a cold backend server bears.
+    pub cold_floor: u32,
+    /// Concurrent requests that a warm backend server bears.
+    pub concurrency: u32,
+    /// Flags of every engine.
+    pub engine_flags: Vec<String>,
+    /// Flags of every plain service.
+    pub service_flags: Vec<String>,
+    /// Flags of every agent.
+    pub agent_flags: Vec<String>,
+    /// Flags of every entry.
+    pub entry_flags: Vec<String>,
+    /// The configuration.
+    pub publication: Publication,
+}
+
+impl Default for FleetConfig {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            engines: 2,
+            services: 2,
+            cold_floor: 4,
+            concurrency: 64,
+            engine_flags: Vec::new(),
+            service_flags: Vec::new(),
+            agent_flags: Vec::new(),
+            entry_flags: Vec::new(),
+            publication: Publication::default(),
+        }
+    }
+}
+
+/// One process of the system.
+#[derive(Debug)]
+pub struct Node {
+    /// The process.
+    pub process: Process,
+    /// How the platform lists it.
+    pub listed: Instance,
+    /// Operators' port.
+    pub operator: SocketAddr,
+    program: &'static str,
+    args: Vec<String>,
+}
+
+/// A backend server and its agent, with a relay on each side of the agent.
+#[derive(Debug)]
+pub struct Server {
+    /// The stand-in.
+    pub backend: Process,
+    /// Base URL of the stand-in.
+    pub url: String,
+    /// The agent.
+    pub agent: Node,
+    /// Between entries and agent.
+    pub front: Relay,
+    /// Between agent and stand-in.
+    pub back: Relay,
+}
+
+/// The whole fleet; all its processes end when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The stand-in platform.
+    pub platform: Process,
+    /// Base URL of the platform.
+    pub platform_url: String,
+    /// Entries.
+    pub entries: Vec<Node>,
+    /// Model engines with agents.
+    pub engines: Vec<Server>,
+    /// Plain services with agents.
+    pub services: Vec<Server>,
+    /// For the stand-ins' control ports.
+    pub client: reqwest::Client,
+    config: FleetConfig,
+    cancel: CancellationToken,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+impl Fleet {
+    /// Starts everything and waits until all processes are ready.
+    ///
+    /// # Errors
+    /// When a process does not start or is not ready in time.
+    pub async fn start(config: FleetConfig) -> anyhow::Result<Self> {
+        let addr = free_addr()?;
+        let args = args(["platform", "--addr", &addr.to_string()]);
+        let mut fleet = Self {
+            platform: Process::start("platform", "jujube-lab", &args)?,
+            platform_url: format!("http://{addr}"),
+            entries: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            client: reqwest::Client::new(),
+            config,
+            cancel: CancellationToken::new(),
+        };
+        fleet.wait_answer(&format!("http://{addr}/calls")).await?;
+        let publication = fleet.config.publication.clone();
+        publication.put(&fleet.client, &fleet.platform_url).await?;
+        for number in 0..fleet.config.engines {
+            let server = fleet.start_server(number, "engine").await?;
+            fleet.engines.push(server);
+        }
+        for number in 0..fleet.config.services {
+            let server = fleet.start_server(number, "service").await?;
+            fleet.services.push(server);
+        }
+        for number in 0..fleet.config.entries {
+            let entry = fleet.start_entry(number)?;
+            fleet.entries.push(entry);
+        }
+        fleet.publish_instances().await?;
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Base URL of an entry.
+    pub fn entry_url(&self, number: usize) -> String {
+        format!("http://{}", self.entries[number].listed.traffic)
+    }
+
+    /// Puts the live list as it is now; instances marked as leaving stay in it.
+    ///
+    /// # Errors
+    /// When the platform does not take it.
+    pub async fn publish_instances(&self) -> anyhow::Result<()> {
+        let agents = self
+            .engines
+            .iter()
+            .chain(&self.services)
+            .map(|server| &server.agent);
+        let nodes = self.entries.iter().chain(agents);
+        let list = InstanceList {
+            instances: nodes.map(|node| node.listed.clone()).collect(),
+        };
+        let url = format!("{}/v1/instances", self.platform_url);
+        let answer = self.client.put(url).json(&list).send().await?;
+        ensure!(
+            answer.status().is_success(),
+            "put the live list: {}",
+            answer.status()
+        );
+        Ok(())
+    }
+
+    /// Starts a killed node again with the same flags.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub fn restart(node: &mut Node) -> anyhow::Result<()> {
+        node.process.kill();
+        let name = node.listed.id.clone();
+        node.process = Process::start(&name, node.program, &node.args)?;
+        Ok(())
+    }
+
+    /// Waits until every process says that it is ready.
+    ///
+    /// # Errors
+    /// When one is not in time.
+    pub async fn wait_ready(&self) -> anyhow::Result<()> {
+        let agents = self
+            .engines
+            .iter()
+            .chain(&self.services)
+            .map(|server| &server.agent);
+        for node in self.entries.iter().chain(agents) {
+            let url = format!("http://{}/readyz", node.operator);
+            let ready = self.wait_answer(&url).await;
+            ready.with_context(|| format!("{}:\n{}", node.listed.id, node.process.log()))?;
+        }
+        Ok(())
+    }
+
+    /// What a stand-in has executed.
+    ///
+    /// # Errors
+    /// When it does not answer.
+    pub async fn executions(&self, server: &Server) -> anyhow::Result<Executions> {
+        let answer = self
+            .client
+            .get(format!("{}/executions", server.url))
+            .send()
+            .await?;
+        Ok(answer.json().await?)
+    }
+
+    /// Orders faults from a stand-in.
+    ///
+    /// # Errors
+    /// When it does not take them.
+    pub async fn order(&self, server: &Server, next: &[Fault]) -> anyhow::Result<()> {
+        let request = ControlRequest {
+            next: next.to_vec(),
+            ..ControlRequest::default()
+        };
+        self.control(server, &request).await
+    }
+
+    /// Steers a stand-in.
+    ///
+    /// # Errors
+    /// When it does not answer.
+    pub async fn control(&self, server: &Server, request: &ControlRequest) -> anyhow::Result<()> {
+        let url = format!("{}/control", server.url);
+        let answer = self.client.post(url).json(request).send().await?;
+        ensure!(answer.status().is_success(), "control: {}", answer.status());
+        Ok(())
+    }
+
+    async fn wait_answer(&self, url: &str) -> anyhow::Result<()> {
+        wait_until(url, READY_LIMIT, || async {
+            let answer = self.client.get(url).send().await;
+            answer.is_ok_and(|answer| answer.status().is_success())
+        })
+        .await
+    }
+
+    async fn start_server(&self, number: usize, kind: &str) -> anyhow::Result<Server> {
+        let config = &self.config;
+        let (flags, service) = match kind {
+            "engine" => (&config.engine_flags, MODEL_SERVICE),
+            _ => (&config.service_flags, PLAIN_SERVICE),
+        };
+        let addr = free_addr()?;
+        let mut backend_args = args([kind, "--addr", &addr.to_string()]);
+        backend_args.extend(flags.iter().cloned());
+        let name = format!("{service}-{number}");
+        let backend = Process::start(&format!("{name}-backend"), "jujube-lab", &backend_args)?;
+        self.wait_answer(&format!("http://{addr}/health")).await?;
+        let back = Relay::start(free_addr()?, addr, self.cancel.clone()).await?;
+        let traffic = free_addr()?;
+        let front = Relay::start(free_addr()?, traffic, self.cancel.clone()).await?;
+        let mut agent = self.start_agent(name, number, service, traffic, &back)?;
+        agent.listed.traffic = front.addr();
+        Ok(Server {
+            backend,
+            url: format!("http://{addr}"),
+            agent,
+            front,
+            back,
+        })
+    }
+
+    fn start_agent(
+        &self,
+        name: String,
+        number: usize,
+        service: &str,
+        traffic: SocketAddr,
+        back: &Relay,
+    ) -> anyhow::Result<Node> {
+        let kind = if service == MODEL_SERVICE {
+            "model"
+        } else {
+            "plain"
+        };
+        let listed = self.listed(name, Role::Agent, number, service, traffic)?;
+        let mut flags = args([
+            "--service",
+            service,
+            "--kind",
+            kind,
+            "--backend",
+            &format!("http://{}", back.addr()),
+            "--cold-floor",
+            &self.config.cold_floor.to_string(),
+            "--concurrency",
+            &self.config.concurrency.to_string(),
+        ]);
+        flags.extend(self.config.agent_flags.iter().cloned());
+        self.start_node(listed, "jujube-agent", Vec::new(), flags)
+    }
+
+    fn start_entry(&self, number: usize) -> anyhow::Result<Node> {
+        let name = format!("entry-{number}");
+        let listed = self.listed(name, Role::Entry, number, "", free_addr()?)?;
+        let flags = self.config.entry_flags.clone();
+        self.start_node(listed, "jujubejunction", args(["serve"]), flags)
+    }
+
+    fn listed(
+        &self,
+        id: String,
+        role: Role,
+        number: usize,
+        service: &str,
+        traffic: SocketAddr,
+    ) -> anyhow::Result<Instance> {
+        Ok(Instance {
+            id,
+            role,
+            domain: DOMAINS[number % DOMAINS.len()].to_owned(),
+            service: service.to_owned(),
+            traffic,
+            control: free_addr()?,
+            leaving: false,
+        })
+    }
+
+    fn start_node(
+        &self,
+        listed: Instance,
+        program: &'static str,
+        command: Vec<String>,
+        flags: Vec<String>,
+    ) -> anyhow::Result<Node> {
+        let operator = free_addr()?;
+        let mut all = command;
+        all.extend(args([
+            "--instance",
+            &listed.id,
+            "--domain",
+            &listed.domain,
+            "--platform",
+            &self.platform_url,
+            "--traffic-addr",
+            &listed.traffic.to_string(),
+            "--control-addr",
+            &listed.control.to_string(),
+            "--operator-addr",
+            &operator.to_string(),
+        ]));
+        all.extend(flags);
+        Ok(Node {
+            process: Process::start(&listed.id, program, &all)?,
+            listed,
+            operator,
+            program,
+            args: all,
+        })
+    }
+}
+
+/// Owned arguments of a command line.
+pub fn args<const N: usize>(parts: [&str; N]) -> Vec<String> {
+    parts.map(str::to_owned).to_vec()
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,12 @@
 //! Stand-ins, load, fault injection and experiments; never shipped.
 
+pub mod caller;
 pub mod experiments;
+pub mod fleet;
 pub mod http;
+pub mod load;
+pub mod process;
+pub mod publication;
 pub mod relay;
 pub mod standins;
 pub mod tokens;
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,176 @@
+//! Load: many callers at once, each answer checked, with latencies in histograms.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+
+use crate::caller::{Call, Caller, Chat, Outcome, Whole};
+
+/// Longest latency that a histogram holds, in microseconds.
+const MAX_MICROS: u64 = 120_000_000;
+
+/// Outcomes that are kept for reports.
+const KEPT_FAULTS: usize = 20;
+
+/// What to send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// Streamed completions of so many tokens.
+    Streams(u32),
+    /// Calls of the plain service that may be repeated.
+    Lookups,
+    /// Each second request a completion of so many tokens, the others calls.
+    Mixed(u32),
+}
+
+/// One run of load.
+#[derive(Debug, Clone)]
+pub struct LoadConfig {
+    /// Base URLs; each caller begins with its own.
+    pub bases: Vec<String>,
+    /// Callers at once.
+    pub callers: usize,
+    /// How long new requests are begun.
+    pub time: Duration,
+    /// What to send.
+    pub work: Work,
+    /// Makes the markers of this run differ from those of others.
+    pub seed: u64,
+}
+
+/// What came of a run.
+#[derive(Debug, Clone)]
+pub struct LoadReport {
+    /// Time from the first request to the last answer.
+    pub elapsed: Duration,
+    /// Whole answers.
+    pub whole: u64,
+    /// Clear refusals.
+    pub refused: u64,
+    /// Broken connections.
+    pub broken: u64,
+    /// Wrong answers.
+    pub wrong: u64,
+    /// Tokens received.
+    pub tokens: u64,
+    /// Time to the first token, in microseconds.
+    pub first: Histogram<u64>,
+    /// Time to the end of the answer, in microseconds.
+    pub total: Histogram<u64>,
+    /// The first refusals, broken connections and wrong answers.
+    pub faults: Vec<String>,
+}
+
+impl LoadReport {
+    fn new() -> anyhow::Result<Self> {
+        let histogram = Histogram::new_with_max(MAX_MICROS, 3)?;
+        Ok(Self {
+            elapsed: Duration::ZERO,
+            whole: 0,
+            refused: 0,
+            broken: 0,
+            wrong: 0,
+            tokens: 0,
+            first: histogram.clone(),
+            total: histogram,
+            faults: Vec::new(),
+        })
+    }
+
+    /// Whole answers a second.
+    pub fn rate(&self) -> f64 {
+        self.whole as f64 / self.elapsed.as_secs_f64()
+    }
+
+    /// Tokens a second.
+    pub fn token_rate(&self) -> f64 {
+        self.tokens as f64 / self.elapsed.as_secs_f64()
+    }
+
+    /// Adds the counts and latencies of another run.
+    pub fn add(&mut self, other: &Self) {
+        self.elapsed += other.elapsed;
+        self.whole += other.whole;
+        self.refused += other.refused;
+        self.broken += other.broken;
+        self.wrong += other.wrong;
+        self.tokens += other.tokens;
+        // Both have the same bounds.
+        let _ = self.first.add(&other.first);
+        let _ = self.total.add(&other.total);
+        self.faults.extend(other.faults.iter().cloned());
+        self.faults.truncate(KEPT_FAULTS);
+    }
+
+    fn count(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Whole(whole) => return self.count_whole(&whole),
+            Outcome::Refused(_) => self.refused += 1,
+            Outcome::Broken(_) => self.broken += 1,
+            Outcome::Wrong(_) => self.wrong += 1,
+        }
+        if self.faults.len() < KEPT_FAULTS {
+            self.faults.push(format!("{outcome:?}"));
+        }
+    }
+
+    fn count_whole(&mut self, whole: &Whole) {
+        self.whole += 1;
+        self.tokens += u64::from(whole.tokens);
+        self.first.saturating_record(micros(whole.first));
+        self.total.saturating_record(micros(whole.total));
+    }
+}
+
+/// Runs load to its end.
+///
+/// # Errors
+/// When no histogram can be made.
+pub async fn run(config: &LoadConfig) -> anyhow::Result<LoadReport> {
+    let report = Arc::new(Mutex::new(LoadReport::new()?));
+    let numbers = Arc::new(AtomicU64::new(0));
+    let started = Instant::now();
+    let callers = (0..config.callers).map(|index| {
+        let config = config.clone();
+        let report = Arc::clone(&report);
+        let numbers = Arc::clone(&numbers);
+        tokio::spawn(async move {
+            let caller = Caller::default();
+            let base = &config.bases[index % config.bases.len()];
+            while started.elapsed() < config.time {
+                let number = numbers.fetch_add(1, Ordering::Relaxed);
+                let outcome = send(&caller, base, &config, number).await;
+                let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+                report.count(outcome);
+            }
+        })
+    });
+    futures_util::future::join_all(callers).await;
+    let mut report = report
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    report.elapsed = started.elapsed();
+    Ok(report)
+}
+
+async fn send(caller: &Caller, base: &str, config: &LoadConfig, number: u64) -> Outcome {
+    let marker = format!("{}-{number}", config.seed);
+    match config.work {
+        Work::Streams(tokens) => caller.chat(base, &Chat::streamed(marker, tokens)).await,
+        Work::Mixed(tokens) if number.is_multiple_of(2) => {
+            caller.chat(base, &Chat::streamed(marker, tokens)).await
+        }
+        Work::Lookups | Work::Mixed(_) => caller.call(base, &Call::lookup(&marker)).await,
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(MAX_MICROS)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,7 @@
     standins::{
         cold_start::ColdConfig,
         engine::{self, EngineConfig},
+        platform,
         prefix_cache::CacheConfig,
         service::{self, ServiceConfig},
     },
@@ -32,6 +33,9 @@
             };
             until_ended(service::serve(config, flags.addr, cancel.clone()), cancel).await
         }
+        JujubeLabCmd::Platform(flags) => {
+            until_ended(platform::serve(flags.addr, cancel.clone()), cancel).await
+        }
         JujubeLabCmd::Relay(flags) => {
             let served = relay::serve(flags.addr, flags.target, flags.control, cancel.clone());
             until_ended(served, cancel).await
--- /dev/null
+++ b/crates/lab/src/process.rs
@@ -0,0 +1,225 @@
+//! Real processes for tests and benchmarks: started, signalled by process id, and ended on drop.
+
+use std::{
+    io::{BufRead, BufReader, Read},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, ensure};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Ports are taken below the range from which the machine takes those of outgoing connections.
+const PORTS: std::ops::Range<u32> = 12_000..32_000;
+
+/// Ports that one test process tries before it meets those of the next.
+const PORTS_EACH: u32 = 200;
+
+/// Pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(5);
+
+/// One running process.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    log: Arc<Mutex<String>>,
+}
+
+/// Processor time and memory of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time used since the start, user and system.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub resident: u64,
+}
+
+impl Process {
+    /// Starts a program built beside this one, such as `jujube-agent`.
+    ///
+    /// # Errors
+    /// When the program is not built or does not start.
+    pub fn start(name: &str, program: &str, args: &[String]) -> anyhow::Result<Self> {
+        let path = built_program(program)?;
+        let mut child = Command::new(&path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .with_context(|| format!("start {}", path.display()))?;
+        let log = Arc::new(Mutex::new(String::new()));
+        if let Some(output) = child.stdout.take() {
+            capture(output, Arc::clone(&log));
+        }
+        if let Some(output) = child.stderr.take() {
+            capture(output, Arc::clone(&log));
+        }
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            log,
+        })
+    }
+
+    /// Name given at the start.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Ends it at once (SIGKILL) and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Pauses it (SIGSTOP).
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on (SIGCONT).
+    pub fn wake(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks it to end gracefully (SIGTERM).
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    /// When it still runs after `limit`.
+    pub fn wait_exit(&mut self, limit: Duration) -> anyhow::Result<ExitStatus> {
+        let end = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            ensure!(
+                Instant::now() < end,
+                "{} still runs:\n{}",
+                self.name,
+                self.log()
+            );
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Whether it still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Everything it has printed.
+    pub fn log(&self) -> String {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.clone()
+    }
+
+    /// Processor time and memory now.
+    ///
+    /// # Errors
+    /// When the process is gone.
+    pub fn usage(&self) -> anyhow::Result<Usage> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let after_name = stat.rsplit_once(')').context("read the process's state")?.1;
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        let field = |index: usize| fields.get(index).and_then(|text| text.parse::<u64>().ok());
+        let ticks = field(11).zip(field(12)).context("read processor time")?;
+        let pages = field(21).context("read resident memory")?;
+        let per_second = rustix::param::clock_ticks_per_second();
+        Ok(Usage {
+            cpu: Duration::from_secs_f64((ticks.0 + ticks.1) as f64 / per_second as f64),
+            resident: pages * rustix::param::page_size() as u64,
+        })
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Takes a free port of the loopback address.
+///
+/// # Errors
+/// When none is found.
+pub fn free_addr() -> anyhow::Result<SocketAddr> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let span = PORTS.end - PORTS.start;
+    for _ in 0..span {
+        let next = NEXT.fetch_add(1, Ordering::Relaxed);
+        let offset = std::process::id()
+            .wrapping_mul(PORTS_EACH)
+            .wrapping_add(next);
+        let port = u16::try_from(PORTS.start + offset % span)?;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return Ok(listener.local_addr()?);
+        }
+    }
+    anyhow::bail!("no free port")
+}
+
+/// Waits until `condition` holds.
+///
+/// # Errors
+/// When it does not hold within `limit`.
+pub async fn wait_until<F>(
+    what: &str,
+    limit: Duration,
+    mut condition: impl FnMut() -> F,
+) -> anyhow::Result<()>
+where
+    F: Future<Output = bool>,
+{
+    let end = Instant::now() + limit;
+    while !condition().await {
+        ensure!(Instant::now() < end, "not within {limit:?}: {what}");
+        tokio::time::sleep(POLL).await;
+    }
+    Ok(())
+}
+
+fn built_program(program: &str) -> anyhow::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let dir = own.parent().context("directory of this program")?;
+    let dir = match dir.ends_with("deps") {
+        true => dir.parent().unwrap_or(dir),
+        false => dir,
+    };
+    let path = dir.join(program);
+    ensure!(
+        Path::new(&path).exists(),
+        "{} is not built: run `cargo build --workspace` first",
+        path.display()
+    );
+    Ok(path)
+}
+
+fn capture(output: impl Read + Send + 'static, log: Arc<Mutex<String>>) {
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+            log.push_str(&line);
+            log.push('\n');
+        }
+    });
+}
