--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -1,6 +1,6 @@
 //! Command line of `jujube-lab`.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 xflags::xflags! {
     /// Stand-ins, load, fault injection and experiments for jujubejunction.
@@ -28,6 +28,11 @@
             /// Each nth cache event is lost.
             optional --event-loss nth: u64
         }
+        /// Runs a stand-in of the platform: configuration service and live list.
+        cmd platform {
+            /// Where it listens.
+            required --addr addr: SocketAddr
+        }
         /// Runs a stand-in of a plain service.
         cmd service {
             /// Where it listens.
@@ -53,5 +58,17 @@
             /// Where tests set its mode.
             required --control addr: SocketAddr
         }
+        /// Runs a stand-in of the platform.
+        cmd platform {
+            /// Where it listens.
+            required --addr addr: SocketAddr
+        }
+        /// Checks, collects and publishes operators' files to the stand-in of the platform.
+        cmd publish {
+            /// Directory that holds the files.
+            required dir: PathBuf
+            /// Base URL of the platform.
+            required --platform url: String
+        }
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod load;
 pub mod process;
 pub mod publication;
+pub mod publish;
 pub mod relay;
 pub mod standins;
 pub mod tokens;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,9 +1,21 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
+pub mod addresses;
+pub mod admission;
+pub mod authority;
 pub mod call_budget;
+pub mod cold;
+pub mod config_order;
+pub mod fairness;
+pub mod keys;
+pub mod limit;
 pub mod membership;
+pub mod once;
+pub mod orphans;
 pub mod prefix;
 pub mod rendezvous;
+pub mod retry;
 pub mod routing;
+pub mod subset;
 pub mod verdict;
