--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -20,8 +20,7 @@
 #[derive(Debug, Clone)]
 pub struct Caller {
     client: Client,
-    /// Longest time that it allows a request.
-    pub timeout: Duration,
+    timeout: Duration,
 }
 
 /// How a request ended, as its caller sees it.
@@ -183,18 +182,24 @@
 
 impl Default for Caller {
     fn default() -> Self {
+        Self::new(Duration::from_secs(20))
+    }
+}
+
+impl Caller {
+    /// A caller that allows each request `timeout`.
+    pub fn new(timeout: Duration) -> Self {
         let client = Client::builder()
+            .no_proxy()
             .tcp_nodelay(true)
             .connect_timeout(Duration::from_secs(2))
             .build();
         Self {
             client: client.unwrap_or_default(),
-            timeout: Duration::from_secs(20),
+            timeout,
         }
     }
-}
 
-impl Caller {
     /// Asks an entry which addresses to use.
     ///
     /// # Errors
--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -44,11 +44,6 @@
             /// Time from the start to being warm, in milliseconds.
             optional --warm-after-ms millis: u64
         }
-        /// Runs a stand-in of the platform.
-        cmd platform {
-            /// Where it listens.
-            required --addr addr: SocketAddr
-        }
         /// Runs a relay that injects faults.
         cmd relay {
             /// Where it listens.
@@ -58,11 +53,6 @@
             /// Where tests set its mode.
             required --control addr: SocketAddr
         }
-        /// Runs a stand-in of the platform.
-        cmd platform {
-            /// Where it listens.
-            required --addr addr: SocketAddr
-        }
         /// Checks, collects and publishes operators' files to the stand-in of the platform.
         cmd publish {
             /// Directory that holds the files.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -4,11 +4,13 @@
 
 use anyhow::{Context, ensure};
 use jj_platform::wire::{Instance, InstanceList, Role};
+use jj_utils::ids::ConfigIndex;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     process::{Process, free_addr, wait_until},
     publication::{DOMAINS, MODEL_SERVICE, PLAIN_SERVICE, Publication},
+    publish,
     relay::Relay,
     standins::{
         faults::{ControlRequest, Fault},
@@ -128,13 +130,13 @@
             entries: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
-            client: reqwest::Client::new(),
+            client: reqwest::Client::builder().no_proxy().build()?,
             config,
             cancel: CancellationToken::new(),
         };
         fleet.wait_answer(&format!("http://{addr}/calls")).await?;
         let publication = fleet.config.publication.clone();
-        publication.put(&fleet.client, &fleet.platform_url).await?;
+        fleet.publish(&publication).await?;
         for number in 0..fleet.config.engines {
             let server = fleet.start_server(number, "engine").await?;
             fleet.engines.push(server);
@@ -157,6 +159,14 @@
         format!("http://{}", self.entries[number].listed.traffic)
     }
 
+    /// Publishes a configuration.
+    ///
+    /// # Errors
+    /// When the platform does not take it.
+    pub async fn publish(&self, publication: &Publication) -> anyhow::Result<ConfigIndex> {
+        publish::publish(&self.client, &self.platform_url, &publication.bundle()?).await
+    }
+
     /// Puts the live list as it is now; instances marked as leaving stay in it.
     ///
     /// # Errors
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -33,9 +33,6 @@
             };
             until_ended(service::serve(config, flags.addr, cancel.clone()), cancel).await
         }
-        JujubeLabCmd::Platform(flags) => {
-            until_ended(platform::serve(flags.addr, cancel.clone()), cancel).await
-        }
         JujubeLabCmd::Relay(flags) => {
             let served = relay::serve(flags.addr, flags.target, flags.control, cancel.clone());
             until_ended(served, cancel).await
--- a/crates/lab/src/publication.rs
+++ b/crates/lab/src/publication.rs
@@ -1,14 +1,13 @@
-//! Publishes configuration to the stand-in platform, as the operators' publishing step does.
+//! A small configuration for tests: one model service, one plain service, three failure domains.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use anyhow::ensure;
 use jj_operator::{
     documents::{
-        Account, DOCUMENT_PREFIX, Digest, DomainState, FleetDocument, Limits, MANIFEST_KEY,
-        Manifest, Route, ServiceDocument, ServiceKind,
+        Account, Digest, DomainState, FleetDocument, Limits, Manifest, Route, ServiceDocument,
+        ServiceKind,
     },
-    published::{FORMAT, digest_of},
+    published::{Bundle, FORMAT, digest_of},
 };
 
 /// Name of the model service in [`Publication::default`].
@@ -50,27 +49,23 @@
 }
 
 impl Publication {
-    /// Puts every document, and the manifest last.
+    /// The bytes to publish.
     ///
     /// # Errors
-    /// When the platform does not take them.
-    pub async fn put(&self, client: &reqwest::Client, platform: &str) -> anyhow::Result<()> {
+    /// When a document can't be written as JSON.
+    pub fn bundle(&self) -> anyhow::Result<Bundle> {
+        let mut bundle = Bundle::default();
         let mut manifest = Manifest {
             format: FORMAT,
-            fleet: put_document(client, platform, &self.fleet).await?,
+            fleet: add_document(&mut bundle, &self.fleet)?,
             ..Manifest::default()
         };
         for service in &self.services {
-            let digest = put_document(client, platform, service).await?;
+            let digest = add_document(&mut bundle, service)?;
             manifest.services.insert(service.service.clone(), digest);
         }
-        put_key(
-            client,
-            platform,
-            MANIFEST_KEY,
-            serde_json::to_vec(&manifest)?,
-        )
-        .await
+        bundle.manifest = serde_json::to_string(&manifest)?;
+        Ok(bundle)
     }
 
     /// The same with one failure domain in another state.
@@ -81,39 +76,13 @@
     }
 }
 
-async fn put_document<T: serde::Serialize>(
-    client: &reqwest::Client,
-    platform: &str,
-    document: &T,
-) -> anyhow::Result<Digest> {
-    let bytes = serde_json::to_vec(document)?;
-    let digest = digest_of(&bytes);
-    put_key(
-        client,
-        platform,
-        &format!("{DOCUMENT_PREFIX}{digest}"),
-        bytes,
-    )
-    .await?;
+fn add_document<T: serde::Serialize>(bundle: &mut Bundle, document: &T) -> anyhow::Result<Digest> {
+    let text = serde_json::to_string(document)?;
+    let digest = digest_of(text.as_bytes());
+    bundle.documents.insert(digest.clone(), text);
     Ok(digest)
 }
 
-async fn put_key(
-    client: &reqwest::Client,
-    platform: &str,
-    key: &str,
-    value: Vec<u8>,
-) -> anyhow::Result<()> {
-    let url = format!("{platform}/v1/kv/{key}");
-    let answer = client.put(url).body(value).send().await?;
-    ensure!(
-        answer.status().is_success(),
-        "put {key}: {}",
-        answer.status()
-    );
-    Ok(())
-}
-
 fn model_service() -> ServiceDocument {
     ServiceDocument {
         service: MODEL_SERVICE.to_owned(),
--- /dev/null
+++ b/crates/lab/tests/standins.rs
@@ -0,0 +1,237 @@
+//! The scaffolding itself: faults are injected, and the caller's checks see each of them.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_operator::published::Published;
+use jujube_lab::{
+    caller::{Call, Caller, Chat, Outcome},
+    process::{free_addr, wait_until},
+    publication::Publication,
+    relay::{Mode, Relay},
+    standins::{
+        cold_start::ColdConfig,
+        engine::{self, EngineConfig},
+        faults::{ControlRequest, Fault},
+        ledger::Executions,
+        service::{self, ServiceConfig},
+    },
+};
+use tokio_util::sync::CancellationToken;
+
+const TOKENS: u32 = 8;
+const READY: Duration = Duration::from_secs(10);
+
+struct Backend {
+    url: String,
+    client: reqwest::Client,
+    _cancel: tokio_util::sync::DropGuard,
+}
+
+impl Backend {
+    async fn control(&self, request: &ControlRequest) {
+        let url = format!("{}/control", self.url);
+        self.client.post(url).json(request).send().await.unwrap();
+    }
+
+    async fn order(&self, fault: Fault) {
+        let next = vec![fault];
+        let request = ControlRequest {
+            next,
+            ..ControlRequest::default()
+        };
+        self.control(&request).await;
+    }
+
+    async fn executions(&self) -> Executions {
+        let url = format!("{}/executions", self.url);
+        self.client
+            .get(url)
+            .send()
+            .await
+            .unwrap()
+            .json()
+            .await
+            .unwrap()
+    }
+}
+
+async fn start_engine(config: EngineConfig) -> Backend {
+    let cancel = CancellationToken::new();
+    let addr = free_addr().unwrap();
+    tokio::spawn(engine::serve(config, addr, cancel.clone()));
+    ready(addr, cancel).await
+}
+
+async fn start_service(config: ServiceConfig) -> Backend {
+    let cancel = CancellationToken::new();
+    let addr = free_addr().unwrap();
+    tokio::spawn(service::serve(config, addr, cancel.clone()));
+    ready(addr, cancel).await
+}
+
+async fn ready(addr: std::net::SocketAddr, cancel: CancellationToken) -> Backend {
+    let client = reqwest::Client::new();
+    let url = format!("http://{addr}");
+    wait_until("health", READY, || async {
+        client.get(format!("{url}/health")).send().await.is_ok()
+    })
+    .await
+    .unwrap();
+    Backend {
+        url,
+        client,
+        _cancel: cancel.drop_guard(),
+    }
+}
+
+fn short_sighted() -> Caller {
+    Caller::new(Duration::from_millis(200))
+}
+
+fn name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Whole(_) => "whole",
+        Outcome::Refused(_) => "refused",
+        Outcome::Broken(_) => "broken",
+        Outcome::Wrong(_) => "wrong",
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn callers_see_each_fault_of_a_stream() {
+    let engine = start_engine(EngineConfig::default()).await;
+    let cases = [
+        (Fault::None, "whole"),
+        (Fault::Double, "wrong"),
+        (Fault::Truncate { after: 3 }, "broken"),
+        (Fault::Reset { after: 3 }, "broken"),
+        (Fault::Freeze { after: 3 }, "broken"),
+        (Fault::Refuse, "refused"),
+    ];
+    for (fault, expected) in cases {
+        engine.order(fault).await;
+        let chat = Chat::streamed(format!("{fault:?}"), TOKENS);
+        let outcome = short_sighted().chat(&engine.url, &chat).await;
+        expect_that!(name(&outcome), eq(expected), "{fault:?}: {outcome:?}");
+    }
+    let executions = engine.executions().await;
+    expect_that!(executions.started, eq(5));
+    expect_that!(executions.completed, eq(2));
+}
+
+#[gtest]
+#[tokio::test]
+async fn callers_see_each_fault_of_a_call() {
+    let service = start_service(ServiceConfig::default()).await;
+    let cases = [
+        (Fault::None, "whole"),
+        (Fault::Reset { after: 0 }, "broken"),
+        (Fault::Freeze { after: 0 }, "broken"),
+        (Fault::Refuse, "refused"),
+    ];
+    for (fault, expected) in cases {
+        service.order(fault).await;
+        let outcome = short_sighted()
+            .call(&service.url, &Call::claim("one"))
+            .await;
+        expect_that!(name(&outcome), eq(expected), "{fault:?}: {outcome:?}");
+    }
+    let marker = &service.executions().await.by_marker["/desk/claims/new?marker=one"];
+    expect_that!(marker.started, eq(3));
+}
+
+#[gtest]
+#[tokio::test]
+async fn engine_resumes_at_a_token() {
+    let engine = start_engine(EngineConfig::default()).await;
+    let chat = Chat::streamed("resumed", TOKENS);
+    let answer = engine
+        .client
+        .post(format!("{}/v1/completions", engine.url))
+        .header("x-resume-from", "6")
+        .json(&serde_json::json!({
+            "model": "stand-in", "prompt": chat.prompt, "stream": true, "max_tokens": TOKENS,
+        }))
+        .send()
+        .await
+        .unwrap();
+    let text = answer.text().await.unwrap();
+    expect_that!(text.matches("data: ").count(), eq(3));
+    expect_that!(text, contains_substring("\"index\":6"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn cold_engine_falls_over_beyond_its_floor() {
+    let cold = ColdConfig {
+        floor: 2,
+        warm_after: Duration::from_secs(60),
+        ..ColdConfig::default()
+    };
+    let token_delay = Duration::from_millis(20);
+    let engine = start_engine(EngineConfig {
+        cold,
+        token_delay,
+        ..EngineConfig::default()
+    })
+    .await;
+    let caller = Caller::default();
+    let chats: Vec<Chat> = (0..3)
+        .map(|n| Chat::streamed(format!("cold-{n}"), TOKENS))
+        .collect();
+    let ended =
+        futures_util::future::join_all(chats.iter().map(|chat| caller.chat(&engine.url, chat)));
+    let whole = ended
+        .await
+        .iter()
+        .filter(|outcome| name(outcome) == "whole")
+        .count();
+    let executions = engine.executions().await;
+    expect_that!(whole, eq(0));
+    expect_that!(executions.falls, ge(1));
+    expect_that!(executions.cold_peak, eq(3));
+}
+
+#[gtest]
+#[tokio::test]
+async fn relay_silences_open_connections_and_passes_new_ones() {
+    let token_delay = Duration::from_millis(5);
+    let engine = start_engine(EngineConfig {
+        token_delay,
+        ..EngineConfig::default()
+    })
+    .await;
+    let target = engine.url.trim_start_matches("http://").parse().unwrap();
+    let relay = Relay::start(free_addr().unwrap(), target, CancellationToken::new())
+        .await
+        .unwrap();
+    let base = format!("http://{}", relay.addr());
+    let caller = Caller::new(Duration::from_millis(500));
+    let chat = Chat::streamed("silenced", 400);
+    let (outcome, ()) = tokio::join!(caller.chat(&base, &chat), async {
+        let started = || async { engine.executions().await.started == 1 };
+        wait_until("the stream to start", READY, started)
+            .await
+            .unwrap();
+        relay.set_open(Mode::Silent);
+    });
+    expect_that!(name(&outcome), eq("broken"));
+    let fresh = Caller::default()
+        .chat(&base, &Chat::streamed("new", 2))
+        .await;
+    expect_that!(name(&fresh), eq("whole"));
+    relay.set(Mode::Cut);
+    let cut = Caller::default()
+        .chat(&base, &Chat::streamed("cut", 2))
+        .await;
+    expect_that!(name(&cut), eq("broken"));
+}
+
+#[gtest]
+fn default_publication_is_accepted() {
+    let publication = Publication::default();
+    let bundle = publication.bundle().unwrap();
+    expect_that!(Published::parse(1, bundle.into()).err(), none());
+}
