--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -53,6 +53,35 @@
             /// Where tests set its mode.
             required --control addr: SocketAddr
         }
+        /// Sends load and checks each answer.
+        cmd load {
+            /// Base URL of an entry or of a stand-in; may be given again.
+            repeated --base url: String
+            /// Callers at once.
+            optional --callers count: usize
+            /// How long new requests are begun, in seconds.
+            optional --seconds count: u64
+            /// Tokens of each streamed completion.
+            optional --tokens count: u32
+            /// What to send: `streams`, `lookups` or `mixed`.
+            optional --work name: String
+            /// Makes the requests of this run differ from those of others.
+            optional --seed seed: u64
+        }
+        /// Runs a benchmark and prints its tables in Markdown.
+        cmd bench {
+            /// Cost of the path through entry and agent, beside direct calls.
+            cmd path {
+                /// Turns that direct calls and calls along the path take.
+                optional --rounds count: u32
+                /// Time of each turn, in milliseconds.
+                optional --turn-ms millis: u64
+                /// Time without any request, in seconds.
+                optional --idle seconds: u64
+                /// Makes the requests of this run differ from those of others.
+                optional --seed seed: u64
+            }
+        }
         /// Checks, collects and publishes operators' files to the stand-in of the platform.
         cmd publish {
             /// Directory that holds the files.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -34,6 +34,8 @@
     pub cold_floor: u32,
     /// Concurrent requests that a warm backend server bears.
     pub concurrency: u32,
+    /// Whether requests go through the relays on both sides of each agent.
+    pub relays: bool,
     /// Flags of every engine.
     pub engine_flags: Vec<String>,
     /// Flags of every plain service.
@@ -54,6 +56,7 @@
             services: 2,
             cold_floor: 4,
             concurrency: 64,
+            relays: true,
             engine_flags: Vec::new(),
             service_flags: Vec::new(),
             agent_flags: Vec::new(),
@@ -279,8 +282,11 @@
         let back = Relay::start(free_addr()?, addr, self.cancel.clone()).await?;
         let traffic = free_addr()?;
         let front = Relay::start(free_addr()?, traffic, self.cancel.clone()).await?;
-        let mut agent = self.start_agent(name, number, service, traffic, &back)?;
-        agent.listed.traffic = front.addr();
+        let backend_addr = if config.relays { back.addr() } else { addr };
+        let mut agent = self.start_agent(name, number, service, traffic, backend_addr)?;
+        if config.relays {
+            agent.listed.traffic = front.addr();
+        }
         Ok(Server {
             backend,
             url: format!("http://{addr}"),
@@ -296,7 +302,7 @@
         number: usize,
         service: &str,
         traffic: SocketAddr,
-        back: &Relay,
+        backend: SocketAddr,
     ) -> anyhow::Result<Node> {
         let kind = if service == MODEL_SERVICE {
             "model"
@@ -310,7 +316,7 @@
             "--kind",
             kind,
             "--backend",
-            &format!("http://{}", back.addr()),
+            &format!("http://{backend}"),
             "--cold-floor",
             &self.config.cold_floor.to_string(),
             "--concurrency",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod http;
 pub mod load;
+pub mod path_bench;
 pub mod process;
 pub mod publication;
 pub mod publish;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -68,7 +68,11 @@
 }
 
 impl LoadReport {
-    fn new() -> anyhow::Result<Self> {
+    /// An empty report.
+    ///
+    /// # Errors
+    /// When no histogram can be made.
+    pub fn new() -> anyhow::Result<Self> {
         let histogram = Histogram::new_with_max(MAX_MICROS, 3)?;
         Ok(Self {
             elapsed: Duration::ZERO,
@@ -93,6 +97,30 @@
         self.tokens as f64 / self.elapsed.as_secs_f64()
     }
 
+    /// The counts and latencies as text.
+    pub fn summary(&self) -> String {
+        let millis = |histogram: &Histogram<u64>, quantile| {
+            histogram.value_at_quantile(quantile) as f64 / 1e3
+        };
+        let counts = format!(
+            "whole {}, refused {}, broken {}, wrong {}; {:.0} requests/s, {:.0} tokens/s\n",
+            self.whole,
+            self.refused,
+            self.broken,
+            self.wrong,
+            self.rate(),
+            self.token_rate()
+        );
+        let times = format!(
+            "first token p50 {:.2} ms, p99 {:.2} ms; whole answer p50 {:.2} ms, p99 {:.2} ms\n",
+            millis(&self.first, 0.5),
+            millis(&self.first, 0.99),
+            millis(&self.total, 0.5),
+            millis(&self.total, 0.99)
+        );
+        counts + &times + &self.faults.join("\n")
+    }
+
     /// Adds the counts and latencies of another run.
     pub fn add(&mut self, other: &Self) {
         self.elapsed += other.elapsed;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,8 +4,10 @@
 
 use std::{future::Future, time::Duration};
 
-use flags::{JujubeLab, JujubeLabCmd};
+use flags::{BenchCmd, JujubeLab, JujubeLabCmd};
 use jujube_lab::{
+    load::{self, LoadConfig, Work},
+    path_bench::{self, PathBenchConfig},
     publish, relay,
     standins::{
         cold_start::ColdConfig,
@@ -40,6 +42,8 @@
         JujubeLabCmd::Platform(flags) => {
             until_ended(platform::serve(flags.addr, cancel.clone()), cancel).await
         }
+        JujubeLabCmd::Load(flags) => run_load(flags).await,
+        JujubeLabCmd::Bench(flags) => run_bench(flags).await,
         JujubeLabCmd::Publish(flags) => {
             let client = reqwest::Client::builder().no_proxy().build()?;
             let index = publish::publish_directory(&client, &flags.platform, &flags.dir).await?;
@@ -70,6 +74,43 @@
     }
 }
 
+async fn run_load(flags: flags::Load) -> anyhow::Result<()> {
+    let tokens = flags.tokens.unwrap_or(64);
+    let work = match flags.work.as_deref() {
+        None | Some("streams") => Work::Streams(tokens),
+        Some("lookups") => Work::Lookups,
+        Some("mixed") => Work::Mixed(tokens),
+        Some(other) => anyhow::bail!("--work: `{other}` is not streams, lookups or mixed"),
+    };
+    anyhow::ensure!(!flags.base.is_empty(), "--base is required");
+    let config = LoadConfig {
+        bases: flags.base,
+        callers: flags.callers.unwrap_or(16),
+        time: Duration::from_secs(flags.seconds.unwrap_or(5)),
+        work,
+        seed: flags.seed.unwrap_or(1),
+    };
+    let report = load::run(&config).await?;
+    print!("{}", report.summary());
+    Ok(())
+}
+
+async fn run_bench(flags: flags::Bench) -> anyhow::Result<()> {
+    match flags.subcommand {
+        BenchCmd::Path(flags) => {
+            let default = PathBenchConfig::default();
+            let config = PathBenchConfig {
+                rounds: flags.rounds.unwrap_or(default.rounds),
+                turn: flags.turn_ms.map_or(default.turn, Duration::from_millis),
+                idle: flags.idle.map_or(default.idle, Duration::from_secs),
+                seed: flags.seed.unwrap_or(default.seed),
+            };
+            print!("{}", path_bench::run(&config).await?);
+            Ok(())
+        }
+    }
+}
+
 fn engine_config(flags: flags::Engine) -> EngineConfig {
     let default = EngineConfig::default();
     let models = if flags.model.is_empty() {
--- /dev/null
+++ b/crates/lab/src/path_bench.rs
@@ -0,0 +1,326 @@
+//! Cost of the path through entry and agent, beside direct calls to the stand-ins in one run.
+
+use std::{fmt::Write, time::Duration};
+
+use crate::{
+    fleet::{Fleet, FleetConfig, Server, args},
+    load::{self, LoadConfig, LoadReport, Work},
+    process::{Process, Usage},
+    standins::faults::ControlRequest,
+};
+
+/// Callers at once in the rows of the latency table.
+const CALLERS: [usize; 3] = [1, 16, 64];
+
+/// Tokens of each answer in the latency table.
+const SHORT_ANSWER: u32 = 16;
+
+/// Tokens of each answer in the throughput table.
+const LONG_ANSWER: u32 = 512;
+
+/// Streams that are open at once when memory is read.
+const OPEN_STREAMS: usize = 256;
+
+/// Time of each token while memory is read, in microseconds.
+const SLOW_TOKEN_US: u64 = 20_000;
+
+/// Pause between two readings of memory.
+const MEMORY_PERIOD: Duration = Duration::from_millis(200);
+
+/// How long the benchmark runs.
+#[derive(Debug, Clone)]
+pub struct PathBenchConfig {
+    /// Turns that direct calls and calls along the path take.
+    pub rounds: u32,
+    /// Time of each turn.
+    pub turn: Duration,
+    /// Time without any request, for the idle cost.
+    pub idle: Duration,
+    /// Makes the requests of this run differ from those of others.
+    pub seed: u64,
+}
+
+impl Default for PathBenchConfig {
+    fn default() -> Self {
+        Self {
+            rounds: 3,
+            turn: Duration::from_secs(1),
+            idle: Duration::from_secs(10),
+            seed: 1,
+        }
+    }
+}
+
+/// Processor time of the three processes on the path.
+#[derive(Debug, Clone, Copy)]
+struct PathUsage {
+    entry: Usage,
+    agent: Usage,
+    backend: Usage,
+}
+
+/// One comparison of direct calls and calls along the path.
+struct Comparison {
+    direct: LoadReport,
+    path: LoadReport,
+    entry_cpu: Duration,
+    agent_cpu: Duration,
+    backend_cpu: Duration,
+}
+
+/// Runs the benchmark and gives its tables in Markdown.
+///
+/// # Errors
+/// When a process fails, or an answer is not whole.
+pub async fn run(config: &PathBenchConfig) -> anyhow::Result<String> {
+    let fleet = Fleet::start(fleet_config()).await?;
+    let mut out = String::new();
+    writeln!(
+        out,
+        "seed {}, {} turns of {:?} each\n",
+        config.seed, config.rounds, config.turn
+    )?;
+    latency_table(&mut out, &fleet, config).await?;
+    throughput_table(&mut out, &fleet, config).await?;
+    memory_table(&mut out, &fleet, config).await?;
+    idle_table(&mut out, &fleet, config).await?;
+    Ok(out)
+}
+
+fn fleet_config() -> FleetConfig {
+    FleetConfig {
+        entries: 1,
+        engines: 1,
+        services: 1,
+        cold_floor: 512,
+        concurrency: 1024,
+        relays: false,
+        engine_flags: args(["--capacity", "1024"]),
+        ..FleetConfig::default()
+    }
+}
+
+async fn latency_table(
+    out: &mut String,
+    fleet: &Fleet,
+    config: &PathBenchConfig,
+) -> anyhow::Result<()> {
+    writeln!(
+        out,
+        "| work | callers | p50 direct | p50 path | added | p99 direct | p99 path | added | \
+         requests/s direct | path | CPU entry | agent | stand-in |"
+    )?;
+    writeln!(out, "|---|---|---|---|---|---|---|---|---|---|---|---|---|")?;
+    for (name, work) in [
+        ("desk call", Work::Lookups),
+        ("chat of 16 tokens", Work::Streams(SHORT_ANSWER)),
+    ] {
+        for callers in CALLERS {
+            let row = compare(fleet, config, work, callers).await?;
+            write_latency(out, name, callers, &row)?;
+        }
+    }
+    writeln!(
+        out,
+        "\nTimes in ms to the whole answer; CPU in µs for each request along the path.\n"
+    )?;
+    Ok(())
+}
+
+fn write_latency(
+    out: &mut String,
+    name: &str,
+    callers: usize,
+    row: &Comparison,
+) -> anyhow::Result<()> {
+    let at = |report: &LoadReport, quantile| report.total.value_at_quantile(quantile) as f64 / 1e3;
+    let (direct50, path50) = (at(&row.direct, 0.5), at(&row.path, 0.5));
+    let (direct99, path99) = (at(&row.direct, 0.99), at(&row.path, 0.99));
+    let each = |cpu: Duration| cpu.as_secs_f64() * 1e6 / row.path.whole.max(1) as f64;
+    writeln!(
+        out,
+        "| {name} | {callers} | {direct50:.2} | {path50:.2} | {:.2} | {direct99:.2} | \
+         {path99:.2} | {:.2} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} |",
+        path50 - direct50,
+        path99 - direct99,
+        row.direct.rate(),
+        row.path.rate(),
+        each(row.entry_cpu),
+        each(row.agent_cpu),
+        each(row.backend_cpu),
+    )?;
+    Ok(())
+}
+
+async fn throughput_table(
+    out: &mut String,
+    fleet: &Fleet,
+    config: &PathBenchConfig,
+) -> anyhow::Result<()> {
+    let row = compare(fleet, config, Work::Streams(LONG_ANSWER), 64).await?;
+    let cores = |cpu: Duration| cpu.as_secs_f64() / row.path.elapsed.as_secs_f64();
+    writeln!(
+        out,
+        "| 64 callers, answers of {LONG_ANSWER} tokens | direct | path |"
+    )?;
+    writeln!(out, "|---|---|---|")?;
+    writeln!(
+        out,
+        "| tokens/s | {:.0} | {:.0} |",
+        row.direct.token_rate(),
+        row.path.token_rate()
+    )?;
+    writeln!(
+        out,
+        "\nCores in use along the path: entry {:.2}, agent {:.2}, stand-in {:.2}.\n",
+        cores(row.entry_cpu),
+        cores(row.agent_cpu),
+        cores(row.backend_cpu)
+    )?;
+    Ok(())
+}
+
+async fn memory_table(
+    out: &mut String,
+    fleet: &Fleet,
+    config: &PathBenchConfig,
+) -> anyhow::Result<()> {
+    let engine = &fleet.engines[0];
+    set_delay(fleet, engine, SLOW_TOKEN_US).await?;
+    let load = LoadConfig {
+        callers: OPEN_STREAMS,
+        ..load_config(
+            fleet.entry_url(0),
+            config,
+            Work::Streams(LONG_ANSWER / 4),
+            OPEN_STREAMS,
+        )
+    };
+    let running = load::run(&load);
+    tokio::pin!(running);
+    let (mut entry, mut agent) = (0, 0);
+    let report = loop {
+        tokio::select! {
+            report = &mut running => break report?,
+            () = tokio::time::sleep(MEMORY_PERIOD) => {
+                let usage = path_usage(fleet, engine)?;
+                entry = entry.max(usage.entry.resident);
+                agent = agent.max(usage.agent.resident);
+            }
+        }
+    };
+    set_delay(fleet, engine, 0).await?;
+    check_whole(&report)?;
+    writeln!(out, "| {OPEN_STREAMS} open streams | entry | agent |")?;
+    writeln!(out, "|---|---|---|")?;
+    writeln!(
+        out,
+        "| highest resident memory, MB | {:.1} | {:.1} |\n",
+        mega(entry),
+        mega(agent)
+    )?;
+    Ok(())
+}
+
+async fn idle_table(
+    out: &mut String,
+    fleet: &Fleet,
+    config: &PathBenchConfig,
+) -> anyhow::Result<()> {
+    let engine = &fleet.engines[0];
+    let before = path_usage(fleet, engine)?;
+    tokio::time::sleep(config.idle).await;
+    let after = path_usage(fleet, engine)?;
+    let share = |before: Usage, after: Usage| {
+        (after.cpu - before.cpu).as_secs_f64() / config.idle.as_secs_f64() * 100.0
+    };
+    writeln!(out, "| idle for {:?} | entry | agent |", config.idle)?;
+    writeln!(out, "|---|---|---|")?;
+    writeln!(
+        out,
+        "| share of a core, % | {:.2} | {:.2} |",
+        share(before.entry, after.entry),
+        share(before.agent, after.agent)
+    )?;
+    writeln!(
+        out,
+        "| resident memory, MB | {:.1} | {:.1} |",
+        mega(after.entry.resident),
+        mega(after.agent.resident)
+    )?;
+    Ok(())
+}
+
+async fn compare(
+    fleet: &Fleet,
+    config: &PathBenchConfig,
+    work: Work,
+    callers: usize,
+) -> anyhow::Result<Comparison> {
+    let server = match work {
+        Work::Lookups => &fleet.services[0],
+        Work::Streams(_) | Work::Mixed(_) => &fleet.engines[0],
+    };
+    let mut row = Comparison {
+        direct: LoadReport::new()?,
+        path: LoadReport::new()?,
+        entry_cpu: Duration::ZERO,
+        agent_cpu: Duration::ZERO,
+        backend_cpu: Duration::ZERO,
+    };
+    for _ in 0..config.rounds {
+        let direct = load_config(server.url.clone(), config, work, callers);
+        row.direct.add(&load::run(&direct).await?);
+        let path = load_config(fleet.entry_url(0), config, work, callers);
+        let before = path_usage(fleet, server)?;
+        row.path.add(&load::run(&path).await?);
+        let after = path_usage(fleet, server)?;
+        row.entry_cpu += after.entry.cpu - before.entry.cpu;
+        row.agent_cpu += after.agent.cpu - before.agent.cpu;
+        row.backend_cpu += after.backend.cpu - before.backend.cpu;
+    }
+    check_whole(&row.direct)?;
+    check_whole(&row.path)?;
+    Ok(row)
+}
+
+fn load_config(base: String, config: &PathBenchConfig, work: Work, callers: usize) -> LoadConfig {
+    LoadConfig {
+        bases: vec![base],
+        callers,
+        time: config.turn,
+        work,
+        seed: config.seed,
+    }
+}
+
+fn path_usage(fleet: &Fleet, server: &Server) -> anyhow::Result<PathUsage> {
+    let usage = |process: &Process| process.usage();
+    Ok(PathUsage {
+        entry: usage(&fleet.entries[0].process)?,
+        agent: usage(&server.agent.process)?,
+        backend: usage(&server.backend)?,
+    })
+}
+
+async fn set_delay(fleet: &Fleet, server: &Server, micros: u64) -> anyhow::Result<()> {
+    let request = ControlRequest {
+        delay_us: Some(micros),
+        ..ControlRequest::default()
+    };
+    fleet.control(server, &request).await
+}
+
+fn check_whole(report: &LoadReport) -> anyhow::Result<()> {
+    let failed = report.refused + report.broken + report.wrong;
+    anyhow::ensure!(
+        failed == 0,
+        "{failed} answers are not whole: {:#?}",
+        report.faults
+    );
+    Ok(())
+}
+
+fn mega(bytes: u64) -> f64 {
+    bytes as f64 / 1e6
+}
