--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod addresses;
 pub mod authority;
+pub mod call_budget;
 pub mod config_order;
 pub mod membership;
 pub mod prefix;
