--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,12 +2,11 @@
 //! randomness. Time, random numbers and observations are passed in.
 
 pub mod addresses;
-pub mod authority;
-pub mod call_budget;
-pub mod config_order;
 pub mod admission;
+pub mod authority;
 pub mod call_budget;
 pub mod cold;
+pub mod config_order;
 pub mod fairness;
 pub mod keys;
 pub mod limit;
