--- a/crates/policy/tests/once.rs
+++ b/crates/policy/tests/once.rs
@@ -39,7 +39,12 @@
     let zero = Duration::ZERO;
     let states: [(Step, Outcome<u32>); 5] = [
         (|_| {}, Outcome::Claimed),
-        (|it| drop(it.start(KEY)), Outcome::Running),
+        (
+            |it| {
+                it.start(KEY);
+            },
+            Outcome::Running,
+        ),
         (
             |it| {
                 it.start(KEY);
@@ -47,7 +52,12 @@
             },
             Outcome::Finished(7),
         ),
-        (|it| drop(it.fence(Duration::ZERO, KEY)), Outcome::Fenced),
+        (
+            |it| {
+                it.fence(Duration::ZERO, KEY);
+            },
+            Outcome::Fenced,
+        ),
         (
             |it| {
                 it.start(KEY);
