--- a/crates/operator/src/collect.rs
+++ b/crates/operator/src/collect.rs
@@ -23,6 +23,9 @@
 /// Accounts that stand in the fleet's own document; more are spread over further documents.
 const FLEET_ACCOUNTS: usize = 100;
 
+/// Longest fleet document that stands in the manifest itself, in bytes.
+const MAX_INLINE_BYTES: usize = 4_096;
+
 /// Accounts of one further document, on average.
 const SHARD_ACCOUNTS: usize = 128;
 
@@ -104,15 +107,17 @@
     };
     for declared in &declarations.services {
         let digest = builder.add(&declared.value);
-        manifest
-            .sources
-            .insert(digest.clone(), declared.file.clone());
-        manifest
-            .services
-            .insert(declared.value.service.clone(), digest);
+        let name = &declared.value.service;
+        manifest.sources.insert(name.clone(), declared.file.clone());
+        manifest.services.insert(name.clone(), digest);
     }
     let (fleet, shards) = split_accounts(fleet);
-    manifest.fleet = builder.add(&fleet);
+    let text = json_text(&fleet);
+    manifest.fleet = digest_of(text.as_bytes());
+    match text.len() <= MAX_INLINE_BYTES {
+        true => manifest.inline = Some(fleet),
+        false => _ = builder.add(&fleet),
+    }
     manifest.accounts = shards.iter().map(|shard| builder.add(shard)).collect();
     let text = json_text(&manifest);
     builder.check_size("manifest", &text);
--- a/crates/operator/src/documents.rs
+++ b/crates/operator/src/documents.rs
@@ -31,9 +31,13 @@
         /// Digests of the documents that hold the accounts of a large fleet.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub accounts: Vec<Digest>,
-        /// File that each document was made from, for messages.
+        /// File that each service's document was made from, for messages.
         #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-        pub sources: BTreeMap<Digest, String>,
+        pub sources: BTreeMap<ServiceId, String>,
+        /// The fleet's document itself when it is short, so that taking a failure domain out costs
+        /// each process no further read.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub inline: Option<FleetDocument>,
     }
 }
 
--- a/crates/operator/src/published.rs
+++ b/crates/operator/src/published.rs
@@ -22,6 +22,9 @@
 /// Name of the manifest in findings.
 const MANIFEST_NAME: &str = "manifest";
 
+/// Name of the fleet's document in findings.
+const FLEET_NAME: &str = "fleet";
+
 common_derives! {wire:
     /// The bytes of one publication.
     #[derive(Default, Eq)]
@@ -138,12 +141,11 @@
     Ok(manifest)
 }
 
-/// Digests of every document that a manifest names, without repetition.
+/// Digests of every document that has to be read beside the manifest, without repetition.
 pub fn document_digests(manifest: &Manifest) -> Vec<Digest> {
+    let fleet = manifest.inline.is_none().then_some(&manifest.fleet);
     let services = manifest.services.values();
-    let named = std::iter::once(&manifest.fleet)
-        .chain(&manifest.accounts)
-        .chain(services);
+    let named = fleet.into_iter().chain(&manifest.accounts).chain(services);
     let mut digests: Vec<Digest> = named.cloned().collect();
     digests.sort();
     digests.dedup();
@@ -202,8 +204,11 @@
     }
 
     fn read_fleet(&mut self, manifest: &Manifest) -> Option<FleetDocument> {
-        let file = source_name(manifest, &manifest.fleet, "fleet");
-        let mut fleet: FleetDocument = self.document(&file, &manifest.fleet)?;
+        let file = FLEET_NAME;
+        let mut fleet: FleetDocument = match &manifest.inline {
+            Some(fleet) => fleet.clone(),
+            None => self.document(file, &manifest.fleet)?,
+        };
         for (position, digest) in manifest.accounts.iter().enumerate() {
             let file = format!("accounts[{position}]");
             let Some(shard) = self.document::<AccountsDocument>(&file, digest) else {
@@ -219,7 +224,7 @@
                 }
             }
         }
-        self.report(&file, fleet_problems(&fleet));
+        self.report(file, fleet_problems(&fleet));
         Some(fleet)
     }
 
@@ -229,7 +234,8 @@
         name: &str,
         digest: &str,
     ) -> Option<ServiceDocument> {
-        let file = source_name(manifest, digest, name);
+        let source = manifest.sources.get(name).cloned();
+        let file = source.unwrap_or_else(|| name.to_owned());
         let document: ServiceDocument = self.document(&file, digest)?;
         self.report(&file, service_problems(&document));
         if document.service != name {
@@ -270,11 +276,6 @@
     }
 }
 
-fn source_name(manifest: &Manifest, digest: &str, otherwise: &str) -> String {
-    let source = manifest.sources.get(digest).cloned();
-    source.unwrap_or_else(|| otherwise.to_owned())
-}
-
 fn parse_json<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Finding> {
     serde_json::from_str(text).map_err(|error| Finding {
         file: file.to_owned(),
--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -1,6 +1,9 @@
 //! The call budget that the readers of one process share.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use jj_policy::call_budget::{CallBudget, CallCause, CallPacer};
 use jj_utils::clock::SharedClock;
@@ -15,15 +18,18 @@
 }
 
 struct Inner {
-    pacer: CallPacer,
+    config: CallPacer,
+    list: CallPacer,
     random: Pcg64Mcg,
 }
 
 impl SharedBudget {
-    /// `fleet` is the expected number of processes, `seed` differs between them.
+    /// `budget` is the share of the configuration; the live list has its own beside it. `fleet` is
+    /// the expected number of processes, `seed` differs between them.
     pub fn new(budget: CallBudget, fleet: u32, seed: u64, clock: SharedClock) -> Self {
         let inner = Inner {
-            pacer: CallPacer::new(budget, fleet),
+            config: CallPacer::new(budget, fleet),
+            list: CallPacer::new(CallBudget::live_list(), fleet),
             random: Pcg64Mcg::new(u128::from(seed)),
         };
         Self {
@@ -34,20 +40,32 @@
 
     /// Sets the number of processes that call.
     pub fn set_fleet(&self, fleet: u32) {
-        self.with(|inner| inner.pacer.set_fleet(fleet));
+        self.with(|inner| {
+            inner.config.set_fleet(fleet);
+            inner.list.set_fleet(fleet);
+        });
     }
 
-    /// Time that this process leaves between two calls.
-    pub fn interval(&self) -> std::time::Duration {
-        self.with(|inner| inner.pacer.interval())
+    /// Time that this process leaves between two reads of the configuration.
+    pub fn interval(&self) -> Duration {
+        self.with(|inner| inner.config.interval())
     }
 
-    /// Waits for this process's next call.
+    /// Waits for this process's next read of the configuration.
     pub async fn turn(&self, cause: CallCause) {
+        self.wait(cause, |inner| &mut inner.config).await;
+    }
+
+    /// Waits for this process's next read of the live list.
+    pub async fn list_turn(&self, cause: CallCause) {
+        self.wait(cause, |inner| &mut inner.list).await;
+    }
+
+    async fn wait(&self, cause: CallCause, pacer: fn(&mut Inner) -> &mut CallPacer) {
         let now = self.clock.now();
         let at = self.with(|inner| {
             let random = inner.random.random::<f64>();
-            inner.pacer.reserve(now, cause, random)
+            pacer(inner).reserve(now, cause, random)
         });
         tokio::time::sleep(at.saturating_sub(now)).await;
     }
--- a/crates/platform/src/config_reader.rs
+++ b/crates/platform/src/config_reader.rs
@@ -43,6 +43,9 @@
     pub max_wait: Duration,
     /// Longest time that peers are given to answer.
     pub peer_timeout: Duration,
+    /// Bytes a second that watches without news may cost; a longer manifest is watched with longer
+    /// waits.
+    pub byte_rate: f64,
     /// Time between two looks at what peers have.
     pub peer_interval: Duration,
 }
@@ -54,6 +57,7 @@
             min_wait: Duration::from_secs(2),
             max_wait: Duration::from_secs(10),
             peer_timeout: Duration::from_secs(1),
+            byte_rate: 1_024.0,
             peer_interval: Duration::from_millis(500),
         }
     }
@@ -179,18 +183,15 @@
     context: &'a ReaderContext,
     view: &'a watch::Sender<ConfigView>,
     seen: ConfigIndex,
+    /// Bytes of the last manifest.
+    size: usize,
     failures: u32,
     stale: bool,
     fetched: BTreeMap<Digest, String>,
 }
 
-/// How one read of the manifest ended.
-enum Read {
-    /// Nothing new, or something new that needed further calls.
-    Done,
-    /// Something new that needed no call.
-    Changed,
-}
+/// Longest answer time of a watch that did not wait.
+const AT_ONCE: Duration = Duration::from_millis(100);
 
 impl<'a> Service<'a> {
     fn new(context: &'a ReaderContext, view: &'a watch::Sender<ConfigView>) -> Self {
@@ -198,6 +199,7 @@
             context,
             view,
             seen: 0,
+            size: 0,
             failures: 0,
             stale: false,
             fetched: BTreeMap::new(),
@@ -209,73 +211,89 @@
         loop {
             self.context.budget.turn(cause).await;
             cause = match self.read_manifest().await {
-                Ok(Read::Done) => CallCause::Turn,
-                Ok(Read::Changed) => CallCause::Woken,
+                Ok(cause) => cause,
                 Err(error) => self.note_failure(&error),
             };
         }
     }
 
-    async fn read_manifest(&mut self) -> Result<Read, ReadError> {
+    /// Reads the manifest and what it names; returns the cause of the next read.
+    async fn read_manifest(&mut self) -> Result<CallCause, ReadError> {
         let wait = Wait {
             seen: self.seen,
             longest: self.watch_wait(),
         };
         // The first read does not wait, so that a starting process learns the present state.
         let wait = (self.seen > 0).then_some(wait);
+        let start = self.context.clock.now();
         let found = self.read(MANIFEST_KEY, wait).await?;
+        let waited = self.context.clock.now().saturating_sub(start) > AT_ONCE;
         self.note_answer();
         let Some(found) = found else {
             self.seen = self.seen.max(1);
             self.note_reached();
-            return Ok(Read::Done);
+            return Ok(CallCause::Turn);
         };
         if found.index < self.view.borrow().index() {
             self.note_stale(found.index);
-            return Ok(Read::Done);
+            return Ok(CallCause::Turn);
         }
         self.stale = false;
         if found.index <= self.seen {
             self.note_reached();
-            return Ok(Read::Done);
+            return Ok(CallCause::Turn);
         }
-        self.take(found).await
+        let cause = match waited {
+            true => CallCause::Woken,
+            false => CallCause::Turn,
+        };
+        self.take(found, cause).await
     }
 
-    async fn take(&mut self, found: Indexed<String>) -> Result<Read, ReadError> {
+    async fn take(
+        &mut self,
+        found: Indexed<String>,
+        cause: CallCause,
+    ) -> Result<CallCause, ReadError> {
         let manifest = match parse_manifest(&found.value) {
             Ok(manifest) => manifest,
             Err(finding) => {
                 self.refuse_manifest(&found, finding);
-                return Ok(Read::Changed);
+                return Ok(cause);
             }
         };
-        let calls = self.fetch(&manifest, found.index).await?;
+        let calls = self.fetch(&manifest, found.index, cause).await?;
         let documents = self.chosen(&manifest);
+        let index = found.index;
+        self.size = found.value.len();
         let bundle = Bundle {
             manifest: found.value,
             documents,
         };
-        let index = found.index;
         accept(self.view, Offer { index, bundle });
         self.seen = index;
         self.fetched.clear();
         self.note_reached();
         match calls {
-            0 => Ok(Read::Changed),
-            _ => Ok(Read::Done),
+            0 => Ok(cause),
+            _ => Ok(CallCause::Turn),
         }
     }
 
     /// Fetches what neither the accepted publication nor an earlier try holds; returns the calls.
-    async fn fetch(&mut self, manifest: &Manifest, index: ConfigIndex) -> Result<u32, ReadError> {
+    async fn fetch(
+        &mut self,
+        manifest: &Manifest,
+        index: ConfigIndex,
+        cause: CallCause,
+    ) -> Result<u32, ReadError> {
         let mut calls = 0;
         for digest in document_digests(manifest) {
             if self.has(&digest) {
                 continue;
             }
             let cause = match calls {
-                0 => CallCause::Woken,
+                0 => cause,
                 _ => CallCause::Turn,
             };
             self.context.budget.turn(cause).await;
@@ -346,6 +364,8 @@
     fn watch_wait(&self) -> Duration {
         let config = &self.context.config;
         let paced = self.context.budget.interval() * 2;
+        let bytes = Duration::try_from_secs_f64(self.size as f64 / config.byte_rate);
+        let paced = paced.max(bytes.unwrap_or(config.max_wait));
         paced.clamp(config.min_wait, config.max_wait)
     }
 
--- a/crates/platform/src/live_list.rs
+++ b/crates/platform/src/live_list.rs
@@ -12,20 +12,30 @@
     wire::InstanceList,
 };
 
+/// Bytes of one instance in the list's JSON, roughly.
+const INSTANCE_BYTES: f64 = 200.0;
+
 /// How the list is followed.
 #[derive(Debug, Clone)]
 pub struct LiveListConfig {
     /// Base URL of the platform, without a slash at its end.
     pub base_url: String,
+    /// Wait of a watch of a small list.
+    pub min_wait: Duration,
     /// Longest wait of a watch.
     pub max_wait: Duration,
+    /// Bytes a second that watches without news may cost; a longer list is watched with longer
+    /// waits.
+    pub byte_rate: f64,
 }
 
 impl Default for LiveListConfig {
     fn default() -> Self {
         Self {
             base_url: "http://127.0.0.1:8500".to_owned(),
-            max_wait: Duration::from_secs(10),
+            min_wait: Duration::from_secs(10),
+            max_wait: Duration::from_secs(300),
+            byte_rate: 512.0,
         }
     }
 }
@@ -64,9 +74,12 @@
     let mut cause = CallCause::Woken;
     let mut failures = 0;
     loop {
-        context.budget.turn(cause).await;
-        let seen = list.borrow().index;
-        match read(context, seen).await {
+        context.budget.list_turn(cause).await;
+        let (seen, instances) = {
+            let list = list.borrow();
+            (list.index, list.list.instances.len())
+        };
+        match read(context, seen, instances).await {
             Ok(found) => {
                 failures = 0;
                 cause = match found.index == seen {
@@ -84,16 +97,28 @@
     }
 }
 
-async fn read(context: &LiveListContext, seen: u64) -> Result<Indexed<InstanceList>, ReadError> {
+async fn read(
+    context: &LiveListContext,
+    seen: u64,
+    instances: usize,
+) -> Result<Indexed<InstanceList>, ReadError> {
     metrics::counter!("jujube_live_list_calls_total").increment(1);
     let url = format!("{}/v1/instances", context.config.base_url);
     let wait = Wait {
         seen,
-        longest: context.config.max_wait,
+        longest: watch_wait(&context.config, instances),
     };
     read_json(&context.client, &url, (seen > 0).then_some(wait)).await
 }
 
+/// An answer without news repeats the whole list, so the wait grows with it.
+fn watch_wait(config: &LiveListConfig, instances: usize) -> Duration {
+    let bytes = instances as f64 * INSTANCE_BYTES;
+    let paced = Duration::try_from_secs_f64(bytes / config.byte_rate);
+    let paced = paced.unwrap_or(config.max_wait);
+    paced.clamp(config.min_wait, config.max_wait)
+}
+
 fn install(
     context: &LiveListContext,
     list: &watch::Sender<LiveList>,
--- a/crates/policy/src/call_budget.rs
+++ b/crates/policy/src/call_budget.rs
@@ -9,25 +9,40 @@
 use jj_utils::clock::Timestamp;
 
 /// Longest time between two calls, whatever the size of the fleet.
-const MAX_INTERVAL: Duration = Duration::from_secs(10);
+const MAX_INTERVAL: Duration = Duration::from_secs(30);
 
-/// What the calls of all processes together may cost.
+/// Calls of one process in as many intervals; within them a woken call may come early.
+const WINDOW_CALLS: u32 = 4;
+
+/// What the calls of all processes for one purpose may cost together.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CallBudget {
     /// Calls a second over the fleet that the pacing aims at.
     pub fleet_rate: f64,
     /// Shortest time between two calls of one process.
     pub min_interval: Duration,
-    /// Longest wait after a failed call.
+    /// Longest random wait after failed calls.
     pub max_backoff: Duration,
 }
 
+/// The share of the configuration's own reads.
 impl Default for CallBudget {
     fn default() -> Self {
         Self {
-            fleet_rate: 420.0,
+            fleet_rate: 315.0,
             min_interval: Duration::from_millis(50),
-            max_backoff: Duration::from_secs(5),
+            max_backoff: Duration::from_millis(3_400),
+        }
+    }
+}
+
+impl CallBudget {
+    /// The share of the live list's reads, which lags in any case.
+    pub fn live_list() -> Self {
+        Self {
+            fleet_rate: 100.0,
+            max_backoff: Duration::from_secs(10),
+            ..Self::default()
         }
     }
 }
@@ -37,7 +52,8 @@
 pub enum CallCause {
     /// The process's own turn: the next watch, a further document.
     Turn,
-    /// All processes were woken at once: a change, a start of the fleet.
+    /// A waiting watch was woken, as were all others at that moment; or the fleet starts. A watch
+    /// that is told of a change at once has not waited, and is followed by a [`CallCause::Turn`].
     Woken,
     /// The last `failures` calls failed.
     Failed {
@@ -51,7 +67,8 @@
 pub struct CallPacer {
     budget: CallBudget,
     fleet: u32,
-    last: Option<Timestamp>,
+    /// Calls of the last interval and those still to come, in order.
+    reserved: Vec<Timestamp>,
 }
 
 impl CallPacer {
@@ -60,7 +77,7 @@
         Self {
             budget,
             fleet: fleet.max(1),
-            last: None,
+            reserved: Vec::new(),
         }
     }
 
@@ -79,14 +96,43 @@
     /// Reserves the next call and returns its moment; `random` is uniform in 0..1.
     pub fn reserve(&mut self, now: Timestamp, cause: CallCause, random: f64) -> Timestamp {
         let interval = self.interval();
-        let wait = match cause {
-            CallCause::Turn => Duration::ZERO,
-            CallCause::Woken => interval.mul_f64(random),
-            CallCause::Failed { failures } => self.backoff(failures).mul_f64(0.5 + random / 2.0),
+        let at = match cause {
+            CallCause::Turn => self.free_moment(now, interval),
+            CallCause::Woken => self.woken_moment(now + interval.mul_f64(random), interval),
+            CallCause::Failed { failures } => {
+                let wait = self.backoff(failures).mul_f64(random);
+                self.free_moment(now + wait, interval)
+            }
         };
-        let spaced = self.last.map_or(now, |last| last + interval);
-        let at = spaced.max(now + wait);
-        self.last = Some(at);
+        self.reserved
+            .retain(|reserved| *reserved + interval * WINDOW_CALLS > now);
+        let place = self.reserved.partition_point(|reserved| *reserved < at);
+        self.reserved.insert(place, at);
+        at
+    }
+
+    /// A woken call may follow the watch that was woken by less than an interval: all processes are
+    /// woken, so none makes another call in that time. Keeping the distance would heap the calls of
+    /// those that had just begun to watch. Calls woken over and over keep the distance.
+    fn woken_moment(&self, wanted: Timestamp, interval: Duration) -> Timestamp {
+        let recent = |reserved: &&Timestamp| **reserved + interval * WINDOW_CALLS > wanted;
+        let count = self.reserved.iter().filter(recent).count();
+        match u32::try_from(count) {
+            Ok(count) if count < WINDOW_CALLS => wanted,
+            _ => self.free_moment(wanted, interval),
+        }
+    }
+
+    /// The first moment from `wanted` on that is an interval away from every reserved call; a call
+    /// that was put off for long must not hold up one that is due before it.
+    fn free_moment(&self, wanted: Timestamp, interval: Duration) -> Timestamp {
+        let mut at = wanted;
+        for reserved in &self.reserved {
+            let near = *reserved + interval > at && at + interval > *reserved;
+            if near {
+                at = *reserved + interval;
+            }
+        }
         at
     }
 
