--- a/crates/platform/src/config_reader.rs
+++ b/crates/platform/src/config_reader.rs
@@ -226,25 +226,16 @@
         };
         // The first read does not wait, so that a starting process learns the present state.
         let wait = (self.seen > 0).then_some(wait);
-<<<<<<< HEAD
         let asked = self.context.clock.now();
-=======
-        let start = self.context.clock.now();
->>>>>>> oper
         let found = self.read(MANIFEST_KEY, wait).await?;
-        let waited = self.context.clock.now().saturating_sub(start) > AT_ONCE;
+        let now = self.context.clock.now();
         self.note_answer();
-        let waited = wait.map_or(Duration::ZERO, |wait| wait.longest);
-        let unchanged = (asked + waited).min(self.context.clock.now());
+        let longest = wait.map_or(Duration::ZERO, |wait| wait.longest);
+        let unchanged = (asked + longest).min(now);
         let Some(found) = found else {
             self.seen = self.seen.max(1);
-<<<<<<< HEAD
             self.note_reached(asked);
-            return Ok(Read::Done);
-=======
-            self.note_reached();
             return Ok(CallCause::Turn);
->>>>>>> oper
         };
         if found.index < self.view.borrow().index() {
             self.note_stale(found.index);
@@ -252,41 +243,27 @@
         }
         self.stale = false;
         if found.index <= self.seen {
-<<<<<<< HEAD
             self.note_reached(unchanged);
-            return Ok(Read::Done);
-        }
-        self.take(found, asked).await
-    }
-
-    async fn take(&mut self, found: Indexed<String>, asked: Timestamp) -> Result<Read, ReadError> {
-        let manifest = match parse_manifest(&found.value) {
-            Ok(manifest) => manifest,
-            Err(finding) => {
-                self.refuse_manifest(&found, asked, finding);
-                return Ok(Read::Changed);
-=======
-            self.note_reached();
             return Ok(CallCause::Turn);
         }
-        let cause = match waited {
+        let cause = match now.saturating_sub(asked) > AT_ONCE {
             true => CallCause::Woken,
             false => CallCause::Turn,
         };
-        self.take(found, cause).await
+        self.take(found, asked, cause).await
     }
 
     async fn take(
         &mut self,
         found: Indexed<String>,
+        asked: Timestamp,
         cause: CallCause,
     ) -> Result<CallCause, ReadError> {
         let manifest = match parse_manifest(&found.value) {
             Ok(manifest) => manifest,
             Err(finding) => {
-                self.refuse_manifest(&found, finding);
+                self.refuse_manifest(&found, asked, finding);
                 return Ok(cause);
->>>>>>> oper
             }
         };
         let calls = self.fetch(&manifest, found.index, cause).await?;
