--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -1,6 +1,12 @@
 //! The caller's side: asks for addresses, sends requests and checks every answer to its end.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 use bytes::BytesMut;
 use futures_util::StreamExt;
@@ -86,6 +92,8 @@
     pub last_event: Option<String>,
     /// Tokens that have arrived before.
     pub first: u32,
+    /// Counts the tokens as they arrive.
+    pub seen: Arc<AtomicU32>,
 }
 
 impl Chat {
@@ -97,6 +105,7 @@
             stream: true,
             last_event: None,
             first: 0,
+            seen: Arc::default(),
         }
     }
 
@@ -333,6 +342,7 @@
             first.get_or_insert_with(|| started.elapsed());
             last_event = event.id.or(last_event);
             next += 1;
+            chat.seen.store(next, Ordering::Relaxed);
         }
         let reason = match pieces.next().await {
             Some(Ok(piece)) => {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -153,7 +153,9 @@
             fleet.entries.push(entry);
         }
         fleet.publish_instances().await?;
-        fleet.wait_ready().await?;
+        for node in fleet.nodes() {
+            fleet.wait_ready(node).await?;
+        }
         Ok(fleet)
     }
 
@@ -175,14 +177,8 @@
     /// # Errors
     /// When the platform does not take it.
     pub async fn publish_instances(&self) -> anyhow::Result<()> {
-        let agents = self
-            .engines
-            .iter()
-            .chain(&self.services)
-            .map(|server| &server.agent);
-        let nodes = self.entries.iter().chain(agents);
         let list = InstanceList {
-            instances: nodes.map(|node| node.listed.clone()).collect(),
+            instances: self.nodes().map(|node| node.listed.clone()).collect(),
         };
         let url = format!("{}/v1/instances", self.platform_url);
         let answer = self.client.put(url).json(&list).send().await?;
@@ -205,22 +201,20 @@
         Ok(())
     }
 
-    /// Waits until every process says that it is ready.
+    /// Waits until a process says that it is ready.
     ///
     /// # Errors
-    /// When one is not in time.
-    pub async fn wait_ready(&self) -> anyhow::Result<()> {
-        let agents = self
-            .engines
-            .iter()
-            .chain(&self.services)
-            .map(|server| &server.agent);
-        for node in self.entries.iter().chain(agents) {
-            let url = format!("http://{}/readyz", node.operator);
-            let ready = self.wait_answer(&url).await;
-            ready.with_context(|| format!("{}:\n{}", node.listed.id, node.process.log()))?;
-        }
-        Ok(())
+    /// When it is not in time.
+    pub async fn wait_ready(&self, node: &Node) -> anyhow::Result<()> {
+        let url = format!("http://{}/readyz", node.operator);
+        let ready = self.wait_answer(&url).await;
+        ready.with_context(|| format!("{}:\n{}", node.listed.id, node.process.log()))
+    }
+
+    /// Every process of the system: entries first.
+    pub fn nodes(&self) -> impl Iterator<Item = &Node> {
+        let servers = self.engines.iter().chain(&self.services);
+        self.entries.iter().chain(servers.map(|server| &server.agent))
     }
 
     /// What a stand-in has executed.
--- /dev/null
+++ b/crates/lab/tests/refusals.rs
@@ -0,0 +1,155 @@
+//! A refusal that says "not run" is true: each one is checked against what the stand-ins executed.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jujube_lab::{
+    caller::{Call, Caller, Outcome},
+    fleet::{Fleet, FleetConfig, args},
+    relay::Mode,
+};
+
+/// Calls of each round.
+const CALLS: usize = 60;
+
+/// What came of the calls of one round.
+#[derive(Debug, Default)]
+struct Tally {
+    whole: usize,
+    not_run: usize,
+    unknown: usize,
+    broken: usize,
+}
+
+async fn busy_fleet() -> anyhow::Result<Fleet> {
+    Fleet::start(FleetConfig {
+        engines: 0,
+        concurrency: 4,
+        service_flags: args(["--delay-us", "50000"]),
+        ..FleetConfig::default()
+    })
+    .await
+}
+
+/// Sends calls at once through all entries, and checks each outcome against the executions.
+async fn round(
+    fleet: &Fleet,
+    name: &str,
+    call: fn(&str) -> Call,
+    faults: impl Future<Output = ()>,
+) -> anyhow::Result<Tally> {
+    let caller = Caller::new(Duration::from_secs(10));
+    let calls: Vec<Call> = (0..CALLS).map(|n| call(&format!("{name}-{n}"))).collect();
+    let sending = calls.iter().enumerate().map(|(number, call)| {
+        let base = fleet.entry_url(number % fleet.entries.len());
+        let caller = &caller;
+        async move { caller.call(&base, call).await }
+    });
+    let (outcomes, ()) = tokio::join!(futures_util::future::join_all(sending), faults);
+    let mut tally = Tally::default();
+    for (call, outcome) in calls.iter().zip(outcomes) {
+        let runs = runs_of(fleet, call).await?;
+        tally.count(call, &outcome, runs);
+    }
+    Ok(tally)
+}
+
+async fn runs_of(fleet: &Fleet, call: &Call) -> anyhow::Result<u32> {
+    let mut runs = 0;
+    for server in &fleet.services {
+        let all = fleet.executions(server).await?;
+        runs += all.by_marker.get(&call.target).map_or(0, |marker| marker.started);
+    }
+    Ok(runs)
+}
+
+impl Tally {
+    fn count(&mut self, call: &Call, outcome: &Outcome, runs: u32) {
+        let is_claim = call.method == "POST";
+        if is_claim {
+            expect_that!(runs, le(1), "{call:?}: {outcome:?}");
+        }
+        match outcome {
+            Outcome::Whole(_) => {
+                self.whole += 1;
+                expect_that!(runs, ge(1), "{call:?}: {outcome:?}");
+            }
+            Outcome::Refused(refused) if refused.verdict == "not-run" => {
+                self.not_run += 1;
+                expect_that!(runs, eq(0), "{call:?}: {outcome:?}");
+            }
+            Outcome::Refused(refused) => {
+                self.unknown += 1;
+                expect_that!(refused.verdict, not(eq("")), "{call:?}: {outcome:?}");
+            }
+            Outcome::Broken(_) => self.broken += 1,
+            Outcome::Wrong(_) => expect_that!(outcome, matches_pattern!(Outcome::Whole(_))),
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn not_run_is_true_while_connections_are_cut() -> anyhow::Result<()> {
+    let fleet = busy_fleet().await?;
+    for (name, call) in [("claim", Call::claim as fn(&str) -> Call), ("lookup", Call::lookup)] {
+        for mode in [Mode::Cut, Mode::Silent] {
+            let faults = async {
+                for server in fleet.services.iter().cycle().take(4) {
+                    tokio::time::sleep(Duration::from_millis(60)).await;
+                    server.front.set_open(mode);
+                    server.back.set_open(mode);
+                }
+            };
+            let tally = round(&fleet, &format!("{name}-{mode:?}"), call, faults).await?;
+            println!("{name} {mode:?}: {tally:?}");
+            expect_that!(tally.whole, gt(0));
+            expect_that!(tally.broken, eq(0));
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn not_run_is_true_while_agents_and_servers_die() -> anyhow::Result<()> {
+    let mut fleet = busy_fleet().await?;
+    let agent = fleet.services.pop();
+    let Some(mut doomed) = agent else {
+        anyhow::bail!("no service");
+    };
+    // The stand-in lives on, so that its executions can be read; its agent dies.
+    let faults = async {
+        tokio::time::sleep(Duration::from_millis(120)).await;
+        doomed.agent.process.kill();
+    };
+    let caller_side = round_with(&fleet, faults).await?;
+    println!("{caller_side:?}");
+    let all = fleet.executions(&doomed).await?;
+    expect_that!(all.by_marker.values().all(|marker| marker.started == 1), eq(true));
+    Ok(())
+}
+
+async fn round_with(fleet: &Fleet, faults: impl Future<Output = ()>) -> anyhow::Result<Tally> {
+    round(fleet, "killed", Call::claim, faults).await
+}
+
+#[gtest]
+#[tokio::test]
+async fn request_that_no_server_can_take_is_refused_at_once() -> anyhow::Result<()> {
+    let mut fleet = busy_fleet().await?;
+    for server in &mut fleet.services {
+        server.agent.process.kill();
+    }
+    let caller = Caller::new(Duration::from_secs(10));
+    let started = std::time::Instant::now();
+    let outcome = caller.call(&fleet.entry_url(0), &Call::claim("nobody")).await;
+    let Outcome::Refused(refused) = &outcome else {
+        anyhow::bail!("{outcome:?}");
+    };
+    expect_that!(refused.verdict, eq("not-run"));
+    expect_that!(refused.retry_after, some(ge(1)));
+    // Given up at once: far from the caller's own deadline.
+    expect_that!(started.elapsed(), lt(Duration::from_secs(5)));
+    Ok(())
+}
