fix: failed attempts reach the entry

Every Failed frame broke the link: the verdict was an internally tagged enum, which postcard can't read. The entry asked for the outcome four times more, got the same bytes, and told the caller 'may have run' with status 502, also where the agent had said 'not run'; nothing was retried. Found by a real-process test whose engine truncates a stream: refused after four reconnects.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -214,7 +214,9 @@
     /// Every process of the system: entries first.
     pub fn nodes(&self) -> impl Iterator<Item = &Node> {
         let servers = self.engines.iter().chain(&self.services);
-        self.entries.iter().chain(servers.map(|server| &server.agent))
+        self.entries
+            .iter()
+            .chain(servers.map(|server| &server.agent))
     }
 
     /// What a stand-in has executed.
--- a/crates/lab/tests/refusals.rs
+++ b/crates/lab/tests/refusals.rs
@@ -58,7 +58,10 @@
     let mut runs = 0;
     for server in &fleet.services {
         let all = fleet.executions(server).await?;
-        runs += all.by_marker.get(&call.target).map_or(0, |marker| marker.started);
+        runs += all
+            .by_marker
+            .get(&call.target)
+            .map_or(0, |marker| marker.started);
     }
     Ok(runs)
 }
@@ -92,7 +95,10 @@
 #[tokio::test]
 async fn not_run_is_true_while_connections_are_cut() -> anyhow::Result<()> {
     let fleet = busy_fleet().await?;
-    for (name, call) in [("claim", Call::claim as fn(&str) -> Call), ("lookup", Call::lookup)] {
+    for (name, call) in [
+        ("claim", Call::claim as fn(&str) -> Call),
+        ("lookup", Call::lookup),
+    ] {
         for mode in [Mode::Cut, Mode::Silent] {
             let faults = async {
                 for server in fleet.services.iter().cycle().take(4) {
@@ -126,7 +132,10 @@
     let caller_side = round_with(&fleet, faults).await?;
     println!("{caller_side:?}");
     let all = fleet.executions(&doomed).await?;
-    expect_that!(all.by_marker.values().all(|marker| marker.started == 1), eq(true));
+    expect_that!(
+        all.by_marker.values().all(|marker| marker.started == 1),
+        eq(true)
+    );
     Ok(())
 }
 
@@ -143,7 +152,9 @@
     }
     let caller = Caller::new(Duration::from_secs(10));
     let started = std::time::Instant::now();
-    let outcome = caller.call(&fleet.entry_url(0), &Call::claim("nobody")).await;
+    let outcome = caller
+        .call(&fleet.entry_url(0), &Call::claim("nobody"))
+        .await;
     let Outcome::Refused(refused) = &outcome else {
         anyhow::bail!("{outcome:?}");
     };
--- a/crates/lab/tests/shutdown.rs
+++ b/crates/lab/tests/shutdown.rs
@@ -109,8 +109,10 @@
 }
 
 fn expect_all_whole(outcomes: &[Outcome]) {
-    let bad: Vec<&Outcome> =
-        outcomes.iter().filter(|outcome| !matches!(outcome, Outcome::Whole(_))).collect();
+    let bad: Vec<&Outcome> = outcomes
+        .iter()
+        .filter(|outcome| !matches!(outcome, Outcome::Whole(_)))
+        .collect();
     expect_that!(outcomes.len(), gt(CALLERS));
     expect_that!(bad, is_empty());
 }
@@ -137,7 +139,9 @@
     started(&fleet, 20).await?;
     fleet.entries[0].process.kill();
     let outcomes = callers.finish().await?;
-    let broken = outcomes.iter().filter(|outcome| matches!(outcome, Outcome::Broken(_)));
+    let broken = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome, Outcome::Broken(_)));
     expect_that!(broken.count(), gt(0));
     Ok(())
 }
@@ -171,7 +175,10 @@
     started(&fleet, 200).await?;
     let last = fleet.executions(leaving).await?.last_start_ms;
     let outcomes = callers.finish().await?;
-    expect_that!(Duration::from_millis(last.saturating_sub(left)), le(LEAVE_BOUND));
+    expect_that!(
+        Duration::from_millis(last.saturating_sub(left)),
+        le(LEAVE_BOUND)
+    );
     expect_all_whole(&outcomes);
     Ok(())
 }
@@ -186,13 +193,19 @@
     fleet.publish_instances().await?;
     let listed = jj_utils::clock::unix_millis();
     let settled = || async {
-        let last = fleet.executions(&fleet.services[0]).await.map_or(u64::MAX, |all| all.last_start_ms);
+        let last = fleet
+            .executions(&fleet.services[0])
+            .await
+            .map_or(u64::MAX, |all| all.last_start_ms);
         jj_utils::clock::unix_millis().saturating_sub(last) > 2 * LEAVE_BOUND.as_millis() as u64
     };
     wait_until("no work for twice the bound", LIMIT, settled).await?;
     let last = fleet.executions(&fleet.services[0]).await?.last_start_ms;
     let outcomes = callers.finish().await?;
-    expect_that!(Duration::from_millis(last.saturating_sub(listed)), le(LEAVE_BOUND));
+    expect_that!(
+        Duration::from_millis(last.saturating_sub(listed)),
+        le(LEAVE_BOUND)
+    );
     expect_all_whole(&outcomes);
     Ok(())
 }
@@ -209,7 +222,10 @@
 async fn all_started(fleet: &Fleet) -> u64 {
     let mut all = 0;
     for server in fleet.engines.iter().chain(&fleet.services) {
-        all += fleet.executions(server).await.map_or(0, |executions| executions.started);
+        all += fleet
+            .executions(server)
+            .await
+            .map_or(0, |executions| executions.started);
     }
     all
 }
@@ -218,6 +234,9 @@
     process: &mut jujube_lab::process::Process,
 ) -> anyhow::Result<std::process::ExitStatus> {
     let gone = std::cell::RefCell::new(process);
-    wait_until("the process to end", LIMIT, || async { !gone.borrow_mut().is_running() }).await?;
+    wait_until("the process to end", LIMIT, || async {
+        !gone.borrow_mut().is_running()
+    })
+    .await?;
     gone.into_inner().wait_exit(LIMIT)
 }
--- a/crates/lab/tests/whole_answer.rs
+++ b/crates/lab/tests/whole_answer.rs
@@ -155,7 +155,10 @@
         async move { caller.chat(&entry, &chat).await }
     });
     let killed = server_of(&fleet, "killed").await?.agent.listed.id.clone();
-    let server = fleet.engines.iter_mut().find(|server| server.agent.listed.id == killed);
+    let server = fleet
+        .engines
+        .iter_mut()
+        .find(|server| server.agent.listed.id == killed);
     if let Some(server) = server {
         server.agent.process.kill();
         server.backend.kill();
--- a/crates/policy/src/verdict.rs
+++ b/crates/policy/src/verdict.rs
@@ -6,7 +6,7 @@
 
 /// Whether a request that failed may have run at a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
-#[serde(tag = "verdict", rename_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// No byte reached a backend server, and none of this attempt ever will.
     #[error("not run; retry after {} ms", retry_after.as_millis())]
