fix: a process that has just started can retry

The retry budget began empty, so that the first ten requests of an entry were given up at their first failure, also where another server was free. It now begins with an advance of eight retries that requests pay back before they add anything: the bound of 1.1 attempts a request holds as before (same test, now with the advance).

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -46,6 +46,7 @@
         lifetime: Duration,
         seed: u64,
     ) -> Self {
+        let retry = RetryConfig::default();
         Self {
             clock,
             client,
@@ -53,8 +54,8 @@
             routing: RoutingConfig::default(),
             lifetime,
             open: Arc::default(),
-            retry: RetryConfig::default(),
-            budget: Mutex::default(),
+            budget: Mutex::new(RetryBudget::with_advance(&retry)),
+            retry,
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         }
     }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -20,6 +20,8 @@
     pub share_milli: u64,
     /// Most retries that the budget can hold; bounds the burst after a quiet time.
     pub burst: u64,
+    /// Retries that a process may make before its requests have paid for them.
+    pub advance: u64,
     /// Most attempts of one request.
     pub max_attempts: u32,
     /// Least time left before the deadline that makes an attempt worth starting.
@@ -35,6 +37,7 @@
         Self {
             share_milli: 100,
             burst: 64,
+            advance: 8,
             max_attempts: 4,
             min_left: Duration::from_millis(20),
             backoff: Duration::from_millis(20),
@@ -47,13 +50,28 @@
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
     balance_milli: u64,
+    /// What requests have yet to pay back of the advance.
+    owed_milli: u64,
 }
 
 impl RetryBudget {
+    /// A budget with the advance, so that a process that has just started can retry. Requests pay
+    /// it back before they add anything: over all requests, the share is never exceeded by it.
+    pub fn with_advance(config: &RetryConfig) -> Self {
+        let advance = config.advance * RETRY_COST_MILLI;
+        Self {
+            balance_milli: advance,
+            owed_milli: advance,
+        }
+    }
+
     /// Counts one request taken in; call once a request, before its first attempt.
     pub fn take_in(&mut self, config: &RetryConfig) {
         let full = config.burst * RETRY_COST_MILLI;
-        self.balance_milli = (self.balance_milli + config.share_milli).min(full);
+        let paid_back = self.owed_milli.min(config.share_milli);
+        self.owed_milli -= paid_back;
+        let added = config.share_milli - paid_back;
+        self.balance_milli = (self.balance_milli + added).min(full);
     }
 
     /// Pays for one retry; false when the budget is spent.
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -79,7 +79,7 @@
 /// Attempts per request when each attempt fails with the share given in percent.
 fn attempts_per_request(config: &RetryConfig, failing: u32, requests: u64) -> f64 {
     let mut rng = Pcg64Mcg::seed_from_u64(11);
-    let mut budget = RetryBudget::default();
+    let mut budget = RetryBudget::with_advance(config);
     let mut total = 0_u64;
     for _ in 0..requests {
         budget.take_in(config);
@@ -119,6 +119,23 @@
     }
 }
 
+#[gtest]
+fn first_request_of_a_process_can_be_retried() {
+    let config = RetryConfig::default();
+    let made = attempts(&[NOT_RUN]);
+    let retry = RetryDecision::Retry {
+        after: Duration::ZERO,
+    };
+    for (mut budget, expected) in [
+        (RetryBudget::with_advance(&config), retry),
+        (RetryBudget::default(), RetryDecision::GiveUp(NOT_RUN)),
+    ] {
+        budget.take_in(&config);
+        let decision = decide(&config, &mut budget, &made, &facts(true), NOW, 0);
+        expect_that!(decision, eq(expected));
+    }
+}
+
 #[gtest]
 fn a_quiet_time_saves_up_no_more_than_the_burst() {
     let config = RetryConfig::default();
