fix: stray and missing tokens, silent engine streams, and agents that leave

Causes, each seen as a failure of a real-process test first: a doubled or crossed token of an engine went through to the caller; a stream whose connection to the engine went silent was held until the caller's deadline; an agent exited as soon as it was idle, so that entries which still took it for live lost connections and had to answer 'may have run'. Tokens are now placed by the engine's index and the request's id; two seconds without a token after the first end the attempt, which is cancelled at the engine and goes on elsewhere; a leaving agent refuses as 'not run' for three seconds, in which heartbeats tell every entry.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -35,6 +35,9 @@
 /// Longest time to open a connection to the backend server, which is on the same instance.
 const BACKEND_CONNECT: Duration = Duration::from_millis(250);
 
+/// Time after SIGTERM in which every entry hears by heartbeat that this agent is leaving.
+const LEAVE_NOTICE: Duration = Duration::from_secs(3);
+
 /// Exit code for wrong settings.
 const EXIT_USAGE: u8 = 2;
 
@@ -151,6 +154,9 @@
     shutdown::requested().await?;
     lifecycle.drain();
     log_event!(events::PROCESS_DRAINING, "agent {instance} draining");
+    // Entries that have not heard of it yet get a refusal and their late answers, not a lost
+    // connection.
+    tokio::time::sleep(LEAVE_NOTICE).await;
     wait_until_idle(&attempts, settings.grace).await;
     token.cancel();
     server.await??;
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -97,6 +97,10 @@
         Ok(finish) => *finish,
         Err(ended) => ended.finish,
     });
+    if result.is_err() && head.call.stream {
+        let (backend, request) = (context.backend.clone(), head.id.request.clone());
+        tokio::spawn(async move { backend.cancel(&request).await });
+    }
     settle_key(guard, result.as_ref().err());
     result.map(|_| ())
 }
--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -8,6 +8,7 @@
     attempt::{AttemptHead, Call},
     frames::{Head, Header},
 };
+use jj_utils::ids::RequestId;
 use reqwest::{Client, Method, RequestBuilder, Response};
 
 use crate::stream::token_events;
@@ -21,6 +22,12 @@
 /// Header with the priority for an engine.
 pub const PRIORITY_HEADER: &str = "x-priority";
 
+/// Path below which an engine takes cancellations.
+const REQUESTS_PATH: &str = "/v1/requests";
+
+/// Longest time to wait for the answer to a cancellation.
+const CANCEL_LIMIT: Duration = Duration::from_secs(1);
+
 /// Headers that belong to one connection and are not passed on.
 const HOP_HEADERS: [&str; 10] = [
     "connection",
@@ -102,7 +109,7 @@
         };
         let whole_stream = head.call.stream && response.status().is_success();
         let parts = if whole_stream {
-            token_events(response)
+            token_events(response, &head.id.request, head.resume)
         } else {
             plain_parts(response)
         };
@@ -112,6 +119,16 @@
         })
     }
 
+    /// Tells an engine that nobody waits for a request any more: over a connection that has gone
+    /// silent it would not notice.
+    pub async fn cancel(&self, request: &RequestId) {
+        let call = self
+            .http
+            .delete(format!("{}{REQUESTS_PATH}/{request}", self.base));
+        // A lost cancellation costs the engine work, and nothing else.
+        let _ = call.timeout(CANCEL_LIMIT).send().await;
+    }
+
     /// Reads a JSON document from the backend server.
     ///
     /// # Errors
--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -1,31 +1,127 @@
 //! Token streams of model engines: server-sent events, one token each, ended by `[DONE]`.
+//!
+//! Engines number the tokens of a stream. A token that comes late, twice, or from the stream of
+//! another request is dropped; a missing one ends the stream as not whole.
+
+use std::{borrow::Cow, time::Duration};
 
 use async_stream::stream;
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
+use jj_utils::{events as log_events, ids::RequestId, log_event};
 use reqwest::Response;
+use serde::Deserialize;
 
-use crate::call::{CallError, Parts};
+use crate::call::{CallError, Parts, REQUEST_ID_HEADER};
 
 /// Data of the event that ends a whole stream.
 pub const DONE: &str = "[DONE]";
 
+/// Longest time between two tokens of one stream before its connection is taken for dead.
+pub const TOKEN_SILENCE: Duration = Duration::from_secs(2);
+
+/// What a chunk says about its place.
+#[derive(Deserialize)]
+struct Mark<'a> {
+    /// Id of the stream.
+    #[serde(borrow, default)]
+    id: Option<Cow<'a, str>>,
+    /// Index of the token, from 0.
+    #[serde(default)]
+    index: Option<u64>,
+}
+
+/// What to do with a chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// The next one: pass it on.
+    Next,
+    /// Late, repeated, or of another stream: drop it.
+    Stray,
+    /// Tokens before it are missing.
+    Gap,
+}
+
+/// Checks that the tokens of one stream are its own, each once and in order.
+#[derive(Debug, Clone)]
+pub struct TokenOrder {
+    /// Id that the stream's chunks end with, where the engine takes ours.
+    id: Option<RequestId>,
+    next: u64,
+}
+
+impl TokenOrder {
+    /// A stream that starts at token `first`; `id` is the request's id if the engine uses it.
+    pub fn new(id: Option<RequestId>, first: u64) -> Self {
+        Self { id, next: first }
+    }
+
+    /// Places a chunk. Chunks without an index count in the order of their arrival.
+    pub fn place(&mut self, chunk: &str) -> Place {
+        let mark = serde_json::from_str(chunk).unwrap_or(Mark {
+            id: None,
+            index: None,
+        });
+        let own = self.id.as_deref().zip(mark.id.as_deref());
+        if own.is_some_and(|(own, given)| !given.ends_with(own)) {
+            return Place::Stray;
+        }
+        match mark.index.unwrap_or(self.next) {
+            index if index < self.next => Place::Stray,
+            index if index > self.next => Place::Gap,
+            _ => {
+                self.next += 1;
+                Place::Next
+            }
+        }
+    }
+}
+
 /// The events of a stream, without the end marker; a stream without it is an error.
-pub fn token_events(response: Response) -> Parts {
+pub fn token_events(response: Response, request: &RequestId, first: u64) -> Parts {
+    let echoed = response.headers().get(REQUEST_ID_HEADER);
+    let is_ours = echoed.is_some_and(|id| id.as_bytes() == request.as_bytes());
+    let mut order = TokenOrder::new(is_ours.then(|| request.clone()), first);
+    let request = request.clone();
     let mut events = response.bytes_stream().eventsource();
+    let mut has_token = false;
     stream! {
-        while let Some(event) = events.next().await {
-            match event {
-                Ok(event) if event.data == DONE => return,
-                Ok(event) => yield Ok(Bytes::from(event.data)),
-                Err(error) => {
+        loop {
+            // The first token may take as long as the request's deadline allows.
+            let next = match has_token {
+                true => tokio::time::timeout(TOKEN_SILENCE, events.next()).await,
+                false => Ok(events.next().await),
+            };
+            match next {
+                Ok(Some(Ok(event))) if event.data == DONE => return,
+                Ok(Some(Ok(event))) => match order.place(&event.data) {
+                    Place::Next => {
+                        has_token = true;
+                        yield Ok(Bytes::from(event.data));
+                    }
+                    Place::Stray => {
+                        log_event!(log_events::ANSWER_DROPPED, "request {request}: stray token dropped");
+                    }
+                    Place::Gap => {
+                        yield Err(CallError::Truncated("tokens are missing".into()));
+                        return;
+                    }
+                },
+                Ok(Some(Err(error))) => {
                     yield Err(CallError::Truncated(error.to_string()));
                     return;
                 }
+                Ok(None) => {
+                    yield Err(CallError::Truncated("no end marker".into()));
+                    return;
+                }
+                Err(_) => {
+                    yield Err(CallError::Truncated("the stream went silent".into()));
+                    return;
+                }
             }
         }
-        yield Err(CallError::Truncated("no end marker".into()));
     }
     .boxed()
 }
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -80,6 +80,11 @@
         let _ = self.child.wait();
     }
 
+    /// Ends it at once (SIGKILL), without waiting for its end.
+    pub fn kill_now(&self) {
+        self.signal(Signal::KILL);
+    }
+
     /// Pauses it (SIGSTOP).
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
--- a/crates/lab/src/standins/engine_api.rs
+++ b/crates/lab/src/standins/engine_api.rs
@@ -125,6 +125,7 @@
         return Response::builder()
             .content_type("text/event-stream")
             .header("cache-control", "no-cache")
+            .header("x-request-id", &job.request)
             .body(Body::from_bytes_stream(stream_tokens(job)));
     }
     whole_answer(job).await
