feat: entries issue idempotency keys and send a keyed request to its home only

A refusal of a keyed request speaks for all tries of the key, so an entry that can't reach the home, and an agent that has not looked into its register, say "may have run" where they said "not run" before.

--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -33,6 +33,9 @@
 /// What a caller is told that uses one key for two requests.
 const CONFLICT: &str = "the idempotency key was used for another request";
 
+/// Reason told when the table of attempts is full.
+const TOO_MANY: &str = "too many attempts";
+
 /// Time to come back when this agent keeps too many attempts.
 const FULL_RETRY: Duration = Duration::from_secs(1);
 
@@ -86,23 +89,13 @@
     let attempt::Attempt { head, body } = attempt;
     if head.id.incarnation != traffic.incarnation {
         let reason = "the attempt was chosen for another life of this agent";
-        return failed(
-            Verdict::NotRun {
-                retry_after: Duration::ZERO,
-            },
-            reason,
-        );
+        return failed(unseen(&head), reason);
     }
     // An attempt so late that its fence may be forgotten must not start.
     let age = traffic.context.clock.now().saturating_sub(head.sent);
     if age > traffic.attempts.max_age() {
         let reason = format!("the attempt arrived {} ms late", age.as_millis());
-        return failed(
-            Verdict::NotRun {
-                retry_after: Duration::ZERO,
-            },
-            &reason,
-        );
+        return failed(unseen(&head), &reason);
     }
     let attempt = traffic.attempts.prepare(head.resume);
     match traffic.keys.claim(&head, &body, &attempt) {
@@ -119,6 +112,16 @@
     }
 }
 
+/// Verdict on an attempt that is refused before its key is looked at.
+fn unseen(head: &AttemptHead) -> Verdict {
+    match head.is_once_only() {
+        true => Verdict::MayHaveRun,
+        false => Verdict::NotRun {
+            retry_after: Duration::ZERO,
+        },
+    }
+}
+
 /// Runs an attempt that is new here.
 fn open(
     traffic: &Traffic,
@@ -146,7 +149,7 @@
         Opened::New(attempt) | Opened::Seen(attempt) => {
             frames_response(traffic, attempt, head.resume)
         }
-        Opened::Full => full(),
+        Opened::Full => failed(unseen(head), TOO_MANY),
     }
 }
 
@@ -155,7 +158,7 @@
         Verdict::NotRun {
             retry_after: FULL_RETRY,
         },
-        "too many attempts",
+        TOO_MANY,
     )
 }
 
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -66,6 +66,12 @@
         [random.next_u64(), random.next_u64()]
     }
 
+    /// A generator of its own for one use.
+    pub fn random(&self) -> Pcg64Mcg {
+        let [high, low] = self.draws();
+        Pcg64Mcg::new(u128::from(high) << 64 | u128::from(low))
+    }
+
     /// Counts one request taken in, which adds to the retry budget.
     pub fn take_in(&self) {
         self.lock_budget().take_in(&self.retry);
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -50,6 +50,8 @@
     context: Arc<Context>,
     request: CallerRequest,
     routed: Routed,
+    /// The only agent that may run it, for a request with an idempotency key.
+    home: Option<Agent>,
     id: RequestId,
     due: Timestamp,
     number: AttemptId,
@@ -89,7 +91,12 @@
 
 impl Forward {
     /// A request that has just arrived.
-    pub fn new(context: Arc<Context>, request: CallerRequest, routed: Routed) -> Self {
+    pub fn new(
+        context: Arc<Context>,
+        request: CallerRequest,
+        routed: Routed,
+        home: Option<Agent>,
+    ) -> Self {
         let id = context.request_id();
         let due = context.clock.now() + routed.timeout;
         context.take_in();
@@ -97,6 +104,7 @@
             context,
             request,
             routed,
+            home,
             id,
             due,
             number: 0,
@@ -252,6 +260,9 @@
     }
 
     fn has_untried(&self, now: Timestamp) -> bool {
+        if self.home.is_some() {
+            return false;
+        }
         let view = self.context.view.load();
         view.agents_of(&self.routed.service).any(|agent| {
             agent.state.may_take_work()
@@ -316,6 +327,9 @@
     }
 
     fn choose(&self) -> Result<Agent, Refusal> {
+        if let Some(home) = &self.home {
+            return Ok(home.clone());
+        }
         let now = self.context.clock.now();
         let view = self.context.view.load();
         if !view.permit.is_some_and(|permit| permit.holds(now)) {
@@ -387,7 +401,8 @@
     }
 }
 
-fn candidate(agent: &Agent) -> Candidate<'_> {
+/// An agent as routing takes it.
+pub fn candidate(agent: &Agent) -> Candidate<'_> {
     Candidate {
         id: &agent.id,
         state: agent.state,
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -8,7 +8,13 @@
 use poem::http::StatusCode;
 use serde_json::json;
 
-use crate::{context::Context, control::CALLER_GROUPS, forward::Forward, routes};
+use crate::{
+    context::Context,
+    control::CALLER_GROUPS,
+    forward::Forward,
+    keys::{self, KEYS_PATH},
+    routes,
+};
 
 /// Path at which callers ask which addresses to use.
 const ADDRESSES_PATH: &str = "/v1/addresses";
@@ -37,11 +43,22 @@
         return Ok(models(published));
     }
     if request.path == MODELS_PATH || request.path == ADDRESSES_PATH {
-        let detail = format!("{} allows GET only", request.path);
-        return Err(Refusal::invalid(StatusCode::METHOD_NOT_ALLOWED, detail));
+        return Err(wrong_method(&request.path, "GET"));
+    }
+    if request.path == KEYS_PATH {
+        return match request.method.as_str() {
+            "POST" => keys::issue(&context, published, &request),
+            _ => Err(wrong_method(KEYS_PATH, "POST")),
+        };
     }
     let routed = routes::resolve(published, &request)?;
-    Forward::new(context, request, routed).run().await
+    let home = keys::home(&view, &routed, &request)?;
+    Forward::new(context, request, routed, home).run().await
+}
+
+fn wrong_method(path: &str, allowed: &str) -> Refusal {
+    let detail = format!("{path} allows {allowed} only");
+    Refusal::invalid(StatusCode::METHOD_NOT_ALLOWED, detail)
 }
 
 /// Addresses for the caller; one caller gets the same ones while the entries stay the same.
--- /dev/null
+++ b/crates/entry/src/keys.rs
@@ -0,0 +1,126 @@
+//! Idempotency keys at an entry: issues them, and finds the home of a request that carries one.
+//!
+//! A key names the only life of the only agent that may run its request, so entries need not agree
+//! on anything: a request goes to that home or nowhere.
+
+use jj_caller::{answer::Answer, problem::Refusal, request::CallerRequest};
+use jj_operator::published::Published;
+use jj_policy::{
+    keys::{AgentLife, IssuedKey, KeyError, KeyHome, OnceKey, key_home},
+    routing::{self, RequestFacts},
+    verdict::Verdict,
+};
+use poem::http::StatusCode;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::{
+    context::Context,
+    forward::candidate,
+    routes::{self, Routed},
+    view::{Agent, View},
+};
+
+/// Path at which callers ask for a key.
+pub const KEYS_PATH: &str = "/v1/keys";
+
+/// The request that a key is for.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KeyRequest {
+    method: String,
+    path: String,
+}
+
+/// Issues a key for a request that the caller is about to make.
+///
+/// # Errors
+/// When the body is malformed, no service declares the request, or no agent takes new work.
+pub fn issue(
+    context: &Context,
+    published: &Published,
+    request: &CallerRequest,
+) -> Result<Answer, Refusal> {
+    let wanted: KeyRequest = serde_json::from_slice(&request.body).map_err(|error| {
+        let detail = format!("the body must be {{\"method\": ..., \"path\": ...}}: {error}");
+        Refusal::invalid(StatusCode::BAD_REQUEST, detail)
+    })?;
+    let meant = CallerRequest {
+        method: wanted.method,
+        path: wanted.path,
+        ..request.clone()
+    };
+    let routed = routes::resolve(published, &meant)?;
+    let home = choose_home(context, &routed)?;
+    let key = IssuedKey::issue(home, &mut context.random());
+    Ok(Answer::json(
+        &json!({ "key": key.to_string(), "service": routed.service }),
+    ))
+}
+
+fn choose_home(context: &Context, routed: &Routed) -> Result<AgentLife, Refusal> {
+    let now = context.clock.now();
+    let view = context.view.load();
+    let agents: Vec<&Agent> = view.agents_of(&routed.service).collect();
+    let candidates: Vec<_> = agents.iter().map(|agent| candidate(agent)).collect();
+    let facts = RequestFacts {
+        prefix: None,
+        prefill: std::time::Duration::ZERO,
+        deadline: now + routed.timeout,
+        tried: &[],
+    };
+    let choice = routing::choose(&context.routing, &candidates, &facts, now, context.draws());
+    let choice = choice.map_err(|none| {
+        let verdict = Verdict::NotRun {
+            retry_after: none.retry_after,
+        };
+        Refusal::given_up(verdict, none.to_string())
+    })?;
+    Ok(life(agents[choice.index]))
+}
+
+/// Home of a once-only request; none for one that has no key or may be repeated.
+///
+/// # Errors
+/// "Not run" when the key is not one of ours, which no agent runs; "may have run" when the home's
+/// life is over.
+pub fn home(
+    view: &View,
+    routed: &Routed,
+    request: &CallerRequest,
+) -> Result<Option<Agent>, Refusal> {
+    let Some(text) = request.key.as_ref().filter(|_| !routed.idempotent) else {
+        return Ok(None);
+    };
+    let key = match text.parse::<OnceKey>() {
+        Ok(OnceKey::Issued(key)) => key,
+        Ok(OnceKey::CallerMade(_)) => return Err(unknown_key("the key was not issued here")),
+        Err(error) => return Err(malformed_key(&error)),
+    };
+    let lives: Vec<AgentLife> = view.agents_of(&routed.service).map(life).collect();
+    let KeyHome::At(home) = key_home(&key, &lives) else {
+        let detail = "the agent that could tell what came of the key is gone";
+        return Err(Refusal::given_up(Verdict::MayHaveRun, detail));
+    };
+    let agent = view.agent(&home.agent).cloned();
+    Ok(agent.map(|agent| Agent {
+        incarnation: home.incarnation,
+        ..agent
+    }))
+}
+
+fn life(agent: &Agent) -> AgentLife {
+    AgentLife {
+        agent: agent.id.clone(),
+        incarnation: agent.incarnation,
+    }
+}
+
+fn malformed_key(error: &KeyError) -> Refusal {
+    unknown_key(&error.to_string())
+}
+
+fn unknown_key(reason: &str) -> Refusal {
+    let detail = format!("{reason}; POST {KEYS_PATH} with method and path issues one");
+    Refusal::invalid(StatusCode::UNPROCESSABLE_ENTITY, detail)
+}
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -51,7 +51,7 @@
         let mut link = Link::new(target, head);
         let connection = match first {
             Ok(connection) => Some(connection),
-            Err(error) => match refusal(&error) {
+            Err(error) => match refusal(&error, &link.head) {
                 Some(failure) => {
                     link.note_refusal(&error);
                     yield Frame::Failed(failure);
@@ -112,18 +112,20 @@
     Ok(target.client.send(target.addr, head, body).await?.boxed())
 }
 
-/// The failure of a first connection over which nothing can have run.
-fn refusal(error: &LinkError) -> Option<Failure> {
+/// The failure of a first connection over which nothing can have run. With an idempotency key an
+/// earlier try may have run, and only its home can tell.
+fn refusal(error: &LinkError, head: &AttemptHead) -> Option<Failure> {
     let retry_after = match error {
         LinkError::Unreachable(_) => UNREACHABLE_RETRY,
         LinkError::Status(status) if (400..500).contains(status) => Duration::ZERO,
         LinkError::Attempt(_) => Duration::ZERO,
         _ => return None,
     };
-    Some(Failure::new(
-        Verdict::NotRun { retry_after },
-        error.to_string(),
-    ))
+    let verdict = match head.is_once_only() {
+        true => Verdict::MayHaveRun,
+        false => Verdict::NotRun { retry_after },
+    };
+    Some(Failure::new(verdict, error.to_string()))
 }
 
 /// Progress of one attempt.
--- a/crates/peer/src/attempt.rs
+++ b/crates/peer/src/attempt.rs
@@ -45,6 +45,14 @@
     }
 }
 
+impl AttemptHead {
+    /// True for a request that may not be repeated and carries an idempotency key: earlier tries
+    /// of the same key count too when a verdict is told.
+    pub fn is_once_only(&self) -> bool {
+        self.key.is_some() && !self.idempotent
+    }
+}
+
 common_derives! {wire:
     /// Names one attempt at one life of one agent.
     #[derive(Eq, Hash)]
