fix(agent): a stream whose first token never comes leaves time for another attempt

A third of the deadline without a first token ends the attempt: a connection to the engine that went silent before it held the request to its end (504, may have run).

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -11,7 +11,7 @@
 use jj_utils::ids::RequestId;
 use reqwest::{Client, Method, RequestBuilder, Response};
 
-use crate::stream::token_events;
+use crate::stream::{first_token_limit, token_events};
 
 /// Header that names the request towards the backend server.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -101,15 +101,22 @@
     /// # Errors
     /// [`CallError::Unreachable`] and [`CallError::Malformed`] when no byte was sent.
     pub async fn call(&self, head: &AttemptHead, body: Bytes) -> Result<BackendAnswer, CallError> {
-        let request = self.request(head)?.body(body);
-        let response = request.send().await.map_err(classify)?;
+        let sending = self.request(head)?.body(body).send();
+        let first_limit = first_token_limit(head.deadline);
+        let response = if head.call.stream {
+            let sent = tokio::time::timeout(first_limit, sending).await;
+            sent.map_err(|_| CallError::Truncated("no answer in time".into()))?
+        } else {
+            sending.await
+        };
+        let response = response.map_err(classify)?;
         let answer = Head {
             status: response.status().as_u16(),
             headers: kept_headers(&response),
         };
         let whole_stream = head.call.stream && response.status().is_success();
         let parts = if whole_stream {
-            token_events(response, &head.id.request, head.resume)
+            token_events(response, &head.id.request, head.resume, first_limit)
         } else {
             plain_parts(response)
         };
--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -21,6 +21,14 @@
 /// Longest time between two tokens of one stream before its connection is taken for dead.
 pub const TOKEN_SILENCE: Duration = Duration::from_secs(2);
 
+/// Attempts that fit into a request's deadline when each waits in vain for its first token.
+const FIRST_TOKEN_SHARE: u32 = 3;
+
+/// Longest wait for the first token, so that time is left for another attempt.
+pub fn first_token_limit(deadline: Duration) -> Duration {
+    (deadline / FIRST_TOKEN_SHARE).max(TOKEN_SILENCE)
+}
+
 /// What a chunk says about its place.
 #[derive(Deserialize)]
 struct Mark<'a> {
@@ -79,25 +87,25 @@
 }
 
 /// The events of a stream, without the end marker; a stream without it is an error.
-pub fn token_events(response: Response, request: &RequestId, first: u64) -> Parts {
+pub fn token_events(
+    response: Response,
+    request: &RequestId,
+    first: u64,
+    first_limit: Duration,
+) -> Parts {
     let echoed = response.headers().get(REQUEST_ID_HEADER);
     let is_ours = echoed.is_some_and(|id| id.as_bytes() == request.as_bytes());
     let mut order = TokenOrder::new(is_ours.then(|| request.clone()), first);
     let request = request.clone();
     let mut events = response.bytes_stream().eventsource();
-    let mut has_token = false;
+    let mut limit = first_limit;
     stream! {
         loop {
-            // The first token may take as long as the request's deadline allows.
-            let next = match has_token {
-                true => tokio::time::timeout(TOKEN_SILENCE, events.next()).await,
-                false => Ok(events.next().await),
-            };
-            match next {
+            match tokio::time::timeout(limit, events.next()).await {
                 Ok(Some(Ok(event))) if event.data == DONE => return,
                 Ok(Some(Ok(event))) => match order.place(&event.data) {
                     Place::Next => {
-                        has_token = true;
+                        limit = TOKEN_SILENCE;
                         yield Ok(Bytes::from(event.data));
                     }
                     Place::Stray => {
