--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -14,7 +14,10 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use crate::{publication::API_KEY, tokens};
+use crate::{
+    publication::{API_KEY, MODEL},
+    tokens,
+};
 
 /// Header with the caller's deadline, in milliseconds.
 const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
@@ -27,6 +30,8 @@
 pub struct Caller {
     client: Client,
     timeout: Duration,
+    key: String,
+    model: String,
 }
 
 /// How a request ended, as its caller sees it.
@@ -51,7 +56,7 @@
     pub total: Duration,
     /// Tokens in it.
     pub tokens: u32,
-    /// The body of a plain answer.
+    /// The body of a plain answer, or the text of a completion.
     pub body: String,
 }
 
@@ -117,9 +122,9 @@
         self
     }
 
-    fn body(&self) -> serde_json::Value {
+    fn body(&self, model: &str) -> serde_json::Value {
         json!({
-            "model": "stand-in",
+            "model": model,
             "messages": [{"role": "user", "content": self.prompt}],
             "stream": self.stream,
             "max_tokens": self.tokens,
@@ -206,9 +211,19 @@
         Self {
             client: client.unwrap_or_default(),
             timeout,
+            key: API_KEY.to_owned(),
+            model: MODEL.to_owned(),
         }
     }
 
+    /// The same with another account's API key, asking for another model.
+    #[must_use]
+    pub fn with_account(mut self, key: &str, model: &str) -> Self {
+        self.key = key.to_owned();
+        self.model = model.to_owned();
+        self
+    }
+
     /// Asks an entry which addresses to use.
     ///
     /// # Errors
@@ -228,9 +243,9 @@
         let mut request = self
             .client
             .post(format!("{base}/v1/chat/completions"))
-            .bearer_auth(API_KEY)
+            .bearer_auth(&self.key)
             .header(TIMEOUT_HEADER, self.timeout.as_millis() as u64)
-            .json(&chat.body());
+            .json(&chat.body(&self.model));
         if let Some(id) = &chat.last_event {
             request = request.header("last-event-id", id);
         }
@@ -255,7 +270,7 @@
         let mut request = self
             .client
             .request(method, format!("{base}{}", call.target))
-            .bearer_auth(API_KEY)
+            .bearer_auth(&self.key)
             .header(TIMEOUT_HEADER, self.timeout.as_millis() as u64)
             .body(call.body.clone());
         if let Some(key) = &call.key {
@@ -324,6 +339,7 @@
     let mut next = chat.first;
     let mut first = None;
     let mut last_event = None;
+    let mut answer_text = String::new();
     loop {
         while let Some(event) = take_event(&mut buffer) {
             if event.is_error {
@@ -331,14 +347,15 @@
             }
             if event.data == DONE {
                 return match next == chat.tokens {
-                    true => whole(first, started, next, String::new()),
+                    true => whole(first, started, next, answer_text),
                     false => Outcome::Wrong(format!("ended after {next} of {}", chat.tokens)),
                 };
             }
-            let text = chunk_text(&event.data);
-            if text != Some(tokens::token(hash, next)) {
+            let expected = tokens::token(hash, next);
+            if chunk_text(&event.data).as_ref() != Some(&expected) {
                 return Outcome::Wrong(format!("token {next}: {}", event.data));
             }
+            answer_text.push_str(&expected);
             first.get_or_insert_with(|| started.elapsed());
             last_event = event.id.or(last_event);
             next += 1;
--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -53,6 +53,11 @@
             /// Where tests set its mode.
             required --control addr: SocketAddr
         }
+        /// Runs the main job with stand-ins on loopback and prints the whole answers.
+        cmd demo {
+            /// Directory of the operators' files; examples/hangang by default.
+            optional --examples dir: PathBuf
+        }
         /// Sends load and checks each answer.
         cmd load {
             /// Base URL of an entry or of a stand-in; may be given again.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,16 +1,16 @@
 //! A small fleet of real processes around the stand-in platform.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use anyhow::{Context, ensure};
 use jj_platform::wire::{Instance, InstanceList, Role};
-use jj_utils::ids::ConfigIndex;
+use jj_utils::ids::{ConfigIndex, FailureDomainId};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     process::{Process, free_addr, wait_until},
     publication::{DOMAINS, MODEL_SERVICE, PLAIN_SERVICE, Publication},
-    publish,
+    publish::{publish, publish_directory},
     relay::Relay,
     standins::{
         faults::{ControlRequest, Fault},
@@ -46,6 +46,10 @@
     pub entry_flags: Vec<String>,
     /// The configuration.
     pub publication: Publication,
+    /// Operators' files to publish in its place; they declare the same services.
+    pub directory: Option<PathBuf>,
+    /// Failure domains, which the instances fill in turn.
+    pub domains: Vec<FailureDomainId>,
 }
 
 impl Default for FleetConfig {
@@ -62,6 +66,8 @@
             agent_flags: Vec::new(),
             entry_flags: Vec::new(),
             publication: Publication::default(),
+            directory: None,
+            domains: DOMAINS.map(str::to_owned).to_vec(),
         }
     }
 }
@@ -138,8 +144,7 @@
             cancel: CancellationToken::new(),
         };
         fleet.wait_answer(&format!("http://{addr}/calls")).await?;
-        let publication = fleet.config.publication.clone();
-        fleet.publish(&publication).await?;
+        fleet.publish_first().await?;
         for number in 0..fleet.config.engines {
             let server = fleet.start_server(number, "engine").await?;
             fleet.engines.push(server);
@@ -164,12 +169,19 @@
         format!("http://{}", self.entries[number].listed.traffic)
     }
 
+    async fn publish_first(&self) -> anyhow::Result<ConfigIndex> {
+        match &self.config.directory {
+            Some(files) => publish_directory(&self.client, &self.platform_url, files).await,
+            None => self.publish(&self.config.publication).await,
+        }
+    }
+
     /// Publishes a configuration.
     ///
     /// # Errors
     /// When the platform does not take it.
     pub async fn publish(&self, publication: &Publication) -> anyhow::Result<ConfigIndex> {
-        publish::publish(&self.client, &self.platform_url, &publication.bundle()?).await
+        publish(&self.client, &self.platform_url, &publication.bundle()?).await
     }
 
     /// Puts the live list as it is now; instances marked as leaving stay in it.
@@ -340,7 +352,7 @@
         Ok(Instance {
             id,
             role,
-            domain: DOMAINS[number % DOMAINS.len()].to_owned(),
+            domain: self.config.domains[number % self.config.domains.len()].clone(),
             service: service.to_owned(),
             traffic,
             control: free_addr()?,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, load, fault injection and experiments; never shipped.
 
 pub mod caller;
+pub mod demo;
 pub mod experiments;
 pub mod fleet;
 pub mod http;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 
 use flags::{BenchCmd, JujubeLab, JujubeLabCmd};
 use jujube_lab::{
+    demo,
     load::{self, LoadConfig, Work},
     path_bench::{self, PathBenchConfig},
     publish, relay,
@@ -42,6 +43,10 @@
         JujubeLabCmd::Platform(flags) => {
             until_ended(platform::serve(flags.addr, cancel.clone()), cancel).await
         }
+        JujubeLabCmd::Demo(flags) => {
+            let examples = flags.examples.unwrap_or_else(|| "examples/hangang".into());
+            demo::run(&examples).await
+        }
         JujubeLabCmd::Load(flags) => run_load(flags).await,
         JujubeLabCmd::Bench(flags) => run_bench(flags).await,
         JujubeLabCmd::Publish(flags) => {
--- a/crates/lab/src/publication.rs
+++ b/crates/lab/src/publication.rs
@@ -16,6 +16,9 @@
 /// Name of the plain service in [`Publication::default`].
 pub const PLAIN_SERVICE: &str = "desk";
 
+/// Model of the model service in [`Publication::default`].
+pub const MODEL: &str = "stand-in";
+
 /// API key of the client account in [`Publication::default`].
 pub const API_KEY: &str = "members-key";
 
@@ -87,7 +90,7 @@
     ServiceDocument {
         service: MODEL_SERVICE.to_owned(),
         kind: ServiceKind::Model,
-        models: vec!["stand-in".to_owned()],
+        models: vec![MODEL.to_owned()],
         routes: vec![
             route("POST", "/v1/chat/completions", true),
             route("POST", "/v1/completions", true),
