--- /dev/null
+++ b/crates/lab/src/experiments/domain.rs
@@ -0,0 +1,254 @@
+//! A failure domain leaves, announced or cut without notice, and returns cold; and half the model
+//! servers vanish at full load.
+
+use std::{fmt::Write, ops::Range, time::Duration};
+
+use jj_policy::routing::RoutingConfig;
+use plotters::prelude::{
+    BLACK, ChartBuilder, Color, IntoDrawingArea, IntoFont, LineSeries, Palette, Palette99,
+    PathElement, SVGBackend, WHITE,
+};
+
+use super::queueing::{
+    fleet::{Fault, RunConfig, run as simulate},
+    outcome::{Ended, Outcome, attempts, first_token, percent},
+    router::Method,
+    traffic::{Service, Workload, generate, hangang, kalahari},
+};
+
+/// When the failure domain leaves and returns.
+const LEAVES: u64 = 60;
+const RETURNS: u64 = 100;
+const END: u64 = 160;
+
+/// Time after which a fault counts as detected: silent attempts are given up, and the retries of
+/// what was in flight are done.
+const DETECTED: u64 = LEAVES + 8;
+
+/// Least part of the goodput before a fault that counts as being back.
+const BACK: f64 = 0.95;
+
+struct Scenario {
+    name: &'static str,
+    faults: Vec<(Duration, Fault)>,
+    /// Factor on the load: what is left of the fleet must be able to bear it.
+    load: f64,
+}
+
+fn at(second: u64, fault: Fault) -> (Duration, Fault) {
+    (Duration::from_secs(second), fault)
+}
+
+fn scenarios() -> Vec<Scenario> {
+    let scenario = |name, leave, back, load| Scenario {
+        name,
+        faults: vec![at(LEAVES, leave), at(RETURNS, back)],
+        load,
+    };
+    vec![
+        scenario("announced", Fault::Withdraw(1), Fault::Return(1), 0.8),
+        scenario("cut without notice", Fault::Cut(1), Fault::Return(1), 0.8),
+    ]
+}
+
+/// The windows of the tables.
+fn windows() -> Vec<(&'static str, Range<Duration>)> {
+    let span = |from: u64, until: u64| Duration::from_secs(from)..Duration::from_secs(until);
+    vec![
+        ("before", span(40, LEAVES)),
+        ("leaving", span(LEAVES, DETECTED)),
+        ("gone", span(DETECTED, RETURNS)),
+        ("returning, cold", span(RETURNS, RETURNS + 20)),
+        ("after", span(RETURNS + 20, END - 10)),
+    ]
+}
+
+fn scaled(workload: Workload, load: f64) -> Workload {
+    Workload {
+        model_rate: workload.model_rate * load,
+        desk_rate: workload.desk_rate * load,
+        length: Duration::from_secs(END),
+        ..workload
+    }
+}
+
+fn outcome(
+    workload: &Workload,
+    faults: &[(Duration, Fault)],
+    method: Method,
+    seed: u64,
+) -> Outcome {
+    let config = RunConfig {
+        method,
+        routing: RoutingConfig::default(),
+        workload: workload.clone(),
+        faults: faults.to_vec(),
+        seed,
+        single_queue: false,
+    };
+    simulate(&config, &generate(workload, seed))
+}
+
+/// Tables of both experiments, in Markdown.
+pub fn run(seed: u64) -> String {
+    let mut text = String::new();
+    for scenario in scenarios() {
+        for workload in [hangang(), kalahari()] {
+            let workload = scaled(workload, scenario.load);
+            let _ = writeln!(text, "### {}, {}\n", workload.name, scenario.name);
+            text.push_str(
+                "| method | window | idempotent failed | once-only failed | late or failed % \
+                 | first token p99 ms | load over what is borne | attempts |\n\
+                 |---|---|---|---|---|---|---|---|\n",
+            );
+            for method in [Method::RoundRobin, Method::HotCold, Method::Policy] {
+                let outcome = outcome(&workload, &scenario.faults, method, seed);
+                for (name, window) in windows() {
+                    text.push_str(&row(&outcome, method, name, window));
+                }
+            }
+            text.push('\n');
+        }
+    }
+    text.push_str(&overload(seed));
+    text
+}
+
+/// A request without a whole answer, in time or not.
+fn is_failed(ended: &Ended) -> bool {
+    !ended.whole
+}
+
+fn row(outcome: &Outcome, method: Method, name: &str, window: Range<Duration>) -> String {
+    let all = outcome.within(window.clone(), |_| true);
+    let model = outcome.within(window.clone(), |e| e.service == Service::Model);
+    let failed = |idempotent: bool| {
+        let matching = all.iter().filter(|e| e.idempotent == idempotent);
+        matching.filter(|e| is_failed(e)).count()
+    };
+    format!(
+        "| {} | {name} | {} | {} | {:.2} | {:.0} | {:.2} | {:.3} |\n",
+        method.name(),
+        failed(true),
+        failed(false),
+        percent(&all, |e| !e.in_time),
+        first_token(&model, 0.99),
+        outcome.strain(window),
+        attempts(&all),
+    )
+}
+
+/// Half the model servers vanish at full load and are back cold after 30 s.
+fn overload(seed: u64) -> String {
+    let mut text = String::from(
+        "### Half the model servers gone at full load, back cold after 30 s\n\n\
+         | deployment | method | goodput before /s | during | after | s to 95% after warm-up \
+         | attempts during |\n|---|---|---|---|---|---|---|\n",
+    );
+    for workload in [hangang(), kalahari()] {
+        let workload = scaled(workload, 1.2);
+        for method in [Method::RoundRobin, Method::HotCold, Method::Policy] {
+            text.push_str(&overload_row(&workload, method, seed));
+        }
+    }
+    text
+}
+
+const LOST_SERVERS: usize = 8;
+const LOST_AT: u64 = 60;
+const RESTORED_AT: u64 = 90;
+/// When the restored servers are warm.
+const WARM_AT: u64 = RESTORED_AT + 15;
+
+fn overload_row(workload: &Workload, method: Method, seed: u64) -> String {
+    let faults = [
+        at(LOST_AT, Fault::Lose(LOST_SERVERS)),
+        at(RESTORED_AT, Fault::Restore(LOST_SERVERS)),
+    ];
+    let outcome = outcome(workload, &faults, method, seed);
+    let span = |from: u64, until: u64| Duration::from_secs(from)..Duration::from_secs(until);
+    let goodput = |from: u64, until: u64| {
+        let model = outcome.within(span(from, until), |e| {
+            e.service == Service::Model && e.in_time
+        });
+        model.len() as f64 / (until - from) as f64
+    };
+    let before = goodput(40, LOST_AT);
+    let is_back = |second: &u64| goodput(*second, second + 3) >= BACK * before;
+    let back = (WARM_AT..END - 13).find(is_back);
+    let during = outcome.within(span(LOST_AT, RESTORED_AT), |e| e.service == Service::Model);
+    format!(
+        "| {} | {} | {before:.1} | {:.1} | {:.1} | {} | {:.3} |\n",
+        workload.name,
+        method.name(),
+        goodput(LOST_AT + 2, RESTORED_AT),
+        goodput(WARM_AT + 5, END - 10),
+        back.map_or("never".to_owned(), |at| (at - WARM_AT).to_string()),
+        attempts(&during),
+    )
+}
+
+/// Whole answers in time each second while the failure domain leaves and returns, as SVG.
+///
+/// An empty text when the drawing fails.
+pub fn plot(seed: u64) -> String {
+    let mut lines = Vec::new();
+    for scenario in scenarios() {
+        for workload in [hangang(), kalahari()] {
+            let workload = scaled(workload, scenario.load);
+            let outcome = outcome(&workload, &scenario.faults, Method::Policy, seed);
+            let name = format!("{}, {}", workload.name, scenario.name);
+            lines.push((name, served(&outcome)));
+        }
+    }
+    draw(&lines).unwrap_or_default()
+}
+
+/// Share in percent of each second's requests that were answered in time.
+fn served(outcome: &Outcome) -> Vec<(f64, f64)> {
+    let second = |second: u64| {
+        let window = Duration::from_secs(second)..Duration::from_secs(second + 1);
+        let all = outcome.within(window, |_| true);
+        (second as f64, percent(&all, |e| e.in_time))
+    };
+    (40..END - 10).map(second).collect()
+}
+
+fn draw(lines: &[(String, Vec<(f64, f64)>)]) -> anyhow::Result<String> {
+    let mut svg = String::new();
+    let area = SVGBackend::with_string(&mut svg, (900, 420)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(
+            "Requests answered in time (failure domain gone from 60 s to 100 s)",
+            ("sans-serif", 16).into_font(),
+        )
+        .margin(10)
+        .x_label_area_size(35)
+        .y_label_area_size(45)
+        .build_cartesian_2d(40.0..(END - 10) as f64, 0.0..102.0)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc("% in time")
+        .draw()?;
+    for (index, (name, points)) in lines.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        chart
+            .draw_series(LineSeries::new(
+                points.iter().copied(),
+                color.stroke_width(2),
+            ))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    area.present()?;
+    drop(chart);
+    drop(area);
+    Ok(svg)
+}
--- a/crates/node/src/operator_port.rs
+++ b/crates/node/src/operator_port.rs
@@ -22,7 +22,12 @@
 ) -> anyhow::Result<()> {
     let metrics = port::install_metrics()?;
     let listener = TcpListener::bind(addr).await?;
-    let context = PortContext { metrics, readiness, status, audit };
+    let context = PortContext {
+        metrics,
+        readiness,
+        status,
+        audit,
+    };
     tokio::spawn(port::serve_on(listener, context, token));
     Ok(())
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fairness;
 pub mod keys;
 pub mod limit;
+pub mod load;
 pub mod membership;
 pub mod once;
 pub mod orphans;
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -4,12 +4,22 @@
 //! time to the first token. Reports of load are stale, so each is corrected by this process's own
 //! requests since and pulled towards the mean of all reports as it ages: a stale report of an idle
 //! server then cannot draw every entry to it at once.
+//!
+//! Each client account has a shard of the servers. An account that floods, by its part of this
+//! process's requests in flight, may fill its shard; beyond it may use only servers that are not
+//! busy, so that it leaves the other accounts room there.
 
 use std::time::Duration;
 
 use jj_utils::{clock::Timestamp, common_derives};
 
-use crate::{membership::MemberState, rendezvous};
+pub use crate::load::LoadReport;
+use crate::{
+    load::{Estimate, FleetMean},
+    membership::MemberState,
+    rendezvous,
+    subset::{self, Node},
+};
 
 /// Hash of a prompt's shared beginning.
 pub type PrefixHash = u64;
@@ -29,6 +39,14 @@
     pub load_bound: f64,
     /// Probability that the prefix home holds the prefix when no event says so.
     pub home_hit: f64,
+    /// An account's shard is this multiple of its share of the servers.
+    pub shard_factor: f64,
+    /// Fewest servers in an account's shard.
+    pub shard_least: usize,
+    /// An account with more than this multiple of its share of the requests in flight floods.
+    pub flood_factor: f64,
+    /// Utilisation up to which an account that floods may use servers outside its shard.
+    pub spill_below: f64,
     /// Wait told to the caller when no candidate may take work.
     pub retry_after: Duration,
 }
@@ -42,32 +60,22 @@
             contention: 0.2,
             load_bound: 1.25,
             home_hit: 0.5,
+            shard_factor: 3.0,
+            shard_least: 3,
+            flood_factor: 4.0,
+            spill_below: 0.6,
             retry_after: Duration::from_secs(1),
         }
     }
 }
 
-common_derives! {copy:
-    /// Load of one backend server, as its agent last reported it.
-    pub struct LoadReport {
-        /// Requests running at the backend server.
-        pub in_flight: u32,
-        /// Requests waiting in the agent.
-        pub queued: u32,
-        /// Concurrent requests that the agent admits now; low while the server is cold.
-        pub limit: u32,
-        /// Smoothed time from admission to the end of a request.
-        pub service: Duration,
-        /// When the report arrived here.
-        pub at: Timestamp,
-    }
-}
-
 /// One backend server that may be chosen.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate<'a> {
     /// Name of the backend server.
     pub id: &'a str,
+    /// Its failure domain.
+    pub domain: &'a str,
     /// What membership believes of its agent.
     pub state: MemberState,
     /// One-way time to its failure domain.
@@ -87,6 +95,12 @@
 pub struct RequestFacts<'a> {
     /// Shared prefix, if the request has one.
     pub prefix: Option<PrefixHash>,
+    /// Hash of the client account's name.
+    pub account: u64,
+    /// Weight of the account over the sum of all weights; 1 where accounts don't matter.
+    pub share: f64,
+    /// Part of this process's requests in flight for the service that are the account's.
+    pub used: f64,
     /// Time that a cached prefix saves.
     pub prefill: Duration,
     /// When the answer is worth nothing any more.
@@ -140,215 +154,163 @@
     now: Timestamp,
     draws: [u64; 2],
 ) -> Result<Choice, Unavailable> {
-    let open = open_candidates(candidates, request, now);
+    let taking = taking_work(candidates);
+    let reports = taking.iter().filter_map(|&i| candidates[i].report);
+    let decision = Decision {
+        config,
+        candidates,
+        request,
+        now,
+        fleet: FleetMean::of(config, reports),
+    };
+    let open = decision.open(&taking);
     if open.is_empty() {
-        let retry_after = first_opening(config, candidates, request, now);
+        let retry_after = decision.first_opening(&taking);
         return Err(Unavailable { retry_after });
     }
-    let fleet = FleetMean::of(config, candidates, &open);
-    let expected = |index: usize| {
-        let server = &candidates[index];
-        expected_time(config, server, server.prefix_hit, request, &fleet, now)
-    };
-
-    let [first, second] = two_draws(&open, draws);
-    let mut best = Choice {
-        index: first,
-        expected: expected(first),
-        reason: ChoiceReason::Drawn,
-    };
-    best = faster(best, second, expected(second), ChoiceReason::Drawn);
-    if let Some(home) = prefix_home(config, candidates, &open, request, &fleet, now) {
-        let server = &candidates[home];
-        let hit = server.prefix_hit.max(config.home_hit);
-        let time = expected_time(config, server, hit, request, &fleet, now);
-        best = faster(best, home, time, ChoiceReason::PrefixHome);
-    }
-    if now + best.expected < request.deadline {
-        return Ok(best);
-    }
-    Ok(open.iter().fold(best, |best, &index| {
-        faster(best, index, expected(index), ChoiceReason::Deadline)
-    }))
+    Ok(decision.best_of(&open, draws))
 }
 
-/// Candidates that may take the request: the live ones, else the suspect ones.
-fn open_candidates(
-    candidates: &[Candidate<'_>],
-    request: &RequestFacts<'_>,
-    now: Timestamp,
-) -> Vec<usize> {
-    let open_in = |state: MemberState| -> Vec<usize> {
-        let is_open = |c: &Candidate<'_>| {
-            c.state == state && c.not_before <= now && !request.tried.contains(&c.id)
-        };
-        (0..candidates.len())
-            .filter(|&index| is_open(&candidates[index]))
-            .collect()
+/// The candidates that membership lets take work: the live ones, else the suspect ones.
+fn taking_work(candidates: &[Candidate<'_>]) -> Vec<usize> {
+    let in_state = |state: MemberState| -> Vec<usize> {
+        let all = 0..candidates.len();
+        all.filter(|&i| candidates[i].state == state).collect()
     };
-    let live = open_in(MemberState::Live);
+    let live = in_state(MemberState::Live);
     if live.is_empty() {
-        return open_in(MemberState::Suspect);
+        return in_state(MemberState::Suspect);
     }
     live
 }
 
-/// Time until the first untried candidate takes work again.
-fn first_opening(
-    config: &RoutingConfig,
-    candidates: &[Candidate<'_>],
-    request: &RequestFacts<'_>,
+/// Everything that one choice looks at.
+struct Decision<'a> {
+    config: &'a RoutingConfig,
+    candidates: &'a [Candidate<'a>],
+    request: &'a RequestFacts<'a>,
     now: Timestamp,
-) -> Duration {
-    candidates
-        .iter()
-        .filter(|c| c.state.may_take_work() && !request.tried.contains(&c.id))
-        .map(|c| c.not_before.saturating_sub(now))
-        .filter(|wait| !wait.is_zero())
-        .min()
-        .unwrap_or(config.retry_after)
+    fleet: FleetMean,
 }
 
-/// Two positions out of `open`; distinct ones when there are two.
-fn two_draws(open: &[usize], draws: [u64; 2]) -> [usize; 2] {
-    let len = open.len() as u64;
-    let first = draws[0] % len;
-    if len == 1 {
-        return [open[0], open[0]];
+impl Decision<'_> {
+    /// Servers that may take the request: neither closed nor tried; of an account that floods only
+    /// those in its shard or not busy.
+    fn open(&self, taking: &[usize]) -> Vec<usize> {
+        let is_open = |&index: &usize| {
+            let server = &self.candidates[index];
+            server.not_before <= self.now && !self.request.tried.contains(&server.id)
+        };
+        let is_spare = |index: usize| {
+            let estimate = self.estimate(index);
+            estimate.load + 1.0 <= self.config.spill_below * estimate.limit
+        };
+        let open = taking.iter().copied().filter(is_open);
+        if self.request.used <= self.config.flood_factor * self.request.share {
+            return open.collect();
+        }
+        let shard = self.shard(taking);
+        let allowed = |&index: &usize| shard.contains(&index) || is_spare(index);
+        open.filter(allowed).collect()
     }
-    let step = 1 + draws[1] % (len - 1);
-    let second = (first + step) % len;
-    [open[first as usize], open[second as usize]]
-}
 
-fn faster(best: Choice, index: usize, expected: Duration, reason: ChoiceReason) -> Choice {
-    if expected >= best.expected {
-        return best;
-    }
-    Choice {
-        index,
-        expected,
-        reason,
+    /// The account's own servers, spread over failure domains.
+    fn shard(&self, taking: &[usize]) -> Vec<usize> {
+        let part = (self.config.shard_factor * self.request.share).clamp(0.0, 1.0);
+        let size = (part * taking.len() as f64).ceil() as usize;
+        let size = size.max(self.config.shard_least);
+        if size >= taking.len() {
+            return taking.to_vec();
+        }
+        let node = |&index: &usize| Node {
+            id: self.candidates[index].id,
+            domain: self.candidates[index].domain,
+        };
+        let nodes: Vec<Node<'_>> = taking.iter().map(node).collect();
+        let picked = subset::pick(self.request.account, &nodes, size);
+        picked.into_iter().map(|at| taking[at]).collect()
     }
-}
 
-/// The mean of the open candidates' reports, which an aged report is pulled towards.
-struct FleetMean {
-    /// Requests running and waiting, over the limit.
-    utilisation: f64,
-    /// Service time in seconds.
-    service: f64,
-}
+    /// Time until the first untried server takes work again.
+    fn first_opening(&self, taking: &[usize]) -> Duration {
+        let servers = taking.iter().map(|&index| &self.candidates[index]);
+        let untried = servers.filter(|c| !self.request.tried.contains(&c.id));
+        let waits = untried.map(|c| c.not_before.saturating_sub(self.now));
+        let soonest = waits.filter(|wait| !wait.is_zero()).min();
+        soonest.unwrap_or(self.config.retry_after)
+    }
 
-impl FleetMean {
-    fn of(config: &RoutingConfig, candidates: &[Candidate<'_>], open: &[usize]) -> Self {
-        let reports: Vec<LoadReport> = open.iter().filter_map(|&i| candidates[i].report).collect();
-        if reports.is_empty() {
-            return Self {
-                utilisation: 0.0,
-                service: config.unreported_service.as_secs_f64(),
-            };
+    /// The better of two draws and the prefix's home; the best of all when neither is in time.
+    fn best_of(&self, open: &[usize], draws: [u64; 2]) -> Choice {
+        let [first, second] = two_draws(open, draws);
+        let mut best = self.choice(first, ChoiceReason::Drawn);
+        best = faster(best, self.choice(second, ChoiceReason::Drawn));
+        if let Some(home) = self.prefix_home(open) {
+            best = faster(best, home);
         }
-        let count = reports.len() as f64;
-        let load: f64 = reports
-            .iter()
-            .map(|r| f64::from(r.in_flight + r.queued))
-            .sum();
-        let limit: f64 = reports.iter().map(|r| f64::from(r.limit.max(1))).sum();
-        let service: f64 = reports.iter().map(|r| r.service.as_secs_f64()).sum();
-        Self {
-            utilisation: load / limit,
-            service: service / count,
+        if self.now + best.expected < self.request.deadline {
+            return best;
         }
+        let others = open.iter().map(|&i| self.choice(i, ChoiceReason::Deadline));
+        others.fold(best, faster)
     }
-}
-
-/// What is believed of one server's load now.
-struct Estimate {
-    /// Requests running and waiting.
-    load: f64,
-    limit: f64,
-    /// Service time in seconds.
-    service: f64,
-}
 
-impl Estimate {
-    fn of(
-        config: &RoutingConfig,
-        server: &Candidate<'_>,
-        fleet: &FleetMean,
-        now: Timestamp,
-    ) -> Self {
-        let own = f64::from(server.own_since);
-        let Some(report) = server.report else {
-            let limit = f64::from(config.unreported_limit.max(1));
-            return Self {
-                load: own + limit * fleet.utilisation,
-                limit,
-                service: fleet.service,
-            };
-        };
-        let trust = trust_of(now.saturating_sub(report.at), config.report_half_life);
-        let limit = f64::from(report.limit.max(1));
-        let reported = f64::from(report.in_flight + report.queued);
-        Self {
-            load: own + trust * reported + (1.0 - trust) * limit * fleet.utilisation,
-            limit,
-            service: report.service.as_secs_f64(),
+    fn choice(&self, index: usize, reason: ChoiceReason) -> Choice {
+        Choice {
+            index,
+            expected: self.expected(index, self.candidates[index].prefix_hit),
+            reason,
         }
     }
 
-    fn utilisation(&self) -> f64 {
-        self.load / self.limit
+    /// The first server in the prefix's ranking whose load is within the bound.
+    fn prefix_home(&self, open: &[usize]) -> Option<Choice> {
+        let hash = self.request.prefix?;
+        let names = open.iter().map(|&index| self.candidates[index].id);
+        let within = |index: &usize| {
+            let estimate = self.estimate(*index);
+            let bound = self.config.load_bound * self.fleet.utilisation * estimate.limit;
+            estimate.load + 1.0 <= bound.max(1.0).ceil()
+        };
+        let ranking = rendezvous::ranking(hash, names);
+        let index = ranking.into_iter().map(|at| open[at]).find(within)?;
+        let hit = self.candidates[index].prefix_hit.max(self.config.home_hit);
+        Some(Choice {
+            index,
+            expected: self.expected(index, hit),
+            reason: ChoiceReason::PrefixHome,
+        })
     }
 
-    /// Expected wait in seconds for a free place, plus the slowing by requests beside it.
-    fn delay(&self, contention: f64) -> f64 {
-        let excess = (self.load + 1.0 - self.limit).max(0.0);
-        let beside = self.utilisation().min(1.0);
-        self.service * (excess / self.limit + contention * beside)
+    fn estimate(&self, index: usize) -> Estimate {
+        Estimate::of(self.config, &self.candidates[index], &self.fleet, self.now)
     }
-}
 
-/// Weight from 1 (fresh) to 0 (old) of a report.
-fn trust_of(age: Duration, half_life: Duration) -> f64 {
-    let half_lives = age.as_secs_f64() / half_life.as_secs_f64().max(f64::MIN_POSITIVE);
-    0.5_f64.powf(half_lives)
+    /// Expected time to the first token at a server that holds the prefix with probability `hit`.
+    fn expected(&self, index: usize, hit: f64) -> Duration {
+        let delay = self.estimate(index).delay(self.config.contention);
+        let miss = 1.0 - hit.clamp(0.0, 1.0);
+        let prefill = self.request.prefill.as_secs_f64() * miss;
+        self.candidates[index].distance * 2 + Duration::from_secs_f64(delay + prefill)
+    }
 }
 
-fn expected_time(
-    config: &RoutingConfig,
-    server: &Candidate<'_>,
-    hit: f64,
-    request: &RequestFacts<'_>,
-    fleet: &FleetMean,
-    now: Timestamp,
-) -> Duration {
-    let delay = Estimate::of(config, server, fleet, now).delay(config.contention);
-    let miss = 1.0 - hit.clamp(0.0, 1.0);
-    server.distance * 2
-        + Duration::from_secs_f64(delay)
-        + Duration::from_secs_f64(request.prefill.as_secs_f64() * miss)
+/// Two positions out of `open`; distinct ones when there are two.
+fn two_draws(open: &[usize], draws: [u64; 2]) -> [usize; 2] {
+    let len = open.len() as u64;
+    let first = draws[0] % len;
+    if len == 1 {
+        return [open[0], open[0]];
+    }
+    let step = 1 + draws[1] % (len - 1);
+    let second = (first + step) % len;
+    [open[first as usize], open[second as usize]]
 }
 
-/// The first server in the prefix's ranking whose load is within the bound.
-fn prefix_home(
-    config: &RoutingConfig,
-    candidates: &[Candidate<'_>],
-    open: &[usize],
-    request: &RequestFacts<'_>,
-    fleet: &FleetMean,
-    now: Timestamp,
-) -> Option<usize> {
-    let hash = request.prefix?;
-    let ranking = rendezvous::ranking(hash, open.iter().map(|&index| candidates[index].id));
-    let within = |index: usize| {
-        let estimate = Estimate::of(config, &candidates[index], fleet, now);
-        let bound = config.load_bound * fleet.utilisation * estimate.limit;
-        estimate.load + 1.0 <= bound.max(1.0).ceil()
-    };
-    ranking
-        .into_iter()
-        .map(|position| open[position])
-        .find(|&index| within(index))
+fn faster(best: Choice, other: Choice) -> Choice {
+    if other.expected < best.expected {
+        other
+    } else {
+        best
+    }
 }
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -13,6 +13,7 @@
 fn candidate(id: &str, in_flight: u32) -> Candidate<'_> {
     Candidate {
         id,
+        domain: "a",
         state: MemberState::Live,
         distance: Duration::from_micros(100),
         report: Some(LoadReport {
@@ -31,6 +32,9 @@
 fn request() -> RequestFacts<'static> {
     RequestFacts {
         prefix: None,
+        account: 1,
+        share: 1.0,
+        used: 0.0,
         prefill: Duration::from_millis(200),
         deadline: NOW + Duration::from_secs(30),
         tried: &[],
