--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -15,7 +15,7 @@
         pub queued: u32,
         /// Concurrent requests that the agent admits now; low while the server is cold.
         pub limit: u32,
-        /// Smoothed time from admission to the end of a request.
+        /// Smoothed time from admission to the end of a request; zero while unknown.
         pub service: Duration,
         /// When the report arrived here.
         pub at: Timestamp,
@@ -34,22 +34,22 @@
 impl FleetMean {
     /// Mean of `reports`; an idle fleet when there are none.
     pub fn of(config: &RoutingConfig, reports: impl Iterator<Item = LoadReport>) -> Self {
-        let (mut count, mut load, mut limit, mut service) = (0.0, 0.0, 0.0, 0.0);
+        let (mut load, mut limit) = (0.0, 0.0);
+        let (mut measured, mut service) = (0.0, 0.0);
         for report in reports {
-            count += 1.0;
             load += f64::from(report.in_flight + report.queued);
             limit += f64::from(report.limit.max(1));
-            service += report.service.as_secs_f64();
+            if !report.service.is_zero() {
+                measured += 1.0;
+                service += report.service.as_secs_f64();
+            }
         }
-        if count == 0.0 {
-            return Self {
-                utilisation: 0.0,
-                service: config.unreported_service.as_secs_f64(),
-            };
+        if measured == 0.0 {
+            (measured, service) = (1.0, config.unreported_service.as_secs_f64());
         }
         Self {
-            utilisation: load / limit,
-            service: service / count,
+            utilisation: load / f64::max(limit, 1.0),
+            service: service / measured,
         }
     }
 }
@@ -88,7 +88,10 @@
         Self {
             load: own + trust * reported + (1.0 - trust) * limit * fleet.utilisation,
             limit,
-            service: report.service.as_secs_f64(),
+            service: match report.service.is_zero() {
+                true => fleet.service,
+                false => report.service.as_secs_f64(),
+            },
         }
     }
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -18,8 +18,11 @@
 pub struct RetryConfig {
     /// Thousandths of a retry that each request taken in adds to the budget.
     pub share_milli: u64,
-    /// Most retries that the budget can hold; bounds the burst after a quiet time.
-    pub burst: u64,
+    /// Time over which unused retries are saved up; bounds the burst when many attempts fail at
+    /// once to the share of the requests taken in since.
+    pub window: Duration,
+    /// Retries that a process may save up however few requests it takes in; it starts with them.
+    pub least_burst: u64,
     /// Most attempts of one request.
     pub max_attempts: u32,
     /// Least time left before the deadline that makes an attempt worth starting.
@@ -33,8 +36,9 @@
 impl Default for RetryConfig {
     fn default() -> Self {
         Self {
-            share_milli: 100,
-            burst: 64,
+            share_milli: 80,
+            window: Duration::from_secs(10),
+            least_burst: 12,
             max_attempts: 4,
             min_left: Duration::from_millis(20),
             backoff: Duration::from_millis(20),
@@ -44,15 +48,37 @@
 }
 
 /// Retries that this process may still make.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct RetryBudget {
     balance_milli: u64,
+    /// Requests taken in during this half of the window, and during the one before.
+    recent: [u64; 2],
+    /// Number of the half of the window that is counted now.
+    half: u128,
 }
 
 impl RetryBudget {
+    /// A budget of the least burst.
+    pub fn new(config: &RetryConfig) -> Self {
+        Self {
+            balance_milli: config.least_burst * RETRY_COST_MILLI,
+            recent: [0; 2],
+            half: 0,
+        }
+    }
+
     /// Counts one request taken in; call once a request, before its first attempt.
-    pub fn take_in(&mut self, config: &RetryConfig) {
-        let full = config.burst * RETRY_COST_MILLI;
+    pub fn take_in(&mut self, config: &RetryConfig, now: Timestamp) {
+        let half = now.as_micros() * 2 / config.window.as_micros().max(1);
+        match half.saturating_sub(self.half) {
+            0 => {}
+            1 => self.recent = [0, self.recent[0]],
+            _ => self.recent = [0; 2],
+        }
+        self.half = self.half.max(half);
+        self.recent[0] += 1;
+        let saved = config.share_milli * (self.recent[0] + self.recent[1]);
+        let full = saved.max(config.least_burst * RETRY_COST_MILLI);
         self.balance_milli = (self.balance_milli + config.share_milli).min(full);
     }
 
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -47,6 +47,8 @@
     pub flood_factor: f64,
     /// Utilisation up to which an account that floods may use servers outside its shard.
     pub spill_below: f64,
+    /// Longest time for which a server that was full is passed over.
+    pub closed_most: Duration,
     /// Wait told to the caller when no candidate may take work.
     pub retry_after: Duration,
 }
@@ -64,6 +66,7 @@
             shard_least: 3,
             flood_factor: 4.0,
             spill_below: 0.6,
+            closed_most: Duration::from_millis(250),
             retry_after: Duration::from_secs(1),
         }
     }
@@ -143,6 +146,14 @@
     }
 }
 
+/// Until when a server that refused for a full queue is passed over.
+///
+/// Shorter than what it told callers: were it passed over until its queue had drained, it would
+/// stand idle.
+pub fn closed_until(config: &RoutingConfig, retry_after: Duration, now: Timestamp) -> Timestamp {
+    now + retry_after.min(config.closed_most)
+}
+
 /// Chooses a backend server; `draws` are two independent random numbers.
 ///
 /// # Errors
