--- a/crates/operator/src/fields.rs
+++ b/crates/operator/src/fields.rs
@@ -12,7 +12,8 @@
 /// One file's text, and what is wrong in it.
 pub struct Source<'t> {
     name: &'t str,
-    text: &'t str,
+    /// Offset of each line's end, in order.
+    line_ends: Vec<usize>,
     /// Findings so far.
     pub findings: Vec<Finding>,
 }
@@ -20,9 +21,10 @@
 impl<'t> Source<'t> {
     /// Starts on one file.
     pub fn new(name: &'t str, text: &'t str) -> Self {
+        let ends = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
         Self {
             name,
-            text,
+            line_ends: ends.map(|(offset, _)| offset).collect(),
             findings: Vec::new(),
         }
     }
@@ -44,8 +46,7 @@
 
     /// Line of a byte offset, from 1.
     pub fn line(&self, offset: usize) -> usize {
-        let before = self.text.as_bytes().iter().take(offset);
-        before.filter(|byte| **byte == b'\n').count() + 1
+        self.line_ends.partition_point(|end| *end < offset) + 1
     }
 }
 
--- a/crates/operator/src/files.rs
+++ b/crates/operator/src/files.rs
@@ -152,16 +152,17 @@
     }
 
     fn check_stray(&mut self) {
+        let mut declares = false;
         for field in SERVICE_FIELDS {
             if let Some(value) = self.fields.get(field) {
+                declares = true;
                 let reason = "stands without `service`, the name of the service";
                 self.source.report(value.span(), field, reason);
             }
         }
-        let none = ["domains", "accounts"]
-            .iter()
-            .all(|key| self.fields.get(key).is_none());
-        if none {
+        let others = ["domains", "accounts"];
+        declares |= others.iter().any(|key| self.fields.get(key).is_some());
+        if !declares {
             let reason = "declares nothing; allowed: `service`, `domains` or `accounts`";
             self.source.report(0..0, "", reason);
         }
