--- a/crates/lab/src/standins/service.rs
+++ b/crates/lab/src/standins/service.rs
@@ -1,9 +1,16 @@
 //! Stand-in of a plain HTTP service: echoes each request and counts what it executed.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
-use jj_utils::common_derives;
+use jj_backend::health::BackendLoad;
+use jj_utils::{clock::unix_millis, common_derives};
 use poem::{
     Body, Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler,
     http::StatusCode,
@@ -13,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    http::serve_app,
+    http::{Breaker, serve_app},
     standins::{
         cold_start::{ColdConfig, ColdStart},
         faults::{ControlRequest, Fault, Faults},
@@ -53,6 +60,8 @@
     cold: Arc<ColdStart>,
     ledger: Ledger,
     faults: Faults,
+    boot_id: u64,
+    started: Instant,
 }
 
 /// Runs a service on `addr` until `cancel`.
@@ -68,6 +77,8 @@
         cold: ColdStart::new(config.cold),
         ledger: Ledger::default(),
         faults: Faults::new(config.delay),
+        boot_id: unix_millis(),
+        started: Instant::now(),
     });
     serve_app(app(service), addr, cancel).await
 }
@@ -76,6 +87,7 @@
     Route::new()
         .at("/health", get(health))
         .at("/executions", get(executions))
+        .at("/load", get(load))
         .at("/control", post(control))
         .at("/*rest", echo)
         .at("/", echo)
@@ -97,6 +109,18 @@
     })
 }
 
+/// Reports as an engine does.
+#[handler]
+fn load(Data(service): Data<&Arc<Service>>) -> Json<BackendLoad> {
+    Json(BackendLoad {
+        boot_id: service.boot_id.to_string(),
+        uptime_ms: u64::try_from(service.started.elapsed().as_millis()).unwrap_or(u64::MAX),
+        running: service.cold.counts().running,
+        cold: service.cold.is_cold(),
+        ..BackendLoad::default()
+    })
+}
+
 #[handler]
 fn control(Data(service): Data<&Arc<Service>>, Json(request): Json<ControlRequest>) -> StatusCode {
     service.faults.update(&request);
@@ -125,7 +149,7 @@
     let answer = Json(describe(request, &body, service.ledger.started()));
     match fault {
         Fault::Freeze { .. } => std::future::pending().await,
-        Fault::Reset { .. } | Fault::Truncate { .. } => broken_body(),
+        Fault::Reset { .. } | Fault::Truncate { .. } => broken_body(&Breaker::of(request)),
         _ => answer.into_response(),
     }
 }
@@ -154,7 +178,9 @@
     }
 }
 
-fn broken_body() -> Response {
+/// A body that breaks off, and its connection with it.
+fn broken_body(breaker: &Breaker) -> Response {
+    breaker.break_off();
     let broken = io::Error::from(io::ErrorKind::ConnectionReset);
     let parts = [Ok::<_, io::Error>(Bytes::from_static(b"{")), Err(broken)];
     Response::builder().body(Body::from_bytes_stream(futures_util::stream::iter(parts)))
