--- a/crates/platform/src/config_reader.rs
+++ b/crates/platform/src/config_reader.rs
@@ -186,6 +186,8 @@
     seen: ConfigIndex,
     /// Bytes of the last manifest.
     size: usize,
+    /// When the manifest was last asked for.
+    asked: Timestamp,
     failures: u32,
     stale: bool,
     fetched: BTreeMap<Digest, String>,
@@ -201,6 +203,7 @@
             view,
             seen: 0,
             size: 0,
+            asked: Timestamp::ZERO,
             failures: 0,
             stale: false,
             fetched: BTreeMap::new(),
@@ -226,25 +229,16 @@
         };
         // The first read does not wait, so that a starting process learns the present state.
         let wait = (self.seen > 0).then_some(wait);
-<<<<<<< HEAD
-        let asked = self.context.clock.now();
-=======
-        let start = self.context.clock.now();
->>>>>>> oper
+        self.asked = self.context.clock.now();
         let found = self.read(MANIFEST_KEY, wait).await?;
-        let waited = self.context.clock.now().saturating_sub(start) > AT_ONCE;
+        let answered = self.context.clock.now();
         self.note_answer();
-        let waited = wait.map_or(Duration::ZERO, |wait| wait.longest);
-        let unchanged = (asked + waited).min(self.context.clock.now());
+        let longest = wait.map_or(Duration::ZERO, |wait| wait.longest);
+        let unchanged = (self.asked + longest).min(answered);
         let Some(found) = found else {
             self.seen = self.seen.max(1);
-<<<<<<< HEAD
-            self.note_reached(asked);
-            return Ok(Read::Done);
-=======
-            self.note_reached();
+            self.note_reached(self.asked);
             return Ok(CallCause::Turn);
->>>>>>> oper
         };
         if found.index < self.view.borrow().index() {
             self.note_stale(found.index);
@@ -252,24 +246,10 @@
         }
         self.stale = false;
         if found.index <= self.seen {
-<<<<<<< HEAD
             self.note_reached(unchanged);
-            return Ok(Read::Done);
-        }
-        self.take(found, asked).await
-    }
-
-    async fn take(&mut self, found: Indexed<String>, asked: Timestamp) -> Result<Read, ReadError> {
-        let manifest = match parse_manifest(&found.value) {
-            Ok(manifest) => manifest,
-            Err(finding) => {
-                self.refuse_manifest(&found, asked, finding);
-                return Ok(Read::Changed);
-=======
-            self.note_reached();
             return Ok(CallCause::Turn);
         }
-        let cause = match waited {
+        let cause = match answered.saturating_sub(self.asked) > AT_ONCE {
             true => CallCause::Woken,
             false => CallCause::Turn,
         };
@@ -286,7 +266,6 @@
             Err(finding) => {
                 self.refuse_manifest(&found, finding);
                 return Ok(cause);
->>>>>>> oper
             }
         };
         let calls = self.fetch(&manifest, found.index, cause).await?;
@@ -300,7 +279,7 @@
         accept(self.view, Offer { index, bundle });
         self.seen = index;
         self.fetched.clear();
-        self.note_reached(asked);
+        self.note_reached(self.asked);
         match calls {
             0 => Ok(cause),
             _ => Ok(CallCause::Turn),
@@ -367,9 +346,9 @@
         digests.filter_map(find).collect()
     }
 
-    fn refuse_manifest(&mut self, found: &Indexed<String>, asked: Timestamp, finding: Finding) {
+    fn refuse_manifest(&mut self, found: &Indexed<String>, finding: Finding) {
         self.seen = found.index;
-        self.note_reached(asked);
+        self.note_reached(self.asked);
         let refusal = Refusal {
             index: found.index,
             digest: digest_of(found.value.as_bytes()),
