--- a/crates/lab/tests/configuration.rs
+++ b/crates/lab/tests/configuration.rs
@@ -66,6 +66,17 @@
         fleet
     }
 
+    /// A fleet whose readers also ask two others each.
+    async fn start_with_peers(readers: usize) -> Self {
+        let mut fleet = Self::start(1).await;
+        let all: Peers = Arc::new(Mutex::new(fleet.views.clone()));
+        for place in 1..readers {
+            let view = fleet.add_reader(peers(&all, [place + 1, place + 7]));
+            all.lock().unwrap().push(view);
+        }
+        fleet
+    }
+
     fn add_reader(&mut self, newest_from_peers: NewestFromPeers) -> watch::Receiver<ConfigView> {
         let clock = SystemClock::shared();
         let fleet = u32::try_from(READERS).unwrap();
@@ -148,10 +159,19 @@
     Arc::new(|_| async { None }.boxed())
 }
 
-/// Peers that have what `view` shows.
-fn peer(view: watch::Receiver<ConfigView>) -> NewestFromPeers {
+/// Readers that ask each other; a real process asks when a heartbeat tells of a newer index.
+type Peers = Arc<Mutex<Vec<watch::Receiver<ConfigView>>>>;
+
+/// The newest of what the readers at `places` have, counted round the fleet.
+fn peers(all: &Peers, places: [usize; 2]) -> NewestFromPeers {
+    let all = all.clone();
     Arc::new(move |known| {
-        let published = view.borrow().published.clone();
+        let all = all.lock().unwrap();
+        let asked = places.map(|place| all[place % all.len()].borrow().published.clone());
+        let published = asked
+            .into_iter()
+            .flatten()
+            .max_by_key(|published| published.index);
         async move {
             let published = published.filter(|published| published.index > known)?;
             Some(published.offer())
@@ -206,7 +226,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stale_replicas_never_take_a_reader_back() {
-    let fleet = Fleet::start(READERS).await;
+    let fleet = Fleet::start_with_peers(READERS).await;
     let first = fleet.publish(&bundle(10, "in-service")).await;
     assert!(fleet.all_have(first).await);
 
@@ -281,8 +301,8 @@
     fleet
         .platform
         .set_control(control(|faults| faults.stale_at = Some(first)));
-    let source = fleet.views[0].clone();
-    let mut restarted = fleet.add_reader(peer(source));
+    let others: Peers = Arc::new(Mutex::new(fleet.views.clone()));
+    let mut restarted = fleet.add_reader(peers(&others, [0, 1]));
     let mut alone = fleet.add_reader(no_peers());
 
     // The first thing that a restarted process shows is not older than what its peers have.
--- a/crates/platform/src/config_reader.rs
+++ b/crates/platform/src/config_reader.rs
@@ -186,8 +186,6 @@
     seen: ConfigIndex,
     /// Bytes of the last manifest.
     size: usize,
-    /// When the manifest was last asked for.
-    asked: Timestamp,
     failures: u32,
     stale: bool,
     fetched: BTreeMap<Digest, String>,
@@ -203,7 +201,6 @@
             view,
             seen: 0,
             size: 0,
-            asked: Timestamp::ZERO,
             failures: 0,
             stale: false,
             fetched: BTreeMap::new(),
@@ -229,15 +226,15 @@
         };
         // The first read does not wait, so that a starting process learns the present state.
         let wait = (self.seen > 0).then_some(wait);
-        self.asked = self.context.clock.now();
+        let asked = self.context.clock.now();
         let found = self.read(MANIFEST_KEY, wait).await?;
-        let answered = self.context.clock.now();
+        let now = self.context.clock.now();
         self.note_answer();
         let longest = wait.map_or(Duration::ZERO, |wait| wait.longest);
-        let unchanged = (self.asked + longest).min(answered);
+        let unchanged = (asked + longest).min(now);
         let Some(found) = found else {
             self.seen = self.seen.max(1);
-            self.note_reached(self.asked);
+            self.note_reached(asked);
             return Ok(CallCause::Turn);
         };
         if found.index < self.view.borrow().index() {
@@ -249,22 +246,23 @@
             self.note_reached(unchanged);
             return Ok(CallCause::Turn);
         }
-        let cause = match answered.saturating_sub(self.asked) > AT_ONCE {
+        let cause = match now.saturating_sub(asked) > AT_ONCE {
             true => CallCause::Woken,
             false => CallCause::Turn,
         };
-        self.take(found, cause).await
+        self.take(found, asked, cause).await
     }
 
     async fn take(
         &mut self,
         found: Indexed<String>,
+        asked: Timestamp,
         cause: CallCause,
     ) -> Result<CallCause, ReadError> {
         let manifest = match parse_manifest(&found.value) {
             Ok(manifest) => manifest,
             Err(finding) => {
-                self.refuse_manifest(&found, finding);
+                self.refuse_manifest(&found, asked, finding);
                 return Ok(cause);
             }
         };
@@ -279,7 +277,7 @@
         accept(self.view, Offer { index, bundle });
         self.seen = index;
         self.fetched.clear();
-        self.note_reached(self.asked);
+        self.note_reached(asked);
         match calls {
             0 => Ok(cause),
             _ => Ok(CallCause::Turn),
@@ -346,9 +344,9 @@
         digests.filter_map(find).collect()
     }
 
-    fn refuse_manifest(&mut self, found: &Indexed<String>, finding: Finding) {
+    fn refuse_manifest(&mut self, found: &Indexed<String>, asked: Timestamp, finding: Finding) {
         self.seen = found.index;
-        self.note_reached(self.asked);
+        self.note_reached(asked);
         let refusal = Refusal {
             index: found.index,
             digest: digest_of(found.value.as_bytes()),
