test(platform): readers that ask peers are in time behind stale replicas

With each second read stale, readers without peers were not: after 7 s 7 of 28 still had the old index, since a watch at a stale replica waits its whole time. Two peers each, asked in turn: all have it.

--- a/crates/lab/tests/configuration.rs
+++ b/crates/lab/tests/configuration.rs
@@ -68,9 +68,9 @@
 
     /// A fleet whose readers also ask two others each.
     async fn start_with_peers(readers: usize) -> Self {
-        let mut fleet = Self::start(1).await;
-        let all: Peers = Arc::new(Mutex::new(fleet.views.clone()));
-        for place in 1..readers {
+        let mut fleet = Self::start(0).await;
+        let all = Peers::default();
+        for place in 0..readers {
             let view = fleet.add_reader(peers(&all, [place + 1, place + 7]));
             all.lock().unwrap().push(view);
         }
@@ -167,11 +167,10 @@
     let all = all.clone();
     Arc::new(move |known| {
         let all = all.lock().unwrap();
-        let asked = places.map(|place| all[place % all.len()].borrow().published.clone());
-        let published = asked
-            .into_iter()
-            .flatten()
-            .max_by_key(|published| published.index);
+        let count = all.len().max(1);
+        let asked = places.iter().filter_map(|place| all.get(place % count));
+        let found = asked.filter_map(|view| view.borrow().published.clone());
+        let published = found.max_by_key(|published| published.index);
         async move {
             let published = published.filter(|published| published.index > known)?;
             Some(published.offer())
