--- /dev/null
+++ b/crates/entry/tests/commands.rs
@@ -0,0 +1,65 @@
+//! The operators' commands: exit codes, and what goes where.
+
+use std::{
+    path::PathBuf,
+    process::{Command, Output},
+};
+
+use googletest::prelude::*;
+
+fn run(args: &[&str]) -> Output {
+    let binary = env!("CARGO_BIN_EXE_jujubejunction");
+    Command::new(binary).args(args).output().unwrap()
+}
+
+fn example(name: &str) -> String {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/");
+    format!("{root}{name}")
+}
+
+fn broken_directory() -> PathBuf {
+    let directory = std::env::temp_dir().join(format!("jujube-commands-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    let text = "service = \"Desk\"\nkind = \"grpc\"\n";
+    std::fs::write(directory.join("jujube.toml"), text).unwrap();
+    directory
+}
+
+#[gtest]
+fn exit_codes_tell_sound_findings_and_failure_apart() {
+    let broken = broken_directory();
+    let broken = broken.to_str().unwrap();
+    let (hangang, kalahari) = (example("hangang"), example("kalahari"));
+    let cases: &[(&[&str], i32)] = &[
+        (&["--version"], 0),
+        (&["--help"], 0),
+        (&["check", &hangang], 0),
+        (&["check", &kalahari, "--json"], 0),
+        (&["check", broken], 1),
+        (&["check", broken, "--json"], 1),
+        (&["collect", broken], 1),
+        (&["check", "/nonexistent"], 2),
+        (&["collect", "/nonexistent"], 2),
+        (&["check"], 2),
+        (&["publish"], 2),
+        (&["status", "127.0.0.1:1"], 2),
+        (&["status", "somewhere"], 2),
+    ];
+    for (args, code) in cases {
+        let output = run(args);
+
+        expect_that!(output.status.code(), some(eq(*code)), "{args:?}");
+        expect_that!(output.stdout.len() + output.stderr.len(), gt(0), "{args:?}");
+    }
+    std::fs::remove_dir_all(broken).unwrap();
+}
+
+#[gtest]
+fn collect_prints_the_same_bundle_each_time_and_nothing_else_on_standard_output() {
+    let first = run(&["collect", &example("hangang")]);
+    let second = run(&["collect", &example("hangang")]);
+
+    expect_that!(first.stdout == second.stdout, eq(true));
+    let bundle: serde_json::Value = serde_json::from_slice(&first.stdout).unwrap();
+    expect_that!(bundle["manifest"].is_string(), eq(true));
+}
--- a/crates/platform/src/config_reader.rs
+++ b/crates/platform/src/config_reader.rs
@@ -11,7 +11,7 @@
 use jj_operator::{
     documents::{DOCUMENT_PREFIX, Digest, MANIFEST_KEY, Manifest},
     finding::Finding,
-    published::{Bundle, Offer, Published, Refusal, digest_of, document_digests, parse_manifest},
+    published::{Bundle, Offer, Refusal, digest_of, document_digests, parse_manifest},
 };
 use jj_policy::call_budget::CallCause;
 use jj_utils::{
@@ -26,8 +26,11 @@
 use crate::{
     blocking_query::{Indexed, ReadError, Wait, read_key},
     budget::SharedBudget,
+    config_view::refuse,
 };
 
+pub use crate::config_view::{ConfigView, accept};
+
 /// Asks peers for a publication newer than the given index.
 pub type NewestFromPeers =
     Arc<dyn Fn(ConfigIndex) -> BoxFuture<'static, Option<Offer>> + Send + Sync>;
@@ -63,29 +66,6 @@
     }
 }
 
-/// What the process knows of the configuration.
-#[derive(Debug, Clone, Default)]
-pub struct ConfigView {
-    /// The last accepted publication.
-    pub published: Option<Arc<Published>>,
-    /// Latest moment at which the configuration service is known to have had nothing newer. An
-    /// answer is dated by when it must have been made, not by when it was read here.
-    pub reached: Option<Timestamp>,
-    /// The last refused publication newer than the accepted one.
-    pub refused: Option<Arc<Refusal>>,
-    /// True once peers have been asked and a publication is accepted.
-    pub ready: bool,
-}
-
-impl ConfigView {
-    /// Index of the accepted publication; 0 before the first.
-    pub fn index(&self) -> ConfigIndex {
-        self.published
-            .as_ref()
-            .map_or(0, |published| published.index)
-    }
-}
-
 /// What the reader works with.
 #[derive(Clone)]
 pub struct ReaderContext {
@@ -132,53 +112,6 @@
     }
 }
 
-/// Checks a publication and takes it when it is newer than the accepted one.
-pub fn accept(view: &watch::Sender<ConfigView>, offer: Offer) {
-    if offer.index <= view.borrow().index() {
-        return;
-    }
-    match Published::parse(offer.index, Arc::new(offer.bundle)) {
-        Ok(published) => install(view, published),
-        Err(refusal) => refuse(view, refusal),
-    }
-}
-
-fn install(view: &watch::Sender<ConfigView>, published: Published) {
-    let (index, digest) = (published.index, published.digest.clone());
-    let published = Arc::new(published);
-    let taken = view.send_if_modified(|view| {
-        let newer = published.index > view.index();
-        if newer {
-            view.published = Some(published);
-            view.ready = true;
-            view.refused = view.refused.take().filter(|refusal| refusal.index > index);
-        }
-        newer
-    });
-    if taken {
-        log_event!(
-            events::CONFIG_ACCEPTED,
-            "accepted publication {digest} at index {index}"
-        );
-    }
-}
-
-fn refuse(view: &watch::Sender<ConfigView>, refusal: Refusal) {
-    let known = view
-        .borrow()
-        .refused
-        .as_ref()
-        .map_or(0, |known| known.index);
-    if refusal.index <= known {
-        return;
-    }
-    log_event!(
-        events::CONFIG_REFUSED,
-        "{refusal}; the last accepted publication stays in force"
-    );
-    view.send_modify(|view| view.refused = Some(Arc::new(refusal)));
-}
-
 /// Follows the configuration service alone.
 struct Service<'a> {
     context: &'a ReaderContext,
--- /dev/null
+++ b/crates/platform/src/config_view.rs
@@ -0,0 +1,94 @@
+//! What a process knows of the configuration, and the rule by which it changes.
+
+use std::sync::Arc;
+
+use jj_operator::published::{Offer, Published, Refusal};
+use jj_policy::config_order::{self, ConfigOrder, Version};
+use jj_utils::{clock::Timestamp, events, ids::ConfigIndex, log_event};
+use tokio::sync::watch;
+
+/// What the process knows of the configuration.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigView {
+    /// The last accepted publication.
+    pub published: Option<Arc<Published>>,
+    /// Latest moment at which the configuration service is known to have had nothing newer. An
+    /// answer is dated by when it must have been made, not by when it was read here.
+    pub reached: Option<Timestamp>,
+    /// The last refused publication newer than the accepted one.
+    pub refused: Option<Arc<Refusal>>,
+    /// True once peers have been asked and a publication is accepted.
+    pub ready: bool,
+    order: ConfigOrder,
+}
+
+impl ConfigView {
+    /// Index of the accepted publication; 0 before the first.
+    pub fn index(&self) -> ConfigIndex {
+        self.order.index()
+    }
+
+    fn refused_index(&self) -> ConfigIndex {
+        self.refused.as_ref().map_or(0, |refusal| refusal.index)
+    }
+}
+
+/// Checks a publication and takes it when it is newer than the accepted one.
+pub fn accept(view: &watch::Sender<ConfigView>, offer: Offer) {
+    if offer.index < view.borrow().index() {
+        return;
+    }
+    let version = Version {
+        index: offer.index,
+        digest: offer.bundle.digest(),
+    };
+    // Checked before the view is locked, since that takes a while for a large fleet.
+    let checked = Published::parse(offer.index, Arc::new(offer.bundle));
+    let mut decision = config_order::Offer::Stale;
+    view.send_if_modified(|view| {
+        let check = || match &checked {
+            Ok(_) => Ok(()),
+            Err(refusal) => Err(refusal.to_string()),
+        };
+        decision = view.order.offer(&version, check);
+        let taken = decision == config_order::Offer::Accepted;
+        if let (true, Ok(published)) = (taken, &checked) {
+            view.install(published.clone());
+        }
+        taken
+    });
+    let Version { index, digest } = version;
+    match (decision, checked) {
+        (config_order::Offer::Accepted, _) => {
+            let text = format!("accepted publication {digest} at index {index}");
+            log_event!(events::CONFIG_ACCEPTED, "{text}");
+        }
+        (config_order::Offer::Refused(_), Err(refusal)) => refuse(view, refusal),
+        (config_order::Offer::Conflict, _) => {
+            let text = format!("publication {digest} has the index {index} of the one in force");
+            log_event!(events::CONFIG_REFUSED, "{text}; it is ignored");
+        }
+        _ => {}
+    }
+}
+
+/// Keeps a refusal that is newer than the last one.
+pub fn refuse(view: &watch::Sender<ConfigView>, refusal: Refusal) {
+    if refusal.index <= view.borrow().refused_index() {
+        return;
+    }
+    log_event!(
+        events::CONFIG_REFUSED,
+        "{refusal}; the last accepted publication stays in force"
+    );
+    view.send_modify(|view| view.refused = Some(Arc::new(refusal)));
+}
+
+impl ConfigView {
+    fn install(&mut self, published: Published) {
+        let index = published.index;
+        self.published = Some(Arc::new(published));
+        self.ready = true;
+        self.refused = self.refused.take().filter(|refusal| refusal.index > index);
+    }
+}
--- a/crates/policy/src/config_order.rs
+++ b/crates/policy/src/config_order.rs
@@ -39,7 +39,7 @@
 }
 
 /// The version in force.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ConfigOrder {
     in_force: Option<Version>,
     refused: Option<Version>,
--- /dev/null
+++ b/crates/utils/tests/events.rs
@@ -0,0 +1,39 @@
+//! The catalogue of events and the page that describes it for operators.
+
+use googletest::prelude::*;
+use jj_utils::events::ALL;
+
+fn page() -> String {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/EVENTS.md");
+    std::fs::read_to_string(path).unwrap()
+}
+
+/// Start of the row that describes an event.
+fn row(event: &jj_utils::events::Event) -> String {
+    let level = event.level.as_str().to_lowercase();
+    format!("| JJ-{} | {} | {level} |", event.code, event.name)
+}
+
+#[gtest]
+fn the_page_describes_each_event_and_no_other() {
+    let page = page();
+    let described: Vec<&str> = page.lines().filter(|line| line.starts_with("| JJ-")).collect();
+
+    for event in ALL {
+        let start = row(event);
+        let rows = described.iter().filter(|line| line.starts_with(&start));
+        expect_that!(rows.count(), eq(1), "{start}");
+    }
+    expect_that!(described.len(), eq(ALL.len()));
+}
+
+#[gtest]
+fn numbers_and_names_are_unique_and_ascending() {
+    let codes: Vec<u16> = ALL.iter().map(|event| event.code).collect();
+    let mut names: Vec<&str> = ALL.iter().map(|event| event.name).collect();
+    names.sort_unstable();
+    names.dedup();
+
+    expect_that!(codes.is_sorted_by(|before, after| before < after), eq(true));
+    expect_that!(names.len(), eq(ALL.len()));
+}
