feat(policy): two-phase switch of the expert map as pure state machines

Cause: all ranks of a group must run each step with one expert map, through crashes and late messages. The step is now chosen after all ranks hold and travels in commit.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,4 +1,7 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
+pub mod group_leader;
+pub mod group_rank;
+pub mod group_switch;
 pub mod verdict;
