--- a/crates/policy/src/group_leader.rs
+++ b/crates/policy/src/group_leader.rs
@@ -129,7 +129,10 @@
 
     /// Map that every rank has in force, when all reports agree.
     pub fn agreed_map(&self) -> Option<MapId> {
-        let mut maps = self.reports.iter().map(|report| report.and_then(|r| r.view.map));
+        let mut maps = self
+            .reports
+            .iter()
+            .map(|report| report.and_then(|r| r.view.map));
         let first = maps.next().flatten()?;
         maps.all(|map| map == Some(first)).then_some(first)
     }
@@ -255,7 +258,12 @@
         self.resolve(vec![Some(Action::Abort { id }); self.reports.len()])
     }
 
-    fn done(&mut self, rank: usize, incarnation: Incarnation, view: EngineView) -> Vec<LeaderOutput> {
+    fn done(
+        &mut self,
+        rank: usize,
+        incarnation: Incarnation,
+        view: EngineView,
+    ) -> Vec<LeaderOutput> {
         self.reports[rank] = Some(Report { incarnation, view });
         match &mut self.phase {
             Phase::Reading if self.reports.iter().all(Option::is_some) => {
