--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,7 +1,12 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
+pub mod expert_map;
 pub mod group_leader;
 pub mod group_rank;
 pub mod group_switch;
+pub mod popularity;
+pub mod rank_load;
+pub mod rebalance;
+pub mod rebalance_replay;
 pub mod verdict;
--- /dev/null
+++ b/crates/policy/src/rank_load.rs
@@ -0,0 +1,192 @@
+//! Loads of the ranks under an expert map, kept up to date while moves are tried on it.
+
+use jj_utils::{common_derives, ids::ExpertId};
+
+use crate::expert_map::ExpertMap;
+
+common_derives! {copy:
+    /// One change of a map.
+    enum Move {
+        /// Two slots on different ranks exchange their experts.
+        Swap { a: usize, b: usize },
+        /// A slot whose expert has other replicas takes a replica of another expert.
+        Replace { slot: usize, expert: ExpertId },
+    }
+}
+
+/// A map under change, with the load of each rank.
+#[derive(Debug, Clone)]
+pub struct RankLoads<'a> {
+    map: ExpertMap,
+    popularity: &'a [f64],
+    replicas: Vec<u32>,
+    /// Slots of each expert.
+    places: Vec<Vec<usize>>,
+    loads: Vec<f64>,
+    mean: f64,
+}
+
+impl<'a> RankLoads<'a> {
+    /// Loads of a map under a popularity.
+    pub fn new(map: &ExpertMap, popularity: &'a [f64]) -> Self {
+        let loads = map.rank_loads(popularity);
+        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        let mut loads = Self {
+            map: map.clone(),
+            popularity,
+            replicas: map.replicas(),
+            places: Vec::new(),
+            loads,
+            mean,
+        };
+        loads.refresh();
+        loads
+    }
+
+    /// The map as changed so far.
+    pub fn map(&self) -> &ExpertMap {
+        &self.map
+    }
+
+    /// Highest load of a rank over the mean.
+    pub fn skew(&self) -> f64 {
+        if self.mean <= 0.0 {
+            return 1.0;
+        }
+        self.loads.iter().copied().fold(0.0, f64::max) / self.mean
+    }
+
+    /// Makes the move that helps the most loaded rank best for its bytes; false when none helps.
+    pub fn improve(&mut self) -> bool {
+        let Some(hottest) =
+            (0..self.loads.len()).max_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]))
+        else {
+            return false;
+        };
+        let slots = self.map.shape().slots as usize;
+        let mut best: Option<(f64, Move)> = None;
+        for slot in hottest * slots..(hottest + 1) * slots {
+            self.candidates(slot, hottest, |gain, change| {
+                if gain > best.map_or(f64::EPSILON, |(best, _)| best) {
+                    best = Some((gain, change));
+                }
+            });
+        }
+        let Some((_, change)) = best else {
+            return false;
+        };
+        self.apply(change);
+        true
+    }
+
+    /// Every move that takes load of the slot's expert from its rank, with the gain for one load.
+    fn candidates(&self, slot: usize, rank: usize, mut offer: impl FnMut(f64, Move)) {
+        let expert = self.map.slots()[slot];
+        for other in 0..self.map.slots().len() {
+            if self.rank_of(other) == rank {
+                continue;
+            }
+            if let Some(gain) = self.swap_gain(slot, other) {
+                offer(gain / 2.0, Move::Swap { a: slot, b: other });
+            }
+            if let Some(gain) = self.replace_gain(other, expert) {
+                let change = Move::Replace {
+                    slot: other,
+                    expert,
+                };
+                offer(gain, change);
+            }
+        }
+        for expert in 0..self.map.shape().experts {
+            if let Some(gain) = self.replace_gain(slot, expert) {
+                offer(gain, Move::Replace { slot, expert });
+            }
+        }
+    }
+
+    fn swap_gain(&self, a: usize, b: usize) -> Option<f64> {
+        let (x, y) = (self.map.slots()[a], self.map.slots()[b]);
+        let (rank_a, rank_b) = (self.rank_of(a), self.rank_of(b));
+        let shift = self.share(x) - self.share(y);
+        if shift <= 0.0 || self.holds(rank_a, y) || self.holds(rank_b, x) {
+            return None;
+        }
+        let before = self.penalty(self.loads[rank_a]) + self.penalty(self.loads[rank_b]);
+        let after =
+            self.penalty(self.loads[rank_a] - shift) + self.penalty(self.loads[rank_b] + shift);
+        Some(before - after)
+    }
+
+    fn replace_gain(&self, slot: usize, expert: ExpertId) -> Option<f64> {
+        let old = self.map.slots()[slot];
+        let rank = self.rank_of(slot);
+        if old == expert || self.replicas[old as usize] < 2 || self.holds(rank, expert) {
+            return None;
+        }
+        let fewer = self.popularity[old as usize] / f64::from(self.replicas[old as usize] - 1);
+        let more = self.popularity[expert as usize] / f64::from(self.replicas[expert as usize] + 1);
+        let rise = fewer - self.share(old);
+        let fall = self.share(expert) - more;
+
+        let mut gain = self.change(rank, more - self.share(old));
+        for place in &self.places[old as usize] {
+            let other = self.rank_of(*place);
+            if other == rank {
+                continue;
+            }
+            let drop = if self.holds(other, expert) { fall } else { 0.0 };
+            gain += self.change(other, rise - drop);
+        }
+        for place in &self.places[expert as usize] {
+            let other = self.rank_of(*place);
+            if !self.holds(other, old) {
+                gain += self.change(other, -fall);
+            }
+        }
+        Some(gain)
+    }
+
+    /// What the penalty falls by when the load of a rank changes.
+    fn change(&self, rank: usize, delta: f64) -> f64 {
+        self.penalty(self.loads[rank]) - self.penalty(self.loads[rank] + delta)
+    }
+
+    /// Grows steeply above the mean, so that the sum over all ranks stands for the highest load.
+    fn penalty(&self, load: f64) -> f64 {
+        let squared = (load / self.mean).powi(2);
+        squared.powi(2).powi(4)
+    }
+
+    fn share(&self, expert: ExpertId) -> f64 {
+        self.popularity[expert as usize] / f64::from(self.replicas[expert as usize])
+    }
+
+    fn rank_of(&self, slot: usize) -> usize {
+        slot / self.map.shape().slots as usize
+    }
+
+    fn holds(&self, rank: usize, expert: ExpertId) -> bool {
+        self.map.on_rank(rank as u32).contains(&expert)
+    }
+
+    fn apply(&mut self, change: Move) {
+        match change {
+            Move::Swap { a, b } => {
+                let (x, y) = (self.map.slots()[a], self.map.slots()[b]);
+                self.map.place(a, y);
+                self.map.place(b, x);
+            }
+            Move::Replace { slot, expert } => self.map.place(slot, expert),
+        }
+        self.refresh();
+    }
+
+    fn refresh(&mut self) {
+        self.replicas = self.map.replicas();
+        self.loads = self.map.rank_loads(self.popularity);
+        self.places = vec![Vec::new(); self.popularity.len()];
+        for (slot, expert) in self.map.slots().iter().enumerate() {
+            self.places[*expert as usize].push(slot);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rebalance.rs
@@ -0,0 +1,196 @@
+//! Decides when and how to move experts so that the ranks of a group stay in step.
+//!
+//! From the map in force and the predicted popularity, moves are chosen one by one: a swap of two
+//! experts, or a replica in place of a spare replica. Each takes load from the most loaded rank.
+//! The plan ends where the next move no longer pays for its bytes, and is dropped unless it pays
+//! for the stall of the switch as well.
+
+use std::time::Duration;
+
+use jj_utils::{clock::Timestamp, common_derives, ids::ExpertId};
+
+use crate::{expert_map::ExpertMap, rank_load::RankLoads};
+
+/// What moving costs and when it is considered.
+#[derive(Debug, Clone, Copy)]
+pub struct RebalanceConfig {
+    /// Skew from which a plan is considered.
+    pub trigger_skew: f64,
+    /// Skew at which a plan stops adding moves.
+    pub target_skew: f64,
+    /// Time over which a plan has to pay.
+    pub horizon: Duration,
+    /// Shortest time between two switches.
+    pub min_interval: Duration,
+    /// Weights of one expert, in bytes.
+    pub expert_bytes: u64,
+    /// What the weight store delivers to the group, in bytes a second.
+    pub store_rate: f64,
+    /// Share of the group's speed that loading weights takes while it goes on.
+    pub load_slowdown: f64,
+    /// Time that all ranks hold at a switch.
+    pub stall: Duration,
+    /// Most moves in one plan.
+    pub max_moves: u32,
+}
+
+impl Default for RebalanceConfig {
+    fn default() -> Self {
+        Self {
+            trigger_skew: 1.05,
+            target_skew: 1.02,
+            horizon: Duration::from_secs(120),
+            min_interval: Duration::from_secs(20),
+            expert_bytes: 1 << 30,
+            store_rate: 8e9,
+            load_slowdown: 0.05,
+            stall: Duration::from_millis(150),
+            max_moves: 64,
+        }
+    }
+}
+
+impl RebalanceConfig {
+    /// Time to load this many experts from the weight store.
+    pub fn load_time(&self, loads: u32) -> Duration {
+        let bytes = self.expert_bytes as f64 * f64::from(loads);
+        Duration::from_secs_f64(bytes / self.store_rate)
+    }
+
+    /// Time of the group that a switch with this many loads costs, in seconds.
+    fn cost(&self, loads: u32) -> f64 {
+        self.load_time(loads).as_secs_f64() * self.load_slowdown + self.stall.as_secs_f64()
+    }
+
+    /// Time of the group that a lower skew saves over the horizon, in seconds.
+    fn gain(&self, before: f64, after: f64) -> f64 {
+        (before - after) / before * self.horizon.as_secs_f64()
+    }
+}
+
+common_derives! {value:
+    /// A switch that pays.
+    pub struct RebalancePlan {
+        /// The new map.
+        pub map: ExpertMap,
+        /// Experts that ranks have to load.
+        pub loads: u32,
+        /// Predicted skew of the map in force.
+        pub skew_before: f64,
+        /// Predicted skew of the new map.
+        pub skew_after: f64,
+    }
+}
+
+/// Plans switches of one group.
+#[derive(Debug, Clone)]
+pub struct Rebalancer {
+    config: RebalanceConfig,
+    switched_at: Option<Timestamp>,
+}
+
+impl Rebalancer {
+    /// A planner that has made no plan yet.
+    pub fn new(config: RebalanceConfig) -> Self {
+        Self {
+            config,
+            switched_at: None,
+        }
+    }
+
+    /// The switch to make now, if one pays. `popularity` is predicted for the time when the new
+    /// map would be in force.
+    pub fn plan(
+        &mut self,
+        now: Timestamp,
+        map: &ExpertMap,
+        popularity: &[f64],
+    ) -> Option<RebalancePlan> {
+        let rested = self
+            .switched_at
+            .is_none_or(|at| now >= at + self.config.min_interval);
+        let before = map.skew(popularity);
+        if !rested || before < self.config.trigger_skew {
+            return None;
+        }
+        let plan = best_plan(&self.config, map, popularity, before)?;
+        self.switched_at = Some(now);
+        Some(plan)
+    }
+}
+
+/// Adds moves one by one and keeps the point at which the net gain was highest.
+fn best_plan(
+    config: &RebalanceConfig,
+    map: &ExpertMap,
+    popularity: &[f64],
+    before: f64,
+) -> Option<RebalancePlan> {
+    let mut loads = RankLoads::new(map, popularity);
+    let mut best = None;
+    let mut best_net = 0.0;
+    for _ in 0..config.max_moves {
+        if loads.skew() <= config.target_skew || !loads.improve() {
+            break;
+        }
+        let after = loads.skew();
+        let moved = map.loads_to(loads.map());
+        let net = config.gain(before, after) - config.cost(moved);
+        if net > best_net {
+            best_net = net;
+            best = Some(RebalancePlan {
+                map: loads.map().clone(),
+                loads: moved,
+                skew_before: before,
+                skew_after: after,
+            });
+        }
+    }
+    best
+}
+
+/// A map built anew for a popularity: replicas go to the experts with the highest load for each
+/// replica, and the heaviest replicas are placed first, on the least loaded rank with room.
+pub fn repack(map: &ExpertMap, popularity: &[f64]) -> ExpertMap {
+    let shape = map.shape();
+    let replicas = allot_replicas(popularity, shape.all_slots(), shape.ranks);
+    let mut order: Vec<ExpertId> = (0..shape.experts).collect();
+    let share =
+        |expert: ExpertId| popularity[expert as usize] / f64::from(replicas[expert as usize]);
+    order.sort_by(|a, b| share(*b).total_cmp(&share(*a)).then(a.cmp(b)));
+
+    let mut ranks: Vec<Vec<ExpertId>> = vec![Vec::new(); shape.ranks as usize];
+    let mut loads = vec![0.0; shape.ranks as usize];
+    for expert in order {
+        for _ in 0..replicas[expert as usize] {
+            let rank = least_loaded(&ranks, &loads, expert, shape.slots as usize);
+            ranks[rank].push(expert);
+            loads[rank] += share(expert);
+        }
+    }
+    ExpertMap::from_slots(shape, ranks.concat()).unwrap_or_else(|| map.clone())
+}
+
+fn allot_replicas(popularity: &[f64], slots: usize, ranks: u32) -> Vec<u32> {
+    let mut replicas = vec![1_u32; popularity.len()];
+    for _ in popularity.len()..slots {
+        let share = |expert: usize| popularity[expert] / f64::from(replicas[expert]);
+        let candidates = (0..popularity.len()).filter(|expert| replicas[*expert] < ranks);
+        let Some(hottest) = candidates.max_by(|a, b| share(*a).total_cmp(&share(*b))) else {
+            break;
+        };
+        replicas[hottest] += 1;
+    }
+    replicas
+}
+
+/// The least loaded rank with room, if possible one without a replica of the expert.
+fn least_loaded(ranks: &[Vec<ExpertId>], loads: &[f64], expert: ExpertId, slots: usize) -> usize {
+    let with_room = || (0..ranks.len()).filter(|rank| ranks[*rank].len() < slots);
+    let by_load = |a: &usize, b: &usize| loads[*a].total_cmp(&loads[*b]);
+    let fresh = with_room().filter(|rank| !ranks[*rank].contains(&expert));
+    let rank = fresh
+        .min_by(by_load)
+        .or_else(|| with_room().min_by(by_load));
+    rank.unwrap_or(0)
+}
--- a/crates/policy/tests/group_switch_walk.rs
+++ b/crates/policy/tests/group_switch_walk.rs
@@ -184,6 +184,10 @@
     next_steps: [u64; RANKS],
     /// Map that was broadcast last; each rank takes it at any later moment, or never.
     latest: u32,
+    /// Map with which each rank ran its last step.
+    last_maps: [u32; RANKS],
+    /// True once a step has run with two maps.
+    mixed: bool,
 }
 
 impl Naive {
@@ -205,6 +209,10 @@
             if step <= 2 && self.next_steps.iter().all(|other| *other >= step) {
                 let mut world = self.clone();
                 world.next_steps[rank] += 1;
+                world.last_maps[rank] = self.maps[rank];
+                world.mixed |= (0..RANKS).any(|other| {
+                    self.next_steps[other] > step && self.last_maps[other] != self.maps[rank]
+                });
                 next.push(world);
             }
         }
@@ -219,26 +227,15 @@
         maps: [0; RANKS],
         next_steps: [1; RANKS],
         latest: 0,
+        last_maps: [0; RANKS],
+        mixed: false,
     };
-    // A step runs with two maps when one rank has run it and another, with another map, is next.
-    let is_mixed = |world: &Naive| {
-        let ran = world.next_steps.iter().max();
-        (0..RANKS).any(|late| {
-            let is_late = Some(&world.next_steps[late]) < ran;
-            is_late
-                && (0..RANKS).any(|other| {
-                    world.next_steps[other] > world.next_steps[late]
-                        && world.maps[other] != world.maps[late]
-                })
-        })
-    };
-
     let naive = pathfinding::directed::bfs::bfs_reach(start, Naive::successors);
     let naive: Vec<Naive> = naive.collect();
-    let mixed = naive.iter().filter(|world| is_mixed(world)).count();
+    let mixed = naive.iter().filter(|world| world.mixed).count();
     let switched = walk("protocol", false, Mutation::None, budget());
     println!(
-        "naive: {} states, {mixed} of them about to mix maps",
+        "naive: {} states, {mixed} of them after a step with two maps",
         naive.len()
     );
 
