--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,96 @@
+//! What every request handler is given.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use jj_peer::client::AgentClient;
+use jj_policy::{
+    retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
+    routing::RoutingConfig,
+};
+use jj_utils::{clock::SharedClock, ids::RequestId};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::view::View;
+
+/// Shared by all traffic threads.
+pub struct Context {
+    /// Time.
+    pub clock: SharedClock,
+    /// Client of every agent.
+    pub client: AgentClient,
+    /// What the control thread published last.
+    pub view: Arc<ArcSwap<View>>,
+    /// Tunables of the choice of a backend server.
+    pub routing: RoutingConfig,
+    /// How long callers may keep an address answer.
+    pub lifetime: Duration,
+    /// Requests being handled, streams included.
+    pub open: Arc<AtomicUsize>,
+    /// Tunables of retries.
+    pub retry: RetryConfig,
+    budget: Mutex<RetryBudget>,
+    random: Mutex<Pcg64Mcg>,
+}
+
+impl Context {
+    /// A context whose random numbers start from `seed`.
+    pub fn new(
+        clock: SharedClock,
+        client: AgentClient,
+        view: Arc<ArcSwap<View>>,
+        lifetime: Duration,
+        seed: u64,
+    ) -> Self {
+        Self {
+            clock,
+            client,
+            view,
+            routing: RoutingConfig::default(),
+            lifetime,
+            open: Arc::default(),
+            retry: RetryConfig::default(),
+            budget: Mutex::default(),
+            random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
+        }
+    }
+
+    /// Two random numbers for one decision.
+    pub fn draws(&self) -> [u64; 2] {
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        [random.next_u64(), random.next_u64()]
+    }
+
+    /// Counts one request taken in, which adds to the retry budget.
+    pub fn take_in(&self) {
+        self.lock_budget().take_in(&self.retry);
+    }
+
+    /// Decides whether a failed attempt is followed by another.
+    pub fn decide_retry(&self, attempts: &Attempts, facts: &RetryFacts) -> RetryDecision {
+        let now = self.clock.now();
+        let [draw, _] = self.draws();
+        retry::decide(
+            &self.retry,
+            &mut self.lock_budget(),
+            attempts,
+            facts,
+            now,
+            draw,
+        )
+    }
+
+    fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A new request's id, unique over the fleet.
+    pub fn request_id(&self) -> RequestId {
+        let [high, low] = self.draws();
+        format!("{high:016x}{low:016x}")
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,233 @@
+//! The control thread of an entry: it alone keeps the state of the fleet, and publishes a view.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use jj_node::fleet::{self, Fleet, Heard, OpenContext, Own};
+use jj_operator::audit::AuditTrail;
+use jj_platform::{
+    config_reader::ConfigView,
+    wire::{Instance, InstanceList, Role},
+};
+use jj_policy::{
+    addresses::{self, AddressConfig},
+    authority::Permit,
+    routing::LoadReport,
+    subset::Node,
+};
+use jj_utils::{
+    clock::SharedClock,
+    collections::FastMap,
+    ids::{FailureDomainId, Incarnation, InstanceId},
+};
+use jsonrpsee::server::ServerHandle;
+use tokio::sync::{oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::view::{self, Agent, Local, RemoteClock, View};
+
+/// Longest time between two views; ages count also when nothing happens.
+const REFRESH: Duration = Duration::from_millis(200);
+
+/// Groups of callers that get different address answers.
+pub const CALLER_GROUPS: u64 = 16;
+
+/// One-way time to another failure domain.
+const DOMAIN_DISTANCE: Duration = Duration::from_micros(1500);
+
+/// What the control thread needs.
+#[derive(Clone)]
+pub struct ControlContext {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+    /// Base URL of the platform.
+    pub platform: String,
+    /// Where control calls arrive.
+    pub control_addr: SocketAddr,
+    /// Time.
+    pub clock: SharedClock,
+    /// Set once the process is leaving.
+    pub draining: Arc<AtomicBool>,
+    /// Changes made here, for operators.
+    pub audit: Arc<AuditTrail>,
+    /// Where the view is published.
+    pub view: Arc<ArcSwap<View>>,
+    /// Ends the thread.
+    pub token: CancellationToken,
+}
+
+/// Starts the control thread; returns once its port is open.
+///
+/// # Errors
+/// When the thread can't be started or the port can't be bound.
+pub async fn start(context: ControlContext) -> anyhow::Result<watch::Receiver<ConfigView>> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (started, result) = oneshot::channel();
+    thread::Builder::new()
+        .name("control".into())
+        .spawn(move || {
+            runtime.block_on(run(context, started));
+        })?;
+    result.await?
+}
+
+async fn run(
+    context: ControlContext,
+    started: oneshot::Sender<anyhow::Result<watch::Receiver<ConfigView>>>,
+) {
+    let (fleet, port) = match open(&context).await {
+        Ok(opened) => opened,
+        Err(error) => {
+            let _ = started.send(Err(error));
+            return;
+        }
+    };
+    let _ = started.send(Ok(fleet.config()));
+    State {
+        context,
+        fleet,
+        locals: FastMap::default(),
+    }
+    .run()
+    .await;
+    let _ = port.stop();
+}
+
+async fn open(context: &ControlContext) -> anyhow::Result<(Fleet, ServerHandle)> {
+    let draining = Arc::clone(&context.draining);
+    let own = Own {
+        instance: context.instance.clone(),
+        incarnation: context.incarnation,
+        domain: context.domain.clone(),
+        role: Role::Entry,
+        load: Box::new(|| None),
+        draining: Box::new(move || draining.load(Ordering::SeqCst)),
+    };
+    let opening = OpenContext {
+        platform: context.platform.clone(),
+        control_addr: context.control_addr,
+        clock: Arc::clone(&context.clock),
+        audit: Arc::clone(&context.audit),
+        token: context.token.clone(),
+    };
+    fleet::open(opening, own).await
+}
+
+struct State {
+    context: ControlContext,
+    fleet: Fleet,
+    locals: FastMap<InstanceId, Arc<Local>>,
+}
+
+impl State {
+    async fn run(mut self) {
+        let token = self.context.token.clone();
+        let mut refresh = tokio::time::interval(REFRESH);
+        loop {
+            tokio::select! {
+                () = token.cancelled() => return,
+                () = self.fleet.step() => {}
+                _ = refresh.tick() => {}
+            }
+            self.note_failures();
+            self.publish();
+        }
+    }
+
+    /// Tells membership of connections that traffic threads could not open.
+    fn note_failures(&mut self) {
+        for (id, local) in &self.locals {
+            if let Some(incarnation) = local.take_failure() {
+                self.fleet.note_failure(id, incarnation);
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        let list = self.fleet.list();
+        self.locals
+            .retain(|id, _| list.instances.iter().any(|i| i.id == *id));
+        let listed = list.instances.iter().filter(|i| i.role == Role::Agent);
+        let mut agents: Vec<Agent> = listed.filter_map(|i| self.agent(i)).collect();
+        agents.sort_by(|a, b| a.id.cmp(&b.id));
+        let view = View {
+            published: self.fleet.published(),
+            agents,
+            addresses: self.addresses(&list),
+            permit: self.permit(),
+            standing: format!("{:?}", self.fleet.standing()),
+        };
+        self.context.view.store(Arc::new(view));
+    }
+
+    /// Leave to take new work; none in a withdrawn failure domain.
+    fn permit(&self) -> Option<Permit> {
+        if self.fleet.is_withdrawn() {
+            return None;
+        }
+        self.fleet.permit()
+    }
+
+    fn agent(&mut self, listed: &Instance) -> Option<Agent> {
+        let state = self.fleet.state(&listed.id);
+        let heard = self.fleet.heard(&listed.id)?;
+        let local = self.locals.entry(listed.id.clone()).or_default();
+        let same_domain = listed.domain == self.context.domain;
+        Some(Agent {
+            id: listed.id.clone(),
+            service: listed.service.clone(),
+            traffic: listed.traffic,
+            incarnation: heard.heartbeat.incarnation,
+            state,
+            distance: if same_domain {
+                Duration::ZERO
+            } else {
+                DOMAIN_DISTANCE
+            },
+            report: report(heard),
+            clock: RemoteClock {
+                shown: Duration::from_micros(heard.heartbeat.clock),
+                heard: heard.arrived,
+            },
+            local: Arc::clone(local),
+        })
+    }
+
+    /// Addresses for each group of callers.
+    fn addresses(&self, list: &InstanceList) -> Vec<Vec<SocketAddr>> {
+        let config = AddressConfig::default();
+        let entries = list.instances.iter().filter(|i| i.role == Role::Entry);
+        let entries: Vec<&Instance> = entries.collect();
+        let nodes = entries.iter().map(|i| Node {
+            id: &i.id,
+            domain: &i.domain,
+        });
+        let nodes: Vec<Node<'_>> = nodes.collect();
+        let now = self.context.clock.now();
+        let traffic = |id: &InstanceId| entries.iter().find(|i| i.id == *id).map(|i| i.traffic);
+        let one = |group: u64| {
+            let answer = addresses::answer(&config, self.fleet.membership(), &nodes, group, now);
+            answer.entries.iter().filter_map(traffic).collect()
+        };
+        (0..CALLER_GROUPS).map(one).collect()
+    }
+}
+
+fn report(heard: &Heard) -> Option<LoadReport> {
+    let load = heard.heartbeat.load.as_ref()?;
+    Some(view::report(load, heard.asked))
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,176 @@
+//! What the control thread publishes and traffic threads read.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwapOption;
+use jj_operator::published::Published;
+use jj_policy::{authority::Permit, membership::MemberState, routing::LoadReport};
+use jj_utils::{
+    clock::Timestamp,
+    ids::{Incarnation, InstanceId, ServiceId},
+};
+
+/// One consistent picture of the fleet.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Configuration in force, once there is one.
+    pub published: Option<Arc<Published>>,
+    /// Agents, in the order of their names.
+    pub agents: Vec<Agent>,
+    /// Addresses that callers may use, for each group of callers.
+    pub addresses: Vec<Vec<SocketAddr>>,
+    /// Leave to take new work; checked again directly before each attempt.
+    pub permit: Option<Permit>,
+    /// How this process stands, for operators.
+    pub standing: String,
+}
+
+impl View {
+    /// The agent of that name.
+    pub fn agent(&self, id: &str) -> Option<&Agent> {
+        self.agents.iter().find(|agent| agent.id == id)
+    }
+
+    /// Agents of a service.
+    pub fn agents_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Agent> {
+        self.agents
+            .iter()
+            .filter(move |agent| agent.service == service)
+    }
+}
+
+/// One agent as this process sees it.
+#[derive(Debug, Clone)]
+pub struct Agent {
+    /// Name of its instance.
+    pub id: InstanceId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Where attempts go.
+    pub traffic: SocketAddr,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// What membership believes.
+    pub state: MemberState,
+    /// One-way time to its failure domain.
+    pub distance: Duration,
+    /// Its last load report.
+    pub report: Option<LoadReport>,
+    /// Its clock, as its last heartbeat told it.
+    pub clock: RemoteClock,
+    /// Counters that traffic threads keep.
+    pub local: Arc<Local>,
+}
+
+/// Another process's clock, never ahead of the true one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RemoteClock {
+    /// What it showed when it answered.
+    pub shown: Duration,
+    /// When that answer arrived here.
+    pub heard: Timestamp,
+}
+
+impl RemoteClock {
+    /// What it shows at least, at `now` on the local clock.
+    pub fn at(&self, now: Timestamp) -> Duration {
+        self.shown + now.saturating_sub(self.heard)
+    }
+}
+
+/// This process's own dealings with one agent.
+#[derive(Debug, Default)]
+pub struct Local {
+    in_flight: AtomicU32,
+    since_report: AtomicU32,
+    not_before: AtomicU64,
+    failed: AtomicU64,
+    report: ArcSwapOption<LoadReport>,
+}
+
+impl Local {
+    /// Requests of this process in flight there that its last report can't count yet.
+    pub fn since_report(&self) -> u32 {
+        self.since_report
+            .load(Ordering::Relaxed)
+            .min(self.in_flight.load(Ordering::Relaxed))
+    }
+
+    /// The newer one of the report on the last answer and that of the last heartbeat.
+    pub fn newest_report(&self, heard: Option<LoadReport>) -> Option<LoadReport> {
+        let answered = self.report.load().as_deref().copied();
+        let at = |report: &Option<LoadReport>| report.map(|report| report.at);
+        if at(&answered) >= at(&heard) {
+            answered
+        } else {
+            heard
+        }
+    }
+
+    /// Takes in the report on an answer.
+    pub fn take_report(&self, report: LoadReport) {
+        self.since_report.store(0, Ordering::Relaxed);
+        self.report.store(Some(Arc::new(report)));
+    }
+
+    /// When the agent may be asked again after a refusal.
+    pub fn not_before(&self) -> Timestamp {
+        Duration::from_micros(self.not_before.load(Ordering::Relaxed))
+    }
+
+    /// Notes a refusal.
+    pub fn refused_until(&self, until: Timestamp) {
+        let micros = u64::try_from(until.as_micros()).unwrap_or(u64::MAX);
+        self.not_before.store(micros, Ordering::Relaxed);
+    }
+
+    /// Notes that no connection to a life of the agent could be opened.
+    pub fn note_failure(&self, incarnation: Incarnation) {
+        self.failed.store(incarnation, Ordering::Relaxed);
+    }
+
+    /// The life that no connection could be opened to, since the last look.
+    pub fn take_failure(&self) -> Option<Incarnation> {
+        let incarnation = self.failed.swap(0, Ordering::Relaxed);
+        (incarnation != 0).then_some(incarnation)
+    }
+
+    /// Counts one request in flight until the guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.since_report.fetch_add(1, Ordering::Relaxed);
+        InFlight {
+            local: Arc::clone(self),
+        }
+    }
+}
+
+/// A load report as routing takes it.
+pub fn report(load: &jj_peer::control::LoadReport, at: Timestamp) -> LoadReport {
+    LoadReport {
+        in_flight: load.running,
+        queued: load.waiting,
+        limit: load.limit,
+        service: Duration::from_micros(load.latency),
+        at,
+    }
+}
+
+/// Counts one request in flight.
+#[derive(Debug)]
+pub struct InFlight {
+    local: Arc<Local>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.local.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins, load, fault injection and experiments; never shipped.
+
+pub mod caller;
+pub mod experiments;
+pub mod fleet;
+pub mod http;
+pub mod load;
+pub mod path_bench;
+pub mod process;
+pub mod publication;
+pub mod publish;
+pub mod relay;
+pub mod standins;
+pub mod tokens;
