--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -2,3 +2,5 @@
 
 pub mod once;
 pub mod once_world;
+pub mod popularity_traces;
+pub mod rebalance;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,27 +1,27 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
-pub mod expert_map;
-pub mod group_leader;
-pub mod group_rank;
-pub mod group_switch;
-pub mod popularity;
-pub mod rank_load;
-pub mod rebalance;
-pub mod rebalance_replay;
 pub mod addresses;
 pub mod admission;
 pub mod authority;
 pub mod call_budget;
 pub mod cold;
 pub mod config_order;
+pub mod expert_map;
 pub mod fairness;
+pub mod group_leader;
+pub mod group_rank;
+pub mod group_switch;
 pub mod keys;
 pub mod limit;
 pub mod membership;
 pub mod once;
 pub mod orphans;
+pub mod popularity;
 pub mod prefix;
+pub mod rank_load;
+pub mod rebalance;
+pub mod rebalance_replay;
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
--- a/crates/policy/src/popularity.rs
+++ b/crates/policy/src/popularity.rs
@@ -74,14 +74,14 @@
         self.until = Some(report.until);
     }
 
-    /// Predicted shares at a time, normalised to 1.
-    pub fn predict(&self, at: Timestamp) -> Vec<f64> {
-        let until = self.until.unwrap_or(at);
+    /// Predicted shares at a time, normalised to 1; `None` before the first report.
+    pub fn predict(&self, at: Timestamp) -> Option<Vec<f64>> {
+        let until = self.until?;
         let ahead = at.saturating_sub(until).min(self.config.trend_limit);
         let ahead = ahead.as_secs_f64();
         let shares = self.level.iter().zip(&self.trend);
         let shares = shares.map(|(level, trend)| (level + trend * ahead).max(0.0));
-        normalised(shares.collect())
+        Some(normalised(shares.collect()))
     }
 
     /// Shares of the report, with the missing ones as last estimated. The counts are scaled so
--- a/crates/policy/src/rank_load.rs
+++ b/crates/policy/src/rank_load.rs
@@ -22,8 +22,13 @@
     replicas: Vec<u32>,
     /// Slots of each expert.
     places: Vec<Vec<usize>>,
+    /// For each rank and expert, whether the rank holds a replica.
+    held: Vec<bool>,
     loads: Vec<f64>,
+    /// Penalty of each rank's load.
+    penalties: Vec<f64>,
     mean: f64,
+    highest: f64,
 }
 
 impl<'a> RankLoads<'a> {
@@ -36,8 +41,11 @@
             popularity,
             replicas: map.replicas(),
             places: Vec::new(),
+            held: Vec::new(),
+            penalties: Vec::new(),
             loads,
             mean,
+            highest: 0.0,
         };
         loads.refresh();
         loads
@@ -53,7 +61,7 @@
         if self.mean <= 0.0 {
             return 1.0;
         }
-        self.loads.iter().copied().fold(0.0, f64::max) / self.mean
+        self.highest / self.mean
     }
 
     /// Makes the move that helps the most loaded rank best for its bytes; false when none helps.
@@ -108,10 +116,13 @@
         let (x, y) = (self.map.slots()[a], self.map.slots()[b]);
         let (rank_a, rank_b) = (self.rank_of(a), self.rank_of(b));
         let shift = self.share(x) - self.share(y);
-        if shift <= 0.0 || self.holds(rank_a, y) || self.holds(rank_b, x) {
+        if shift <= 0.0 || self.loads[rank_b] + shift >= self.loads[rank_a] {
             return None;
         }
-        let before = self.penalty(self.loads[rank_a]) + self.penalty(self.loads[rank_b]);
+        if self.holds(rank_a, y) || self.holds(rank_b, x) {
+            return None;
+        }
+        let before = self.penalties[rank_a] + self.penalties[rank_b];
         let after =
             self.penalty(self.loads[rank_a] - shift) + self.penalty(self.loads[rank_b] + shift);
         Some(before - after)
@@ -125,6 +136,9 @@
         }
         let fewer = self.popularity[old as usize] / f64::from(self.replicas[old as usize] - 1);
         let more = self.popularity[expert as usize] / f64::from(self.replicas[expert as usize] + 1);
+        if self.loads[rank] + more - self.share(old) >= self.highest {
+            return None;
+        }
         let rise = fewer - self.share(old);
         let fall = self.share(expert) - more;
 
@@ -148,7 +162,7 @@
 
     /// What the penalty falls by when the load of a rank changes.
     fn change(&self, rank: usize, delta: f64) -> f64 {
-        self.penalty(self.loads[rank]) - self.penalty(self.loads[rank] + delta)
+        self.penalties[rank] - self.penalty(self.loads[rank] + delta)
     }
 
     /// Grows steeply above the mean, so that the sum over all ranks stands for the highest load.
@@ -166,7 +180,7 @@
     }
 
     fn holds(&self, rank: usize, expert: ExpertId) -> bool {
-        self.map.on_rank(rank as u32).contains(&expert)
+        self.held[rank * self.popularity.len() + expert as usize]
     }
 
     fn apply(&mut self, change: Move) {
@@ -184,9 +198,15 @@
     fn refresh(&mut self) {
         self.replicas = self.map.replicas();
         self.loads = self.map.rank_loads(self.popularity);
-        self.places = vec![Vec::new(); self.popularity.len()];
+        self.highest = self.loads.iter().copied().fold(0.0, f64::max);
+        self.penalties = self.loads.iter().map(|load| self.penalty(*load)).collect();
+        let experts = self.popularity.len();
+        self.places = vec![Vec::new(); experts];
+        self.held = vec![false; self.loads.len() * experts];
         for (slot, expert) in self.map.slots().iter().enumerate() {
             self.places[*expert as usize].push(slot);
+            let rank = slot / self.map.shape().slots as usize;
+            self.held[rank * experts + *expert as usize] = true;
         }
     }
 }
--- a/crates/policy/src/rebalance.rs
+++ b/crates/policy/src/rebalance.rs
@@ -40,7 +40,7 @@
             trigger_skew: 1.05,
             target_skew: 1.02,
             horizon: Duration::from_secs(120),
-            min_interval: Duration::from_secs(20),
+            min_interval: Duration::from_secs(10),
             expert_bytes: 1 << 30,
             store_rate: 8e9,
             load_slowdown: 0.05,
@@ -119,34 +119,91 @@
     }
 }
 
-/// Adds moves one by one and keeps the point at which the net gain was highest.
+/// The best improvement of the map in force; where no run of single moves gets below the trigger,
+/// the best improvement of a map built anew counts as well.
 fn best_plan(
     config: &RebalanceConfig,
     map: &ExpertMap,
     popularity: &[f64],
     before: f64,
 ) -> Option<RebalancePlan> {
-    let mut loads = RankLoads::new(map, popularity);
-    let mut best = None;
-    let mut best_net = 0.0;
-    for _ in 0..config.max_moves {
-        if loads.skew() <= config.target_skew || !loads.improve() {
-            break;
-        }
-        let after = loads.skew();
-        let moved = map.loads_to(loads.map());
-        let net = config.gain(before, after) - config.cost(moved);
-        if net > best_net {
-            best_net = net;
-            best = Some(RebalancePlan {
+    let search = Search {
+        config,
+        map,
+        popularity,
+        before,
+    };
+    let moved = search.improve(map);
+    let good_enough = |plan: &RebalancePlan| plan.skew_after < config.trigger_skew;
+    if moved.as_ref().is_some_and(good_enough) {
+        return moved;
+    }
+    let rebuilt = search.improve(&aligned(map, &repack(map, popularity)));
+    let net = |plan: &Option<RebalancePlan>| plan.as_ref().map_or(0.0, |plan| search.net(plan));
+    if net(&rebuilt) > net(&moved) {
+        rebuilt
+    } else {
+        moved
+    }
+}
+
+/// Looks for a plan that starts from one map.
+struct Search<'a> {
+    config: &'a RebalanceConfig,
+    map: &'a ExpertMap,
+    popularity: &'a [f64],
+    before: f64,
+}
+
+impl Search<'_> {
+    /// Adds moves to a map one by one and keeps the point at which the net gain was highest.
+    fn improve(&self, from: &ExpertMap) -> Option<RebalancePlan> {
+        let mut loads = RankLoads::new(from, self.popularity);
+        let mut best: Option<RebalancePlan> = None;
+        let mut best_net = 0.0;
+        for _ in 0..self.config.max_moves {
+            let plan = RebalancePlan {
                 map: loads.map().clone(),
-                loads: moved,
-                skew_before: before,
-                skew_after: after,
-            });
+                loads: self.map.loads_to(loads.map()),
+                skew_before: self.before,
+                skew_after: loads.skew(),
+            };
+            let net = self.net(&plan);
+            let done = plan.skew_after <= self.config.target_skew;
+            if net > best_net {
+                best_net = net;
+                best = Some(plan);
+            }
+            if done || !loads.improve() {
+                break;
+            }
+        }
+        best
+    }
+
+    /// Time of the group that a plan saves, less what it costs, in seconds.
+    fn net(&self, plan: &RebalancePlan) -> f64 {
+        self.config.gain(self.before, plan.skew_after) - self.config.cost(plan.loads)
+    }
+}
+
+/// The new map with its ranks renumbered so that each rank keeps many of its experts.
+fn aligned(old: &ExpertMap, new: &ExpertMap) -> ExpertMap {
+    let ranks = old.shape().ranks;
+    let mut free: Vec<u32> = (0..ranks).collect();
+    let mut slots = Vec::with_capacity(old.slots().len());
+    for rank in 0..ranks {
+        let kept = |candidate: u32| {
+            let experts = new.on_rank(candidate).iter();
+            let held = old.on_rank(rank);
+            experts.filter(|expert| held.contains(expert)).count()
+        };
+        let best = (0..free.len()).max_by_key(|index| kept(free[*index]));
+        if let Some(index) = best {
+            slots.extend_from_slice(new.on_rank(free.swap_remove(index)));
         }
     }
-    best
+    ExpertMap::from_slots(old.shape(), slots).unwrap_or_else(|| new.clone())
 }
 
 /// A map built anew for a popularity: replicas go to the experts with the highest load for each
--- a/crates/policy/src/rebalance_replay.rs
+++ b/crates/policy/src/rebalance_replay.rs
@@ -98,8 +98,9 @@
         if let Some(report) = trace.reports.get(index).and_then(Option::as_ref) {
             popularity.observe(report);
         }
-        if loading.is_none() {
-            let predicted = popularity.predict(now + period);
+        if loading.is_none()
+            && let Some(predicted) = popularity.predict(now + period)
+        {
             loading = next_map(policy, &mut rebalancer, now, &map, &predicted).map(|next| {
                 let loads = map.loads_to(&next);
                 outcome.bytes += config.expert_bytes * u64::from(loads);
