--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -5,3 +5,5 @@
 pub mod once_world;
 pub mod queueing;
 pub mod routing;
+pub mod popularity_traces;
+pub mod rebalance;
