feat(agent): admission gate, fair queue and once-only register in the agent

The fixed gate grew with any success, knew nothing of the server's boot and served first come first. The agent now reads the server's report, holds the cold floor until it is warm, shares the queue by client account, and runs each issued idempotency key at most once; later attempts of a key read the first one's answer.

The stand-in of a plain service reports its load, as the engine does.

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use jj_peer::{
     attempt::AttemptRef,
-    frames::{self, Data, Failure, Frame, Head},
+    frames::{self, Data, Failure, Frame, Head, Header},
 };
 use jj_policy::verdict::Verdict;
 use jj_utils::{clock::Timestamp, collections::FastMap};
@@ -110,6 +110,11 @@
         self.lock().phase == Phase::Done
     }
 
+    /// Bytes of the answer so far.
+    pub fn size(&self) -> usize {
+        self.lock().bytes.len()
+    }
+
     /// Adds the head of the answer.
     ///
     /// # Errors
@@ -139,6 +144,21 @@
         self.close(&Frame::End { count });
     }
 
+    /// Ends with an answer of the agent's own: a problem document.
+    pub fn refuse(&self, status: u16, detail: &str) {
+        let document =
+            serde_json::json!({"status": status, "verdict": "not-run", "detail": detail});
+        let header = Header {
+            name: "content-type".into(),
+            value: "application/problem+json".into(),
+        };
+        let headers = vec![header];
+        // A fresh log has room for so small an answer.
+        let _ = self.push_head(Head { status, headers });
+        let _ = self.push_data(document.to_string().as_bytes());
+        self.finish();
+    }
+
     /// Ends the attempt without a whole answer.
     pub fn fail(&self, verdict: Verdict, reason: impl Into<String>) {
         self.close(&Frame::Failed(Failure::new(verdict, reason)));
@@ -259,8 +279,13 @@
         self.config.retention / 2
     }
 
-    /// Opens an attempt that has arrived; `first` is the index of its first data frame.
-    pub fn open(&self, id: &AttemptRef, first: u64) -> Opened {
+    /// An attempt that is not in the table yet; `first` is the index of its first data frame.
+    pub fn prepare(&self, first: u64) -> Arc<Attempt> {
+        Arc::new(Attempt::new(first, self.config.max_answer))
+    }
+
+    /// Opens an attempt that has arrived; `attempt` may be the earlier one of the same key.
+    pub fn open(&self, id: &AttemptRef, attempt: Arc<Attempt>) -> Opened {
         let mut known = self.lock();
         if let Some(entry) = known.get(id) {
             return Opened::Seen(Arc::clone(&entry.attempt));
@@ -268,7 +293,6 @@
         if known.len() >= self.config.max_attempts {
             return Opened::Full;
         }
-        let attempt = Arc::new(Attempt::new(first, self.config.max_answer));
         known.insert(
             id.clone(),
             Known {
@@ -281,7 +305,7 @@
 
     /// The attempt if seen, else a fenced one: it never started here and never will.
     pub fn outcome(&self, id: &AttemptRef) -> Opened {
-        let opened = self.open(id, 0);
+        let opened = self.open(id, self.prepare(0));
         if let Opened::New(attempt) = &opened {
             attempt.fail(
                 Verdict::NotRun {
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -1,28 +1,37 @@
 //! The control thread: it alone owns the gate; traffic threads send it messages and read the
 //! snapshot that it publishes.
 
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use arc_swap::ArcSwap;
 use jj_node::fleet::{self, Fleet, OpenContext, Own};
-use jj_operator::audit::AuditTrail;
+use jj_operator::{
+    audit::{AuditTrail, Change},
+    documents::Limits,
+};
 use jj_peer::control::LoadReport;
 use jj_platform::{config_reader::ConfigView, wire::Role};
-use jj_policy::verdict::Verdict;
+use jj_policy::{
+    admission::{
+        Admission, AdmissionConfig, ColdCause, Finish, Offer, Refusal, RefusalReason, Released,
+        ServerReport, Ticket, Waiting,
+    },
+    verdict::Verdict,
+};
 use jj_utils::{
-    clock::SharedClock,
+    clock::{SharedClock, Timestamp},
     collections::FastMap,
-    ids::{ConfigIndex, FailureDomainId, Incarnation, InstanceId, ServiceId},
+    events,
+    ids::{ClientAccountId, ConfigIndex, FailureDomainId, Incarnation, InstanceId, ServiceId},
 };
 use jsonrpsee::server::ServerHandle;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::MissedTickBehavior,
+};
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    attempts::Attempts,
-    gate::{Gate, Offer, Ticket},
-    lifecycle::Lifecycle,
-};
+use crate::{attempts::Attempts, keys::Keys, lifecycle::Lifecycle};
 
 /// Messages that may wait for the control thread.
 const QUEUE: usize = 4096;
@@ -30,42 +39,86 @@
 /// Interval of sweeping and publishing.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Interval of looking at the queue while something waits.
+const QUEUE_TICK: Duration = Duration::from_millis(20);
+
+/// A request that asks for a place at the backend server.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Whose share it uses.
+    pub account: ClientAccountId,
+    /// Weight of the account.
+    pub weight: u32,
+    /// When its whole answer is due.
+    pub due: Timestamp,
+}
+
+/// A request that got no place; nothing of it ran.
+#[derive(Debug, Clone)]
+pub struct Refused {
+    /// Always "not run".
+    pub verdict: Verdict,
+    /// Why, for logs and callers.
+    pub reason: &'static str,
+}
+
+impl Refused {
+    fn new(retry_after: Duration, reason: &'static str) -> Self {
+        Self {
+            verdict: Verdict::NotRun { retry_after },
+            reason,
+        }
+    }
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        let reason = match refusal.reason {
+            RefusalReason::Draining => "agent is draining",
+            RefusalReason::Deadline => "no place in time",
+            RefusalReason::AccountFull => "too much of the client account waits",
+            RefusalReason::QueueFull => "queue full",
+        };
+        Self::new(refusal.retry_after, reason)
+    }
+}
+
+type Reply = oneshot::Sender<Result<Permit, Refused>>;
+
 /// Message to the control thread.
 #[derive(Debug)]
 enum Message {
-    Offer(oneshot::Sender<Result<Permit, Verdict>>),
-    Finished { ok: bool, latency: Duration },
+    Offer(Request, Reply),
+    Answered(Ticket),
+    Finished(Ticket, Finish),
+    Report(ServerReport),
 }
 
 /// Permission to go to the backend server; gives its place back when dropped.
 #[derive(Debug)]
 pub struct Permit {
     control: Control,
-    finish: Option<Finish>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Finish {
-    ok: bool,
-    latency: Duration,
+    ticket: Ticket,
+    finish: Finish,
 }
 
 impl Permit {
-    /// Notes how the request went; without a note it counts as a success that took no time.
-    pub fn note(&mut self, ok: bool, latency: Duration) {
-        self.finish = Some(Finish { ok, latency });
+    /// Notes how the request has gone so far; without a note nothing was sent.
+    pub fn note(&mut self, finish: Finish) {
+        self.finish = finish;
+    }
+
+    /// Notes the first byte of an answer.
+    pub fn answered(&self) {
+        let _ = self.control.notes.send(Message::Answered(self.ticket));
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let Finish { ok, latency } = self.finish.unwrap_or(Finish {
-            ok: true,
-            latency: Duration::ZERO,
-        });
-        let message = Message::Finished { ok, latency };
-        // The channel is unbounded for finishes: a lost one would take a place for good.
-        let _ = self.control.finishes.send(message);
+        let message = Message::Finished(self.ticket, self.finish);
+        // The channel is unbounded for notes: a lost one would take a place for good.
+        let _ = self.control.notes.send(message);
     }
 }
 
@@ -73,7 +126,7 @@
 #[derive(Debug, Clone)]
 pub struct Control {
     offers: mpsc::Sender<Message>,
-    finishes: mpsc::UnboundedSender<Message>,
+    notes: mpsc::UnboundedSender<Message>,
     load: Arc<ArcSwap<LoadReport>>,
 }
 
@@ -81,14 +134,19 @@
     /// Asks for a place at the backend server; waits in the gate's queue when need be.
     ///
     /// # Errors
-    /// `NotRun` when there is no place.
-    pub async fn admit(&self) -> Result<Permit, Verdict> {
+    /// When there is no place.
+    pub async fn admit(&self, request: Request) -> Result<Permit, Refused> {
         let (reply, answer) = oneshot::channel();
-        let not_run = Verdict::NotRun { retry_after: TICK };
+        let refused = Refused::new(TICK, "too many requests arrive");
         self.offers
-            .try_send(Message::Offer(reply))
-            .map_err(|_| not_run)?;
-        answer.await.map_err(|_| not_run)?
+            .try_send(Message::Offer(request, reply))
+            .map_err(|_| refused.clone())?;
+        answer.await.map_err(|_| refused)?
+    }
+
+    /// Passes on what the backend server says of itself.
+    pub fn report(&self, report: ServerReport) {
+        let _ = self.notes.send(Message::Report(report));
     }
 
     /// Load as the control thread published it last.
@@ -114,6 +172,8 @@
     pub control_addr: SocketAddr,
     /// Attempts to sweep.
     pub attempts: Arc<Attempts>,
+    /// Keys to sweep.
+    pub keys: Arc<Keys>,
     /// Whether new work is taken.
     pub lifecycle: Arc<Lifecycle>,
     /// Changes made here, for operators.
@@ -130,14 +190,14 @@
 /// When the thread can't be started or the port can't be bound.
 pub async fn start(
     context: ControlContext,
-    gate: Gate,
+    config: AdmissionConfig,
 ) -> anyhow::Result<(Control, watch::Receiver<ConfigView>)> {
     let (offers, offered) = mpsc::channel(QUEUE);
-    let (finishes, finished) = mpsc::unbounded_channel();
+    let (notes, noted) = mpsc::unbounded_channel();
     let load = Arc::new(ArcSwap::from_pointee(LoadReport::default()));
     let control = Control {
         offers,
-        finishes,
+        notes,
         load,
     };
     let handle = control.clone();
@@ -158,8 +218,8 @@
                     }
                 };
                 let _ = started.send(Ok(fleet.config()));
-                State::new(context, control, gate, fleet)
-                    .run(offered, finished)
+                State::new(context, control, config, fleet)
+                    .run(offered, noted)
                     .await;
                 let _ = port.stop();
             });
@@ -194,22 +254,32 @@
 struct State {
     context: ControlContext,
     fleet: Fleet,
-    gate: Gate,
+    config: AdmissionConfig,
+    gate: Admission,
     control: Control,
-    replies: FastMap<Ticket, oneshot::Sender<Result<Permit, Verdict>>>,
+    replies: BTreeMap<Ticket, Reply>,
+    begun: FastMap<Ticket, Timestamp>,
     next_ticket: Ticket,
     latency: Duration,
     index: ConfigIndex,
 }
 
 impl State {
-    fn new(context: ControlContext, control: Control, gate: Gate, fleet: Fleet) -> Self {
+    fn new(
+        context: ControlContext,
+        control: Control,
+        config: AdmissionConfig,
+        fleet: Fleet,
+    ) -> Self {
+        let gate = Admission::new(config, context.clock.now());
         Self {
             context,
             fleet,
+            config,
             gate,
             control,
-            replies: FastMap::default(),
+            replies: BTreeMap::new(),
+            begun: FastMap::default(),
             next_ticket: 0,
             latency: Duration::ZERO,
             index: 0,
@@ -229,80 +299,165 @@
         }
         self.index = published.index;
         if let Some(service) = published.services.get(&self.context.service) {
-            let limits = &service.limits;
-            self.gate
-                .configure(limits.cold_floor, limits.concurrency, limits.queue as usize);
+            self.config = with_limits(self.config, &service.limits);
+            self.gate.configure(self.config);
         }
     }
 
     async fn run(
         mut self,
         mut offered: mpsc::Receiver<Message>,
-        mut finished: mpsc::UnboundedReceiver<Message>,
+        mut noted: mpsc::UnboundedReceiver<Message>,
     ) {
         let token = self.context.token.clone();
         let mut tick = tokio::time::interval(TICK);
+        let mut queue_tick = tokio::time::interval(QUEUE_TICK);
+        queue_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 biased;
                 () = token.cancelled() => return,
-                Some(message) = finished.recv() => self.handle(message),
+                Some(message) = noted.recv() => self.handle(message),
                 Some(message) = offered.recv() => self.handle(message),
                 () = self.fleet.step() => {}
-                _ = tick.tick() => self.context.attempts.sweep(self.context.clock.now()),
+                _ = queue_tick.tick(), if !self.replies.is_empty() => self.advance(),
+                _ = tick.tick() => self.sweep(),
             }
             self.refresh();
+            self.note_change();
             self.publish();
         }
     }
 
     fn handle(&mut self, message: Message) {
+        let now = self.context.clock.now();
         match message {
-            Message::Offer(reply) => self.offer(reply),
-            Message::Finished { ok, latency } => self.finished(ok, latency),
+            Message::Offer(request, reply) => self.offer(now, request, reply),
+            Message::Answered(ticket) => self.answered(now, ticket),
+            Message::Finished(ticket, finish) => {
+                self.begun.remove(&ticket);
+                let released = self.gate.finished(now, ticket, finish);
+                self.release(released);
+            }
+            Message::Report(report) => {
+                let released = self.gate.observe(now, &report);
+                self.release(released);
+            }
         }
     }
 
-    fn offer(&mut self, reply: oneshot::Sender<Result<Permit, Verdict>>) {
-        let ticket = self.next_ticket;
+    fn offer(&mut self, now: Timestamp, request: Request, reply: Reply) {
         self.next_ticket += 1;
-        match self.gate.offer(self.context.clock.now(), ticket) {
-            Offer::Start => self.permit(reply),
-            Offer::Queued => {
+        let ticket = self.next_ticket;
+        let waiting = Waiting {
+            ticket,
+            account: request.account,
+            weight: request.weight,
+            deadline: request.due,
+            cost: 1,
+        };
+        match self.gate.offer(now, waiting) {
+            Offer::Start => self.permit(ticket, reply),
+            Offer::Queued(displaced) => {
                 self.replies.insert(ticket, reply);
+                displaced.into_iter().for_each(|it| self.refuse(it));
             }
-            Offer::Refused { retry_after } => {
-                let _ = reply.send(Err(Verdict::NotRun { retry_after }));
+            Offer::Refused(refusal) => {
+                let _ = reply.send(Err(refusal.into()));
             }
         }
     }
 
-    fn finished(&mut self, ok: bool, latency: Duration) {
-        self.latency = (self.latency * 7 + latency) / 8;
-        for ticket in self.gate.finished(self.context.clock.now(), ok) {
+    fn answered(&mut self, now: Timestamp, ticket: Ticket) {
+        self.gate.answered(now, ticket);
+        if let Some(begun) = self.begun.remove(&ticket) {
+            self.latency = (self.latency * 7 + now.saturating_sub(begun)) / 8;
+        }
+    }
+
+    /// Refuses what can't be answered in time any more, and takes out what nobody waits for.
+    fn advance(&mut self) {
+        let gate = &mut self.gate;
+        self.replies
+            .retain(|ticket, reply| !(reply.is_closed() && gate.cancel(*ticket)));
+        let released = gate.advance(self.context.clock.now());
+        self.release(released);
+    }
+
+    fn release(&mut self, released: Released) {
+        released.refused.into_iter().for_each(|it| self.refuse(it));
+        for ticket in released.started {
             if let Some(reply) = self.replies.remove(&ticket) {
-                self.permit(reply);
+                self.permit(ticket, reply);
             }
         }
     }
 
+    fn refuse(&mut self, refusal: Refusal) {
+        if let Some(reply) = self.replies.remove(&refusal.ticket) {
+            let _ = reply.send(Err(refusal.into()));
+        }
+    }
+
     /// Sends a permit; dropped on the way, it comes back as a finish.
-    fn permit(&self, reply: oneshot::Sender<Result<Permit, Verdict>>) {
+    fn permit(&mut self, ticket: Ticket, reply: Reply) {
+        self.begun.insert(ticket, self.context.clock.now());
         let permit = Permit {
             control: self.control.clone(),
-            finish: None,
+            ticket,
+            finish: Finish::Unsent,
         };
         let _ = reply.send(Ok(permit));
     }
 
+    fn sweep(&self) {
+        self.context.attempts.sweep(self.context.clock.now());
+        self.context.keys.sweep();
+    }
+
+    fn note_change(&mut self) {
+        let Some(change) = self.gate.take_change() else {
+            return;
+        };
+        let event = match change.cause {
+            Some(_) => events::LIMIT_TO_FLOOR,
+            None => events::SERVER_WARM,
+        };
+        let reason = match change.cause {
+            Some(ColdCause::Restarted) => "backend server restarted",
+            Some(ColdCause::Reported) => "backend server reports that it is cold",
+            Some(ColdCause::Resets) => "connections to the backend server broke",
+            Some(ColdCause::Latency) => "latency of the backend server jumped",
+            None => "backend server is warm",
+        };
+        let recorded = Change {
+            subject: format!("limit of {}", self.context.instance),
+            from: change.from.to_string(),
+            to: change.to.to_string(),
+            reason: reason.to_owned(),
+            index: self.index,
+        };
+        self.context.audit.record(event, recorded);
+    }
+
     fn publish(&self) {
+        let seen = self.gate.snapshot(self.context.clock.now());
         let report = LoadReport {
-            limit: self.gate.limit(),
-            running: self.gate.running(),
-            waiting: self.gate.waiting(),
+            limit: seen.limit,
+            running: seen.in_flight + seen.orphans,
+            waiting: seen.queued,
             latency: u64::try_from(self.latency.as_micros()).unwrap_or(u64::MAX),
             reachable: true,
         };
         self.control.load.store(Arc::new(report));
     }
 }
+
+/// The declared limits of a service in place of those from the settings.
+fn with_limits(mut config: AdmissionConfig, limits: &Limits) -> AdmissionConfig {
+    config.limit.cold_floor = limits.cold_floor;
+    config.limit.concurrency = limits.concurrency;
+    config.queue.queue_limit = limits.queue;
+    config.queue.account_limit = limits.queue.div_ceil(2);
+    config
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,9 +2,10 @@
 
 mod attempts;
 mod control;
-mod gate;
+mod keys;
 mod lifecycle;
 mod operators;
+mod probe;
 mod runner;
 mod settings;
 mod traffic;
@@ -16,11 +17,17 @@
 use jj_node::{operator_port, shutdown};
 use jj_operator::audit::AuditTrail;
 use jj_peer::client::LinkConfig;
+use jj_policy::{
+    admission::{AdmissionConfig, LimitConfig},
+    keys::AgentLife,
+    once::OnceConfig,
+};
 use jj_utils::{
     clock::{SystemClock, unix_millis},
     events, log_event, logging,
     settings::process_env,
 };
+use keys::Keys;
 use lifecycle::Lifecycle;
 use settings::{JujubeAgent, Settings};
 use tokio_util::sync::CancellationToken;
@@ -70,7 +77,20 @@
     let attempts = Arc::new(Attempts::new(AttemptsConfig::default()));
     let lifecycle = Arc::new(Lifecycle::default());
     let audit = Arc::new(AuditTrail::default());
-    let gate = gate::Gate::new(settings.cold_floor, settings.concurrency, 256);
+    let own = AgentLife {
+        agent: settings.instance.clone(),
+        incarnation,
+    };
+    let keys = Keys::new(own, OnceConfig::default(), Arc::clone(&clock));
+    let keys = Arc::new(keys);
+    let admission = AdmissionConfig {
+        limit: LimitConfig {
+            cold_floor: settings.cold_floor,
+            concurrency: settings.concurrency,
+            ..LimitConfig::default()
+        },
+        ..AdmissionConfig::default()
+    };
     let control = control::ControlContext {
         instance: settings.instance.clone(),
         incarnation,
@@ -79,12 +99,13 @@
         platform: settings.platform.clone(),
         control_addr: settings.control_addr,
         attempts: Arc::clone(&attempts),
+        keys: Arc::clone(&keys),
         lifecycle: Arc::clone(&lifecycle),
         audit: Arc::clone(&audit),
         clock: Arc::clone(&clock),
         token: token.clone(),
     };
-    let (control, config) = control::start(control, gate).await?;
+    let (control, config) = control::start(control, admission).await?;
     let seen = operators::Seen {
         settings: settings.clone(),
         control: control.clone(),
@@ -96,6 +117,13 @@
     let (readiness, status) = (seen.readiness(), seen.status());
     operator_port::start(addr, readiness, status, audit, token.clone()).await?;
     let backend = BackendClient::new(&settings.backend, BACKEND_CONNECT)?;
+    let probe = probe::run(
+        backend.clone(),
+        control.clone(),
+        Arc::clone(&clock),
+        token.clone(),
+    );
+    tokio::spawn(probe);
     let context = runner::Context {
         backend,
         control,
@@ -105,6 +133,7 @@
     let traffic = Arc::new(traffic::Traffic {
         incarnation,
         attempts: Arc::clone(&attempts),
+        keys,
         context,
         link: LinkConfig::default(),
     });
--- /dev/null
+++ b/crates/agent/src/probe.rs
@@ -0,0 +1,58 @@
+//! Reads the backend server's own report, so that the gate learns of a restart.
+
+use std::time::Duration;
+
+use jj_backend::{
+    call::BackendClient,
+    health::{BackendLoad, read_load},
+};
+use jj_policy::admission::ServerReport;
+use jj_utils::clock::{SharedClock, Timestamp};
+use tokio::time::MissedTickBehavior;
+use tokio_util::sync::CancellationToken;
+
+use crate::control::Control;
+
+/// Interval of reading the report.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest wait for a report.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Passes reports on until `token` is cancelled.
+pub async fn run(
+    backend: BackendClient,
+    control: Control,
+    clock: SharedClock,
+    token: CancellationToken,
+) {
+    let mut tick = tokio::time::interval(INTERVAL);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            _ = tick.tick() => {}
+        }
+        let asked = clock.now();
+        // A server that does not answer makes no report; its connections tell of it.
+        if let Ok(load) = read_load(&backend, TIMEOUT).await
+            && let Some(report) = report(asked, load)
+        {
+            control.report(report);
+        }
+    }
+}
+
+/// The report as the gate reads it; a server that names no boot reports nothing of use.
+fn report(asked: Timestamp, load: BackendLoad) -> Option<ServerReport> {
+    if load.boot_id.is_empty() {
+        return None;
+    }
+    Some(ServerReport {
+        measured: asked,
+        boot_id: Some(load.boot_id),
+        uptime: Some(Duration::from_millis(load.uptime_ms)),
+        warm: Some(!load.cold),
+        in_flight: Some(load.running + load.waiting),
+    })
+}
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -6,10 +6,15 @@
 use futures_util::StreamExt;
 use jj_backend::call::{BackendAnswer, BackendClient, CallError};
 use jj_peer::attempt::AttemptHead;
-use jj_policy::verdict::Verdict;
+use jj_policy::{admission::Finish, verdict::Verdict};
 use jj_utils::clock::{SharedClock, Timestamp};
 
-use crate::{attempts::Attempt, control::Control, lifecycle::Lifecycle};
+use crate::{
+    attempts::Attempt,
+    control::{Control, Permit, Request},
+    keys::KeyGuard,
+    lifecycle::Lifecycle,
+};
 
 /// Time to come back when this agent takes no new work, or its server can't be reached.
 const ELSEWHERE: Duration = Duration::from_millis(200);
@@ -27,73 +32,105 @@
     pub clock: SharedClock,
 }
 
+/// An attempt that is new here.
+pub struct Work {
+    /// Everything but the body.
+    pub head: AttemptHead,
+    /// The body.
+    pub body: Bytes,
+    /// Holds its idempotency key, if it has one.
+    pub guard: Option<KeyGuard>,
+}
+
 /// An attempt that ended without a whole answer.
 struct Ended {
     verdict: Verdict,
     reason: String,
+    finish: Finish,
 }
 
 impl Ended {
     fn not_run(reason: impl Into<String>) -> Self {
+        let retry_after = ELSEWHERE;
         Self {
-            verdict: Verdict::NotRun {
-                retry_after: ELSEWHERE,
-            },
+            verdict: Verdict::NotRun { retry_after },
             reason: reason.into(),
+            finish: Finish::Unsent,
         }
     }
 
-    fn may_have_run(reason: impl Into<String>) -> Self {
+    fn may_have_run(reason: impl Into<String>, finish: Finish) -> Self {
         Self {
             verdict: Verdict::MayHaveRun,
             reason: reason.into(),
+            finish,
         }
     }
 }
 
 /// Runs the attempt to its end.
-pub async fn run(context: Context, attempt: Arc<Attempt>, head: AttemptHead, body: Bytes) {
-    match admit_and_drive(&context, &attempt, &head, body).await {
+pub async fn run(context: Context, attempt: Arc<Attempt>, work: Work) {
+    match admit_and_drive(&context, &attempt, work).await {
         Ok(()) => attempt.finish(),
         Err(ended) => attempt.fail(ended.verdict, ended.reason),
     }
 }
 
-async fn admit_and_drive(
-    context: &Context,
-    attempt: &Attempt,
-    head: &AttemptHead,
-    body: Bytes,
-) -> Result<(), Ended> {
+async fn admit_and_drive(context: &Context, attempt: &Attempt, work: Work) -> Result<(), Ended> {
+    let Work { head, body, guard } = work;
     let due = head.sent + head.deadline;
-    let left = due.saturating_sub(context.clock.now());
-    let admitted = tokio::select! {
-        admitted = context.control.admit() => admitted,
-        () = attempt.token.cancelled() => return Err(Ended::not_run("cancelled while waiting")),
-        () = tokio::time::sleep(left) => return Err(Ended::not_run("no place in time")),
-    };
-    let mut permit = admitted.map_err(|verdict| Ended {
-        verdict,
-        reason: "queue full".into(),
-    })?;
-    check_start(context, attempt, due)?;
+    let mut permit = admit(context, attempt, &head, due).await?;
+    check_start(context, attempt, guard.as_ref(), due)?;
+    permit.note(Finish::Abandoned);
     let begun = context.clock.now();
     let result = tokio::select! {
-        result = drive(context, attempt, head, body) => result,
+        result = drive(context, attempt, &head, body, &permit) => result,
         // Once started, a request that may not be repeated goes on: its answer may be asked for.
         () = attempt.token.cancelled(), if head.idempotent => {
-            Err(Ended::may_have_run("cancelled"))
+            Err(Ended::may_have_run("cancelled", Finish::Abandoned))
         }
         () = tokio::time::sleep(due.saturating_sub(begun)) => {
-            Err(Ended::may_have_run("deadline passed"))
+            Err(Ended::may_have_run("deadline passed", Finish::Abandoned))
         }
     };
-    permit.note(result.is_ok(), context.clock.now().saturating_sub(begun));
-    result
+    permit.note(match &result {
+        Ok(finish) => *finish,
+        Err(ended) => ended.finish,
+    });
+    settle_key(guard, result.as_ref().err());
+    result.map(|_| ())
+}
+
+async fn admit(
+    context: &Context,
+    attempt: &Attempt,
+    head: &AttemptHead,
+    due: Timestamp,
+) -> Result<Permit, Ended> {
+    let left = due.saturating_sub(context.clock.now());
+    let request = Request {
+        account: head.account.clone(),
+        weight: head.weight,
+        due,
+    };
+    let admitted = tokio::select! {
+        admitted = context.control.admit(request) => admitted,
+        () = attempt.token.cancelled() => return Err(Ended::not_run("cancelled while waiting")),
+        () = tokio::time::sleep(left) => return Err(Ended::not_run("no place in time")),
+    };
+    admitted.map_err(|refused| Ended {
+        verdict: refused.verdict,
+        ..Ended::not_run(refused.reason)
+    })
 }
 
 /// The last look before the first byte: the process may have been stopped since it was admitted.
-fn check_start(context: &Context, attempt: &Attempt, due: Timestamp) -> Result<(), Ended> {
+fn check_start(
+    context: &Context,
+    attempt: &Attempt,
+    guard: Option<&KeyGuard>,
+    due: Timestamp,
+) -> Result<(), Ended> {
     if context.clock.now() >= due {
         return Err(Ended::not_run("deadline passed before the start"));
     }
@@ -103,32 +140,61 @@
     if !attempt.start() {
         return Err(Ended::not_run("cancelled before the start"));
     }
+    if guard.is_some_and(|guard| !guard.start()) {
+        return Err(Ended::not_run("idempotency key fenced"));
+    }
     Ok(())
 }
 
+/// Records what came of the key; dropping the guard otherwise records a lost answer.
+fn settle_key(guard: Option<KeyGuard>, failed: Option<&Ended>) {
+    let Some(guard) = guard else {
+        return;
+    };
+    match failed.map(|ended| ended.verdict) {
+        None => guard.finish(),
+        Some(Verdict::NotRun { .. }) => guard.unsend(),
+        Some(_) => drop(guard),
+    }
+}
+
 async fn drive(
     context: &Context,
     attempt: &Attempt,
     head: &AttemptHead,
     body: Bytes,
-) -> Result<(), Ended> {
+    permit: &Permit,
+) -> Result<Finish, Ended> {
     let answer = context.backend.call(head, body).await.map_err(call_ended)?;
     let BackendAnswer { head, mut parts } = answer;
+    let finish = match head.status {
+        ..500 => Finish::Ok,
+        _ => Finish::Failed,
+    };
+    if finish == Finish::Ok {
+        permit.answered();
+    }
     let too_large = |error: crate::attempts::AnswerTooLarge| Ended {
         verdict: Verdict::Ran,
         reason: error.to_string(),
+        finish: Finish::Abandoned,
     };
     attempt.push_head(head).map_err(too_large)?;
     while let Some(part) = parts.next().await {
         let part = part.map_err(call_ended)?;
         attempt.push_data(&part).map_err(too_large)?;
     }
-    Ok(())
+    Ok(finish)
 }
 
 fn call_ended(error: CallError) -> Ended {
+    let reason = error.to_string();
     match error {
-        CallError::Unreachable(_) | CallError::Malformed(_) => Ended::not_run(error.to_string()),
-        CallError::Lost(_) | CallError::Truncated(_) => Ended::may_have_run(error.to_string()),
+        CallError::Unreachable(_) => Ended {
+            finish: Finish::Unreachable,
+            ..Ended::not_run(reason)
+        },
+        CallError::Malformed(_) => Ended::not_run(reason),
+        CallError::Lost(_) | CallError::Truncated(_) => Ended::may_have_run(reason, Finish::Reset),
     }
 }
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt, stream::BoxStream};
 use jj_peer::{
-    attempt::{self, ATTEMPTS_PATH, AttemptRef},
+    attempt::{self, ATTEMPTS_PATH, AttemptHead, AttemptRef},
     client::LinkConfig,
     frames::{self, CONTENT_TYPE, Failure, Frame},
 };
@@ -23,12 +23,16 @@
 
 use crate::{
     attempts::{Attempt, Attempts, Opened, ReadStep},
-    runner::{self, Context},
+    keys::{KeyClaim, KeyGuard, Keys},
+    runner::{self, Context, Work},
 };
 
 /// Largest attempt, head and body, in bytes.
 const MAX_ATTEMPT: usize = 16 << 20;
 
+/// What a caller is told that uses one key for two requests.
+const CONFLICT: &str = "the idempotency key was used for another request";
+
 /// Time to come back when this agent keeps too many attempts.
 const FULL_RETRY: Duration = Duration::from_secs(1);
 
@@ -38,6 +42,8 @@
     pub incarnation: Incarnation,
     /// Attempts seen.
     pub attempts: Arc<Attempts>,
+    /// Once-only requests.
+    pub keys: Arc<Keys>,
     /// For running new ones.
     pub context: Context,
     /// Timing of the links to entries.
@@ -98,23 +104,61 @@
             &reason,
         );
     }
-    match traffic.attempts.open(&head.id, head.resume) {
+    let attempt = traffic.attempts.prepare(head.resume);
+    match traffic.keys.claim(&head, &body, &attempt) {
+        KeyClaim::Run(guard) => open(&traffic, attempt, guard, head, body),
+        KeyClaim::Read(earlier) => read(&traffic, earlier, &head),
+        KeyClaim::Refuse(failure) => {
+            attempt.fail(failure.verdict, failure.reason);
+            read(&traffic, attempt, &head)
+        }
+        KeyClaim::Conflict => {
+            attempt.refuse(StatusCode::UNPROCESSABLE_ENTITY.as_u16(), CONFLICT);
+            read(&traffic, attempt, &head)
+        }
+    }
+}
+
+/// Runs an attempt that is new here.
+fn open(
+    traffic: &Traffic,
+    attempt: Arc<Attempt>,
+    guard: Option<KeyGuard>,
+    head: AttemptHead,
+    body: Bytes,
+) -> Response {
+    match traffic.attempts.open(&head.id, attempt) {
         Opened::New(attempt) => {
             let first = head.resume;
+            let work = Work { head, body, guard };
             let context = traffic.context.clone();
-            tokio::spawn(runner::run(context, Arc::clone(&attempt), head, body));
-            frames_response(&traffic, attempt, first)
+            tokio::spawn(runner::run(context, Arc::clone(&attempt), work));
+            frames_response(traffic, attempt, first)
         }
-        Opened::Seen(attempt) => frames_response(&traffic, attempt, head.resume),
-        Opened::Full => failed(
-            Verdict::NotRun {
-                retry_after: FULL_RETRY,
-            },
-            "too many attempts",
-        ),
+        Opened::Seen(attempt) => frames_response(traffic, attempt, head.resume),
+        Opened::Full => full(),
+    }
+}
+
+/// Answers from an attempt that runs elsewhere or has ended.
+fn read(traffic: &Traffic, attempt: Arc<Attempt>, head: &AttemptHead) -> Response {
+    match traffic.attempts.open(&head.id, attempt) {
+        Opened::New(attempt) | Opened::Seen(attempt) => {
+            frames_response(traffic, attempt, head.resume)
+        }
+        Opened::Full => full(),
     }
 }
 
+fn full() -> Response {
+    failed(
+        Verdict::NotRun {
+            retry_after: FULL_RETRY,
+        },
+        "too many attempts",
+    )
+}
+
 #[derive(serde::Deserialize)]
 struct From {
     #[serde(default)]
--- a/crates/lab/src/standins/service.rs
+++ b/crates/lab/src/standins/service.rs
@@ -1,9 +1,16 @@
 //! Stand-in of a plain HTTP service: echoes each request and counts what it executed.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
-use jj_utils::common_derives;
+use jj_backend::health::BackendLoad;
+use jj_utils::{clock::unix_millis, common_derives};
 use poem::{
     Body, Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler,
     http::StatusCode,
@@ -53,6 +60,8 @@
     cold: Arc<ColdStart>,
     ledger: Ledger,
     faults: Faults,
+    boot_id: u64,
+    started: Instant,
 }
 
 /// Runs a service on `addr` until `cancel`.
@@ -68,6 +77,8 @@
         cold: ColdStart::new(config.cold),
         ledger: Ledger::default(),
         faults: Faults::new(config.delay),
+        boot_id: unix_millis(),
+        started: Instant::now(),
     });
     serve_app(app(service), addr, cancel).await
 }
@@ -76,6 +87,7 @@
     Route::new()
         .at("/health", get(health))
         .at("/executions", get(executions))
+        .at("/load", get(load))
         .at("/control", post(control))
         .at("/*rest", echo)
         .at("/", echo)
@@ -97,6 +109,18 @@
     })
 }
 
+/// Reports as an engine does.
+#[handler]
+fn load(Data(service): Data<&Arc<Service>>) -> Json<BackendLoad> {
+    Json(BackendLoad {
+        boot_id: service.boot_id.to_string(),
+        uptime_ms: u64::try_from(service.started.elapsed().as_millis()).unwrap_or(u64::MAX),
+        running: service.cold.counts().running,
+        cold: service.cold.is_cold(),
+        ..BackendLoad::default()
+    })
+}
+
 #[handler]
 fn control(Data(service): Data<&Arc<Service>>, Json(request): Json<ControlRequest>) -> StatusCode {
     service.faults.update(&request);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -109,7 +109,11 @@
         Ok,
         /// Whole answer that says that the server failed.
         Failed,
-        /// The connection broke or could not be made; the server may still be at work.
+        /// Nothing was sent.
+        Unsent,
+        /// Nothing was sent, because no connection could be made.
+        Unreachable,
+        /// The connection broke; the server may still be at work.
         Reset,
         /// The agent stopped following it; the server may still be at work.
         Abandoned,
@@ -310,6 +314,8 @@
                 self.limit.succeeded(now, in_use);
             }
             Finish::Failed => self.limit.failed(),
+            Finish::Unsent => {}
+            Finish::Unreachable => self.limit.reset(now),
             Finish::Abandoned => self.orphans.add(now),
             Finish::Reset => {
                 self.orphans.add(now);
--- a/crates/policy/src/once.rs
+++ b/crates/policy/src/once.rs
@@ -176,6 +176,14 @@
         }
     }
 
+    /// Gives a running key back: it turned out that no byte of its request was sent.
+    pub fn unsend(&mut self, key: &str) {
+        let running = |record: &Record<A>| matches!(record.outcome, Outcome::Running);
+        if self.records.get(key).is_some_and(running) {
+            self.records.remove(key);
+        }
+    }
+
     /// Keeps the answer of a running key.
     pub fn finish(&mut self, now: Timestamp, key: &str, answer: A) {
         self.end_running(now, key, Outcome::Finished(answer));
