feat(entry): issue idempotency keys and route them to their home

A caller takes keys from GET /v1/idempotency-keys; a request that may not be repeated and carries one goes to the agent life that the key names, or is answered 'may have run'. 'Not run' about such a request is said only on the word of that agent: an earlier attempt may have run elsewhere.

--- a/crates/agent/src/keys.rs
+++ b/crates/agent/src/keys.rs
@@ -81,7 +81,7 @@
         body: &[u8],
         attempt: &Arc<Attempt>,
     ) -> KeyClaim {
-        let Some(key) = head.key.as_ref().filter(|_| !head.idempotent) else {
+        let Some(key) = head.once_key() else {
             return KeyClaim::Run(None);
         };
         if let Err(failure) = self.check(key) {
@@ -92,10 +92,10 @@
         let mut state = self.lock();
         match state.register.claim(self.clock.now(), key, print) {
             Claim::Run => {
-                state.attempts.insert(key.clone(), Arc::clone(attempt));
+                state.attempts.insert(key.to_owned(), Arc::clone(attempt));
                 KeyClaim::Run(Some(KeyGuard {
                     keys: Arc::clone(self),
-                    key: key.clone(),
+                    key: key.to_owned(),
                 }))
             }
             Claim::Known(outcome) => state.known(key, &outcome),
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -85,23 +85,9 @@
     };
     let attempt::Attempt { head, body } = attempt;
     if head.id.incarnation != traffic.incarnation {
-        let reason = "the attempt was chosen for another life of this agent";
         return failed(
-            Verdict::NotRun {
-                retry_after: Duration::ZERO,
-            },
-            reason,
-        );
-    }
-    // An attempt so late that its fence may be forgotten must not start.
-    let age = traffic.context.clock.now().saturating_sub(head.sent);
-    if age > traffic.attempts.max_age() {
-        let reason = format!("the attempt arrived {} ms late", age.as_millis());
-        return failed(
-            Verdict::NotRun {
-                retry_after: Duration::ZERO,
-            },
-            &reason,
+            other_life(&head),
+            "the attempt was chosen for another life of this agent",
         );
     }
     let attempt = traffic.attempts.prepare(head.resume);
@@ -119,6 +105,16 @@
     }
 }
 
+/// Verdict on an attempt for another life, which may have run its key before.
+fn other_life(head: &AttemptHead) -> Verdict {
+    match head.once_key() {
+        Some(_) => Verdict::MayHaveRun,
+        None => Verdict::NotRun {
+            retry_after: Duration::ZERO,
+        },
+    }
+}
+
 /// Runs an attempt that is new here.
 fn open(
     traffic: &Traffic,
@@ -127,6 +123,13 @@
     head: AttemptHead,
     body: Bytes,
 ) -> Response {
+    // An attempt so late that its fence may be forgotten must not start.
+    let age = traffic.context.clock.now().saturating_sub(head.sent);
+    if age > traffic.attempts.max_age() {
+        let reason = format!("the attempt arrived {} ms late", age.as_millis());
+        let retry_after = Duration::ZERO;
+        return failed(Verdict::NotRun { retry_after }, &reason);
+    }
     match traffic.attempts.open(&head.id, attempt) {
         Opened::New(attempt) => {
             let first = head.resume;
@@ -142,12 +145,12 @@
 
 /// Answers from an attempt that runs elsewhere or has ended.
 fn read(traffic: &Traffic, attempt: Arc<Attempt>, head: &AttemptHead) -> Response {
-    match traffic.attempts.open(&head.id, attempt) {
-        Opened::New(attempt) | Opened::Seen(attempt) => {
-            frames_response(traffic, attempt, head.resume)
-        }
-        Opened::Full => full(),
-    }
+    let attempt = match traffic.attempts.open(&head.id, Arc::clone(&attempt)) {
+        Opened::New(attempt) | Opened::Seen(attempt) => attempt,
+        // Not in the table, its outcome can't be asked for; its frames can still be read.
+        Opened::Full => attempt,
+    };
+    frames_response(traffic, attempt, head.resume)
 }
 
 fn full() -> Response {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use jj_peer::client::AgentClient;
 use jj_policy::{
+    keys::{AgentLife, IssuedKey},
     retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
     routing::RoutingConfig,
 };
@@ -84,6 +85,13 @@
         )
     }
 
+    /// A fresh idempotency key whose home is one of `homes`, which must not be empty.
+    pub fn issue_key(&self, homes: &[AgentLife]) -> IssuedKey {
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = random.next_u64() as usize % homes.len();
+        IssuedKey::issue(homes[at].clone(), &mut *random)
+    }
+
     fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -15,6 +15,7 @@
     frames::{Failure, Frame, Head},
 };
 use jj_policy::{
+    keys::IssuedKey,
     rendezvous::key_hash,
     retry::{Attempts, RetryDecision, RetryFacts},
     routing::{self, Candidate, RequestFacts},
@@ -30,6 +31,7 @@
 
 use crate::{
     context::Context,
+    keys,
     link::{self, Target},
     resume::EventId,
     routes::Routed,
@@ -50,6 +52,8 @@
     context: Arc<Context>,
     request: CallerRequest,
     routed: Routed,
+    /// Key of a request that may run only at the key's home.
+    home: Option<IssuedKey>,
     id: RequestId,
     due: Timestamp,
     number: AttemptId,
@@ -89,7 +93,12 @@
 
 impl Forward {
     /// A request that has just arrived.
-    pub fn new(context: Arc<Context>, request: CallerRequest, routed: Routed) -> Self {
+    pub fn new(
+        context: Arc<Context>,
+        request: CallerRequest,
+        routed: Routed,
+        home: Option<IssuedKey>,
+    ) -> Self {
         let id = context.request_id();
         let due = context.clock.now() + routed.timeout;
         context.take_in();
@@ -97,6 +106,7 @@
             context,
             request,
             routed,
+            home,
             id,
             due,
             number: 0,
@@ -252,6 +262,9 @@
     }
 
     fn has_untried(&self, now: Timestamp) -> bool {
+        if self.home.is_some() {
+            return false;
+        }
         let view = self.context.view.load();
         view.agents_of(&self.routed.service).any(|agent| {
             agent.state.may_take_work()
@@ -319,12 +332,18 @@
         let now = self.context.clock.now();
         let view = self.context.view.load();
         if !view.permit.is_some_and(|permit| permit.holds(now)) {
-            let verdict = Verdict::NotRun {
-                retry_after: self.context.retry.retry_after,
+            let verdict = match self.home {
+                Some(_) => Verdict::MayHaveRun,
+                None => Verdict::NotRun {
+                    retry_after: self.context.retry.retry_after,
+                },
             };
             let detail = "this entry takes no new work: use another address";
             return Err(Refusal::given_up(verdict, detail));
         }
+        if let Some(key) = &self.home {
+            return keys::agent_of(&view, key);
+        }
         let agents: Vec<&Agent> = view.agents_of(&self.routed.service).collect();
         let candidates: Vec<Candidate<'_>> = agents.iter().map(|agent| candidate(agent)).collect();
         let tried: Vec<&str> = self.tried.iter().map(String::as_str).collect();
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -8,7 +8,7 @@
 use poem::http::StatusCode;
 use serde_json::json;
 
-use crate::{context::Context, control::CALLER_GROUPS, forward::Forward, routes};
+use crate::{context::Context, control::CALLER_GROUPS, forward::Forward, keys, routes};
 
 /// Path at which callers ask which addresses to use.
 const ADDRESSES_PATH: &str = "/v1/addresses";
@@ -36,12 +36,16 @@
     if request.method == "GET" && request.path == MODELS_PATH {
         return Ok(models(published));
     }
-    if request.path == MODELS_PATH || request.path == ADDRESSES_PATH {
+    if request.method == "GET" && request.path == keys::KEYS_PATH {
+        return keys::issue(&context, &request);
+    }
+    if [MODELS_PATH, ADDRESSES_PATH, keys::KEYS_PATH].contains(&request.path.as_str()) {
         let detail = format!("{} allows GET only", request.path);
         return Err(Refusal::invalid(StatusCode::METHOD_NOT_ALLOWED, detail));
     }
     let routed = routes::resolve(published, &request)?;
-    Forward::new(context, request, routed).run().await
+    let home = keys::home_of(&request, &routed)?;
+    Forward::new(context, request, routed, home).run().await
 }
 
 /// Addresses for the caller; one caller gets the same ones while the entries stay the same.
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -54,7 +54,7 @@
             Err(error) => match refusal(&error) {
                 Some(failure) => {
                     link.note_refusal(&error);
-                    yield Frame::Failed(failure);
+                    yield Frame::Failed(link.doubted(failure));
                     return;
                 }
                 None => {
@@ -132,6 +132,7 @@
     head: AttemptHead,
     next: u64,
     has_head: bool,
+    is_reconnected: bool,
     failures: u32,
 }
 
@@ -143,12 +144,14 @@
             head,
             next,
             has_head: false,
+            is_reconnected: false,
             failures: 0,
         }
     }
 
     /// Asks for the outcome; `Ok(None)` means to try again.
     async fn reconnect(&mut self) -> Result<Option<Connection>, Failure> {
+        self.is_reconnected = true;
         if self.failures >= MAX_RECONNECTS {
             let reason = "the agent that could tell the outcome can't be reached";
             return Err(Failure::new(Verdict::MayHaveRun, reason));
@@ -176,6 +179,15 @@
         }
     }
 
+    /// The failure of this attempt as one of the request: with an idempotency key, an earlier
+    /// attempt may have run, so only the home's own answer to this one is proof that none did.
+    fn doubted(&self, failure: Failure) -> Failure {
+        match (self.head.once_key(), failure.verdict) {
+            (Some(_), Verdict::NotRun { .. }) => Failure::new(Verdict::MayHaveRun, failure.reason),
+            _ => failure,
+        }
+    }
+
     /// Lets membership know of an agent that no connection could be opened to.
     fn note_refusal(&self, error: &LinkError) {
         if matches!(error, LinkError::Unreachable(_)) {
@@ -222,6 +234,9 @@
                 None
             }
             Frame::Progress => None,
+            Frame::Failed(failure) if self.is_reconnected => {
+                Some(Frame::Failed(self.doubted(failure.clone())))
+            }
             Frame::End { count } if *count != self.next => {
                 let reason = format!("the answer ended at frame {} of {count}", self.next);
                 Some(Frame::Failed(Failure::new(Verdict::MayHaveRun, reason)))
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod forward;
 mod handler;
+mod keys;
 mod link;
 mod resume;
 mod routes;
--- a/crates/peer/src/attempt.rs
+++ b/crates/peer/src/attempt.rs
@@ -45,6 +45,16 @@
     }
 }
 
+impl AttemptHead {
+    /// The idempotency key of a request that may not be repeated.
+    ///
+    /// "Not run" is true of such a request only when the key's home has said so: an earlier
+    /// attempt with the key may have run.
+    pub fn once_key(&self) -> Option<&str> {
+        self.key.as_deref().filter(|_| !self.idempotent)
+    }
+}
+
 common_derives! {wire:
     /// Names one attempt at one life of one agent.
     #[derive(Eq, Hash)]
