--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use anyhow::Context;
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use reqwest::{Client, Response};
@@ -213,6 +214,18 @@
         Ok(answer.error_for_status()?.json().await?)
     }
 
+    /// Takes a fresh idempotency key for a service.
+    ///
+    /// # Errors
+    /// When the entry hands out none.
+    pub async fn take_key(&self, base: &str, service: &str) -> anyhow::Result<String> {
+        let url = format!("{base}/v1/idempotency-keys?service={service}");
+        let answer = self.client.get(url).send().await?.error_for_status()?;
+        let document: serde_json::Value = answer.json().await?;
+        let key = document["keys"][0].as_str();
+        Ok(key.context("a key in the answer")?.to_owned())
+    }
+
     /// Asks for a completion and checks the answer token by token.
     pub async fn chat(&self, base: &str, chat: &Chat) -> Outcome {
         let started = Instant::now();
