--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -33,6 +33,9 @@
 /// What a caller is told that uses one key for two requests.
 const CONFLICT: &str = "the idempotency key was used for another request";
 
+/// Reason told when the table of attempts is full.
+const TOO_MANY: &str = "too many attempts";
+
 /// Time to come back when this agent keeps too many attempts.
 const FULL_RETRY: Duration = Duration::from_secs(1);
 
@@ -85,10 +88,14 @@
     };
     let attempt::Attempt { head, body } = attempt;
     if head.id.incarnation != traffic.incarnation {
-        return failed(
-            other_life(&head),
-            "the attempt was chosen for another life of this agent",
-        );
+        let reason = "the attempt was chosen for another life of this agent";
+        return failed(unseen(&head), reason);
+    }
+    // An attempt so late that its fence may be forgotten must not start.
+    let age = traffic.context.clock.now().saturating_sub(head.sent);
+    if age > traffic.attempts.max_age() {
+        let reason = format!("the attempt arrived {} ms late", age.as_millis());
+        return failed(unseen(&head), &reason);
     }
     let attempt = traffic.attempts.prepare(head.resume);
     match traffic.keys.claim(&head, &body, &attempt) {
@@ -105,11 +112,11 @@
     }
 }
 
-/// Verdict on an attempt for another life, which may have run its key before.
-fn other_life(head: &AttemptHead) -> Verdict {
-    match head.once_key() {
-        Some(_) => Verdict::MayHaveRun,
-        None => Verdict::NotRun {
+/// Verdict on an attempt that is refused before its key is looked at.
+fn unseen(head: &AttemptHead) -> Verdict {
+    match head.is_once_only() {
+        true => Verdict::MayHaveRun,
+        false => Verdict::NotRun {
             retry_after: Duration::ZERO,
         },
     }
@@ -123,13 +130,6 @@
     head: AttemptHead,
     body: Bytes,
 ) -> Response {
-    // An attempt so late that its fence may be forgotten must not start.
-    let age = traffic.context.clock.now().saturating_sub(head.sent);
-    if age > traffic.attempts.max_age() {
-        let reason = format!("the attempt arrived {} ms late", age.as_millis());
-        let retry_after = Duration::ZERO;
-        return failed(Verdict::NotRun { retry_after }, &reason);
-    }
     match traffic.attempts.open(&head.id, attempt) {
         Opened::New(attempt) => {
             let first = head.resume;
@@ -145,12 +145,12 @@
 
 /// Answers from an attempt that runs elsewhere or has ended.
 fn read(traffic: &Traffic, attempt: Arc<Attempt>, head: &AttemptHead) -> Response {
-    let attempt = match traffic.attempts.open(&head.id, Arc::clone(&attempt)) {
-        Opened::New(attempt) | Opened::Seen(attempt) => attempt,
-        // Not in the table, its outcome can't be asked for; its frames can still be read.
-        Opened::Full => attempt,
-    };
-    frames_response(traffic, attempt, head.resume)
+    match traffic.attempts.open(&head.id, attempt) {
+        Opened::New(attempt) | Opened::Seen(attempt) => {
+            frames_response(traffic, attempt, head.resume)
+        }
+        Opened::Full => failed(unseen(head), TOO_MANY),
+    }
 }
 
 fn full() -> Response {
@@ -158,7 +158,7 @@
         Verdict::NotRun {
             retry_after: FULL_RETRY,
         },
-        "too many attempts",
+        TOO_MANY,
     )
 }
 
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -8,7 +8,6 @@
 use arc_swap::ArcSwap;
 use jj_peer::client::AgentClient;
 use jj_policy::{
-    keys::{AgentLife, IssuedKey},
     retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
     routing::RoutingConfig,
 };
@@ -47,6 +46,7 @@
         lifetime: Duration,
         seed: u64,
     ) -> Self {
+        let retry = RetryConfig::default();
         Self {
             clock,
             client,
@@ -54,8 +54,8 @@
             routing: RoutingConfig::default(),
             lifetime,
             open: Arc::default(),
-            retry: RetryConfig::default(),
-            budget: Mutex::default(),
+            budget: Mutex::new(RetryBudget::with_advance(&retry)),
+            retry,
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         }
     }
@@ -66,6 +66,12 @@
         [random.next_u64(), random.next_u64()]
     }
 
+    /// A generator of its own for one use.
+    pub fn random(&self) -> Pcg64Mcg {
+        let [high, low] = self.draws();
+        Pcg64Mcg::new(u128::from(high) << 64 | u128::from(low))
+    }
+
     /// Counts one request taken in, which adds to the retry budget.
     pub fn take_in(&self) {
         self.lock_budget().take_in(&self.retry);
@@ -85,13 +91,6 @@
         )
     }
 
-    /// A fresh idempotency key whose home is one of `homes`, which must not be empty.
-    pub fn issue_key(&self, homes: &[AgentLife]) -> IssuedKey {
-        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
-        let at = random.next_u64() as usize % homes.len();
-        IssuedKey::issue(homes[at].clone(), &mut *random)
-    }
-
     fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -15,7 +15,6 @@
     frames::{Failure, Frame, Head},
 };
 use jj_policy::{
-    keys::IssuedKey,
     rendezvous::key_hash,
     retry::{Attempts, RetryDecision, RetryFacts},
     routing::{self, Candidate, RequestFacts},
@@ -31,7 +30,6 @@
 
 use crate::{
     context::Context,
-    keys,
     link::{self, Target},
     resume::EventId,
     routes::Routed,
@@ -52,8 +50,8 @@
     context: Arc<Context>,
     request: CallerRequest,
     routed: Routed,
-    /// Key of a request that may run only at the key's home.
-    home: Option<IssuedKey>,
+    /// The only agent that may run it, for a request with an idempotency key.
+    home: Option<Agent>,
     id: RequestId,
     due: Timestamp,
     number: AttemptId,
@@ -97,7 +95,7 @@
         context: Arc<Context>,
         request: CallerRequest,
         routed: Routed,
-        home: Option<IssuedKey>,
+        home: Option<Agent>,
     ) -> Self {
         let id = context.request_id();
         let due = context.clock.now() + routed.timeout;
@@ -329,21 +327,18 @@
     }
 
     fn choose(&self) -> Result<Agent, Refusal> {
+        if let Some(home) = &self.home {
+            return Ok(home.clone());
+        }
         let now = self.context.clock.now();
         let view = self.context.view.load();
         if !view.permit.is_some_and(|permit| permit.holds(now)) {
-            let verdict = match self.home {
-                Some(_) => Verdict::MayHaveRun,
-                None => Verdict::NotRun {
-                    retry_after: self.context.retry.retry_after,
-                },
+            let verdict = Verdict::NotRun {
+                retry_after: self.context.retry.retry_after,
             };
             let detail = "this entry takes no new work: use another address";
             return Err(Refusal::given_up(verdict, detail));
         }
-        if let Some(key) = &self.home {
-            return keys::agent_of(&view, key);
-        }
         let agents: Vec<&Agent> = view.agents_of(&self.routed.service).collect();
         let candidates: Vec<Candidate<'_>> = agents.iter().map(|agent| candidate(agent)).collect();
         let tried: Vec<&str> = self.tried.iter().map(String::as_str).collect();
@@ -406,7 +401,8 @@
     }
 }
 
-fn candidate(agent: &Agent) -> Candidate<'_> {
+/// An agent as routing takes it.
+pub fn candidate(agent: &Agent) -> Candidate<'_> {
     Candidate {
         id: &agent.id,
         state: agent.state,
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -1,97 +1,112 @@
-//! Idempotency keys at an entry: hands them out, and finds the only agent that may run one.
+//! Idempotency keys at an entry: issues them, and finds the home of a request that carries one.
+//!
+//! A key names the only life of the only agent that may run its request, so entries need not agree
+//! on anything: a request goes to that home or nowhere.
 
 use jj_caller::{answer::Answer, problem::Refusal, request::CallerRequest};
+use jj_operator::published::Published;
 use jj_policy::{
-    keys::{AgentLife, IssuedKey, KeyHome, OnceKey, key_home},
+    keys::{AgentLife, IssuedKey, KeyError, KeyHome, OnceKey, key_home},
+    routing::{self, RequestFacts},
     verdict::Verdict,
 };
 use poem::http::StatusCode;
+use serde::Deserialize;
 use serde_json::json;
 
 use crate::{
     context::Context,
-    routes::Routed,
+    forward::candidate,
+    routes::{self, Routed},
     view::{Agent, View},
 };
 
-/// Path at which callers take keys.
-pub const KEYS_PATH: &str = "/v1/idempotency-keys";
+/// Path at which callers ask for a key.
+pub const KEYS_PATH: &str = "/v1/keys";
 
-/// Keys in one answer, when the caller does not say.
-const DEFAULT_COUNT: usize = 1;
-
-/// Most keys in one answer.
-const MAX_COUNT: usize = 100;
+/// The request that a key is for.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KeyRequest {
+    method: String,
+    path: String,
+}
 
-/// Hands out fresh keys: `GET /v1/idempotency-keys?service=desk&count=10`.
+/// Issues a key for a request that the caller is about to make.
 ///
 /// # Errors
-/// When the query is wrong, or no agent of the service can take work.
-pub fn issue(context: &Context, request: &CallerRequest) -> Result<Answer, Refusal> {
-    let query = request.query.as_deref().unwrap_or_default();
-    let service = parameter(query, "service").ok_or_else(|| {
-        invalid("the query must name the service: ?service=<name>&count=<number>")
+/// When the body is malformed, no service declares the request, or no agent takes new work.
+pub fn issue(
+    context: &Context,
+    published: &Published,
+    request: &CallerRequest,
+) -> Result<Answer, Refusal> {
+    let wanted: KeyRequest = serde_json::from_slice(&request.body).map_err(|error| {
+        let detail = format!("the body must be {{\"method\": ..., \"path\": ...}}: {error}");
+        Refusal::invalid(StatusCode::BAD_REQUEST, detail)
     })?;
-    let count = read_count(query)?;
+    let meant = CallerRequest {
+        method: wanted.method,
+        path: wanted.path,
+        ..request.clone()
+    };
+    let routed = routes::resolve(published, &meant)?;
+    let home = choose_home(context, &routed)?;
+    let key = IssuedKey::issue(home, &mut context.random());
+    Ok(Answer::json(
+        &json!({ "key": key.to_string(), "service": routed.service }),
+    ))
+}
+
+fn choose_home(context: &Context, routed: &Routed) -> Result<AgentLife, Refusal> {
+    let now = context.clock.now();
     let view = context.view.load();
-    let homes: Vec<AgentLife> = view
-        .agents_of(service)
-        .filter(|it| is_home(it))
-        .map(life)
-        .collect();
-    if homes.is_empty() {
-        let retry_after = context.retry.retry_after;
-        let detail = format!("no agent of service `{service}` takes new work");
-        return Err(Refusal::given_up(Verdict::NotRun { retry_after }, detail));
-    }
-    let keys = (0..count).map(|_| context.issue_key(&homes).to_string());
-    Ok(Answer::json(&json!({"keys": keys.collect::<Vec<_>>()})))
+    let agents: Vec<&Agent> = view.agents_of(&routed.service).collect();
+    let candidates: Vec<_> = agents.iter().map(|agent| candidate(agent)).collect();
+    let facts = RequestFacts {
+        prefix: None,
+        prefill: std::time::Duration::ZERO,
+        deadline: now + routed.timeout,
+        tried: &[],
+    };
+    let choice = routing::choose(&context.routing, &candidates, &facts, now, context.draws());
+    let choice = choice.map_err(|none| {
+        let verdict = Verdict::NotRun {
+            retry_after: none.retry_after,
+        };
+        Refusal::given_up(verdict, none.to_string())
+    })?;
+    Ok(life(agents[choice.index]))
 }
 
-/// The home of a request that may not be repeated; `None` when it has no key, or may be repeated.
+/// Home of a once-only request; none for one that has no key or may be repeated.
 ///
 /// # Errors
-/// When the key was not issued by the system.
-pub fn home_of(request: &CallerRequest, routed: &Routed) -> Result<Option<IssuedKey>, Refusal> {
+/// "Not run" when the key is not one of ours, which no agent runs; "may have run" when the home's
+/// life is over.
+pub fn home(
+    view: &View,
+    routed: &Routed,
+    request: &CallerRequest,
+) -> Result<Option<Agent>, Refusal> {
     let Some(text) = request.key.as_ref().filter(|_| !routed.idempotent) else {
         return Ok(None);
     };
-    match text.parse() {
-        Ok(OnceKey::Issued(key)) => Ok(Some(key)),
-        Ok(OnceKey::CallerMade(_)) => {
-            let service = &routed.service;
-            Err(invalid(format!(
-                "idempotency keys are issued by the system: take one from \
-                 GET {KEYS_PATH}?service={service}"
-            )))
-        }
-        Err(error) => Err(invalid(error.to_string())),
-    }
-}
-
-/// The agent at which a key may run.
-///
-/// # Errors
-/// "May have run" when the key's home is gone.
-pub fn agent_of(view: &View, key: &IssuedKey) -> Result<Agent, Refusal> {
-    let lives: Vec<AgentLife> = view.agents.iter().map(life).collect();
-    let gone = || {
-        let detail = "the agent that could tell what came of the idempotency key is gone; \
-                      take a new key for work that was never sent";
-        Refusal::given_up(Verdict::MayHaveRun, detail)
+    let key = match text.parse::<OnceKey>() {
+        Ok(OnceKey::Issued(key)) => key,
+        Ok(OnceKey::CallerMade(_)) => return Err(unknown_key("the key was not issued here")),
+        Err(error) => return Err(malformed_key(&error)),
     };
-    match key_home(key, &lives) {
-        KeyHome::At(home) => {
-            let mut agent = view.agent(&home.agent).cloned().ok_or_else(gone)?;
-            agent.incarnation = home.incarnation;
-            Ok(agent)
-        }
-        KeyHome::Gone => Err(gone()),
-    }
-}
-
-fn is_home(agent: &Agent) -> bool {
-    agent.incarnation > 0 && agent.state.may_take_work()
+    let lives: Vec<AgentLife> = view.agents_of(&routed.service).map(life).collect();
+    let KeyHome::At(home) = key_home(&key, &lives) else {
+        let detail = "the agent that could tell what came of the key is gone";
+        return Err(Refusal::given_up(Verdict::MayHaveRun, detail));
+    };
+    let agent = view.agent(&home.agent).cloned();
+    Ok(agent.map(|agent| Agent {
+        incarnation: home.incarnation,
+        ..agent
+    }))
 }
 
 fn life(agent: &Agent) -> AgentLife {
@@ -101,23 +116,11 @@
     }
 }
 
-fn read_count(query: &str) -> Result<usize, Refusal> {
-    let Some(text) = parameter(query, "count") else {
-        return Ok(DEFAULT_COUNT);
-    };
-    let count = text
-        .parse()
-        .ok()
-        .filter(|count| (1..=MAX_COUNT).contains(count));
-    count.ok_or_else(|| invalid(format!("count must be a number from 1 to {MAX_COUNT}")))
-}
-
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let mut found = pairs.filter(|(key, _)| *key == name);
-    found.next().map(|(_, value)| value)
+fn malformed_key(error: &KeyError) -> Refusal {
+    unknown_key(&error.to_string())
 }
 
-fn invalid(detail: impl Into<String>) -> Refusal {
-    Refusal::invalid(StatusCode::BAD_REQUEST, detail)
+fn unknown_key(reason: &str) -> Refusal {
+    let detail = format!("{reason}; POST {KEYS_PATH} with method and path issues one");
+    Refusal::invalid(StatusCode::UNPROCESSABLE_ENTITY, detail)
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,16 +1,16 @@
 //! A small fleet of real processes around the stand-in platform.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use anyhow::{Context, ensure};
 use jj_platform::wire::{Instance, InstanceList, Role};
-use jj_utils::ids::ConfigIndex;
+use jj_utils::ids::{ConfigIndex, FailureDomainId};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     process::{Process, free_addr, wait_until},
     publication::{DOMAINS, MODEL_SERVICE, PLAIN_SERVICE, Publication},
-    publish,
+    publish::{publish, publish_directory},
     relay::Relay,
     standins::{
         faults::{ControlRequest, Fault},
@@ -46,6 +46,10 @@
     pub entry_flags: Vec<String>,
     /// The configuration.
     pub publication: Publication,
+    /// Operators' files to publish in its place; they declare the same services.
+    pub directory: Option<PathBuf>,
+    /// Failure domains, which the instances fill in turn.
+    pub domains: Vec<FailureDomainId>,
 }
 
 impl Default for FleetConfig {
@@ -62,6 +66,8 @@
             agent_flags: Vec::new(),
             entry_flags: Vec::new(),
             publication: Publication::default(),
+            directory: None,
+            domains: DOMAINS.map(str::to_owned).to_vec(),
         }
     }
 }
@@ -138,8 +144,7 @@
             cancel: CancellationToken::new(),
         };
         fleet.wait_answer(&format!("http://{addr}/calls")).await?;
-        let publication = fleet.config.publication.clone();
-        fleet.publish(&publication).await?;
+        fleet.publish_first().await?;
         for number in 0..fleet.config.engines {
             let server = fleet.start_server(number, "engine").await?;
             fleet.engines.push(server);
@@ -153,7 +158,9 @@
             fleet.entries.push(entry);
         }
         fleet.publish_instances().await?;
-        fleet.wait_ready().await?;
+        for node in fleet.nodes() {
+            fleet.wait_ready(node).await?;
+        }
         Ok(fleet)
     }
 
@@ -162,12 +169,19 @@
         format!("http://{}", self.entries[number].listed.traffic)
     }
 
+    async fn publish_first(&self) -> anyhow::Result<ConfigIndex> {
+        match &self.config.directory {
+            Some(files) => publish_directory(&self.client, &self.platform_url, files).await,
+            None => self.publish(&self.config.publication).await,
+        }
+    }
+
     /// Publishes a configuration.
     ///
     /// # Errors
     /// When the platform does not take it.
     pub async fn publish(&self, publication: &Publication) -> anyhow::Result<ConfigIndex> {
-        publish::publish(&self.client, &self.platform_url, &publication.bundle()?).await
+        publish(&self.client, &self.platform_url, &publication.bundle()?).await
     }
 
     /// Puts the live list as it is now; instances marked as leaving stay in it.
@@ -175,14 +189,8 @@
     /// # Errors
     /// When the platform does not take it.
     pub async fn publish_instances(&self) -> anyhow::Result<()> {
-        let agents = self
-            .engines
-            .iter()
-            .chain(&self.services)
-            .map(|server| &server.agent);
-        let nodes = self.entries.iter().chain(agents);
         let list = InstanceList {
-            instances: nodes.map(|node| node.listed.clone()).collect(),
+            instances: self.nodes().map(|node| node.listed.clone()).collect(),
         };
         let url = format!("{}/v1/instances", self.platform_url);
         let answer = self.client.put(url).json(&list).send().await?;
@@ -205,22 +213,22 @@
         Ok(())
     }
 
-    /// Waits until every process says that it is ready.
+    /// Waits until a process says that it is ready.
     ///
     /// # Errors
-    /// When one is not in time.
-    pub async fn wait_ready(&self) -> anyhow::Result<()> {
-        let agents = self
-            .engines
+    /// When it is not in time.
+    pub async fn wait_ready(&self, node: &Node) -> anyhow::Result<()> {
+        let url = format!("http://{}/readyz", node.operator);
+        let ready = self.wait_answer(&url).await;
+        ready.with_context(|| format!("{}:\n{}", node.listed.id, node.process.log()))
+    }
+
+    /// Every process of the system: entries first.
+    pub fn nodes(&self) -> impl Iterator<Item = &Node> {
+        let servers = self.engines.iter().chain(&self.services);
+        self.entries
             .iter()
-            .chain(&self.services)
-            .map(|server| &server.agent);
-        for node in self.entries.iter().chain(agents) {
-            let url = format!("http://{}/readyz", node.operator);
-            let ready = self.wait_answer(&url).await;
-            ready.with_context(|| format!("{}:\n{}", node.listed.id, node.process.log()))?;
-        }
-        Ok(())
+            .chain(servers.map(|server| &server.agent))
     }
 
     /// What a stand-in has executed.
@@ -344,7 +352,7 @@
         Ok(Instance {
             id,
             role,
-            domain: DOMAINS[number % DOMAINS.len()].to_owned(),
+            domain: self.config.domains[number % self.config.domains.len()].clone(),
             service: service.to_owned(),
             traffic,
             control: free_addr()?,
--- a/crates/lab/tests/cold_start.rs
+++ b/crates/lab/tests/cold_start.rs
@@ -104,7 +104,7 @@
     let server = storm(&fleet, "server-restart").await?;
     restart_server(&mut fleet).await?;
     Fleet::restart(&mut fleet.services[0].agent)?;
-    fleet.wait_ready().await?;
+    fleet.wait_ready(&fleet.services[0].agent).await?;
     let both = storm(&fleet, "both-restart").await?;
 
     expect_floor(&started, "start");
--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -8,7 +8,6 @@
     caller::{Call, Caller, Outcome, Refused},
     fleet::{Fleet, FleetConfig, args},
     process::wait_until,
-    publication::PLAIN_SERVICE,
     standins::{faults::Fault, ledger::Execution},
 };
 use rand::RngExt;
@@ -40,7 +39,7 @@
 async fn take_key(fleet: &Fleet, entry: usize) -> anyhow::Result<String> {
     let caller = Caller::default();
     caller
-        .take_key(&fleet.entry_url(entry), PLAIN_SERVICE)
+        .take_key(&fleet.entry_url(entry), &Call::claim("any"))
         .await
 }
 
@@ -132,7 +131,7 @@
     fleet.services[0].agent.process.kill();
     let first = sent.await?;
     Fleet::restart(&mut fleet.services[0].agent)?;
-    fleet.wait_ready().await?;
+    fleet.wait_ready(&fleet.services[0].agent).await?;
     let retried = send(&fleet, 1, &call).await;
     let unsent = send(&fleet, 2, &claim("bib-2", Some(&unsent))).await;
     wait_until("an entry issues keys of the new life", LIMIT, || async {
@@ -162,7 +161,7 @@
     fleet.services[0].agent.process.kill();
     let first = sent.await?;
     Fleet::restart(&mut fleet.services[0].agent)?;
-    fleet.wait_ready().await?;
+    fleet.wait_ready(&fleet.services[0].agent).await?;
     wait_until("the repeated request is answered", LIMIT, || async {
         verdict(&send(&fleet, 1, &call).await) == "whole"
     })
@@ -273,7 +272,7 @@
         let retried = send(&fleet, (round + 1) % 3, &call).await;
         let mut outcomes = vec![sent.await?, retried];
         fleet.services[home].agent.process.wake();
-        fleet.wait_ready().await?;
+        fleet.wait_ready(&fleet.services[home].agent).await?;
         outcomes.push(send(&fleet, (round + 2) % 3, &call).await);
 
         let runs = runs(&fleet, &marker).await?;
--- a/crates/peer/src/attempt.rs
+++ b/crates/peer/src/attempt.rs
@@ -46,12 +46,10 @@
 }
 
 impl AttemptHead {
-    /// The idempotency key of a request that may not be repeated.
-    ///
-    /// "Not run" is true of such a request only when the key's home has said so: an earlier
-    /// attempt with the key may have run.
-    pub fn once_key(&self) -> Option<&str> {
-        self.key.as_deref().filter(|_| !self.idempotent)
+    /// True for a request that may not be repeated and carries an idempotency key: earlier tries
+    /// of the same key count too when a verdict is told.
+    pub fn is_once_only(&self) -> bool {
+        self.key.is_some() && !self.idempotent
     }
 }
 
