--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -134,6 +134,7 @@
     head: AttemptHead,
     next: u64,
     has_head: bool,
+    is_reconnected: bool,
     failures: u32,
 }
 
@@ -145,12 +146,14 @@
             head,
             next,
             has_head: false,
+            is_reconnected: false,
             failures: 0,
         }
     }
 
     /// Asks for the outcome; `Ok(None)` means to try again.
     async fn reconnect(&mut self) -> Result<Option<Connection>, Failure> {
+        self.is_reconnected = true;
         if self.failures >= MAX_RECONNECTS {
             let reason = "the agent that could tell the outcome can't be reached";
             return Err(Failure::new(Verdict::MayHaveRun, reason));
@@ -178,6 +181,17 @@
         }
     }
 
+    /// The outcome of this attempt as one of its request: the question for it may have fenced the
+    /// attempt, but an earlier one with the same idempotency key may have run.
+    fn doubted(&self, failure: Failure) -> Failure {
+        match failure.verdict {
+            Verdict::NotRun { .. } if self.head.is_once_only() => {
+                Failure::new(Verdict::MayHaveRun, failure.reason)
+            }
+            _ => failure,
+        }
+    }
+
     /// Lets membership know of an agent that no connection could be opened to.
     fn note_refusal(&self, error: &LinkError) {
         if matches!(error, LinkError::Unreachable(_)) {
@@ -224,6 +238,9 @@
                 None
             }
             Frame::Progress => None,
+            Frame::Failed(failure) if self.is_reconnected => {
+                Some(Frame::Failed(self.doubted(failure.clone())))
+            }
             Frame::End { count } if *count != self.next => {
                 let reason = format!("the answer ended at frame {} of {count}", self.next);
                 Some(Frame::Failed(Failure::new(Verdict::MayHaveRun, reason)))
