--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -54,7 +54,7 @@
             routing: RoutingConfig::default(),
             lifetime,
             open: Arc::default(),
-            budget: Mutex::new(RetryBudget::with_advance(&retry)),
+            budget: Mutex::new(RetryBudget::new(&retry)),
             retry,
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         }
@@ -74,7 +74,7 @@
 
     /// Counts one request taken in, which adds to the retry budget.
     pub fn take_in(&self) {
-        self.lock_budget().take_in(&self.retry);
+        self.lock_budget().take_in(&self.retry, self.clock.now());
     }
 
     /// Decides whether a failed attempt is followed by another.
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -1,4 +1,9 @@
 //! Experiments that measure the system or make it fail.
 
+pub mod domain;
 pub mod once;
 pub mod once_world;
+pub mod queueing;
+pub mod routing;
+pub mod popularity_traces;
+pub mod rebalance;
