fix(entry): a request whose agent stays silent is answered at its deadline

Two of sixty idempotent calls were still open a second after their deadline while links on both sides of the agents went silent four times: each reconnect waits for its own silence, and nothing looked at the request's deadline. The attempt's frames now end with 'may have run' 200 ms after it.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -42,6 +42,9 @@
 /// Time that a cached prompt prefix is taken to save.
 const PREFILL: Duration = Duration::from_millis(200);
 
+/// Time past the deadline for the agent's own word on the attempt, which says more.
+const AGENT_WORD: Duration = Duration::from_millis(200);
+
 /// Frames of one attempt at one agent.
 type Frames = BoxStream<'static, Frame>;
 
@@ -318,10 +321,11 @@
         self.number += 1;
         self.tried.push(agent.id.clone());
         let count = agent.local.begin();
+        let left = self.due.saturating_sub(self.context.clock.now());
         Running {
             id,
             agent,
-            frames,
+            frames: until_due(frames, left).boxed(),
             _count: count,
         }
     }
@@ -418,6 +422,29 @@
     Failure::new(Verdict::MayHaveRun, "the attempt ended without an answer")
 }
 
+/// The frames of an attempt, which fails when the request's deadline has passed: its link may be
+/// silent, and neither the agent nor a new connection tells in time.
+fn until_due(mut frames: Frames, left: Duration) -> impl Stream<Item = Frame> {
+    stream! {
+        let end = tokio::time::sleep(left + AGENT_WORD);
+        tokio::pin!(end);
+        loop {
+            tokio::select! {
+                biased;
+                frame = frames.next() => match frame {
+                    Some(frame) => yield frame,
+                    None => return,
+                },
+                () = &mut end => {
+                    let reason = "the deadline passed without word from the agent";
+                    yield Frame::Failed(Failure::new(Verdict::MayHaveRun, reason));
+                    return;
+                }
+            }
+        }
+    }
+}
+
 /// Reads an answer to its end.
 async fn collect(head: Head, mut frames: Frames) -> Result<WholeAnswer, Failure> {
     let mut body = BytesMut::new();
