--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -86,6 +86,30 @@
                 /// Makes the requests of this run differ from those of others.
                 optional --seed seed: u64
             }
+            /// Rebalancing of experts against a static map and a full repack.
+            cmd rebalance {
+                /// Seed of the experiment.
+                optional --seed seed: u64
+                /// File for a plot.
+                optional --svg file: PathBuf
+            }
+            /// Choice of a backend server against the baselines.
+            cmd routing {
+                /// Seed of the experiment.
+                optional --seed seed: u64
+            }
+            /// Service while a failure domain leaves and returns.
+            cmd domain {
+                /// Seed of the experiment.
+                optional --seed seed: u64
+                /// File for a plot.
+                optional --svg file: PathBuf
+            }
+            /// Once-only schemes under vanishing homes.
+            cmd once {
+                /// Seed of the experiment.
+                optional --seed seed: u64
+            }
         }
         /// Checks, collects and publishes operators' files to the stand-in of the platform.
         cmd publish {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,11 +2,12 @@
 
 mod flags;
 
-use std::{future::Future, time::Duration};
+use std::{future::Future, path::PathBuf, time::Duration};
 
 use flags::{BenchCmd, JujubeLab, JujubeLabCmd};
 use jujube_lab::{
     demo,
+    experiments::{domain, once, rebalance, routing},
     load::{self, LoadConfig, Work},
     path_bench::{self, PathBenchConfig},
     publish, relay,
@@ -20,6 +21,9 @@
 };
 use tokio_util::sync::CancellationToken;
 
+/// Seed of experiments where none is given.
+const DEFAULT_SEED: u64 = 1;
+
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let cancel = CancellationToken::new();
@@ -113,9 +117,36 @@
             print!("{}", path_bench::run(&config).await?);
             Ok(())
         }
+        BenchCmd::Rebalance(flags) => {
+            experiment(flags.seed, flags.svg, rebalance::run, rebalance::plot)
+        }
+        BenchCmd::Routing(flags) => {
+            print!("{}", routing::run(flags.seed.unwrap_or(DEFAULT_SEED)));
+            Ok(())
+        }
+        BenchCmd::Domain(flags) => experiment(flags.seed, flags.svg, domain::run, domain::plot),
+        BenchCmd::Once(flags) => {
+            print!("{}", once::run(flags.seed.unwrap_or(DEFAULT_SEED)));
+            Ok(())
+        }
     }
 }
 
+/// Prints an experiment's tables, and writes its plot where one is asked for.
+fn experiment(
+    seed: Option<u64>,
+    svg: Option<PathBuf>,
+    run: fn(u64) -> String,
+    plot: fn(u64) -> String,
+) -> anyhow::Result<()> {
+    let seed = seed.unwrap_or(DEFAULT_SEED);
+    print!("{}", run(seed));
+    if let Some(file) = svg {
+        std::fs::write(file, plot(seed))?;
+    }
+    Ok(())
+}
+
 fn engine_config(flags: flags::Engine) -> EngineConfig {
     let default = EngineConfig::default();
     let models = if flags.model.is_empty() {
--- a/crates/lab/src/path_bench.rs
+++ b/crates/lab/src/path_bench.rs
@@ -2,10 +2,13 @@
 
 use std::{fmt::Write, time::Duration};
 
+use jj_operator::documents::Limits;
+
 use crate::{
     fleet::{Fleet, FleetConfig, Server, args},
     load::{self, LoadConfig, LoadReport, Work},
     process::{Process, Usage},
+    publication::Publication,
     standins::faults::ControlRequest,
 };
 
@@ -87,7 +90,17 @@
     Ok(out)
 }
 
+/// Servers that bear all of the load also when cold: the cost of the path is measured here, not
+/// the gate's caution.
 fn fleet_config() -> FleetConfig {
+    let mut publication = Publication::default();
+    for service in &mut publication.services {
+        service.limits = Limits {
+            cold_floor: 512,
+            concurrency: 1024,
+            queue: 1024,
+        };
+    }
     FleetConfig {
         entries: 1,
         engines: 1,
@@ -95,6 +108,7 @@
         cold_floor: 512,
         concurrency: 1024,
         relays: false,
+        publication,
         engine_flags: args(["--capacity", "1024"]),
         ..FleetConfig::default()
     }
