--- /dev/null
+++ b/crates/entry/src/choose.rs
@@ -0,0 +1,82 @@
+//! Chooses the agent for one attempt, out of what this process believes of the fleet.
+
+use std::time::Duration;
+
+use jj_caller::problem::Refusal;
+use jj_policy::{
+    rendezvous::key_hash,
+    routing::{self, Candidate, PrefixHash, RequestFacts},
+    verdict::Verdict,
+};
+use jj_utils::{clock::Timestamp, ids::InstanceId};
+
+use crate::{
+    context::Context,
+    routes::Routed,
+    view::{Agent, View},
+};
+
+/// Time that a cached prompt prefix is taken to save.
+const PREFILL: Duration = Duration::from_millis(200);
+
+/// Chooses an agent that takes new work; `tried` are those that an earlier attempt went to.
+///
+/// # Errors
+/// "Not run", when this process or every agent takes no new work.
+pub fn choose(
+    context: &Context,
+    routed: &Routed,
+    due: Timestamp,
+    tried: &[InstanceId],
+) -> Result<Agent, Refusal> {
+    let now = context.clock.now();
+    let view = context.view.load();
+    if !view.permit.is_some_and(|permit| permit.holds(now)) {
+        let detail = "this entry takes no new work: use another address";
+        return Err(not_run(context.retry.retry_after, detail));
+    }
+    let prefix = prefix_hash(routed);
+    let agents: Vec<&Agent> = view.agents_of(&routed.service).collect();
+    let candidates = agents.iter().map(|agent| candidate(context, agent, prefix));
+    let candidates: Vec<Candidate<'_>> = candidates.collect();
+    let tried: Vec<&str> = tried.iter().map(String::as_str).collect();
+    let facts = RequestFacts {
+        prefix,
+        account: key_hash(&routed.account),
+        share: share(routed, &view),
+        used: context.usage.part(&routed.service, &routed.account),
+        prefill: PREFILL,
+        deadline: due,
+        tried: &tried,
+    };
+    match routing::choose(&context.routing, &candidates, &facts, now, context.draws()) {
+        Ok(choice) => Ok(agents[choice.index].clone()),
+        Err(none) => Err(not_run(none.retry_after, &none.to_string())),
+    }
+}
+
+/// Hash of the prompt's shared beginning.
+pub fn prefix_hash(routed: &Routed) -> Option<PrefixHash> {
+    routed.prefix.as_deref().map(key_hash)
+}
+
+fn candidate<'a>(context: &Context, agent: &'a Agent, prefix: Option<PrefixHash>) -> Candidate<'a> {
+    Candidate {
+        id: &agent.id,
+        domain: &agent.domain,
+        state: agent.state,
+        distance: agent.distance,
+        report: agent.local.newest_report(agent.report),
+        own_since: agent.local.since_report(),
+        prefix_hit: prefix.map_or(0.0, |prefix| context.prefix_hit(&agent.id, prefix)),
+        not_before: agent.local.not_before(),
+    }
+}
+
+fn share(routed: &Routed, view: &View) -> f64 {
+    f64::from(routed.weight) / view.total_weight.max(1) as f64
+}
+
+fn not_run(retry_after: Duration, detail: &str) -> Refusal {
+    Refusal::given_up(Verdict::NotRun { retry_after }, detail)
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -8,14 +8,15 @@
 use arc_swap::ArcSwap;
 use jj_peer::client::AgentClient;
 use jj_policy::{
+    prefix::PrefixIndex,
     retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
-    routing::RoutingConfig,
+    routing::{PrefixHash, RoutingConfig},
 };
 use jj_utils::{clock::SharedClock, ids::RequestId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::view::View;
+use crate::{usage::Usage, view::View};
 
 /// Shared by all traffic threads.
 pub struct Context {
@@ -33,7 +34,10 @@
     pub open: Arc<AtomicUsize>,
     /// Tunables of retries.
     pub retry: RetryConfig,
+    /// Requests in flight by service and client account.
+    pub usage: Arc<Usage>,
     budget: Mutex<RetryBudget>,
+    prefixes: Mutex<PrefixIndex>,
     random: Mutex<Pcg64Mcg>,
 }
 
@@ -54,12 +58,29 @@
             routing: RoutingConfig::default(),
             lifetime,
             open: Arc::default(),
+            usage: Arc::default(),
+            prefixes: Mutex::default(),
             budget: Mutex::new(RetryBudget::new(&retry)),
             retry,
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         }
     }
 
+    /// Probability from 0 to 1 that an agent's backend server holds a prefix.
+    pub fn prefix_hit(&self, agent: &str, prefix: PrefixHash) -> f64 {
+        self.lock_prefixes().hit(agent, prefix, self.clock.now())
+    }
+
+    /// Notes that an agent's backend server answered a request with a prefix.
+    pub fn note_prefix(&self, agent: &str, prefix: PrefixHash) {
+        self.lock_prefixes()
+            .note_answer(agent, prefix, self.clock.now());
+    }
+
+    fn lock_prefixes(&self) -> MutexGuard<'_, PrefixIndex> {
+        self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Two random numbers for one decision.
     pub fn draws(&self) -> [u64; 2] {
         let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -168,12 +168,21 @@
             published: self.fleet.published(),
             agents,
             addresses: self.addresses(&list),
+            total_weight: self.total_weight(),
             permit: self.permit(),
             standing: format!("{:?}", self.fleet.standing()),
         };
         self.context.view.store(Arc::new(view));
     }
 
+    fn total_weight(&self) -> u64 {
+        let Some(published) = self.fleet.published() else {
+            return 0;
+        };
+        let accounts = published.fleet.accounts.values();
+        accounts.map(|account| u64::from(account.weight)).sum()
+    }
+
     /// Leave to take new work; none in a withdrawn failure domain.
     fn permit(&self) -> Option<Permit> {
         if self.fleet.is_withdrawn() {
@@ -190,6 +199,7 @@
         Some(Agent {
             id: listed.id.clone(),
             service: listed.service.clone(),
+            domain: listed.domain.clone(),
             traffic: listed.traffic,
             incarnation: heard.heartbeat.incarnation,
             state,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,6 +1,6 @@
 //! Takes a request through as many attempts as its deadline and the verdicts allow.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::{Arc, atomic::Ordering};
 
 use async_stream::stream;
 use bytes::{Bytes, BytesMut};
@@ -15,9 +15,7 @@
     frames::{Failure, Frame, Head},
 };
 use jj_policy::{
-    rendezvous::key_hash,
     retry::{Attempts, RetryDecision, RetryFacts},
-    routing::{self, Candidate, RequestFacts},
     verdict::Verdict,
 };
 use jj_utils::{
@@ -29,19 +27,18 @@
 use poem::http::StatusCode;
 
 use crate::{
+    choose,
     context::Context,
     link::{self, Target},
     resume::EventId,
     routes::Routed,
+    usage::UsageGuard,
     view::{Agent, InFlight},
 };
 
 /// Statuses of a backend server that another one may do better on.
 const RETRIED_STATUSES: [u16; 3] = [502, 503, 504];
 
-/// Time that a cached prompt prefix is taken to save.
-const PREFILL: Duration = Duration::from_millis(200);
-
 /// Frames of one attempt at one agent.
 type Frames = BoxStream<'static, Frame>;
 
@@ -70,22 +67,25 @@
 }
 
 /// Counts a request as open until dropped.
-struct OpenGuard(Arc<Context>);
+struct OpenGuard {
+    context: Arc<Context>,
+    _usage: UsageGuard,
+}
 
 impl OpenGuard {
-    fn new(context: &Arc<Context>) -> Self {
-        context
-            .open
-            .fetch_add(1, std::sync::atomic::Ordering::SeqCst);
-        Self(Arc::clone(context))
+    fn new(context: &Arc<Context>, routed: &Routed) -> Self {
+        context.open.fetch_add(1, Ordering::SeqCst);
+        let usage = context.usage.begin(&routed.service, &routed.account);
+        Self {
+            context: Arc::clone(context),
+            _usage: usage,
+        }
     }
 }
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.0
-            .open
-            .fetch_sub(1, std::sync::atomic::Ordering::SeqCst);
+        self.context.open.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
@@ -119,7 +119,7 @@
     /// # Errors
     /// The refusal, when no part of the answer can be had.
     pub async fn run(mut self) -> Result<Answer, Refusal> {
-        let guard = OpenGuard::new(&self.context);
+        let guard = OpenGuard::new(&self.context, &self.routed);
         if !self.routed.stream {
             let answer = self.whole().await;
             drop(guard);
@@ -214,7 +214,10 @@
                         yield Ok(TokenEvent { id: id.to_string(), data: data.bytes.into() });
                         continue;
                     }
-                    Some(Frame::End { .. }) => return,
+                    Some(Frame::End { .. }) => {
+                        self.note_prefix(&running.agent);
+                        return;
+                    }
                     Some(Frame::Failed(failure)) => failure,
                     Some(Frame::Head(_) | Frame::Load(_) | Frame::Progress) => continue,
                     None => broken(),
@@ -230,6 +233,13 @@
         }
     }
 
+    /// The agent's backend server holds the prompt's prefix now.
+    fn note_prefix(&self, agent: &Agent) {
+        if let Some(prefix) = choose::prefix_hash(&self.routed) {
+            self.context.note_prefix(&agent.id, prefix);
+        }
+    }
+
     /// Another attempt after a failure, or the request's final answer at once.
     async fn again(&mut self, last: &Agent, failure: Failure) -> Result<Running, Refusal> {
         let now = self.context.clock.now();
@@ -330,35 +340,7 @@
         if let Some(home) = &self.home {
             return Ok(home.clone());
         }
-        let now = self.context.clock.now();
-        let view = self.context.view.load();
-        if !view.permit.is_some_and(|permit| permit.holds(now)) {
-            let verdict = Verdict::NotRun {
-                retry_after: self.context.retry.retry_after,
-            };
-            let detail = "this entry takes no new work: use another address";
-            return Err(Refusal::given_up(verdict, detail));
-        }
-        let agents: Vec<&Agent> = view.agents_of(&self.routed.service).collect();
-        let candidates: Vec<Candidate<'_>> = agents.iter().map(|agent| candidate(agent)).collect();
-        let tried: Vec<&str> = self.tried.iter().map(String::as_str).collect();
-        let facts = RequestFacts {
-            prefix: self.routed.prefix.as_deref().map(key_hash),
-            prefill: PREFILL,
-            deadline: self.due,
-            tried: &tried,
-        };
-        let context = &self.context;
-        let choice = routing::choose(&context.routing, &candidates, &facts, now, context.draws());
-        match choice {
-            Ok(choice) => Ok(agents[choice.index].clone()),
-            Err(none) => {
-                let verdict = Verdict::NotRun {
-                    retry_after: none.retry_after,
-                };
-                Err(Refusal::given_up(verdict, none.to_string()))
-            }
-        }
+        choose::choose(&self.context, &self.routed, self.due, &self.tried)
     }
 
     fn head(&self, agent: &Agent) -> AttemptHead {
@@ -401,19 +383,6 @@
     }
 }
 
-/// An agent as routing takes it.
-pub fn candidate(agent: &Agent) -> Candidate<'_> {
-    Candidate {
-        id: &agent.id,
-        state: agent.state,
-        distance: agent.distance,
-        report: agent.local.newest_report(agent.report),
-        own_since: agent.local.since_report(),
-        prefix_hit: 0.0,
-        not_before: agent.local.not_before(),
-    }
-}
-
 fn broken() -> Failure {
     Failure::new(Verdict::MayHaveRun, "the attempt ended without an answer")
 }
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -7,7 +7,6 @@
 use jj_operator::published::Published;
 use jj_policy::{
     keys::{AgentLife, IssuedKey, KeyError, KeyHome, OnceKey, key_home},
-    routing::{self, RequestFacts},
     verdict::Verdict,
 };
 use poem::http::StatusCode;
@@ -15,8 +14,8 @@
 use serde_json::json;
 
 use crate::{
+    choose,
     context::Context,
-    forward::candidate,
     routes::{self, Routed},
     view::{Agent, View},
 };
@@ -51,34 +50,14 @@
         ..request.clone()
     };
     let routed = routes::resolve(published, &meant)?;
-    let home = choose_home(context, &routed)?;
+    let due = context.clock.now() + routed.timeout;
+    let home = life(&choose::choose(context, &routed, due, &[])?);
     let key = IssuedKey::issue(home, &mut context.random());
     Ok(Answer::json(
         &json!({ "key": key.to_string(), "service": routed.service }),
     ))
 }
 
-fn choose_home(context: &Context, routed: &Routed) -> Result<AgentLife, Refusal> {
-    let now = context.clock.now();
-    let view = context.view.load();
-    let agents: Vec<&Agent> = view.agents_of(&routed.service).collect();
-    let candidates: Vec<_> = agents.iter().map(|agent| candidate(agent)).collect();
-    let facts = RequestFacts {
-        prefix: None,
-        prefill: std::time::Duration::ZERO,
-        deadline: now + routed.timeout,
-        tried: &[],
-    };
-    let choice = routing::choose(&context.routing, &candidates, &facts, now, context.draws());
-    let choice = choice.map_err(|none| {
-        let verdict = Verdict::NotRun {
-            retry_after: none.retry_after,
-        };
-        Refusal::given_up(verdict, none.to_string())
-    })?;
-    Ok(life(agents[choice.index]))
-}
-
 /// Home of a once-only request; none for one that has no key or may be repeated.
 ///
 /// # Errors
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,5 +1,6 @@
 //! The entry process and the operators' command line.
 
+mod choose;
 mod cli;
 mod commands;
 mod context;
@@ -12,6 +13,7 @@
 mod routes;
 mod serve;
 mod settings;
+mod usage;
 mod view;
 
 use std::process::ExitCode;
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -14,7 +14,7 @@
 use jj_policy::{authority::Permit, membership::MemberState, routing::LoadReport};
 use jj_utils::{
     clock::Timestamp,
-    ids::{Incarnation, InstanceId, ServiceId},
+    ids::{FailureDomainId, Incarnation, InstanceId, ServiceId},
 };
 
 /// One consistent picture of the fleet.
@@ -26,6 +26,8 @@
     pub agents: Vec<Agent>,
     /// Addresses that callers may use, for each group of callers.
     pub addresses: Vec<Vec<SocketAddr>>,
+    /// Sum of the weights of all client accounts.
+    pub total_weight: u64,
     /// Leave to take new work; checked again directly before each attempt.
     pub permit: Option<Permit>,
     /// How this process stands, for operators.
@@ -53,6 +55,8 @@
     pub id: InstanceId,
     /// Its service.
     pub service: ServiceId,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
     /// Where attempts go.
     pub traffic: SocketAddr,
     /// Its life.
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -3,7 +3,7 @@
 pub mod domain;
 pub mod once;
 pub mod once_world;
-pub mod queueing;
-pub mod routing;
 pub mod popularity_traces;
+pub mod queueing;
 pub mod rebalance;
+pub mod routing;
--- a/crates/utils/tests/events.rs
+++ b/crates/utils/tests/events.rs
@@ -17,7 +17,10 @@
 #[gtest]
 fn the_page_describes_each_event_and_no_other() {
     let page = page();
-    let described: Vec<&str> = page.lines().filter(|line| line.starts_with("| JJ-")).collect();
+    let described: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| JJ-"))
+        .collect();
 
     for event in ALL {
         let start = row(event);
