--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,5 +1,7 @@
 //! The process beside each backend server instance: the only way to that server.
 
+#![warn(clippy::unwrap_used)]
+
 mod attempts;
 mod control;
 mod keys;
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -1,5 +1,7 @@
 //! Clients for backend servers: model engines and plain services.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod call;
 pub mod health;
 pub mod stream;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,5 +1,7 @@
 //! The entry process and the operators' command line.
 
+#![warn(clippy::unwrap_used)]
+
 mod choose;
 mod cli;
 mod commands;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,7 @@
 //! Stand-ins, load, fault injection and experiments; never shipped.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod caller;
 pub mod demo;
 pub mod experiments;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,7 @@
 //! `jujube-lab`: stand-ins, load, fault injection and experiments; never shipped.
 
+#![warn(clippy::unwrap_used)]
+
 mod flags;
 
 use std::{future::Future, time::Duration};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,7 @@
 //! What entry and agent have in common: following the platform, control calls, shutdown.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod control_client;
 pub mod control_port;
 pub mod fleet;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,5 +1,7 @@
 //! What operators see: files, checks, published documents, audit, status.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod audit;
 pub mod check;
 pub mod collect;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,6 +4,8 @@
 //! ([`attempt`], [`frames`]): each attempt has a connection of its own, so that one connection
 //! going silent takes no other attempt with it.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod attempt;
 pub mod client;
 pub mod control;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,7 @@
 //! Readers of the platform: configuration service, live list, weight store.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod blocking_query;
 pub mod budget;
 pub mod config_reader;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,6 +1,8 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod addresses;
 pub mod admission;
 pub mod authority;
--- a/crates/utils/src/lib.rs
+++ b/crates/utils/src/lib.rs
@@ -1,5 +1,7 @@
 //! Helpers shared by every package: clock, collections, ids, settings, logging.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod clock;
 pub mod collections;
 pub mod derives;
