--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -39,6 +39,10 @@
     retry_after: Duration::from_secs(1),
 };
 
+/// Time in which every other entry hears that this one is leaving and drops it from its answers:
+/// two heartbeats.
+const LEAVING_SPREAD: Duration = Duration::from_secs(2);
+
 /// Interval of looking whether requests are still open while draining.
 const IDLE_LOOK: Duration = Duration::from_millis(50);
 
@@ -162,7 +166,7 @@
 
 /// Serves on until callers' address answers have run out and nothing is open.
 async fn drain(context: &Context, settings: &Settings) {
-    tokio::time::sleep(settings.lifetime).await;
+    tokio::time::sleep(settings.lifetime + LEAVING_SPREAD).await;
     let idle = async {
         while context.open.load(Ordering::SeqCst) > 0 {
             tokio::time::sleep(IDLE_LOOK).await;
