--- a/crates/lab/src/experiments/popularity_traces.rs
+++ b/crates/lab/src/experiments/popularity_traces.rs
@@ -72,6 +72,24 @@
     }
 }
 
+/// The part of a trace from one period on, with its clock starting at zero there.
+pub fn window(trace: &PopularityTrace, from: usize, periods: usize) -> PopularityTrace {
+    let start = Duration::from_secs(trace.period) * from as u32;
+    let shifted = |report: &Option<ExpertCounts>| {
+        let report = report.as_ref().filter(|report| report.until > start)?;
+        Some(ExpertCounts {
+            until: report.until - start,
+            counts: report.counts.clone(),
+        })
+    };
+    let reports = trace.reports[from..][..periods].iter().map(shifted);
+    PopularityTrace {
+        truth: trace.truth[from..][..periods].to_vec(),
+        reports: reports.collect(),
+        ..trace.clone()
+    }
+}
+
 /// What is added to the logarithm of an expert's popularity.
 fn boost(drift: Drift, position: f64, progress: f64) -> f64 {
     match drift {
--- a/crates/lab/src/experiments/rebalance.rs
+++ b/crates/lab/src/experiments/rebalance.rs
@@ -12,10 +12,10 @@
 use crate::experiments::popularity_traces::{Drift, generate};
 
 /// Periods of each trace.
-const PERIODS: u32 = 720;
+pub const PERIODS: u32 = 720;
 
 /// Groups of today, and the size to come.
-const SHAPES: [GroupShape; 3] = [
+pub const SHAPES: [GroupShape; 3] = [
     GroupShape {
         ranks: 8,
         experts: 32,
@@ -109,8 +109,8 @@
     Ok(())
 }
 
-/// The map at the start fits the first counts, as after a first deployment.
-fn outcome(trace: &PopularityTrace, policy: MapPolicy) -> ReplayOutcome {
+/// Replays a trace. The map at the start fits the first counts, as after a first deployment.
+pub fn outcome(trace: &PopularityTrace, policy: MapPolicy) -> ReplayOutcome {
     replay(trace, policy, RebalanceConfig::default(), start_map(trace))
 }
 
--- a/crates/policy/src/popularity.rs
+++ b/crates/policy/src/popularity.rs
@@ -18,8 +18,8 @@
 impl Default for PopularityConfig {
     fn default() -> Self {
         Self {
-            level_gain: 0.6,
-            trend_gain: 0.3,
+            level_gain: 0.9,
+            trend_gain: 0.1,
             trend_limit: Duration::from_secs(40),
         }
     }
@@ -43,6 +43,8 @@
     level: Vec<f64>,
     /// Change of the share in a second.
     trend: Vec<f64>,
+    /// Whether the expert has been counted once.
+    counted: Vec<bool>,
     until: Option<Timestamp>,
 }
 
@@ -54,6 +56,7 @@
             config,
             level: vec![1.0 / experts.max(1) as f64; experts],
             trend: vec![0.0; experts],
+            counted: vec![false; experts],
             until: None,
         }
     }
@@ -64,62 +67,64 @@
         if stale || report.counts.len() != self.level.len() {
             return;
         }
-        let Some(shares) = self.shares(report) else {
+        let elapsed = report
+            .until
+            .saturating_sub(self.until.unwrap_or(report.until));
+        let seconds = elapsed.as_secs_f64();
+        let expected = self.expected(seconds);
+        let Some(scale) = scale(report, &expected) else {
             return;
         };
-        match self.until {
-            None => self.level = shares,
-            Some(until) => self.smooth(&shares, (report.until - until).as_secs_f64()),
+        for (expert, count) in report.counts.iter().enumerate() {
+            match count {
+                Some(count) => self.take(expert, f64::from(*count) * scale, seconds),
+                None => self.level[expert] = expected[expert],
+            }
         }
         self.until = Some(report.until);
     }
 
-    /// Predicted shares at a time, normalised to 1; `None` before the first report.
+    /// Predicted shares at a time, normalised to 1; `None` until every expert
+    /// has been counted once.
     pub fn predict(&self, at: Timestamp) -> Option<Vec<f64>> {
-        let until = self.until?;
+        let until = self.until.filter(|_| !self.counted.contains(&false))?;
         let ahead = at.saturating_sub(until).min(self.config.trend_limit);
-        let ahead = ahead.as_secs_f64();
-        let shares = self.level.iter().zip(&self.trend);
-        let shares = shares.map(|(level, trend)| (level + trend * ahead).max(0.0));
-        Some(normalised(shares.collect()))
+        Some(normalised(self.expected(ahead.as_secs_f64())))
     }
 
-    /// Shares of the report, with the missing ones as last estimated. The counts are scaled so
-    /// that those present have together the share that they had before.
-    fn shares(&self, report: &ExpertCounts) -> Option<Vec<f64>> {
-        let pairs = || report.counts.iter().zip(&self.level);
-        let total: f64 = pairs().filter_map(|(count, _)| count.map(f64::from)).sum();
-        let present: f64 = pairs()
-            .filter(|(count, _)| count.is_some())
-            .map(|(_, level)| level)
-            .sum();
-        if total <= 0.0 {
-            return None;
-        }
-        let share = |(count, level): (&Option<u32>, &f64)| match count {
-            Some(count) => f64::from(*count) / total * present,
-            None => *level,
-        };
-        Some(normalised(pairs().map(share).collect()))
+    fn expected(&self, seconds: f64) -> Vec<f64> {
+        let shares = self.level.iter().zip(&self.trend);
+        let shares = shares.map(|(level, trend)| (level + trend * seconds).max(0.0));
+        shares.collect()
     }
 
-    fn smooth(&mut self, shares: &[f64], seconds: f64) {
-        let PopularityConfig {
-            level_gain,
-            trend_gain,
-            ..
-        } = self.config;
-        for (expert, share) in shares.iter().enumerate() {
-            let before = self.level[expert];
-            let expected = before + self.trend[expert] * seconds;
-            let level = expected + level_gain * (share - expected);
-            let change = (level - before) / seconds;
-            self.level[expert] = level;
-            self.trend[expert] += trend_gain * (change - self.trend[expert]);
+    fn take(&mut self, expert: usize, share: f64, seconds: f64) {
+        let before = self.level[expert];
+        if !self.counted[expert] {
+            self.counted[expert] = true;
+            self.level[expert] = share;
+            return;
         }
+        if seconds <= 0.0 {
+            return;
+        }
+        let expected = before + self.trend[expert] * seconds;
+        let level = expected + self.config.level_gain * (share - expected);
+        let change = (level - before) / seconds;
+        self.level[expert] = level;
+        self.trend[expert] += self.config.trend_gain * (change - self.trend[expert]);
     }
 }
 
+/// What a count has to be multiplied with, so that the counts present have together the share
+/// that is expected of them; `None` when nothing was counted.
+fn scale(report: &ExpertCounts, expected: &[f64]) -> Option<f64> {
+    let counted = report.counts.iter().zip(expected);
+    let counted = counted.filter_map(|(count, share)| Some((f64::from((*count)?), *share)));
+    let (tokens, share) = counted.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+    (tokens > 0.0).then(|| share / tokens)
+}
+
 fn normalised(mut shares: Vec<f64>) -> Vec<f64> {
     let total: f64 = shares.iter().sum();
     if total > 0.0 {
--- a/crates/policy/src/rebalance.rs
+++ b/crates/policy/src/rebalance.rs
@@ -39,7 +39,7 @@
         Self {
             trigger_skew: 1.05,
             target_skew: 1.02,
-            horizon: Duration::from_secs(120),
+            horizon: Duration::from_secs(75),
             min_interval: Duration::from_secs(10),
             expert_bytes: 1 << 30,
             store_rate: 8e9,
@@ -62,9 +62,11 @@
         self.load_time(loads).as_secs_f64() * self.load_slowdown + self.stall.as_secs_f64()
     }
 
-    /// Time of the group that a lower skew saves over the horizon, in seconds.
-    fn gain(&self, before: f64, after: f64) -> f64 {
-        (before - after) / before * self.horizon.as_secs_f64()
+    /// Time of the group that a lower skew saves over what is left of the horizon once the
+    /// weights are loaded, in seconds.
+    fn gain(&self, plan: &RebalancePlan) -> f64 {
+        let left = self.horizon.saturating_sub(self.load_time(plan.loads));
+        (plan.skew_before - plan.skew_after) / plan.skew_before * left.as_secs_f64()
     }
 }
 
@@ -183,7 +185,7 @@
 
     /// Time of the group that a plan saves, less what it costs, in seconds.
     fn net(&self, plan: &RebalancePlan) -> f64 {
-        self.config.gain(self.before, plan.skew_after) - self.config.cost(plan.loads)
+        self.config.gain(plan) - self.config.cost(plan.loads)
     }
 }
 
--- a/crates/policy/src/rebalance_replay.rs
+++ b/crates/policy/src/rebalance_replay.rs
@@ -99,7 +99,7 @@
             popularity.observe(report);
         }
         if loading.is_none()
-            && let Some(predicted) = popularity.predict(now + period)
+            && let Some(predicted) = popularity.predict(now + config.min_interval)
         {
             loading = next_map(policy, &mut rebalancer, now, &map, &predicted).map(|next| {
                 let loads = map.loads_to(&next);
