--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,16 +1,21 @@
 //! The entry process and the operators' command line.
 
+#![warn(clippy::unwrap_used)]
+
+mod choose;
 mod cli;
 mod commands;
 mod context;
 mod control;
 mod forward;
 mod handler;
+mod keys;
 mod link;
 mod resume;
 mod routes;
 mod serve;
 mod settings;
+mod usage;
 mod view;
 
 use std::process::ExitCode;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,9 @@
 //! Stand-ins, load, fault injection and experiments; never shipped.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod caller;
+pub mod demo;
 pub mod experiments;
 pub mod fleet;
 pub mod http;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,6 +1,8 @@
 //! Every decision of the balancer, pure and deterministic: no I/O, no clock reads, no global
 //! randomness. Time, random numbers and observations are passed in.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod addresses;
 pub mod admission;
 pub mod authority;
@@ -14,6 +16,7 @@
 pub mod group_switch;
 pub mod keys;
 pub mod limit;
+pub mod load;
 pub mod membership;
 pub mod once;
 pub mod orphans;
