--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,18 +1,22 @@
 //! What every request handler is given.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError, atomic::AtomicUsize},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use jj_peer::client::AgentClient;
-use jj_policy::routing::RoutingConfig;
+use jj_policy::{
+    prefix::{PrefixConfig, PrefixIndex},
+    retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
+    routing::{PrefixHash, RoutingConfig},
+};
 use jj_utils::{clock::SharedClock, ids::RequestId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::view::View;
+use crate::{usage::Usage, view::View};
 
 /// Shared by all traffic threads.
 pub struct Context {
@@ -28,6 +32,12 @@
     pub lifetime: Duration,
     /// Requests being handled, streams included.
     pub open: Arc<AtomicUsize>,
+    /// Tunables of retries.
+    pub retry: RetryConfig,
+    /// Requests in flight of each client account.
+    pub usage: Arc<Usage>,
+    prefixes: Mutex<PrefixIndex>,
+    budget: Mutex<RetryBudget>,
     random: Mutex<Pcg64Mcg>,
 }
 
@@ -40,6 +50,7 @@
         lifetime: Duration,
         seed: u64,
     ) -> Self {
+        let retry = RetryConfig::default();
         Self {
             clock,
             client,
@@ -47,6 +58,10 @@
             routing: RoutingConfig::default(),
             lifetime,
             open: Arc::default(),
+            usage: Arc::default(),
+            prefixes: Mutex::new(PrefixIndex::new(PrefixConfig::default())),
+            budget: Mutex::new(RetryBudget::with_advance(&retry)),
+            retry,
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         }
     }
@@ -57,6 +72,40 @@
         [random.next_u64(), random.next_u64()]
     }
 
+    /// Counts one request taken in, which adds to the retry budget.
+    pub fn take_in(&self) {
+        self.lock_budget().take_in(&self.retry, self.clock.now());
+    }
+
+    /// Decides whether a failed attempt is followed by another.
+    pub fn decide_retry(&self, attempts: &Attempts, facts: &RetryFacts) -> RetryDecision {
+        let now = self.clock.now();
+        let [draw, _] = self.draws();
+        retry::decide(
+            &self.retry,
+            &mut self.lock_budget(),
+            attempts,
+            facts,
+            now,
+            draw,
+        )
+    }
+
+    /// Notes that a backend server answered a request with the prefix.
+    pub fn note_answer(&self, server: &str, prefix: PrefixHash) {
+        let now = self.clock.now();
+        self.lock_prefixes().note_answer(server, prefix, now);
+    }
+
+    /// What is believed of the backend servers' prefix caches.
+    pub fn lock_prefixes(&self) -> MutexGuard<'_, PrefixIndex> {
+        self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A new request's id, unique over the fleet.
     pub fn request_id(&self) -> RequestId {
         let [high, low] = self.draws();
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,6 +1,6 @@
 //! Takes a request through as many attempts as its deadline and the verdicts allow.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use async_stream::stream;
 use bytes::{Bytes, BytesMut};
@@ -15,8 +15,7 @@
     frames::{Failure, Frame, Head},
 };
 use jj_policy::{
-    rendezvous::key_hash,
-    routing::{self, Candidate, RequestFacts},
+    retry::{Attempts, RetryDecision, RetryFacts},
     verdict::Verdict,
 };
 use jj_utils::{
@@ -29,17 +28,16 @@
 
 use crate::{
     context::Context,
-    link,
+    link::{self, Target},
+    pick,
     resume::EventId,
     routes::Routed,
+    usage::UsageGuard,
     view::{Agent, InFlight},
 };
 
-/// Attempts of one request at the most.
-const MAX_ATTEMPTS: AttemptId = 4;
-
-/// Time that a cached prompt prefix is taken to save.
-const PREFILL: Duration = Duration::from_millis(200);
+/// Statuses of a backend server that another one may do better on.
+const RETRIED_STATUSES: [u16; 3] = [502, 503, 504];
 
 /// Frames of one attempt at one agent.
 type Frames = BoxStream<'static, Frame>;
@@ -51,10 +49,12 @@
     routed: Routed,
     id: RequestId,
     due: Timestamp,
-    attempts: AttemptId,
+    number: AttemptId,
+    attempts: Attempts,
     tried: Vec<InstanceId>,
     /// Next token that the caller needs.
     next: u64,
+    _usage: UsageGuard,
 }
 
 /// One attempt in progress.
@@ -90,15 +90,19 @@
     pub fn new(context: Arc<Context>, request: CallerRequest, routed: Routed) -> Self {
         let id = context.request_id();
         let due = context.clock.now() + routed.timeout;
+        context.take_in();
+        let usage = context.usage.begin(&routed.service, &routed.account);
         Self {
             context,
             request,
             routed,
             id,
             due,
-            attempts: 0,
+            number: 0,
+            attempts: Attempts::default(),
             tried: Vec::new(),
             next: 0,
+            _usage: usage,
         }
     }
 
@@ -122,6 +126,7 @@
         loop {
             match running.frames.next().await {
                 Some(Frame::Head(head)) if head.status == StatusCode::OK => {
+                    self.note_prefix(&running.agent);
                     return Ok(Answer::Stream(self.tokens(running, guard).boxed()));
                 }
                 Some(Frame::Head(head)) => {
@@ -143,9 +148,11 @@
                 Some(Frame::End { .. }) => {
                     return Ok(Answer::Stream(futures_util::stream::empty().boxed()));
                 }
-                Some(Frame::Failed(failure)) => running = self.again(&running, failure)?,
-                Some(Frame::Progress) => {}
-                None => running = self.again(&running, broken())?,
+                Some(Frame::Failed(failure)) => {
+                    running = self.again(&running.agent, failure).await?
+                }
+                Some(Frame::Load(_) | Frame::Progress) => {}
+                None => running = self.again(&running.agent, broken()).await?,
             }
         }
     }
@@ -160,7 +167,18 @@
                         futures_util::stream::empty().boxed(),
                     );
                     match collect(head, frames).await {
-                        Ok(answer) => return Ok(answer),
+                        Ok(answer) if self.is_worth_retrying(&answer) => {
+                            let failure = Failure::new(Verdict::Ran, "the backend server failed");
+                            match self.again(&running.agent, failure).await {
+                                Ok(next) => running = next,
+                                Err(_) => return Ok(answer),
+                            }
+                            continue;
+                        }
+                        Ok(answer) => {
+                            self.note_prefix(&running.agent);
+                            return Ok(answer);
+                        }
                         Err(failure) => failure,
                     }
                 }
@@ -168,10 +186,21 @@
                 Some(_) => continue,
                 None => broken(),
             };
-            running = self.again(&running, failure)?;
+            running = self.again(&running.agent, failure).await?;
+        }
+    }
+
+    /// Remembers that the agent's backend server holds the request's prefix now.
+    fn note_prefix(&self, agent: &Agent) {
+        if let Some(prefix) = pick::prefix_hash(&self.routed) {
+            self.context.note_answer(&agent.id, prefix);
         }
     }
 
+    fn is_worth_retrying(&self, answer: &WholeAnswer) -> bool {
+        self.routed.idempotent && RETRIED_STATUSES.contains(&answer.head.status)
+    }
+
     /// Tokens from the first to the last, over as many attempts as it takes.
     fn tokens(
         mut self,
@@ -190,10 +219,10 @@
                     }
                     Some(Frame::End { .. }) => return,
                     Some(Frame::Failed(failure)) => failure,
-                    Some(Frame::Head(_) | Frame::Progress) => continue,
+                    Some(Frame::Head(_) | Frame::Load(_) | Frame::Progress) => continue,
                     None => broken(),
                 };
-                match self.again(&running, failure) {
+                match self.again(&running.agent, failure).await {
                     Ok(next) => running = next,
                     Err(refusal) => {
                         yield Err(refusal);
@@ -205,27 +234,40 @@
     }
 
     /// Another attempt after a failure, or the request's final answer at once.
-    fn again(&mut self, last: &Running, failure: Failure) -> Result<Running, Refusal> {
+    async fn again(&mut self, last: &Agent, failure: Failure) -> Result<Running, Refusal> {
         let now = self.context.clock.now();
         let Failure { verdict, reason } = failure;
         if let Verdict::NotRun { retry_after } = verdict {
-            last.agent.local.refused_until(now + retry_after);
-        }
-        let may_retry = verdict.is_retryable(self.routed.idempotent);
-        if !may_retry || self.attempts >= MAX_ATTEMPTS {
-            return Err(self.give_up(verdict, reason));
-        }
-        if now >= self.due {
-            return Err(Refusal::timeout(verdict, reason));
+            last.local.refused_until(now + retry_after);
         }
-        let (request, agent) = (&self.id, &last.agent.id);
+        self.attempts.record(&last.id, verdict);
+        let facts = RetryFacts {
+            idempotent: self.routed.idempotent,
+            deadline: self.due,
+            has_untried: self.has_untried(now),
+        };
+        let after = match self.context.decide_retry(&self.attempts, &facts) {
+            RetryDecision::Retry { after } => after,
+            RetryDecision::GiveUp(verdict) => return Err(self.give_up(verdict, reason)),
+        };
+        let (request, agent) = (&self.id, &last.id);
         log_event!(
             events::ATTEMPT_RETRIED,
             "request {request} at {agent}: {reason}"
         );
-        self.begin().map_err(|refusal| match verdict {
-            Verdict::NotRun { .. } => refusal,
-            _ => self.give_up(verdict, reason),
+        tokio::time::sleep(after).await;
+        self.begin().map_err(|refusal| {
+            let verdict = self.attempts.verdict(self.context.retry.retry_after);
+            self.give_up(verdict, format!("{reason}; then {}", refusal.detail))
+        })
+    }
+
+    fn has_untried(&self, now: Timestamp) -> bool {
+        let view = self.context.view.load();
+        view.agents_of(&self.routed.service).any(|agent| {
+            agent.state.may_take_work()
+                && agent.local.not_before() <= now
+                && !self.tried.contains(&agent.id)
         })
     }
 
@@ -233,16 +275,18 @@
         if verdict == Verdict::MayHaveRun {
             log_event!(events::OUTCOME_UNKNOWN, "request {}: {reason}", self.id);
         }
+        if self.context.clock.now() >= self.due {
+            return Refusal::timeout(verdict, reason);
+        }
         Refusal::given_up(verdict, reason)
     }
 
     /// Chooses an agent and starts an attempt there.
     fn begin(&mut self) -> Result<Running, Refusal> {
-        let agent = self.choose()?;
+        let agent = pick::pick(&self.context, &self.routed, &self.tried, self.due)?;
         let head = self.head(&agent);
-        let (client, body) = (self.context.client.clone(), self.request.body.clone());
         let id = head.id.clone();
-        let frames = link::run(client, agent.traffic, head, body).boxed();
+        let frames = link::run(self.target(&agent), head, self.request.body.clone()).boxed();
         Ok(self.started(agent, id, frames))
     }
 
@@ -254,15 +298,24 @@
             return self.begin();
         };
         self.id = event.id.request.clone();
-        self.attempts = event.id.attempt;
+        self.number = event.id.attempt;
         let mut head = self.head(&agent);
         head.id = event.id.clone();
-        let frames = link::resume(self.context.client.clone(), agent.traffic, head).boxed();
+        let frames = link::resume(self.target(&agent), head).boxed();
         Ok(self.started(agent, event.id, frames))
     }
 
+    fn target(&self, agent: &Agent) -> Target {
+        Target {
+            client: self.context.client.clone(),
+            addr: agent.traffic,
+            local: Arc::clone(&agent.local),
+            clock: Arc::clone(&self.context.clock),
+        }
+    }
+
     fn started(&mut self, agent: Agent, id: AttemptRef, frames: Frames) -> Running {
-        self.attempts += 1;
+        self.number += 1;
         self.tried.push(agent.id.clone());
         let count = agent.local.begin();
         Running {
@@ -273,42 +326,11 @@
         }
     }
 
-    fn choose(&self) -> Result<Agent, Refusal> {
-        let now = self.context.clock.now();
-        let view = self.context.view.load();
-        if let Some(reason) = view.refusal {
-            let verdict = Verdict::NotRun {
-                retry_after: Duration::from_secs(1),
-            };
-            return Err(Refusal::given_up(verdict, reason));
-        }
-        let agents: Vec<&Agent> = view.agents_of(&self.routed.service).collect();
-        let candidates: Vec<Candidate<'_>> = agents.iter().map(|agent| candidate(agent)).collect();
-        let tried: Vec<&str> = self.tried.iter().map(String::as_str).collect();
-        let facts = RequestFacts {
-            prefix: self.routed.prefix.as_deref().map(key_hash),
-            prefill: PREFILL,
-            deadline: self.due,
-            tried: &tried,
-        };
-        let context = &self.context;
-        let choice = routing::choose(&context.routing, &candidates, &facts, now, context.draws());
-        match choice {
-            Ok(choice) => Ok(agents[choice.index].clone()),
-            Err(none) => {
-                let verdict = Verdict::NotRun {
-                    retry_after: none.retry_after,
-                };
-                Err(Refusal::given_up(verdict, none.to_string()))
-            }
-        }
-    }
-
     fn head(&self, agent: &Agent) -> AttemptHead {
         let now = self.context.clock.now();
         let id = AttemptRef {
             request: self.id.clone(),
-            attempt: self.attempts,
+            attempt: self.number,
             incarnation: agent.incarnation,
         };
         AttemptHead {
@@ -344,18 +366,6 @@
     }
 }
 
-fn candidate(agent: &Agent) -> Candidate<'_> {
-    Candidate {
-        id: &agent.id,
-        state: agent.state,
-        distance: agent.distance,
-        report: agent.report,
-        own_since: agent.local.in_flight(),
-        prefix_hit: 0.0,
-        not_before: agent.local.not_before(),
-    }
-}
-
 fn broken() -> Failure {
     Failure::new(Verdict::MayHaveRun, "the attempt ended without an answer")
 }
@@ -373,7 +383,7 @@
                 });
             }
             Frame::Failed(failure) => return Err(failure),
-            Frame::Head(_) | Frame::Progress => {}
+            Frame::Head(_) | Frame::Load(_) | Frame::Progress => {}
         }
     }
     Err(broken())
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -7,10 +7,12 @@
 mod forward;
 mod handler;
 mod link;
+mod pick;
 mod resume;
 mod routes;
 mod serve;
 mod settings;
+mod usage;
 mod view;
 
 use std::process::ExitCode;
