--- a/crates/entry/src/pick.rs
+++ b/crates/entry/src/choose.rs
@@ -1,4 +1,4 @@
-//! Picks the agent for the next attempt of a request.
+//! Chooses the agent for one attempt, out of what this process believes of the fleet.
 
 use std::time::Duration;
 
@@ -19,49 +19,31 @@
 /// Time that a cached prompt prefix is taken to save.
 const PREFILL: Duration = Duration::from_millis(200);
 
-/// Hash of the request's shared prompt prefix, if it has one.
-pub fn prefix_hash(routed: &Routed) -> Option<PrefixHash> {
-    routed.prefix.as_deref().map(key_hash)
-}
-
-/// Picks an agent that was not tried yet, for an answer that is due at `due`.
+/// Chooses an agent that takes new work; `tried` are those that an earlier attempt went to.
 ///
 /// # Errors
-/// A "not run" refusal when this process or every agent takes no new work.
-pub fn pick(
+/// "Not run", when this process or every agent takes no new work.
+pub fn choose(
     context: &Context,
     routed: &Routed,
-    tried: &[InstanceId],
     due: Timestamp,
+    tried: &[InstanceId],
 ) -> Result<Agent, Refusal> {
     let now = context.clock.now();
     let view = context.view.load();
     if !view.permit.is_some_and(|permit| permit.holds(now)) {
-        let retry_after = context.retry.retry_after;
         let detail = "this entry takes no new work: use another address";
-        return Err(Refusal::given_up(Verdict::NotRun { retry_after }, detail));
+        return Err(not_run(context.retry.retry_after, detail));
     }
-    choose(context, &view, routed, tried, due)
-}
-
-fn choose(
-    context: &Context,
-    view: &View,
-    routed: &Routed,
-    tried: &[InstanceId],
-    due: Timestamp,
-) -> Result<Agent, Refusal> {
-    let now = context.clock.now();
-    let agents: Vec<&Agent> = view.agents_of(&routed.service).collect();
     let prefix = prefix_hash(routed);
-    let hits = prefix_hits(context, &agents, prefix, now);
-    let pairs = agents.iter().zip(hits);
-    let candidates: Vec<Candidate<'_>> = pairs.map(|(a, hit)| candidate(a, hit)).collect();
+    let agents: Vec<&Agent> = view.agents_of(&routed.service).collect();
+    let candidates = agents.iter().map(|agent| candidate(context, agent, prefix));
+    let candidates: Vec<Candidate<'_>> = candidates.collect();
     let tried: Vec<&str> = tried.iter().map(String::as_str).collect();
     let facts = RequestFacts {
         prefix,
         account: key_hash(&routed.account),
-        share: routed.share,
+        share: share(routed, &view),
         used: context.usage.part(&routed.service, &routed.account),
         prefill: PREFILL,
         deadline: due,
@@ -69,30 +51,16 @@
     };
     match routing::choose(&context.routing, &candidates, &facts, now, context.draws()) {
         Ok(choice) => Ok(agents[choice.index].clone()),
-        Err(none) => {
-            let retry_after = none.retry_after;
-            let verdict = Verdict::NotRun { retry_after };
-            Err(Refusal::given_up(verdict, none.to_string()))
-        }
+        Err(none) => Err(not_run(none.retry_after, &none.to_string())),
     }
 }
 
-/// Probability for each agent that its backend server holds the prefix.
-fn prefix_hits(
-    context: &Context,
-    agents: &[&Agent],
-    prefix: Option<PrefixHash>,
-    now: Timestamp,
-) -> Vec<f64> {
-    let Some(prefix) = prefix else {
-        return vec![0.0; agents.len()];
-    };
-    let index = context.lock_prefixes();
-    let hit = |agent: &&Agent| index.hit(&agent.id, prefix, now);
-    agents.iter().map(hit).collect()
+/// Hash of the prompt's shared beginning.
+pub fn prefix_hash(routed: &Routed) -> Option<PrefixHash> {
+    routed.prefix.as_deref().map(key_hash)
 }
 
-fn candidate(agent: &Agent, prefix_hit: f64) -> Candidate<'_> {
+fn candidate<'a>(context: &Context, agent: &'a Agent, prefix: Option<PrefixHash>) -> Candidate<'a> {
     Candidate {
         id: &agent.id,
         domain: &agent.domain,
@@ -100,7 +68,15 @@
         distance: agent.distance,
         report: agent.local.newest_report(agent.report),
         own_since: agent.local.since_report(),
-        prefix_hit,
+        prefix_hit: prefix.map_or(0.0, |prefix| context.prefix_hit(&agent.id, prefix)),
         not_before: agent.local.not_before(),
     }
 }
+
+fn share(routed: &Routed, view: &View) -> f64 {
+    f64::from(routed.weight) / view.total_weight.max(1) as f64
+}
+
+fn not_run(retry_after: Duration, detail: &str) -> Refusal {
+    Refusal::given_up(Verdict::NotRun { retry_after }, detail)
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use jj_peer::client::AgentClient;
 use jj_policy::{
-    prefix::{PrefixConfig, PrefixIndex},
+    prefix::PrefixIndex,
     retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
     routing::{PrefixHash, RoutingConfig},
 };
@@ -34,10 +34,10 @@
     pub open: Arc<AtomicUsize>,
     /// Tunables of retries.
     pub retry: RetryConfig,
-    /// Requests in flight of each client account.
+    /// Requests in flight by service and client account.
     pub usage: Arc<Usage>,
-    prefixes: Mutex<PrefixIndex>,
     budget: Mutex<RetryBudget>,
+    prefixes: Mutex<PrefixIndex>,
     random: Mutex<Pcg64Mcg>,
 }
 
@@ -59,19 +59,40 @@
             lifetime,
             open: Arc::default(),
             usage: Arc::default(),
-            prefixes: Mutex::new(PrefixIndex::new(PrefixConfig::default())),
-            budget: Mutex::new(RetryBudget::with_advance(&retry)),
+            prefixes: Mutex::default(),
+            budget: Mutex::new(RetryBudget::new(&retry)),
             retry,
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         }
     }
 
+    /// Probability from 0 to 1 that an agent's backend server holds a prefix.
+    pub fn prefix_hit(&self, agent: &str, prefix: PrefixHash) -> f64 {
+        self.lock_prefixes().hit(agent, prefix, self.clock.now())
+    }
+
+    /// Notes that an agent's backend server answered a request with a prefix.
+    pub fn note_prefix(&self, agent: &str, prefix: PrefixHash) {
+        self.lock_prefixes()
+            .note_answer(agent, prefix, self.clock.now());
+    }
+
+    fn lock_prefixes(&self) -> MutexGuard<'_, PrefixIndex> {
+        self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Two random numbers for one decision.
     pub fn draws(&self) -> [u64; 2] {
         let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
         [random.next_u64(), random.next_u64()]
     }
 
+    /// A generator of its own for one use.
+    pub fn random(&self) -> Pcg64Mcg {
+        let [high, low] = self.draws();
+        Pcg64Mcg::new(u128::from(high) << 64 | u128::from(low))
+    }
+
     /// Counts one request taken in, which adds to the retry budget.
     pub fn take_in(&self) {
         self.lock_budget().take_in(&self.retry, self.clock.now());
@@ -91,17 +112,6 @@
         )
     }
 
-    /// Notes that a backend server answered a request with the prefix.
-    pub fn note_answer(&self, server: &str, prefix: PrefixHash) {
-        let now = self.clock.now();
-        self.lock_prefixes().note_answer(server, prefix, now);
-    }
-
-    /// What is believed of the backend servers' prefix caches.
-    pub fn lock_prefixes(&self) -> MutexGuard<'_, PrefixIndex> {
-        self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,6 +1,6 @@
 //! Takes a request through as many attempts as its deadline and the verdicts allow.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use async_stream::stream;
 use bytes::{Bytes, BytesMut};
@@ -27,9 +27,9 @@
 use poem::http::StatusCode;
 
 use crate::{
+    choose,
     context::Context,
     link::{self, Target},
-    pick,
     resume::EventId,
     routes::Routed,
     usage::UsageGuard,
@@ -47,6 +47,8 @@
     context: Arc<Context>,
     request: CallerRequest,
     routed: Routed,
+    /// The only agent that may run it, for a request with an idempotency key.
+    home: Option<Agent>,
     id: RequestId,
     due: Timestamp,
     number: AttemptId,
@@ -54,7 +56,6 @@
     tried: Vec<InstanceId>,
     /// Next token that the caller needs.
     next: u64,
-    _usage: UsageGuard,
 }
 
 /// One attempt in progress.
@@ -66,43 +67,50 @@
 }
 
 /// Counts a request as open until dropped.
-struct OpenGuard(Arc<Context>);
+struct OpenGuard {
+    context: Arc<Context>,
+    _usage: UsageGuard,
+}
 
 impl OpenGuard {
-    fn new(context: &Arc<Context>) -> Self {
-        context
-            .open
-            .fetch_add(1, std::sync::atomic::Ordering::SeqCst);
-        Self(Arc::clone(context))
+    fn new(context: &Arc<Context>, routed: &Routed) -> Self {
+        context.open.fetch_add(1, Ordering::SeqCst);
+        let usage = context.usage.begin(&routed.service, &routed.account);
+        Self {
+            context: Arc::clone(context),
+            _usage: usage,
+        }
     }
 }
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.0
-            .open
-            .fetch_sub(1, std::sync::atomic::Ordering::SeqCst);
+        self.context.open.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 impl Forward {
     /// A request that has just arrived.
-    pub fn new(context: Arc<Context>, request: CallerRequest, routed: Routed) -> Self {
+    pub fn new(
+        context: Arc<Context>,
+        request: CallerRequest,
+        routed: Routed,
+        home: Option<Agent>,
+    ) -> Self {
         let id = context.request_id();
         let due = context.clock.now() + routed.timeout;
         context.take_in();
-        let usage = context.usage.begin(&routed.service, &routed.account);
         Self {
             context,
             request,
             routed,
+            home,
             id,
             due,
             number: 0,
             attempts: Attempts::default(),
             tried: Vec::new(),
             next: 0,
-            _usage: usage,
         }
     }
 
@@ -111,7 +119,7 @@
     /// # Errors
     /// The refusal, when no part of the answer can be had.
     pub async fn run(mut self) -> Result<Answer, Refusal> {
-        let guard = OpenGuard::new(&self.context);
+        let guard = OpenGuard::new(&self.context, &self.routed);
         if !self.routed.stream {
             let answer = self.whole().await;
             drop(guard);
@@ -126,7 +134,6 @@
         loop {
             match running.frames.next().await {
                 Some(Frame::Head(head)) if head.status == StatusCode::OK => {
-                    self.note_prefix(&running.agent);
                     return Ok(Answer::Stream(self.tokens(running, guard).boxed()));
                 }
                 Some(Frame::Head(head)) => {
@@ -175,10 +182,7 @@
                             }
                             continue;
                         }
-                        Ok(answer) => {
-                            self.note_prefix(&running.agent);
-                            return Ok(answer);
-                        }
+                        Ok(answer) => return Ok(answer),
                         Err(failure) => failure,
                     }
                 }
@@ -190,13 +194,6 @@
         }
     }
 
-    /// Remembers that the agent's backend server holds the request's prefix now.
-    fn note_prefix(&self, agent: &Agent) {
-        if let Some(prefix) = pick::prefix_hash(&self.routed) {
-            self.context.note_answer(&agent.id, prefix);
-        }
-    }
-
     fn is_worth_retrying(&self, answer: &WholeAnswer) -> bool {
         self.routed.idempotent && RETRIED_STATUSES.contains(&answer.head.status)
     }
@@ -217,7 +214,10 @@
                         yield Ok(TokenEvent { id: id.to_string(), data: data.bytes.into() });
                         continue;
                     }
-                    Some(Frame::End { .. }) => return,
+                    Some(Frame::End { .. }) => {
+                        self.note_prefix(&running.agent);
+                        return;
+                    }
                     Some(Frame::Failed(failure)) => failure,
                     Some(Frame::Head(_) | Frame::Load(_) | Frame::Progress) => continue,
                     None => broken(),
@@ -233,6 +233,13 @@
         }
     }
 
+    /// The agent's backend server holds the prompt's prefix now.
+    fn note_prefix(&self, agent: &Agent) {
+        if let Some(prefix) = choose::prefix_hash(&self.routed) {
+            self.context.note_prefix(&agent.id, prefix);
+        }
+    }
+
     /// Another attempt after a failure, or the request's final answer at once.
     async fn again(&mut self, last: &Agent, failure: Failure) -> Result<Running, Refusal> {
         let now = self.context.clock.now();
@@ -263,6 +270,9 @@
     }
 
     fn has_untried(&self, now: Timestamp) -> bool {
+        if self.home.is_some() {
+            return false;
+        }
         let view = self.context.view.load();
         view.agents_of(&self.routed.service).any(|agent| {
             agent.state.may_take_work()
@@ -283,7 +293,7 @@
 
     /// Chooses an agent and starts an attempt there.
     fn begin(&mut self) -> Result<Running, Refusal> {
-        let agent = pick::pick(&self.context, &self.routed, &self.tried, self.due)?;
+        let agent = self.choose()?;
         let head = self.head(&agent);
         let id = head.id.clone();
         let frames = link::run(self.target(&agent), head, self.request.body.clone()).boxed();
@@ -326,6 +336,13 @@
         }
     }
 
+    fn choose(&self) -> Result<Agent, Refusal> {
+        if let Some(home) = &self.home {
+            return Ok(home.clone());
+        }
+        choose::choose(&self.context, &self.routed, self.due, &self.tried)
+    }
+
     fn head(&self, agent: &Agent) -> AttemptHead {
         let now = self.context.clock.now();
         let id = AttemptRef {
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -51,7 +51,7 @@
         let mut link = Link::new(target, head);
         let connection = match first {
             Ok(connection) => Some(connection),
-            Err(error) => match refusal(&error) {
+            Err(error) => match refusal(&error, &link.head) {
                 Some(failure) => {
                     link.note_refusal(&error);
                     yield Frame::Failed(failure);
@@ -112,18 +112,20 @@
     Ok(target.client.send(target.addr, head, body).await?.boxed())
 }
 
-/// The failure of a first connection over which nothing can have run.
-fn refusal(error: &LinkError) -> Option<Failure> {
+/// The failure of a first connection over which nothing can have run. With an idempotency key an
+/// earlier try may have run, and only its home can tell.
+fn refusal(error: &LinkError, head: &AttemptHead) -> Option<Failure> {
     let retry_after = match error {
         LinkError::Unreachable(_) => UNREACHABLE_RETRY,
         LinkError::Status(status) if (400..500).contains(status) => Duration::ZERO,
         LinkError::Attempt(_) => Duration::ZERO,
         _ => return None,
     };
-    Some(Failure::new(
-        Verdict::NotRun { retry_after },
-        error.to_string(),
-    ))
+    let verdict = match head.is_once_only() {
+        true => Verdict::MayHaveRun,
+        false => Verdict::NotRun { retry_after },
+    };
+    Some(Failure::new(verdict, error.to_string()))
 }
 
 /// Progress of one attempt.
@@ -132,6 +134,7 @@
     head: AttemptHead,
     next: u64,
     has_head: bool,
+    is_reconnected: bool,
     failures: u32,
 }
 
@@ -143,12 +146,14 @@
             head,
             next,
             has_head: false,
+            is_reconnected: false,
             failures: 0,
         }
     }
 
     /// Asks for the outcome; `Ok(None)` means to try again.
     async fn reconnect(&mut self) -> Result<Option<Connection>, Failure> {
+        self.is_reconnected = true;
         if self.failures >= MAX_RECONNECTS {
             let reason = "the agent that could tell the outcome can't be reached";
             return Err(Failure::new(Verdict::MayHaveRun, reason));
@@ -176,6 +181,17 @@
         }
     }
 
+    /// The outcome of this attempt as one of its request: the question for it may have fenced the
+    /// attempt, but an earlier one with the same idempotency key may have run.
+    fn doubted(&self, failure: Failure) -> Failure {
+        match failure.verdict {
+            Verdict::NotRun { .. } if self.head.is_once_only() => {
+                Failure::new(Verdict::MayHaveRun, failure.reason)
+            }
+            _ => failure,
+        }
+    }
+
     /// Lets membership know of an agent that no connection could be opened to.
     fn note_refusal(&self, error: &LinkError) {
         if matches!(error, LinkError::Unreachable(_)) {
@@ -222,6 +238,9 @@
                 None
             }
             Frame::Progress => None,
+            Frame::Failed(failure) if self.is_reconnected => {
+                Some(Frame::Failed(self.doubted(failure.clone())))
+            }
             Frame::End { count } if *count != self.next => {
                 let reason = format!("the answer ended at frame {} of {count}", self.next);
                 Some(Frame::Failed(Failure::new(Verdict::MayHaveRun, reason)))
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,13 +1,16 @@
 //! The entry process and the operators' command line.
 
+#![warn(clippy::unwrap_used)]
+
+mod choose;
 mod cli;
 mod commands;
 mod context;
 mod control;
 mod forward;
 mod handler;
+mod keys;
 mod link;
-mod pick;
 mod resume;
 mod routes;
 mod serve;
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -26,8 +26,6 @@
     pub account: ClientAccountId,
     /// Weight of the account under contention.
     pub weight: u32,
-    /// Weight of the account over the sum of all accounts' weights.
-    pub share: f64,
     /// True when running it twice does no harm.
     pub idempotent: bool,
     /// True when the answer is a stream of tokens.
@@ -73,7 +71,6 @@
     };
     routed.account = account.clone();
     routed.weight = settings.weight;
-    routed.share = share(published, settings.weight);
     routed.timeout = request
         .timeout
         .map_or(routed.timeout, |timeout| timeout.min(routed.timeout));
@@ -134,7 +131,6 @@
         service: document.service.clone(),
         account: ClientAccountId::new(),
         weight: 1,
-        share: 1.0,
         idempotent: route.is_none_or(|route| route.idempotent),
         stream: body.stream,
         timeout: route.map_or(MODEL_TIMEOUT, |route| route.timeout),
@@ -157,7 +153,6 @@
         service: document.service.clone(),
         account: ClientAccountId::new(),
         weight: 1,
-        share: 1.0,
         idempotent: route.idempotent,
         stream: false,
         timeout: route.timeout,
@@ -166,12 +161,6 @@
     })
 }
 
-fn share(published: &Published, weight: u32) -> f64 {
-    let accounts = published.fleet.accounts.values();
-    let total: u32 = accounts.map(|account| account.weight).sum();
-    f64::from(weight) / f64::from(total.max(1))
-}
-
 /// True when the route's method and path pattern fit the request.
 fn matches(route: &Route, request: &CallerRequest) -> bool {
     route.method == request.method && path_matches(&route.path, &request.path)
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -26,6 +26,8 @@
     pub agents: Vec<Agent>,
     /// Addresses that callers may use, for each group of callers.
     pub addresses: Vec<Vec<SocketAddr>>,
+    /// Sum of the weights of all client accounts.
+    pub total_weight: u64,
     /// Leave to take new work; checked again directly before each attempt.
     pub permit: Option<Permit>,
     /// How this process stands, for operators.
--- a/crates/lab/src/experiments/queueing/fleet.rs
+++ b/crates/lab/src/experiments/queueing/fleet.rs
@@ -924,7 +924,7 @@
         starting: false,
         router: Router::new(config.method, config.routing.clone(), &names, seed),
         membership: Membership::new(MembershipConfig::default()),
-        budget: RetryBudget::with_advance(&RetryConfig::default()),
+        budget: RetryBudget::new(&RetryConfig::default()),
         cursors: vec![0; servers.len()],
         lives: vec![0; servers.len()],
         withdrawn: Vec::new(),
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -24,7 +24,7 @@
 }
 
 fn full_budget(config: &RetryConfig) -> RetryBudget {
-    let mut budget = RetryBudget::with_advance(config);
+    let mut budget = RetryBudget::new(config);
     (0..1_000).for_each(|_| budget.take_in(config, NOW));
     budget
 }
@@ -79,7 +79,7 @@
 /// Attempts per request when each attempt fails with the share given in percent.
 fn attempts_per_request(config: &RetryConfig, failing: u32, requests: u64) -> f64 {
     let mut rng = Pcg64Mcg::seed_from_u64(11);
-    let mut budget = RetryBudget::with_advance(config);
+    let mut budget = RetryBudget::new(config);
     let mut total = 0_u64;
     for number in 0..requests {
         budget.take_in(config, Duration::from_millis(20 * number));
@@ -104,7 +104,7 @@
     let config = RetryConfig::default();
     let unlimited = RetryConfig {
         share_milli: 1_000_000,
-        advance: u64::from(u32::MAX),
+        least_burst: u64::from(u32::MAX),
         ..config.clone()
     };
 
@@ -121,16 +121,21 @@
 
 #[gtest]
 fn first_request_of_a_process_can_be_retried() {
-    let config = RetryConfig::default();
+    let with_advance = RetryConfig::default();
+    let without = RetryConfig {
+        least_burst: 0,
+        ..RetryConfig::default()
+    };
     let made = attempts(&[NOT_RUN]);
     let retry = RetryDecision::Retry {
         after: Duration::ZERO,
     };
-    for (mut budget, expected) in [
-        (RetryBudget::with_advance(&config), retry),
-        (RetryBudget::default(), RetryDecision::GiveUp(NOT_RUN)),
+    for (config, expected) in [
+        (with_advance, retry),
+        (without, RetryDecision::GiveUp(NOT_RUN)),
     ] {
-        budget.take_in(&config, NOW);
+        let mut budget = RetryBudget::new(&config);
+        budget.take_in(&config, Duration::ZERO);
         let decision = decide(&config, &mut budget, &made, &facts(true), NOW, 0);
         expect_that!(decision, eq(expected));
     }
@@ -139,7 +144,7 @@
 #[gtest]
 fn a_quiet_time_saves_up_no_more_than_one_windows_share() {
     let config = RetryConfig::default();
-    let mut budget = RetryBudget::with_advance(&config);
+    let mut budget = RetryBudget::new(&config);
     let (rate, seconds) = (50, 600);
     for number in 0..rate * seconds {
         budget.take_in(&config, Duration::from_millis(1_000 / rate * number));
