--- a/crates/lab/src/experiments/queueing/fleet.rs
+++ b/crates/lab/src/experiments/queueing/fleet.rs
@@ -10,7 +10,7 @@
     membership::{Heartbeat, Membership, MembershipConfig},
     rendezvous::key_hash,
     retry::{Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts, decide},
-    routing::{LoadReport, RequestFacts, RoutingConfig, closed_until},
+    routing::{LoadReport, RequestFacts, RoutingConfig},
     verdict::Verdict,
 };
 use jj_utils::{clock::Timestamp, collections::FastMap};
@@ -619,7 +619,7 @@
         if self.requests[request].number != attempt || self.requests[request].done {
             return;
         }
-        let until = closed_until(&self.config.routing, refusal.retry_after, self.now);
+        let until = self.now + refusal.retry_after;
         let entry = &mut self.entries[self.requests[request].entry];
         match refusal.reason {
             RefusalReason::Draining => {
@@ -628,8 +628,7 @@
                     .membership
                     .observe_leaving(&self.servers[server].name, life);
             }
-            RefusalReason::QueueFull => entry.router.observe_full(server, until),
-            RefusalReason::AccountFull | RefusalReason::Deadline => {}
+            _ => entry.router.observe_refusal(server, until),
         }
         let retry_after = refusal.retry_after;
         self.failed(request, server, Verdict::NotRun { retry_after });
--- a/crates/lab/src/experiments/queueing/router.rs
+++ b/crates/lab/src/experiments/queueing/router.rs
@@ -148,8 +148,8 @@
         self.prefixes.note_answer(&self.names[server], prefix, now);
     }
 
-    /// Takes in that the server's queue was full.
-    pub fn observe_full(&mut self, server: usize, until: Timestamp) {
+    /// Takes in that the server refused a request and when to come back.
+    pub fn observe_refusal(&mut self, server: usize, until: Timestamp) {
         self.not_before[server] = until;
     }
 
