--- a/crates/lab/tests/configuration.rs
+++ b/crates/lab/tests/configuration.rs
@@ -47,14 +47,22 @@
 impl Fleet {
     async fn start(readers: usize) -> Self {
         let platform = Arc::new(Platform::default());
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let base = format!("http://{}", listener.local_addr().unwrap());
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("the fixture works");
+        let base = format!(
+            "http://{}",
+            listener.local_addr().expect("the fixture works")
+        );
         let token = CancellationToken::new();
         let served = serve_on(listener, platform.clone(), token.clone());
         let mut fleet = Self {
             platform,
             base,
-            client: reqwest::Client::builder().no_proxy().build().unwrap(),
+            client: reqwest::Client::builder()
+                .no_proxy()
+                .build()
+                .expect("the fixture works"),
             token,
             views: Vec::new(),
             taken: Vec::new(),
@@ -72,14 +80,14 @@
         let all = Peers::default();
         for place in 0..readers {
             let view = fleet.add_reader(peers(&all, [place + 1, place + 7]));
-            all.lock().unwrap().push(view);
+            all.lock().expect("the fixture works").push(view);
         }
         fleet
     }
 
     fn add_reader(&mut self, newest_from_peers: NewestFromPeers) -> watch::Receiver<ConfigView> {
         let clock = SystemClock::shared();
-        let fleet = u32::try_from(READERS).unwrap();
+        let fleet = u32::try_from(READERS).expect("the fixture works");
         let seed = self.views.len() as u64;
         let (sender, receiver) = watch::channel(ConfigView::default());
         let context = ReaderContext {
@@ -87,7 +95,10 @@
                 base_url: self.base.clone(),
                 ..ReaderConfig::default()
             },
-            client: reqwest::Client::builder().no_proxy().build().unwrap(),
+            client: reqwest::Client::builder()
+                .no_proxy()
+                .build()
+                .expect("the fixture works"),
             clock: clock.clone(),
             budget: SharedBudget::new(CallBudget::default(), fleet, seed, clock),
             newest_from_peers,
@@ -104,7 +115,9 @@
     }
 
     async fn publish(&self, bundle: &Bundle) -> u64 {
-        publish(&self.client, &self.base, bundle).await.unwrap()
+        publish(&self.client, &self.base, bundle)
+            .await
+            .expect("the fixture works")
     }
 
     /// Waits until every reader has taken `index`; false when the target time is over first.
@@ -126,7 +139,7 @@
         self.taken.iter().all(|taken| {
             taken
                 .lock()
-                .unwrap()
+                .expect("the fixture works")
                 .is_sorted_by(|before, after| before < after)
         })
     }
@@ -134,7 +147,7 @@
     async fn stop(self) {
         self.token.cancel();
         for task in self.tasks {
-            task.await.unwrap();
+            task.await.expect("the fixture works");
         }
     }
 }
@@ -142,13 +155,13 @@
 /// Waits for `index`; the view is not kept borrowed, since that would hold up its reader.
 async fn reaches(mut view: watch::Receiver<ConfigView>, index: u64) {
     let reached = view.wait_for(|view| view.index() >= index).await;
-    drop(reached.unwrap());
+    drop(reached.expect("the fixture works"));
 }
 
 async fn record(mut view: watch::Receiver<ConfigView>, taken: Arc<Mutex<Vec<u64>>>) {
     while view.changed().await.is_ok() {
         let index = view.borrow_and_update().index();
-        let mut taken = taken.lock().unwrap();
+        let mut taken = taken.lock().expect("the fixture works");
         if taken.last() != Some(&index) && index > 0 {
             taken.push(index);
         }
@@ -166,7 +179,7 @@
 fn peers(all: &Peers, places: [usize; 2]) -> NewestFromPeers {
     let all = all.clone();
     Arc::new(move |known| {
-        let all = all.lock().unwrap();
+        let all = all.lock().expect("the fixture works");
         let count = all.len().max(1);
         let asked = places.iter().filter_map(|place| all.get(place % count));
         let found = asked.filter_map(|view| view.borrow().published.clone());
@@ -191,7 +204,9 @@
         bytes: text.into_bytes(),
     };
     let files = vec![file("desk", service), file("fleet", fleet)];
-    check_files(files, &FileDefaults::default()).unwrap().bundle
+    check_files(files, &FileDefaults::default())
+        .expect("the fixture works")
+        .bundle
 }
 
 fn control(change: impl FnOnce(&mut Control)) -> Control {
--- a/crates/operator/tests/hostile.rs
+++ b/crates/operator/tests/hostile.rs
@@ -84,7 +84,7 @@
         let path = example_directory().join(name).join("jujube.toml");
         FileText {
             name: name.to_owned(),
-            bytes: std::fs::read(path).unwrap(),
+            bytes: std::fs::read(path).expect("the example is sound"),
         }
     };
     names.map(read).into()
@@ -92,8 +92,8 @@
 
 fn example_bundle() -> Bundle {
     check_directory(&example_directory())
-        .unwrap()
-        .unwrap()
+        .expect("the example is sound")
+        .expect("the example is sound")
         .bundle
 }
 
--- a/crates/operator/tests/port.rs
+++ b/crates/operator/tests/port.rs
@@ -50,11 +50,18 @@
 }
 
 async fn get(base: &str, path: &str) -> Answer {
-    let client = reqwest::Client::builder().no_proxy().build().unwrap();
-    let response = client.get(format!("{base}{path}")).send().await.unwrap();
+    let client = reqwest::Client::builder()
+        .no_proxy()
+        .build()
+        .expect("the port answers");
+    let response = client
+        .get(format!("{base}{path}"))
+        .send()
+        .await
+        .expect("the port answers");
     Answer {
         status: response.status().as_u16(),
-        text: response.text().await.unwrap(),
+        text: response.text().await.expect("the port answers"),
     }
 }
 
--- a/crates/utils/tests/events.rs
+++ b/crates/utils/tests/events.rs
@@ -5,7 +5,7 @@
 
 fn page() -> String {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/EVENTS.md");
-    std::fs::read_to_string(path).unwrap()
+    std::fs::read_to_string(path).expect("the page of events")
 }
 
 /// Start of the row that describes an event.
@@ -17,7 +17,10 @@
 #[gtest]
 fn the_page_describes_each_event_and_no_other() {
     let page = page();
-    let described: Vec<&str> = page.lines().filter(|line| line.starts_with("| JJ-")).collect();
+    let described: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| JJ-"))
+        .collect();
 
     for event in ALL {
         let start = row(event);
