--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use anyhow::Context;
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use reqwest::{Client, Response};
@@ -237,6 +238,23 @@
         Ok(answer.error_for_status()?.json().await?)
     }
 
+    /// Takes an idempotency key for a call.
+    ///
+    /// # Errors
+    /// When the entry issues none.
+    pub async fn take_key(&self, base: &str, call: &Call) -> anyhow::Result<String> {
+        let path = call.target.split('?').next();
+        let request = self
+            .client
+            .post(format!("{base}/v1/keys"))
+            .bearer_auth(&self.key)
+            .json(&json!({"method": call.method, "path": path}));
+        let answer = request.send().await?.error_for_status()?;
+        let document: serde_json::Value = answer.json().await?;
+        let key = document["key"].as_str();
+        Ok(key.context("a key in the answer")?.to_owned())
+    }
+
     /// Asks for a completion and checks the answer token by token.
     pub async fn chat(&self, base: &str, chat: &Chat) -> Outcome {
         let started = Instant::now();
--- /dev/null
+++ b/crates/policy/tests/group_switch_walk.rs
@@ -0,0 +1,244 @@
+//! Exhaustive breadth-first walks over the expert map switch: in every step, all ranks that run
+//! that step use one map.
+
+mod group_world;
+
+use std::cell::Cell;
+
+use googletest::prelude::*;
+use group_world::{Budget, Event, Mutation, RANKS, Setup, World};
+use pathfinding::directed::bfs::bfs;
+
+/// What a walk found.
+struct Walk {
+    states: usize,
+    /// States in which all ranks run the first, and the second, proposal.
+    switched: [usize; 2],
+    /// Shortest list of events to a step run with two maps.
+    violation: Option<Vec<Event>>,
+}
+
+fn walk(name: &str, fencing: bool, mutation: Mutation, budget: Budget) -> Walk {
+    let start = World::formed(Setup { fencing, mutation }, budget);
+    let states = Cell::new(0);
+    let switched = [Cell::new(0), Cell::new(0)];
+    let path = bfs(
+        &start,
+        |world| {
+            states.set(states.get() + 1);
+            if let Some(index) = switched_to(world, &budget) {
+                switched[index].set(switched[index].get() + 1);
+            }
+            let next = world.successors();
+            next.into_iter().map(|(_, world)| world).collect::<Vec<_>>()
+        },
+        |world| world.violated,
+    );
+    let walk = Walk {
+        states: states.get(),
+        switched: switched.map(|count| count.get()),
+        violation: path.map(|path| events_of(&path)),
+    };
+    println!(
+        "{name}: {} states, switched {:?}",
+        walk.states, walk.switched
+    );
+    for (number, event) in walk.violation.iter().flatten().enumerate() {
+        println!("  {number}: {event:?}");
+    }
+    walk
+}
+
+/// How many proposals are in force in all ranks, less one.
+fn switched_to(world: &World, budget: &Budget) -> Option<usize> {
+    let maps = world.engines.iter().map(|engine| engine.map);
+    let maps: Vec<_> = maps.collect::<Option<_>>()?;
+    let agreed = maps[0].term > 0 && maps.iter().all(|map| *map == maps[0]);
+    let used = (budget.proposals - world.budget.proposals) as usize;
+    (agreed && used > 0).then(|| used.min(2) - 1)
+}
+
+fn events_of(path: &[World]) -> Vec<Event> {
+    path.windows(2)
+        .filter_map(|pair| {
+            let next = pair[0].successors();
+            next.into_iter().find(|(_, world)| *world == pair[1])
+        })
+        .map(|(event, _)| event)
+        .collect()
+}
+
+fn budget() -> Budget {
+    Budget {
+        proposals: 2,
+        leaders: 0,
+        agent_restarts: 0,
+        engine_losses: 0,
+        lost_orders: 0,
+        doubled: 0,
+        late_replies: 0,
+        last_step: 2,
+    }
+}
+
+#[gtest]
+fn two_switches_without_faults() {
+    let found = walk("no faults", false, Mutation::None, budget());
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched, each(gt(0)));
+    expect_that!(RANKS, ge(3));
+}
+
+fn expect_one_map(name: &str, fencing: bool, budget: Budget) {
+    let found = walk(
+        &format!("{name}, fencing {fencing}"),
+        fencing,
+        Mutation::None,
+        budget,
+    );
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched[0], gt(0));
+    expect_that!(found.switched[1] > 0, eq(budget.proposals == 2));
+}
+
+/// One test a mix of faults and kind of engine.
+macro_rules! walks {
+    ($($test:ident: $fencing:literal, $($field:ident = $value:literal),+;)*) => {$(
+        #[gtest]
+        fn $test() {
+            let budget = Budget { $($field: $value,)+ ..budget() };
+            expect_one_map(stringify!($test), $fencing, budget);
+        }
+    )*};
+}
+
+walks! {
+    leader_replaced: false, leaders = 1;
+    leader_replaced_fencing: true, leaders = 1;
+    agent_restarts: false, agent_restarts = 1;
+    agent_restarts_fencing: true, agent_restarts = 1;
+    order_lost: false, lost_orders = 1;
+    order_lost_fencing: true, lost_orders = 1;
+    engine_restarts: false, engine_losses = 1;
+    engine_restarts_fencing: true, engine_losses = 1;
+    messages_doubled_and_late: false, doubled = 1, late_replies = 1;
+    messages_doubled_and_late_fencing: true, doubled = 1, late_replies = 1;
+    two_leaders_replaced: false, leaders = 2, proposals = 1, last_step = 1;
+    leader_and_agent: false, leaders = 1, agent_restarts = 1, proposals = 1, last_step = 1;
+    leader_and_agent_fencing: true, leaders = 1, agent_restarts = 1, proposals = 1, last_step = 1;
+    leader_and_engine: false, leaders = 1, engine_losses = 1, proposals = 1, last_step = 1;
+    leader_and_doubled: false, leaders = 1, doubled = 1, late_replies = 1, proposals = 1, last_step = 1;
+    agent_twice: false, agent_restarts = 2, proposals = 1, last_step = 1;
+    agent_and_engine: false, agent_restarts = 1, engine_losses = 1, proposals = 1, last_step = 1;
+    agent_and_order: true, agent_restarts = 1, lost_orders = 1, proposals = 1, last_step = 1;
+}
+
+/// A walk over the protocol with one rule broken; the walk must find a step run with two maps.
+fn expect_violation(name: &str, fencing: bool, mutation: Mutation, budget: Budget) {
+    let found = walk(name, fencing, mutation, budget);
+
+    expect_that!(found.violation, some(not(is_empty())));
+}
+
+#[gtest]
+fn without_the_hold_a_step_runs_with_two_maps() {
+    expect_violation("no hold", false, Mutation::DropHold, budget());
+}
+
+#[gtest]
+fn without_the_term_check_a_step_runs_with_two_maps() {
+    let budget = Budget {
+        leaders: 1,
+        ..budget()
+    };
+    expect_violation("no term check", false, Mutation::DropTermCheck, budget);
+}
+
+#[gtest]
+fn with_one_rank_read_a_step_runs_with_two_maps() {
+    let budget = Budget {
+        leaders: 1,
+        ..budget()
+    };
+    expect_violation("one rank read", false, Mutation::ReadOneRank, budget);
+}
+
+#[gtest]
+fn without_waiting_out_orders_a_step_runs_with_two_maps() {
+    let budget = Budget {
+        leaders: 1,
+        agent_restarts: 1,
+        proposals: 1,
+        last_step: 1,
+        ..budget()
+    };
+    expect_violation("no settling", false, Mutation::SkipSettle, budget);
+}
+
+/// A group whose ranks take a broadcast map as soon as it arrives.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Naive {
+    maps: [u32; RANKS],
+    next_steps: [u64; RANKS],
+    /// Map that was broadcast last; each rank takes it at any later moment, or never.
+    latest: u32,
+    /// Map with which each rank ran its last step.
+    last_maps: [u32; RANKS],
+    /// True once a step has run with two maps.
+    mixed: bool,
+}
+
+impl Naive {
+    fn successors(&self) -> Vec<Naive> {
+        let mut next = Vec::new();
+        if self.latest < 2 {
+            next.push(Naive {
+                latest: self.latest + 1,
+                ..self.clone()
+            });
+        }
+        for rank in 0..RANKS {
+            for map in self.maps[rank] + 1..=self.latest {
+                let mut world = self.clone();
+                world.maps[rank] = map;
+                next.push(world);
+            }
+            let step = self.next_steps[rank];
+            if step <= 2 && self.next_steps.iter().all(|other| *other >= step) {
+                let mut world = self.clone();
+                world.next_steps[rank] += 1;
+                world.last_maps[rank] = self.maps[rank];
+                world.mixed |= (0..RANKS).any(|other| {
+                    self.next_steps[other] > step && self.last_maps[other] != self.maps[rank]
+                });
+                next.push(world);
+            }
+        }
+        next
+    }
+}
+
+/// The naive group and the protocol, walked over two maps and the same steps, without any fault.
+#[gtest]
+fn broadcast_without_hold_runs_steps_with_two_maps() {
+    let start = Naive {
+        maps: [0; RANKS],
+        next_steps: [1; RANKS],
+        latest: 0,
+        last_maps: [0; RANKS],
+        mixed: false,
+    };
+    let naive = pathfinding::directed::bfs::bfs_reach(start, Naive::successors);
+    let naive: Vec<Naive> = naive.collect();
+    let mixed = naive.iter().filter(|world| world.mixed).count();
+    let switched = walk("protocol", false, Mutation::None, budget());
+    println!(
+        "naive: {} states, {mixed} of them after a step with two maps",
+        naive.len()
+    );
+
+    expect_that!(mixed, gt(0));
+    expect_that!(switched.violation, none());
+}
