--- a/crates/utils/tests/events.rs
+++ b/crates/utils/tests/events.rs
@@ -5,7 +5,7 @@
 
 fn page() -> String {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/EVENTS.md");
-    std::fs::read_to_string(path).unwrap()
+    std::fs::read_to_string(path).expect("the page of events")
 }
 
 /// Start of the row that describes an event.
