--- /dev/null
+++ b/crates/policy/tests/admission_trace.rs
@@ -0,0 +1,249 @@
+//! Replays a recorded trace of arrivals with a restart and a silent cold turn of the server.
+
+mod common;
+
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
+
+use googletest::prelude::*;
+use jj_policy::admission::{
+    Admission, AdmissionConfig, Finish, LimitConfig, Offer, Refusal, ServerReport, Waiting,
+};
+use jj_utils::clock::Timestamp;
+use rand::RngExt;
+use rand_pcg::{Pcg64, rand_core::SeedableRng};
+
+const FLOOR: u32 = 2;
+const WARM: u32 = 16;
+const SEED: u64 = 17;
+const END_MS: u64 = 11_000;
+const COLD_MS: u64 = 1_500;
+const RESTART_MS: u64 = 4_000;
+const TURN_MS: u64 = 8_000;
+/// Longest usual service time, times the jump that counts as a sign.
+const SIGN_MS: u64 = 60 * 4;
+
+/// `<ms> arrive <account> <deadline ms> <service ms>`, `<ms> report`, `<ms> restart`, `<ms> cold`.
+fn generate() -> String {
+    let mut rng = Pcg64::seed_from_u64(SEED);
+    let mut out = String::new();
+    for now in 0..END_MS {
+        if now % 250 == 0 {
+            let _ = writeln!(out, "{now} report");
+        }
+        if now == RESTART_MS {
+            let _ = writeln!(out, "{now} restart");
+        }
+        if now == TURN_MS {
+            let _ = writeln!(out, "{now} cold");
+        }
+        if rng.random_range(0..10) == 0 {
+            let account = match rng.random_range(0..10) {
+                0..6 => 0,
+                other => other - 5,
+            };
+            let patience = rng.random_range(100..2_000);
+            let service = rng.random_range(40..60);
+            let _ = writeln!(out, "{now} arrive a{account} {} {service}", now + patience);
+        }
+    }
+    out
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// The server, and what a gate did to it.
+#[derive(Default)]
+struct Replay {
+    work: BTreeMap<u64, Timestamp>,
+    service: BTreeMap<u64, (u64, Timestamp)>,
+    boot: u64,
+    cold_from: u64,
+    /// Starts above the floor while cold, by the moment at which the server turned cold.
+    excess: BTreeMap<u64, u32>,
+    excess_late: u32,
+    started: u32,
+    late_starts: u32,
+}
+
+impl Replay {
+    fn start(&mut self, now: u64, ticket: u64) {
+        let (service, deadline) = self.service[&ticket];
+        let cold = now < self.cold_from + COLD_MS;
+        let time = if cold { service * 8 } else { service };
+        self.work.insert(ticket, ms(now + time));
+        self.started += 1;
+        self.late_starts += u32::from(ms(now) >= deadline);
+        if cold && self.work.len() as u32 > FLOOR {
+            *self.excess.entry(self.cold_from).or_default() += 1;
+            self.excess_late += u32::from(now > self.cold_from + SIGN_MS);
+        }
+    }
+
+    fn finished(&mut self, now: u64) -> Vec<u64> {
+        let due = self.work.iter().filter(|(_, ends)| **ends <= ms(now));
+        let done: Vec<u64> = due.map(|(ticket, _)| *ticket).collect();
+        self.work.retain(|ticket, _| !done.contains(ticket));
+        done
+    }
+
+    fn report(&self, now: u64) -> ServerReport {
+        ServerReport {
+            measured: ms(now),
+            boot_id: Some(self.boot.to_string()),
+            uptime: None,
+            warm: None,
+            in_flight: Some(self.work.len() as u32),
+        }
+    }
+}
+
+struct Gated {
+    replay: Replay,
+    refusals: Vec<Refusal>,
+    queued: u32,
+}
+
+fn replay_gate(trace: &str) -> Gated {
+    let config = AdmissionConfig {
+        limit: LimitConfig {
+            cold_floor: FLOOR,
+            concurrency: WARM,
+            warm_up: ms(COLD_MS),
+            ..LimitConfig::default()
+        },
+        ..AdmissionConfig::default()
+    };
+    let mut gate = Admission::new(config, Duration::ZERO);
+    let mut replay = Replay::default();
+    let mut refusals = Vec::new();
+    let mut lines = trace.lines().peekable();
+    let mut ticket = 0;
+    for now in 0..END_MS {
+        let mut released = vec![gate.advance(ms(now))];
+        for done in replay.finished(now) {
+            released.push(gate.finished(ms(now), done, Finish::Ok));
+        }
+        while let Some((event, rest)) = next_event(&mut lines, now) {
+            match event {
+                "report" => released.push(gate.observe(ms(now), &replay.report(now))),
+                "restart" => {
+                    replay.boot += 1;
+                    replay.cold_from = now;
+                    let lost: Vec<u64> = replay.work.keys().copied().collect();
+                    replay.work.clear();
+                    for ticket in lost {
+                        released.push(gate.finished(ms(now), ticket, Finish::Reset));
+                    }
+                }
+                "cold" => replay.cold_from = now,
+                _ => {
+                    ticket += 1;
+                    let waiting = arrival(&mut replay, ticket, &rest);
+                    match gate.offer(ms(now), waiting) {
+                        Offer::Start => replay.start(now, ticket),
+                        Offer::Queued(displaced) => refusals.extend(displaced),
+                        Offer::Refused(refusal) => refusals.push(refusal),
+                    }
+                }
+            }
+        }
+        for it in released {
+            it.started.into_iter().for_each(|it| replay.start(now, it));
+            refusals.extend(it.refused);
+        }
+    }
+    let queued = gate.snapshot(ms(END_MS)).queued;
+    Gated {
+        replay,
+        refusals,
+        queued,
+    }
+}
+
+/// Naive: a limit that grows with the time since the gate started, and no queue.
+fn replay_naive(trace: &str) -> Replay {
+    let mut replay = Replay::default();
+    let mut lines = trace.lines().peekable();
+    let mut ticket = 0;
+    for now in 0..END_MS {
+        replay.finished(now);
+        while let Some((event, rest)) = next_event(&mut lines, now) {
+            match event {
+                "restart" => {
+                    replay.cold_from = now;
+                    replay.work.clear();
+                }
+                "cold" => replay.cold_from = now,
+                "arrive" => {
+                    ticket += 1;
+                    arrival(&mut replay, ticket, &rest);
+                    let limit = u64::from(FLOOR) + u64::from(WARM - FLOOR) * now.min(5_000) / 5_000;
+                    if (replay.work.len() as u64) < limit {
+                        replay.start(now, ticket);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    replay
+}
+
+fn next_event<'a>(
+    lines: &mut std::iter::Peekable<std::str::Lines<'a>>,
+    now: u64,
+) -> Option<(&'a str, Vec<&'a str>)> {
+    let line = lines.next_if(|line| line.split(' ').next() == Some(now.to_string().as_str()))?;
+    let mut words = line.split(' ').skip(1);
+    Some((words.next()?, words.collect()))
+}
+
+fn arrival(replay: &mut Replay, ticket: u64, words: &[&str]) -> Waiting {
+    let deadline = ms(words[1].parse().expect("a deadline"));
+    let service = words[2].parse().expect("a service time");
+    replay.service.insert(ticket, (service, deadline));
+    Waiting {
+        ticket,
+        account: words[0].to_owned(),
+        weight: 1,
+        deadline,
+        cost: 1,
+    }
+}
+
+#[gtest]
+fn a_recorded_restart_and_cold_turn_end_as_stated() {
+    let trace = common::recorded("admission_restart", generate());
+    let arrivals = trace.lines().filter(|line| line.contains("arrive")).count() as u32;
+
+    let naive = replay_naive(&trace);
+    let gate = replay_gate(&trace);
+
+    let Gated {
+        replay, refusals, ..
+    } = &gate;
+    println!(
+        "seed {SEED}, {arrivals} arrivals: starts above the floor, by the time of the cold turn: \
+         naive {:?}, gate {:?} (after the sign was due: {}); gate started {}, refused {}",
+        naive.excess,
+        replay.excess,
+        replay.excess_late,
+        replay.started,
+        refusals.len()
+    );
+    for turn in [0, RESTART_MS, TURN_MS] {
+        expect_that!(naive.excess.contains_key(&turn), eq(true), "{turn}");
+    }
+    expect_that!(replay.excess.get(&0), none());
+    expect_that!(replay.excess.get(&RESTART_MS), none());
+    expect_that!(replay.excess_late, eq(0));
+    expect_that!(replay.late_starts, eq(0));
+    expect_that!(
+        replay.started + refusals.len() as u32 + gate.queued,
+        eq(arrivals)
+    );
+    let in_range = |it: &Refusal| it.retry_after >= ms(50) && it.retry_after <= ms(30_000);
+    expect_that!(refusals.iter().all(in_range), eq(true));
+}
--- a/crates/policy/tests/once.rs
+++ b/crates/policy/tests/once.rs
@@ -1,6 +1,8 @@
 //! The once-only register: what each state answers to a claim, a fence and the passing of time.
 
-use std::time::Duration;
+mod common;
+
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
 
 use googletest::prelude::*;
 use jj_policy::{
@@ -12,6 +14,8 @@
     verdict::Verdict,
 };
 use proptest::test_runner::TestRunner;
+use rand::RngExt;
+use rand_pcg::{Pcg64, rand_core::SeedableRng};
 
 const KEY: &str = "claim-17";
 const RETENTION: Duration = Duration::from_secs(60);
@@ -231,3 +235,72 @@
 
     expect_that!(result, ok(anything()));
 }
+
+const SEED: u64 = 23;
+const KEPT: usize = 8;
+
+/// `<s> claim <key>`: callers take new keys and retry old ones of the last minute.
+fn generate() -> String {
+    let mut rng = Pcg64::seed_from_u64(SEED);
+    let mut out = String::new();
+    let mut newest = 0_u32;
+    for now in 0..600 {
+        let retry = rng.random_bool(0.5);
+        newest += u32::from(!retry);
+        let key = match retry {
+            true => newest.saturating_sub(rng.random_range(0..20)),
+            false => newest,
+        };
+        let _ = writeln!(out, "{now} claim key-{key}");
+    }
+    out
+}
+
+fn claims(trace: &str) -> impl Iterator<Item = (u64, &str)> {
+    trace.lines().map(|line| {
+        let (now, rest) = line.split_once(' ').expect("a time");
+        let (_, key) = rest.split_once(' ').expect("a key");
+        (now.parse().expect("seconds"), key)
+    })
+}
+
+/// A register that makes room by evicting runs a retried key again.
+#[gtest]
+fn a_recorded_trace_of_retries_doubles_only_where_keys_are_evicted() {
+    let trace = common::recorded("once_retries", generate());
+    let mut register = register(KEPT);
+    let mut evicting: Vec<&str> = Vec::new();
+    let (mut runs, mut naive_runs) = (BTreeMap::new(), BTreeMap::new());
+    let mut refused = 0;
+
+    for (now, key) in claims(&trace) {
+        match claim(&mut register, now, key) {
+            Claim::Run => {
+                register.start(key);
+                register.finish(Duration::from_secs(now), key, 1);
+                *runs.entry(key).or_insert(0) += 1;
+            }
+            Claim::Full { retry_after } => {
+                refused += 1;
+                expect_that!(retry_after, all!(gt(Duration::ZERO), le(RETENTION)));
+            }
+            _ => {}
+        }
+        if !evicting.contains(&key) {
+            evicting.push(key);
+            *naive_runs.entry(key).or_insert(0) += 1;
+        }
+        if evicting.len() > KEPT {
+            evicting.remove(0);
+        }
+    }
+
+    let doubled = |runs: &BTreeMap<&str, u32>| runs.values().filter(|it| **it > 1).count();
+    println!(
+        "seed {SEED}: doubled with eviction {}, with the register {}; refused {refused}",
+        doubled(&naive_runs),
+        doubled(&runs)
+    );
+    expect_that!(doubled(&naive_runs), gt(0));
+    expect_that!(doubled(&runs), eq(0));
+}
