--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,5 +1,8 @@
 //! The entry process and the operators' command line.
 
+#![warn(clippy::unwrap_used)]
+
+mod choose;
 mod cli;
 mod commands;
 mod context;
@@ -12,6 +15,7 @@
 mod routes;
 mod serve;
 mod settings;
+mod usage;
 mod view;
 
 use std::process::ExitCode;
