--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -259,6 +259,8 @@
 struct Known {
     attempt: Arc<Attempt>,
     done: Option<Timestamp>,
+    /// Bytes of the answer, once it has ended.
+    kept: usize,
 }
 
 /// Result of [`Attempts::open`].
@@ -309,6 +311,7 @@
             Known {
                 attempt: Arc::clone(&attempt),
                 done: None,
+                kept: 0,
             },
         );
         Opened::New(attempt)
@@ -340,33 +343,34 @@
     pub fn sweep(&self, now: Timestamp) {
         let retention = self.config.retention;
         let mut known = self.lock();
+        let mut kept = 0;
         known.retain(|_, known| {
             if known.done.is_none() && known.attempt.is_done() {
                 known.done = Some(now);
+                known.kept = known.attempt.size();
             }
-            known
-                .done
-                .is_none_or(|done| now.saturating_sub(done) < retention)
+            let is_recent = |done| now.saturating_sub(done) < retention;
+            let stays = known.done.is_none_or(is_recent);
+            if stays {
+                kept += known.kept;
+            }
+            stays
         });
-        self.drop_answers(&mut known);
+        if kept > self.config.max_kept {
+            self.drop_answers(&mut known, kept);
+        }
     }
 
-    fn drop_answers(&self, known: &mut FastMap<AttemptRef, Known>) {
-        let kept = known.values_mut().filter_map(|known| {
-            let done = known.done?;
-            (!Arc::ptr_eq(&known.attempt, &self.dropped)).then_some((done, known))
-        });
-        let mut kept: Vec<(Timestamp, &mut Known)> = kept.collect();
-        let mut size: usize = kept.iter().map(|(_, known)| known.attempt.size()).sum();
-        if size <= self.config.max_kept {
-            return;
-        }
-        kept.sort_by_key(|(done, _)| *done);
-        for (_, known) in kept {
-            if size <= self.config.max_kept {
+    fn drop_answers(&self, known: &mut FastMap<AttemptRef, Known>, mut kept: usize) {
+        let with_answer = known.values_mut().filter(|known| known.kept > 0);
+        let mut oldest: Vec<&mut Known> = with_answer.collect();
+        oldest.sort_by_key(|known| known.done);
+        for known in oldest {
+            if kept <= self.config.max_kept {
                 return;
             }
-            size -= known.attempt.size();
+            kept -= known.kept;
+            known.kept = 0;
             known.attempt = Arc::clone(&self.dropped);
         }
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -45,6 +45,10 @@
 /// Time past the deadline for the agent's own word on the attempt, which says more.
 const AGENT_WORD: Duration = Duration::from_millis(200);
 
+/// Longest time that one refusal keeps all requests from an agent: the time told to its caller is
+/// that of a whole queue, and places come free long before it has passed.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
 /// Frames of one attempt at one agent.
 type Frames = BoxStream<'static, Frame>;
 
@@ -251,7 +255,8 @@
         let now = self.context.clock.now();
         let Failure { verdict, reason } = failure;
         if let Verdict::NotRun { retry_after } = verdict {
-            last.local.refused_until(now + retry_after);
+            last.local
+                .refused_until(now + retry_after.min(LONGEST_PAUSE));
         }
         self.attempts.record(&last.id, verdict);
         let facts = RetryFacts {
