fix(policy): popularity estimate stays bounded when counts are missing

Ruled out: a plan stuck in loading, the switch interval. Levels and expectations are normalised now.

--- a/crates/policy/src/popularity.rs
+++ b/crates/policy/src/popularity.rs
@@ -71,16 +71,20 @@
             .until
             .saturating_sub(self.until.unwrap_or(report.until));
         let seconds = elapsed.as_secs_f64();
-        let expected = self.expected(seconds);
+        let expected = normalised(self.expected(seconds));
         let Some(scale) = scale(report, &expected) else {
             return;
         };
         for (expert, count) in report.counts.iter().enumerate() {
             match count {
-                Some(count) => self.take(expert, f64::from(*count) * scale, seconds),
+                Some(count) => {
+                    let share = f64::from(*count) * scale;
+                    self.take(expert, share, expected[expert], seconds);
+                }
                 None => self.level[expert] = expected[expert],
             }
         }
+        self.level = normalised(std::mem::take(&mut self.level));
         self.until = Some(report.until);
     }
 
@@ -98,7 +102,7 @@
         shares.collect()
     }
 
-    fn take(&mut self, expert: usize, share: f64, seconds: f64) {
+    fn take(&mut self, expert: usize, share: f64, expected: f64, seconds: f64) {
         let before = self.level[expert];
         if !self.counted[expert] {
             self.counted[expert] = true;
@@ -108,7 +112,6 @@
         if seconds <= 0.0 {
             return;
         }
-        let expected = before + self.trend[expert] * seconds;
         let level = expected + self.config.level_gain * (share - expected);
         let change = (level - before) / seconds;
         self.level[expert] = level;
--- a/crates/policy/tests/rebalance.rs
+++ b/crates/policy/tests/rebalance.rs
@@ -133,3 +133,25 @@
     let predicted = popularity.predict(Duration::from_secs(10)).unwrap();
     expect_that!(predicted[0], approx_eq(0.75));
 }
+
+/// Counts that are missing in turn must not make the estimate run away from the true shares.
+#[gtest]
+fn estimate_stays_with_steady_shares_when_counts_are_missing() {
+    let mut popularity = Popularity::new(8, PopularityConfig::default());
+    let truth = [10_u32, 20, 30, 40, 50, 60, 70, 80];
+
+    for number in 1..2000_u64 {
+        let missing = (number * number % 11) as usize;
+        let counted = truth.iter().enumerate();
+        let counted = counted.map(|(expert, count)| (expert != missing).then_some(*count));
+        popularity.observe(&ExpertCounts {
+            until: Duration::from_secs(number * 5),
+            counts: counted.collect(),
+        });
+    }
+
+    let predicted = popularity.predict(Duration::from_secs(10_010)).unwrap();
+    for (expert, count) in truth.iter().enumerate() {
+        expect_that!(predicted[expert], near(f64::from(*count) / 360.0, 0.01));
+    }
+}
