--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -86,6 +86,13 @@
                 /// Makes the requests of this run differ from those of others.
                 optional --seed seed: u64
             }
+            /// Skew and cost of rebalancing expert maps on seeded traces.
+            cmd rebalance {
+                /// Seed of the traces.
+                optional --seed seed: u64
+                /// File for a plot of skew over time, as an SVG.
+                optional --plot file: PathBuf
+            }
         }
         /// Checks, collects and publishes operators' files to the stand-in of the platform.
         cmd publish {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 use flags::{BenchCmd, JujubeLab, JujubeLabCmd};
 use jujube_lab::{
     demo,
+    experiments::rebalance,
     load::{self, LoadConfig, Work},
     path_bench::{self, PathBenchConfig},
     publish, relay,
@@ -115,6 +116,14 @@
             print!("{}", path_bench::run(&config).await?);
             Ok(())
         }
+        BenchCmd::Rebalance(flags) => {
+            let seed = flags.seed.unwrap_or(1);
+            print!("{}", rebalance::run(seed));
+            if let Some(file) = flags.plot {
+                std::fs::write(file, rebalance::plot(seed))?;
+            }
+            Ok(())
+        }
     }
 }
 
