--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -137,10 +137,12 @@
     async fn run(mut self) {
         let token = self.context.token.clone();
         let mut refresh = tokio::time::interval(REFRESH);
+        let mut config = self.fleet.config();
         loop {
             tokio::select! {
                 () = token.cancelled() => return,
-                () = self.fleet.step() => {}
+                () = self.fleet.step() => continue,
+                Ok(()) = config.changed() => {}
                 _ = refresh.tick() => {}
             }
             self.note_failures();
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -139,11 +139,20 @@
     audit: Arc<AuditTrail>,
     heard: FastMap<InstanceId, Heard>,
     states: FastMap<InstanceId, MemberState>,
+    /// Whom this process asks; worked out anew only when the live list changes.
+    peers: Vec<Peer>,
     withdrawn: Vec<FailureDomainId>,
     standing: Option<Standing>,
     tick: Interval,
 }
 
+/// A process that this one asks.
+#[derive(Debug, Clone)]
+struct Peer {
+    id: InstanceId,
+    control: SocketAddr,
+}
+
 /// The last heartbeat of one process.
 #[derive(Debug, Clone)]
 pub struct Heard {
@@ -179,6 +188,7 @@
             audit,
             heard: FastMap::default(),
             states: FastMap::default(),
+            peers: Vec::new(),
             withdrawn: Vec::new(),
             standing: None,
             tick,
@@ -193,7 +203,6 @@
             Ok(()) = self.follower.list.changed() => self.take_list(),
             received = self.heartbeats.receive() => self.take_datagram(received),
         }
-        self.audit_changes();
     }
 
     /// The configuration in force.
@@ -251,16 +260,17 @@
         self.heartbeats.prune();
         self.membership.prune(self.clock.now());
         self.observe_self();
+        self.audit_changes();
         let own = self.own_heartbeat();
         let list = self.list();
-        for peer in self.peers(&list) {
+        for peer in &self.peers {
             self.heartbeats.ask(&peer.id, peer.control, &own);
         }
         self.heard
             .retain(|id, _| list.instances.iter().any(|i| i.id == *id));
     }
 
-    fn peers<'a>(&self, list: &'a InstanceList) -> Vec<&'a Instance> {
+    fn choose_peers(&self, list: &InstanceList) -> Vec<Peer> {
         let others = list.instances.iter().filter(|i| i.id != self.own.instance);
         let (entries, agents): (Vec<&Instance>, Vec<&Instance>) =
             others.partition(|i| i.role == Role::Entry);
@@ -271,7 +281,13 @@
         if self.own.role == Role::Entry {
             peers.extend(self.own_agents(&agents, &nodes));
         }
+        let peers = peers.into_iter();
         peers
+            .map(|peer| Peer {
+                id: peer.id.clone(),
+                control: peer.control,
+            })
+            .collect()
     }
 
     /// Agents that this entry talks to.
@@ -379,6 +395,7 @@
             leaving: i.leaving,
         });
         self.membership.observe_list(&listed.collect::<Vec<_>>());
+        self.peers = self.choose_peers(&list);
         self.ask_peers();
     }
 
