fix: a missed cache event lowers confidence by one eviction among the prefixes believed

Cause: the fixed factor of 0.8 for each missed event threw away more than the events could have hidden.

--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -15,8 +15,8 @@
 pub struct PrefixConfig {
     /// Prefixes remembered for each backend server; the oldest is forgotten first.
     pub capacity: usize,
-    /// Factor on the confidence in a server's entries for each event that was missed.
-    pub gap_factor: f64,
+    /// Evictions assumed for each event that was missed; each hits any one belief alike.
+    pub gap_evictions: f64,
     /// Age at which the belief that a prefix is cached counts half.
     pub half_life: Duration,
     /// Belief after an own request with the prefix, before any event tells.
@@ -27,7 +27,7 @@
     fn default() -> Self {
         Self {
             capacity: 1_024,
-            gap_factor: 0.8,
+            gap_evictions: 1.0,
             half_life: Duration::from_secs(60),
             sent_belief: 0.8,
         }
@@ -135,12 +135,12 @@
 impl ServerCache {
     /// Lowers every belief by the number of events missed.
     fn discount(&mut self, config: &PrefixConfig, missed: u64) {
-        if missed == 0 {
+        if missed == 0 || self.beliefs.is_empty() {
             return;
         }
-        let factor = config
-            .gap_factor
-            .powi(i32::try_from(missed).unwrap_or(i32::MAX));
+        let evicted = config.gap_evictions / self.beliefs.len() as f64;
+        let kept = (1.0 - evicted).max(0.0);
+        let factor = kept.powi(i32::try_from(missed).unwrap_or(i32::MAX));
         for belief in self.beliefs.values_mut() {
             belief.hit *= factor;
         }
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -7,6 +7,8 @@
     membership::MemberState,
     routing::{Candidate, LoadReport, RequestFacts, RoutingConfig, choose},
 };
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -80,3 +82,144 @@
         );
     }
 }
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|index| format!("server-{index}")).collect()
+}
+
+#[gtest]
+fn nobody_is_chosen_where_nobody_takes_work() {
+    let second = Duration::from_secs(1);
+    let mut closed = candidate("a", 0);
+    closed.not_before = NOW + second / 2;
+    let mut unknown = candidate("b", 0);
+    unknown.state = MemberState::Unknown;
+    let config = RoutingConfig::default();
+
+    let choice = choose(&config, &[closed, unknown], &request(), NOW, [0, 0]);
+
+    expect_that!(choice.unwrap_err().retry_after, eq(second / 2));
+}
+
+#[gtest]
+fn suspect_servers_are_the_last_resort() {
+    let mut suspects = vec![candidate("a", 0), candidate("b", 7)];
+    for suspect in &mut suspects {
+        suspect.state = MemberState::Suspect;
+    }
+
+    expect_that!(chosen(&suspects, &request()), elements_are![eq(&"a")]);
+}
+
+#[gtest]
+fn a_short_deadline_widens_the_search() {
+    let ids = names(16);
+    let mut candidates: Vec<Candidate<'_>> = ids.iter().map(|id| candidate(id, 20)).collect();
+    candidates[9].report = candidates[9].report.map(|report| LoadReport {
+        in_flight: 0,
+        ..report
+    });
+    let due = RequestFacts {
+        deadline: NOW + Duration::from_millis(400),
+        ..request()
+    };
+
+    expect_that!(chosen(&candidates, &due), elements_are![eq(&"server-9")]);
+}
+
+#[gtest]
+fn a_prefix_has_one_home_until_that_is_loaded() {
+    let ids = names(16);
+    let config = RoutingConfig::default();
+    let of_prefix = RequestFacts {
+        prefix: Some(77),
+        ..request()
+    };
+    let home = |candidates: &[Candidate<'_>]| {
+        let choices = (0..40)
+            .filter_map(|draw| choose(&config, candidates, &of_prefix, NOW, [draw, draw / 7]).ok());
+        let mut chosen: Vec<usize> = choices.map(|choice| choice.index).collect();
+        chosen.sort_unstable();
+        chosen.dedup();
+        chosen
+    };
+    let mut candidates: Vec<Candidate<'_>> = ids.iter().map(|id| candidate(id, 4)).collect();
+
+    let first = home(&candidates);
+    candidates[first[0]].own_since = 8;
+    let second = home(&candidates);
+
+    expect_that!(first.len(), eq(1));
+    expect_that!(second.len(), eq(1));
+    expect_that!(second[0], not(eq(first[0])));
+}
+
+/// Servers that an account with the part `used` of the requests in flight is sent to, while all
+/// are busy.
+fn servers_of(account: u64, used: f64) -> usize {
+    let ids = names(16);
+    let candidates: Vec<Candidate<'_>> = ids.iter().map(|id| candidate(id, 7)).collect();
+    let facts = RequestFacts {
+        account,
+        share: 0.1,
+        used,
+        ..request()
+    };
+    let config = RoutingConfig::default();
+    let draws = (0..16).flat_map(|a| (0..15).map(move |b| [a, b]));
+    let choices = draws.filter_map(|draw| choose(&config, &candidates, &facts, NOW, draw).ok());
+    let mut servers: Vec<usize> = choices.map(|choice| choice.index).collect();
+    servers.sort_unstable();
+    servers.dedup();
+    servers.len()
+}
+
+#[gtest]
+fn an_account_that_floods_keeps_to_its_shard() {
+    expect_that!(servers_of(5, 0.3), eq(16));
+    expect_that!(servers_of(5, 0.9), eq(5));
+}
+
+/// The naive choice: what the reports call least loaded.
+fn least_reported(candidates: &[Candidate<'_>]) -> usize {
+    let load = |index: &usize| candidates[*index].report.map(|report| report.in_flight);
+    (0..candidates.len()).min_by_key(load).unwrap_or(0)
+}
+
+/// Requests at the fullest server over the mean, when each of six entries sends 100 requests on
+/// reports that are never refreshed and say that server 0 is idle.
+fn herd(naive: bool) -> f64 {
+    let ids = names(16);
+    let config = RoutingConfig::default();
+    let mut rng = Pcg64Mcg::seed_from_u64(17);
+    let mut total = [0_u32; 16];
+    for _ in 0..6 {
+        let mut candidates: Vec<Candidate<'_>> = ids.iter().map(|id| candidate(id, 4)).collect();
+        candidates[0].report = candidates[0].report.map(|report| LoadReport {
+            in_flight: 0,
+            ..report
+        });
+        for step in 0..100 {
+            let now = NOW + Duration::from_millis(10 * step);
+            let draws = [rng.random(), rng.random()];
+            let choice = choose(&config, &candidates, &request(), now, draws);
+            let index = match naive {
+                true => least_reported(&candidates),
+                false => choice.expect("all take work").index,
+            };
+            candidates[index].own_since += 1;
+            total[index] += 1;
+        }
+    }
+    let most = total.iter().max().copied().unwrap_or(0);
+    f64::from(most) / (600.0 / 16.0)
+}
+
+#[gtest]
+fn entries_do_not_herd_to_a_server_that_a_stale_report_calls_idle() {
+    let (policy, least_loaded) = (herd(false), herd(true));
+    println!("fullest over mean: {policy:.2}, least loaded by the stale report {least_loaded:.2}");
+
+    expect_that!(policy, le(2.0));
+    expect_that!(least_loaded, gt(2.0));
+}
