fix(agent): see the restart of an idle backend server at once

Cause: a server that restarts while nothing is in flight breaks no request, and its new boot id shows only in the next report, up to 100 ms later; a storm in between was admitted at the warm limit. Ruled out: the entries (one agent, one gate) and the orphans of the old process (none). The agent now keeps one idle connection; its end holds the floor until a report made since.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -92,6 +92,7 @@
     Answered(Ticket),
     Finished(Ticket, Finish),
     Report(ServerReport),
+    Closed,
 }
 
 /// Permission to go to the backend server; gives its place back when dropped.
@@ -149,6 +150,11 @@
         let _ = self.notes.send(Message::Report(report));
     }
 
+    /// Passes on that the backend server closed an idle connection.
+    pub fn closed(&self) {
+        let _ = self.notes.send(Message::Closed);
+    }
+
     /// Load as the control thread published it last.
     pub fn load(&self) -> Arc<LoadReport> {
         self.load.load_full()
@@ -339,6 +345,7 @@
                 let released = self.gate.finished(now, ticket, finish);
                 self.release(released);
             }
+            Message::Closed => self.gate.suspect(now),
             Message::Report(report) => {
                 let released = self.gate.observe(now, &report);
                 self.release(released);
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -129,6 +129,8 @@
         token.clone(),
     );
     tokio::spawn(probe);
+    let addr = host_and_port(&settings.backend);
+    tokio::spawn(probe::watch(addr, control.clone(), token.clone()));
     let context = runner::Context {
         backend,
         control,
@@ -166,6 +168,16 @@
     Ok(())
 }
 
+/// Where the backend server at a base URL takes connections.
+fn host_and_port(base: &str) -> String {
+    let rest = base.trim_start_matches("http://");
+    let authority = rest.split('/').next().unwrap_or(rest);
+    match authority.rsplit_once(':') {
+        Some((_, port)) if !port.ends_with(']') => authority.to_owned(),
+        _ => format!("{authority}:80"),
+    }
+}
+
 async fn wait_until_idle(attempts: &Attempts, grace: Duration) {
     let idle = async {
         while attempts.open_count() > 0 {
--- a/crates/agent/src/probe.rs
+++ b/crates/agent/src/probe.rs
@@ -1,4 +1,5 @@
-//! Reads the backend server's own report, so that the gate learns of a restart.
+//! Watches the backend server for a restart: reads its own report, and keeps one idle connection
+//! whose end is seen before a new process can take requests.
 
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 };
 use jj_policy::admission::ServerReport;
 use jj_utils::clock::{SharedClock, Timestamp};
-use tokio::time::MissedTickBehavior;
+use tokio::{io::AsyncReadExt, net::TcpStream, time::MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
 use crate::control::Control;
@@ -16,6 +17,9 @@
 /// Interval of reading the report.
 const INTERVAL: Duration = Duration::from_millis(100);
 
+/// Pause before a new idle connection.
+const RECONNECT: Duration = Duration::from_millis(10);
+
 /// Longest wait for a report.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -43,6 +47,20 @@
     }
 }
 
+/// Keeps an idle connection to the backend server at `addr`, and tells when it ends.
+pub async fn watch(addr: String, control: Control, token: CancellationToken) {
+    while !token.is_cancelled() {
+        if let Ok(mut idle) = TcpStream::connect(&addr).await {
+            tokio::select! {
+                () = token.cancelled() => return,
+                // The server has nothing to say: whatever ends the wait is the connection's end.
+                _ = idle.read_u8() => control.closed(),
+            }
+        }
+        tokio::time::sleep(RECONNECT).await;
+    }
+}
+
 /// The report as the gate reads it; a server that names no boot reports nothing of use.
 fn report(asked: Timestamp, load: BackendLoad) -> Option<ServerReport> {
     if load.boot_id.is_empty() {
--- a/crates/lab/tests/cold_start.rs
+++ b/crates/lab/tests/cold_start.rs
@@ -71,6 +71,23 @@
     Ok(tries.into_inner())
 }
 
+/// Waits until the server is warm, and sends it work until the agent gives it more than the floor.
+async fn warm_up(fleet: &Fleet) -> anyhow::Result<()> {
+    let limit = || async {
+        let url = format!("http://{}/status", fleet.services[0].agent.operator);
+        let status: serde_json::Value = fleet.client.get(url).send().await?.json().await?;
+        anyhow::Ok(status["load"]["limit"].as_u64().unwrap_or(0))
+    };
+    wait_until("the agent's limit leaves the floor", LIMIT, || async {
+        let stormed = storm(fleet, "warm").await.is_ok();
+        stormed
+            && limit()
+                .await
+                .is_ok_and(|limit| limit > 2 * u64::from(FLOOR))
+    })
+    .await
+}
+
 async fn restart_server(fleet: &mut Fleet) -> anyhow::Result<()> {
     let server = &mut fleet.services[0];
     server.backend.kill();
@@ -100,6 +117,7 @@
     let mut fleet = fleet(6).await?;
 
     let started = storm(&fleet, "start").await?;
+    warm_up(&fleet).await?;
     restart_server(&mut fleet).await?;
     let server = storm(&fleet, "server-restart").await?;
     restart_server(&mut fleet).await?;
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -234,6 +234,11 @@
         self.advance(now)
     }
 
+    /// Notes that the server closed an idle connection: until its next report it may be cold.
+    pub fn suspect(&mut self, now: Timestamp) {
+        self.limit.suspect(now);
+    }
+
     /// Takes in what the server says of itself, and says what may start because of it.
     pub fn observe(&mut self, now: Timestamp, report: &ServerReport) -> Released {
         if self.limit.report(now, report) {
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -148,6 +148,14 @@
         }
     }
 
+    /// Takes in that an idle connection to the server was closed: it may have restarted. A server
+    /// that makes no reports may close idle connections for good reasons, and is not suspected.
+    pub fn suspect(&mut self, now: Timestamp) {
+        if self.detector.has_report() {
+            self.suspect = Some(now);
+        }
+    }
+
     /// Takes in a broken connection.
     pub fn reset(&mut self, now: Timestamp) {
         self.steady = 0;
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -251,6 +251,20 @@
     expect_that!((suspected, it.limit()), eq((2, WARM)));
 }
 
+#[gtest]
+fn a_closed_idle_connection_holds_the_floor_until_a_report_clears_it() {
+    let mut it = Fixture::warm();
+    it.now += ms(100);
+    it.gate.suspect(it.now);
+    it.gate.observe(it.now, &report(it.now - ms(1), "one"));
+    let suspected = it.limit();
+
+    it.now += ms(100);
+    it.gate.observe(it.now, &report(it.now, "one"));
+
+    expect_that!((suspected, it.limit()), eq((2, WARM)));
+}
+
 #[gtest]
 fn an_abandoned_request_counts_until_the_server_has_let_go_of_it() {
     let mut it = Fixture::cold();
