--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -26,7 +26,7 @@
 impl Default for PrefixConfig {
     fn default() -> Self {
         Self {
-            capacity: 4_096,
+            capacity: 1_024,
             gap_factor: 0.8,
             half_life: Duration::from_secs(60),
             sent_belief: 0.8,
