feat(agent): cancel an attempt that nobody reads any more

A caller that went away left its stream running to the end at the engine: the entry dropped its connection and nothing told the agent. An idempotent attempt without a reader for 5 s is cancelled, which leaves time to resume it at another entry.

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -4,7 +4,10 @@
 //! may read the log from any position. Asking for an attempt that was never seen fences it.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -27,6 +30,8 @@
     pub max_answer: usize,
     /// Most bytes of ended answers kept; the oldest are dropped beyond it.
     pub max_kept: usize,
+    /// How long an attempt that nobody reads goes on: time to resume it over a new connection.
+    pub linger: Duration,
     /// Most attempts kept at once; new ones are refused beyond it.
     pub max_attempts: usize,
 }
@@ -37,6 +42,7 @@
             retention: Duration::from_secs(20),
             max_answer: 8 << 20,
             max_kept: 8 << 20,
+            linger: Duration::from_secs(5),
             max_attempts: 100_000,
         }
     }
@@ -51,6 +57,24 @@
     max_answer: usize,
     log: Mutex<Log>,
     changed: Notify,
+    readers: AtomicUsize,
+}
+
+/// Counts one reader of an attempt until dropped.
+#[derive(Debug)]
+pub struct Reader(Arc<Attempt>);
+
+impl Reader {
+    /// The attempt that is read.
+    pub fn attempt(&self) -> &Attempt {
+        &self.0
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.0.readers.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 #[derive(Debug, Default)]
@@ -96,6 +120,7 @@
             max_answer,
             log: Mutex::default(),
             changed: Notify::new(),
+            readers: AtomicUsize::new(0),
         }
     }
 
@@ -110,6 +135,12 @@
         true
     }
 
+    /// Counts a reader.
+    pub fn reader(self: &Arc<Self>) -> Reader {
+        self.readers.fetch_add(1, Ordering::SeqCst);
+        Reader(Arc::clone(self))
+    }
+
     /// True once the attempt has ended, whole or not.
     pub fn is_done(&self) -> bool {
         self.lock().phase == Phase::Done
@@ -259,10 +290,26 @@
 struct Known {
     attempt: Arc<Attempt>,
     done: Option<Timestamp>,
+    /// Since when nobody reads it.
+    unread: Option<Timestamp>,
     /// Bytes of the answer, once it has ended.
     kept: usize,
 }
 
+impl Known {
+    /// Cancels an attempt that nobody has read for a while.
+    fn cancel_unread(&mut self, now: Timestamp, linger: Duration) {
+        if self.done.is_some() || self.attempt.readers.load(Ordering::SeqCst) > 0 {
+            self.unread = None;
+            return;
+        }
+        let since = *self.unread.get_or_insert(now);
+        if now.saturating_sub(since) >= linger {
+            self.attempt.cancel();
+        }
+    }
+}
+
 /// Result of [`Attempts::open`].
 #[derive(Debug)]
 pub enum Opened {
@@ -311,6 +358,7 @@
             Known {
                 attempt: Arc::clone(&attempt),
                 done: None,
+                unread: None,
                 kept: 0,
             },
         );
@@ -349,6 +397,7 @@
                 known.done = Some(now);
                 known.kept = known.attempt.size();
             }
+            known.cancel_unread(now, self.config.linger);
             let is_recent = |done| now.saturating_sub(done) < retention;
             let stays = known.done.is_none_or(is_recent);
             if stays {
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -4,7 +4,7 @@
 
 use async_stream::stream;
 use bytes::{Bytes, BytesMut};
-use futures_util::{Stream, StreamExt, stream::BoxStream};
+use futures_util::{StreamExt, stream::BoxStream};
 use jj_peer::{
     attempt::{self, ATTEMPTS_PATH, AttemptHead, AttemptRef},
     client::LinkConfig,
@@ -207,7 +207,7 @@
 
 fn frames_response(traffic: &Traffic, attempt: Arc<Attempt>, from: u64) -> Response {
     let load = encoded(&Frame::Load((*traffic.context.control.load()).clone()));
-    let frames = frame_bytes(attempt, from, traffic.link.progress);
+    let frames = frame_bytes(&attempt, from, traffic.link.progress);
     let body = futures_util::stream::once(async { load }).chain(frames);
     Response::builder()
         .content_type(CONTENT_TYPE)
@@ -215,8 +215,10 @@
 }
 
 /// The frames of an attempt from a data frame on, with progress frames while it is quiet.
-fn frame_bytes(attempt: Arc<Attempt>, from: u64, progress: Duration) -> BoxStream<'static, Bytes> {
-    let frames: std::pin::Pin<Box<dyn Stream<Item = Bytes> + Send>> = Box::pin(stream! {
+fn frame_bytes(attempt: &Arc<Attempt>, from: u64, progress: Duration) -> BoxStream<'static, Bytes> {
+    let reader = attempt.reader();
+    stream! {
+        let attempt = reader.attempt();
         let mut position = attempt.position(from);
         loop {
             match attempt.read(position) {
@@ -232,8 +234,8 @@
                 }
             }
         }
-    });
-    frames
+    }
+    .boxed()
 }
 
 fn failed(verdict: Verdict, reason: &str) -> Response {
