--- a/crates/entry/tests/commands.rs
+++ b/crates/entry/tests/commands.rs
@@ -63,3 +63,20 @@
     let bundle: serde_json::Value = serde_json::from_slice(&first.stdout).unwrap();
     expect_that!(bundle["manifest"].is_string(), eq(true));
 }
+
+#[gtest]
+fn the_page_of_settings_names_each_flag() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/CONFIGURATION.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    let help = String::from_utf8(run(&["serve", "--help"]).stdout).unwrap();
+
+    let words = help
+        .split_whitespace()
+        .filter(|word| word.starts_with("--"));
+    let missing: Vec<&str> = words
+        .map(|word| word.trim_end_matches(|letter: char| !letter.is_ascii_alphabetic()))
+        .filter(|flag| !["--help", "--version"].contains(flag) && !page.contains(flag))
+        .collect();
+
+    expect_that!(missing, is_empty());
+}
