fix: the queue model pauses a refusing server for as long as the entry does

Entries pass over a server for 500 ms at most after a refusal; the model did so for the whole time that the refusal told.

--- a/crates/lab/src/experiments/queueing/fleet.rs
+++ b/crates/lab/src/experiments/queueing/fleet.rs
@@ -48,6 +48,9 @@
 /// First tokens within this time are no sign of a cold server: a missing prefix alone takes long.
 const PLAUSIBLE_LATENCY: Duration = Duration::from_secs(3);
 
+/// Longest time for which an entry passes over a server that refused a request.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
+
 /// Lag and loss of cache events.
 const CACHE_LAG: Duration = Duration::from_millis(400);
 const CACHE_LOSS: f64 = 0.1;
--- a/crates/lab/src/experiments/queueing/fleet/entries.rs
+++ b/crates/lab/src/experiments/queueing/fleet/entries.rs
@@ -12,7 +12,7 @@
 use rand::RngExt;
 
 use super::{
-    ADDRESS_LIFE_MS, ENTRIES, Event, FAR, Fleet, NEAR, Refused, SILENCE,
+    ADDRESS_LIFE_MS, ENTRIES, Event, FAR, Fleet, NEAR, REFUSAL_PAUSE, Refused, SILENCE,
     parts::{probe, report},
 };
 use crate::experiments::queueing::{
@@ -174,7 +174,7 @@
         if self.requests[request].number != attempt || self.requests[request].done {
             return;
         }
-        let until = self.now + refusal.retry_after;
+        let until = self.now + refusal.retry_after.min(REFUSAL_PAUSE);
         let entry = &mut self.entries[self.requests[request].entry];
         match refusal.reason {
             RefusalReason::Draining => {
