--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -12,10 +12,10 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use reqwest::{Client, Response};
-use serde::Deserialize;
 use serde_json::json;
 
 use crate::{
+    events::{chunk_text, take_event},
     publication::{API_KEY, MODEL},
     tokens,
 };
@@ -169,34 +169,6 @@
     }
 }
 
-/// One chunk of a stream.
-#[derive(Deserialize)]
-struct Chunk {
-    #[serde(default)]
-    choices: Vec<Choice>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    #[serde(default)]
-    delta: Option<Content>,
-    #[serde(default)]
-    message: Option<Content>,
-}
-
-#[derive(Deserialize)]
-struct Content {
-    #[serde(default)]
-    content: String,
-}
-
-/// One server-sent event.
-struct Event {
-    id: Option<String>,
-    is_error: bool,
-    data: String,
-}
-
 impl Default for Caller {
     fn default() -> Self {
         Self::new(Duration::from_secs(20))
@@ -434,35 +406,3 @@
         last_event,
     })
 }
-
-/// The text of a streamed chunk or of a whole completion.
-fn chunk_text(data: &str) -> Option<String> {
-    let chunk: Chunk = serde_json::from_str(data).ok()?;
-    let choice = chunk.choices.into_iter().next()?;
-    Some(choice.delta.or(choice.message)?.content)
-}
-
-/// Takes the first whole event out of the buffer.
-fn take_event(buffer: &mut BytesMut) -> Option<Event> {
-    let end = buffer.windows(2).position(|pair| pair == b"\n\n")?;
-    let bytes = buffer.split_to(end + 2);
-    let text = String::from_utf8_lossy(&bytes);
-    let mut event = Event {
-        id: None,
-        is_error: false,
-        data: String::new(),
-    };
-    for line in text.lines() {
-        match line.split_once(": ") {
-            Some(("id", id)) => event.id = Some(id.to_owned()),
-            Some(("event", "error")) => event.is_error = true,
-            Some(("data", data)) => event.data.push_str(data),
-            _ => {}
-        }
-    }
-    if event.data.is_empty() && !event.is_error {
-        // A comment keeps the connection alive.
-        return take_event(buffer);
-    }
-    Some(event)
-}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod demo;
+pub mod events;
 pub mod experiments;
 pub mod fleet;
 pub mod http;
