--- a/crates/policy/src/rank_load.rs
+++ b/crates/policy/src/rank_load.rs
@@ -20,7 +20,7 @@
     map: ExpertMap,
     popularity: &'a [f64],
     replicas: Vec<u32>,
-    /// Slots of each expert.
+    /// Rank of each replica of each expert.
     places: Vec<Vec<usize>>,
     /// For each rank and expert, whether the rank holds a replica.
     held: Vec<bool>,
@@ -90,31 +90,30 @@
     /// Every move that takes load of the slot's expert from its rank, with the gain for one load.
     fn candidates(&self, slot: usize, rank: usize, mut offer: impl FnMut(f64, Move)) {
         let expert = self.map.slots()[slot];
-        for other in 0..self.map.slots().len() {
-            if self.rank_of(other) == rank {
-                continue;
-            }
-            if let Some(gain) = self.swap_gain(slot, other) {
-                offer(gain / 2.0, Move::Swap { a: slot, b: other });
-            }
-            if let Some(gain) = self.replace_gain(other, expert) {
-                let change = Move::Replace {
-                    slot: other,
-                    expert,
-                };
-                offer(gain, change);
+        let slots = self.map.shape().slots as usize;
+        for other_rank in (0..self.loads.len()).filter(|other| *other != rank) {
+            for other in other_rank * slots..(other_rank + 1) * slots {
+                if let Some(gain) = self.swap_gain((slot, rank), (other, other_rank)) {
+                    offer(gain / 2.0, Move::Swap { a: slot, b: other });
+                }
+                if let Some(gain) = self.replace_gain(other, other_rank, expert) {
+                    let change = Move::Replace {
+                        slot: other,
+                        expert,
+                    };
+                    offer(gain, change);
+                }
             }
         }
         for expert in 0..self.map.shape().experts {
-            if let Some(gain) = self.replace_gain(slot, expert) {
+            if let Some(gain) = self.replace_gain(slot, rank, expert) {
                 offer(gain, Move::Replace { slot, expert });
             }
         }
     }
 
-    fn swap_gain(&self, a: usize, b: usize) -> Option<f64> {
+    fn swap_gain(&self, (a, rank_a): (usize, usize), (b, rank_b): (usize, usize)) -> Option<f64> {
         let (x, y) = (self.map.slots()[a], self.map.slots()[b]);
-        let (rank_a, rank_b) = (self.rank_of(a), self.rank_of(b));
         let shift = self.share(x) - self.share(y);
         if shift <= 0.0 || self.loads[rank_b] + shift >= self.loads[rank_a] {
             return None;
@@ -128,9 +127,8 @@
         Some(before - after)
     }
 
-    fn replace_gain(&self, slot: usize, expert: ExpertId) -> Option<f64> {
+    fn replace_gain(&self, slot: usize, rank: usize, expert: ExpertId) -> Option<f64> {
         let old = self.map.slots()[slot];
-        let rank = self.rank_of(slot);
         if old == expert || self.replicas[old as usize] < 2 || self.holds(rank, expert) {
             return None;
         }
@@ -144,7 +142,7 @@
 
         let mut gain = self.change(rank, more - self.share(old));
         for place in &self.places[old as usize] {
-            let other = self.rank_of(*place);
+            let other = *place;
             if other == rank {
                 continue;
             }
@@ -152,7 +150,7 @@
             gain += self.change(other, rise - drop);
         }
         for place in &self.places[expert as usize] {
-            let other = self.rank_of(*place);
+            let other = *place;
             if !self.holds(other, old) {
                 gain += self.change(other, -fall);
             }
@@ -175,10 +173,6 @@
         self.popularity[expert as usize] / f64::from(self.replicas[expert as usize])
     }
 
-    fn rank_of(&self, slot: usize) -> usize {
-        slot / self.map.shape().slots as usize
-    }
-
     fn holds(&self, rank: usize, expert: ExpertId) -> bool {
         self.held[rank * self.popularity.len() + expert as usize]
     }
@@ -204,8 +198,8 @@
         self.places = vec![Vec::new(); experts];
         self.held = vec![false; self.loads.len() * experts];
         for (slot, expert) in self.map.slots().iter().enumerate() {
-            self.places[*expert as usize].push(slot);
             let rank = slot / self.map.shape().slots as usize;
+            self.places[*expert as usize].push(rank);
             self.held[rank * experts + *expert as usize] = true;
         }
     }
