fix(policy): a backend server's fresh word that it is warm outweighs slow first bytes

A report older than 500 ms counts no more, and a server that does not say is judged by its latency as before. The new case failed before.

--- a/crates/agent/src/probe.rs
+++ b/crates/agent/src/probe.rs
@@ -70,7 +70,7 @@
         measured: asked,
         boot_id: Some(load.boot_id),
         uptime: Some(Duration::from_millis(load.uptime_ms)),
-        warm: Some(!load.cold),
+        warm: load.cold.map(|cold| !cold),
         in_flight: Some(load.running + load.waiting),
     })
 }
--- a/crates/backend/src/health.rs
+++ b/crates/backend/src/health.rs
@@ -24,8 +24,8 @@
         pub waiting: u32,
         /// Requests that the server can work on at once.
         pub capacity: u32,
-        /// True while the server knows itself to be cold.
-        pub cold: bool,
+        /// Whether the server takes itself for cold, where it says.
+        pub cold: Option<bool>,
     }
 }
 
--- a/crates/lab/src/standins/service.rs
+++ b/crates/lab/src/standins/service.rs
@@ -116,7 +116,7 @@
         boot_id: service.boot_id.to_string(),
         uptime_ms: u64::try_from(service.started.elapsed().as_millis()).unwrap_or(u64::MAX),
         running: service.cold.counts().running,
-        cold: service.cold.is_cold(),
+        cold: Some(service.cold.is_cold()),
         ..BackendLoad::default()
     })
 }
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -24,6 +24,9 @@
         pub reset_burst: u32,
         /// See [`ColdConfig::reset_burst`].
         pub reset_window: Duration,
+        /// Age up to which the server's own word that it is warm outweighs its latencies, which
+        /// vary with the prompt and with what its prefix cache holds.
+        pub report_lifetime: Duration,
     }
 }
 
@@ -36,6 +39,7 @@
             slow_burst: 3,
             reset_burst: 2,
             reset_window: Duration::from_secs(1),
+            report_lifetime: Duration::from_millis(500),
         }
     }
 }
@@ -113,9 +117,12 @@
     }
 
     /// Judges the time to the first byte of an answer.
-    pub fn latency(&mut self, sample: Duration) -> Sample {
+    pub fn latency(&mut self, now: Timestamp, sample: Duration) -> Sample {
         let usual = self.usual.unwrap_or(sample);
         if self.is_slow(usual, sample) {
+            if self.is_surely_warm(now) {
+                return Sample::Raised;
+            }
             self.slow += 1;
             return match self.slow >= self.config.slow_burst {
                 true => Sample::Cold,
@@ -139,8 +146,10 @@
     }
 
     /// True when so many overdue requests, with the slow answers before them, are a sign.
-    pub fn overdue(&self, count: usize) -> bool {
-        count > 0 && count as u64 + u64::from(self.slow) >= u64::from(self.config.slow_burst)
+    pub fn overdue(&self, now: Timestamp, count: usize) -> bool {
+        !self.is_surely_warm(now)
+            && count > 0
+            && count as u64 + u64::from(self.slow) >= u64::from(self.config.slow_burst)
     }
 
     /// Notes a broken connection; true when it completes a burst.
@@ -192,6 +201,14 @@
         Some(report.uptime? + now.saturating_sub(report.measured))
     }
 
+    /// Whether the server said lately that it is warm.
+    fn is_surely_warm(&self, now: Timestamp) -> bool {
+        self.report.as_ref().is_some_and(|report| {
+            let age = now.saturating_sub(report.measured);
+            report.warm == Some(true) && age <= self.config.report_lifetime
+        })
+    }
+
     fn is_slow(&self, usual: Duration, sample: Duration) -> bool {
         sample > (usual * self.config.latency_jump).max(self.config.least_latency)
     }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -129,7 +129,7 @@
 
     /// Takes in the time to the first byte of an answer.
     pub fn latency(&mut self, now: Timestamp, sample: Duration) {
-        match self.detector.latency(sample) {
+        match self.detector.latency(now, sample) {
             Sample::Steady => self.steady = self.steady.saturating_add(1),
             Sample::Raised => self.steady = 0,
             Sample::Cold => self.fall(now, ColdCause::Latency),
@@ -143,7 +143,7 @@
 
     /// Takes in how many requests are overdue: they tell of a cold server before answers do.
     pub fn overdue(&mut self, now: Timestamp, count: usize) {
-        if self.detector.overdue(count) {
+        if self.detector.overdue(now, count) {
             self.fall(now, ColdCause::Latency);
         }
     }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -222,6 +222,25 @@
     }
 }
 
+#[gtest]
+fn a_fresh_report_of_being_warm_outweighs_a_latency_jump() {
+    for (age, expected) in [(ms(0), WARM), (Duration::from_secs(2), 2)] {
+        let mut it = Fixture::warm();
+        let said_warm = ServerReport {
+            warm: Some(true),
+            ..report(it.now, "one")
+        };
+        it.gate.observe(it.now, &said_warm);
+        it.now += age;
+        it.fill();
+        it.now += ms(USUAL * 5);
+
+        it.gate.advance(it.now);
+
+        expect_that!(it.limit(), eq(expected));
+    }
+}
+
 #[gtest]
 fn work_from_before_the_cold_turn_counts_against_the_floor() {
     let mut it = Fixture::warm();
