perf(node): peers hand over a manifest and the documents that are missing

Manifests are compared first, and one peer is asked for the documents that are not held. Adds the capacity experiment.

--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -105,6 +105,11 @@
                 /// File for a plot.
                 optional --svg file: PathBuf
             }
+            /// What the control state of one process costs as the fleet grows.
+            cmd capacity {
+                /// Seed of the experiment.
+                optional --seed seed: u64
+            }
             /// Once-only schemes under vanishing homes.
             cmd once {
                 /// Seed of the experiment.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,7 @@
 use flags::{BenchCmd, JujubeLab, JujubeLabCmd};
 use jujube_lab::{
     demo,
-    experiments::{domain, once, rebalance, routing},
+    experiments::{capacity, domain, once, rebalance, routing},
     load::{self, LoadConfig, Work},
     path_bench::{self, PathBenchConfig},
     publish, relay,
@@ -127,6 +127,10 @@
             Ok(())
         }
         BenchCmd::Domain(flags) => experiment(flags.seed, flags.svg, domain::run, domain::plot),
+        BenchCmd::Capacity(flags) => {
+            print!("{}", capacity::run(flags.seed.unwrap_or(DEFAULT_SEED)));
+            Ok(())
+        }
         BenchCmd::Once(flags) => {
             print!("{}", once::run(flags.seed.unwrap_or(DEFAULT_SEED)));
             Ok(())
--- a/crates/node/src/control_port.rs
+++ b/crates/node/src/control_port.rs
@@ -1,9 +1,8 @@
 //! The control port: JSON-RPC from the system's other processes.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
-use jj_operator::published::Published;
-use jj_peer::control::{ControlServer, PublicationWire};
+use jj_peer::control::{ControlServer, ManifestWire};
 use jj_platform::config_reader::ConfigView;
 use jj_utils::ids::ConfigIndex;
 use jsonrpsee::{
@@ -20,13 +19,26 @@
 
 #[async_trait]
 impl ControlServer for ControlPort {
-    async fn publication(&self, newer_than: ConfigIndex) -> RpcResult<Option<PublicationWire>> {
-        let view = self.config.borrow();
-        let newer = view
-            .published
-            .as_ref()
-            .filter(|published| published.index > newer_than);
-        Ok(newer.map(|published| publication(published)))
+    async fn manifest(&self, newer_than: ConfigIndex) -> RpcResult<Option<ManifestWire>> {
+        let published = self.config.borrow().published.clone();
+        let newer = published.filter(|published| published.index > newer_than);
+        Ok(newer.map(|published| ManifestWire {
+            index: published.index,
+            manifest: published.bundle.manifest.clone(),
+        }))
+    }
+
+    async fn documents(&self, digests: Vec<String>) -> RpcResult<BTreeMap<String, String>> {
+        let published = self.config.borrow().published.clone();
+        let Some(published) = published else {
+            return Ok(BTreeMap::new());
+        };
+        let held = &published.bundle.documents;
+        let found = digests.into_iter().filter_map(|digest| {
+            let text = held.get(&digest)?.clone();
+            Some((digest, text))
+        });
+        Ok(found.collect())
     }
 }
 
@@ -38,11 +50,3 @@
     let server = Server::builder().build(addr).await?;
     Ok(server.start(port.into_rpc()))
 }
-
-fn publication(published: &Published) -> PublicationWire {
-    PublicationWire {
-        index: published.index,
-        manifest: published.bundle.manifest.clone(),
-        documents: published.bundle.documents.clone(),
-    }
-}
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -1,6 +1,7 @@
 //! Follows the platform: configuration and live list, with peers as a second source of the former.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
         Arc,
@@ -10,8 +11,11 @@
 };
 
 use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
-use jj_operator::published::{Bundle, Offer};
-use jj_peer::control::{ControlClient, PublicationWire};
+use jj_operator::{
+    documents::Digest,
+    published::{Bundle, Offer, document_digests, parse_manifest},
+};
+use jj_peer::control::{ControlClient, ManifestWire};
 use jj_platform::{
     budget::SharedBudget,
     config_reader::{self, ConfigView, NewestFromPeers, ReaderConfig, ReaderContext},
@@ -24,11 +28,15 @@
     collections::FastSet,
     ids::{ConfigIndex, InstanceId},
 };
+use jsonrpsee::http_client::HttpClient;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::control_client;
 
+/// Texts of documents by digest.
+type Documents = BTreeMap<Digest, String>;
+
 /// Fleet size assumed until the live list tells.
 const ASSUMED_FLEET: u32 = 32;
 
@@ -100,7 +108,12 @@
         client,
         clock: context.clock,
         budget,
-        newest_from_peers: peers(context.instance, list.clone(), Arc::clone(&heard)),
+        newest_from_peers: peers(
+            context.instance,
+            list.clone(),
+            config.clone(),
+            Arc::clone(&heard),
+        ),
         token: context.token,
     };
     tokio::spawn(live_list::run(live, list_sender));
@@ -116,10 +129,12 @@
 fn peers(
     instance: InstanceId,
     list: watch::Receiver<LiveList>,
+    config: watch::Receiver<ConfigView>,
     heard: Arc<AtomicU64>,
 ) -> NewestFromPeers {
     Arc::new(move |known| {
         let (mut list, instance, heard) = (list.clone(), instance.clone(), Arc::clone(&heard));
+        let published = config.borrow().published.clone();
         async move {
             if known > 0 && heard.load(Ordering::Relaxed) <= known {
                 return None;
@@ -127,7 +142,8 @@
             let has_list = list.wait_for(|list| list.index > 0);
             let _ = tokio::time::timeout(LIST_WAIT, has_list).await;
             let asked = peers_to_ask(&list.borrow().list, &instance);
-            newest(asked, known).await
+            let held = published.map(|published| published.bundle.documents.clone());
+            newest(asked, known, held.unwrap_or_default()).await
         }
         .boxed()
     })
@@ -150,22 +166,49 @@
     asked
 }
 
-async fn newest(asked: Vec<SocketAddr>, known: ConfigIndex) -> Option<Offer> {
+/// What one peer has.
+struct PeerOffer {
+    client: HttpClient,
+    manifest: ManifestWire,
+}
+
+/// The newest publication of those asked. Only the documents that are not held here travel.
+async fn newest(asked: Vec<SocketAddr>, known: ConfigIndex, held: Documents) -> Option<Offer> {
     let calls: FuturesUnordered<_> = asked.into_iter().map(|addr| ask(addr, known)).collect();
-    let answers: Vec<Option<Offer>> = calls.collect().await;
-    answers
+    let answers: Vec<Option<PeerOffer>> = calls.collect().await;
+    let newest = answers
         .into_iter()
         .flatten()
-        .max_by_key(|offer| offer.index)
+        .max_by_key(|offer| offer.manifest.index)?;
+    complete(newest, &held).await
 }
 
-async fn ask(addr: SocketAddr, known: ConfigIndex) -> Option<Offer> {
+async fn ask(addr: SocketAddr, known: ConfigIndex) -> Option<PeerOffer> {
     let client = control_client::build(addr).ok()?;
-    let PublicationWire {
-        index,
-        manifest,
-        documents,
-    } = client.publication(known).await.ok()??;
+    let manifest = client.manifest(known).await.ok()??;
+    Some(PeerOffer { client, manifest })
+}
+
+/// Fills a manifest up with the documents held here and those that only the peer has.
+async fn complete(offer: PeerOffer, held: &Documents) -> Option<Offer> {
+    let ManifestWire { index, manifest } = offer.manifest;
+    let named = parse_manifest(&manifest).map(|manifest| document_digests(&manifest));
+    // A manifest that can't be read is handed on as it is: its refusal is recorded like any other.
+    let named = named.unwrap_or_default();
+    let missing = named
+        .iter()
+        .filter(|digest| !held.contains_key(*digest))
+        .cloned();
+    let missing: Vec<Digest> = missing.collect();
+    let mut documents = match missing.is_empty() {
+        true => Documents::new(),
+        false => offer.client.documents(missing).await.ok()?,
+    };
+    for digest in named {
+        if let Some(text) = held.get(&digest) {
+            documents.insert(digest, text.clone());
+        }
+    }
     Some(Offer {
         index,
         bundle: Bundle {
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -35,6 +35,16 @@
     }
 }
 
+/// Bytes of the datagram that carries a heartbeat, without network headers.
+pub fn datagram_size(heartbeat: &Heartbeat) -> usize {
+    let datagram = Datagram {
+        number: u64::MAX,
+        is_answer: true,
+        heartbeat: heartbeat.clone(),
+    };
+    postcard::to_stdvec(&datagram).map_or(0, |bytes| bytes.len())
+}
+
 /// A question of another process.
 #[derive(Debug, Clone)]
 pub struct Question {
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -50,21 +50,23 @@
 }
 
 common_derives! {wire:
-    /// A publication, as one process hands it to another.
-    pub struct PublicationWire {
-        /// Index of the manifest in the configuration service.
+    /// The manifest in force at a process.
+    pub struct ManifestWire {
+        /// Its index in the configuration service.
         pub index: ConfigIndex,
-        /// The manifest's text.
+        /// Its text.
         pub manifest: String,
-        /// Text of each document under its digest.
-        pub documents: BTreeMap<String, String>,
     }
 }
 
 /// What every process offers the others.
 #[rpc(client, server, namespace = "jujube")]
 pub trait Control {
-    /// The configuration in force, when its index is above `newer_than`.
-    #[method(name = "publication")]
-    async fn publication(&self, newer_than: ConfigIndex) -> RpcResult<Option<PublicationWire>>;
+    /// The manifest in force, when its index is above `newer_than`.
+    #[method(name = "manifest")]
+    async fn manifest(&self, newer_than: ConfigIndex) -> RpcResult<Option<ManifestWire>>;
+
+    /// Texts of the documents in force that have one of these digests, by digest.
+    #[method(name = "documents")]
+    async fn documents(&self, digests: Vec<String>) -> RpcResult<BTreeMap<String, String>>;
 }
