feat(agent): the two-phase switch of the expert map runs in real processes

The agent of rank 0 leads: it forms the group, reads what the engine reports of popularity, and switches when the rebalancer finds a map that pays. Requests go over JSON-RPC, orders to the engine carry a fencing number and a deadline. Cause of the first failure: the leader proposed from the step that it had read seconds before, which the group had passed, so every switch after the first was refused and aborted; it reads all ranks anew before it proposes.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -4,13 +4,16 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use arc_swap::ArcSwap;
-use jj_node::fleet::{self, Fleet, OpenContext, Own};
+use jj_node::{
+    control_port::GroupHandler,
+    fleet::{self, Fleet, OpenContext, Own},
+};
 use jj_operator::{
     audit::{AuditTrail, Change},
     documents::Limits,
 };
 use jj_peer::control::LoadReport;
-use jj_platform::{config_reader::ConfigView, wire::Role};
+use jj_platform::{config_reader::ConfigView, live_list::LiveList, wire::Role};
 use jj_policy::{
     admission::{
         Admission, AdmissionConfig, ColdCause, Finish, Offer, Refusal, RefusalReason, Released,
@@ -182,6 +185,8 @@
     pub keys: Arc<Keys>,
     /// Whether new work is taken.
     pub lifecycle: Arc<Lifecycle>,
+    /// Requests of a group's leader, when this agent is a rank's.
+    pub group: Option<GroupHandler>,
     /// Changes made here, for operators.
     pub audit: Arc<AuditTrail>,
     /// Time.
@@ -190,14 +195,21 @@
     pub token: CancellationToken,
 }
 
+/// What other threads get of the control thread.
+pub struct Started {
+    /// Handle to it.
+    pub control: Control,
+    /// Follows the configuration.
+    pub config: watch::Receiver<ConfigView>,
+    /// Follows the live list.
+    pub list: watch::Receiver<LiveList>,
+}
+
 /// Starts the control thread; returns once its port is open.
 ///
 /// # Errors
 /// When the thread can't be started or the port can't be bound.
-pub async fn start(
-    context: ControlContext,
-    config: AdmissionConfig,
-) -> anyhow::Result<(Control, watch::Receiver<ConfigView>)> {
+pub async fn start(context: ControlContext, config: AdmissionConfig) -> anyhow::Result<Started> {
     let (offers, offered) = mpsc::channel(QUEUE);
     let (notes, noted) = mpsc::unbounded_channel();
     let load = Arc::new(ArcSwap::from_pointee(LoadReport::default()));
@@ -223,15 +235,19 @@
                         return;
                     }
                 };
-                let _ = started.send(Ok(fleet.config()));
+                let _ = started.send(Ok((fleet.config(), fleet.watch_list())));
                 State::new(context, control, config, fleet)
                     .run(offered, noted)
                     .await;
                 let _ = port.stop();
             });
         })?;
-    let config = result.await??;
-    Ok((handle, config))
+    let (config, list) = result.await??;
+    Ok(Started {
+        control: handle,
+        config,
+        list,
+    })
 }
 
 async fn open(
@@ -246,6 +262,7 @@
         role: Role::Agent,
         load: Box::new(move || Some((*load.load()).clone())),
         draining: Box::new(move || lifecycle.is_draining()),
+        group: context.group.clone(),
     };
     let opening = OpenContext {
         platform: context.platform.clone(),
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -4,6 +4,9 @@
 
 mod attempts;
 mod control;
+mod group;
+mod group_lead;
+mod group_rank;
 mod keys;
 mod lifecycle;
 mod operators;
@@ -96,6 +99,7 @@
         },
         ..AdmissionConfig::default()
     };
+    let (handler, requests) = group_rank::channel();
     let control = control::ControlContext {
         instance: settings.instance.clone(),
         incarnation,
@@ -106,11 +110,32 @@
         attempts: Arc::clone(&attempts),
         keys: Arc::clone(&keys),
         lifecycle: Arc::clone(&lifecycle),
+        group: settings.rank.map(|_| handler),
         audit: Arc::clone(&audit),
         clock: Arc::clone(&clock),
         token: token.clone(),
     };
-    let (control, config) = control::start(control, admission).await?;
+    let started = control::start(control, admission).await?;
+    let control::Started {
+        control,
+        config,
+        list,
+    } = started;
+    let backend = BackendClient::new(&settings.backend, BACKEND_CONNECT)?;
+    if let Some(rank) = settings.rank {
+        let member = group::MemberContext {
+            service: settings.service.clone(),
+            rank,
+            incarnation,
+            engine: backend.clone(),
+            config: config.clone(),
+            list,
+            audit: Arc::clone(&audit),
+            clock: Arc::clone(&clock),
+            token: token.clone(),
+        };
+        tokio::spawn(group::run(member, requests));
+    }
     let seen = operators::Seen {
         settings: settings.clone(),
         control: control.clone(),
@@ -121,7 +146,6 @@
     let addr = settings.operator_addr;
     let (readiness, status) = (seen.readiness(), seen.status());
     operator_port::start(addr, readiness, status, audit, token.clone()).await?;
-    let backend = BackendClient::new(&settings.backend, BACKEND_CONNECT)?;
     let probe = probe::run(
         backend.clone(),
         control.clone(),
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -4,7 +4,7 @@
 
 use jj_operator::documents::ServiceKind;
 use jj_utils::{
-    ids::{FailureDomainId, InstanceId, ServiceId},
+    ids::{FailureDomainId, InstanceId, Rank, ServiceId},
     logging::LogFormat,
     settings::{EnvLookup, SettingsReader},
 };
@@ -26,6 +26,8 @@
         optional --kind kind: String
         /// Base URL of the backend server, such as http://127.0.0.1:8000.
         optional --backend url: String
+        /// Position of the backend server in its service's lock-step group.
+        optional --rank rank: String
         /// Base URL of the platform.
         optional --platform url: String
         /// Address for attempts from entries.
@@ -62,6 +64,8 @@
     pub kind: ServiceKind,
     /// Base URL of the backend server.
     pub backend: String,
+    /// Position of the backend server in its service's lock-step group, if it is in one.
+    pub rank: Option<Rank>,
     /// Base URL of the platform.
     pub platform: String,
     /// Address for attempts.
@@ -97,6 +101,8 @@
         let kind = reader.required::<String>("kind", flags.kind);
         let backend = reader.required::<String>("backend", flags.backend);
         let platform = reader.required::<String>("platform", flags.platform);
+        let rank = reader.optional::<i64>("rank", flags.rank, -1);
+        reader.check(rank >= -1, "--rank: must not be negative");
         let traffic_addr = reader.required("traffic-addr", flags.traffic_addr);
         let control_addr = reader.required("control-addr", flags.control_addr);
         let operator_addr = reader.required("operator-addr", flags.operator_addr);
@@ -139,6 +145,7 @@
             service: service.ok_or_else(missing)?,
             kind: kind.ok_or_else(missing)?,
             backend: backend.ok_or_else(missing)?,
+            rank: Rank::try_from(rank).ok(),
             platform: platform.ok_or_else(missing)?,
             traffic_addr: traffic_addr.ok_or_else(missing)?,
             control_addr: control_addr.ok_or_else(missing)?,
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod call;
 pub mod health;
+pub mod orders;
 pub mod stream;
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -116,6 +116,7 @@
         role: Role::Entry,
         load: Box::new(|| None),
         draining: Box::new(move || draining.load(Ordering::SeqCst)),
+        group: None,
     };
     let opening = OpenContext {
         platform: context.platform.clone(),
--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -33,6 +33,17 @@
             /// Where it listens.
             required --addr addr: SocketAddr
         }
+        /// Runs a stand-in of a lock-step group of engines.
+        cmd group {
+            /// Address of each rank, separated by commas.
+            required --addrs addrs: String
+            /// Experts.
+            optional --experts count: u32
+            /// Whether engines refuse orders with an old fencing number.
+            optional --fencing on: bool
+            /// Time of a step, in microseconds.
+            optional --step-us micros: u64
+        }
         /// Runs a stand-in of a plain service.
         cmd service {
             /// Where it listens.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -357,6 +357,7 @@
             traffic,
             control: free_addr()?,
             leaving: false,
+            rank: None,
         })
     }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -16,6 +16,7 @@
     standins::{
         cold_start::ColdConfig,
         engine::{self, EngineConfig},
+        group::{self, GroupConfig},
         platform,
         prefix_cache::CacheConfig,
         service::{self, ServiceConfig},
@@ -46,6 +47,20 @@
             let served = relay::serve(flags.addr, flags.target, flags.control, cancel.clone());
             until_ended(served, cancel).await
         }
+        JujubeLabCmd::Group(flags) => {
+            let ranks = flags
+                .addrs
+                .split(',')
+                .map(str::parse)
+                .collect::<Result<_, _>>()?;
+            let config = GroupConfig {
+                ranks,
+                experts: flags.experts.unwrap_or(12),
+                fencing: flags.fencing.unwrap_or(true),
+                step: Duration::from_micros(flags.step_us.unwrap_or(5_000)),
+            };
+            until_ended(group::serve(config, cancel.clone()), cancel).await
+        }
         JujubeLabCmd::Platform(flags) => {
             until_ended(platform::serve(flags.addr, cancel.clone()), cancel).await
         }
--- /dev/null
+++ b/crates/lab/src/standins/group.rs
@@ -0,0 +1,323 @@
+//! A lock-step group of engines: each rank listens on its own address, and a step begins on a rank
+//! only when all ranks have finished the one before.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use jj_backend::health::BackendLoad;
+use jj_peer::group::{
+    ActionWire, EngineOrder, EngineRefusal, EngineViewWire, GroupReport, HeldMapWire, HoldWire,
+    MapIdWire,
+};
+use jj_utils::{
+    clock::unix_millis,
+    common_derives,
+    ids::{ExpertId, Term},
+};
+use poem::{
+    EndpointExt, IntoResponse, Response, Route, Server, get, handler,
+    http::StatusCode,
+    listener::TcpListener,
+    post,
+    web::{Data, Json},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Steps after which another expert is the most popular.
+const DRIFT: u64 = 300;
+
+/// Tokens of a popular expert over those of another.
+const HOT: u32 = 8;
+
+/// What the stand-in is.
+#[derive(Debug, Clone)]
+pub struct GroupConfig {
+    /// Address of each rank.
+    pub ranks: Vec<SocketAddr>,
+    /// Experts.
+    pub experts: u32,
+    /// Whether engines refuse orders with an old fencing number.
+    pub fencing: bool,
+    /// Time of a step.
+    pub step: Duration,
+}
+
+common_derives! {wire:
+    /// What the group has done, for tests.
+    #[derive(Default)]
+    pub struct GroupTally {
+        /// Steps that all ranks have finished.
+        pub steps: u64,
+        /// Steps that two ranks ran with different maps.
+        pub mixed: u64,
+        /// Times that a rank took another map into force.
+        pub switches: u64,
+        /// Orders refused for their fencing number.
+        pub fenced: u64,
+        /// Orders refused for their deadline.
+        pub late: u64,
+    }
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    term: Term,
+    map: Option<MapIdWire>,
+    held: Option<HeldMapWire>,
+    next_step: u64,
+    slots: Vec<ExpertId>,
+    prepared: Vec<ExpertId>,
+}
+
+#[derive(Debug, Default)]
+struct World {
+    engines: Vec<Engine>,
+    runs: BTreeMap<u64, Vec<MapIdWire>>,
+    tally: GroupTally,
+}
+
+/// The group and its settings.
+struct Group {
+    config: GroupConfig,
+    boot: String,
+    world: Mutex<World>,
+}
+
+/// Serves all ranks until the token is cancelled.
+///
+/// # Errors
+/// When an address can't be bound.
+pub async fn serve(config: GroupConfig, token: CancellationToken) -> anyhow::Result<()> {
+    let engines = config.ranks.iter().map(|_| Engine::default()).collect();
+    let world = Mutex::new(World {
+        engines,
+        ..World::default()
+    });
+    let group = Arc::new(Group {
+        boot: unix_millis().to_string(),
+        world,
+        config,
+    });
+    let ranks = group.config.ranks.iter().enumerate();
+    let servers = ranks.map(|(rank, addr)| {
+        let routes = Route::new()
+            .at("/group/orders", post(obey))
+            .at("/group/report", get(report))
+            .at("/group/tally", get(tally))
+            .at("/load", get(load))
+            .data(Arc::clone(&group))
+            .data(rank);
+        let end = token.clone().cancelled_owned();
+        Server::new(TcpListener::bind(*addr)).run_with_graceful_shutdown(
+            routes,
+            end,
+            Some(Duration::from_millis(200)),
+        )
+    });
+    let serving = futures_util::future::try_join_all(servers);
+    tokio::select! {
+        served = serving => served.map(|_| ())?,
+        () = run_steps(&group) => {}
+    }
+    Ok(())
+}
+
+async fn run_steps(group: &Group) {
+    let mut tick = tokio::time::interval(group.config.step);
+    loop {
+        tick.tick().await;
+        group.lock().step();
+    }
+}
+
+impl Group {
+    fn lock(&self) -> MutexGuard<'_, World> {
+        self.world.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl World {
+    /// Lets each rank run its next step, if it is not held and no rank is behind.
+    fn step(&mut self) {
+        let slowest = self
+            .engines
+            .iter()
+            .map(|engine| engine.next_step)
+            .min()
+            .unwrap_or(0);
+        for rank in 0..self.engines.len() {
+            if self.engines[rank].next_step > slowest {
+                continue;
+            }
+            let before = self.engines[rank].map;
+            let Some(map) = self.engines[rank].run() else {
+                continue;
+            };
+            self.tally.switches += u64::from(before != Some(map));
+            self.ran(slowest, map);
+        }
+    }
+
+    fn ran(&mut self, step: u64, map: MapIdWire) {
+        let ranks = self.engines.len();
+        let runs = self.runs.entry(step).or_default();
+        runs.push(map);
+        if runs.len() < ranks {
+            return;
+        }
+        let is_mixed = runs.iter().any(|other| *other != runs[0]);
+        self.tally.mixed += u64::from(is_mixed);
+        self.tally.steps += 1;
+        self.runs.remove(&step);
+    }
+}
+
+impl Engine {
+    /// Runs a step and tells its map, unless the engine has to hold.
+    fn run(&mut self) -> Option<MapIdWire> {
+        if let Some(held) = self.held {
+            let is_due = match held.hold {
+                HoldWire::Before(step) => self.next_step >= step,
+                HoldWire::Now => true,
+            };
+            if is_due && !held.committed {
+                return None;
+            }
+            if is_due {
+                self.switch(held.id);
+            }
+        }
+        let map = self.map?;
+        self.next_step += 1;
+        Some(map)
+    }
+
+    fn switch(&mut self, id: MapIdWire) {
+        self.map = Some(id);
+        self.held = None;
+        self.slots = std::mem::take(&mut self.prepared);
+    }
+
+    fn carry_out(&mut self, order: EngineOrder) -> bool {
+        match order.action {
+            ActionWire::Read => true,
+            ActionWire::Prepare { id, hold } => self.prepare(id, hold, order.slots),
+            ActionWire::Commit { id, step } => self.commit(id, step),
+            ActionWire::Abort { id } => self.abort(id),
+        }
+    }
+
+    fn prepare(&mut self, id: MapIdWire, hold: HoldWire, slots: Vec<ExpertId>) -> bool {
+        if self.held.is_some_and(|held| held.id == id) {
+            return true;
+        }
+        if let HoldWire::Before(step) = hold {
+            let is_busy = self.held.is_some_and(|held| held.committed);
+            if is_busy || self.map.is_none() || self.next_step > step {
+                return false;
+            }
+        }
+        self.held = Some(HeldMapWire {
+            id,
+            hold,
+            committed: false,
+        });
+        self.prepared = slots;
+        true
+    }
+
+    fn commit(&mut self, id: MapIdWire, step: u64) -> bool {
+        let Some(held) = self.held.filter(|held| held.id == id) else {
+            return self.map == Some(id);
+        };
+        match held.hold {
+            HoldWire::Before(_) => {
+                self.held = Some(HeldMapWire {
+                    committed: true,
+                    ..held
+                })
+            }
+            HoldWire::Now => {
+                self.next_step = step;
+                self.switch(id);
+            }
+        }
+        true
+    }
+
+    fn abort(&mut self, id: MapIdWire) -> bool {
+        match self.held {
+            Some(held) if held.id == id && held.committed => false,
+            Some(held) if held.id == id => {
+                self.held = None;
+                true
+            }
+            _ => true,
+        }
+    }
+
+    fn view(&self) -> EngineViewWire {
+        EngineViewWire {
+            map: self.map,
+            next_step: self.next_step,
+            held: self.held,
+        }
+    }
+}
+
+#[handler]
+fn obey(group: Data<&Arc<Group>>, rank: Data<&usize>, Json(order): Json<EngineOrder>) -> Response {
+    let mut world = group.lock();
+    if unix_millis() > order.deadline_ms {
+        world.tally.late += 1;
+        return StatusCode::GONE.into();
+    }
+    let known = world.engines[**rank].term;
+    if group.config.fencing && order.term < known {
+        world.tally.fenced += 1;
+        return refused(Some(known));
+    }
+    let engine = &mut world.engines[**rank];
+    engine.term = known.max(order.term);
+    match engine.carry_out(order) {
+        true => Json(engine.view()).into_response(),
+        false => refused(None),
+    }
+}
+
+fn refused(newer: Option<Term>) -> Response {
+    (StatusCode::CONFLICT, Json(EngineRefusal { newer })).into_response()
+}
+
+#[handler]
+fn report(group: Data<&Arc<Group>>, rank: Data<&usize>) -> Json<GroupReport> {
+    let world = group.lock();
+    let engine = &world.engines[**rank];
+    let hot = engine.next_step / DRIFT;
+    let experts = group.config.experts;
+    let counts = (0..experts).map(|expert| {
+        let is_hot = u64::from(expert) == hot % u64::from(experts);
+        Some(if is_hot { 100 * HOT } else { 100 })
+    });
+    Json(GroupReport {
+        slots: engine.slots.clone(),
+        counts: counts.collect(),
+    })
+}
+
+#[handler]
+fn tally(group: Data<&Arc<Group>>) -> Json<GroupTally> {
+    Json(group.lock().tally.clone())
+}
+
+#[handler]
+fn load(group: Data<&Arc<Group>>) -> Json<BackendLoad> {
+    Json(BackendLoad {
+        boot_id: group.boot.clone(),
+        ..BackendLoad::default()
+    })
+}
--- a/crates/lab/src/standins/mod.rs
+++ b/crates/lab/src/standins/mod.rs
@@ -5,6 +5,7 @@
 pub mod engine_api;
 pub mod engine_control;
 pub mod faults;
+pub mod group;
 pub mod ledger;
 pub mod orders;
 pub mod platform;
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -49,6 +49,7 @@
         traffic: ([127, 0, 0, 1], number + 1).into(),
         control: ([127, 0, 0, 1], number + 1).into(),
         leaving: false,
+        rank: None,
     };
     InstanceList {
         instances: (0..count).map(instance).collect(),
--- a/crates/node/src/control_port.rs
+++ b/crates/node/src/control_port.rs
@@ -1,8 +1,13 @@
 //! The control port: JSON-RPC from the system's other processes.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use jj_peer::control::{ControlServer, ManifestWire};
+use futures_util::future::BoxFuture;
+
+use jj_peer::{
+    control::{ControlServer, ManifestWire},
+    group::{ReplyWire, RequestWire},
+};
 use jj_platform::config_reader::ConfigView;
 use jj_utils::ids::ConfigIndex;
 use jsonrpsee::{
@@ -11,10 +16,16 @@
 };
 use tokio::sync::watch;
 
+/// Takes a request of a group's leader.
+pub type GroupHandler =
+    Arc<dyn Fn(RequestWire) -> BoxFuture<'static, Option<ReplyWire>> + Send + Sync>;
+
 /// Answers control calls.
 pub struct ControlPort {
     /// Configuration in force.
     pub config: watch::Receiver<ConfigView>,
+    /// Requests of a group's leader, where this process is a rank's agent.
+    pub group: Option<GroupHandler>,
 }
 
 #[async_trait]
@@ -40,6 +51,13 @@
         });
         Ok(found.collect())
     }
+
+    async fn group(&self, request: RequestWire) -> RpcResult<Option<ReplyWire>> {
+        match &self.group {
+            Some(handle) => Ok(handle(request).await),
+            None => Ok(None),
+        }
+    }
 }
 
 /// Serves control calls until the handle is stopped or dropped.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -11,6 +11,7 @@
 use jj_peer::control::{Heartbeat, LoadReport};
 use jj_platform::{
     config_reader::ConfigView,
+    live_list::LiveList,
     wire::{Instance, InstanceList, Role},
 };
 use jj_policy::{
@@ -33,7 +34,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    control_port::{self, ControlPort},
+    control_port::{self, ControlPort, GroupHandler},
     follower::{self, FollowContext, Follower},
     heartbeats::{Answer, Heartbeats, Received},
 };
@@ -79,6 +80,8 @@
     pub load: LoadSource,
     /// Whether it is leaving.
     pub draining: DrainSource,
+    /// Requests of a group's leader, where this process is a rank's agent.
+    pub group: Option<GroupHandler>,
 }
 
 /// What opening needs beside what this process is.
@@ -111,6 +114,7 @@
     })?;
     let port = ControlPort {
         config: follower.config.clone(),
+        group: own.group.clone(),
     };
     let port = control_port::serve(context.control_addr, port).await?;
     let clock = Arc::clone(&context.clock);
@@ -215,6 +219,11 @@
         self.follower.config.clone()
     }
 
+    /// Follows the live list, for other tasks.
+    pub fn watch_list(&self) -> watch::Receiver<LiveList> {
+        self.follower.list.clone()
+    }
+
     /// The live list as last read.
     pub fn list(&self) -> Arc<InstanceList> {
         Arc::clone(&self.follower.list.borrow().list)
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -9,6 +9,8 @@
 };
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 
+use crate::group::{ReplyWire, RequestWire};
+
 common_derives! {wire:
     /// What a process tells another about itself.
     #[derive(Default)]
@@ -69,4 +71,8 @@
     /// Texts of the documents in force that have one of these digests, by digest.
     #[method(name = "documents")]
     async fn documents(&self, digests: Vec<String>) -> RpcResult<BTreeMap<String, String>>;
+
+    /// A request of a group's leader to a rank; no reply while the rank's agent can't answer.
+    #[method(name = "group")]
+    async fn group(&self, request: RequestWire) -> RpcResult<Option<ReplyWire>>;
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod client;
 pub mod control;
 pub mod frames;
+pub mod group;
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -9,7 +9,7 @@
 
 use jj_utils::{
     common_derives,
-    ids::{FailureDomainId, InstanceId, ServiceId},
+    ids::{FailureDomainId, InstanceId, Rank, ServiceId},
 };
 
 /// Header that carries the index of an answer.
@@ -56,6 +56,9 @@
         /// Whether it is leaving.
         #[serde(default)]
         pub leaving: bool,
+        /// Position of its backend server in the service's lock-step group.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub rank: Option<Rank>,
     }
 }
 
