perf(agent): ended answers are kept for 3 s and given back to size

Cause: the table of ended attempts kept whole answers for 20 s, with the reserve of their growing buffers. The API key of a caller no longer reaches the backend server, which is told the client account instead.

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -26,6 +26,8 @@
 pub struct AttemptsConfig {
     /// How long a finished attempt can still be asked for.
     pub retention: Duration,
+    /// How long the answer of a finished attempt is kept; afterwards only its id is.
+    pub answer_life: Duration,
     /// Largest answer, in bytes of frames.
     pub max_answer: usize,
     /// Most bytes of ended answers kept; the oldest are dropped beyond it.
@@ -39,9 +41,10 @@
 impl Default for AttemptsConfig {
     fn default() -> Self {
         Self {
-            retention: Duration::from_secs(20),
+            retention: Duration::from_secs(10),
+            answer_life: Duration::from_secs(3),
             max_answer: 8 << 20,
-            max_kept: 8 << 20,
+            max_kept: 4 << 20,
             linger: Duration::from_secs(5),
             max_attempts: 100_000,
         }
@@ -268,6 +271,9 @@
         // The last frame is small: encoding it can't exceed the frame limit.
         let _ = frames::encode(last, &mut log.bytes);
         log.phase = Phase::Done;
+        // An ended log grows no more: give back what it has in reserve.
+        log.bytes = BytesMut::from(&log.bytes[..]);
+        log.offsets.shrink_to_fit();
         drop(log);
         self.changed.notify_waiters();
     }
@@ -297,6 +303,12 @@
 }
 
 impl Known {
+    /// Keeps only the id, against which a late copy of the attempt stands.
+    fn drop_answer(&mut self, dropped: &Arc<Attempt>) {
+        self.kept = 0;
+        self.attempt = Arc::clone(dropped);
+    }
+
     /// Cancels an attempt that nobody has read for a while.
     fn cancel_unread(&mut self, now: Timestamp, linger: Duration) {
         if self.done.is_some() || self.attempt.readers.load(Ordering::SeqCst) > 0 {
@@ -400,6 +412,10 @@
             known.cancel_unread(now, self.config.linger);
             let is_recent = |done| now.saturating_sub(done) < retention;
             let stays = known.done.is_none_or(is_recent);
+            let is_old = |done| now.saturating_sub(done) >= self.config.answer_life;
+            if known.done.is_some_and(is_old) {
+                known.drop_answer(&self.dropped);
+            }
             if stays {
                 kept += known.kept;
             }
@@ -419,8 +435,7 @@
                 return;
             }
             kept -= known.kept;
-            known.kept = 0;
-            known.attempt = Arc::clone(&self.dropped);
+            known.drop_answer(&self.dropped);
         }
     }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -11,11 +11,11 @@
 use jj_caller::{
     answer::{Answer, TokenEvent, WholeAnswer},
     problem::Refusal,
-    request::CallerRequest,
+    request::{ACCOUNT_HEADER, CallerRequest},
 };
 use jj_peer::{
     attempt::{AttemptHead, AttemptRef, Call},
-    frames::{Failure, Frame, Head},
+    frames::{Failure, Frame, Head, Header},
 };
 use jj_policy::{
     retry::{Attempts, RetryDecision, RetryFacts},
@@ -377,12 +377,33 @@
             call: Call {
                 method: self.request.method.clone(),
                 target: self.request.target(),
-                headers: self.request.headers.clone(),
+                headers: self.headers(),
                 stream: self.routed.stream,
             },
         }
     }
 
+    /// Headers for the backend server: it learns the client account, and not the API key that
+    /// proved it.
+    fn headers(&self) -> Vec<Header> {
+        let has_key = self.request.token.is_some();
+        let is_secret = |header: &Header| has_key && header.name == "authorization";
+        let is_passed = |header: &&Header| header.name != ACCOUNT_HEADER && !is_secret(header);
+        let mut headers: Vec<Header> = self
+            .request
+            .headers
+            .iter()
+            .filter(is_passed)
+            .cloned()
+            .collect();
+        let value = self.routed.account.clone();
+        headers.push(Header {
+            name: ACCOUNT_HEADER.into(),
+            value,
+        });
+        headers
+    }
+
     fn fingerprint(&self) -> u64 {
         let CallerRequest { method, body, .. } = &self.request;
         let text = format!(
