perf(node): half as many heartbeats, and news of leaving rides on answers

Ruled out: slower heartbeats alone. Also: settings, start-up and the audit of the fleet that stood twice or grew large are modules of their own, and accepted and refused configurations stand in the audit trail.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -472,6 +472,7 @@
             waiting: seen.queued,
             latency: u64::try_from(self.latency.as_micros()).unwrap_or(u64::MAX),
             reachable: true,
+            leaving: false,
         };
         self.control.load.store(Arc::new(report));
     }
--- a/crates/agent/src/keys.rs
+++ b/crates/agent/src/keys.rs
@@ -14,7 +14,7 @@
 };
 use jj_utils::{clock::SharedClock, collections::FastMap, events, log_event};
 
-use crate::attempts::Attempt;
+use crate::attempt::Attempt;
 
 /// Bytes of answers that are kept for retries; the oldest go first.
 const MAX_KEPT: usize = 16 << 20;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,6 +2,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+mod attempt;
 mod attempts;
 mod control;
 mod group;
@@ -19,7 +20,7 @@
 
 use attempts::{Attempts, AttemptsConfig};
 use jj_backend::call::BackendClient;
-use jj_node::{operator_port, shutdown};
+use jj_node::{operator_port, process, shutdown};
 use jj_operator::audit::AuditTrail;
 use jj_peer::client::LinkConfig;
 use jj_policy::{
@@ -29,7 +30,7 @@
 };
 use jj_utils::{
     clock::{SystemClock, unix_millis},
-    events, log_event, logging,
+    events, log_event,
     settings::process_env,
 };
 use keys::Keys;
@@ -41,7 +42,7 @@
 const BACKEND_CONNECT: Duration = Duration::from_millis(250);
 
 /// Time after SIGTERM in which every entry hears by heartbeat that this agent is leaving.
-const LEAVE_NOTICE: Duration = Duration::from_secs(3);
+const LEAVE_NOTICE: Duration = Duration::from_secs(4);
 
 /// Exit code for wrong settings.
 const EXIT_USAGE: u8 = 2;
@@ -69,13 +70,8 @@
 }
 
 fn start(settings: Settings) -> anyhow::Result<()> {
-    logging::install(settings.log_format, settings.log_level)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.threads)
-        .thread_name("traffic")
-        .enable_all()
-        .build()?;
-    runtime.block_on(run(settings))
+    let node = settings.node.clone();
+    process::run(&node, run(settings))
 }
 
 async fn run(settings: Settings) -> anyhow::Result<()> {
@@ -86,7 +82,7 @@
     let lifecycle = Arc::new(Lifecycle::default());
     let audit = Arc::new(AuditTrail::default());
     let own = AgentLife {
-        agent: settings.instance.clone(),
+        agent: settings.node.instance.clone(),
         incarnation,
     };
     let keys = Keys::new(own, OnceConfig::default(), Arc::clone(&clock));
@@ -101,12 +97,12 @@
     };
     let (handler, requests) = group_rank::channel();
     let control = control::ControlContext {
-        instance: settings.instance.clone(),
+        instance: settings.node.instance.clone(),
         incarnation,
-        domain: settings.domain.clone(),
+        domain: settings.node.domain.clone(),
         service: settings.service.clone(),
-        platform: settings.platform.clone(),
-        control_addr: settings.control_addr,
+        platform: settings.node.platform.clone(),
+        control_addr: settings.node.control_addr,
         attempts: Arc::clone(&attempts),
         keys: Arc::clone(&keys),
         lifecycle: Arc::clone(&lifecycle),
@@ -143,7 +139,7 @@
         config,
         clock: Arc::clone(&clock),
     };
-    let addr = settings.operator_addr;
+    let addr = settings.node.operator_addr;
     let (readiness, status) = (seen.readiness(), seen.status());
     operator_port::start(addr, readiness, status, audit, token.clone()).await?;
     let probe = probe::run(
@@ -169,12 +165,12 @@
         link: LinkConfig::default(),
     });
     let server = tokio::spawn(traffic::serve(
-        settings.traffic_addr,
+        settings.node.traffic_addr,
         traffic,
-        settings.grace,
+        settings.node.grace,
         token.clone(),
     ));
-    let instance = &settings.instance;
+    let instance = &settings.node.instance;
     log_event!(
         events::PROCESS_STARTED,
         "agent {instance} started, incarnation {incarnation}"
@@ -185,7 +181,7 @@
     // Entries that have not heard of it yet get a refusal and their late answers, not a lost
     // connection.
     tokio::time::sleep(LEAVE_NOTICE).await;
-    wait_until_idle(&attempts, settings.grace).await;
+    wait_until_idle(&attempts, settings.node.grace).await;
     token.cancel();
     server.await??;
     log_event!(events::PROCESS_STOPPED, "agent {instance} stopped");
--- a/crates/agent/src/operators.rs
+++ b/crates/agent/src/operators.rs
@@ -46,7 +46,7 @@
             let load = seen.control.load();
             json!({
                 "role": "agent",
-                "instance": seen.settings.instance,
+                "instance": seen.settings.node.instance,
                 "service": seen.settings.service,
                 "kind": format!("{:?}", seen.settings.kind),
                 "takes_work": seen.lifecycle.refusal(seen.clock.now()).is_none(),
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -10,7 +10,7 @@
 use jj_utils::clock::{SharedClock, Timestamp};
 
 use crate::{
-    attempts::Attempt,
+    attempt::Attempt,
     control::{Control, Permit, Request},
     keys::KeyGuard,
     lifecycle::Lifecycle,
@@ -178,7 +178,7 @@
     if finish == Finish::Ok {
         permit.answered();
     }
-    let too_large = |error: crate::attempts::AnswerTooLarge| Ended {
+    let too_large = |error: crate::attempt::AnswerTooLarge| Ended {
         verdict: Verdict::Ran,
         reason: error.to_string(),
         finish: Finish::Abandoned,
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -8,6 +8,7 @@
 use jj_peer::{
     attempt::{self, ATTEMPTS_PATH, AttemptHead, AttemptRef},
     client::LinkConfig,
+    control::LoadReport,
     frames::{self, CONTENT_TYPE, Failure, Frame},
 };
 use jj_policy::verdict::Verdict;
@@ -21,7 +22,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    attempts::{Attempt, Attempts, Opened, ReadStep},
+    attempt::{Attempt, ReadStep},
+    attempts::{Attempts, Opened},
     keys::{KeyClaim, KeyGuard, Keys},
     runner::{self, Context, Work},
 };
@@ -206,7 +208,9 @@
 }
 
 fn frames_response(traffic: &Traffic, attempt: Arc<Attempt>, from: u64) -> Response {
-    let load = encoded(&Frame::Load((*traffic.context.control.load()).clone()));
+    let load = (*traffic.context.control.load()).clone();
+    let leaving = traffic.context.lifecycle.is_draining();
+    let load = encoded(&Frame::Load(LoadReport { leaving, ..load }));
     let frames = frame_bytes(&attempt, from, traffic.link.progress);
     let body = futures_util::stream::once(async { load }).chain(frames);
     Response::builder()
--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -64,7 +64,7 @@
     Candidate {
         id: &agent.id,
         domain: &agent.domain,
-        state: agent.state,
+        state: agent.believed_state(),
         distance: agent.distance,
         report: agent.local.newest_report(agent.report),
         own_since: agent.local.since_report(),
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -76,6 +76,13 @@
     _count: InFlight,
 }
 
+impl Running {
+    /// Takes the frames out, for somebody else to read.
+    fn take_frames(&mut self) -> Frames {
+        std::mem::replace(&mut self.frames, futures_util::stream::empty().boxed())
+    }
+}
+
 /// Counts a request as open until dropped.
 struct OpenGuard {
     context: Arc<Context>,
@@ -155,11 +162,7 @@
                 // A resumed log begins with data: the caller has had the head before.
                 Some(Frame::Data(data)) => {
                     let first = futures_util::stream::iter([Frame::Data(data)]);
-                    let rest = std::mem::replace(
-                        &mut running.frames,
-                        futures_util::stream::empty().boxed(),
-                    );
-                    running.frames = first.chain(rest).boxed();
+                    running.frames = first.chain(running.take_frames()).boxed();
                     return Ok(Answer::Stream(self.tokens(running, guard).boxed()));
                 }
                 Some(Frame::End { .. }) => {
@@ -178,24 +181,18 @@
         let mut running = self.begin()?;
         loop {
             let failure = match running.frames.next().await {
-                Some(Frame::Head(head)) => {
-                    let frames = std::mem::replace(
-                        &mut running.frames,
-                        futures_util::stream::empty().boxed(),
-                    );
-                    match collect(head, frames).await {
-                        Ok(answer) if self.is_worth_retrying(&answer) => {
-                            let failure = Failure::new(Verdict::Ran, "the backend server failed");
-                            match self.again(&running.agent, failure).await {
-                                Ok(next) => running = next,
-                                Err(_) => return Ok(answer),
-                            }
-                            continue;
+                Some(Frame::Head(head)) => match collect(head, running.take_frames()).await {
+                    Ok(answer) if self.is_worth_retrying(&answer) => {
+                        let failure = Failure::new(Verdict::Ran, "the backend server failed");
+                        match self.again(&running.agent, failure).await {
+                            Ok(next) => running = next,
+                            Err(_) => return Ok(answer),
                         }
-                        Ok(answer) => return Ok(answer),
-                        Err(failure) => failure,
+                        continue;
                     }
-                }
+                    Ok(answer) => return Ok(answer),
+                    Err(failure) => failure,
+                },
                 Some(Frame::Failed(failure)) => failure,
                 Some(_) => continue,
                 None => broken(),
@@ -286,7 +283,7 @@
         }
         let view = self.context.view.load();
         view.agents_of(&self.routed.service).any(|agent| {
-            agent.state.may_take_work()
+            agent.believed_state().may_take_work()
                 && agent.local.not_before() <= now
                 && !self.tried.contains(&agent.id)
         })
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -233,6 +233,9 @@
                 None
             }
             Frame::Load(load) => {
+                if load.leaving {
+                    self.target.local.note_leaving(self.head.id.incarnation);
+                }
                 let report = view::report(load, self.target.clock.now());
                 self.target.local.take_report(report);
                 None
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::ArcSwap;
 use jj_caller::{request::CallerConfig, server};
-use jj_node::{operator_port, shutdown};
+use jj_node::{operator_port, process, shutdown};
 use jj_operator::{
     audit::AuditTrail,
     port::{Readiness, Status},
@@ -20,7 +20,7 @@
 use jj_policy::verdict::Verdict;
 use jj_utils::{
     clock::{SystemClock, unix_millis},
-    events, log_event, logging,
+    events, log_event,
 };
 use serde_json::json;
 use tokio::sync::watch;
@@ -41,7 +41,7 @@
 
 /// Time in which every other entry hears that this one is leaving and drops it from its answers:
 /// two heartbeats.
-const LEAVING_SPREAD: Duration = Duration::from_secs(2);
+const LEAVING_SPREAD: Duration = Duration::from_secs(4);
 
 /// Interval of looking whether requests are still open while draining.
 const IDLE_LOOK: Duration = Duration::from_millis(50);
@@ -51,13 +51,8 @@
 /// # Errors
 /// When the process can't start.
 pub fn run(settings: Settings) -> anyhow::Result<()> {
-    logging::install(settings.log_format, settings.log_level)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.threads)
-        .thread_name("traffic")
-        .enable_all()
-        .build()?;
-    runtime.block_on(serve(settings))
+    let node = settings.node.clone();
+    process::run(&node, serve(settings))
 }
 
 async fn serve(settings: Settings) -> anyhow::Result<()> {
@@ -68,11 +63,11 @@
     let draining = Arc::new(AtomicBool::new(false));
     let audit = Arc::new(AuditTrail::default());
     let control = ControlContext {
-        instance: settings.instance.clone(),
+        instance: settings.node.instance.clone(),
         incarnation,
-        domain: settings.domain.clone(),
-        platform: settings.platform.clone(),
-        control_addr: settings.control_addr,
+        domain: settings.node.domain.clone(),
+        platform: settings.node.platform.clone(),
+        control_addr: settings.node.control_addr,
         clock: Arc::clone(&clock),
         draining: Arc::clone(&draining),
         audit: Arc::clone(&audit),
@@ -82,7 +77,7 @@
     let config = control::start(control).await?;
     let (readiness, status) = operator_view(&view, &config, &draining, &settings);
     operator_port::start(
-        settings.operator_addr,
+        settings.node.operator_addr,
         readiness,
         status,
         audit,
@@ -97,13 +92,13 @@
         ..CallerConfig::default()
     };
     let server = tokio::spawn(server::serve(
-        settings.traffic_addr,
+        settings.node.traffic_addr,
         callers,
         handler::new(Arc::clone(&context)),
-        settings.grace,
+        settings.node.grace,
         token.clone(),
     ));
-    let instance = &settings.instance;
+    let instance = &settings.node.instance;
     log_event!(
         events::PROCESS_STARTED,
         "entry {instance} started, incarnation {incarnation}"
@@ -137,7 +132,7 @@
         }
     });
     let (view, config, draining) = (Arc::clone(view), config.clone(), Arc::clone(draining));
-    let instance = settings.instance.clone();
+    let instance = settings.node.instance.clone();
     let status = Arc::new(move || {
         let (view, config) = (view.load(), config.borrow().clone());
         let agents = view.agents.iter().map(|agent| {
@@ -172,5 +167,5 @@
             tokio::time::sleep(IDLE_LOOK).await;
         }
     };
-    let _ = tokio::time::timeout(settings.grace, idle).await;
+    let _ = tokio::time::timeout(settings.node.grace, idle).await;
 }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -73,6 +73,16 @@
     pub local: Arc<Local>,
 }
 
+impl Agent {
+    /// What is believed of it, with what it said on answers since the view was made.
+    pub fn believed_state(&self) -> MemberState {
+        match self.local.leaving.load(Ordering::Relaxed) >= self.incarnation {
+            true => MemberState::Leaving,
+            false => self.state,
+        }
+    }
+}
+
 /// Another process's clock, never ahead of the true one.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RemoteClock {
@@ -96,6 +106,7 @@
     since_report: AtomicU32,
     not_before: AtomicU64,
     failed: AtomicU64,
+    leaving: AtomicU64,
     report: ArcSwapOption<LoadReport>,
 }
 
@@ -135,6 +146,11 @@
         self.not_before.store(micros, Ordering::Relaxed);
     }
 
+    /// Notes that a life of the agent said on an answer that it is leaving.
+    pub fn note_leaving(&self, incarnation: Incarnation) {
+        self.leaving.fetch_max(incarnation, Ordering::Relaxed);
+    }
+
     /// Notes that no connection to a life of the agent could be opened.
     pub fn note_failure(&self, incarnation: Incarnation) {
         self.failed.store(incarnation, Ordering::Relaxed);
--- a/crates/lab/src/experiments/capacity.rs
+++ b/crates/lab/src/experiments/capacity.rs
@@ -103,6 +103,7 @@
             waiting: 12,
             latency: 900_000,
             reachable: true,
+            leaving: false,
         }),
     }
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -3,11 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use jj_operator::{
-    audit::{AuditTrail, Change},
-    documents::DomainState,
-    published::Published,
-};
+use jj_operator::{audit::AuditTrail, documents::DomainState, published::Published};
 use jj_peer::control::{Heartbeat, LoadReport};
 use jj_platform::{
     config_reader::ConfigView,
@@ -23,7 +19,6 @@
 use jj_utils::{
     clock::{SharedClock, Timestamp},
     collections::FastMap,
-    events,
     ids::{FailureDomainId, Incarnation, InstanceId},
 };
 use jsonrpsee::server::ServerHandle;
@@ -35,6 +30,7 @@
 
 use crate::{
     control_port::{self, ControlPort, GroupHandler},
+    fleet_audit::FleetAudit,
     follower::{self, FollowContext, Follower},
     heartbeats::{Answer, Heartbeats, Received},
 };
@@ -53,13 +49,23 @@
 impl Default for FleetConfig {
     fn default() -> Self {
         Self {
-            interval: Duration::from_secs(1),
+            interval: Duration::from_secs(2),
             entries_per_agent: 16,
-            witnesses: 6,
+            witnesses: 3,
         }
     }
 }
 
+/// Silence is judged by the interval of heartbeats: one may be lost before an instance is suspect,
+/// two before it counts as gone. A failed connect tells sooner.
+fn membership_config(config: &FleetConfig) -> MembershipConfig {
+    MembershipConfig {
+        suspect_after: config.interval * 2,
+        gone_after: config.interval * 3,
+        ..MembershipConfig::default()
+    }
+}
+
 /// Tells the load of this process's backend server; none for an entry.
 pub type LoadSource = Box<dyn Fn() -> Option<LoadReport> + Send>;
 
@@ -140,13 +146,11 @@
     heartbeats: Heartbeats,
     membership: Membership,
     authority: Authority,
-    audit: Arc<AuditTrail>,
+    audit: FleetAudit,
     heard: FastMap<InstanceId, Heard>,
-    states: FastMap<InstanceId, MemberState>,
     /// Whom this process asks; worked out anew only when the live list changes.
     peers: Vec<Peer>,
     withdrawn: Vec<FailureDomainId>,
-    standing: Option<Standing>,
     tick: Interval,
 }
 
@@ -181,20 +185,19 @@
         let mut tick = tokio::time::interval(config.interval);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let authority = Authority::new(AuthorityConfig::default(), own.domain.clone());
+        let membership = Membership::new(membership_config(&config));
         Self {
             config,
             own,
             clock,
             follower,
             heartbeats,
-            membership: Membership::new(MembershipConfig::default()),
+            membership,
             authority,
-            audit,
+            audit: FleetAudit::new(audit),
             heard: FastMap::default(),
-            states: FastMap::default(),
             peers: Vec::new(),
             withdrawn: Vec::new(),
-            standing: None,
             tick,
         }
     }
@@ -269,7 +272,9 @@
         self.heartbeats.prune();
         self.membership.prune(self.clock.now());
         self.observe_self();
-        self.audit_changes();
+        self.audit
+            .members(&self.membership.states(self.clock.now()));
+        self.audit.standing(self.standing());
         let own = self.own_heartbeat();
         let list = self.list();
         for peer in &self.peers {
@@ -380,6 +385,7 @@
 
     fn take_config(&mut self) {
         let view = self.follower.config.borrow_and_update().clone();
+        self.audit.config(&view);
         if let Some(published) = &view.published {
             let domains = || published.fleet.domains.iter();
             let in_service = domains().filter(|(_, state)| **state == DomainState::InService);
@@ -388,7 +394,7 @@
             let withdrawn = domains().filter(|(_, state)| **state == DomainState::Withdrawn);
             let withdrawn: Vec<_> = withdrawn.map(|(id, _)| id.clone()).collect();
             self.membership.set_withdrawn(withdrawn.iter().cloned());
-            self.audit_domains(&withdrawn, published.index);
+            self.audit.domains(&withdrawn);
             self.withdrawn = withdrawn;
         }
         if let Some(reached) = view.reached {
@@ -407,82 +413,6 @@
         self.peers = self.choose_peers(&list);
         self.ask_peers();
     }
-
-    fn audit_domains(&self, withdrawn: &[FailureDomainId], index: u64) {
-        let change = |domain: &FailureDomainId, from: &str, to: &str| Change {
-            subject: format!("failure domain {domain}"),
-            from: from.into(),
-            to: to.into(),
-            reason: "published configuration".into(),
-            index,
-        };
-        for domain in withdrawn
-            .iter()
-            .filter(|domain| !self.withdrawn.contains(domain))
-        {
-            let change = change(domain, "in service", "withdrawn");
-            self.audit.record(events::DOMAIN_WITHDRAWN, change);
-        }
-        for domain in self
-            .withdrawn
-            .iter()
-            .filter(|domain| !withdrawn.contains(domain))
-        {
-            let change = change(domain, "withdrawn", "in service");
-            self.audit.record(events::DOMAIN_RETURNED, change);
-        }
-    }
-
-    fn audit_changes(&mut self) {
-        let now = self.clock.now();
-        let index = self.follower.config.borrow().index();
-        let states: Vec<_> = self
-            .membership
-            .states(now)
-            .into_iter()
-            .filter(|(id, _)| *id != self.own.instance)
-            .map(|(id, state)| (id.to_owned(), state))
-            .collect();
-        for (id, state) in states {
-            let before = self
-                .states
-                .insert(id.clone(), state)
-                .unwrap_or(MemberState::Unknown);
-            if before != state {
-                let change = Change {
-                    subject: format!("instance {id}"),
-                    from: format!("{before:?}"),
-                    to: format!("{state:?}"),
-                    reason: "live list, heartbeats and connects".into(),
-                    index,
-                };
-                self.audit.record(events::MEMBER_CHANGED, change);
-            }
-        }
-        self.audit_standing(index);
-    }
-
-    fn audit_standing(&mut self, index: u64) {
-        let standing = self.standing();
-        let before = self.standing.replace(standing);
-        let was = before.is_none_or(Standing::may_take_work);
-        if was == standing.may_take_work() {
-            return;
-        }
-        let event = if was {
-            events::AUTHORITY_LOST
-        } else {
-            events::AUTHORITY_BACK
-        };
-        let change = Change {
-            subject: "authority to take new work".into(),
-            from: before.map_or("unknown".into(), |before| format!("{before:?}")),
-            to: format!("{standing:?}"),
-            reason: "age of the configuration's evidence".into(),
-            index,
-        };
-        self.audit.record(event, change);
-    }
 }
 
 fn nodes<'a>(instances: &[&'a Instance]) -> Vec<Node<'a>> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,10 @@
 pub mod control_client;
 pub mod control_port;
 pub mod fleet;
+pub mod fleet_audit;
 pub mod follower;
 pub mod heartbeats;
 pub mod operator_port;
+pub mod process;
+pub mod settings;
 pub mod shutdown;
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,106 @@
+//! Settings that entry and agent share.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jj_utils::{
+    ids::{FailureDomainId, InstanceId},
+    logging::LogFormat,
+    settings::SettingsReader,
+};
+use log::LevelFilter;
+
+/// Shared flags as given on the command line.
+#[derive(Debug, Clone, Default)]
+pub struct NodeFlags {
+    /// `--instance`.
+    pub instance: Option<String>,
+    /// `--domain`.
+    pub domain: Option<String>,
+    /// `--platform`.
+    pub platform: Option<String>,
+    /// `--traffic-addr`.
+    pub traffic_addr: Option<String>,
+    /// `--control-addr`.
+    pub control_addr: Option<String>,
+    /// `--operator-addr`.
+    pub operator_addr: Option<String>,
+    /// `--grace`.
+    pub grace: Option<String>,
+    /// `--threads`.
+    pub threads: Option<String>,
+    /// `--log-format`.
+    pub log_format: Option<String>,
+    /// `--log-level`.
+    pub log_level: Option<String>,
+}
+
+/// Checked shared settings.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+    /// Base URL of the platform.
+    pub platform: String,
+    /// Address for requests: callers' at an entry, attempts at an agent.
+    pub traffic_addr: SocketAddr,
+    /// Address for control calls and heartbeats.
+    pub control_addr: SocketAddr,
+    /// Address of the operators' port.
+    pub operator_addr: SocketAddr,
+    /// Longest wait for open requests after SIGTERM.
+    pub grace: Duration,
+    /// Threads for traffic.
+    pub threads: usize,
+    /// Form of log lines.
+    pub log_format: LogFormat,
+    /// Least level of log lines.
+    pub log_level: LevelFilter,
+}
+
+impl NodeSettings {
+    /// Reads the shared settings; `None` when a required one is missing, which the reader reports.
+    pub fn read(reader: &mut SettingsReader<'_>, flags: NodeFlags) -> Option<Self> {
+        let instance = reader.required("instance", flags.instance);
+        let domain = reader.required("domain", flags.domain);
+        let platform = read_url(reader, "platform", flags.platform);
+        let traffic_addr = reader.required("traffic-addr", flags.traffic_addr);
+        let control_addr = reader.required("control-addr", flags.control_addr);
+        let operator_addr = reader.required("operator-addr", flags.operator_addr);
+        let grace = reader.duration("grace", flags.grace, Duration::from_secs(60));
+        let threads = reader.optional("threads", flags.threads, 2);
+        let log_format = reader.optional("log-format", flags.log_format, LogFormat::Text);
+        let log_level = reader.optional("log-level", flags.log_level, LevelFilter::Info);
+        reader.check(
+            (1..=64).contains(&threads),
+            "--threads: must be from 1 to 64",
+        );
+        Some(Self {
+            instance: instance?,
+            domain: domain?,
+            platform: platform?,
+            traffic_addr: traffic_addr?,
+            control_addr: control_addr?,
+            operator_addr: operator_addr?,
+            grace,
+            threads,
+            log_format,
+            log_level,
+        })
+    }
+}
+
+/// Reads a required base URL.
+pub fn read_url(
+    reader: &mut SettingsReader<'_>,
+    name: &str,
+    flag: Option<String>,
+) -> Option<String> {
+    let url = reader.required::<String>(name, flag)?;
+    reader.check(
+        url.starts_with("http://"),
+        format!("--{name}: must start with `http://`"),
+    );
+    Some(url)
+}
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -48,6 +48,9 @@
         pub latency: u64,
         /// True while the agent's backend server answers.
         pub reachable: bool,
+        /// True once the agent is leaving: news that must not wait for a heartbeat.
+        #[serde(default)]
+        pub leaving: bool,
     }
 }
 
--- a/crates/platform/src/config_view.rs
+++ b/crates/platform/src/config_view.rs
@@ -59,10 +59,6 @@
     });
     let Version { index, digest } = version;
     match (decision, checked) {
-        (config_order::Offer::Accepted, _) => {
-            let text = format!("accepted publication {digest} at index {index}");
-            log_event!(events::CONFIG_ACCEPTED, "{text}");
-        }
         (config_order::Offer::Refused(_), Err(refusal)) => refuse(view, refusal),
         (config_order::Offer::Conflict, _) => {
             let text = format!("publication {digest} has the index {index} of the one in force");
@@ -77,10 +73,6 @@
     if refusal.index <= view.borrow().refused_index() {
         return;
     }
-    log_event!(
-        events::CONFIG_REFUSED,
-        "{refusal}; the last accepted publication stays in force"
-    );
     view.send_modify(|view| view.refused = Some(Arc::new(refusal)));
 }
 
