--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of the agent, from flags and environment variables.
 
-use jj_node::settings::{NodeFlags, NodeSettings, read_url};
+use jj_node::{
+    node_flags,
+    settings::{NodeSettings, read_url},
+};
 use jj_operator::documents::ServiceKind;
 use jj_utils::{
     ids::{Rank, ServiceId},
@@ -74,19 +77,7 @@
     /// Every error found, one a line.
     pub fn read(flags: JujubeAgent, env: &EnvLookup<'_>) -> anyhow::Result<Self> {
         let mut reader = SettingsReader::new(env);
-        let node = NodeFlags {
-            instance: flags.instance,
-            domain: flags.domain,
-            platform: flags.platform,
-            traffic_addr: flags.traffic_addr,
-            control_addr: flags.control_addr,
-            operator_addr: flags.operator_addr,
-            grace: flags.grace,
-            threads: flags.threads,
-            log_format: flags.log_format,
-            log_level: flags.log_level,
-        };
-        let node = NodeSettings::read(&mut reader, node);
+        let node = NodeSettings::read(&mut reader, node_flags!(flags));
         let service = reader.required("service", flags.service);
         let kind = reader.required::<String>("kind", flags.kind);
         let kind = kind.and_then(|kind| read_kind(&mut reader, &kind));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jj_node::settings::{NodeFlags, NodeSettings};
+use jj_node::{node_flags, settings::NodeSettings};
 use jj_utils::settings::{EnvLookup, SettingsReader};
 
 use crate::cli::Serve;
@@ -25,19 +25,7 @@
     /// Every error found, one a line.
     pub fn read(flags: Serve, env: &EnvLookup<'_>) -> anyhow::Result<Self> {
         let mut reader = SettingsReader::new(env);
-        let node = NodeFlags {
-            instance: flags.instance,
-            domain: flags.domain,
-            platform: flags.platform,
-            traffic_addr: flags.traffic_addr,
-            control_addr: flags.control_addr,
-            operator_addr: flags.operator_addr,
-            grace: flags.grace,
-            threads: flags.threads,
-            log_format: flags.log_format,
-            log_level: flags.log_level,
-        };
-        let node = NodeSettings::read(&mut reader, node);
+        let node = NodeSettings::read(&mut reader, node_flags!(flags));
         let lifetime = reader.duration("lifetime", flags.lifetime, Duration::from_secs(10));
         let max_body = reader.optional("max-body", flags.max_body, 1024 * 1024);
         reader.check(
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -34,6 +34,25 @@
     pub log_level: Option<String>,
 }
 
+/// Takes the shared flags out of a binary's own.
+#[macro_export]
+macro_rules! node_flags {
+    ($flags:ident) => {
+        $crate::settings::NodeFlags {
+            instance: $flags.instance,
+            domain: $flags.domain,
+            platform: $flags.platform,
+            traffic_addr: $flags.traffic_addr,
+            control_addr: $flags.control_addr,
+            operator_addr: $flags.operator_addr,
+            grace: $flags.grace,
+            threads: $flags.threads,
+            log_format: $flags.log_format,
+            log_level: $flags.log_level,
+        }
+    };
+}
+
 /// Checked shared settings.
 #[derive(Debug, Clone)]
 pub struct NodeSettings {
