fix(policy): slow first bytes do not hold the limit of a server that says it is warm

Cause: a slow first byte reset the count of steady successes also when a fresh report said that the server was warm, so the limit stayed low. A server that does not say is judged by its latency as before.

--- a/crates/lab/src/experiments/queueing/fleet.rs
+++ b/crates/lab/src/experiments/queueing/fleet.rs
@@ -45,9 +45,6 @@
 const CONFIG_DELAY_MS: u64 = 2_000;
 const ADDRESS_LIFE_MS: u64 = 10_000;
 
-/// First tokens within this time are no sign of a cold server: a missing prefix alone takes long.
-const PLAUSIBLE_LATENCY: Duration = Duration::from_secs(3);
-
 /// Longest time for which an entry passes over a server that refused a request.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
 
--- a/crates/lab/src/experiments/queueing/fleet/parts.rs
+++ b/crates/lab/src/experiments/queueing/fleet/parts.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use jj_policy::{
-    admission::{Admission, AdmissionConfig, ColdConfig, LimitConfig, ServerReport, Ticket},
+    admission::{Admission, AdmissionConfig, LimitConfig, ServerReport, Ticket},
     membership::{Membership, MembershipConfig},
     retry::{RetryBudget, RetryConfig},
     routing::LoadReport,
 };
 use jj_utils::{clock::Timestamp, collections::FastMap};
 
-use super::{DOMAINS, MODEL_SERVERS, PLAUSIBLE_LATENCY, RunConfig};
+use super::{DOMAINS, MODEL_SERVERS, RunConfig};
 use crate::experiments::queueing::{
     engine::{Engine, EngineConfig},
     router::{ProbeAnswer, Router},
@@ -109,10 +109,6 @@
     let limit = LimitConfig {
         cold_floor: config.cold_floor,
         concurrency: config.concurrency,
-        cold: ColdConfig {
-            least_latency: PLAUSIBLE_LATENCY,
-            ..ColdConfig::default()
-        },
         ..LimitConfig::default()
     };
     Admission::new(
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -119,10 +119,12 @@
     /// Judges the time to the first byte of an answer.
     pub fn latency(&mut self, now: Timestamp, sample: Duration) -> Sample {
         let usual = self.usual.unwrap_or(sample);
+        if self.is_surely_warm(now) {
+            self.slow = 0;
+            self.usual = Some((usual * 7 + sample) / 8);
+            return Sample::Steady;
+        }
         if self.is_slow(usual, sample) {
-            if self.is_surely_warm(now) {
-                return Sample::Raised;
-            }
             self.slow += 1;
             return match self.slow >= self.config.slow_burst {
                 true => Sample::Cold,
