fix(node): an entry is ready once it has heard the listed agents

Cause: with heartbeats 2 s apart, an agent that was listed before it listened missed the entry's first question and stayed unknown for up to 2 s. The entry said it was ready and refused the first request as not run.

Now listed peers that were never heard from are asked each 250 ms, 20 times at most after a change of the list, and an entry is ready when all have answered or the questions are used up.

The abandoned stream's test now also says how its call ended if it ends early.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -174,6 +174,7 @@
             total_weight: self.total_weight(),
             permit: self.permit(),
             standing: format!("{:?}", self.fleet.standing()),
+            has_asked_around: self.fleet.has_asked_around(),
         };
         self.context.view.store(Arc::new(view));
     }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -126,9 +126,12 @@
             return Err("draining".to_owned());
         }
         let view = ready_view.load();
-        match view.published.is_some() && view.permit.is_some() {
+        if view.published.is_none() || view.permit.is_none() {
+            return Err(format!("takes no new work: {}", view.standing));
+        }
+        match view.has_asked_around {
             true => Ok(()),
-            false => Err(format!("takes no new work: {}", view.standing)),
+            false => Err("waits for the first heartbeats of the agents".to_owned()),
         }
     });
     let (view, config, draining) = (Arc::clone(view), config.clone(), Arc::clone(draining));
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -32,6 +32,8 @@
     pub permit: Option<Permit>,
     /// How this process stands, for operators.
     pub standing: String,
+    /// Whether the listed agents have been heard from, or have had time to answer.
+    pub has_asked_around: bool,
 }
 
 impl View {
--- a/crates/lab/tests/abandoned.rs
+++ b/crates/lab/tests/abandoned.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use anyhow::ensure;
 use googletest::prelude::*;
 use jj_backend::health::BackendLoad;
 use jujube_lab::{
@@ -42,10 +43,15 @@
             .chat(&base, &Chat::streamed("abandoned", TOKENS))
             .await
     });
-    wait_until("the engine works", LIMIT, || async {
-        running(&fleet).await.is_ok_and(|running| running == 1)
-    })
-    .await?;
+    let working = wait_until("the engine works", LIMIT, || async {
+        call.is_finished() || running(&fleet).await.is_ok_and(|running| running == 1)
+    });
+    working.await?;
+    ensure!(
+        !call.is_finished(),
+        "the call ended early: {:?}",
+        call.await
+    );
 
     call.abort();
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -44,6 +44,10 @@
     pub entries_per_agent: usize,
     /// Entries that a process asks only to learn of configuration and partitions.
     pub witnesses: usize,
+    /// Time between two early heartbeats to a listed peer that was never heard from.
+    pub early: Duration,
+    /// Early heartbeats after a change of the live list: a process may be listed before it listens.
+    pub early_asks: u32,
 }
 
 impl Default for FleetConfig {
@@ -52,6 +56,8 @@
             interval: Duration::from_secs(2),
             entries_per_agent: 16,
             witnesses: 3,
+            early: Duration::from_millis(250),
+            early_asks: 20,
         }
     }
 }
@@ -152,6 +158,10 @@
     peers: Vec<Peer>,
     withdrawn: Vec<FailureDomainId>,
     tick: Interval,
+    early_tick: Interval,
+    /// Early heartbeats left since the live list changed; `None` before the first list.
+    early_left: Option<u32>,
+    asked_around: bool,
 }
 
 /// A process that this one asks.
@@ -184,6 +194,8 @@
     ) -> Self {
         let mut tick = tokio::time::interval(config.interval);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut early_tick = tokio::time::interval(config.early);
+        early_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let authority = Authority::new(AuthorityConfig::default(), own.domain.clone());
         let membership = Membership::new(membership_config(&config));
         Self {
@@ -199,6 +211,9 @@
             peers: Vec::new(),
             withdrawn: Vec::new(),
             tick,
+            early_tick,
+            early_left: None,
+            asked_around: false,
         }
     }
 
@@ -206,6 +221,7 @@
     pub async fn step(&mut self) {
         tokio::select! {
             _ = self.tick.tick() => self.ask_peers(),
+            _ = self.early_tick.tick(), if self.early_left > Some(0) => self.ask_unheard(),
             Ok(()) = self.follower.config.changed() => self.take_config(),
             Ok(()) = self.follower.list.changed() => self.take_list(),
             received = self.heartbeats.receive() => self.take_datagram(received),
@@ -284,6 +300,29 @@
             .retain(|id, _| list.instances.iter().any(|i| i.id == *id));
     }
 
+    /// Asks the peers that have never answered: a first heartbeat may have come before they
+    /// listened.
+    fn ask_unheard(&mut self) {
+        self.early_left = self.early_left.map(|left| left.saturating_sub(1));
+        let own = self.own_heartbeat();
+        let unheard = self.peers.iter();
+        for peer in unheard.filter(|peer| !self.heard.contains_key(&peer.id)) {
+            self.heartbeats.ask(&peer.id, peer.control, &own);
+        }
+    }
+
+    /// True from when every peer of a live list had been heard from, or had had time to answer.
+    pub fn has_asked_around(&mut self) -> bool {
+        let all_heard = || self.peers.iter().all(|it| self.heard.contains_key(&it.id));
+        let has_now = match self.early_left {
+            None => false,
+            Some(0) => true,
+            Some(_) => all_heard(),
+        };
+        self.asked_around |= has_now;
+        self.asked_around
+    }
+
     fn choose_peers(&self, list: &InstanceList) -> Vec<Peer> {
         let others = list.instances.iter().filter(|i| i.id != self.own.instance);
         let (entries, agents): (Vec<&Instance>, Vec<&Instance>) =
@@ -411,6 +450,8 @@
         });
         self.membership.observe_list(&listed.collect::<Vec<_>>());
         self.peers = self.choose_peers(&list);
+        self.early_left = Some(self.config.early_asks);
+        self.early_tick.reset();
         self.ask_peers();
     }
 }
