fix(policy): a server that says it is warm gets its concurrency within a few reports

Cause: the limit left the floor only after eight steady answers and then rose by one for each two, also beside a server that said itself that it was warm. With answers of one to two seconds and a floor of two the ramp alone took 6 to 7 s after the warm-up. Routing and the pause after a refusal were ruled out: with the limit taken away (the whole concurrency at the first word) the goodput is back at once with both as they were.

Tests: goodput_is_back_within_seconds_of_the_servers_warmth failed with 6 and 7 s, passes with 0 and 0; a_gate_is_wide_within_seconds_of_the_word_warm failed with a limit of 2, passes with 32. The floor holds in 18 more cases with servers that say when they are warm.

Failed: for servers that do not say whether they are warm no growth rule of the four tried in the model (one or two answers for each step, four or eight to leave the floor) comes near; the limit falls on first bytes of uncached prompts.

--- a/crates/lab/src/experiments/domain.rs
+++ b/crates/lab/src/experiments/domain.rs
@@ -138,6 +138,16 @@
     vec![of(hangang()), of(kalahari())]
 }
 
+/// Seconds from the moment at which half the model servers are warm again until the goodput is
+/// back, in each deployment; none if it never is.
+pub fn seconds_to_goodput(seed: u64) -> Vec<Option<u64>> {
+    let of = |workload: Workload| {
+        let outcome = overload_outcome(&scaled(workload, FULL_LOAD), Method::Policy, seed);
+        seconds_back(&outcome)
+    };
+    vec![of(hangang()), of(kalahari())]
+}
+
 /// Tables of both experiments, in Markdown.
 pub fn run(seed: u64) -> String {
     let mut text = String::new();
@@ -222,28 +232,34 @@
 
 fn overload_row(workload: &Workload, method: Method, seed: u64) -> String {
     let outcome = overload_outcome(workload, method, seed);
-    let span = |from: u64, until: u64| Duration::from_secs(from)..Duration::from_secs(until);
-    let goodput = |from: u64, until: u64| {
-        let model = outcome.within(span(from, until), |e| {
-            e.service == Service::Model && e.in_time
-        });
-        model.len() as f64 / (until - from) as f64
-    };
-    let before = goodput(40, LOST_AT);
-    let is_back = |second: &u64| goodput(*second, second + 3) >= BACK * before;
-    let back = (WARM_AT..END - 13).find(is_back);
-    let during = outcome.within(span(LOST_AT, RESTORED_AT), |_| true);
+    let gone = Duration::from_secs(LOST_AT)..Duration::from_secs(RESTORED_AT);
     format!(
-        "| {} | {} | {before:.1} | {:.1} | {:.1} | {} | {:.3} |\n",
+        "| {} | {} | {:.1} | {:.1} | {:.1} | {} | {:.3} |\n",
         workload.name,
         method.name(),
-        goodput(LOST_AT + 2, RESTORED_AT),
-        goodput(WARM_AT + 5, END - 10),
-        back.map_or("never".to_owned(), |at| (at - WARM_AT).to_string()),
-        attempts(&during),
+        goodput(&outcome, 40, LOST_AT),
+        goodput(&outcome, LOST_AT + 2, RESTORED_AT),
+        goodput(&outcome, WARM_AT + 5, END - 10),
+        seconds_back(&outcome).map_or("never".to_owned(), |seconds| seconds.to_string()),
+        attempts(&outcome.within(gone, |_| true)),
     )
 }
 
+/// Model requests a second that were sent between the two seconds and answered in time.
+fn goodput(outcome: &Outcome, from: u64, until: u64) -> f64 {
+    let span = Duration::from_secs(from)..Duration::from_secs(until);
+    let served = outcome.within(span, |e| e.service == Service::Model && e.in_time);
+    served.len() as f64 / (until - from) as f64
+}
+
+/// Seconds from the servers' warmth to the goodput of before they vanished.
+fn seconds_back(outcome: &Outcome) -> Option<u64> {
+    let before = goodput(outcome, 40, LOST_AT);
+    let is_back = |second: &u64| goodput(outcome, *second, second + 3) >= BACK * before;
+    let back = (WARM_AT..END - 13).find(is_back)?;
+    Some(back - WARM_AT)
+}
+
 /// Whole answers in time each second while the failure domain leaves and returns, as SVG.
 ///
 /// An empty text when the drawing fails.
--- a/crates/lab/tests/queueing.rs
+++ b/crates/lab/tests/queueing.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use jujube_lab::experiments::{
-    domain::{failures, overload_attempts},
+    domain::{failures, overload_attempts, seconds_to_goodput},
     queueing::router::Method,
     routing::{flood_ratios, missed},
 };
@@ -55,3 +55,10 @@
         expect_that!(attempts, le(1.1));
     }
 }
+
+#[gtest]
+fn goodput_is_back_within_seconds_of_the_servers_warmth() {
+    for seconds in seconds_to_goodput(SEED) {
+        expect_that!(seconds, some(le(3)));
+    }
+}
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -203,8 +203,8 @@
         Some(report.uptime? + now.saturating_sub(report.measured))
     }
 
-    /// Whether the server said lately that it is warm.
-    fn is_surely_warm(&self, now: Timestamp) -> bool {
+    /// Whether the server said lately that it is warm; see [`ColdConfig::report_lifetime`].
+    pub fn is_surely_warm(&self, now: Timestamp) -> bool {
         self.report.as_ref().is_some_and(|report| {
             let age = now.saturating_sub(report.measured);
             report.warm == Some(true) && age <= self.config.report_lifetime
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -1,5 +1,8 @@
 //! How many concurrent requests one backend server gets: from its cold floor to its warm
 //! concurrency, and back to the floor at once when it turns cold.
+//!
+//! A server that says of itself that it is warm gets its full concurrency within a few reports;
+//! for one that does not say, the limit grows with steady answers only.
 
 use std::time::Duration;
 
@@ -184,9 +187,22 @@
             return;
         }
         self.steady = 0;
-        self.value += 1;
-        if self.value == self.config.ceiling() {
-            self.note(self.value - 1, None);
+        self.raise_to(self.value + 1);
+    }
+
+    /// Doubles the limit at each fresh report in which the server says that it is warm: its word
+    /// needs no answers to confirm it, and a few steps show a wrong word before the whole load is
+    /// there.
+    fn widen(&mut self, now: Timestamp) {
+        if self.value < self.config.ceiling() && self.detector.is_surely_warm(now) {
+            self.raise_to(self.value.saturating_mul(2).min(self.config.ceiling()));
+        }
+    }
+
+    fn raise_to(&mut self, value: u32) {
+        let from = std::mem::replace(&mut self.value, value);
+        if value == self.config.ceiling() {
+            self.note(from, None);
         }
     }
 
@@ -196,6 +212,7 @@
             self.suspect = None;
         }
         let Some(cause) = self.detector.report(report) else {
+            self.widen(now);
             return false;
         };
         self.fall(now, cause);
--- a/crates/policy/tests/cold_start.rs
+++ b/crates/policy/tests/cold_start.rs
@@ -49,6 +49,8 @@
     work: Vec<(u64, Timestamp)>,
     peak_cold: u32,
     excess_starts: u32,
+    /// Whether its reports say that it is cold or warm, and how long before the truth they say warm.
+    word: Option<Duration>,
 }
 
 impl Server {
@@ -97,7 +99,7 @@
             measured: now,
             boot_id: Some(self.boot.to_string()),
             uptime: Some(now - self.booted),
-            warm: None,
+            warm: self.word.map(|early| !self.is_cold(now + early)),
             in_flight: Some(self.work.len() as u32),
         }
     }
@@ -125,7 +127,15 @@
 
 /// Every entry sends through the one gate; the server reports but does not say "cold".
 fn run_gate(entries: usize, fault: Fault, config: AdmissionConfig) -> Measured {
-    let mut server = Server::default();
+    run_gate_with(Server::default(), entries, fault, config)
+}
+
+fn run_gate_with(
+    mut server: Server,
+    entries: usize,
+    fault: Fault,
+    config: AdmissionConfig,
+) -> Measured {
     let mut gate = Admission::new(config, Duration::ZERO);
     let mut completed = 0;
     let mut ticket = 0;
@@ -270,6 +280,57 @@
     }
 }
 
+#[gtest]
+fn the_floor_holds_beside_a_server_that_says_when_it_is_warm() {
+    for entries in [6, 9, 60] {
+        for fault in FAULTS {
+            let server = Server {
+                word: Some(Duration::ZERO),
+                ..Server::default()
+            };
+
+            let gate = run_gate_with(server, entries, fault, config());
+
+            expect_that!(gate.server.excess_starts, eq(0), "{entries} {fault:?}");
+            expect_that!(gate.server.peak_cold, eq(FLOOR), "{entries} {fault:?}");
+            expect_that!(gate.completed, gt(1000), "{entries} {fault:?}");
+        }
+    }
+}
+
+#[gtest]
+fn a_gate_is_wide_within_seconds_of_the_word_warm() {
+    let mut gate = Admission::new(config(), Duration::ZERO);
+    let report = |now: Timestamp, warm| ServerReport {
+        measured: now,
+        warm: Some(warm),
+        in_flight: Some(0),
+        ..ServerReport::default()
+    };
+    let until = |from: Timestamp, seconds: u64| {
+        let end = from + Duration::from_secs(seconds);
+        (0..)
+            .map(move |n| from + REPORT_EVERY * n)
+            .take_while(move |now| *now < end)
+    };
+
+    until(Duration::ZERO, 20).for_each(|now| drop(gate.observe(now, &report(now, false))));
+    let cold = gate.snapshot(FAULT_AT).limit;
+    until(FAULT_AT, 3).for_each(|now| drop(gate.observe(now, &report(now, true))));
+    let warm = gate.snapshot(END).limit;
+    let late = report(FAULT_AT + Duration::from_secs(4), false);
+    gate.observe(END, &late);
+    gate.observe(END, &report(FAULT_AT + Duration::from_secs(5), true));
+
+    expect_that!(cold, eq(FLOOR));
+    expect_that!(warm, eq(WARM));
+    expect_that!(
+        gate.snapshot(END).limit,
+        eq(FLOOR),
+        "an old word widens nothing"
+    );
+}
+
 #[gtest]
 fn a_gate_that_forgets_what_an_earlier_life_left_breaks_the_floor() {
     let forgetful = AdmissionConfig {
