feat(policy): admission counts tokens beside requests

Cause: an engine's prompts and answers share one KV memory, which a count of requests does not bound; a few huge prompts fill it and the engine gives up what it holds. The entry estimates prompt (bytes over three) and bound on the answer, the attempt carries the figure, and the gate beside the server admits only what fits into the declared `limits.tokens` (or `--tokens`) beside what runs and what it lost sight of. A request that is larger than the whole by the estimate runs alone, since only the engine knows; the one whose turn it is is not passed by smaller ones, or it might never run.

Left: what an earlier agent life left at the engine counts as a request but as no tokens; entries do not see tokens in load reports.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -52,6 +52,8 @@
     pub account: ClientAccountId,
     /// Weight of the account.
     pub weight: u32,
+    /// Tokens that it takes in the engine's memory, at most.
+    pub tokens: u32,
     /// When its whole answer is due.
     pub due: Timestamp,
 }
@@ -379,6 +381,7 @@
             weight: request.weight,
             deadline: request.due,
             cost: 1,
+            tokens: request.tokens,
         };
         match self.gate.offer(now, waiting) {
             Offer::Start => self.permit(ticket, reply),
@@ -482,6 +485,7 @@
 fn with_limits(mut config: AdmissionConfig, limits: &Limits) -> AdmissionConfig {
     config.limit.cold_floor = limits.cold_floor;
     config.limit.concurrency = limits.concurrency;
+    config.tokens = limits.tokens;
     config.queue.queue_limit = limits.queue;
     config.queue.account_limit = limits.queue.div_ceil(2);
     config
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -93,6 +93,7 @@
             concurrency: settings.concurrency,
             ..LimitConfig::default()
         },
+        tokens: settings.tokens,
         ..AdmissionConfig::default()
     };
     let (handler, requests) = group_rank::channel();
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -115,6 +115,7 @@
     let request = Request {
         account: head.account.clone(),
         weight: head.weight,
+        tokens: head.tokens,
         due,
     };
     let admitted = tokio::select! {
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -40,6 +40,8 @@
         optional --cold-floor count: String
         /// Concurrent requests that the warm backend server bears, until configuration says.
         optional --concurrency count: String
+        /// Tokens that the engine's memory holds, until configuration says; 0 for no limit.
+        optional --tokens count: String
         /// Longest wait for requests in progress after SIGTERM, such as 60s.
         optional --grace duration: String
         /// Threads for traffic.
@@ -68,6 +70,8 @@
     pub cold_floor: u32,
     /// Concurrent requests at a warm server, until configuration says.
     pub concurrency: u32,
+    /// Tokens that the engine's memory holds, until configuration says, where there is a limit.
+    pub tokens: Option<u32>,
 }
 
 impl Settings {
@@ -86,6 +90,7 @@
         reader.check(rank >= -1, "--rank: must not be negative");
         let cold_floor = reader.optional("cold-floor", flags.cold_floor, 1);
         let concurrency = reader.optional("concurrency", flags.concurrency, 16);
+        let tokens = reader.optional("tokens", flags.tokens, 0);
         reader.check(cold_floor >= 1, "--cold-floor: must be at least 1");
         reader.check(
             concurrency >= cold_floor,
@@ -101,6 +106,7 @@
             rank: Rank::try_from(rank).ok(),
             cold_floor,
             concurrency,
+            tokens: (tokens > 0).then_some(tokens),
         })
     }
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -371,6 +371,7 @@
             fingerprint: self.fingerprint(),
             resume: self.next,
             priority: self.routed.priority,
+            tokens: self.routed.tokens,
             call: Call {
                 method: self.request.method.clone(),
                 target: self.request.target(),
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -7,6 +7,7 @@
     documents::{Account, Route, ServiceDocument, ServiceKind},
     published::{Published, digest_of},
 };
+use jj_policy::tokens;
 use jj_utils::ids::{ClientAccountId, ServiceId};
 use poem::http::StatusCode;
 use serde::Deserialize;
@@ -36,6 +37,8 @@
     pub prefix: Option<String>,
     /// Priority in the engine.
     pub priority: i32,
+    /// Tokens that it takes in the engine's memory, at most; 0 for a plain call.
+    pub tokens: u32,
 }
 
 /// The members of a model request's body that decide where it goes.
@@ -50,6 +53,18 @@
     messages: Vec<Message>,
     #[serde(default)]
     prompt: Option<String>,
+    #[serde(default, alias = "max_completion_tokens")]
+    max_tokens: Option<u32>,
+}
+
+impl ModelBody {
+    fn prompt_bytes(&self) -> usize {
+        let messages = self.messages.iter().map(|m| match &m.content {
+            serde_json::Value::String(text) => text.len(),
+            other => other.to_string().len(),
+        });
+        messages.sum::<usize>() + self.prompt.as_ref().map_or(0, String::len)
+    }
 }
 
 #[derive(Debug, Deserialize)]
@@ -124,6 +139,7 @@
         )));
     };
     let route = document.routes.iter().find(|route| matches(route, request));
+    let tokens = tokens::estimate(body.prompt_bytes(), body.max_tokens);
     let prefix = body
         .prompt
         .or_else(|| body.messages.first().map(|m| m.content.to_string()));
@@ -136,6 +152,7 @@
         timeout: route.map_or(MODEL_TIMEOUT, |route| route.timeout),
         prefix,
         priority: body.priority,
+        tokens,
     })
 }
 
@@ -158,6 +175,7 @@
         timeout: route.timeout,
         prefix: None,
         priority: 0,
+        tokens: 0,
     })
 }
 
--- a/crates/lab/src/experiments/queueing/fleet/agents.rs
+++ b/crates/lab/src/experiments/queueing/fleet/agents.rs
@@ -39,6 +39,7 @@
                 weight: 1,
                 deadline: arrival.at + arrival.timeout,
                 cost: 1,
+                tokens: 0,
             },
         );
         match offer {
--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -17,6 +17,8 @@
             optional --token-delay-us micros: u64
             /// Time before the first token of an unknown prefix, in microseconds.
             optional --prefill-delay-us micros: u64
+            /// Tokens that its memory holds; any without a number.
+            optional --token-capacity count: u32
             /// Requests that it bears while cold.
             optional --cold-floor count: u32
             /// Time from the start to being warm, in milliseconds.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -182,6 +182,7 @@
         prefill_delay: Duration::from_micros(flags.prefill_delay_us.unwrap_or(0)),
         fencing: flags.fencing.unwrap_or(default.fencing),
         cold: cold_config(flags.cold_floor, flags.warm_after_ms),
+        memory: flags.token_capacity,
         cache: CacheConfig {
             event_lag: Duration::from_millis(flags.event_lag_ms.unwrap_or(0)),
             lose_each: flags.event_loss.unwrap_or(0),
--- a/crates/lab/src/path_bench.rs
+++ b/crates/lab/src/path_bench.rs
@@ -99,6 +99,7 @@
             cold_floor: 512,
             concurrency: 1024,
             queue: 1024,
+            tokens: None,
         };
     }
     FleetConfig {
--- a/crates/lab/src/publication.rs
+++ b/crates/lab/src/publication.rs
@@ -99,6 +99,7 @@
             cold_floor: 4,
             concurrency: 512,
             queue: 512,
+            tokens: None,
         },
         group: None,
     }
@@ -117,6 +118,7 @@
             cold_floor: 4,
             concurrency: 128,
             queue: 256,
+            tokens: None,
         },
         group: None,
     }
--- a/crates/lab/src/standins/engine.rs
+++ b/crates/lab/src/standins/engine.rs
@@ -23,6 +23,7 @@
         cold_start::{ColdConfig, ColdStart},
         engine_api, engine_control,
         faults::{ControlRequest, Faults},
+        kv_memory::KvMemory,
         ledger::{Executions, Ledger},
         orders::Orders,
         prefix_cache::{CacheConfig, PrefixCache},
@@ -47,6 +48,8 @@
     pub fencing: bool,
     /// Behaviour while cold.
     pub cold: ColdConfig,
+    /// Tokens that its memory holds; without a number, any.
+    pub memory: Option<u32>,
     /// The prefix cache.
     pub cache: CacheConfig,
 }
@@ -61,6 +64,7 @@
             step_time: Duration::from_millis(10),
             fencing: true,
             cold: ColdConfig::default(),
+            memory: None,
             cache: CacheConfig::default(),
         }
     }
@@ -73,6 +77,8 @@
     pub config: EngineConfig,
     /// Cold phases.
     pub cold: Arc<ColdStart>,
+    /// Memory of prompts and answers.
+    pub memory: Arc<KvMemory>,
     /// The batch.
     pub slots: Arc<Slots>,
     /// Prompt prefixes.
@@ -93,6 +99,7 @@
     pub fn new(config: EngineConfig) -> Arc<Self> {
         Arc::new(Self {
             cold: ColdStart::new(config.cold.clone()),
+            memory: KvMemory::new(config.memory),
             slots: Slots::new(config.capacity),
             cache: PrefixCache::new(config.cache.clone()),
             orders: Orders::new(config.fencing, config.models.clone()),
@@ -118,9 +125,12 @@
     /// All counts, those of cold phases included.
     pub fn executions(&self) -> Executions {
         let counts = self.cold.counts();
+        let memory = self.memory.counts();
         Executions {
             cold_peak: counts.peak,
             falls: counts.falls,
+            token_peak: memory.peak,
+            evicted: memory.evicted,
             ..self.ledger.snapshot()
         }
     }
--- a/crates/lab/src/standins/engine_api.rs
+++ b/crates/lab/src/standins/engine_api.rs
@@ -15,7 +15,10 @@
 
 use crate::{
     http::Breaker,
-    standins::{cold_start::Working, engine::Engine, faults::Fault, ledger::Names, slots::Slot},
+    standins::{
+        cold_start::Working, engine::Engine, faults::Fault, kv_memory::Held, ledger::Names,
+        slots::Slot,
+    },
     tokens,
 };
 
@@ -65,6 +68,14 @@
         contents.join("\n")
     }
 
+    /// Tokens of prompt and answer.
+    fn tokens(&self) -> u32 {
+        let prompt = self.prompt_text().split_whitespace().count();
+        u32::try_from(prompt)
+            .unwrap_or(u32::MAX)
+            .saturating_add(self.count())
+    }
+
     fn count(&self) -> u32 {
         self.max_tokens.unwrap_or(DEFAULT_TOKENS)
     }
@@ -84,10 +95,16 @@
     falls: u32,
     cancel: CancellationToken,
     breaker: Breaker,
-    _working: Working,
+    _place: Place,
     _slot: Slot,
 }
 
+/// What one completion takes of the engine; given back when dropped.
+struct Place {
+    _working: Working,
+    _held: Held,
+}
+
 impl Drop for Job {
     fn drop(&mut self) {
         self.engine.forget(&self.request);
@@ -119,8 +136,15 @@
     let Ok(working) = engine.cold.enter() else {
         return (StatusCode::INTERNAL_SERVER_ERROR, "out of memory").into_response();
     };
+    let Ok(held) = engine.memory.take(completion.tokens()) else {
+        return (StatusCode::INTERNAL_SERVER_ERROR, "out of KV memory").into_response();
+    };
     let stream = completion.stream;
-    let job = start(engine, request, completion, fault, working).await;
+    let place = Place {
+        _working: working,
+        _held: held,
+    };
+    let job = start(engine, request, completion, fault, place).await;
     if stream {
         return Response::builder()
             .content_type("text/event-stream")
@@ -136,7 +160,7 @@
     request: &Request,
     completion: Completion,
     fault: Fault,
-    working: Working,
+    place: Place,
 ) -> Job {
     let header = |name: &str| request.header(name).map(str::to_owned);
     let priority = header("x-priority").and_then(|text| text.parse().ok());
@@ -173,7 +197,7 @@
         model: completion.model,
         fault,
         falls: engine.cold.counts().falls,
-        _working: working,
+        _place: place,
         _slot: slot,
     }
 }
--- a/crates/lab/src/standins/ledger.rs
+++ b/crates/lab/src/standins/ledger.rs
@@ -34,6 +34,10 @@
         pub cold_peak: u32,
         /// Times that work beyond the cold floor made the backend server fall over.
         pub falls: u32,
+        /// Most tokens at once that an engine was asked to hold.
+        pub token_peak: u32,
+        /// Requests for which an engine's memory had no room.
+        pub evicted: u32,
         /// By `x-request-id`.
         pub by_request: BTreeMap<String, Execution>,
         /// By `Idempotency-Key`.
--- a/crates/lab/src/standins/mod.rs
+++ b/crates/lab/src/standins/mod.rs
@@ -6,6 +6,7 @@
 pub mod engine_control;
 pub mod faults;
 pub mod group;
+pub mod kv_memory;
 pub mod ledger;
 pub mod orders;
 pub mod platform;
--- a/crates/operator/src/documents.rs
+++ b/crates/operator/src/documents.rs
@@ -143,6 +143,9 @@
         pub concurrency: u32,
         /// Requests that may wait in an agent.
         pub queue: u32,
+        /// Tokens that an engine's memory holds for prompts and answers, where that is declared.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub tokens: Option<u32>,
     }
 }
 
--- a/crates/operator/src/files.rs
+++ b/crates/operator/src/files.rs
@@ -45,6 +45,7 @@
                 cold_floor: 1,
                 concurrency: 32,
                 queue: 64,
+                tokens: None,
             },
             weight: 1,
         }
@@ -214,14 +215,19 @@
             return Some(default.clone());
         };
         let source = &mut self.source;
-        fields.only(source, &["cold_floor", "concurrency", "queue"]);
+        fields.only(source, &["cold_floor", "concurrency", "queue", "tokens"]);
         let cold_floor = fields.number(source, "cold_floor", Some(default.cold_floor));
         let concurrency = fields.number(source, "concurrency", Some(default.concurrency));
         let queue = fields.number(source, "queue", Some(default.queue));
+        let tokens = match fields.get("tokens") {
+            Some(_) => Some(fields.number(source, "tokens", None)?),
+            None => None,
+        };
         Some(Limits {
             cold_floor: cold_floor?,
             concurrency: concurrency?,
             queue: queue?,
+            tokens,
         })
     }
 
--- a/crates/operator/src/rules.rs
+++ b/crates/operator/src/rules.rs
@@ -26,6 +26,8 @@
 pub const MAX_TIMEOUT: Duration = Duration::from_secs(3600);
 /// Largest limit on requests.
 pub const MAX_REQUESTS: u32 = 100_000;
+/// Largest limit on tokens.
+pub const MAX_TOKENS: u32 = 1_000_000_000;
 /// Largest weight of a client account.
 pub const MAX_WEIGHT: u32 = 10_000;
 /// Most keys of one client account.
@@ -44,6 +46,7 @@
     check_models(&mut problems, document);
     check_routes(&mut problems, &document.routes);
     check_limits(&mut problems, &document.limits);
+    check_tokens(&mut problems, document.kind, document.limits.tokens);
     if let Some(group) = &document.group {
         check_group(&mut problems, document.kind, group);
     }
@@ -228,6 +231,20 @@
     }
 }
 
+fn check_tokens(problems: &mut Vec<Problem>, kind: ServiceKind, tokens: Option<u32>) {
+    let Some(tokens) = tokens else {
+        return;
+    };
+    if kind == ServiceKind::Plain {
+        let reason = "only a service of kind `model` has a limit in tokens";
+        problems.push(Problem::new("limits.tokens", reason));
+    }
+    if !(1..=MAX_TOKENS).contains(&tokens) {
+        let reason = format!("{tokens} is out of range; allowed: 1 to {MAX_TOKENS}");
+        problems.push(Problem::new("limits.tokens", reason));
+    }
+}
+
 fn check_group(problems: &mut Vec<Problem>, kind: ServiceKind, group: &Group) {
     if kind == ServiceKind::Plain {
         problems.push(Problem::new(
--- a/crates/operator/tests/check.rs
+++ b/crates/operator/tests/check.rs
@@ -134,6 +134,17 @@
             &format!("{service}limits = {{ cold_floor = 9, concurrency = 3 }}\n{ROUTE}"),
             &["f:3: limits.cold_floor: 9 is above concurrency (3)"],
         ),
+        (
+            &format!("{service}limits = {{ tokens = 0 }}\n{ROUTE}"),
+            &[
+                "f:3: limits.tokens: 0 is out of range; allowed: 1 to 1000000000",
+                "f:3: limits.tokens: only a service of kind `model` has a limit in tokens",
+            ],
+        ),
+        (
+            &format!("{service}limits = {{ tokens = 4096 }}\n{ROUTE}"),
+            &["f:3: limits.tokens: only a service of kind `model` has a limit in tokens"],
+        ),
         (
             &format!(
                 "{service}{ROUTE}[group]\nranks = 2\nexperts = 9\nslots = 4\nfencing = true\n"
--- a/crates/peer/src/attempt.rs
+++ b/crates/peer/src/attempt.rs
@@ -40,6 +40,8 @@
         pub resume: u64,
         /// Higher goes first in the engine.
         pub priority: i32,
+        /// Tokens that it takes in the engine's memory, at most; 0 for a plain call.
+        pub tokens: u32,
         /// How the agent talks to its backend server.
         pub call: Call,
     }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -18,6 +18,7 @@
     fairness::{FairQueue, Push},
     limit::ConcurrencyLimit,
     orphans::Orphans,
+    tokens,
 };
 
 common_derives! {value:
@@ -26,6 +27,8 @@
     pub struct AdmissionConfig {
         /// Concurrent requests at the server.
         pub limit: LimitConfig,
+        /// Tokens that its memory holds for requests; none where that is not declared.
+        pub tokens: Option<u32>,
         /// Requests in the queue.
         pub queue: FairnessConfig,
         /// How long a request that the agent has lost sight of counts as in flight, unless the
@@ -42,6 +45,7 @@
     fn default() -> Self {
         Self {
             limit: LimitConfig::default(),
+            tokens: None,
             queue: FairnessConfig::default(),
             orphan_life: Duration::from_secs(5),
             retry_least: Duration::from_millis(50),
@@ -145,6 +149,7 @@
 struct Running {
     started: Timestamp,
     answered: bool,
+    tokens: u32,
 }
 
 /// The gate to one backend server.
@@ -192,8 +197,8 @@
             return self.refuse(ticket, RefusalReason::Deadline);
         }
         self.notice_overdue(now);
-        if self.queue.is_empty() && self.has_room(now) {
-            self.begin(now, ticket);
+        if self.queue.is_empty() && self.has_room(now, waiting.tokens) {
+            self.begin(now, &waiting);
             return Offer::Start;
         }
         let ahead = self.queue.ahead_of(&waiting.account, waiting.weight);
@@ -254,11 +259,8 @@
         self.notice_overdue(now);
         let refused = self.expired(now);
         let mut started = Vec::new();
-        while self.has_room(now) {
-            let Some(next) = self.queue.pop() else {
-                break;
-            };
-            self.begin(now, next.ticket);
+        while let Some(next) = self.next_with_room(now) {
+            self.begin(now, &next);
             started.push(next.ticket);
         }
         Released { started, refused }
@@ -298,17 +300,39 @@
         self.running.len() as u32
     }
 
-    fn has_room(&self, now: Timestamp) -> bool {
+    /// Tokens at the server, as far as they are known.
+    fn tokens(&self, now: Timestamp) -> u32 {
+        let running = self.running.values().map(|it| it.tokens);
+        running.fold(self.orphans.tokens(now), u32::saturating_add)
+    }
+
+    fn has_room(&self, now: Timestamp, tokens: u32) -> bool {
         let busy = self.in_flight() + self.orphans.count(now);
-        busy < self.limit.value() && !self.orphans.is_unknown(now)
+        busy < self.limit.value() && !self.orphans.is_unknown(now) && self.has_memory(now, tokens)
+    }
+
+    /// Takes the request whose turn it is out of the queue, if the server has room for it. Smaller
+    /// ones behind it do not pass it, or a huge one might never run.
+    fn next_with_room(&mut self, now: Timestamp) -> Option<Waiting> {
+        let tokens = self.queue.peek()?.tokens;
+        match self.has_room(now, tokens) {
+            true => self.queue.pop(),
+            false => None,
+        }
+    }
+
+    fn has_memory(&self, now: Timestamp, tokens: u32) -> bool {
+        let capacity = self.config.tokens;
+        capacity.is_none_or(|capacity| tokens::fits(capacity, self.tokens(now), tokens))
     }
 
-    fn begin(&mut self, now: Timestamp, ticket: Ticket) {
+    fn begin(&mut self, now: Timestamp, waiting: &Waiting) {
         let running = Running {
             started: now,
             answered: false,
+            tokens: waiting.tokens,
         };
-        self.running.insert(ticket, running);
+        self.running.insert(waiting.ticket, running);
     }
 
     fn note_finish(&mut self, now: Timestamp, running: Running, finish: Finish) {
@@ -321,9 +345,9 @@
             Finish::Failed => self.limit.failed(),
             Finish::Unsent => {}
             Finish::Unreachable => self.limit.reset(now),
-            Finish::Abandoned => self.orphans.add(now),
+            Finish::Abandoned => self.orphans.add(now, running.tokens),
             Finish::Reset => {
-                self.orphans.add(now);
+                self.orphans.add(now, running.tokens);
                 self.limit.reset(now);
             }
         }
--- a/crates/policy/src/fairness.rs
+++ b/crates/policy/src/fairness.rs
@@ -48,6 +48,8 @@
         pub deadline: Timestamp,
         /// Relative work: 1 for a plain call, tokens over some unit for an engine.
         pub cost: u32,
+        /// Tokens that it takes in the engine's memory, at most; 0 for a plain call.
+        pub tokens: u32,
     }
 }
 
@@ -151,11 +153,15 @@
         }
     }
 
+    /// The request whose turn it is.
+    pub fn peek(&self) -> Option<&Waiting> {
+        let backlog = self.accounts.get(self.next_account()?)?;
+        backlog.entries.front()
+    }
+
     /// Takes the request whose turn it is.
     pub fn pop(&mut self) -> Option<Waiting> {
-        let backlogged = self.accounts.iter().filter(|(_, b)| !b.entries.is_empty());
-        let next = backlogged.min_by_key(|(_, backlog)| backlog.start_tag);
-        let account = next.map(|(name, _)| name.clone())?;
+        let account = self.next_account().cloned()?;
         let backlog = self.accounts.get_mut(&account)?;
         let waiting = backlog.entries.pop_front()?;
         self.virtual_time = self.virtual_time.max(backlog.start_tag);
@@ -183,6 +189,12 @@
         taken
     }
 
+    fn next_account(&self) -> Option<&ClientAccountId> {
+        let backlogged = self.accounts.iter().filter(|(_, b)| !b.entries.is_empty());
+        let next = backlogged.min_by_key(|(_, backlog)| backlog.start_tag);
+        next.map(|(name, _)| name)
+    }
+
     fn insert(&mut self, waiting: Waiting) {
         let virtual_time = self.virtual_time;
         let backlog = self.accounts.entry(waiting.account.clone()).or_default();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod retry;
 pub mod routing;
 pub mod subset;
+pub mod tokens;
 pub mod verdict;
--- a/crates/policy/src/orphans.rs
+++ b/crates/policy/src/orphans.rs
@@ -11,6 +11,7 @@
 struct Orphan {
     lost: Timestamp,
     ends: Timestamp,
+    tokens: u32,
 }
 
 /// Requests at one backend server that nobody follows.
@@ -49,12 +50,19 @@
         self.lost.iter().filter(|it| it.ends > now).count() as u32
     }
 
-    /// Adds one that the agent has just lost sight of.
-    pub fn add(&mut self, now: Timestamp) {
+    /// Tokens of those requests; what an earlier agent life left counts as none.
+    pub fn tokens(&self, now: Timestamp) -> u32 {
+        let present = self.lost.iter().filter(|it| it.ends > now);
+        present.fold(0, |sum: u32, it| sum.saturating_add(it.tokens))
+    }
+
+    /// Adds one of so many tokens that the agent has just lost sight of.
+    pub fn add(&mut self, now: Timestamp, tokens: u32) {
         self.lost.retain(|it| it.ends > now);
         self.lost.push(Orphan {
             lost: now,
             ends: now + self.life,
+            tokens,
         });
     }
 
@@ -101,6 +109,7 @@
         let before = (0..busy).map(|_| Orphan {
             lost: self.started,
             ends,
+            tokens: 0,
         });
         self.lost.extend(before);
     }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -48,6 +48,7 @@
         weight: 1,
         deadline,
         cost: 1,
+        tokens: 0,
     }
 }
 
--- a/crates/policy/tests/admission_trace.rs
+++ b/crates/policy/tests/admission_trace.rs
@@ -210,6 +210,7 @@
         weight: 1,
         deadline,
         cost: 1,
+        tokens: 0,
     }
 }
 
--- a/crates/policy/tests/cold_start.rs
+++ b/crates/policy/tests/cold_start.rs
@@ -213,6 +213,7 @@
         weight: 1,
         deadline: now + Duration::from_secs(10),
         cost: 1,
+        tokens: 0,
     }
 }
 
--- a/crates/policy/tests/fairness.rs
+++ b/crates/policy/tests/fairness.rs
@@ -13,6 +13,7 @@
         weight,
         deadline: Duration::from_secs(60),
         cost: 1,
+        tokens: 0,
     }
 }
 
