fix(entry): an account whose backlog is full closes no server to the others

Cause: a refusal kept every request of every account from the agent for up to 500 ms, also when only one account's part of the queue was full. An account that floods so closed all servers to the others, and the fair queue never saw them.

Its worth shows where no server is without a queue.

--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -166,7 +166,12 @@
 
     /// Ends the attempt without a whole answer.
     pub fn fail(&self, verdict: Verdict, reason: impl Into<String>) {
-        self.close(&Frame::Failed(Failure::new(verdict, reason)));
+        self.fail_with(Failure::new(verdict, reason));
+    }
+
+    /// Ends the attempt with this failure.
+    pub fn fail_with(&self, failure: Failure) {
+        self.close(&Frame::Failed(failure));
     }
 
     /// Cancels an attempt that nobody waits for; one that has not started never will.
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -65,6 +65,8 @@
     pub verdict: Verdict,
     /// Why, for logs and callers.
     pub reason: &'static str,
+    /// True when the server takes work of other client accounts.
+    pub account_only: bool,
 }
 
 impl Refused {
@@ -72,6 +74,7 @@
         Self {
             verdict: Verdict::NotRun { retry_after },
             reason,
+            account_only: false,
         }
     }
 }
@@ -84,7 +87,10 @@
             RefusalReason::AccountFull => "too much of the client account waits",
             RefusalReason::QueueFull => "queue full",
         };
-        Self::new(refusal.retry_after, reason)
+        Self {
+            account_only: !refusal.reason.closes_server(),
+            ..Self::new(refusal.retry_after, reason)
+        }
     }
 }
 
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use jj_backend::call::{BackendAnswer, BackendClient, CallError};
-use jj_peer::attempt::AttemptHead;
+use jj_peer::{attempt::AttemptHead, frames::Failure};
 use jj_policy::{admission::Finish, verdict::Verdict};
 use jj_utils::clock::{SharedClock, Timestamp};
 
@@ -46,6 +46,7 @@
 struct Ended {
     verdict: Verdict,
     reason: String,
+    account_only: bool,
     finish: Finish,
 }
 
@@ -55,6 +56,7 @@
         Self {
             verdict: Verdict::NotRun { retry_after },
             reason: reason.into(),
+            account_only: false,
             finish: Finish::Unsent,
         }
     }
@@ -63,16 +65,26 @@
         Self {
             verdict: Verdict::MayHaveRun,
             reason: reason.into(),
+            account_only: false,
             finish,
         }
     }
 }
 
+impl From<Ended> for Failure {
+    fn from(ended: Ended) -> Self {
+        Self {
+            account_only: ended.account_only,
+            ..Self::new(ended.verdict, ended.reason)
+        }
+    }
+}
+
 /// Runs the attempt to its end.
 pub async fn run(context: Context, attempt: Arc<Attempt>, work: Work) {
     match admit_and_drive(&context, &attempt, work).await {
         Ok(()) => attempt.finish(),
-        Err(ended) => attempt.fail(ended.verdict, ended.reason),
+        Err(ended) => attempt.fail_with(ended.into()),
     }
 }
 
@@ -125,6 +137,7 @@
     };
     admitted.map_err(|refused| Ended {
         verdict: refused.verdict,
+        account_only: refused.account_only,
         ..Ended::not_run(refused.reason)
     })
 }
@@ -182,6 +195,7 @@
     let too_large = |error: crate::attempt::AnswerTooLarge| Ended {
         verdict: Verdict::Ran,
         reason: error.to_string(),
+        account_only: false,
         finish: Finish::Abandoned,
     };
     attempt.push_head(head).map_err(too_large)?;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -250,8 +250,14 @@
     /// Another attempt after a failure, or the request's final answer at once.
     async fn again(&mut self, last: &Agent, failure: Failure) -> Result<Running, Refusal> {
         let now = self.context.clock.now();
-        let Failure { verdict, reason } = failure;
-        if let Verdict::NotRun { retry_after } = verdict {
+        let Failure {
+            verdict,
+            reason,
+            account_only,
+        } = failure;
+        if let Verdict::NotRun { retry_after } = verdict
+            && !account_only
+        {
             last.local
                 .refused_until(now + retry_after.min(LONGEST_PAUSE));
         }
--- a/crates/lab/src/experiments/queueing/fleet/entries.rs
+++ b/crates/lab/src/experiments/queueing/fleet/entries.rs
@@ -183,7 +183,8 @@
                     .membership
                     .observe_leaving(&self.servers[server].name, life);
             }
-            _ => entry.router.observe_refusal(server, until),
+            reason if reason.closes_server() => entry.router.observe_refusal(server, until),
+            _ => {}
         }
         let retry_after = refusal.retry_after;
         self.failed(request, server, Verdict::NotRun { retry_after });
--- a/crates/lab/src/experiments/routing.rs
+++ b/crates/lab/src/experiments/routing.rs
@@ -129,6 +129,40 @@
     vec![ratio(hangang()), ratio(kalahari())]
 }
 
+/// The small accounts' share of missed deadlines while one account floods half of the servers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SmallMissed {
+    /// In percent, with one queue in each agent.
+    pub single: f64,
+    /// In percent, with a queue that is fair between accounts.
+    pub fair: f64,
+}
+
+/// What the fair queue is worth where routing finds no server without a queue, for each deployment.
+pub fn small_missed(seed: u64) -> Vec<SmallMissed> {
+    let of = |workload: Workload| {
+        let case = half_gone("half gone", flood(workload));
+        let missed = |single_queue: bool| {
+            let outcome = outcome(&case, Method::Policy, seed, single_queue);
+            percent(&outcome.within(MEASURED, is_small), |e| !e.in_time)
+        };
+        SmallMissed {
+            single: missed(true),
+            fair: missed(false),
+        }
+    };
+    vec![of(hangang()), of(kalahari())]
+}
+
+/// Half of the model servers vanish as the measured part begins.
+fn half_gone(name: &'static str, workload: Workload) -> Case {
+    Case {
+        name,
+        workload,
+        faults: vec![(MEASURED.start, Fault::Lose(8))],
+    }
+}
+
 fn is_small(ended: &Ended) -> bool {
     ended.account >= 2 && ended.service == Service::Model
 }
@@ -182,11 +216,14 @@
             workload: flood(workload),
             faults: Vec::new(),
         };
+        let short = half_gone(name, flooded.workload.clone());
         let runs = [
             ("no flood, fair", &calm, Method::Policy, false),
             ("flood, one queue", &flooded, Method::Policy, true),
             ("flood, fair, random", &flooded, Method::Random, false),
             ("flood, fair", &flooded, Method::Policy, false),
+            ("flood, half gone, one queue", &short, Method::Policy, true),
+            ("flood, half gone, fair", &short, Method::Policy, false),
         ];
         let base = outcome(&calm, Method::Policy, seed, false);
         let base = first_token(&base.within(MEASURED, is_small), 0.99);
--- a/crates/lab/tests/overload.rs
+++ b/crates/lab/tests/overload.rs
@@ -1,6 +1,6 @@
 //! Half the backend servers vanish at full load and return cold, on real processes: retries stay
 //! within their budget, the rest goes on at its full rate, what is given up is told at once, and the
-//! returned servers get their share again.
+//! returned servers get their share again. And an account that floods closes no server to others.
 
 use std::{
     sync::{
@@ -12,11 +12,12 @@
 
 use futures_util::future::join_all;
 use googletest::prelude::*;
+use jj_operator::{documents::Account, published::digest_of};
 use jujube_lab::{
     caller::{Call, Caller, Outcome, Refused},
     fleet::{Fleet, FleetConfig, Server, args},
     process::{Process, wait_until},
-    publication::{PLAIN_SERVICE, Publication},
+    publication::{MODEL, PLAIN_SERVICE, Publication},
 };
 use tokio::task::JoinHandle;
 
@@ -255,3 +256,72 @@
     }
     Ok(())
 }
+
+/// API key and name of the account that floods.
+const FLOOD: &str = "flood";
+
+/// Lookups of the small account.
+const SMALL_CALLS: usize = 20;
+
+fn publication_with_flood() -> Publication {
+    let mut publication = publication();
+    let account = Account {
+        weight: 1,
+        keys: vec![digest_of(FLOOD.as_bytes())],
+    };
+    let accounts = &mut publication.fleet.accounts;
+    accounts.insert(FLOOD.to_owned(), account);
+    publication
+}
+
+async fn flood(base: String, number: usize, refused: Arc<AtomicU64>) {
+    let caller = Caller::new(DEADLINE).with_account(FLOOD, MODEL);
+    for round in 0.. {
+        let call = Call::lookup(&format!("flood-{number}-{round}"));
+        if !matches!(caller.call(&base, &call).await, Outcome::Whole(_)) {
+            refused.fetch_add(1, Ordering::SeqCst);
+            tokio::time::sleep(IMPATIENCE).await;
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_account_that_floods_closes_no_server_to_others() -> anyhow::Result<()> {
+    let fleet = Fleet::start(FleetConfig {
+        engines: 0,
+        services: 1,
+        relays: false,
+        service_flags: args(["--delay-us", "100000"]),
+        publication: publication_with_flood(),
+        ..FleetConfig::default()
+    })
+    .await?;
+    let refused = Arc::new(AtomicU64::new(0));
+    let floods = (0..CALLERS).map(|number| {
+        let base = fleet.entry_url(number % fleet.entries.len());
+        tokio::spawn(flood(base, number, Arc::clone(&refused)))
+    });
+    let floods: Vec<JoinHandle<()>> = floods.collect();
+    wait_until("the flood is refused", LIMIT, || async {
+        refused.load(Ordering::SeqCst) > 0
+    })
+    .await?;
+
+    let caller = Caller::new(DEADLINE);
+    let mut whole = 0;
+    for number in 0..SMALL_CALLS {
+        let base = fleet.entry_url(number % fleet.entries.len());
+        let call = Call::lookup(&format!("small-{number}"));
+        let outcome = caller.call(&base, &call).await;
+        whole += usize::from(matches!(outcome, Outcome::Whole(_)));
+    }
+    floods.iter().for_each(JoinHandle::abort);
+
+    let refused = refused.load(Ordering::SeqCst);
+    println!(
+        "small account: {whole} of {SMALL_CALLS} whole; the flood was refused {refused} times"
+    );
+    expect_that!(whole, eq(SMALL_CALLS));
+    Ok(())
+}
--- a/crates/lab/tests/queueing.rs
+++ b/crates/lab/tests/queueing.rs
@@ -6,7 +6,7 @@
 use jujube_lab::experiments::{
     domain::{failures, overload_attempts, seconds_to_goodput},
     queueing::router::Method,
-    routing::{flood_ratios, missed},
+    routing::{flood_ratios, missed, small_missed},
 };
 
 const SEED: u64 = 1;
@@ -62,3 +62,10 @@
         expect_that!(seconds, some(le(3)));
     }
 }
+
+#[gtest]
+fn the_fair_queue_halves_what_small_accounts_miss_where_servers_are_short() {
+    for missed in small_missed(SEED) {
+        expect_that!(missed.fair, le(missed.single / 2.0), "{missed:?}");
+    }
+}
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -71,6 +71,9 @@
         pub verdict: Verdict,
         /// For logs and for the caller's problem document.
         pub reason: String,
+        /// True when the backend server takes work of other client accounts: only the backlog of
+        /// this one is full.
+        pub account_only: bool,
     }
 }
 
@@ -80,6 +83,7 @@
         Self {
             verdict,
             reason: reason.into(),
+            account_only: false,
         }
     }
 }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -69,6 +69,14 @@
     }
 }
 
+impl RefusalReason {
+    /// Whether the server should be passed over for a while by all accounts: not when only this
+    /// account's own backlog is full, or one that floods would close the server to the others.
+    pub fn closes_server(self) -> bool {
+        self != Self::AccountFull
+    }
+}
+
 common_derives! {value:
     /// A request that was not admitted.
     #[derive(Copy, Eq)]
