--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -53,6 +53,8 @@
     pub account: ClientAccountId,
     /// Weight of the account.
     pub weight: u32,
+    /// Tokens that it takes in the engine's memory, at most.
+    pub tokens: u32,
     /// When its whole answer is due.
     pub due: Timestamp,
     /// Cancelled when the request has to wait for its turn.
@@ -66,6 +68,8 @@
     pub verdict: Verdict,
     /// Why, for logs and callers.
     pub reason: &'static str,
+    /// True when the server takes work of other client accounts.
+    pub account_only: bool,
 }
 
 impl Refused {
@@ -73,6 +77,7 @@
         Self {
             verdict: Verdict::NotRun { retry_after },
             reason,
+            account_only: false,
         }
     }
 }
@@ -85,7 +90,10 @@
             RefusalReason::AccountFull => "too much of the client account waits",
             RefusalReason::QueueFull => "queue full",
         };
-        Self::new(refusal.retry_after, reason)
+        Self {
+            account_only: !refusal.reason.closes_server(),
+            ..Self::new(refusal.retry_after, reason)
+        }
     }
 }
 
@@ -419,6 +427,7 @@
             weight: request.weight,
             deadline: request.due,
             cost: 1,
+            tokens: request.tokens,
         };
         match self.gate.offer(now, waiting) {
             Offer::Start => self.permit(ticket, reply),
@@ -546,6 +555,7 @@
 fn with_limits(mut config: AdmissionConfig, limits: &Limits) -> AdmissionConfig {
     config.limit.cold_floor = limits.cold_floor;
     config.limit.concurrency = limits.concurrency;
+    config.tokens = limits.tokens;
     config.queue.queue_limit = limits.queue;
     config.queue.account_limit = limits.queue.div_ceil(2);
     config
--- a/crates/lab/tests/queueing.rs
+++ b/crates/lab/tests/queueing.rs
@@ -4,9 +4,9 @@
 
 use googletest::prelude::*;
 use jujube_lab::experiments::{
-    domain::{failures, overload_attempts},
+    domain::{failures, overload_attempts, seconds_to_goodput},
     queueing::router::Method,
-    routing::{flood_ratios, missed},
+    routing::{flood_ratios, missed, small_missed},
 };
 
 const SEED: u64 = 1;
@@ -55,3 +55,17 @@
         expect_that!(attempts, le(1.1));
     }
 }
+
+#[gtest]
+fn goodput_is_back_within_seconds_of_the_servers_warmth() {
+    for seconds in seconds_to_goodput(SEED) {
+        expect_that!(seconds, some(le(3)));
+    }
+}
+
+#[gtest]
+fn the_fair_queue_halves_what_small_accounts_miss_where_servers_are_short() {
+    for missed in small_missed(SEED) {
+        expect_that!(missed.fair, le(missed.single / 2.0), "{missed:?}");
+    }
+}
