fix(policy): retries of attempts that never arrived are free

Cause: a cut between entry and agent fails attempts that the agent then fences as never arrived. Each retry was paid from the budget that guards servers, though no server bore anything: with 30 calls on their way to each of two agents, up to 21 of 60 lookups were refused. They are now free, bounded by the attempts of one request, and may go to the same agent again.

--- a/crates/agent/src/repeats.rs
+++ b/crates/agent/src/repeats.rs
@@ -44,6 +44,7 @@
             idempotent: true,
             deadline: due,
             has_untried: true,
+            never_arrived: false,
         };
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
         let decision = retry::decide(&self.config, &mut budget, &attempts, &facts, now, 0);
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -254,18 +254,24 @@
             verdict,
             reason,
             account_only,
+            never_arrived,
         } = failure;
         if let Verdict::NotRun { retry_after } = verdict
             && !account_only
+            && !never_arrived
         {
             last.local
                 .refused_until(now + retry_after.min(LONGEST_PAUSE));
         }
         self.attempts.record(&last.id, verdict);
+        if never_arrived {
+            self.tried.pop();
+        }
         let facts = RetryFacts {
             idempotent: self.routed.idempotent,
             deadline: self.due,
             has_untried: self.has_untried(now),
+            never_arrived,
         };
         let after = match self.context.decide_retry(&self.attempts, &facts) {
             RetryDecision::Retry { after } => after,
--- a/crates/lab/src/experiments/queueing/fleet/entries.rs
+++ b/crates/lab/src/experiments/queueing/fleet/entries.rs
@@ -217,6 +217,7 @@
             idempotent: arrival.idempotent,
             deadline: arrival.at + arrival.timeout,
             has_untried: options.iter().any(is_open),
+            never_arrived: false,
         };
         let draw = self.rng.random();
         let budget = &mut self.entries[entry].budget;
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -79,6 +79,9 @@
         /// True when the backend server takes work of other client accounts: only the backlog of
         /// this one is full.
         pub account_only: bool,
+        /// True when the attempt never reached the agent, and now never will: no server bore
+        /// anything of it.
+        pub never_arrived: bool,
     }
 }
 
@@ -89,6 +92,7 @@
             verdict,
             reason: reason.into(),
             account_only: false,
+            never_arrived: false,
         }
     }
 }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,7 +1,8 @@
 //! Whether a failed attempt is followed by another one.
 //!
 //! Retries are paid from a budget that requests taken in fill, so that attempts stay under a fixed
-//! multiple of requests also when every server refuses. A request that is given up is answered at
+//! multiple of requests also when every server refuses. An attempt that was lost on the way to its
+//! agent costs no server anything, and its retry is free. A request that is given up is answered at
 //! once with the gravest verdict over all of its attempts.
 
 use std::time::Duration;
@@ -150,6 +151,9 @@
         pub deadline: Timestamp,
         /// Whether a server that was not tried yet takes new work.
         pub has_untried: bool,
+        /// Whether the failed attempt reached no agent, so that another one adds no work to what
+        /// servers bear.
+        pub never_arrived: bool,
     }
 }
 
@@ -186,7 +190,7 @@
         && facts.has_untried
         && made < config.max_attempts
         && in_time;
-    if allowed && budget.pay() {
+    if allowed && (facts.never_arrived || budget.pay()) {
         return RetryDecision::Retry { after };
     }
     RetryDecision::GiveUp(verdict)
