feat(routing): entries hear of engines' cache events on answers

Cause: an entry believed only the prefixes that it had sent itself, so a prompt that another entry had cached away from its prefix's home was computed again.

Each choice also looks at the server most believed to hold the prefix, within the load bound. Prefixes are named as engines name them, by the first 64 characters of the prompt.

Only servers of kind `model` are asked.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -4,6 +4,7 @@
 
 mod attempt;
 mod attempts;
+mod cache;
 mod control;
 mod group;
 mod group_lead;
@@ -19,9 +20,10 @@
 use std::{process::ExitCode, sync::Arc, time::Duration};
 
 use attempts::{Attempts, AttemptsConfig};
+use cache::CacheNews;
 use jj_backend::call::BackendClient;
 use jj_node::{operator_port, process, shutdown};
-use jj_operator::audit::AuditTrail;
+use jj_operator::{audit::AuditTrail, documents::ServiceKind};
 use jj_peer::client::LinkConfig;
 use jj_policy::{
     admission::{AdmissionConfig, LimitConfig},
@@ -149,6 +151,11 @@
         token.clone(),
     );
     tokio::spawn(probe);
+    let cache = Arc::new(CacheNews::new(incarnation));
+    if settings.kind == ServiceKind::Model {
+        let (news, engine, ended) = (Arc::clone(&cache), backend.clone(), token.clone());
+        tokio::spawn(async move { news.follow(engine, ended).await });
+    }
     let addr = host_and_port(&settings.backend);
     tokio::spawn(probe::watch(addr, control.clone(), token.clone()));
     let context = runner::Context {
@@ -161,6 +168,7 @@
         incarnation,
         attempts: Arc::clone(&attempts),
         keys,
+        cache,
         context,
         link: LinkConfig::default(),
     });
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -24,6 +24,7 @@
 use crate::{
     attempt::{Attempt, ReadStep, Reader},
     attempts::{Attempts, Opened},
+    cache::CacheNews,
     keys::{KeyClaim, KeyGuard, Keys},
     runner::{self, Context, Work},
 };
@@ -52,6 +53,8 @@
     pub attempts: Arc<Attempts>,
     /// Once-only requests.
     pub keys: Arc<Keys>,
+    /// News of the backend server's prefix cache.
+    pub cache: Arc<CacheNews>,
     /// For running new ones.
     pub context: Context,
     /// Timing of the links to entries.
@@ -137,13 +140,13 @@
 ) -> Response {
     match traffic.attempts.open(&head.id, attempt) {
         Opened::New(attempt) => {
-            let first = head.resume;
+            let position = Position::of(&head);
             let work = Work { head, body, guard };
             let context = traffic.context.clone();
             tokio::spawn(runner::run(context, Arc::clone(&attempt), work));
-            frames_response(traffic, attempt, first).await
+            frames_response(traffic, attempt, position).await
         }
-        Opened::Seen(attempt) => frames_response(traffic, attempt, head.resume).await,
+        Opened::Seen(attempt) => frames_response(traffic, attempt, Position::of(&head)).await,
         Opened::Full => full(),
     }
 }
@@ -152,7 +155,7 @@
 async fn read(traffic: &Traffic, attempt: Arc<Attempt>, head: &AttemptHead) -> Response {
     match traffic.attempts.open(&head.id, attempt) {
         Opened::New(attempt) | Opened::Seen(attempt) => {
-            frames_response(traffic, attempt, head.resume).await
+            frames_response(traffic, attempt, Position::of(head)).await
         }
         Opened::Full => failed(unseen(head), TOO_MANY),
     }
@@ -189,7 +192,7 @@
     }
     match traffic.attempts.outcome(&id) {
         Opened::New(attempt) | Opened::Seen(attempt) => {
-            frames_response(&traffic, attempt, query.from).await
+            frames_response(&traffic, attempt, Position::resumed(query.from)).await
         }
         Opened::Full => bad_status(StatusCode::SERVICE_UNAVAILABLE),
     }
@@ -211,14 +214,39 @@
     StatusCode::NO_CONTENT
 }
 
+/// What an entry has already.
+struct Position {
+    /// Next data frame that it needs.
+    from: u64,
+    /// Last cache event that it knows, if it takes part in them.
+    cache_seen: Option<u64>,
+}
+
+impl Position {
+    fn of(head: &AttemptHead) -> Self {
+        Self {
+            from: head.resume,
+            cache_seen: Some(head.cache_seen),
+        }
+    }
+
+    fn resumed(from: u64) -> Self {
+        Self {
+            from,
+            cache_seen: None,
+        }
+    }
+}
+
 /// Answers with the load report and the frames of an attempt from a data frame on; an answer that
 /// has ended by then goes out as one piece.
-async fn frames_response(traffic: &Traffic, attempt: Arc<Attempt>, from: u64) -> Response {
+async fn frames_response(traffic: &Traffic, attempt: Arc<Attempt>, seen: Position) -> Response {
     let reader = attempt.reader();
-    let mut position = attempt.position(from);
+    let mut position = attempt.position(seen.from);
     let _ = tokio::time::timeout(FIRST_WAIT, attempt.changed(position)).await;
     let mut first = BytesMut::new();
     put_load(traffic, &mut first);
+    put_cache(traffic, seen.cache_seen, &mut first);
     let response = Response::builder().content_type(CONTENT_TYPE);
     match attempt.read(position) {
         ReadStep::Last(bytes) => {
@@ -244,6 +272,14 @@
     let _ = frames::encode(&Frame::Load(LoadReport { leaving, ..load }), out);
 }
 
+fn put_cache(traffic: &Traffic, seen: Option<u64>, out: &mut BytesMut) {
+    let events = seen.map(|seen| traffic.cache.after(seen));
+    if let Some(events) = events.filter(|events| !events.is_empty()) {
+        // A bounded number of events is far below the frame limit.
+        let _ = frames::encode(&Frame::Cache(events), out);
+    }
+}
+
 /// The frames of an attempt from a position of its log on, with progress frames while it is quiet.
 fn frame_bytes(
     reader: Reader,
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+pub mod cache;
 pub mod call;
 pub mod health;
 pub mod orders;
--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -35,13 +35,14 @@
         let detail = "this entry takes no new work: use another address";
         return Err(not_run(context.retry.retry_after, detail));
     }
-    let prefix = prefix_hash(routed);
     let agents: Vec<&Arc<Agent>> = view.agents_of(&routed.service).collect();
-    let candidates = agents.iter().map(|agent| candidate(context, agent, prefix));
+    let candidates = agents
+        .iter()
+        .map(|agent| candidate(context, agent, routed.prefix, now));
     let candidates: Vec<Candidate<'_>> = candidates.collect();
     let tried: Vec<&str> = tried.iter().map(String::as_str).collect();
     let facts = RequestFacts {
-        prefix,
+        prefix: routed.prefix,
         account: key_hash(&routed.account),
         share: share(routed, &view),
         used: context.usage.part(&routed.service, &routed.account),
@@ -55,12 +56,13 @@
     }
 }
 
-/// Hash of the prompt's shared beginning.
-pub fn prefix_hash(routed: &Routed) -> Option<PrefixHash> {
-    routed.prefix.as_deref().map(key_hash)
-}
-
-fn candidate<'a>(context: &Context, agent: &'a Agent, prefix: Option<PrefixHash>) -> Candidate<'a> {
+fn candidate<'a>(
+    context: &Context,
+    agent: &'a Agent,
+    prefix: Option<PrefixHash>,
+    now: Timestamp,
+) -> Candidate<'a> {
+    let hit = |prefix| context.prefixes.hit(&agent.id, prefix, now);
     Candidate {
         id: &agent.id,
         domain: &agent.domain,
@@ -68,7 +70,7 @@
         distance: agent.distance,
         report: agent.local.newest_report(agent.report),
         own_since: agent.local.since_report(),
-        prefix_hit: prefix.map_or(0.0, |prefix| context.prefix_hit(&agent.id, prefix)),
+        prefix_hit: prefix.map_or(0.0, hit),
         not_before: agent.local.not_before(),
     }
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -8,15 +8,14 @@
 use arc_swap::ArcSwap;
 use jj_peer::client::AgentClient;
 use jj_policy::{
-    prefix::PrefixIndex,
     retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
-    routing::{PrefixHash, RoutingConfig},
+    routing::RoutingConfig,
 };
 use jj_utils::{clock::SharedClock, ids::RequestId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::{usage::Usage, view::View};
+use crate::{prefixes::Prefixes, usage::Usage, view::View};
 
 /// Shared by all traffic threads.
 pub struct Context {
@@ -36,8 +35,9 @@
     pub retry: RetryConfig,
     /// Requests in flight by service and client account.
     pub usage: Arc<Usage>,
+    /// Beliefs in prefix caches.
+    pub prefixes: Arc<Prefixes>,
     budget: Mutex<RetryBudget>,
-    prefixes: Mutex<PrefixIndex>,
     random: Mutex<Pcg64Mcg>,
 }
 
@@ -47,6 +47,7 @@
         clock: SharedClock,
         client: AgentClient,
         view: Arc<ArcSwap<View>>,
+        prefixes: Arc<Prefixes>,
         lifetime: Duration,
         seed: u64,
     ) -> Self {
@@ -59,28 +60,13 @@
             lifetime,
             open: Arc::default(),
             usage: Arc::default(),
-            prefixes: Mutex::default(),
+            prefixes,
             budget: Mutex::new(RetryBudget::new(&retry)),
             retry,
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         }
     }
 
-    /// Probability from 0 to 1 that an agent's backend server holds a prefix.
-    pub fn prefix_hit(&self, agent: &str, prefix: PrefixHash) -> f64 {
-        self.lock_prefixes().hit(agent, prefix, self.clock.now())
-    }
-
-    /// Notes that an agent's backend server answered a request with a prefix.
-    pub fn note_prefix(&self, agent: &str, prefix: PrefixHash) {
-        self.lock_prefixes()
-            .note_answer(agent, prefix, self.clock.now());
-    }
-
-    fn lock_prefixes(&self) -> MutexGuard<'_, PrefixIndex> {
-        self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Two random numbers for one decision.
     pub fn draws(&self) -> [u64; 2] {
         let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -171,7 +171,7 @@
                 Some(Frame::Failed(failure)) => {
                     running = self.again(&running.agent, failure).await?
                 }
-                Some(Frame::Load(_) | Frame::Progress) => {}
+                Some(Frame::Load(_) | Frame::Cache(_) | Frame::Progress) => {}
                 None => running = self.again(&running.agent, broken()).await?,
             }
         }
@@ -226,7 +226,7 @@
                         return;
                     }
                     Some(Frame::Failed(failure)) => failure,
-                    Some(Frame::Head(_) | Frame::Load(_) | Frame::Progress) => continue,
+                    Some(Frame::Head(_) | Frame::Load(_) | Frame::Cache(_) | Frame::Progress) => continue,
                     None => broken(),
                 };
                 match self.again(&running.agent, failure).await {
@@ -242,8 +242,9 @@
 
     /// The agent's backend server holds the prompt's prefix now.
     fn note_prefix(&self, agent: &Agent) {
-        if let Some(prefix) = choose::prefix_hash(&self.routed) {
-            self.context.note_prefix(&agent.id, prefix);
+        if let Some(prefix) = self.routed.prefix {
+            let now = self.context.clock.now();
+            self.context.prefixes.note_answer(&agent.id, prefix, now);
         }
     }
 
@@ -327,6 +328,8 @@
         Target {
             client: self.context.client.clone(),
             addr: agent.traffic,
+            agent: agent.id.clone(),
+            prefixes: Arc::clone(&self.context.prefixes),
             local: Arc::clone(&agent.local),
             clock: Arc::clone(&self.context.clock),
         }
@@ -370,6 +373,7 @@
             key: self.request.key.clone(),
             resume: self.next,
             priority: self.routed.priority,
+            cache_seen: self.context.prefixes.seen(&agent.id),
             call: Call {
                 method: self.request.method.clone(),
                 target: self.request.target(),
@@ -441,7 +445,7 @@
                 });
             }
             Frame::Failed(failure) => return Err(failure),
-            Frame::Head(_) | Frame::Load(_) | Frame::Progress => {}
+            Frame::Head(_) | Frame::Load(_) | Frame::Cache(_) | Frame::Progress => {}
         }
     }
     Err(broken())
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -14,9 +14,12 @@
     frames::{Failure, Frame},
 };
 use jj_policy::verdict::Verdict;
-use jj_utils::{clock::SharedClock, events, log_event};
+use jj_utils::{clock::SharedClock, events, ids::InstanceId, log_event};
 
-use crate::view::{self, Local};
+use crate::{
+    prefixes::Prefixes,
+    view::{self, Local},
+};
 
 /// Connections tried in a row without a new frame before the agent is taken for gone.
 const MAX_RECONNECTS: u32 = 4;
@@ -37,6 +40,10 @@
     pub client: AgentClient,
     /// Where the agent takes attempts.
     pub addr: SocketAddr,
+    /// Name of its instance.
+    pub agent: InstanceId,
+    /// Beliefs in the prefix caches.
+    pub prefixes: Arc<Prefixes>,
     /// This process's dealings with it.
     pub local: Arc<Local>,
     /// Time.
@@ -240,6 +247,12 @@
                 self.target.local.take_report(report);
                 None
             }
+            Frame::Cache(events) => {
+                let now = self.target.clock.now();
+                let prefixes = &self.target.prefixes;
+                prefixes.observe(&self.target.agent, events.clone(), now);
+                None
+            }
             Frame::Progress => None,
             Frame::Failed(failure) if self.is_reconnected => {
                 Some(Frame::Failed(self.doubted(failure.clone())))
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -11,6 +11,7 @@
 mod handler;
 mod keys;
 mod link;
+mod prefixes;
 mod resume;
 mod routes;
 mod serve;
--- /dev/null
+++ b/crates/entry/src/prefixes.rs
@@ -0,0 +1,45 @@
+//! What this entry believes of the prefix caches, shared by its traffic threads.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use jj_peer::cache::CacheEventWire;
+use jj_policy::{prefix::PrefixIndex, routing::PrefixHash};
+use jj_utils::clock::Timestamp;
+
+/// Beliefs in the prefixes of every backend server, by the name of its agent's instance.
+#[derive(Debug, Default)]
+pub struct Prefixes(Mutex<PrefixIndex>);
+
+impl Prefixes {
+    /// Probability from 0 to 1 that an agent's backend server holds a prefix.
+    pub fn hit(&self, agent: &str, prefix: PrefixHash, now: Timestamp) -> f64 {
+        self.lock().hit(agent, prefix, now)
+    }
+
+    /// Notes that an agent's backend server answered a request with a prefix.
+    pub fn note_answer(&self, agent: &str, prefix: PrefixHash, now: Timestamp) {
+        self.lock().note_answer(agent, prefix, now);
+    }
+
+    /// Takes in cache events that an agent sent along with an answer.
+    pub fn observe(&self, agent: &str, events: Vec<CacheEventWire>, now: Timestamp) {
+        let mut index = self.lock();
+        for event in events {
+            index.observe(agent, event.into(), now);
+        }
+    }
+
+    /// Number of the last cache event known of an agent's backend server; 0 when none is.
+    pub fn seen(&self, agent: &str) -> u64 {
+        self.lock().last_seq(agent).unwrap_or_default()
+    }
+
+    /// Prefixes that an agent's backend server is believed to hold.
+    pub fn count(&self, agent: &str) -> usize {
+        self.lock().count(agent)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PrefixIndex> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -7,6 +7,7 @@
     documents::{Account, Route, ServiceDocument, ServiceKind},
     published::{Published, digest_of},
 };
+use jj_policy::{prefix::prefix_hash, routing::PrefixHash};
 use jj_utils::ids::{ClientAccountId, ServiceId};
 use poem::http::StatusCode;
 use serde::Deserialize;
@@ -32,8 +33,8 @@
     pub stream: bool,
     /// Time from arrival to the whole answer.
     pub timeout: Duration,
-    /// Shared beginning of the prompt, for models.
-    pub prefix: Option<String>,
+    /// Hash of the prompt's beginning, for models.
+    pub prefix: Option<PrefixHash>,
     /// Priority in the engine.
     pub priority: i32,
 }
@@ -58,6 +59,21 @@
     content: serde_json::Value,
 }
 
+impl ModelBody {
+    /// The text that the engine sees, as far as its prefix goes.
+    fn prompt_text(&self) -> String {
+        let text = |message: &Message| match message.content.as_str() {
+            Some(text) => text.to_owned(),
+            None => message.content.to_string(),
+        };
+        let contents: Vec<String> = self.messages.iter().map(text).collect();
+        match &self.prompt {
+            Some(prompt) => prompt.clone(),
+            None => contents.join("\n"),
+        }
+    }
+}
+
 /// Resolves a request.
 ///
 /// # Errors
@@ -124,9 +140,6 @@
         )));
     };
     let route = document.routes.iter().find(|route| matches(route, request));
-    let prefix = body
-        .prompt
-        .or_else(|| body.messages.first().map(|m| m.content.to_string()));
     Ok(Routed {
         service: document.service.clone(),
         account: ClientAccountId::new(),
@@ -134,7 +147,7 @@
         idempotent: route.is_none_or(|route| route.idempotent),
         stream: body.stream,
         timeout: route.map_or(MODEL_TIMEOUT, |route| route.timeout),
-        prefix,
+        prefix: Some(prefix_hash(&body.prompt_text())),
         priority: body.priority,
     })
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -30,6 +30,7 @@
     context::Context,
     control::{self, ControlContext},
     handler,
+    prefixes::Prefixes,
     settings::Settings,
     view::View,
 };
@@ -75,7 +76,8 @@
         token: token.clone(),
     };
     let config = control::start(control).await?;
-    let (readiness, status) = operator_view(&view, &config, &draining, &settings);
+    let prefixes = Arc::new(Prefixes::default());
+    let (readiness, status) = operator_view(&view, &config, &draining, &prefixes, &settings);
     operator_port::start(
         settings.node.operator_addr,
         readiness,
@@ -86,7 +88,8 @@
     .await?;
     let client = AgentClient::new(LinkConfig::default())?;
     let seed = rand::random();
-    let context = Arc::new(Context::new(clock, client, view, settings.lifetime, seed));
+    let context = Context::new(clock, client, view, prefixes, settings.lifetime, seed);
+    let context = Arc::new(context);
     let callers = CallerConfig {
         max_body: settings.max_body,
         ..CallerConfig::default()
@@ -118,6 +121,7 @@
     view: &Arc<ArcSwap<View>>,
     config: &watch::Receiver<ConfigView>,
     draining: &Arc<AtomicBool>,
+    prefixes: &Arc<Prefixes>,
     settings: &Settings,
 ) -> (Readiness, Status) {
     let (ready_view, leaving) = (Arc::clone(view), Arc::clone(draining));
@@ -132,7 +136,7 @@
         }
     });
     let (view, config, draining) = (Arc::clone(view), config.clone(), Arc::clone(draining));
-    let instance = settings.node.instance.clone();
+    let (instance, prefixes) = (settings.node.instance.clone(), Arc::clone(prefixes));
     let status = Arc::new(move || {
         let (view, config) = (view.load(), config.borrow().clone());
         let agents = view.agents.iter().map(|agent| {
@@ -141,6 +145,7 @@
                 "service": agent.service,
                 "state": format!("{:?}", agent.state),
                 "incarnation": agent.incarnation,
+                "prefixes": prefixes.count(&agent.id),
                 "load": agent.local.newest_report(agent.report).map(|r| format!("{r:?}")),
             })
         });
--- a/crates/lab/src/standins/engine.rs
+++ b/crates/lab/src/standins/engine.rs
@@ -121,6 +121,7 @@
         Executions {
             cold_peak: counts.peak,
             falls: counts.falls,
+            cache_hits: self.cache.hits(),
             ..self.ledger.snapshot()
         }
     }
--- a/crates/lab/src/standins/ledger.rs
+++ b/crates/lab/src/standins/ledger.rs
@@ -34,6 +34,9 @@
         pub cold_peak: u32,
         /// Times that work beyond the cold floor made the backend server fall over.
         pub falls: u32,
+        /// Prompts whose prefix was in the cache; engines only.
+        #[serde(default)]
+        pub cache_hits: u64,
         /// By `x-request-id`.
         pub by_request: BTreeMap<String, Execution>,
         /// By `Idempotency-Key`.
--- a/crates/lab/src/standins/prefix_cache.rs
+++ b/crates/lab/src/standins/prefix_cache.rs
@@ -67,6 +67,7 @@
 #[derive(Debug, Default)]
 struct State {
     seq: u64,
+    hits: u64,
     prefixes: VecDeque<u64>,
     events: VecDeque<Logged>,
 }
@@ -95,6 +96,7 @@
         if let Some(place) = place {
             state.prefixes.remove(place);
             state.prefixes.push_back(hash);
+            state.hits += 1;
             return true;
         }
         state.prefixes.push_back(hash);
@@ -112,6 +114,11 @@
         self.lock().prefixes.clear();
     }
 
+    /// Prompts whose prefix was held.
+    pub fn hits(&self) -> u64 {
+        self.lock().hits
+    }
+
     /// Prefixes held.
     pub fn used(&self) -> usize {
         self.lock().prefixes.len()
--- a/crates/peer/src/attempt.rs
+++ b/crates/peer/src/attempt.rs
@@ -38,6 +38,8 @@
         pub resume: u64,
         /// Higher goes first in the engine.
         pub priority: i32,
+        /// Number of the last cache event that the entry knows of the agent's backend server.
+        pub cache_seen: u64,
         /// How the agent talks to its backend server.
         pub call: Call,
     }
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -1,6 +1,6 @@
 //! Frames of an answer on its way from an agent to an entry.
 
-use crate::control::LoadReport;
+use crate::{cache::CacheEventWire, control::LoadReport};
 use bytes::{Bytes, BytesMut};
 use jj_policy::verdict::Verdict;
 use jj_utils::common_derives;
@@ -21,6 +21,8 @@
         Data(Data),
         /// The agent's load when it began to answer.
         Load(LoadReport),
+        /// News of the prefix cache, at most [`jj_policy::cache_log::BATCH`] events.
+        Cache(Vec<CacheEventWire>),
         /// Nothing new, but the attempt is alive.
         Progress,
         /// The answer is whole.
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -4,8 +4,11 @@
 
 use bytes::BytesMut;
 use googletest::prelude::*;
-use jj_peer::frames::{self, Data, Failure, Frame, FrameReader, Head, Header};
-use jj_policy::verdict::Verdict;
+use jj_peer::{
+    cache::{CacheChangeWire, CacheEventWire},
+    frames::{self, Data, Failure, Frame, FrameReader, Head, Header},
+};
+use jj_policy::{cache_log::BATCH, verdict::Verdict};
 
 fn every_kind() -> Vec<Frame> {
     let not_run = Verdict::NotRun {
@@ -26,6 +29,10 @@
             index: 7,
             bytes: b"token".to_vec(),
         }),
+        Frame::Cache(vec![CacheEventWire {
+            seq: 3,
+            change: CacheChangeWire::Stored(9),
+        }]),
         Frame::Progress,
         Frame::End { count: 8 },
     ];
@@ -52,3 +59,23 @@
         expect_that!(read, eq(&sent), "in pieces of {piece}");
     }
 }
+
+/// Bytes a second that a node may spend on control, over the answers a second that an entry gets at
+/// the size to come.
+const BYTES_OF_NEWS: usize = 3_000 / 3;
+
+#[gtest]
+fn a_full_batch_of_cache_news_fits_the_limit_for_control() {
+    let event = |seq| CacheEventWire {
+        seq: 2_000_000_000_000 + seq,
+        change: CacheChangeWire::Stored(u64::MAX - seq),
+    };
+    let news = (0..BATCH as u64).map(event).collect();
+    let mut bytes = BytesMut::new();
+
+    let encoded = frames::encode(&Frame::Cache(news), &mut bytes);
+
+    println!("{} bytes", bytes.len());
+    expect_that!(encoded, ok(anything()));
+    expect_that!(bytes.len(), le(BYTES_OF_NEWS));
+}
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -8,7 +8,17 @@
 
 use jj_utils::{clock::Timestamp, collections::FastMap, common_derives, ids::BackendServerId};
 
-use crate::routing::PrefixHash;
+use crate::{rendezvous::key_hash, routing::PrefixHash};
+
+/// Characters of a prompt that engines name its prefix by.
+const PREFIX_CHARS: usize = 64;
+
+/// Hash of a prompt's prefix, as engines name it in their cache events.
+pub fn prefix_hash(prompt: &str) -> PrefixHash {
+    let end = prompt.char_indices().nth(PREFIX_CHARS);
+    let end = end.map_or(prompt.len(), |(at, _)| at);
+    key_hash(&prompt[..end])
+}
 
 /// Tunables of the prefix index.
 #[derive(Debug, Clone, PartialEq)]
@@ -115,6 +125,19 @@
         cache.believe(config, prefix, Belief { hit, at: now });
     }
 
+    /// Number of the last event taken in from a server.
+    pub fn last_seq(&self, server: &str) -> Option<u64> {
+        let next = self.servers.get(server)?.next_seq?;
+        Some(next - 1)
+    }
+
+    /// Prefixes believed to be held by a server.
+    pub fn count(&self, server: &str) -> usize {
+        self.servers
+            .get(server)
+            .map_or(0, |cache| cache.beliefs.len())
+    }
+
     /// Forgets a server, as when it restarted with a new boot id or is gone.
     pub fn forget(&mut self, server: &str) {
         self.servers.remove(server);
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -24,6 +24,13 @@
 /// Hash of a prompt's shared beginning.
 pub type PrefixHash = u64;
 
+/// Requests that a prefix's home may have whatever the mean load is.
+const HOME_LOAD: f64 = 1.0;
+
+/// Requests that a prefix's holder may have whatever the mean load is: the report on its last
+/// answer counts the request of that answer, which has ended since.
+const HOLDER_LOAD: f64 = 2.0;
+
 /// Tunables of the choice.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RoutingConfig {
@@ -114,6 +121,8 @@
     pub enum ChoiceReason {
         /// The better one of two random draws.
         Drawn,
+        /// Believed to hold the request's prefix.
+        PrefixHolder,
         /// Home of the request's prefix.
         PrefixHome,
         /// Neither draw would meet the deadline, so all candidates were compared.
@@ -240,7 +249,7 @@
         soonest.unwrap_or(self.config.retry_after)
     }
 
-    /// The better of two draws and the prefix's home; the best of all when neither is in time.
+    /// The best of two draws, the prefix's home and its holder; the best of all when that is late.
     fn best_of(&self, open: &[usize], draws: [u64; 2]) -> Choice {
         let [first, second] = two_draws(open, draws);
         let mut best = self.choice(first, ChoiceReason::Drawn);
@@ -248,6 +257,9 @@
         if let Some(home) = self.prefix_home(open) {
             best = faster(best, home);
         }
+        if let Some(holder) = self.prefix_holder(open) {
+            best = faster(best, holder);
+        }
         if self.now + best.expected < self.request.deadline {
             return best;
         }
@@ -267,13 +279,9 @@
     fn prefix_home(&self, open: &[usize]) -> Option<Choice> {
         let hash = self.request.prefix?;
         let names = open.iter().map(|&index| self.candidates[index].id);
-        let within = |index: &usize| {
-            let estimate = self.estimate(*index);
-            let bound = self.config.load_bound * self.fleet.utilisation * estimate.limit;
-            estimate.load + 1.0 <= bound.max(1.0).ceil()
-        };
         let ranking = rendezvous::ranking(hash, names);
-        let index = ranking.into_iter().map(|at| open[at]).find(within)?;
+        let mut ranked = ranking.into_iter().map(|at| open[at]);
+        let index = ranked.find(|&index| self.is_within_bound(index, HOME_LOAD))?;
         let hit = self.candidates[index].prefix_hit.max(self.config.home_hit);
         Some(Choice {
             index,
@@ -282,6 +290,22 @@
         })
     }
 
+    /// The server most believed to hold the prefix, of those whose load is within the bound.
+    fn prefix_holder(&self, open: &[usize]) -> Option<Choice> {
+        let hit = |index: usize| self.candidates[index].prefix_hit;
+        let holders = open.iter().copied().filter(|&index| hit(index) > 0.0);
+        let within = holders.filter(|&index| self.is_within_bound(index, HOLDER_LOAD));
+        let best = within.max_by(|&a, &b| hit(a).total_cmp(&hit(b)))?;
+        Some(self.choice(best, ChoiceReason::PrefixHolder))
+    }
+
+    /// Whether one more request keeps a server within the bound; `least` is allowed in any case.
+    fn is_within_bound(&self, index: usize, least: f64) -> bool {
+        let estimate = self.estimate(index);
+        let bound = self.config.load_bound * self.fleet.utilisation * estimate.limit;
+        estimate.load + 1.0 <= bound.max(least).ceil()
+    }
+
     fn estimate(&self, index: usize) -> Estimate {
         Estimate::of(self.config, &self.candidates[index], &self.fleet, self.now)
     }
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -83,6 +83,28 @@
     }
 }
 
+#[gtest]
+fn the_holder_of_the_prefix_is_found_whatever_is_drawn() {
+    let mut candidates = vec![
+        candidate("a", 1),
+        candidate("b", 1),
+        candidate("c", 1),
+        candidate("d", 1),
+    ];
+    candidates[3].prefix_hit = 0.9;
+    let request = RequestFacts {
+        prefix: Some(7),
+        ..request()
+    };
+
+    let held = chosen(&candidates, &request);
+    candidates[3].own_since = 7;
+    let overloaded = chosen(&candidates, &request);
+
+    expect_that!(held, elements_are![eq(&"d")]);
+    expect_that!(overloaded, not(contains(eq(&"d"))));
+}
+
 fn names(count: usize) -> Vec<String> {
     (0..count).map(|index| format!("server-{index}")).collect()
 }
