--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -1,6 +1,6 @@
 //! Chooses the agent for one attempt, out of what this process believes of the fleet.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use jj_caller::problem::Refusal;
 use jj_policy::{
@@ -28,20 +28,21 @@
     routed: &Routed,
     due: Timestamp,
     tried: &[InstanceId],
-) -> Result<Agent, Refusal> {
+) -> Result<Arc<Agent>, Refusal> {
     let now = context.clock.now();
     let view = context.view.load();
     if !view.permit.is_some_and(|permit| permit.holds(now)) {
         let detail = "this entry takes no new work: use another address";
         return Err(not_run(context.retry.retry_after, detail));
     }
-    let prefix = prefix_hash(routed);
-    let agents: Vec<&Agent> = view.agents_of(&routed.service).collect();
-    let candidates = agents.iter().map(|agent| candidate(context, agent, prefix));
+    let agents: Vec<&Arc<Agent>> = view.agents_of(&routed.service).collect();
+    let candidates = agents
+        .iter()
+        .map(|agent| candidate(context, agent, routed.prefix, now));
     let candidates: Vec<Candidate<'_>> = candidates.collect();
     let tried: Vec<&str> = tried.iter().map(String::as_str).collect();
     let facts = RequestFacts {
-        prefix,
+        prefix: routed.prefix,
         account: key_hash(&routed.account),
         share: share(routed, &view),
         used: context.usage.part(&routed.service, &routed.account),
@@ -50,17 +51,18 @@
         tried: &tried,
     };
     match routing::choose(&context.routing, &candidates, &facts, now, context.draws()) {
-        Ok(choice) => Ok(agents[choice.index].clone()),
+        Ok(choice) => Ok(Arc::clone(agents[choice.index])),
         Err(none) => Err(not_run(none.retry_after, &none.to_string())),
     }
 }
 
-/// Hash of the prompt's shared beginning.
-pub fn prefix_hash(routed: &Routed) -> Option<PrefixHash> {
-    routed.prefix.as_deref().map(key_hash)
-}
-
-fn candidate<'a>(context: &Context, agent: &'a Agent, prefix: Option<PrefixHash>) -> Candidate<'a> {
+fn candidate<'a>(
+    context: &Context,
+    agent: &'a Agent,
+    prefix: Option<PrefixHash>,
+    now: Timestamp,
+) -> Candidate<'a> {
+    let hit = |prefix| context.prefixes.hit(&agent.id, prefix, now);
     Candidate {
         id: &agent.id,
         domain: &agent.domain,
@@ -68,7 +70,7 @@
         distance: agent.distance,
         report: agent.local.newest_report(agent.report),
         own_since: agent.local.since_report(),
-        prefix_hit: prefix.map_or(0.0, |prefix| context.prefix_hit(&agent.id, prefix)),
+        prefix_hit: prefix.map_or(0.0, hit),
         not_before: agent.local.not_before(),
     }
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -58,7 +58,7 @@
     request: CallerRequest,
     routed: Routed,
     /// The only agent that may run it, for a request with an idempotency key.
-    home: Option<Agent>,
+    home: Option<Arc<Agent>>,
     id: RequestId,
     due: Timestamp,
     number: AttemptId,
@@ -71,7 +71,7 @@
 /// One attempt in progress.
 struct Running {
     id: AttemptRef,
-    agent: Agent,
+    agent: Arc<Agent>,
     frames: Frames,
     _count: InFlight,
 }
@@ -112,7 +112,7 @@
         context: Arc<Context>,
         request: CallerRequest,
         routed: Routed,
-        home: Option<Agent>,
+        home: Option<Arc<Agent>>,
     ) -> Self {
         let id = context.request_id();
         let due = context.clock.now() + routed.timeout;
@@ -242,8 +242,9 @@
 
     /// The agent's backend server holds the prompt's prefix now.
     fn note_prefix(&self, agent: &Agent) {
-        if let Some(prefix) = choose::prefix_hash(&self.routed) {
-            self.context.note_prefix(&agent.id, prefix);
+        if let Some(prefix) = self.routed.prefix {
+            let now = self.context.clock.now();
+            self.context.prefixes.note_answer(&agent.id, prefix, now);
         }
     }
 
@@ -339,12 +340,14 @@
         Target {
             client: self.context.client.clone(),
             addr: agent.traffic,
+            agent: agent.id.clone(),
+            prefixes: Arc::clone(&self.context.prefixes),
             local: Arc::clone(&agent.local),
             clock: Arc::clone(&self.context.clock),
         }
     }
 
-    fn started(&mut self, agent: Agent, id: AttemptRef, frames: Frames) -> Running {
+    fn started(&mut self, agent: Arc<Agent>, id: AttemptRef, frames: Frames) -> Running {
         self.number += 1;
         self.tried.push(agent.id.clone());
         let count = agent.local.begin();
@@ -357,9 +360,9 @@
         }
     }
 
-    fn choose(&self) -> Result<Agent, Refusal> {
+    fn choose(&self) -> Result<Arc<Agent>, Refusal> {
         if let Some(home) = &self.home {
-            return Ok(home.clone());
+            return Ok(Arc::clone(home));
         }
         choose::choose(&self.context, &self.routed, self.due, &self.tried)
     }
@@ -380,10 +383,10 @@
             deadline: self.due.saturating_sub(now),
             idempotent: self.routed.idempotent,
             key: self.request.key.clone(),
-            fingerprint: self.fingerprint(),
             resume: self.next,
             priority: self.routed.priority,
             tokens: self.routed.tokens,
+            cache_seen: self.context.prefixes.seen(&agent.id),
             call: Call {
                 method: self.request.method.clone(),
                 target: self.request.target(),
@@ -413,17 +416,6 @@
         });
         headers
     }
-
-    fn fingerprint(&self) -> u64 {
-        let CallerRequest { method, body, .. } = &self.request;
-        let text = format!(
-            "{} {method} {} ",
-            self.routed.account,
-            self.request.target()
-        );
-        let bytes = [text.as_bytes(), body].concat();
-        xxhash_rust::xxh3::xxh3_64(&bytes)
-    }
 }
 
 fn broken() -> Failure {
--- a/crates/lab/src/standins/engine.rs
+++ b/crates/lab/src/standins/engine.rs
@@ -131,6 +131,7 @@
             falls: counts.falls,
             token_peak: memory.peak,
             evicted: memory.evicted,
+            cache_hits: self.cache.hits(),
             ..self.ledger.snapshot()
         }
     }
--- a/crates/lab/src/standins/ledger.rs
+++ b/crates/lab/src/standins/ledger.rs
@@ -38,6 +38,9 @@
         pub token_peak: u32,
         /// Requests for which an engine's memory had no room.
         pub evicted: u32,
+        /// Prompts whose prefix was in the cache; engines only.
+        #[serde(default)]
+        pub cache_hits: u64,
         /// By `x-request-id`.
         pub by_request: BTreeMap<String, Execution>,
         /// By `Idempotency-Key`.
--- a/crates/peer/src/attempt.rs
+++ b/crates/peer/src/attempt.rs
@@ -34,14 +34,14 @@
         pub idempotent: bool,
         /// Idempotency key, when the caller gave one.
         pub key: Option<String>,
-        /// Digest of the body and route, to tell two requests under one key apart.
-        pub fingerprint: u64,
         /// Token at which a resumed stream starts.
         pub resume: u64,
         /// Higher goes first in the engine.
         pub priority: i32,
         /// Tokens that it takes in the engine's memory, at most; 0 for a plain call.
         pub tokens: u32,
+        /// Number of the last cache event that the entry knows of the agent's backend server.
+        pub cache_seen: u64,
         /// How the agent talks to its backend server.
         pub call: Call,
     }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -196,7 +196,8 @@
 
 fn builder(config: &LinkConfig) -> ClientBuilder {
     let builder = Client::builder().connect_timeout(config.connect);
-    builder.tcp_nodelay(true).no_proxy()
+    let builder = builder.tcp_nodelay(true).no_proxy();
+    builder.redirect(reqwest::redirect::Policy::none())
 }
 
 fn pooled(config: &LinkConfig) -> Result<Client, reqwest::Error> {
