fix(agent): as many broken calls are made once more as the server has at once

Cause: the budget of second calls began with 12. Since a server that says that it is warm gets its concurrency at once, some 30 calls are open on it in place of the 4 of the cold floor, and a cut of all connections between agent and server broke more of them than the budget paid for. Every one of the unknown lookups ended with "connection to the backend server lost". With the growth of the limit taken out, all 60 were answered, so the connections were not the fault.

The budget now starts with the concurrency of the settings (`--concurrency`), and fills as before; each second call passes the gate, so the server never has more than its limit.

Left: the budget follows the setting, not a publication's concurrency.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -36,6 +36,7 @@
 };
 use keys::Keys;
 use lifecycle::Lifecycle;
+use repeats::Repeats;
 use settings::{JujubeAgent, Settings};
 use tokio_util::sync::CancellationToken;
 
@@ -155,7 +156,7 @@
     let addr = host_and_port(&settings.backend);
     tokio::spawn(probe::watch(addr, control.clone(), token.clone()));
     let context = runner::Context {
-        repeats: Arc::default(),
+        repeats: Arc::new(Repeats::new(settings.concurrency)),
         backend,
         control,
         lifecycle: Arc::clone(&lifecycle),
--- a/crates/agent/src/repeats.rs
+++ b/crates/agent/src/repeats.rs
@@ -1,7 +1,8 @@
 //! Second calls to the backend server for idempotent requests whose connection broke.
 //!
-//! They are paid from a budget that requests fill, so that a server that breaks all connections is
-//! not given twice the work.
+//! They are paid from a budget that requests fill, so that a server that breaks connections again
+//! and again is not given twice the work. It starts with as many as the server has calls at once:
+//! when something between the two loses track of all open connections, each call is made once more.
 
 use std::sync::{Mutex, PoisonError};
 
@@ -21,15 +22,18 @@
     budget: Mutex<RetryBudget>,
 }
 
-impl Default for Repeats {
-    fn default() -> Self {
-        let config = RetryConfig::default();
+impl Repeats {
+    /// The budget beside a server with at most `concurrency` calls at once.
+    pub fn new(concurrency: u32) -> Self {
+        let default = RetryConfig::default();
+        let config = RetryConfig {
+            least_burst: default.least_burst.max(u64::from(concurrency)),
+            ..default
+        };
         let budget = Mutex::new(RetryBudget::new(&config));
         Self { config, budget }
     }
-}
 
-impl Repeats {
     /// Counts one request that has arrived.
     pub fn take_in(&self, now: Timestamp) {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
