feat(policy): services are covered by a few entries each, within an entry's room

Cause: each agent picked 16 of all entries whatever its service, so at 390 entries and 650 agents an entry reached the servers of some models by chance: 0 of 390 reached all 28, one had up to 41 agents (mean 26.7), and no caller could know which entry reaches its model.

Up to 10 entries everything is as before. Address answers for a service name entries that cover it, one of them live or in the answering entry's own failure domain.

--- a/crates/policy/src/addresses.rs
+++ b/crates/policy/src/addresses.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jj_utils::{clock::Timestamp, ids::InstanceId};
+use jj_utils::{clock::Timestamp, common_derives, ids::InstanceId};
 
 use crate::{
     membership::{MemberState, Membership},
@@ -36,6 +36,55 @@
     pub lifetime: Duration,
 }
 
+common_derives! {copy:
+    /// An entry that covers what the caller will ask for.
+    pub struct Covering<'a> {
+        /// The entry.
+        pub node: Node<'a>,
+        /// What is believed of it.
+        pub state: MemberState,
+        /// The live list does not say that it is leaving, and its failure domain is in service.
+        pub is_open: bool,
+    }
+}
+
+/// Names entries of a large fleet that cover a service, spread over failure domains.
+///
+/// The answering entry, in the failure domain `own`, hears from a few other entries only. So one
+/// that it never heard from is named too if the live list and the configuration speak for it, and
+/// one of those named is live or in `own`: in a partition a caller still finds one on its side.
+pub fn covering(
+    config: &AddressConfig,
+    entries: &[Covering<'_>],
+    own: &str,
+    caller: u64,
+) -> AddressAnswer {
+    let is_live = |entry: &Covering<'_>| entry.state == MemberState::Live;
+    let is_listed = |e: &Covering<'_>| e.state == MemberState::Unknown && e.is_open;
+    let is_near = |e: &Covering<'_>| is_live(e) || (is_listed(e) && e.node.domain == own);
+    let pick = |is_in: &dyn Fn(&Covering<'_>) -> bool, count: usize| -> Vec<InstanceId> {
+        let open = entries.iter().filter(|entry| is_in(entry));
+        let open: Vec<Node<'_>> = open.map(|entry| entry.node).collect();
+        let picked = subset::pick(caller, &open, count);
+        picked.into_iter().map(|i| open[i].id.to_owned()).collect()
+    };
+    let mut named = pick(&|e| is_live(e) || is_listed(e), config.count);
+    if named.is_empty() {
+        named = pick(&|e| e.state == MemberState::Suspect, config.count);
+    }
+    let near = pick(&is_near, entries.len());
+    if let Some(best) = near.first()
+        && !named.iter().any(|id| near.contains(id))
+    {
+        named.pop();
+        named.push(best.clone());
+    }
+    AddressAnswer {
+        entries: named,
+        lifetime: config.lifetime,
+    }
+}
+
 /// Names entries that take new work, spread over failure domains.
 ///
 /// `entries` are all known entries, the answering one included where it takes work itself (it is
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call_budget;
 pub mod cold;
 pub mod config_order;
+pub mod coverage;
 pub mod expert_map;
 pub mod fairness;
 pub mod group_leader;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -197,6 +197,14 @@
         }
     }
 
+    /// Takes in that an instance is asked no more, so that its silence says nothing; its life and
+    /// whether it is leaving are remembered.
+    pub fn stop_asking(&mut self, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.heard = None;
+        }
+    }
+
     /// Takes in which failure domains the configuration in force withdraws.
     pub fn set_withdrawn(&mut self, domains: impl IntoIterator<Item = FailureDomainId>) {
         self.withdrawn = domains.into_iter().collect();
--- /dev/null
+++ b/crates/policy/tests/coverage.rs
@@ -0,0 +1,346 @@
+//! Coverage of services by entries: whole today, bounded and balanced at the size to come.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use googletest::prelude::*;
+use jj_policy::{
+    addresses::{self, AddressConfig, Covering},
+    coverage::{self, Coverage, CoverageConfig, Services},
+    membership::MemberState,
+    subset::{self, Node},
+};
+
+const DOMAINS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+/// Entries that each agent talks to in the naive way.
+const NAIVE_ENTRIES: usize = 16;
+
+#[derive(Clone)]
+struct Instance {
+    id: String,
+    domain: &'static str,
+    service: String,
+}
+
+#[derive(Clone)]
+struct Fleet {
+    entries: Vec<Instance>,
+    agents: Vec<Instance>,
+}
+
+impl Fleet {
+    fn new(entries: usize, sizes: &[usize], domains: usize) -> Self {
+        let instance = |id: String, number: usize, service: String| Instance {
+            id,
+            domain: DOMAINS[number % domains],
+            service,
+        };
+        let entries =
+            (0..entries).map(|number| instance(format!("entry-{number}"), number, String::new()));
+        let services = sizes
+            .iter()
+            .enumerate()
+            .flat_map(|(service, &size)| vec![format!("model-{service}"); size]);
+        let agents = services
+            .enumerate()
+            .map(|(number, service)| instance(format!("agent-{number}"), number, service));
+        Self {
+            entries: entries.collect(),
+            agents: agents.collect(),
+        }
+    }
+
+    fn nodes(list: &[Instance]) -> Vec<Node<'_>> {
+        let node = |i| {
+            let Instance { id, domain, .. }: &Instance = i;
+            Node { id, domain }
+        };
+        list.iter().map(node).collect()
+    }
+
+    fn services(&self) -> Services {
+        let mut services = Services::new();
+        for agent in &self.agents {
+            *services.entry(agent.service.clone()).or_default() += 1;
+        }
+        services
+    }
+
+    fn coverage(&self) -> Coverage {
+        let config = CoverageConfig::default();
+        coverage::assign(&config, &Self::nodes(&self.entries), &self.services())
+    }
+
+    /// Agents that each entry talks to.
+    fn links(&self) -> BTreeMap<&str, BTreeSet<&str>> {
+        let (config, coverage) = (CoverageConfig::default(), self.coverage());
+        let talks = |(position, entry)| {
+            let entry: &Instance = entry;
+            let mut linked = BTreeSet::new();
+            for service in coverage.services_of(position) {
+                let agents = self.agents.iter().filter(|a| a.service == *service);
+                let agents: Vec<Instance> = agents.cloned().collect();
+                let picked = coverage::agents_of(
+                    &config,
+                    &entry.id,
+                    self.entries.len(),
+                    &Self::nodes(&agents),
+                );
+                let ids: BTreeSet<String> =
+                    picked.into_iter().map(|i| agents[i].id.clone()).collect();
+                linked.extend(self.agents.iter().filter(|a| ids.contains(&a.id)));
+            }
+            let linked = linked.into_iter().map(|agent| agent.id.as_str());
+            (entry.id.as_str(), linked.collect())
+        };
+        self.entries.iter().enumerate().map(talks).collect()
+    }
+
+    /// The naive way: each agent picks entries, whatever its service.
+    fn naive_links(&self) -> BTreeMap<&str, BTreeSet<&str>> {
+        let entries = Self::nodes(&self.entries);
+        let mut links: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        for agent in &self.agents {
+            for index in subset::entries_of(&agent.id, &entries, NAIVE_ENTRIES) {
+                links
+                    .entry(entries[index].id)
+                    .or_default()
+                    .insert(&agent.id);
+            }
+        }
+        links
+    }
+}
+
+impl PartialEq for Instance {
+    fn eq(&self, other: &Self) -> bool {
+        self.id == other.id
+    }
+}
+
+impl Eq for Instance {}
+
+impl PartialOrd for Instance {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Instance {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.id.cmp(&other.id)
+    }
+}
+
+/// 28 models on 650 servers, evenly and unevenly.
+fn sizes_to_come() -> [Vec<usize>; 2] {
+    let even = (0..28).map(|model| if model < 6 { 24 } else { 23 });
+    let uneven = [
+        120, 90, 70, 55, 45, 36, 30, 25, 22, 19, 17, 15, 13, 12, 11, 10, 9, 8, 8, 7, 6, 5, 4, 4, 3,
+        2, 2, 2,
+    ];
+    [even.collect(), uneven.to_vec()]
+}
+
+fn size_of_today() -> Fleet {
+    Fleet::new(9, &[16, 3], 3)
+}
+
+/// Services reached by entries through links, of all domains but `out`.
+fn reached(fleet: &Fleet, links: &BTreeMap<&str, BTreeSet<&str>>, out: &str) -> usize {
+    let mut services = BTreeSet::new();
+    for entry in fleet.entries.iter().filter(|entry| entry.domain != out) {
+        let linked = links.get(entry.id.as_str());
+        let agents = fleet.agents.iter().filter(|agent| agent.domain != out);
+        let agents = agents.filter(|a| linked.is_some_and(|ids| ids.contains(a.id.as_str())));
+        services.extend(agents.map(|agent| &agent.service));
+    }
+    services.len()
+}
+
+fn most_and_mean(counts: impl Iterator<Item = usize>) -> (usize, f64) {
+    let counts: Vec<usize> = counts.collect();
+    let most = counts.iter().max().copied().unwrap_or(0);
+    (
+        most,
+        counts.iter().sum::<usize>() as f64 / counts.len() as f64,
+    )
+}
+
+#[gtest]
+fn every_entry_of_todays_size_reaches_everything() {
+    let fleet = size_of_today();
+
+    let links = fleet.links();
+
+    expect_that!(fleet.coverage().is_full(), eq(true));
+    expect_that!(links.values().all(|linked| linked.len() == 19), eq(true));
+}
+
+#[gtest]
+fn an_entry_reaches_the_whole_of_what_it_covers_and_stays_in_its_room() {
+    for sizes in sizes_to_come() {
+        let fleet = Fleet::new(390, &sizes, 5);
+
+        let (links, naive) = (fleet.links(), fleet.naive_links());
+
+        let (most, mean) = most_and_mean(links.values().map(BTreeSet::len));
+        let (naive_most, naive_mean) = most_and_mean(naive.values().map(BTreeSet::len));
+        println!(
+            "agents of an entry: most {most}, mean {mean:.1}; naive {naive_most}, {naive_mean:.1}"
+        );
+        expect_that!(most, le(CoverageConfig::default().room));
+        expect_that!(most as f64, le(1.3 * mean));
+        expect_that!(naive_most as f64, gt(1.3 * naive_mean));
+    }
+}
+
+#[gtest]
+fn every_model_is_reached_with_a_failure_domain_out() {
+    for sizes in sizes_to_come() {
+        let fleet = Fleet::new(390, &sizes, 5);
+        let links = fleet.links();
+        let coverage = fleet.coverage();
+
+        for out in DOMAINS {
+            let has_servers = |service: &String| {
+                let mut of = fleet
+                    .agents
+                    .iter()
+                    .filter(|agent| agent.service == *service);
+                of.any(|agent| agent.domain != out)
+            };
+            let expected = fleet.services().keys().filter(|s| has_servers(s)).count();
+            expect_that!(reached(&fleet, &links, out), eq(expected));
+        }
+        let entries_of = |service: &str| {
+            let all = 0..fleet.entries.len();
+            all.filter(|&entry| coverage.covers(entry, service)).count()
+        };
+        let services = fleet.services();
+        let counts: Vec<usize> = services.keys().map(|name| entries_of(name)).collect();
+        println!("entries of a service: {counts:?}");
+        expect_that!(
+            counts.iter().min(),
+            some(ge(&CoverageConfig::default().least))
+        );
+        let mut heard: BTreeMap<&str, usize> = BTreeMap::new();
+        for agent in links.values().flatten() {
+            *heard.entry(agent).or_default() += 1;
+        }
+        let fewest = heard.values().min().copied().unwrap_or(0);
+        let most = heard.values().max().copied().unwrap_or(0);
+        println!("entries of an agent: {fewest} to {most}");
+        expect_that!(heard.len(), eq(fleet.agents.len()));
+        expect_that!(fewest, ge(2));
+    }
+}
+
+#[gtest]
+fn a_caller_finds_a_covering_entry_where_the_naive_way_has_none() {
+    let [even, _] = sizes_to_come();
+    let fleet = Fleet::new(390, &even, 5);
+    let naive = fleet.naive_links();
+    let knows_all = |linked: &BTreeSet<&str>| {
+        let agents = fleet
+            .agents
+            .iter()
+            .filter(|a| linked.contains(a.id.as_str()));
+        let services: BTreeSet<&String> = agents.map(|agent| &agent.service).collect();
+        services.len() == 28
+    };
+
+    // In the naive way a caller can't know which entry reaches a model, so each would have to.
+    let naive_whole = naive.values().filter(|linked| knows_all(linked)).count();
+    println!("naive entries that reach all 28 models: {naive_whole} of 390");
+    let idle = fleet
+        .links()
+        .values()
+        .filter(|linked| linked.is_empty())
+        .count();
+    println!("entries without a service: {idle}");
+
+    expect_that!(naive_whole, lt(39));
+    expect_that!(idle, eq(0));
+}
+
+/// Links that one fleet has and the other has not, of entries and agents in both.
+fn moved(before: &Fleet, after: &Fleet) -> usize {
+    let (old, new) = (before.links(), after.links());
+    let gained = new.iter().map(|(entry, linked)| match old.get(entry) {
+        Some(known) => linked.difference(known).count(),
+        None => 0,
+    });
+    gained.sum()
+}
+
+#[gtest]
+fn a_replaced_instance_moves_a_small_share() {
+    for sizes in sizes_to_come() {
+        let fleet = Fleet::new(390, &sizes, 5);
+        let links: usize = fleet.links().values().map(BTreeSet::len).sum();
+        let (mut entries, mut agents) = (Vec::new(), Vec::new());
+        for number in (0..30).map(|n| n * 13) {
+            let mut without = fleet.clone();
+            without.entries.remove(number);
+            entries.push(moved(&fleet, &without) as f64 / links as f64);
+            let mut without = fleet.clone();
+            without.agents.remove(number);
+            agents.push(moved(&fleet, &without) as f64 / links as f64);
+        }
+        let mean = |shares: &[f64]| shares.iter().sum::<f64>() / shares.len() as f64;
+        let most = |shares: &[f64]| shares.iter().copied().fold(0.0, f64::max);
+        println!(
+            "of {links} links moved: entry gone {:.4} (most {:.4}), agent gone {:.4} ({:.4})",
+            mean(&entries),
+            most(&entries),
+            mean(&agents),
+            most(&agents)
+        );
+
+        expect_that!(mean(&entries), le(0.03));
+        expect_that!(mean(&agents), le(0.03));
+    }
+}
+
+/// Callers of the services of an entry in domain `e` that are told no address in `d` or `e`.
+fn callers_cut_off(answer: impl Fn(&[Covering<'_>], u64) -> Vec<String>) -> usize {
+    let [even, _] = sizes_to_come();
+    let fleet = Fleet::new(390, &even, 5);
+    let coverage = fleet.coverage();
+    let domain_of = |id: &String| fleet.entries.iter().find(|e| e.id == *id).map(|e| e.domain);
+    let mut cut_off = 0;
+    for service in fleet.services().keys() {
+        let positions = (0..fleet.entries.len()).filter(|&entry| coverage.covers(entry, service));
+        let entries = positions.map(|position| Covering {
+            node: Fleet::nodes(&fleet.entries)[position],
+            state: MemberState::Unknown,
+            is_open: true,
+        });
+        let entries: Vec<Covering<'_>> = entries.collect();
+        for caller in 0..40 {
+            let named = answer(&entries, caller);
+            let reached = |id| matches!(domain_of(id), Some("d" | "e"));
+            cut_off += usize::from(!named.iter().any(reached));
+        }
+    }
+    cut_off
+}
+
+#[gtest]
+fn a_caller_in_a_region_cut_off_is_told_an_address_there() {
+    let config = AddressConfig::default();
+
+    let policy = callers_cut_off(|entries, caller| {
+        addresses::covering(&config, entries, "e", caller).entries
+    });
+    let naive = callers_cut_off(|entries, caller| {
+        let nodes: Vec<Node<'_>> = entries.iter().map(|entry| entry.node).collect();
+        let picked = subset::pick(caller, &nodes, config.count);
+        picked.into_iter().map(|i| nodes[i].id.to_owned()).collect()
+    });
+    println!("of 1,120 callers without an address on their side: {policy}, naive {naive}");
+
+    expect_that!(policy, eq(0));
+    expect_that!(naive, gt(0));
+}
