feat(entry): address answers follow the service or model; questions of heartbeats are short

Coverage: GET /v1/addresses?service= or ?model= names entries that cover it. An entry asked for a service that it does not cover refuses: "not run" with Retry-After and the query to use, "may have run" for an issued key or a resumed stream, which only their home can tell. Agents that an entry gives up are asked for 30 s more, since callers keep addresses and lists lag.

Heartbeats: evidence is dated by its question, so what a question said of its sender but for the index was read by nobody. Weighed: one-way heartbeats (an answer that waited in the socket of a frozen process would count as new, and withdrawal rests on that); longer intervals (detection is 2 and 3 intervals); fewer witnesses (each is evidence of another failure domain).

--- /dev/null
+++ b/crates/entry/src/addresses.rs
@@ -0,0 +1,176 @@
+//! Which entries a caller is told to use, and what it is told where it asks one that does not cover
+//! the service.
+
+use std::net::SocketAddr;
+
+use jj_caller::{answer::Answer, problem::Refusal, request::CallerRequest};
+use jj_operator::{documents::DomainState, published::Published};
+use jj_policy::{
+    addresses::{self, AddressConfig, Covering},
+    keys::OnceKey,
+    rendezvous::key_hash,
+    subset::Node,
+    verdict::Verdict,
+};
+use jj_utils::ids::ServiceId;
+use poem::http::StatusCode;
+use reqwest::Url;
+use serde_json::json;
+
+use crate::{
+    context::Context, control::CALLER_GROUPS, routes::Routed, serve::NOT_READY, view::View,
+};
+
+/// Path at which callers ask which addresses to use.
+pub const ADDRESSES_PATH: &str = "/v1/addresses";
+
+/// Parameter that names the model that the caller will ask for.
+const MODEL: &str = "model";
+
+/// Parameter that names the service that the caller will ask for.
+const SERVICE: &str = "service";
+
+/// Addresses for the caller; one caller gets the same ones while the entries stay the same.
+///
+/// A caller that names neither model nor service gets entries whatever they cover, and is told
+/// whether each of them covers everything.
+///
+/// # Errors
+/// When the query is wrong, or names what is not served.
+pub fn answer(context: &Context, view: &View, request: &CallerRequest) -> Result<Answer, Refusal> {
+    let service = named_service(view, request)?;
+    let is_full = view.coverage.coverage.is_full();
+    let caller = request.token.as_ref().or(request.account.as_ref());
+    let caller = caller.map_or(0, |caller| key_hash(caller));
+    let addresses = match service {
+        Some(service) if !is_full => covering(context, view, service, caller),
+        _ => {
+            let group = view.addresses.get((caller % CALLER_GROUPS) as usize);
+            group.cloned().unwrap_or_default()
+        }
+    };
+    let mut document = json!({
+        "addresses": addresses,
+        "lifetime_s": context.lifetime.as_secs(),
+    });
+    let has_list = !view.coverage.entries.is_empty();
+    if service.is_none() && has_list && !is_full {
+        document["covers_all"] = false.into();
+        document["ask"] = format!("{ADDRESSES_PATH}?{MODEL}=NAME or ?{SERVICE}=NAME").into();
+    }
+    Ok(Answer::json(&document))
+}
+
+/// The service that the query names, if it names one.
+fn named_service<'a>(
+    view: &'a View,
+    request: &CallerRequest,
+) -> Result<Option<&'a ServiceId>, Refusal> {
+    let query = request.query.as_deref().unwrap_or_default();
+    let (model, service) = (parameter(query, MODEL), parameter(query, SERVICE));
+    if model.is_none() && service.is_none() {
+        return Ok(None);
+    }
+    let Some(published) = &view.published else {
+        return Err(Refusal::given_up(NOT_READY, "no configuration yet"));
+    };
+    let found = match (model, service) {
+        (Some(model), None) => service_of_model(published, &model),
+        (None, Some(service)) => published.services.get_key_value(&service).map(|it| it.0),
+        _ => {
+            let detail = format!("name a {MODEL} or a {SERVICE}, not both");
+            return Err(Refusal::invalid(StatusCode::BAD_REQUEST, detail));
+        }
+    };
+    let unknown = || {
+        let detail = format!("`{query}` names nothing that is served here");
+        Refusal::invalid(StatusCode::NOT_FOUND, detail)
+    };
+    found.map(Some).ok_or_else(unknown)
+}
+
+/// Value of a query's parameter.
+fn parameter(query: &str, name: &str) -> Option<String> {
+    let url = Url::parse(&format!("http://entry/?{query}")).ok()?;
+    let mut pairs = url.query_pairs();
+    let found = pairs.find(|(key, _)| key == name);
+    found.map(|(_, value)| value.into_owned())
+}
+
+fn service_of_model<'a>(published: &'a Published, model: &str) -> Option<&'a ServiceId> {
+    let mut services = published.services.iter();
+    let found = services.find(|(_, document)| document.models.iter().any(|name| name == model));
+    found.map(|(service, _)| service)
+}
+
+/// Addresses of entries that cover a service.
+fn covering(context: &Context, view: &View, service: &str, caller: u64) -> Vec<SocketAddr> {
+    let listed = view.coverage.entries.iter().zip(&view.entry_states);
+    let of_service = listed
+        .enumerate()
+        .filter(|(position, _)| view.coverage.coverage.covers(*position, service))
+        .map(|(_, (instance, state))| (instance, *state));
+    let of_service: Vec<_> = of_service.collect();
+    let entries = of_service.iter().map(|(instance, state)| Covering {
+        node: Node {
+            id: &instance.id,
+            domain: &instance.domain,
+        },
+        state: *state,
+        is_open: !instance.leaving && is_in_service(view, &instance.domain),
+    });
+    let entries: Vec<Covering<'_>> = entries.collect();
+    let config = AddressConfig::default();
+    let answer = addresses::covering(&config, &entries, &context.own.domain, caller);
+    let address = |id| {
+        let mut listed = of_service.iter().map(|(instance, _)| instance);
+        let found = listed.find(|instance| instance.id == id);
+        found.map(|instance| instance.traffic)
+    };
+    answer.entries.into_iter().filter_map(address).collect()
+}
+
+fn is_in_service(view: &View, domain: &str) -> bool {
+    let published = view.published.as_ref();
+    let state = published.and_then(|published| published.fleet.domains.get(domain));
+    state != Some(&DomainState::Withdrawn)
+}
+
+/// Refuses a request for a service that this entry does not cover.
+///
+/// # Errors
+/// "Not run", or "may have run" where an earlier try may have: only the home of a key, or the agent
+/// of a stream, can say what came of it.
+pub fn check_covered(
+    context: &Context,
+    view: &View,
+    routed: &Routed,
+    request: &CallerRequest,
+) -> Result<(), Refusal> {
+    let service = &routed.service;
+    let mut agents = view.agents_of(service);
+    let is_covered = view.coverage.coverage.is_full()
+        || view.coverage.entries.is_empty()
+        || view.coverage.covers(&context.own.instance, service)
+        || agents.any(|agent| agent.believed_state().may_take_work());
+    if is_covered {
+        return Ok(());
+    }
+    let key = request.key.as_ref().filter(|_| !routed.idempotent);
+    let issued = key.map(|key| matches!(key.parse(), Ok(OnceKey::Issued(_))));
+    if issued == Some(false) {
+        // Refused for its key, wherever it arrives.
+        return Ok(());
+    }
+    let verdict = match issued.is_some() || request.last_event.is_some() {
+        true => Verdict::MayHaveRun,
+        false => Verdict::NotRun {
+            retry_after: context.retry.retry_after,
+        },
+    };
+    let detail = format!(
+        "this entry does not cover `{service}`: \
+         GET {ADDRESSES_PATH}?{SERVICE}={service} names entries that do"
+    );
+    Err(Refusal::given_up(verdict, detail))
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -12,14 +12,28 @@
     retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
     routing::{PrefixHash, RoutingConfig},
 };
-use jj_utils::{clock::SharedClock, ids::RequestId};
+use jj_utils::{
+    clock::SharedClock,
+    ids::{FailureDomainId, InstanceId, RequestId},
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{usage::Usage, view::View};
 
+/// Which entry this is.
+#[derive(Debug, Clone)]
+pub struct Own {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+}
+
 /// Shared by all traffic threads.
 pub struct Context {
+    /// Which entry this is.
+    pub own: Own,
     /// Time.
     pub clock: SharedClock,
     /// Client of every agent.
@@ -44,6 +58,7 @@
 impl Context {
     /// A context whose random numbers start from `seed`.
     pub fn new(
+        own: Own,
         clock: SharedClock,
         client: AgentClient,
         view: Arc<ArcSwap<View>>,
@@ -52,6 +67,7 @@
     ) -> Self {
         let retry = RetryConfig::default();
         Self {
+            own,
             clock,
             client,
             view,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -167,10 +167,14 @@
         let listed = list.instances.iter().filter(|i| i.role == Role::Agent);
         let mut agents: Vec<Agent> = listed.filter_map(|i| self.agent(i)).collect();
         agents.sort_by(|a, b| a.id.cmp(&b.id));
+        let coverage = self.fleet.coverage();
+        let states = coverage.entries.iter().map(|i| self.fleet.state(&i.id));
         let view = View {
             published: self.fleet.published(),
             agents,
             addresses: self.addresses(&list),
+            entry_states: states.collect(),
+            coverage,
             total_weight: self.total_weight(),
             permit: self.permit(),
             standing: format!("{:?}", self.fleet.standing()),
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -4,21 +4,17 @@
 
 use jj_caller::{answer::Answer, problem::Refusal, request::CallerRequest, server::Handler};
 use jj_operator::published::Published;
-use jj_policy::rendezvous::key_hash;
 use poem::http::StatusCode;
 use serde_json::json;
 
 use crate::{
+    addresses::{self, ADDRESSES_PATH},
     context::Context,
-    control::CALLER_GROUPS,
     forward::Forward,
     keys::{self, KEYS_PATH},
     routes,
 };
 
-/// Path at which callers ask which addresses to use.
-const ADDRESSES_PATH: &str = "/v1/addresses";
-
 /// Path of the list of models.
 const MODELS_PATH: &str = "/v1/models";
 
@@ -33,7 +29,7 @@
 async fn handle(context: Arc<Context>, request: CallerRequest) -> Result<Answer, Refusal> {
     let view = context.view.load_full();
     if request.method == "GET" && request.path == ADDRESSES_PATH {
-        return Ok(addresses(&context, &request));
+        return addresses::answer(&context, &view, &request);
     }
     let Some(published) = &view.published else {
         let detail = "no configuration yet";
@@ -52,6 +48,7 @@
         };
     }
     let routed = routes::resolve(published, &request)?;
+    addresses::check_covered(&context, &view, &routed, &request)?;
     let home = keys::home(&view, &routed, &request)?;
     Forward::new(context, request, routed, home).run().await
 }
@@ -61,18 +58,6 @@
     Refusal::invalid(StatusCode::METHOD_NOT_ALLOWED, detail)
 }
 
-/// Addresses for the caller; one caller gets the same ones while the entries stay the same.
-fn addresses(context: &Context, request: &CallerRequest) -> Answer {
-    let view = context.view.load();
-    let caller = request.token.as_ref().or(request.account.as_ref());
-    let group = caller.map_or(0, |caller| key_hash(caller) % CALLER_GROUPS);
-    let addresses = view.addresses.get(group as usize);
-    Answer::json(&json!({
-        "addresses": addresses.cloned().unwrap_or_default(),
-        "lifetime_s": context.lifetime.as_secs(),
-    }))
-}
-
 fn models(published: &Published) -> Answer {
     let models = published
         .services
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 
 use crate::{
-    choose,
+    addresses, choose,
     context::Context,
     routes::{self, Routed},
     view::{Agent, View},
@@ -50,6 +50,7 @@
         ..request.clone()
     };
     let routed = routes::resolve(published, &meant)?;
+    addresses::check_covered(context, &context.view.load(), &routed, &meant)?;
     let due = context.clock.now() + routed.timeout;
     let home = life(&choose::choose(context, &routed, due, &[])?);
     let key = IssuedKey::issue(home, &mut context.random());
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,6 +2,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+mod addresses;
 mod choose;
 mod cli;
 mod commands;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -27,7 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    context::Context,
+    context::{Context, Own},
     control::{self, ControlContext},
     handler,
     settings::Settings,
@@ -86,7 +86,12 @@
     .await?;
     let client = AgentClient::new(LinkConfig::default())?;
     let seed = rand::random();
-    let context = Arc::new(Context::new(clock, client, view, settings.lifetime, seed));
+    let own = Own {
+        instance: settings.node.instance.clone(),
+        domain: settings.node.domain.clone(),
+    };
+    let lifetime = settings.lifetime;
+    let context = Arc::new(Context::new(own, clock, client, view, lifetime, seed));
     let callers = CallerConfig {
         max_body: settings.max_body,
         ..CallerConfig::default()
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -10,6 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
+use jj_node::peers::EntryCoverage;
 use jj_operator::published::Published;
 use jj_policy::{authority::Permit, membership::MemberState, routing::LoadReport};
 use jj_utils::{
@@ -26,6 +27,10 @@
     pub agents: Vec<Agent>,
     /// Addresses that callers may use, for each group of callers.
     pub addresses: Vec<Vec<SocketAddr>>,
+    /// Services of every listed entry.
+    pub coverage: Arc<EntryCoverage>,
+    /// What is believed of each of these entries.
+    pub entry_states: Vec<MemberState>,
     /// Sum of the weights of all client accounts.
     pub total_weight: u64,
     /// Leave to take new work; checked again directly before each attempt.
--- a/crates/lab/src/experiments/capacity.rs
+++ b/crates/lab/src/experiments/capacity.rs
@@ -3,43 +3,40 @@
 use std::{
     fmt::Write,
     hint::black_box,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use jj_node::{
+    fleet::FleetConfig,
+    heartbeats,
+    peers::{Chooser, Peers},
+};
 use jj_operator::{
     documents::{Account, AccountsDocument, FleetDocument, Manifest},
     published::{Bundle, FORMAT, Published, digest_of},
 };
 use jj_peer::control::{Heartbeat, LoadReport};
+use jj_platform::wire::{Instance, InstanceList, Role};
 use jj_policy::{
-    addresses::{self, AddressConfig},
+    addresses::{self, AddressConfig, Covering},
     membership::{self, Listed, MemberState, Membership, MembershipConfig},
     rendezvous::key_hash,
     routing::{self, Candidate, RequestFacts, RoutingConfig},
-    subset::{self, Node},
+    subset::Node,
 };
+use jj_utils::collections::FastMap;
 
 use crate::publication::Publication;
 
-/// Fleets measured: entries and agents; the last is the size to come.
-const FLEETS: [FleetSize; 4] = [
-    FleetSize {
-        entries: 6,
-        agents: 19,
-    },
-    FleetSize {
-        entries: 24,
-        agents: 40,
-    },
-    FleetSize {
-        entries: 96,
-        agents: 160,
-    },
-    FleetSize {
-        entries: 390,
-        agents: 650,
-    },
+/// Fleets measured; the first two are of today's size, the last is the size to come.
+const FLEETS: [FleetSize; 5] = [
+    FleetSize::new(6, 19, 2),
+    FleetSize::new(9, 19, 2),
+    FleetSize::new(24, 40, 4),
+    FleetSize::new(96, 160, 10),
+    FleetSize::new(390, 650, 28),
 ];
 
 /// Client accounts measured; the last is the size to come.
@@ -54,8 +51,8 @@
 /// Failure domains.
 const DOMAINS: usize = 5;
 
-/// Entries that each agent talks to.
-const ENTRIES_PER_AGENT: usize = 16;
+/// Entries that cover one service.
+const COVERING: usize = 16;
 
 /// Runs of each timed call; the middle one counts.
 const RUNS: usize = 9;
@@ -67,12 +64,24 @@
 struct FleetSize {
     entries: usize,
     agents: usize,
+    services: usize,
+}
+
+impl FleetSize {
+    const fn new(entries: usize, agents: usize, services: usize) -> Self {
+        Self {
+            entries,
+            agents,
+            services,
+        }
+    }
 }
 
 /// Markdown tables of all slopes.
 pub fn run(_seed: u64) -> String {
     let mut text = String::new();
     heartbeat_table(&mut text);
+    links_table(&mut text);
     fleet_table(&mut text);
     routing_table(&mut text);
     configuration_table(&mut text);
@@ -80,15 +89,30 @@
 }
 
 fn heartbeat_table(text: &mut String) {
-    let beat = heartbeat();
-    let datagram = jj_node::heartbeats::datagram_size(&beat) + UDP_HEADERS;
-    let json = serde_json::to_string(&beat).map_or(0, |json| json.len());
-    let _ = writeln!(text, "| one heartbeat | bytes |\n|---|---|");
-    let _ = writeln!(text, "| UDP datagram with headers | {datagram} |");
+    let json = serde_json::to_string(&heartbeat(true)).map_or(0, |json| json.len());
+    let [question, agent] = datagrams(true);
+    let [_, entry] = datagrams(false);
+    let _ = writeln!(text, "| datagram, with headers | bytes |\n|---|---|");
+    let _ = writeln!(text, "| question | {question} |");
+    let _ = writeln!(text, "| answer of an entry | {entry} |");
+    let _ = writeln!(text, "| answer of an agent | {agent} |");
     let _ = writeln!(text, "| the same as JSON, without any headers | {json} |\n");
 }
 
-fn heartbeat() -> Heartbeat {
+/// Bytes of a question and its answer, headers included.
+fn datagrams(has_load: bool) -> [usize; 2] {
+    heartbeats::datagram_sizes(&heartbeat(has_load)).map(|bytes| bytes + UDP_HEADERS)
+}
+
+fn heartbeat(has_load: bool) -> Heartbeat {
+    let load = LoadReport {
+        limit: 64,
+        running: 48,
+        waiting: 12,
+        latency: 900_000,
+        reachable: true,
+        leaving: false,
+    };
     Heartbeat {
         instance: "instance-0123".into(),
         incarnation: 1_796_334_374_138,
@@ -97,35 +121,120 @@
         platform_age: Some(2_000),
         clock: 86_400_000_000,
         draining: false,
-        load: Some(LoadReport {
-            limit: 64,
-            running: 48,
-            waiting: 12,
-            latency: 900_000,
-            reachable: true,
-            leaving: false,
-        }),
+        load: has_load.then_some(load),
     }
 }
 
-fn fleet_table(text: &mut String) {
+/// Bytes of heartbeats of one process, both ways, in a second.
+#[derive(Default, Clone, Copy)]
+struct Links {
+    asks_agents: usize,
+    asks_entries: usize,
+    asked: usize,
+}
+
+impl Links {
+    fn bytes(self, role: Role) -> f64 {
+        let exchange = |has_load| datagrams(has_load).into_iter().sum::<usize>();
+        let answered = exchange(role == Role::Agent);
+        let bytes = self.asks_agents * exchange(true)
+            + self.asks_entries * exchange(false)
+            + self.asked * answered;
+        bytes as f64 / FleetConfig::default().interval.as_secs_f64()
+    }
+}
+
+/// Whom every process of a fleet asks, by its own choice.
+fn links(list: &InstanceList) -> FastMap<&str, Links> {
+    let config = FleetConfig::default();
+    let mut links: FastMap<&str, Links> = FastMap::default();
+    let control = |instance: &Instance| instance.control;
+    let by_control = list.instances.iter().map(|it| (control(it), it));
+    let by_control: FastMap<SocketAddr, &Instance> = by_control.collect();
+    for own in &list.instances {
+        let chooser = chooser(own, &config);
+        let mut peers = Peers::default();
+        peers.choose(&chooser, list, Duration::ZERO);
+        for peer in peers.asked() {
+            let asked = by_control[&peer.control];
+            let counts = links.entry(own.id.as_str()).or_default();
+            match asked.role {
+                Role::Agent => counts.asks_agents += 1,
+                Role::Entry => counts.asks_entries += 1,
+            }
+            links.entry(asked.id.as_str()).or_default().asked += 1;
+        }
+    }
+    links
+}
+
+fn chooser(own: &Instance, config: &FleetConfig) -> Chooser {
+    Chooser {
+        instance: own.id.clone(),
+        domain: own.domain.clone(),
+        role: own.role,
+        witnesses: config.witnesses,
+        coverage: config.coverage.clone(),
+    }
+}
+
+/// Mean and highest.
+fn spread(values: impl Iterator<Item = f64>) -> String {
+    let values: Vec<f64> = values.collect();
+    let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
+    let most = values.iter().copied().fold(0.0, f64::max);
+    format!("{mean:.0} / {most:.0}")
+}
+
+fn links_table(text: &mut String) {
     let _ = writeln!(
         text,
-        "| entries | agents | agents of an entry, most | choosing peers, ms | states, ms | \
-         address answers, ms | membership, KB |\n|---|---|---|---|---|---|---|"
+        "| entries | agents | services | agents of an entry, mean / most | entries of an agent | \
+         bytes/s of an entry, mean / most | bytes/s of an agent | choosing peers, ms |\n\
+         |---|---|---|---|---|---|---|---|"
     );
     for size in FLEETS {
-        let fleet = Names::new(size);
-        let (entries, agents) = fleet.nodes();
-        let most = entries
-            .iter()
-            .take(8)
-            .map(|entry| subset::agents_of(entry.id, &agents, &entries, ENTRIES_PER_AGENT).len());
-        let most = most.max().unwrap_or(0);
-        let own = entries[0].id;
+        let list = Names::new(size).list(size.services);
+        let links = links(&list);
+        let of_role = |role: Role| {
+            let instances = list.instances.iter().filter(move |it| it.role == role);
+            instances.filter_map(|it| links.get(it.id.as_str()).copied())
+        };
+        let bytes = |role: Role| spread(of_role(role).map(|it| it.bytes(role)));
+        let config = FleetConfig::default();
+        let own = chooser(&list.instances[0], &config);
         let choosing = time(|| {
-            black_box(subset::agents_of(own, &agents, &entries, ENTRIES_PER_AGENT));
+            let mut peers = Peers::default();
+            peers.choose(&own, &list, Duration::ZERO);
+            black_box(peers.asked());
         });
+        let FleetSize {
+            entries,
+            agents,
+            services,
+        } = size;
+        let _ = writeln!(
+            text,
+            "| {entries} | {agents} | {services} | {} | {} | {} | {} | {} |",
+            spread(of_role(Role::Entry).map(|it| it.asks_agents as f64)),
+            spread(of_role(Role::Agent).map(|it| it.asked as f64)),
+            bytes(Role::Entry),
+            bytes(Role::Agent),
+            millis(choosing)
+        );
+    }
+    let _ = writeln!(text);
+}
+
+fn fleet_table(text: &mut String) {
+    let _ = writeln!(
+        text,
+        "| entries | agents | states, ms | address answers, ms | one answer for a service, ms | \
+         membership, KB |\n|---|---|---|---|---|---|"
+    );
+    for size in FLEETS {
+        let fleet = Names::new(size);
+        let (entries, _) = fleet.nodes();
         let before = resident();
         let members = fleet.membership();
         let grown = resident().saturating_sub(before) / 1024;
@@ -139,13 +248,24 @@
                 black_box(addresses::answer(&config, &members, &entries, caller, now));
             }
         });
-        let FleetSize { entries, agents } = size;
+        let covering = entries.iter().take(COVERING).map(|&node| Covering {
+            node,
+            state: MemberState::Unknown,
+            is_open: true,
+        });
+        let covering: Vec<Covering<'_>> = covering.collect();
+        let named = time(|| {
+            black_box(addresses::covering(&config, &covering, "domain-0", 7));
+        });
+        let FleetSize {
+            entries, agents, ..
+        } = size;
         let _ = writeln!(
             text,
-            "| {entries} | {agents} | {most} | {} | {} | {} | {grown} |",
-            millis(choosing),
+            "| {entries} | {agents} | {} | {} | {} | {grown} |",
             millis(states),
-            millis(answers)
+            millis(answers),
+            millis(named)
         );
     }
     let _ = writeln!(text);
@@ -180,6 +300,31 @@
             .collect()
     }
 
+    /// The live list; the services take the agents in turn.
+    fn list(&self, services: usize) -> InstanceList {
+        let listed = |role: Role| {
+            move |(number, node): (usize, Node<'_>)| Instance {
+                id: node.id.to_owned(),
+                role,
+                domain: node.domain.to_owned(),
+                service: match role {
+                    Role::Entry => String::new(),
+                    Role::Agent => format!("model-{:02}", number % services),
+                },
+                traffic: address(role, number),
+                control: address(role, number),
+                leaving: false,
+                rank: None,
+            }
+        };
+        let (entries, agents) = self.nodes();
+        let entries = entries.into_iter().enumerate().map(listed(Role::Entry));
+        let agents = agents.into_iter().enumerate().map(listed(Role::Agent));
+        InstanceList {
+            instances: entries.chain(agents).collect(),
+        }
+    }
+
     fn membership(&self) -> Membership {
         let mut members = Membership::new(MembershipConfig::default());
         let (entries, agents) = self.nodes();
@@ -203,6 +348,16 @@
     }
 }
 
+/// An address of its own for each process.
+fn address(role: Role, number: usize) -> SocketAddr {
+    let first = match role {
+        Role::Entry => 10_000,
+        Role::Agent => 20_000,
+    };
+    let port = u16::try_from(first + number).unwrap_or(u16::MAX);
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
 fn routing_table(text: &mut String) {
     let _ = writeln!(
         text,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -8,13 +8,12 @@
 use jj_platform::{
     config_reader::ConfigView,
     live_list::LiveList,
-    wire::{Instance, InstanceList, Role},
+    wire::{InstanceList, Role},
 };
 use jj_policy::{
     authority::{Authority, AuthorityConfig, PeerAnswer, Permit, Standing},
+    coverage::CoverageConfig,
     membership::{self, Listed, MemberState, Membership, MembershipConfig},
-    rendezvous::key_hash,
-    subset::{self, Node},
 };
 use jj_utils::{
     clock::{SharedClock, Timestamp},
@@ -33,6 +32,7 @@
     fleet_audit::FleetAudit,
     follower::{self, FollowContext, Follower},
     heartbeats::{Answer, Heartbeats, Received},
+    peers::{Chooser, EntryCoverage, Peers},
 };
 
 /// How peers are asked.
@@ -40,8 +40,8 @@
 pub struct FleetConfig {
     /// Time between two heartbeats to one peer.
     pub interval: Duration,
-    /// Entries that each agent talks to; all of them in a small fleet.
-    pub entries_per_agent: usize,
+    /// Which agents an entry talks to; all of them in a small fleet.
+    pub coverage: CoverageConfig,
     /// Entries that a process asks only to learn of configuration and partitions.
     pub witnesses: usize,
 }
@@ -50,7 +50,7 @@
     fn default() -> Self {
         Self {
             interval: Duration::from_secs(2),
-            entries_per_agent: 16,
+            coverage: CoverageConfig::default(),
             witnesses: 3,
         }
     }
@@ -139,7 +139,6 @@
 
 /// The other processes, as this one sees them.
 pub struct Fleet {
-    config: FleetConfig,
     own: Own,
     clock: SharedClock,
     follower: Follower,
@@ -148,19 +147,13 @@
     authority: Authority,
     audit: FleetAudit,
     heard: FastMap<InstanceId, Heard>,
+    chooser: Chooser,
     /// Whom this process asks; worked out anew only when the live list changes.
-    peers: Vec<Peer>,
+    peers: Peers,
     withdrawn: Vec<FailureDomainId>,
     tick: Interval,
 }
 
-/// A process that this one asks.
-#[derive(Debug, Clone)]
-struct Peer {
-    id: InstanceId,
-    control: SocketAddr,
-}
-
 /// The last heartbeat of one process.
 #[derive(Debug, Clone)]
 pub struct Heard {
@@ -186,8 +179,14 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let authority = Authority::new(AuthorityConfig::default(), own.domain.clone());
         let membership = Membership::new(membership_config(&config));
+        let chooser = Chooser {
+            instance: own.instance.clone(),
+            domain: own.domain.clone(),
+            role: own.role,
+            witnesses: config.witnesses,
+            coverage: config.coverage,
+        };
         Self {
-            config,
             own,
             clock,
             follower,
@@ -196,7 +195,8 @@
             authority,
             audit: FleetAudit::new(audit),
             heard: FastMap::default(),
-            peers: Vec::new(),
+            chooser,
+            peers: Peers::default(),
             withdrawn: Vec::new(),
             tick,
         }
@@ -232,6 +232,16 @@
         Arc::clone(&self.follower.list.borrow().list)
     }
 
+    /// Services of every listed entry.
+    pub fn coverage(&self) -> Arc<EntryCoverage> {
+        self.peers.coverage()
+    }
+
+    /// Failure domains that the configuration in force takes out of service.
+    pub fn withdrawn(&self) -> &[FailureDomainId] {
+        &self.withdrawn
+    }
+
     /// What is believed of an instance.
     pub fn state(&self, id: &str) -> MemberState {
         self.membership.state(id, self.clock.now())
@@ -270,50 +280,27 @@
 
     fn ask_peers(&mut self) {
         self.heartbeats.prune();
+        self.drop_expired();
         self.membership.prune(self.clock.now());
         self.observe_self();
         self.audit
             .members(&self.membership.states(self.clock.now()));
         self.audit.standing(self.standing());
-        let own = self.own_heartbeat();
+        let index = self.follower.config.borrow().index();
         let list = self.list();
-        for peer in &self.peers {
-            self.heartbeats.ask(&peer.id, peer.control, &own);
+        for peer in self.peers.asked() {
+            self.heartbeats.ask(&peer.id, peer.control, index);
         }
         self.heard
             .retain(|id, _| list.instances.iter().any(|i| i.id == *id));
     }
 
-    fn choose_peers(&self, list: &InstanceList) -> Vec<Peer> {
-        let others = list.instances.iter().filter(|i| i.id != self.own.instance);
-        let (entries, agents): (Vec<&Instance>, Vec<&Instance>) =
-            others.partition(|i| i.role == Role::Entry);
-        let nodes = nodes(&entries);
-        let own = key_hash(&self.own.instance);
-        let witnesses = subset::pick(own, &nodes, self.config.witnesses);
-        let mut peers: Vec<&Instance> = witnesses.into_iter().map(|i| entries[i]).collect();
-        if self.own.role == Role::Entry {
-            peers.extend(self.own_agents(&agents, &nodes));
+    /// Forgets what was heard of instances that are asked no more: their silence says nothing.
+    fn drop_expired(&mut self) {
+        for id in self.peers.take_expired(self.clock.now()) {
+            self.heard.remove(&id);
+            self.membership.stop_asking(&id);
         }
-        let peers = peers.into_iter();
-        peers
-            .map(|peer| Peer {
-                id: peer.id.clone(),
-                control: peer.control,
-            })
-            .collect()
-    }
-
-    /// Agents that this entry talks to.
-    fn own_agents<'a>(&self, agents: &[&'a Instance], others: &[Node<'_>]) -> Vec<&'a Instance> {
-        let mut entries = others.to_vec();
-        entries.push(Node {
-            id: &self.own.instance,
-            domain: &self.own.domain,
-        });
-        let count = self.config.entries_per_agent;
-        let picked = subset::agents_of(&self.own.instance, &nodes(agents), &entries, count);
-        picked.into_iter().map(|i| agents[i]).collect()
     }
 
     fn own_heartbeat(&self) -> Heartbeat {
@@ -345,7 +332,7 @@
     fn take_datagram(&mut self, received: Received) {
         match received {
             Received::Question(question) => {
-                self.follower.note_index(question.heartbeat.index);
+                self.follower.note_index(question.index);
                 self.heartbeats.answer(&question, self.own_heartbeat());
             }
             Received::Answer(answer) => self.take_answer(answer),
@@ -410,21 +397,12 @@
             leaving: i.leaving,
         });
         self.membership.observe_list(&listed.collect::<Vec<_>>());
-        self.peers = self.choose_peers(&list);
+        let now = self.clock.now();
+        self.peers.choose(&self.chooser, &list, now);
         self.ask_peers();
     }
 }
 
-fn nodes<'a>(instances: &[&'a Instance]) -> Vec<Node<'a>> {
-    instances
-        .iter()
-        .map(|i| Node {
-            id: &i.id,
-            domain: &i.domain,
-        })
-        .collect()
-}
-
 fn millis(age: Duration) -> u64 {
     u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -1,5 +1,9 @@
 //! Heartbeats over UDP: a question with a number, and an answer with the same number.
 //!
+//! Only the answer says what its sender is: evidence is dated by its question, so what came
+//! unasked would count for nothing. A question carries the index of the configuration alone, which
+//! is news and no evidence.
+//!
 //! A lost datagram is a missed heartbeat, nothing else; evidence is dated by its question.
 
 use std::{
@@ -13,7 +17,7 @@
     clock::{SharedClock, Timestamp},
     collections::FastMap,
     common_derives,
-    ids::InstanceId,
+    ids::{ConfigIndex, InstanceId},
 };
 use tokio::net::UdpSocket;
 
@@ -25,24 +29,37 @@
 
 common_derives! {wire:
     /// What goes over the wire.
-    struct Datagram {
-        /// Number of the question.
-        number: u64,
-        /// True for the answer to it.
-        is_answer: bool,
-        /// What the sender says of itself.
-        heartbeat: Heartbeat,
+    enum Datagram {
+        /// Asks for an answer with the same number.
+        Question {
+            /// Number of the question.
+            number: u64,
+            /// Index of the configuration in force at the sender.
+            index: ConfigIndex,
+        },
+        /// The answer to a question.
+        Answer {
+            /// Number of the question.
+            number: u64,
+            /// What the sender says of itself.
+            heartbeat: Heartbeat,
+        },
     }
 }
 
-/// Bytes of the datagram that carries a heartbeat, without network headers.
-pub fn datagram_size(heartbeat: &Heartbeat) -> usize {
-    let datagram = Datagram {
-        number: u64::MAX,
-        is_answer: true,
+/// Bytes of the datagrams of one exchange, question and answer, without network headers.
+pub fn datagram_sizes(heartbeat: &Heartbeat) -> [usize; 2] {
+    // Numbers start at the incarnation, which has as many bytes as any number in use.
+    let number = heartbeat.incarnation;
+    let question = Datagram::Question {
+        number,
+        index: heartbeat.index,
+    };
+    let answer = Datagram::Answer {
+        number,
         heartbeat: heartbeat.clone(),
     };
-    postcard::to_stdvec(&datagram).map_or(0, |bytes| bytes.len())
+    [question, answer].map(|it| postcard::to_stdvec(&it).map_or(0, |bytes| bytes.len()))
 }
 
 /// A question of another process.
@@ -52,8 +69,8 @@
     pub from: SocketAddr,
     /// Number to answer under.
     pub number: u64,
-    /// What the asking process says of itself.
-    pub heartbeat: Heartbeat,
+    /// Index of the configuration in force at the asking process.
+    pub index: ConfigIndex,
 }
 
 /// The answer to one of this process's questions.
@@ -109,7 +126,7 @@
     }
 
     /// Sends a question; one that can't be sent counts as lost.
-    pub fn ask(&mut self, peer: &str, addr: SocketAddr, own: &Heartbeat) {
+    pub fn ask(&mut self, peer: &str, addr: SocketAddr, index: ConfigIndex) {
         let at = self.clock.now();
         let number = self.next;
         self.next = self.next.wrapping_add(1);
@@ -121,14 +138,7 @@
                 at,
             },
         );
-        self.send(
-            addr,
-            Datagram {
-                number,
-                is_answer: false,
-                heartbeat: own.clone(),
-            },
-        );
+        self.send(addr, Datagram::Question { number, index });
     }
 
     /// Answers a question.
@@ -136,9 +146,8 @@
         let Question { from, number, .. } = question;
         self.send(
             *from,
-            Datagram {
+            Datagram::Answer {
                 number: *number,
-                is_answer: true,
                 heartbeat: own,
             },
         );
@@ -168,18 +177,16 @@
     }
 
     fn accept(&mut self, datagram: Datagram, from: SocketAddr) -> Option<Received> {
-        let Datagram {
-            number,
-            is_answer,
-            heartbeat,
-        } = datagram;
-        if !is_answer {
-            return Some(Received::Question(Question {
-                from,
-                number,
-                heartbeat,
-            }));
-        }
+        let (number, heartbeat) = match datagram {
+            Datagram::Question { number, index } => {
+                return Some(Received::Question(Question {
+                    from,
+                    number,
+                    index,
+                }));
+            }
+            Datagram::Answer { number, heartbeat } => (number, heartbeat),
+        };
         let asked = self.open.get(&number)?;
         if asked.addr != from || asked.peer != heartbeat.instance {
             return None;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod follower;
 pub mod heartbeats;
 pub mod operator_port;
+pub mod peers;
 pub mod process;
 pub mod settings;
 pub mod shutdown;
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,170 @@
+//! Whom a process asks by heartbeat, worked out anew when the live list changes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use jj_platform::wire::{Instance, InstanceList, Role};
+use jj_policy::{
+    coverage::{self, Coverage, CoverageConfig, Services},
+    rendezvous::key_hash,
+    subset::{self, Node},
+};
+use jj_utils::{
+    clock::Timestamp,
+    common_derives,
+    ids::{FailureDomainId, InstanceId},
+};
+
+/// Time for which an agent is still asked after its service is not covered any more: callers keep
+/// addresses for a while, and other entries may have an older list.
+const LINGER: Duration = Duration::from_secs(30);
+
+common_derives! {value:
+    /// A process that this one asks.
+    pub struct Peer {
+        /// Name of its instance.
+        pub id: InstanceId,
+        /// Where it is asked.
+        pub control: SocketAddr,
+        /// When it is asked no more; none for one that was chosen.
+        until: Option<Timestamp>,
+    }
+}
+
+common_derives! {value:
+    /// The services of every listed entry.
+    #[derive(Default)]
+    pub struct EntryCoverage {
+        /// Entries, as the live list names them.
+        pub entries: Vec<Instance>,
+        /// Services of each of them.
+        pub coverage: Coverage,
+    }
+}
+
+impl EntryCoverage {
+    /// Whether an entry covers a service.
+    pub fn covers(&self, entry: &str, service: &str) -> bool {
+        let position = self.entries.iter().position(|i| i.id == entry);
+        position.is_some_and(|position| self.coverage.covers(position, service))
+    }
+}
+
+/// Who chooses: this process.
+pub struct Chooser {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+    /// What runs there.
+    pub role: Role,
+    /// Entries that are asked only to learn of configuration and partitions.
+    pub witnesses: usize,
+    /// Tunables of coverage.
+    pub coverage: CoverageConfig,
+}
+
+/// Whom this process asks.
+#[derive(Default)]
+pub struct Peers {
+    asked: Vec<Peer>,
+    coverage: Arc<EntryCoverage>,
+}
+
+impl Peers {
+    /// Those to ask now.
+    pub fn asked(&self) -> &[Peer] {
+        &self.asked
+    }
+
+    /// Services of every listed entry.
+    pub fn coverage(&self) -> Arc<EntryCoverage> {
+        Arc::clone(&self.coverage)
+    }
+
+    /// Chooses anew from the live list; those given up are asked a while longer.
+    pub fn choose(&mut self, own: &Chooser, list: &InstanceList, now: Timestamp) {
+        if own.role == Role::Entry {
+            self.coverage = Arc::new(cover(own, list));
+        }
+        let chosen = chosen(own, list, &self.coverage);
+        let is_kept = |peer: &Peer| {
+            list.instances.iter().any(|i| i.id == peer.id)
+                && !chosen.iter().any(|i| i.id == peer.id)
+        };
+        let mut asked: Vec<Peer> = self.asked.drain(..).filter(is_kept).collect();
+        for peer in &mut asked {
+            peer.until.get_or_insert(now + LINGER);
+        }
+        asked.extend(chosen.into_iter().map(|instance| Peer {
+            id: instance.id.clone(),
+            control: instance.control,
+            until: None,
+        }));
+        self.asked = asked;
+    }
+
+    /// Takes out those that are asked no more.
+    pub fn take_expired(&mut self, now: Timestamp) -> Vec<InstanceId> {
+        let is_over = |peer: &mut Peer| peer.until.is_some_and(|until| until <= now);
+        let expired = self.asked.extract_if(.., is_over);
+        expired.map(|peer| peer.id).collect()
+    }
+}
+
+fn cover(own: &Chooser, list: &InstanceList) -> EntryCoverage {
+    let (entries, agents) = by_role(list);
+    let mut services = Services::new();
+    for agent in agents {
+        *services.entry(agent.service.clone()).or_default() += 1;
+    }
+    let mut nodes = nodes(&entries);
+    // A process that the list does not name yet counts itself in, after all others.
+    if !entries.iter().any(|entry| entry.id == own.instance) {
+        nodes.push(Node {
+            id: &own.instance,
+            domain: &own.domain,
+        });
+    }
+    EntryCoverage {
+        coverage: coverage::assign(&own.coverage, &nodes, &services),
+        entries: entries.into_iter().cloned().collect(),
+    }
+}
+
+fn chosen<'a>(
+    own: &Chooser,
+    list: &'a InstanceList,
+    coverage: &EntryCoverage,
+) -> Vec<&'a Instance> {
+    let (mut entries, agents) = by_role(list);
+    let count = entries.len();
+    let position = entries.iter().position(|entry| entry.id == own.instance);
+    entries.retain(|entry| entry.id != own.instance);
+    let witnesses = subset::pick(key_hash(&own.instance), &nodes(&entries), own.witnesses);
+    let mut chosen: Vec<&Instance> = witnesses.into_iter().map(|i| entries[i]).collect();
+    if own.role == Role::Agent {
+        return chosen;
+    }
+    let position = position.unwrap_or(count);
+    for service in coverage.coverage.services_of(position) {
+        let of = agents.iter().filter(|agent| agent.service == *service);
+        let of: Vec<&Instance> = of.copied().collect();
+        let picked = coverage::agents_of(&own.coverage, &own.instance, count, &nodes(&of));
+        chosen.extend(picked.into_iter().map(|i| of[i]));
+    }
+    chosen
+}
+
+/// Entries and agents of the list.
+fn by_role(list: &InstanceList) -> (Vec<&Instance>, Vec<&Instance>) {
+    let instances = list.instances.iter();
+    instances.partition(|instance| instance.role == Role::Entry)
+}
+
+fn nodes<'a>(instances: &[&'a Instance]) -> Vec<Node<'a>> {
+    let node = |instance: &&'a Instance| Node {
+        id: &instance.id,
+        domain: &instance.domain,
+    };
+    instances.iter().map(node).collect()
+}
