perf(agent): a switch of a group's expert map goes in datagrams, and only with what changes

Cause: the leader of 64 ranks sent each of three phases as JSON-RPC with all 256 slots of the map: HTTP headers and text were most of 221 KB a switch.

Requests and replies of a switch are datagrams now (JSON-RPC for what is longer than 1,200 bytes), and a prepare names the changed slots and the digest of the map that they change. A rank whose agent doesn't know that map gives no answer, like a lost request; asked again it gets all slots. The state machines of leader and rank are unchanged, since they bear lost, late and doubled messages.

Ruled out: a slower bound on switches. A tree of ranks: more parts to fail, and still headers.

--- a/crates/agent/src/group.rs
+++ b/crates/agent/src/group.rs
@@ -1,6 +1,6 @@
 //! Starts this agent's part in a lock-step group, once the configuration says what the group is.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use jj_backend::call::BackendClient;
 use jj_operator::{audit::AuditTrail, documents::Group};
@@ -26,6 +26,8 @@
     pub rank: Rank,
     /// Life of this agent.
     pub incarnation: Incarnation,
+    /// Where control calls arrive.
+    pub control_addr: SocketAddr,
     /// The engine beside this agent.
     pub engine: BackendClient,
     /// The configuration.
@@ -67,6 +69,7 @@
             experts: group.experts,
             slots: group.slots,
         },
+        control_addr: context.control_addr,
         engine: context.engine,
         list: context.list,
         audit: context.audit,
--- a/crates/agent/src/group_lead.rs
+++ b/crates/agent/src/group_lead.rs
@@ -4,12 +4,12 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use jj_backend::{call::BackendClient, orders};
-use jj_node::control_client::ControlClients;
+use jj_node::{control_client::ControlClients, group_link::GroupLink};
 use jj_operator::audit::{AuditTrail, Change};
 use jj_peer::{control::ControlClient, group::RequestWire};
 use jj_platform::live_list::LiveList;
 use jj_policy::{
-    expert_map::{ExpertMap, GroupShape},
+    expert_map::{ExpertMap, GroupShape, changes},
     group_leader::{Leader, LeaderConfig, LeaderInput, LeaderOutput},
     group_switch::{Action, MapId, Reply, Request},
     popularity::{ExpertCounts, Popularity, PopularityConfig},
@@ -17,9 +17,10 @@
 };
 use jj_utils::{
     clock::SharedClock,
-    collections::FastMap,
+    collections::{FastMap, FastSet},
     events,
     ids::{ExpertId, Incarnation, Rank, ServiceId},
+    log_event,
 };
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
@@ -41,6 +42,8 @@
     pub incarnation: Incarnation,
     /// Shape of the group.
     pub shape: GroupShape,
+    /// Control address of this agent, on whose host the ranks are asked from.
+    pub control_addr: SocketAddr,
     /// Engine of rank 0, which reports for the group.
     pub engine: BackendClient,
     /// Where the agents of the ranks are.
@@ -55,6 +58,17 @@
 
 /// Leads until the token is cancelled or a newer leader is heard of.
 pub async fn run(context: LeadContext) {
+    let link = match GroupLink::bind(context.control_addr).await {
+        Ok(link) => Arc::new(link),
+        Err(error) => {
+            let service = &context.service;
+            log_event!(
+                events::PROCESS_FAILED,
+                "the group of {service} is not led: {error}"
+            );
+            return;
+        }
+    };
     let (replies, mut arrived) = mpsc::unbounded_channel();
     let config = LeaderConfig {
         incarnation: context.incarnation,
@@ -64,12 +78,15 @@
     let token = context.token.clone();
     let mut task = Task {
         leader: Leader::new(&config),
+        link: Arc::clone(&link),
         clients: ControlClients::default(),
         proposals: FastMap::default(),
         current: None,
         popularity: Popularity::new(context.shape.experts, PopularityConfig::default()),
         rebalancer: Rebalancer::new(RebalanceConfig::default()),
         wanted: None,
+        base: None,
+        sent: FastSet::default(),
         replies,
         context,
     };
@@ -80,6 +97,7 @@
         tokio::select! {
             () = token.cancelled() => return,
             Some(reply) = arrived.recv() => task.handle(LeaderInput::Reply(reply)),
+            reply = link.reply() => task.handle(LeaderInput::Reply(reply.into())),
             _ = retry.tick() => task.handle(LeaderInput::Retry),
             _ = look.tick() => task.look().await,
         }
@@ -89,6 +107,8 @@
 struct Task {
     context: LeadContext,
     leader: Leader,
+    link: Arc<GroupLink>,
+    /// For requests that are too long for a datagram.
     clients: ControlClients,
     /// Content of the maps proposed in this life.
     proposals: FastMap<MapId, ExpertMap>,
@@ -98,6 +118,10 @@
     rebalancer: Rebalancer,
     /// Map to propose under the next id.
     wanted: Option<ExpertMap>,
+    /// Map that was in force when the open proposal was made.
+    base: Option<ExpertMap>,
+    /// Ranks that the open proposal was sent to.
+    sent: FastSet<Rank>,
     replies: mpsc::UnboundedSender<Reply>,
 }
 
@@ -159,16 +183,13 @@
         let Some(addr) = self.address(rank) else {
             return;
         };
+        let request = self.request(rank, &request);
+        if self.link.ask(addr, &request) {
+            return;
+        }
         let Ok(client) = self.clients.get(addr) else {
             return;
         };
-        let slots = self.slots(&request);
-        let request = RequestWire {
-            term: request.term,
-            target: request.target,
-            action: request.action.into(),
-            slots,
-        };
         let replies = self.replies.clone();
         tokio::spawn(async move {
             // A lost request or answer is sent again by the next retry.
@@ -178,6 +199,22 @@
         });
     }
 
+    /// The request as it is sent: a rank gets the changes of the map in force first, and all slots
+    /// when it is asked again.
+    fn request(&mut self, rank: Rank, request: &Request) -> RequestWire {
+        let slots = self.slots(request);
+        let is_first = !slots.is_empty() && self.sent.insert(rank);
+        let base = self.base.as_ref().filter(|_| is_first);
+        let changes = base.and_then(|base| changes(base.slots(), &slots));
+        RequestWire {
+            term: request.term,
+            target: request.target,
+            action: request.action.into(),
+            slots: if changes.is_some() { Vec::new() } else { slots },
+            changes: changes.map(Into::into),
+        }
+    }
+
     /// Content of the map that a prepare names; kept under its id from its first request on.
     fn slots(&mut self, request: &Request) -> Vec<ExpertId> {
         let Action::Prepare { id, .. } = request.action else {
@@ -186,6 +223,8 @@
         if let Some(map) = self.wanted.take() {
             self.audit(events::MAP_PREPARED, id, "prepared");
             self.proposals.clear();
+            self.sent.clear();
+            self.base = self.current.clone();
             self.proposals.insert(id, map);
         }
         self.proposals
--- a/crates/agent/src/group_rank.rs
+++ b/crates/agent/src/group_rank.rs
@@ -1,7 +1,7 @@
 //! The rank's side of a lock-step group: takes the leader's requests and gives orders to the engine
 //! beside this agent, one at a time.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use futures_util::{FutureExt, future::BoxFuture};
 use jj_backend::{
@@ -11,6 +11,7 @@
 use jj_node::control_port::GroupHandler;
 use jj_peer::group::{EngineOrder, ReplyWire, RequestWire};
 use jj_policy::{
+    expert_map::{MapChanges, apply},
     group_rank::{RankConfig, RankInput, RankOutput, RankState},
     group_switch::Request,
 };
@@ -24,6 +25,9 @@
 /// Time past an order's deadline before it is given up.
 const ORDER_MARGIN: Duration = Duration::from_millis(100);
 
+/// Maps whose changes can be taken: the one in force and some that were aborted after it.
+const KNOWN_MAPS: usize = 8;
+
 /// Requests that may wait.
 const QUEUE: usize = 16;
 
@@ -58,6 +62,7 @@
         state: RankState::new(&config),
         engine,
         open: None,
+        maps: VecDeque::new(),
     };
     let mut requests = requests.0;
     let settled = tokio::time::sleep(ORDER_LIFE + ORDER_MARGIN);
@@ -89,10 +94,17 @@
     state: RankState,
     engine: BackendClient,
     open: Option<OpenOrder>,
+    /// Experts of the slots of the last maps prepared, the newest last.
+    maps: VecDeque<Vec<ExpertId>>,
 }
 
 impl Task {
+    /// A request with changes of a map that is not known here has no answer, like a lost one; the
+    /// leader sends all slots then.
     fn take(&mut self, request: &RequestWire, reply: oneshot::Sender<ReplyWire>) {
+        let Some(slots) = self.slots(request) else {
+            return;
+        };
         let mut reply = Some(reply);
         for output in self
             .state
@@ -109,7 +121,7 @@
                         term,
                         deadline_ms: unix_millis() + ORDER_LIFE.as_millis() as u64,
                         action: action.into(),
-                        slots: slots(request),
+                        slots: slots.clone(),
                     };
                     let outcome = give(self.engine.clone(), order).boxed();
                     self.open = Some(OpenOrder {
@@ -121,6 +133,21 @@
         }
     }
 
+    /// Experts of all slots of a prepare; none for another action.
+    fn slots(&mut self, request: &RequestWire) -> Option<Vec<ExpertId>> {
+        let slots = match request.changes.clone().map(MapChanges::from) {
+            Some(changes) => self.maps.iter().find_map(|map| apply(map, &changes))?,
+            None => request.slots.clone(),
+        };
+        if !slots.is_empty() && !self.maps.contains(&slots) {
+            self.maps.push_back(slots.clone());
+        }
+        if self.maps.len() > KNOWN_MAPS {
+            self.maps.pop_front();
+        }
+        Some(slots)
+    }
+
     fn finish(&mut self, input: RankInput) {
         let reply = self.open.take().and_then(|open| open.reply);
         let answer = self
@@ -137,10 +164,6 @@
     }
 }
 
-fn slots(request: &RequestWire) -> Vec<ExpertId> {
-    request.slots.clone()
-}
-
 /// Waits for the open order; for ever while there is none.
 async fn next_outcome(open: &mut Option<OpenOrder>) -> RankInput {
     match open {
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -123,6 +123,7 @@
             service: settings.service.clone(),
             rank,
             incarnation,
+            control_addr: settings.node.control_addr,
             engine: backend.clone(),
             config: config.clone(),
             list,
--- a/crates/lab/src/experiments/capacity.rs
+++ b/crates/lab/src/experiments/capacity.rs
@@ -28,7 +28,7 @@
 };
 use jj_utils::collections::FastMap;
 
-use crate::publication::Publication;
+use crate::{experiments::leader_bytes, publication::Publication};
 
 /// Fleets measured; the first two are of today's size, the last is the size to come.
 const FLEETS: [FleetSize; 5] = [
@@ -78,11 +78,12 @@
 }
 
 /// Markdown tables of all slopes.
-pub fn run(_seed: u64) -> String {
+pub fn run(seed: u64) -> String {
     let mut text = String::new();
     heartbeat_table(&mut text);
     links_table(&mut text);
     fleet_table(&mut text);
+    leader_bytes::table(&mut text, seed);
     routing_table(&mut text);
     configuration_table(&mut text);
     text
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod domain;
+pub mod leader_bytes;
 pub mod once;
 pub mod once_world;
 pub mod popularity_traces;
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -31,7 +31,7 @@
     control_port::{self, ControlPort, GroupHandler},
     fleet_audit::FleetAudit,
     follower::{self, FollowContext, Follower},
-    heartbeats::{Answer, Heartbeats, Received},
+    heartbeats::{Answer, GroupQuestion, Heartbeats, Received},
     peers::{Chooser, EntryCoverage, Peers},
 };
 
@@ -336,9 +336,22 @@
                 self.heartbeats.answer(&question, self.own_heartbeat());
             }
             Received::Answer(answer) => self.take_answer(answer),
+            Received::Group(question) => self.pass_on(question),
         }
     }
 
+    /// Hands a leader's request to this rank, and its reply back.
+    fn pass_on(&self, question: GroupQuestion) {
+        let Some(handle) = self.own.group.clone() else {
+            return;
+        };
+        tokio::spawn(async move {
+            if let Some(reply) = handle(question.request.clone()).await {
+                question.reply(reply);
+            }
+        });
+    }
+
     fn take_answer(&mut self, answer: Answer) {
         let Answer {
             peer,
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -9,44 +9,26 @@
 use std::{
     io,
     net::{SocketAddr, UdpSocket as StdSocket},
+    sync::Arc,
     time::Duration,
 };
 
-use jj_peer::control::Heartbeat;
+use jj_peer::{
+    control::Heartbeat,
+    group::{ReplyWire, RequestWire},
+};
 use jj_utils::{
     clock::{SharedClock, Timestamp},
     collections::FastMap,
-    common_derives,
     ids::{ConfigIndex, InstanceId},
 };
 use tokio::net::UdpSocket;
 
-/// Largest datagram read, in bytes.
-const MAX_DATAGRAM: usize = 2048;
+use crate::datagram::{Datagram, MAX_DATAGRAM};
 
 /// Age after which a question is forgotten.
 const QUESTION_LIFETIME: Duration = Duration::from_secs(5);
 
-common_derives! {wire:
-    /// What goes over the wire.
-    enum Datagram {
-        /// Asks for an answer with the same number.
-        Question {
-            /// Number of the question.
-            number: u64,
-            /// Index of the configuration in force at the sender.
-            index: ConfigIndex,
-        },
-        /// The answer to a question.
-        Answer {
-            /// Number of the question.
-            number: u64,
-            /// What the sender says of itself.
-            heartbeat: Heartbeat,
-        },
-    }
-}
-
 /// Bytes of the datagrams of one exchange, question and answer, without network headers.
 pub fn datagram_sizes(heartbeat: &Heartbeat) -> [usize; 2] {
     // Numbers start at the incarnation, which has as many bytes as any number in use.
@@ -59,7 +41,7 @@
         number,
         heartbeat: heartbeat.clone(),
     };
-    [question, answer].map(|it| postcard::to_stdvec(&it).map_or(0, |bytes| bytes.len()))
+    [question, answer].map(|datagram| datagram.size())
 }
 
 /// A question of another process.
@@ -91,6 +73,26 @@
     Question(Question),
     /// Another process answers.
     Answer(Answer),
+    /// The leader of a lock-step group asks.
+    Group(GroupQuestion),
+}
+
+/// A request of a group's leader, and where its reply goes.
+#[derive(Debug, Clone)]
+pub struct GroupQuestion {
+    /// The request.
+    pub request: RequestWire,
+    from: SocketAddr,
+    socket: Arc<UdpSocket>,
+}
+
+impl GroupQuestion {
+    /// Sends the reply; one that can't be sent counts as lost.
+    pub fn reply(&self, reply: ReplyWire) {
+        if let Some(bytes) = Datagram::GroupReply(reply).bytes() {
+            let _ = self.socket.try_send_to(&bytes, self.from);
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -102,7 +104,7 @@
 
 /// The socket and the questions that are open.
 pub struct Heartbeats {
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     clock: SharedClock,
     open: FastMap<u64, Asked>,
     next: u64,
@@ -116,7 +118,7 @@
     pub fn bind(addr: SocketAddr, clock: SharedClock, seed: u64) -> io::Result<Self> {
         let socket = StdSocket::bind(addr)?;
         socket.set_nonblocking(true)?;
-        let socket = UdpSocket::from_std(socket)?;
+        let socket = Arc::new(UdpSocket::from_std(socket)?);
         Ok(Self {
             socket,
             clock,
@@ -160,7 +162,7 @@
             let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
                 continue;
             };
-            let Ok(datagram) = postcard::from_bytes::<Datagram>(&buffer[..length]) else {
+            let Some(datagram) = Datagram::read(&buffer[..length]) else {
                 continue;
             };
             if let Some(received) = self.accept(datagram, from) {
@@ -186,6 +188,14 @@
                 }));
             }
             Datagram::Answer { number, heartbeat } => (number, heartbeat),
+            Datagram::Group(request) => {
+                return Some(Received::Group(GroupQuestion {
+                    from,
+                    request,
+                    socket: Arc::clone(&self.socket),
+                }));
+            }
+            Datagram::GroupReply(_) => return None,
         };
         let asked = self.open.get(&number)?;
         if asked.addr != from || asked.peer != heartbeat.instance {
@@ -200,7 +210,7 @@
     }
 
     fn send(&self, addr: SocketAddr, datagram: Datagram) {
-        let Ok(bytes) = postcard::to_stdvec(&datagram) else {
+        let Some(bytes) = datagram.bytes() else {
             return;
         };
         metrics::counter!("jujube_heartbeat_bytes_total").increment(bytes.len() as u64);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,9 +4,11 @@
 
 pub mod control_client;
 pub mod control_port;
+pub mod datagram;
 pub mod fleet;
 pub mod fleet_audit;
 pub mod follower;
+pub mod group_link;
 pub mod heartbeats;
 pub mod operator_port;
 pub mod peers;
--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -1,8 +1,9 @@
 //! Wire types of a lock-step group: requests from the leader to the agents of ranks, and orders
 //! from an agent to the engine beside it.
 
-use jj_policy::group_switch::{
-    Action, EngineView, HeldMap, Hold, MapId, Outcome, Refusal, Reply, Request,
+use jj_policy::{
+    expert_map::MapChanges,
+    group_switch::{Action, EngineView, HeldMap, Hold, MapId, Outcome, Refusal, Reply, Request},
 };
 use jj_utils::{
     common_derives,
@@ -35,7 +36,7 @@
 common_derives! {wire:
     /// What a rank, and its engine, is asked to do.
     #[derive(Copy, Eq)]
-    #[serde(tag = "kind", rename_all = "snake_case")]
+    #[serde(rename_all = "snake_case")]
     pub enum ActionWire {
         /// Report the state; refuse smaller terms from now on.
         Read,
@@ -70,9 +71,35 @@
         pub target: Option<Incarnation>,
         /// What to do.
         pub action: ActionWire,
-        /// Expert of each slot of the whole group, for a prepare.
+        /// Expert of each slot of the whole group, for a prepare without changes.
         #[serde(default)]
         pub slots: Vec<ExpertId>,
+        /// What a prepare changes in a map that the rank's agent knows.
+        #[serde(default)]
+        pub changes: Option<MapChangesWire>,
+    }
+}
+
+common_derives! {wire:
+    /// The slots in which a map differs from another.
+    #[derive(Eq)]
+    pub struct MapChangesWire {
+        /// Digest of the other map.
+        pub base: u64,
+        /// Slot of the whole group, and its expert.
+        pub placed: Vec<(u32, ExpertId)>,
+    }
+}
+
+impl From<MapChanges> for MapChangesWire {
+    fn from(MapChanges { base, placed }: MapChanges) -> Self {
+        Self { base, placed }
+    }
+}
+
+impl From<MapChangesWire> for MapChanges {
+    fn from(MapChangesWire { base, placed }: MapChangesWire) -> Self {
+        Self { base, placed }
     }
 }
 
--- a/crates/policy/src/expert_map.rs
+++ b/crates/policy/src/expert_map.rs
@@ -4,6 +4,7 @@
     common_derives,
     ids::{ExpertId, Rank},
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 common_derives! {wire:
     /// Size of a lock-step group.
@@ -34,6 +35,47 @@
     }
 }
 
+common_derives! {key:
+    /// The slots in which a map differs from another; a switch of one map for the next moves few.
+    pub struct MapChanges {
+        /// Digest of the other map.
+        pub base: u64,
+        /// Slot of the whole group, and its expert.
+        pub placed: Vec<(u32, ExpertId)>,
+    }
+}
+
+/// Digest of the experts of all slots.
+pub fn digest(slots: &[ExpertId]) -> u64 {
+    let bytes: Vec<u8> = slots.iter().flat_map(|it| it.to_le_bytes()).collect();
+    xxh3_64(&bytes)
+}
+
+/// What leads from one map to the next; `None` where their sizes differ.
+pub fn changes(from: &[ExpertId], to: &[ExpertId]) -> Option<MapChanges> {
+    if from.len() != to.len() {
+        return None;
+    }
+    let slots = (0..).zip(from.iter().zip(to));
+    let changed = slots.filter(|(_, (old, new))| old != new);
+    Some(MapChanges {
+        base: digest(from),
+        placed: changed.map(|(slot, (_, new))| (slot, *new)).collect(),
+    })
+}
+
+/// The map that changes lead to; `None` where they are of another map.
+pub fn apply(from: &[ExpertId], changes: &MapChanges) -> Option<Vec<ExpertId>> {
+    if digest(from) != changes.base {
+        return None;
+    }
+    let mut slots = from.to_vec();
+    for (slot, expert) in &changes.placed {
+        *slots.get_mut(*slot as usize)? = *expert;
+    }
+    Some(slots)
+}
+
 impl ExpertMap {
     /// A map that knows nothing of popularity: experts in turn, rank by rank.
     pub fn uniform(shape: GroupShape) -> Self {
--- /dev/null
+++ b/crates/policy/tests/expert_map.rs
@@ -0,0 +1,59 @@
+//! Changes between expert maps: they lead to the same map as all slots, and to no other.
+
+use googletest::prelude::*;
+use jj_policy::expert_map::{apply, changes};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SLOTS: usize = 256;
+const EXPERTS: u32 = 128;
+const MOVES: usize = 12;
+
+/// A map and the one after a switch.
+fn switched(random: &mut Pcg64Mcg) -> (Vec<u32>, Vec<u32>) {
+    let from: Vec<u32> = (0..SLOTS)
+        .map(|_| random.random_range(0..EXPERTS))
+        .collect();
+    let mut to = from.clone();
+    for _ in 0..MOVES {
+        to[random.random_range(0..SLOTS)] = random.random_range(0..EXPERTS);
+    }
+    (from, to)
+}
+
+/// The naive way: changes are put into whatever map is there.
+fn naive(from: &[u32], placed: &[(u32, u32)]) -> Vec<u32> {
+    let mut slots = from.to_vec();
+    for (slot, expert) in placed {
+        slots[*slot as usize] = *expert;
+    }
+    slots
+}
+
+#[gtest]
+fn changes_lead_to_the_map_or_to_none() {
+    let mut random = Pcg64Mcg::seed_from_u64(20261203);
+    let mut naive_wrong = 0;
+    for _ in 0..1000 {
+        let (from, to) = switched(&mut random);
+        let (other, _) = switched(&mut random);
+
+        let changed = changes(&from, &to).expect("maps of one size");
+
+        expect_that!(changed.placed.len(), le(MOVES));
+        expect_that!(apply(&from, &changed).as_ref(), some(eq(&to)));
+        expect_that!(apply(&other, &changed), none());
+        naive_wrong += usize::from(naive(&other, &changed.placed) != to);
+    }
+    println!("wrong maps of the naive way: {naive_wrong} of 1,000");
+    expect_that!(naive_wrong, gt(0));
+    expect_that!(changes(&[1, 2], &[1]), none());
+}
+
+#[gtest]
+fn a_slot_that_is_not_there_is_refused() {
+    let mut changed = changes(&[1, 2], &[1, 3]).expect("maps of one size");
+    changed.placed.push((2, 1));
+
+    expect_that!(apply(&[1, 2], &changed), none());
+}
