fix(node): a process whose witnesses are all cut off asks one in each other failure domain

Cause: three witnesses stand in three of five failure domains. With one region of two domains parted from the other, an agent whose witnesses are in the other region, or in its own domain, heard nobody that shows it is not cut off alone, and took no new work for the whole hour.

Each process now has a spare witness in every failure domain left and asks the spares while a question to one of the others has had no answer, from the next heartbeat on, which is before the evidence of the last one is over. In a fleet of three failure domains there are no spares.

Ruled out: five witnesses always (an entry of the size to come would be over 3 KB/s); evidence from questions that arrive (undated, see authority).

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -14,6 +14,7 @@
     authority::{Authority, AuthorityConfig, PeerAnswer, Permit, Standing},
     coverage::CoverageConfig,
     membership::{self, Listed, MemberState, Membership, MembershipConfig},
+    witnesses,
 };
 use jj_utils::{
     clock::{SharedClock, Timestamp},
@@ -32,7 +33,7 @@
     fleet_audit::FleetAudit,
     follower::{self, FollowContext, Follower},
     heartbeats::{Answer, GroupQuestion, Heartbeats, Received},
-    peers::{Chooser, EntryCoverage, Peers},
+    peers::{Chooser, EntryCoverage, Peer, Peers},
 };
 
 /// How peers are asked.
@@ -288,13 +289,35 @@
         self.audit.standing(self.standing());
         let index = self.follower.config.borrow().index();
         let list = self.list();
-        for peer in self.peers.asked() {
+        let spare: &[Peer] = match self.needs_spares() {
+            true => self.peers.spare(),
+            false => {
+                self.forget_spares();
+                &[]
+            }
+        };
+        for peer in self.peers.asked().iter().chain(spare) {
             self.heartbeats.ask(&peer.id, peer.control, index);
         }
         self.heard
             .retain(|id, _| list.instances.iter().any(|i| i.id == *id));
     }
 
+    /// Forgets what spare witnesses said: they are not asked now.
+    fn forget_spares(&mut self) {
+        for peer in self.peers.spare() {
+            if self.heard.remove(&peer.id).is_some() {
+                self.membership.stop_asking(&peer.id);
+            }
+        }
+    }
+
+    fn needs_spares(&self) -> bool {
+        let witnesses = self.peers.witnesses().iter();
+        let answered = witnesses.map(|id| self.heard.get(id).map(|heard| heard.asked));
+        witnesses::needs_spares(answered, self.tick.period(), self.clock.now())
+    }
+
     /// Forgets what was heard of instances that are asked no more: their silence says nothing.
     fn drop_expired(&mut self) {
         for id in self.peers.take_expired(self.clock.now()) {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -5,8 +5,8 @@
 use jj_platform::wire::{Instance, InstanceList, Role};
 use jj_policy::{
     coverage::{self, Coverage, CoverageConfig, Services},
-    rendezvous::key_hash,
-    subset::{self, Node},
+    subset::Node,
+    witnesses,
 };
 use jj_utils::{
     clock::Timestamp,
@@ -30,6 +30,16 @@
     }
 }
 
+impl Peer {
+    fn new(instance: &Instance) -> Self {
+        Self {
+            id: instance.id.clone(),
+            control: instance.control,
+            until: None,
+        }
+    }
+}
+
 common_derives! {value:
     /// The services of every listed entry.
     #[derive(Default)]
@@ -67,6 +77,10 @@
 #[derive(Default)]
 pub struct Peers {
     asked: Vec<Peer>,
+    /// Entries asked only to learn of configuration and partitions.
+    witnesses: Vec<InstanceId>,
+    /// Witnesses asked while one of the others is silent.
+    spare: Vec<Peer>,
     coverage: Arc<EntryCoverage>,
 }
 
@@ -76,6 +90,16 @@
         &self.asked
     }
 
+    /// Names of the witnesses that are asked always.
+    pub fn witnesses(&self) -> &[InstanceId] {
+        &self.witnesses
+    }
+
+    /// Witnesses to ask as well while one of the others is silent.
+    pub fn spare(&self) -> &[Peer] {
+        &self.spare
+    }
+
     /// Services of every listed entry.
     pub fn coverage(&self) -> Arc<EntryCoverage> {
         Arc::clone(&self.coverage)
@@ -86,7 +110,9 @@
         if own.role == Role::Entry {
             self.coverage = Arc::new(cover(own, list));
         }
-        let chosen = chosen(own, list, &self.coverage);
+        let (witnesses, spare) = witnesses_of(own, list);
+        let agents = agents_of(own, list, &self.coverage);
+        let chosen: Vec<&Instance> = witnesses.iter().chain(&agents).copied().collect();
         let is_kept = |peer: &Peer| {
             list.instances.iter().any(|i| i.id == peer.id)
                 && !chosen.iter().any(|i| i.id == peer.id)
@@ -95,12 +121,10 @@
         for peer in &mut asked {
             peer.until.get_or_insert(now + LINGER);
         }
-        asked.extend(chosen.into_iter().map(|instance| Peer {
-            id: instance.id.clone(),
-            control: instance.control,
-            until: None,
-        }));
+        asked.extend(chosen.into_iter().map(Peer::new));
         self.asked = asked;
+        self.witnesses = witnesses.into_iter().map(|it| it.id.clone()).collect();
+        self.spare = spare.into_iter().map(Peer::new).collect();
     }
 
     /// Takes out those that are asked no more.
@@ -131,21 +155,32 @@
     }
 }
 
-fn chosen<'a>(
+/// Witnesses that are asked always, and the spare ones.
+fn witnesses_of<'a>(
+    own: &Chooser,
+    list: &'a InstanceList,
+) -> (Vec<&'a Instance>, Vec<&'a Instance>) {
+    let (mut entries, _) = by_role(list);
+    entries.retain(|entry| entry.id != own.instance);
+    let witnesses = witnesses::choose(&own.instance, &nodes(&entries), own.witnesses);
+    let named = |positions: Vec<usize>| positions.into_iter().map(|i| entries[i]).collect();
+    (named(witnesses.chosen), named(witnesses.spare))
+}
+
+/// Agents that an entry talks to; none for an agent.
+fn agents_of<'a>(
     own: &Chooser,
     list: &'a InstanceList,
     coverage: &EntryCoverage,
 ) -> Vec<&'a Instance> {
-    let (mut entries, agents) = by_role(list);
-    let count = entries.len();
-    let position = entries.iter().position(|entry| entry.id == own.instance);
-    entries.retain(|entry| entry.id != own.instance);
-    let witnesses = subset::pick(key_hash(&own.instance), &nodes(&entries), own.witnesses);
-    let mut chosen: Vec<&Instance> = witnesses.into_iter().map(|i| entries[i]).collect();
     if own.role == Role::Agent {
-        return chosen;
+        return Vec::new();
     }
+    let (entries, agents) = by_role(list);
+    let count = entries.len();
+    let position = entries.iter().position(|entry| entry.id == own.instance);
     let position = position.unwrap_or(count);
+    let mut chosen = Vec::new();
     for service in coverage.coverage.services_of(position) {
         let of = agents.iter().filter(|agent| agent.service == *service);
         let of: Vec<&Instance> = of.copied().collect();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,3 +31,4 @@
 pub mod routing;
 pub mod subset;
 pub mod verdict;
+pub mod witnesses;
