--- a/crates/lab/src/experiments/capacity.rs
+++ b/crates/lab/src/experiments/capacity.rs
@@ -28,7 +28,10 @@
 };
 use jj_utils::collections::FastMap;
 
-use crate::{experiments::leader_bytes, publication::Publication};
+use crate::{
+    experiments::{agent_slopes, leader_bytes},
+    publication::Publication,
+};
 
 /// Fleets measured; the first two are of today's size, the last is the size to come.
 const FLEETS: [FleetSize; 5] = [
@@ -84,6 +87,9 @@
     links_table(&mut text);
     fleet_table(&mut text);
     leader_bytes::table(&mut text, seed);
+    if let Err(error) = agent_slopes::table(&mut text) {
+        let _ = writeln!(text, "agent not measured: {error:#}\n");
+    }
     routing_table(&mut text);
     configuration_table(&mut text);
     text
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments that measure the system or make it fail.
 
+pub mod agent_slopes;
 pub mod capacity;
 pub mod domain;
 pub mod leader_bytes;
