--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -45,6 +45,10 @@
     pub coverage: CoverageConfig,
     /// Entries that a process asks only to learn of configuration and partitions.
     pub witnesses: usize,
+    /// Time between two early heartbeats to a listed peer that was never heard from.
+    pub early: Duration,
+    /// Early heartbeats after a change of the live list: a process may be listed before it listens.
+    pub early_asks: u32,
 }
 
 impl Default for FleetConfig {
@@ -53,6 +57,8 @@
             interval: Duration::from_secs(2),
             coverage: CoverageConfig::default(),
             witnesses: 3,
+            early: Duration::from_millis(250),
+            early_asks: 20,
         }
     }
 }
@@ -140,6 +146,7 @@
 
 /// The other processes, as this one sees them.
 pub struct Fleet {
+    config: FleetConfig,
     own: Own,
     clock: SharedClock,
     follower: Follower,
@@ -153,6 +160,10 @@
     peers: Peers,
     withdrawn: Vec<FailureDomainId>,
     tick: Interval,
+    early_tick: Interval,
+    /// Early heartbeats left since the live list changed; `None` before the first list.
+    early_left: Option<u32>,
+    asked_around: bool,
 }
 
 /// The last heartbeat of one process.
@@ -178,6 +189,8 @@
     ) -> Self {
         let mut tick = tokio::time::interval(config.interval);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut early_tick = tokio::time::interval(config.early);
+        early_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let authority = Authority::new(AuthorityConfig::default(), own.domain.clone());
         let membership = Membership::new(membership_config(&config));
         let chooser = Chooser {
@@ -185,9 +198,10 @@
             domain: own.domain.clone(),
             role: own.role,
             witnesses: config.witnesses,
-            coverage: config.coverage,
+            coverage: config.coverage.clone(),
         };
         Self {
+            config,
             own,
             clock,
             follower,
@@ -200,6 +214,9 @@
             peers: Peers::default(),
             withdrawn: Vec::new(),
             tick,
+            early_tick,
+            early_left: None,
+            asked_around: false,
         }
     }
 
@@ -207,6 +224,7 @@
     pub async fn step(&mut self) {
         tokio::select! {
             _ = self.tick.tick() => self.ask_peers(),
+            _ = self.early_tick.tick(), if self.early_left > Some(0) => self.ask_unheard(),
             Ok(()) = self.follower.config.changed() => self.take_config(),
             Ok(()) = self.follower.list.changed() => self.take_list(),
             received = self.heartbeats.receive() => self.take_datagram(received),
@@ -303,6 +321,30 @@
             .retain(|id, _| list.instances.iter().any(|i| i.id == *id));
     }
 
+    /// Asks the peers that have never answered: a first heartbeat may have come before they
+    /// listened.
+    fn ask_unheard(&mut self) {
+        self.early_left = self.early_left.map(|left| left.saturating_sub(1));
+        let index = self.follower.config.borrow().index();
+        let unheard = self.peers.asked().iter();
+        for peer in unheard.filter(|peer| !self.heard.contains_key(&peer.id)) {
+            self.heartbeats.ask(&peer.id, peer.control, index);
+        }
+    }
+
+    /// True from when every peer of a live list had been heard from, or had had time to answer.
+    pub fn has_asked_around(&mut self) -> bool {
+        let mut asked = self.peers.asked().iter();
+        let mut all_heard = || asked.all(|it| self.heard.contains_key(&it.id));
+        let has_now = match self.early_left {
+            None => false,
+            Some(0) => true,
+            Some(_) => all_heard(),
+        };
+        self.asked_around |= has_now;
+        self.asked_around
+    }
+
     /// Forgets what spare witnesses said: they are not asked now.
     fn forget_spares(&mut self) {
         for peer in self.peers.spare() {
@@ -435,6 +477,8 @@
         self.membership.observe_list(&listed.collect::<Vec<_>>());
         let now = self.clock.now();
         self.peers.choose(&self.chooser, &list, now);
+        self.early_left = Some(self.config.early_asks);
+        self.early_tick.reset();
         self.ask_peers();
     }
 }
