--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -1,6 +1,6 @@
 //! Frames of an answer on its way from an agent to an entry.
 
-use crate::control::LoadReport;
+use crate::{attempt::AttemptRef, control::LoadReport};
 use bytes::{Bytes, BytesMut};
 use jj_policy::verdict::Verdict;
 use jj_utils::common_derives;
@@ -30,6 +30,11 @@
         },
         /// The attempt has ended without a whole answer.
         Failed(Failure),
+        /// This attempt waits for its turn, and starts only after the entry that sent it has
+        /// released it.
+        Held(AttemptRef),
+        /// It is the turn of the held attempt: the agent waits for its release.
+        Ready,
     }
 }
 
@@ -71,6 +76,9 @@
         pub verdict: Verdict,
         /// For logs and for the caller's problem document.
         pub reason: String,
+        /// True when the backend server takes work of other client accounts: only the backlog of
+        /// this one is full.
+        pub account_only: bool,
     }
 }
 
@@ -80,6 +88,7 @@
         Self {
             verdict,
             reason: reason.into(),
+            account_only: false,
         }
     }
 }
