--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -168,10 +168,14 @@
         let agents = listed.filter_map(|i| self.agent(i));
         let mut agents: Vec<Arc<Agent>> = agents.map(Arc::new).collect();
         agents.sort_by(|a, b| a.id.cmp(&b.id));
+        let coverage = self.fleet.coverage();
+        let states = coverage.entries.iter().map(|i| self.fleet.state(&i.id));
         let view = View {
             published: self.fleet.published(),
             agents,
             addresses: self.addresses(&list),
+            entry_states: states.collect(),
+            coverage,
             total_weight: self.total_weight(),
             permit: self.permit(),
             standing: format!("{:?}", self.fleet.standing()),
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 
 use crate::{
-    choose,
+    addresses, choose,
     context::Context,
     routes::{self, Routed},
     view::{Agent, View},
@@ -52,6 +52,7 @@
         ..request.clone()
     };
     let routed = routes::resolve(published, &meant)?;
+    addresses::check_covered(context, &context.view.load(), &routed, &meant)?;
     let due = context.clock.now() + routed.timeout;
     let chosen = choose::choose(context, &routed, due, &[])?;
     let home = life(&chosen);
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -27,7 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    context::Context,
+    context::{Context, Own},
     control::{self, ControlContext},
     handler,
     prefixes::Prefixes,
@@ -88,7 +88,12 @@
     .await?;
     let client = AgentClient::new(LinkConfig::default())?;
     let seed = rand::random();
-    let context = Context::new(clock, client, view, prefixes, settings.lifetime, seed);
+    let own = Own {
+        instance: settings.node.instance.clone(),
+        domain: settings.node.domain.clone(),
+    };
+    let lifetime = settings.lifetime;
+    let context = Context::new(own, clock, client, view, prefixes, lifetime, seed);
     let context = Arc::new(context);
     let callers = CallerConfig {
         max_body: settings.max_body,
--- a/crates/lab/tests/refusals.rs
+++ b/crates/lab/tests/refusals.rs
@@ -148,9 +148,9 @@
             expect_that!(tally.whole, gt(0));
             expect_that!(tally.broken, eq(0));
             if name == "lookup" {
-                // Servers and agents live, so new connections carry idempotent calls; some may find
-                // the budget of repetitions spent, more of them on a busy machine.
-                expect_that!(tally.whole, ge(CALLS / 2));
+                // Servers and agents live, so new connections carry idempotent calls; a few may
+                // find the budget of repetitions spent.
+                expect_that!(tally.whole, ge(CALLS - CALLS / 10));
             }
         }
     }
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -1,48 +1,47 @@
 //! Heartbeats over UDP: a question with a number, and an answer with the same number.
 //!
+//! Only the answer says what its sender is: evidence is dated by its question, so what came
+//! unasked would count for nothing. A question carries the index of the configuration alone, which
+//! is news and no evidence.
+//!
 //! A lost datagram is a missed heartbeat, nothing else; evidence is dated by its question.
 
 use std::{
     io,
     net::{SocketAddr, UdpSocket as StdSocket},
+    sync::Arc,
     time::Duration,
 };
 
-use jj_peer::control::Heartbeat;
+use jj_peer::{
+    control::Heartbeat,
+    group::{ReplyWire, RequestWire},
+};
 use jj_utils::{
     clock::{SharedClock, Timestamp},
     collections::FastMap,
-    common_derives,
-    ids::InstanceId,
+    ids::{ConfigIndex, InstanceId},
 };
 use tokio::net::UdpSocket;
 
-/// Largest datagram read, in bytes.
-const MAX_DATAGRAM: usize = 2048;
+use crate::datagram::{Datagram, MAX_DATAGRAM};
 
 /// Age after which a question is forgotten.
 const QUESTION_LIFETIME: Duration = Duration::from_secs(5);
 
-common_derives! {wire:
-    /// What goes over the wire.
-    struct Datagram {
-        /// Number of the question.
-        number: u64,
-        /// True for the answer to it.
-        is_answer: bool,
-        /// What the sender says of itself.
-        heartbeat: Heartbeat,
-    }
-}
-
-/// Bytes of the datagram that carries a heartbeat, without network headers.
-pub fn datagram_size(heartbeat: &Heartbeat) -> usize {
-    let datagram = Datagram {
-        number: u64::MAX,
-        is_answer: true,
+/// Bytes of the datagrams of one exchange, question and answer, without network headers.
+pub fn datagram_sizes(heartbeat: &Heartbeat) -> [usize; 2] {
+    // Numbers start at the incarnation, which has as many bytes as any number in use.
+    let number = heartbeat.incarnation;
+    let question = Datagram::Question {
+        number,
+        index: heartbeat.index,
+    };
+    let answer = Datagram::Answer {
+        number,
         heartbeat: heartbeat.clone(),
     };
-    postcard::to_stdvec(&datagram).map_or(0, |bytes| bytes.len())
+    [question, answer].map(|datagram| datagram.size())
 }
 
 /// A question of another process.
@@ -52,8 +51,8 @@
     pub from: SocketAddr,
     /// Number to answer under.
     pub number: u64,
-    /// What the asking process says of itself.
-    pub heartbeat: Heartbeat,
+    /// Index of the configuration in force at the asking process.
+    pub index: ConfigIndex,
 }
 
 /// The answer to one of this process's questions.
@@ -74,6 +73,26 @@
     Question(Question),
     /// Another process answers.
     Answer(Answer),
+    /// The leader of a lock-step group asks.
+    Group(GroupQuestion),
+}
+
+/// A request of a group's leader, and where its reply goes.
+#[derive(Debug, Clone)]
+pub struct GroupQuestion {
+    /// The request.
+    pub request: RequestWire,
+    from: SocketAddr,
+    socket: Arc<UdpSocket>,
+}
+
+impl GroupQuestion {
+    /// Sends the reply; one that can't be sent counts as lost.
+    pub fn reply(&self, reply: ReplyWire) {
+        if let Some(bytes) = Datagram::GroupReply(reply).bytes() {
+            let _ = self.socket.try_send_to(&bytes, self.from);
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -85,7 +104,7 @@
 
 /// The socket and the questions that are open.
 pub struct Heartbeats {
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     clock: SharedClock,
     open: FastMap<u64, Asked>,
     next: u64,
@@ -99,7 +118,7 @@
     pub fn bind(addr: SocketAddr, clock: SharedClock, seed: u64) -> io::Result<Self> {
         let socket = StdSocket::bind(addr)?;
         socket.set_nonblocking(true)?;
-        let socket = UdpSocket::from_std(socket)?;
+        let socket = Arc::new(UdpSocket::from_std(socket)?);
         Ok(Self {
             socket,
             clock,
@@ -109,7 +128,7 @@
     }
 
     /// Sends a question; one that can't be sent counts as lost.
-    pub fn ask(&mut self, peer: &str, addr: SocketAddr, own: &Heartbeat) {
+    pub fn ask(&mut self, peer: &str, addr: SocketAddr, index: ConfigIndex) {
         let at = self.clock.now();
         let number = self.next;
         self.next = self.next.wrapping_add(1);
@@ -121,14 +140,7 @@
                 at,
             },
         );
-        self.send(
-            addr,
-            Datagram {
-                number,
-                is_answer: false,
-                heartbeat: own.clone(),
-            },
-        );
+        self.send(addr, Datagram::Question { number, index });
     }
 
     /// Answers a question.
@@ -136,9 +148,8 @@
         let Question { from, number, .. } = question;
         self.send(
             *from,
-            Datagram {
+            Datagram::Answer {
                 number: *number,
-                is_answer: true,
                 heartbeat: own,
             },
         );
@@ -151,7 +162,7 @@
             let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
                 continue;
             };
-            let Ok(datagram) = postcard::from_bytes::<Datagram>(&buffer[..length]) else {
+            let Some(datagram) = Datagram::read(&buffer[..length]) else {
                 continue;
             };
             if let Some(received) = self.accept(datagram, from) {
@@ -168,18 +179,24 @@
     }
 
     fn accept(&mut self, datagram: Datagram, from: SocketAddr) -> Option<Received> {
-        let Datagram {
-            number,
-            is_answer,
-            heartbeat,
-        } = datagram;
-        if !is_answer {
-            return Some(Received::Question(Question {
-                from,
-                number,
-                heartbeat,
-            }));
-        }
+        let (number, heartbeat) = match datagram {
+            Datagram::Question { number, index } => {
+                return Some(Received::Question(Question {
+                    from,
+                    number,
+                    index,
+                }));
+            }
+            Datagram::Answer { number, heartbeat } => (number, heartbeat),
+            Datagram::Group(request) => {
+                return Some(Received::Group(GroupQuestion {
+                    from,
+                    request,
+                    socket: Arc::clone(&self.socket),
+                }));
+            }
+            Datagram::GroupReply(_) => return None,
+        };
         let asked = self.open.get(&number)?;
         if asked.addr != from || asked.peer != heartbeat.instance {
             return None;
@@ -193,7 +210,7 @@
     }
 
     fn send(&self, addr: SocketAddr, datagram: Datagram) {
-        let Ok(bytes) = postcard::to_stdvec(&datagram) else {
+        let Some(bytes) = datagram.bytes() else {
             return;
         };
         metrics::counter!("jujube_heartbeat_bytes_total").increment(bytes.len() as u64);
