--- a/crates/lab/src/flags.rs
+++ b/crates/lab/src/flags.rs
@@ -32,6 +32,8 @@
         cmd platform {
             /// Where it listens.
             required --addr addr: SocketAddr
+            /// A further address, with a live list of its own; may be given again.
+            repeated --view addr: SocketAddr
         }
         /// Runs a stand-in of a lock-step group of engines.
         cmd group {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    network::Network,
     process::{Process, free_addr, wait_until},
     publication::{DOMAINS, MODEL_SERVICE, PLAIN_SERVICE, Publication},
     publish::{publish, publish_directory},
@@ -50,6 +51,8 @@
     pub directory: Option<PathBuf>,
     /// Failure domains, which the instances fill in turn.
     pub domains: Vec<FailureDomainId>,
+    /// Whether the network between failure domains can be cut.
+    pub network: bool,
 }
 
 impl Default for FleetConfig {
@@ -68,6 +71,7 @@
             publication: Publication::default(),
             directory: None,
             domains: DOMAINS.map(str::to_owned).to_vec(),
+            network: false,
         }
     }
 }
@@ -115,6 +119,8 @@
     pub services: Vec<Server>,
     /// For the stand-ins' control ports.
     pub client: reqwest::Client,
+    /// Ways between failure domains and to the platform; without domains when none can be cut.
+    pub network: Network,
     config: FleetConfig,
     cancel: CancellationToken,
 }
@@ -132,7 +138,16 @@
     /// When a process does not start or is not ready in time.
     pub async fn start(config: FleetConfig) -> anyhow::Result<Self> {
         let addr = free_addr()?;
-        let args = args(["platform", "--addr", &addr.to_string()]);
+        let cancel = CancellationToken::new();
+        let cut: &[FailureDomainId] = match config.network {
+            true => &config.domains,
+            false => &[],
+        };
+        let network = Network::start(cut, cancel.clone()).await?;
+        let mut args = args(["platform", "--addr", &addr.to_string()]);
+        for view in network.platforms() {
+            args.extend(["--view".to_owned(), view.to_string()]);
+        }
         let mut fleet = Self {
             platform: Process::start("platform", "jujube-lab", &args)?,
             platform_url: format!("http://{addr}"),
@@ -140,8 +155,9 @@
             engines: Vec::new(),
             services: Vec::new(),
             client: reqwest::Client::builder().no_proxy().build()?,
+            network,
             config,
-            cancel: CancellationToken::new(),
+            cancel,
         };
         fleet.wait_answer(&format!("http://{addr}/calls")).await?;
         fleet.publish_first().await?;
@@ -188,11 +204,17 @@
     ///
     /// # Errors
     /// When the platform does not take it.
-    pub async fn publish_instances(&self) -> anyhow::Result<()> {
-        let list = InstanceList {
-            instances: self.nodes().map(|node| node.listed.clone()).collect(),
-        };
-        let url = format!("{}/v1/instances", self.platform_url);
+    pub async fn publish_instances(&mut self) -> anyhow::Result<()> {
+        let instances: Vec<Instance> = self.nodes().map(|node| node.listed.clone()).collect();
+        for (addr, list) in self.network.lists(&instances).await? {
+            self.put_instances(&format!("http://{addr}"), list).await?;
+        }
+        self.put_instances(&self.platform_url, instances).await
+    }
+
+    async fn put_instances(&self, platform: &str, instances: Vec<Instance>) -> anyhow::Result<()> {
+        let list = InstanceList { instances };
+        let url = format!("{platform}/v1/instances");
         let answer = self.client.put(url).json(&list).send().await?;
         ensure!(
             answer.status().is_success(),
@@ -369,6 +391,8 @@
         flags: Vec<String>,
     ) -> anyhow::Result<Node> {
         let operator = free_addr()?;
+        let platform = self.network.platform_url(&listed.domain);
+        let platform = platform.unwrap_or_else(|| self.platform_url.clone());
         let mut all = command;
         all.extend(args([
             "--instance",
@@ -376,7 +400,7 @@
             "--domain",
             &listed.domain,
             "--platform",
-            &self.platform_url,
+            &platform,
             "--traffic-addr",
             &listed.traffic.to_string(),
             "--control-addr",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,12 +3,15 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod caller;
+pub mod datagram_relay;
 pub mod demo;
 pub mod events;
 pub mod experiments;
 pub mod fleet;
 pub mod http;
+pub mod in_force;
 pub mod load;
+pub mod network;
 pub mod path_bench;
 pub mod process;
 pub mod publication;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -62,7 +62,8 @@
             until_ended(group::serve(config, cancel.clone()), cancel).await
         }
         JujubeLabCmd::Platform(flags) => {
-            until_ended(platform::serve(flags.addr, cancel.clone()), cancel).await
+            let served = platform::serve(flags.addr, flags.view, cancel.clone());
+            until_ended(served, cancel).await
         }
         JujubeLabCmd::Demo(flags) => {
             let examples = flags.examples.unwrap_or_else(|| "examples/hangang".into());
--- /dev/null
+++ b/crates/lab/src/network.rs
@@ -0,0 +1,189 @@
+//! The network between failure domains and to the platform, which tests cut and heal.
+//!
+//! Each failure domain reads a live list of its own, in which every instance of another domain
+//! stands with the addresses of relays that carry this domain's traffic to it and nothing else.
+
+use std::net::SocketAddr;
+
+use jj_platform::wire::{Instance, Role};
+use jj_utils::ids::FailureDomainId;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    datagram_relay::DatagramRelay,
+    process::free_addr,
+    relay::{Mode, Relay},
+};
+
+/// What one failure domain sees of the platform.
+#[derive(Debug)]
+struct View {
+    domain: FailureDomainId,
+    /// Address of the platform with this domain's live list.
+    platform: SocketAddr,
+    relay: Relay,
+}
+
+/// The way from one failure domain to one instance of another.
+#[derive(Debug)]
+struct Link {
+    from: FailureDomainId,
+    /// The instance as it lists itself.
+    to: Instance,
+    control: SocketAddr,
+    traffic: SocketAddr,
+    streams: Vec<Relay>,
+    datagrams: DatagramRelay,
+}
+
+/// Every way that can be cut.
+#[derive(Debug)]
+pub struct Network {
+    views: Vec<View>,
+    links: Vec<Link>,
+    cancel: CancellationToken,
+}
+
+impl Network {
+    /// A whole network of `domains`, each with an address of the platform to be served there.
+    ///
+    /// # Errors
+    /// When no address can be bound.
+    pub async fn start(
+        domains: &[FailureDomainId],
+        cancel: CancellationToken,
+    ) -> anyhow::Result<Self> {
+        let mut views = Vec::new();
+        for domain in domains {
+            let platform = free_addr()?;
+            views.push(View {
+                domain: domain.clone(),
+                platform,
+                relay: Relay::start(free_addr()?, platform, cancel.clone()).await?,
+            });
+        }
+        Ok(Self {
+            views,
+            links: Vec::new(),
+            cancel,
+        })
+    }
+
+    /// The platform's addresses, in the order of the failure domains.
+    pub fn platforms(&self) -> impl Iterator<Item = SocketAddr> {
+        self.views.iter().map(|view| view.platform)
+    }
+
+    /// Base URL of the platform for processes of a failure domain; it can be cut.
+    pub fn platform_url(&self, domain: &str) -> Option<String> {
+        let view = self.views.iter().find(|view| view.domain == domain)?;
+        Some(format!("http://{}", view.relay.addr()))
+    }
+
+    /// The live list of each failure domain with the platform's address that shows it.
+    ///
+    /// # Errors
+    /// When a relay can't be started.
+    pub async fn lists(
+        &mut self,
+        instances: &[Instance],
+    ) -> anyhow::Result<Vec<(SocketAddr, Vec<Instance>)>> {
+        let mut lists = Vec::new();
+        for number in 0..self.views.len() {
+            let domain = self.views[number].domain.clone();
+            let mut list = Vec::new();
+            for instance in instances {
+                list.push(self.seen_from(&domain, instance).await?);
+            }
+            lists.push((self.views[number].platform, list));
+        }
+        Ok(lists)
+    }
+
+    /// Sets the ways between two failure domains, in both directions.
+    pub fn set_between(&self, one: &str, other: &str, mode: Mode) {
+        let between = |link: &&Link| {
+            let ends = (link.from.as_str(), link.to.domain.as_str());
+            ends == (one, other) || ends == (other, one)
+        };
+        self.links
+            .iter()
+            .filter(between)
+            .for_each(|link| link.set(mode));
+    }
+
+    /// Sets the way from a failure domain to the platform.
+    pub fn set_platform(&self, domain: &str, mode: Mode) {
+        let views = self.views.iter().filter(|view| view.domain == domain);
+        views.for_each(|view| set_streams(&view.relay, mode));
+    }
+
+    /// Sets every way of a failure domain: to the platform and to all others.
+    pub fn set_domain(&self, domain: &str, mode: Mode) {
+        self.set_platform(domain, mode);
+        let others = self.views.iter().filter(|view| view.domain != domain);
+        others.for_each(|view| self.set_between(domain, &view.domain, mode));
+    }
+
+    async fn seen_from(&mut self, domain: &str, to: &Instance) -> anyhow::Result<Instance> {
+        if to.domain == domain {
+            return Ok(to.clone());
+        }
+        let same = |link: &&Link| link.from == domain && link.to.id == to.id;
+        if let Some(link) = self.links.iter().find(same) {
+            return Ok(link.listed(to));
+        }
+        let link = Link::start(domain, to, &self.cancel).await?;
+        let listed = link.listed(to);
+        self.links.push(link);
+        Ok(listed)
+    }
+}
+
+impl Link {
+    async fn start(from: &str, to: &Instance, cancel: &CancellationToken) -> anyhow::Result<Self> {
+        let (control, traffic) = (free_addr()?, free_addr()?);
+        let streams = vec![
+            Relay::start(control, to.control, cancel.clone()).await?,
+            Relay::start(traffic, to.traffic, cancel.clone()).await?,
+        ];
+        Ok(Self {
+            from: from.to_owned(),
+            to: to.clone(),
+            control,
+            traffic,
+            streams,
+            datagrams: DatagramRelay::start(control, to.control, cancel.clone()).await?,
+        })
+    }
+
+    /// The instance as the failure domain at the start of the way sees it. Callers use the traffic
+    /// address of an entry, and they stand outside of all failure domains.
+    fn listed(&self, to: &Instance) -> Instance {
+        let traffic = match to.role {
+            Role::Agent => self.traffic,
+            Role::Entry => to.traffic,
+        };
+        Instance {
+            control: self.control,
+            traffic,
+            ..to.clone()
+        }
+    }
+
+    fn set(&self, mode: Mode) {
+        self.streams
+            .iter()
+            .for_each(|relay| set_streams(relay, mode));
+        self.datagrams.set(mode);
+    }
+}
+
+/// Sets what happens to streams. Those that lost bytes while they were silent must not go on: when
+/// the way is whole again they stay silent for good, and only new ones pass.
+fn set_streams(relay: &Relay, mode: Mode) {
+    relay.set_new(mode);
+    if mode != Mode::Pass {
+        relay.set_open(mode);
+    }
+}
--- a/crates/lab/src/standins/platform.rs
+++ b/crates/lab/src/standins/platform.rs
@@ -13,9 +13,10 @@
     put,
     web::{Data, Json, Path, Query},
 };
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-pub use super::platform_state::{Calls, Control, Platform, View};
+pub use super::platform_state::{Calls, Control, ListName, Platform, View};
 
 /// Longest wait of a blocking query.
 const MAX_WAIT: Duration = Duration::from_secs(60);
@@ -44,13 +45,26 @@
     }
 }
 
-/// Serves a fresh platform on `addr` until the token is cancelled.
+/// Serves a fresh platform on `addr` until the token is cancelled, and on each address of `views`
+/// with a live list of its own.
 ///
 /// # Errors
-/// When the address cannot be bound.
-pub async fn serve(addr: SocketAddr, token: CancellationToken) -> anyhow::Result<()> {
-    let listener = tokio::net::TcpListener::bind(addr).await?;
-    serve_on(listener, Arc::new(Platform::default()), token).await
+/// When an address cannot be bound.
+pub async fn serve(
+    addr: SocketAddr,
+    views: Vec<SocketAddr>,
+    token: CancellationToken,
+) -> anyhow::Result<()> {
+    let platform = Arc::new(Platform::default());
+    let listener = TcpListener::bind(addr).await?;
+    let mut served = vec![serve_list(listener, ListName::Main, &platform, &token)];
+    for (number, addr) in views.into_iter().enumerate() {
+        let listener = TcpListener::bind(addr).await?;
+        let name = ListName::View(number);
+        served.push(serve_list(listener, name, &platform, &token));
+    }
+    futures_util::future::try_join_all(served).await?;
+    Ok(())
 }
 
 /// Serves `platform` on a bound listener until the token is cancelled.
@@ -58,22 +72,29 @@
 /// # Errors
 /// When the listener fails.
 pub async fn serve_on(
-    listener: tokio::net::TcpListener,
+    listener: TcpListener,
     platform: Arc<Platform>,
     token: CancellationToken,
+) -> anyhow::Result<()> {
+    serve_list(listener, ListName::Main, &platform, &token).await
+}
+
+async fn serve_list(
+    listener: TcpListener,
+    list: ListName,
+    platform: &Arc<Platform>,
+    token: &CancellationToken,
 ) -> anyhow::Result<()> {
     let acceptor = TcpAcceptor::from_tokio(listener)?;
+    let routes = routes(Arc::clone(platform), list);
+    let ended = token.clone().cancelled_owned();
     Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(
-            routes(platform),
-            token.cancelled_owned(),
-            Some(Duration::ZERO),
-        )
+        .run_with_graceful_shutdown(routes, ended, Some(Duration::ZERO))
         .await?;
     Ok(())
 }
 
-fn routes(platform: Arc<Platform>) -> impl IntoEndpoint {
+fn routes(platform: Arc<Platform>, list: ListName) -> impl IntoEndpoint {
     let weights = Arc::new(tokio::sync::Semaphore::new(WEIGHT_READS));
     Route::new()
         .at("/v1/kv/*key", get(read_key).put(put_key))
@@ -82,6 +103,7 @@
         .at("/control", put(put_control))
         .at("/calls", get(read_calls))
         .data(platform)
+        .data(list)
         .data(weights)
 }
 
@@ -124,6 +146,7 @@
 async fn read_instances(
     Query(query): Query<Blocking>,
     Data(platform): Data<&Arc<Platform>>,
+    Data(name): Data<&ListName>,
 ) -> Response {
     platform.count(|calls| calls.instances += 1);
     match platform.view() {
@@ -132,8 +155,8 @@
         View::At(_) => {}
     }
     let seen = query.index.unwrap_or(0);
-    wait_until(platform, &query, || platform.instances().0 > seen).await;
-    let (index, list) = platform.instances();
+    wait_until(platform, &query, || platform.instances(*name).0 > seen).await;
+    let (index, list) = platform.instances(*name);
     json(index, &list)
 }
 
@@ -169,11 +192,12 @@
 fn put_instances(
     Json(list): Json<InstanceList>,
     Data(platform): Data<&Arc<Platform>>,
+    Data(name): Data<&ListName>,
 ) -> StatusCode {
-    let platform = platform.clone();
+    let (platform, name) = (platform.clone(), *name);
     tokio::spawn(async move {
         tokio::time::sleep(platform.lag()).await;
-        platform.set_instances(list);
+        platform.set_instances(name, list);
     });
     StatusCode::ACCEPTED
 }
--- a/crates/lab/src/standins/platform_state.rs
+++ b/crates/lab/src/standins/platform_state.rs
@@ -7,7 +7,7 @@
 };
 
 use jj_platform::wire::InstanceList;
-use jj_utils::common_derives;
+use jj_utils::{collections::FastMap, common_derives};
 use tokio::sync::watch;
 
 common_derives! {wire:
@@ -62,6 +62,25 @@
     }
 }
 
+common_derives! {copy:
+    /// One of the live lists.
+    pub enum ListName {
+        /// The list of the platform's own address.
+        Main,
+        /// The list of a further address, by its number.
+        View(usize),
+    }
+}
+
+common_derives! {value:
+    /// One live list.
+    #[derive(Default)]
+    struct IndexedList {
+        index: u64,
+        list: InstanceList,
+    }
+}
+
 /// What a read sees.
 pub enum View {
     /// The service is down.
@@ -76,8 +95,7 @@
 struct Inner {
     index: u64,
     history: BTreeMap<String, Vec<Version>>,
-    instances: InstanceList,
-    instances_index: u64,
+    lists: FastMap<ListName, IndexedList>,
     control: Control,
     reads: u64,
     calls: Calls,
@@ -112,11 +130,12 @@
         index
     }
 
-    /// Replaces the live list at once.
-    pub fn set_instances(&self, list: InstanceList) {
+    /// Replaces one live list at once.
+    pub fn set_instances(&self, name: ListName, list: InstanceList) {
         self.with(|inner| {
-            inner.instances = list;
-            inner.instances_index += 1;
+            let held = inner.lists.entry(name).or_default();
+            held.list = list;
+            held.index += 1;
         });
         self.notify();
     }
@@ -189,9 +208,11 @@
         })
     }
 
-    /// The live list and its index.
-    pub fn instances(&self) -> (u64, InstanceList) {
-        self.with(|inner| (inner.instances_index, inner.instances.clone()))
+    /// One live list and its index.
+    pub fn instances(&self, name: ListName) -> (u64, InstanceList) {
+        let held = self.with(|inner| inner.lists.get(&name).cloned());
+        let held = held.unwrap_or_default();
+        (held.index, held.list)
     }
 
     /// A receiver that wakes at every change.
