--- a/crates/lab/src/in_force.rs
+++ b/crates/lab/src/in_force.rs
@@ -44,7 +44,7 @@
     pub instance: InstanceId,
     /// Index that was in force before.
     pub from: ConfigIndex,
-    /// Index in force after it; 0 when there was none.
+    /// Index in force after it.
     pub to: ConfigIndex,
 }
 
@@ -77,15 +77,16 @@
     token: CancellationToken,
 ) -> Seen {
     let mut seen = Seen::default();
-    let mut last: FastMap<InstanceId, ConfigIndex> = FastMap::default();
+    let mut last: FastMap<&InstanceId, ConfigIndex> = FastMap::default();
     while !token.is_cancelled() {
         for (instance, port) in &ports {
-            // A process that does not answer is being replaced.
-            let Some(to) = read(&client, *port).await else {
+            // A process that does not answer, or has no configuration yet, is being replaced.
+            let to = read(&client, *port).await;
+            let Some(to) = to.filter(|index| *index > 0) else {
                 continue;
             };
             seen.looks += 1;
-            let from = last.insert(instance.clone(), to).unwrap_or(0);
+            let from = last.insert(instance, to).unwrap_or(0);
             if to < from {
                 let instance = instance.clone();
                 seen.falls.push(Fall { instance, from, to });
