--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -205,13 +205,27 @@
     /// # Errors
     /// When the platform does not take it.
     pub async fn publish_instances(&mut self) -> anyhow::Result<()> {
-        let instances: Vec<Instance> = self.nodes().map(|node| node.listed.clone()).collect();
+        let instances = self.nodes().map(|node| node.listed.clone()).collect();
+        self.publish_list(instances).await
+    }
+
+    /// Puts a live list, as each failure domain sees it.
+    ///
+    /// # Errors
+    /// When the platform does not take it.
+    pub async fn publish_list(&mut self, instances: Vec<Instance>) -> anyhow::Result<()> {
         for (addr, list) in self.network.lists(&instances).await? {
             self.put_instances(&format!("http://{addr}"), list).await?;
         }
         self.put_instances(&self.platform_url, instances).await
     }
 
+    /// Base URL of the platform for processes of a failure domain.
+    pub fn platform_of(&self, domain: &str) -> String {
+        let url = self.network.platform_url(domain);
+        url.unwrap_or_else(|| self.platform_url.clone())
+    }
+
     async fn put_instances(&self, platform: &str, instances: Vec<Instance>) -> anyhow::Result<()> {
         let list = InstanceList { instances };
         let url = format!("{platform}/v1/instances");
@@ -391,8 +405,7 @@
         flags: Vec<String>,
     ) -> anyhow::Result<Node> {
         let operator = free_addr()?;
-        let platform = self.network.platform_url(&listed.domain);
-        let platform = platform.unwrap_or_else(|| self.platform_url.clone());
+        let platform = self.platform_of(&listed.domain);
         let mut all = command;
         all.extend(args([
             "--instance",
--- a/crates/lab/tests/group.rs
+++ b/crates/lab/tests/group.rs
@@ -4,13 +4,17 @@
 use std::{net::SocketAddr, time::Duration};
 
 use googletest::prelude::*;
-use jj_operator::documents::{Group, ServiceKind};
-use jj_platform::wire::{Instance, InstanceList, Role};
+use jj_operator::{
+    audit::AuditEntry,
+    documents::{Group, ServiceKind},
+};
+use jj_platform::wire::{Instance, Role};
 use jj_utils::clock::unix_millis;
 use jujube_lab::{
     fleet::{Fleet, FleetConfig, args},
     process::{Process, free_addr, wait_until},
-    publication::Publication,
+    publication::{DOMAINS, Publication},
+    relay::Mode,
     standins::group::GroupTally,
 };
 
@@ -18,6 +22,10 @@
 const LIMIT: Duration = Duration::from_secs(40);
 /// Longer than any order lives.
 const SLEEP: Duration = Duration::from_secs(3);
+/// Steps of a group that goes on; more than popularity needs to ask for another map.
+const STEPS: u64 = 2_500;
+/// Makes a switch take longer than a look at the leader.
+const SLOW: Mode = Mode::Delay { millis: 100 };
 
 const SERVICE: &str = "experts";
 
@@ -28,15 +36,18 @@
     agents: Vec<Process>,
     flags: Vec<Vec<String>>,
     url: String,
+    /// Operators' port of the leader.
+    leader: SocketAddr,
 }
 
 impl GroupFleet {
     async fn start(fencing: bool) -> anyhow::Result<Self> {
-        let fleet = Fleet::start(FleetConfig {
+        let mut fleet = Fleet::start(FleetConfig {
             entries: 1,
             engines: 0,
             services: 0,
             publication: publication(fencing),
+            network: true,
             ..FleetConfig::default()
         })
         .await?;
@@ -48,21 +59,15 @@
         let group = ["group", "--addrs", &addrs.join(","), "--fencing", &fencing];
         let group = Process::start("group", "jujube-lab", &args(group))?;
         let mut instances: Vec<Instance> = fleet.nodes().map(|node| node.listed.clone()).collect();
-        let mut flags = Vec::new();
+        let (mut flags, mut operators) = (Vec::new(), Vec::new());
         for (rank, engine) in engines.iter().enumerate() {
             let listed = member(rank)?;
-            flags.push(agent_flags(&fleet, &listed, *engine)?);
+            let operator = free_addr()?;
+            flags.push(agent_flags(&fleet, &listed, *engine, operator));
+            operators.push(operator);
             instances.push(listed);
         }
-        let list = InstanceList { instances };
-        let platform = format!("{}/v1/instances", fleet.platform_url);
-        fleet
-            .client
-            .put(platform)
-            .json(&list)
-            .send()
-            .await?
-            .error_for_status()?;
+        fleet.publish_list(instances).await?;
         let agents = flags
             .iter()
             .map(|flags| Process::start("agent", "jujube-agent", flags));
@@ -74,6 +79,7 @@
             agents,
             flags,
             url,
+            leader: operators[0],
         })
     }
 
@@ -102,6 +108,38 @@
         })
     }
 
+    /// Waits until the group has run so many steps more.
+    async fn wait_for_steps(&self, more: u64) -> anyhow::Result<()> {
+        let wanted = self.tally().await?.steps + more;
+        wait_until("steps of the group", LIMIT, || async {
+            self.tally().await.is_ok_and(|now| now.steps >= wanted)
+        })
+        .await
+    }
+
+    /// Waits until a map is prepared and nothing has been decided about it.
+    async fn wait_for_prepare(&self) -> anyhow::Result<()> {
+        let url = format!("http://{}/audit", self.leader);
+        wait_until("a map in preparation", LIMIT, || async {
+            let answer = self.fleet.client.get(&url).send().await;
+            let Ok(answer) = answer else { return false };
+            let trail: Vec<AuditEntry> = answer.json().await.unwrap_or_default();
+            let maps = trail.iter().rev();
+            let last = maps
+                .map(|entry| &entry.change)
+                .find(|change| change.subject.starts_with("expert map"));
+            last.is_some_and(|change| change.to == "prepared")
+        })
+        .await
+    }
+
+    /// Sets the way between the leader and another rank.
+    fn set_way(&self, rank: usize, mode: Mode) {
+        self.fleet
+            .network
+            .set_between(DOMAINS[0], DOMAINS[rank], mode);
+    }
+
     fn restart(&mut self, rank: usize) -> anyhow::Result<()> {
         self.agents[rank].kill();
         self.agents[rank] = Process::start("agent", "jujube-agent", &self.flags[rank])?;
@@ -129,7 +167,7 @@
     Ok(Instance {
         id: format!("rank-{rank}"),
         role: Role::Agent,
-        domain: "a".into(),
+        domain: DOMAINS[rank].into(),
         service: SERVICE.into(),
         traffic: free_addr()?,
         control: free_addr()?,
@@ -142,8 +180,9 @@
     fleet: &Fleet,
     listed: &Instance,
     engine: SocketAddr,
-) -> anyhow::Result<Vec<String>> {
-    Ok(args([
+    operator: SocketAddr,
+) -> Vec<String> {
+    args([
         "--instance",
         &listed.id,
         "--domain",
@@ -157,14 +196,14 @@
         "--backend",
         &format!("http://{engine}"),
         "--platform",
-        &fleet.platform_url,
+        &fleet.platform_of(&listed.domain),
         "--traffic-addr",
         &listed.traffic.to_string(),
         "--control-addr",
         &listed.control.to_string(),
         "--operator-addr",
-        &free_addr()?.to_string(),
-    ]))
+        &operator.to_string(),
+    ])
 }
 
 async fn stays_in_step(fencing: bool) -> anyhow::Result<()> {
@@ -206,3 +245,45 @@
 async fn ranks_stay_in_step_where_engines_ignore_fencing_numbers() -> anyhow::Result<()> {
     stays_in_step(false).await
 }
+
+async fn stays_in_step_under_cuts(fencing: bool) -> anyhow::Result<()> {
+    let group = GroupFleet::start(fencing).await?;
+    group.wait_for_switches(1).await?;
+
+    // Between two switches: the group steps on with the map that it has.
+    group.set_way(1, Mode::Silent);
+    group.wait_for_steps(STEPS).await?;
+    group.set_way(1, Mode::Pass);
+    group.wait_for_switches(1).await?;
+
+    // While a map is prepared, for longer than any order lives.
+    for mode in [Mode::Silent, Mode::DropAnswers] {
+        group.set_way(1, SLOW);
+        group.wait_for_prepare().await?;
+        group.set_way(1, mode);
+        let until = unix_millis() + SLEEP.as_millis() as u64;
+        wait_until("every order has expired", LIMIT, || async {
+            unix_millis() > until
+        })
+        .await?;
+        group.set_way(1, Mode::Pass);
+        group.wait_for_switches(1).await?;
+    }
+
+    let tally = group.tally().await?;
+    println!("cuts, fencing {fencing}: {tally:?}");
+    expect_that!(tally.mixed, eq(0));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_rank_cut_off_from_the_leader_stays_in_step_with_fencing() -> anyhow::Result<()> {
+    stays_in_step_under_cuts(true).await
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_rank_cut_off_from_the_leader_stays_in_step_without_fencing() -> anyhow::Result<()> {
+    stays_in_step_under_cuts(false).await
+}
--- a/crates/lab/tests/in_force.rs
+++ b/crates/lab/tests/in_force.rs
@@ -125,10 +125,10 @@
 
     let calls = calls(&fleet).await? - called;
     let seen = watch.stop().await?;
+    let (looks, falls) = (seen.looks, seen.falls.len());
     println!(
-        "{calls} calls in {:?}, {} looks",
-        started.elapsed(),
-        seen.looks
+        "{calls} calls in {:?}, {looks} looks, {falls} falls",
+        started.elapsed()
     );
     expect_that!(
         calls as f64,
