fix(policy): the leader of a group that stands still reads all ranks anew

Cause: an engine that lost its state while the leader was idle stopped the whole group for good. The leader judged by its last reports, and nobody told it otherwise; a new map was never planned, since no tokens were routed any more.

The stand-in group reported tokens also while it stood; it reports none now.

`cargo nextest run -p jj-policy -E 'binary(group_switch_walk) and test(progress)'`: from every state that the walked faults lead to, with messages late or lost, the group runs on once faults stop.

--- a/crates/agent/src/group_lead.rs
+++ b/crates/agent/src/group_lead.rs
@@ -14,6 +14,7 @@
     group_switch::{Action, MapId, Reply, Request},
     popularity::{ExpertCounts, Popularity, PopularityConfig},
     rebalance::{RebalanceConfig, Rebalancer},
+    standstill::Standstill,
 };
 use jj_utils::{
     clock::SharedClock,
@@ -69,6 +70,7 @@
         current: None,
         popularity: Popularity::new(context.shape.experts, PopularityConfig::default()),
         rebalancer: Rebalancer::new(RebalanceConfig::default()),
+        standstill: Standstill::default(),
         wanted: None,
         replies,
         context,
@@ -96,6 +98,7 @@
     current: Option<ExpertMap>,
     popularity: Popularity,
     rebalancer: Rebalancer,
+    standstill: Standstill,
     /// Map to propose under the next id.
     wanted: Option<ExpertMap>,
     replies: mpsc::UnboundedSender<Reply>,
@@ -129,6 +132,8 @@
             return;
         };
         let now = self.context.clock.now();
+        let has_stepped = report.counts.iter().flatten().any(|count| *count > 0);
+        let is_due = self.standstill.observe(now, has_stepped);
         self.popularity.observe(&ExpertCounts {
             until: now,
             counts: report.counts,
@@ -139,6 +144,9 @@
         if self.leader.needs_formation() {
             return self.propose(ExpertMap::uniform(self.context.shape));
         }
+        if is_due {
+            return self.handle(LeaderInput::Recover);
+        }
         self.current = ExpertMap::from_slots(self.context.shape, report.slots);
         let (Some(map), Some(shares)) = (&self.current, self.popularity.predict(now)) else {
             return;
--- a/crates/lab/src/datagram_relay.rs
+++ b/crates/lab/src/datagram_relay.rs
@@ -65,21 +65,25 @@
         if !matches!(*mode.borrow(), Mode::Pass | Mode::DropAnswers) {
             continue;
         }
-        if !flows.contains_key(&sender) {
-            let Ok(back) = open(target).await else {
-                continue;
-            };
-            let flow = Flow {
-                sender,
-                front: Arc::clone(&front),
-                back: Arc::clone(&back),
-                mode: mode.clone(),
-            };
-            tokio::spawn(cancel.clone().run_until_cancelled_owned(flow.answers()));
-            flows.insert(sender, back);
-        }
+        let back = match flows.get(&sender) {
+            Some(back) => Arc::clone(back),
+            None => {
+                let Ok(back) = open(target).await else {
+                    continue;
+                };
+                let flow = Flow {
+                    sender,
+                    front: Arc::clone(&front),
+                    back: Arc::clone(&back),
+                    mode: mode.clone(),
+                };
+                tokio::spawn(cancel.clone().run_until_cancelled_owned(flow.answers()));
+                flows.insert(sender, Arc::clone(&back));
+                back
+            }
+        };
         // A datagram that the socket does not take is lost like any other.
-        let _ = flows[&sender].send(&buffer[..length]).await;
+        let _ = back.send(&buffer[..length]).await;
     }
 }
 
--- a/crates/lab/src/standins/group.rs
+++ b/crates/lab/src/standins/group.rs
@@ -71,6 +71,8 @@
     next_step: u64,
     slots: Vec<ExpertId>,
     prepared: Vec<ExpertId>,
+    /// Next step at the last report.
+    reported: u64,
 }
 
 #[derive(Debug, Default)]
@@ -108,6 +110,7 @@
             .at("/group/orders", post(obey))
             .at("/group/report", get(report))
             .at("/group/tally", get(tally))
+            .at("/group/lose", post(lose))
             .at("/load", get(load))
             .data(Arc::clone(&group))
             .data(rank);
@@ -295,13 +298,19 @@
 
 #[handler]
 fn report(group: Data<&Arc<Group>>, rank: Data<&usize>) -> Json<GroupReport> {
-    let world = group.lock();
-    let engine = &world.engines[**rank];
+    let mut world = group.lock();
+    let engine = &mut world.engines[**rank];
+    let has_stepped = engine.next_step != engine.reported;
+    engine.reported = engine.next_step;
     let hot = engine.next_step / DRIFT;
     let experts = group.config.experts;
     let counts = (0..experts).map(|expert| {
         let is_hot = u64::from(expert) == hot % u64::from(experts);
-        Some(if is_hot { 100 * HOT } else { 100 })
+        match (has_stepped, is_hot) {
+            (false, _) => Some(0),
+            (true, true) => Some(100 * HOT),
+            (true, false) => Some(100),
+        }
     });
     Json(GroupReport {
         slots: engine.slots.clone(),
@@ -314,6 +323,13 @@
     Json(group.lock().tally.clone())
 }
 
+/// Loses the state of the engine, as a restart does.
+#[handler]
+fn lose(group: Data<&Arc<Group>>, rank: Data<&usize>) -> StatusCode {
+    group.lock().engines[**rank] = Engine::default();
+    StatusCode::NO_CONTENT
+}
+
 #[handler]
 fn load(group: Data<&Arc<Group>>) -> Json<BackendLoad> {
     Json(BackendLoad {
--- a/crates/lab/tests/group.rs
+++ b/crates/lab/tests/group.rs
@@ -36,6 +36,7 @@
     agents: Vec<Process>,
     flags: Vec<Vec<String>>,
     url: String,
+    engines: Vec<SocketAddr>,
     /// Operators' port of the leader.
     leader: SocketAddr,
 }
@@ -79,6 +80,7 @@
             agents,
             flags,
             url,
+            engines,
             leader: operators[0],
         })
     }
@@ -266,8 +268,10 @@
             unix_millis() > until
         })
         .await?;
-        group.set_way(1, Mode::Pass);
+        // Whole again, but the decision reaches this rank many steps after the others.
+        group.set_way(1, SLOW);
         group.wait_for_switches(1).await?;
+        group.set_way(1, Mode::Pass);
     }
 
     let tally = group.tally().await?;
@@ -287,3 +291,22 @@
 async fn a_rank_cut_off_from_the_leader_stays_in_step_without_fencing() -> anyhow::Result<()> {
     stays_in_step_under_cuts(false).await
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_group_goes_on_after_an_engine_has_lost_its_state() -> anyhow::Result<()> {
+    let group = GroupFleet::start(true).await?;
+    group.wait_for_switches(1).await?;
+
+    for rank in [1, 0] {
+        let url = format!("http://{}/group/lose", group.engines[rank]);
+        let lost = group.fleet.client.post(url).send().await?;
+        lost.error_for_status()?;
+        group.wait_for_steps(STEPS / 10).await?;
+    }
+
+    let tally = group.tally().await?;
+    println!("lost engines: {tally:?}");
+    expect_that!(tally.mixed, eq(0));
+    Ok(())
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
+pub mod standstill;
 pub mod subset;
 pub mod verdict;
--- a/crates/policy/tests/group_world/mod.rs
+++ b/crates/policy/tests/group_world/mod.rs
@@ -2,6 +2,8 @@
 //! that keeps every message, so that each may arrive never, late, twice or out of order.
 
 pub mod engine;
+mod fair;
+mod progress;
 
 use std::collections::BTreeSet;
 
--- /dev/null
+++ b/crates/policy/tests/group_world/progress.rs
@@ -0,0 +1,113 @@
+//! Progress of the expert map switch: from every state that faults lead to, the group runs on with
+//! one map once they have stopped, whether messages under way arrive or are lost.
+
+use std::collections::HashSet;
+
+use googletest::prelude::*;
+use pathfinding::directed::bfs::bfs_reach;
+
+use super::{Budget, Mutation, Setup, World, fair::Driver};
+
+const WHOLE: Driver = Driver {
+    retries: true,
+    rereads: true,
+};
+
+/// Distinct states at the end of faults, and how many of them the group never leaves.
+fn walk(name: &str, fencing: bool, budget: Budget, driver: Driver) -> (usize, usize) {
+    let setup = Setup {
+        fencing,
+        mutation: Mutation::None,
+    };
+    let start = World::formed(setup, budget);
+    let next = |world: &World| {
+        let next = world.successors().into_iter();
+        next.map(|(_, world)| world).collect::<Vec<_>>()
+    };
+    let mut ends = HashSet::new();
+    for world in bfs_reach(start, next) {
+        let end = world.without_faults();
+        ends.insert(end.without_messages());
+        ends.insert(end);
+    }
+    let stuck = ends.iter().filter(|end| !end.runs_on(driver));
+    let stuck: Vec<&World> = stuck.collect();
+    let (ended, count) = (ends.len(), stuck.len());
+    println!("{name}, fencing {fencing}: {ended} ends of faults, {count} without progress");
+    if let Some(first) = stuck.first() {
+        println!("  such as {:?} {:?}", first.engines, first.leaders);
+    }
+    (ended, count)
+}
+
+fn budget() -> Budget {
+    Budget {
+        proposals: 1,
+        leaders: 0,
+        agent_restarts: 0,
+        engine_losses: 0,
+        lost_orders: 0,
+        doubled: 0,
+        late_replies: 0,
+        last_step: 2,
+    }
+}
+
+/// One test a mix of faults, with both kinds of engines.
+macro_rules! walks {
+    ($($test:ident: $($field:ident = $value:literal),+;)*) => {$(
+        #[gtest]
+        fn $test() {
+            for fencing in [false, true] {
+                let budget = Budget { $($field: $value,)+ ..budget() };
+                let (ends, stuck) = walk(stringify!($test), fencing, budget, WHOLE);
+                expect_that!(ends, gt(1));
+                expect_that!(stuck, eq(0));
+            }
+        }
+    )*};
+}
+
+walks! {
+    runs_on_after_two_switches: proposals = 2;
+    runs_on_after_a_leader: leaders = 1;
+    runs_on_after_an_agent: agent_restarts = 1;
+    runs_on_after_an_order: lost_orders = 1;
+    runs_on_after_an_engine: engine_losses = 1;
+    runs_on_after_late_messages: doubled = 1, late_replies = 1;
+    runs_on_after_leader_and_engine: leaders = 1, engine_losses = 1, last_step = 1;
+    runs_on_after_all_engines: engine_losses = 3, last_step = 1;
+}
+
+/// A driver that lacks one rule; the same walk must find where the group stays for good.
+fn expect_stuck(name: &str, budget: Budget, driver: Driver) {
+    let (_, stuck) = walk(name, false, budget, driver);
+
+    expect_that!(stuck, gt(0));
+}
+
+#[gtest]
+fn without_retries_a_group_stays_where_it_is() {
+    let driver = Driver {
+        retries: false,
+        ..WHOLE
+    };
+    let budget = Budget {
+        lost_orders: 1,
+        ..budget()
+    };
+    expect_stuck("no retries", budget, driver);
+}
+
+#[gtest]
+fn without_reading_a_standing_group_anew_it_stays_where_it_is() {
+    let driver = Driver {
+        rereads: false,
+        ..WHOLE
+    };
+    let budget = Budget {
+        engine_losses: 1,
+        ..budget()
+    };
+    expect_stuck("no reading anew", budget, driver);
+}
