--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -118,6 +118,13 @@
         views.for_each(|view| set_streams(&view.relay, mode));
     }
 
+    /// Sets the ways on which a failure domain asks: the platform and all others.
+    pub fn set_from(&self, domain: &str, mode: Mode) {
+        self.set_platform(domain, mode);
+        let asked = self.links.iter().filter(|link| link.from == domain);
+        asked.for_each(|link| link.set(mode));
+    }
+
     /// Sets every way of a failure domain: to the platform and to all others.
     pub fn set_domain(&self, domain: &str, mode: Mode) {
         self.set_platform(domain, mode);
--- a/crates/lab/tests/partition.rs
+++ b/crates/lab/tests/partition.rs
@@ -17,6 +17,7 @@
     caller::{Call, Caller, Outcome},
     fleet::{Fleet, FleetConfig, Node},
     in_force::{IndexWatch, index, wait_in_force},
+    network::Network,
     process::wait_until,
     publication::{DOMAINS, Publication},
     relay::Mode,
@@ -206,14 +207,12 @@
     fleet.nodes().filter(inside).collect()
 }
 
-#[gtest]
-#[tokio::test]
-async fn a_domain_cut_off_alone_stops_and_returns_without_harm() -> anyhow::Result<()> {
+async fn stops_and_returns(cut: impl Fn(&Network)) -> anyhow::Result<()> {
     let fleet = fleet().await?;
     let load = Load::start(&fleet);
     wait_for_work(&fleet, &[0, 1, 2], 0).await?;
 
-    fleet.network.set_domain(DOMAINS[CUT], Mode::Silent);
+    cut(&fleet.network);
     fleet.publish(&withdrawn(DOMAINS[CUT])).await?;
     let since = unix_millis();
     wait_for_work(&fleet, &[0, 2], after(since, 2 * BOUND)).await?;
@@ -233,6 +232,24 @@
     expect_no_harm(&fleet, &told).await
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_domain_cut_off_alone_stops_and_returns_without_harm() -> anyhow::Result<()> {
+    stops_and_returns(|network| network.set_domain(DOMAINS[CUT], Mode::Silent)).await
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_domain_that_is_heard_but_hears_nobody_stops_and_returns() -> anyhow::Result<()> {
+    stops_and_returns(|network| network.set_from(DOMAINS[CUT], Mode::DropAnswers)).await
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_domain_that_hears_but_cannot_ask_stops_and_returns() -> anyhow::Result<()> {
+    stops_and_returns(|network| network.set_from(DOMAINS[CUT], Mode::DropRequests)).await
+}
+
 /// Makes each second read of the platform see nothing newer than `index`; 0 ends it.
 async fn set_stale(fleet: &Fleet, index: u64) -> anyhow::Result<()> {
     let control = Control {
