fix(policy): a leader gives up a prepare that does not reach all ranks

Cause: when the way to one rank was cut between the read and the prepare, the other ranks held before the step of the switch for as long as the cut lasted, and the whole group stood still.

The leader now aborts a map that not all ranks have prepared within 3 s. That is safe: no rank commits before all have prepared. Ruled out: a rank that aborts by itself, since the leader may have its answer already; so a cut right after a rank has prepared still holds the group until it heals.

--- a/crates/agent/src/group_lead.rs
+++ b/crates/agent/src/group_lead.rs
@@ -17,7 +17,7 @@
     standstill::Standstill,
 };
 use jj_utils::{
-    clock::SharedClock,
+    clock::{SharedClock, Timestamp},
     collections::FastMap,
     events,
     ids::{ExpertId, Incarnation, Rank, ServiceId},
@@ -31,6 +31,10 @@
 /// Time between two looks at the popularity of experts.
 const LOOK: Duration = Duration::from_secs(1);
 
+/// Time after which a map that not all ranks have prepared is given up; the first orders to do so
+/// have been answered or have expired by then.
+const PREPARE_LIMIT: Duration = Duration::from_secs(3);
+
 /// Steps between the furthest rank and the step of a switch.
 const STEP_LEAD: u64 = 50;
 
@@ -71,6 +75,7 @@
         popularity: Popularity::new(context.shape.experts, PopularityConfig::default()),
         rebalancer: Rebalancer::new(RebalanceConfig::default()),
         standstill: Standstill::default(),
+        preparing: None,
         wanted: None,
         replies,
         context,
@@ -82,7 +87,7 @@
         tokio::select! {
             () = token.cancelled() => return,
             Some(reply) = arrived.recv() => task.handle(LeaderInput::Reply(reply)),
-            _ = retry.tick() => task.handle(LeaderInput::Retry),
+            _ = retry.tick() => task.retry(),
             _ = look.tick() => task.look().await,
         }
     }
@@ -99,6 +104,8 @@
     popularity: Popularity,
     rebalancer: Rebalancer,
     standstill: Standstill,
+    /// When the preparation under way was first seen.
+    preparing: Option<Timestamp>,
     /// Map to propose under the next id.
     wanted: Option<ExpertMap>,
     replies: mpsc::UnboundedSender<Reply>,
@@ -112,6 +119,21 @@
         }
     }
 
+    /// Sends again what has no answer, or gives up what has had none for too long.
+    fn retry(&mut self) {
+        if !self.leader.is_preparing() {
+            self.preparing = None;
+            return self.handle(LeaderInput::Retry);
+        }
+        let now = self.context.clock.now();
+        let since = *self.preparing.get_or_insert(now);
+        if now < since + PREPARE_LIMIT {
+            return self.handle(LeaderInput::Retry);
+        }
+        self.preparing = None;
+        self.handle(LeaderInput::GiveUp);
+    }
+
     fn drive(&mut self, input: LeaderInput) {
         for output in self.leader.handle(input) {
             match output {
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -224,12 +224,23 @@
             }
             Mode::Silent => return true,
             dropped if dropped == self.dropped => return true,
-            Mode::Delay { millis } => tokio::time::sleep(Duration::from_millis(millis)).await,
+            Mode::Delay { millis } => {
+                tokio::time::sleep(Duration::from_millis(millis)).await;
+                if self.is_dropped() {
+                    return true;
+                }
+            }
             _ => {}
         }
         self.to.write_all(piece).await.is_ok()
     }
 
+    /// Whether what is on its way is lost now.
+    fn is_dropped(&self) -> bool {
+        let mode = *self.mode.borrow();
+        mode == Mode::Silent || mode == self.dropped
+    }
+
     fn reset(&self) {
         reset(self.from.as_ref());
         reset(self.to.as_ref());
--- a/crates/lab/tests/group.rs
+++ b/crates/lab/tests/group.rs
@@ -310,3 +310,22 @@
     expect_that!(tally.mixed, eq(0));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_group_goes_on_while_a_rank_cannot_be_told_to_prepare() -> anyhow::Result<()> {
+    let group = GroupFleet::start(true).await?;
+    group.wait_for_switches(1).await?;
+
+    group.set_way(1, SLOW);
+    group.wait_for_prepare().await?;
+    group.set_way(1, Mode::DropRequests);
+    group.wait_for_steps(STEPS).await?;
+    group.set_way(1, Mode::Pass);
+    group.wait_for_switches(1).await?;
+
+    let tally = group.tally().await?;
+    println!("prepare lost: {tally:?}");
+    expect_that!(tally.mixed, eq(0));
+    Ok(())
+}
--- a/crates/policy/src/group_leader.rs
+++ b/crates/policy/src/group_leader.rs
@@ -39,6 +39,9 @@
         Propose,
         /// Send again what has no answer yet.
         Retry,
+        /// Abort a map that not all ranks have prepared in time: those that have hold, and the
+        /// whole group with them.
+        GiveUp,
         /// The answer of a rank.
         Reply(Reply),
     }
@@ -117,6 +120,11 @@
         self.phase == Phase::Idle
     }
 
+    /// Whether ranks are preparing a map.
+    pub fn is_preparing(&self) -> bool {
+        matches!(self.phase, Phase::Preparing { .. })
+    }
+
     /// Whether a newer leader has replaced this one.
     pub fn is_superseded(&self) -> bool {
         self.phase == Phase::Superseded
@@ -146,6 +154,7 @@
             LeaderInput::Recover => self.recover(),
             LeaderInput::Propose => self.propose(),
             LeaderInput::Retry => self.unanswered(),
+            LeaderInput::GiveUp => self.give_up(),
             LeaderInput::Reply(reply) => self.reply(reply),
         }
     }
@@ -252,8 +261,16 @@
     /// A refused prepare is aborted everywhere; any other refusal means that the engine has lost
     /// what the leader had read.
     fn refused(&mut self) -> Vec<LeaderOutput> {
+        if self.is_preparing() {
+            return self.give_up();
+        }
+        self.recover()
+    }
+
+    /// Aborts the map in preparation; nobody has committed it before all have prepared it.
+    fn give_up(&mut self) -> Vec<LeaderOutput> {
         let Phase::Preparing { id, .. } = self.phase else {
-            return self.recover();
+            return Vec::new();
         };
         self.resolve(vec![Some(Action::Abort { id }); self.reports.len()])
     }
--- a/crates/policy/tests/group_switch_walk.rs
+++ b/crates/policy/tests/group_switch_walk.rs
@@ -77,6 +77,7 @@
         lost_orders: 0,
         doubled: 0,
         late_replies: 0,
+        give_ups: 0,
         last_step: 2,
     }
 }
@@ -125,6 +126,11 @@
     engine_restarts_fencing: true, engine_losses = 1;
     messages_doubled_and_late: false, doubled = 1, late_replies = 1;
     messages_doubled_and_late_fencing: true, doubled = 1, late_replies = 1;
+    prepare_given_up: false, give_ups = 1;
+    prepare_given_up_fencing: true, give_ups = 1;
+    prepare_given_up_and_late: false, give_ups = 1, doubled = 1, late_replies = 1, proposals = 1;
+    prepare_given_up_and_order: false, give_ups = 1, lost_orders = 1, proposals = 1;
+    prepare_given_up_and_leader: false, give_ups = 1, leaders = 1, proposals = 1, last_step = 1;
     two_leaders_replaced: false, leaders = 2, proposals = 1, last_step = 1;
     leader_and_agent: false, leaders = 1, agent_restarts = 1, proposals = 1, last_step = 1;
     leader_and_agent_fencing: true, leaders = 1, agent_restarts = 1, proposals = 1, last_step = 1;
--- a/crates/policy/tests/group_world/fair.rs
+++ b/crates/policy/tests/group_world/fair.rs
@@ -37,6 +37,7 @@
             lost_orders: 0,
             doubled: 0,
             late_replies: 0,
+            give_ups: 0,
             last_step: self.furthest_step() + STEPS,
         };
         world
--- a/crates/policy/tests/group_world/mod.rs
+++ b/crates/policy/tests/group_world/mod.rs
@@ -43,6 +43,8 @@
         /// Replies that arrive late or never; the others arrive at once. A late request needs no
         /// budget: every request stays under way for as long as the walk likes.
         pub late_replies: u32,
+        /// Preparations that a leader gives up.
+        pub give_ups: u32,
         pub last_step: Step,
     }
 }
@@ -60,6 +62,7 @@
         Deliver(Message),
         DeliverAndRepeat(Message),
         Propose { leader: usize },
+        GiveUp { leader: usize },
         FreezeLeader,
         CarryOut(usize, Action),
         LoseAnswer(usize, Action),
@@ -183,6 +186,14 @@
                 next.push((Event::Propose { leader: index }, world));
             }
         }
+        for index in 0..self.leaders.len() {
+            if self.budget.give_ups > 0 && self.leaders[index].is_preparing() {
+                let mut world = self.clone();
+                world.budget.give_ups -= 1;
+                world.leader_input(index, LeaderInput::GiveUp);
+                next.push((Event::GiveUp { leader: index }, world));
+            }
+        }
         if self.budget.leaders > 0 {
             let mut world = self.clone();
             world.budget.leaders -= 1;
--- a/crates/policy/tests/group_world/progress.rs
+++ b/crates/policy/tests/group_world/progress.rs
@@ -49,6 +49,7 @@
         lost_orders: 0,
         doubled: 0,
         late_replies: 0,
+        give_ups: 0,
         last_step: 2,
     }
 }
@@ -69,6 +70,7 @@
 }
 
 walks! {
+    runs_on_after_a_prepare_given_up: give_ups = 1, lost_orders = 1;
     runs_on_after_two_switches: proposals = 2;
     runs_on_after_a_leader: leaders = 1;
     runs_on_after_an_agent: agent_restarts = 1;
