--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -152,11 +152,14 @@
         opened
     }
 
-    /// Cancels an attempt; one that has not arrived is fenced.
-    pub fn cancel(&self, id: &AttemptRef) {
-        if let Opened::Seen(attempt) = self.outcome(id) {
-            attempt.cancel();
-        }
+    /// Lets a held attempt start; false when it is not known here.
+    pub fn release(&self, id: &AttemptRef) -> bool {
+        let known = self.lock();
+        let Some(entry) = known.get(id) else {
+            return false;
+        };
+        entry.attempt.released.cancel();
+        true
     }
 
     /// Drops attempts that ended longer than the retention ago, and the answers of the oldest
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -1,4 +1,4 @@
-//! The traffic port: attempts from entries, their outcomes, and cancellations.
+//! The traffic port: attempts from entries, their releases and outcomes.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -7,7 +7,7 @@
 use futures_util::{StreamExt, stream::BoxStream};
 use jj_peer::{
     attempt::{self, ATTEMPTS_PATH, AttemptHead, AttemptRef},
-    client::LinkConfig,
+    client::{LinkConfig, RELEASE},
     control::LoadReport,
     frames::{self, CONTENT_TYPE, Failure, Frame},
 };
@@ -68,7 +68,8 @@
     let one = format!("{ATTEMPTS_PATH}/:request/:attempt/:incarnation");
     let routes = Route::new()
         .at(ATTEMPTS_PATH, poem::post(submit))
-        .at(one, poem::get(outcome).delete(cancel))
+        .at(format!("{one}{RELEASE}"), poem::post(release))
+        .at(one, poem::get(outcome))
         .data(traffic);
     let server = Server::new_with_acceptor(acceptor);
     server
@@ -192,7 +193,7 @@
 }
 
 #[handler]
-async fn cancel(
+async fn release(
     traffic: Data<&Arc<Traffic>>,
     Path((request, attempt, incarnation)): Path<(RequestId, AttemptId, Incarnation)>,
 ) -> StatusCode {
@@ -201,10 +202,10 @@
         attempt,
         incarnation,
     };
-    if id.incarnation == traffic.incarnation {
-        traffic.attempts.cancel(&id);
+    match traffic.attempts.release(&id) {
+        true => StatusCode::NO_CONTENT,
+        false => StatusCode::NOT_FOUND,
     }
-    StatusCode::NO_CONTENT
 }
 
 fn frames_response(traffic: &Traffic, attempt: Arc<Attempt>, from: u64) -> Response {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -171,7 +171,7 @@
                 Some(Frame::Failed(failure)) => {
                     running = self.again(&running.agent, failure).await?
                 }
-                Some(Frame::Load(_) | Frame::Progress) => {}
+                Some(_) => {}
                 None => running = self.again(&running.agent, broken()).await?,
             }
         }
@@ -226,7 +226,7 @@
                         return;
                     }
                     Some(Frame::Failed(failure)) => failure,
-                    Some(Frame::Head(_) | Frame::Load(_) | Frame::Progress) => continue,
+                    Some(_) => continue,
                     None => broken(),
                 };
                 match self.again(&running.agent, failure).await {
@@ -250,8 +250,14 @@
     /// Another attempt after a failure, or the request's final answer at once.
     async fn again(&mut self, last: &Agent, failure: Failure) -> Result<Running, Refusal> {
         let now = self.context.clock.now();
-        let Failure { verdict, reason } = failure;
-        if let Verdict::NotRun { retry_after } = verdict {
+        let Failure {
+            verdict,
+            reason,
+            account_only,
+        } = failure;
+        if let Verdict::NotRun { retry_after } = verdict
+            && !account_only
+        {
             last.local
                 .refused_until(now + retry_after.min(LONGEST_PAUSE));
         }
@@ -371,6 +377,7 @@
             fingerprint: self.fingerprint(),
             resume: self.next,
             priority: self.routed.priority,
+            tokens: self.routed.tokens,
             call: Call {
                 method: self.request.method.clone(),
                 target: self.request.target(),
@@ -453,7 +460,7 @@
                 });
             }
             Frame::Failed(failure) => return Err(failure),
-            Frame::Head(_) | Frame::Load(_) | Frame::Progress => {}
+            _ => {}
         }
     }
     Err(broken())
