--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod experiments;
 pub mod fleet;
+pub mod fleet_config;
 pub mod http;
 pub mod in_force;
 pub mod load;
