--- a/crates/agent/src/group_lead.rs
+++ b/crates/agent/src/group_lead.rs
@@ -14,9 +14,10 @@
     group_switch::{Action, MapId, Reply, Request},
     popularity::{ExpertCounts, Popularity, PopularityConfig},
     rebalance::{RebalanceConfig, Rebalancer},
+    standstill::Standstill,
 };
 use jj_utils::{
-    clock::SharedClock,
+    clock::{SharedClock, Timestamp},
     collections::{FastMap, FastSet},
     events,
     ids::{ExpertId, Incarnation, Rank, ServiceId},
@@ -31,6 +32,10 @@
 /// Time between two looks at the popularity of experts.
 const LOOK: Duration = Duration::from_secs(1);
 
+/// Time after which a map that not all ranks have prepared is given up; the first orders to do so
+/// have been answered or have expired by then.
+const PREPARE_LIMIT: Duration = Duration::from_secs(3);
+
 /// Steps between the furthest rank and the step of a switch.
 const STEP_LEAD: u64 = 50;
 
@@ -84,6 +89,8 @@
         current: None,
         popularity: Popularity::new(context.shape.experts, PopularityConfig::default()),
         rebalancer: Rebalancer::new(RebalanceConfig::default()),
+        standstill: Standstill::default(),
+        preparing: None,
         wanted: None,
         base: None,
         sent: FastSet::default(),
@@ -98,7 +105,7 @@
             () = token.cancelled() => return,
             Some(reply) = arrived.recv() => task.handle(LeaderInput::Reply(reply)),
             reply = link.reply() => task.handle(LeaderInput::Reply(reply.into())),
-            _ = retry.tick() => task.handle(LeaderInput::Retry),
+            _ = retry.tick() => task.retry(),
             _ = look.tick() => task.look().await,
         }
     }
@@ -116,6 +123,9 @@
     current: Option<ExpertMap>,
     popularity: Popularity,
     rebalancer: Rebalancer,
+    standstill: Standstill,
+    /// When the preparation under way was first seen.
+    preparing: Option<Timestamp>,
     /// Map to propose under the next id.
     wanted: Option<ExpertMap>,
     /// Map that was in force when the open proposal was made.
@@ -133,6 +143,21 @@
         }
     }
 
+    /// Sends again what has no answer, or gives up what has had none for too long.
+    fn retry(&mut self) {
+        if !self.leader.is_preparing() {
+            self.preparing = None;
+            return self.handle(LeaderInput::Retry);
+        }
+        let now = self.context.clock.now();
+        let since = *self.preparing.get_or_insert(now);
+        if now < since + PREPARE_LIMIT {
+            return self.handle(LeaderInput::Retry);
+        }
+        self.preparing = None;
+        self.handle(LeaderInput::GiveUp);
+    }
+
     fn drive(&mut self, input: LeaderInput) {
         for output in self.leader.handle(input) {
             match output {
@@ -153,6 +178,8 @@
             return;
         };
         let now = self.context.clock.now();
+        let has_stepped = report.counts.iter().flatten().any(|count| *count > 0);
+        let is_due = self.standstill.observe(now, has_stepped);
         self.popularity.observe(&ExpertCounts {
             until: now,
             counts: report.counts,
@@ -163,6 +190,9 @@
         if self.leader.needs_formation() {
             return self.propose(ExpertMap::uniform(self.context.shape));
         }
+        if is_due {
+            return self.handle(LeaderInput::Recover);
+        }
         self.current = ExpertMap::from_slots(self.context.shape, report.slots);
         let (Some(map), Some(shares)) = (&self.current, self.popularity.predict(now)) else {
             return;
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -51,7 +51,7 @@
     };
     let mut document = json!({
         "addresses": addresses,
-        "lifetime_s": context.lifetime.as_secs(),
+        "lifetime_s": context.own.lifetime.as_secs(),
     });
     let has_list = !view.coverage.entries.is_empty();
     if service.is_none() && has_list && !is_full {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -20,18 +20,20 @@
 
 use crate::{prefixes::Prefixes, usage::Usage, view::View};
 
-/// Which entry this is.
+/// What this entry's settings say of it.
 #[derive(Debug, Clone)]
 pub struct Own {
     /// Name of the instance.
     pub instance: InstanceId,
     /// Its failure domain.
     pub domain: FailureDomainId,
+    /// How long callers may keep an address answer.
+    pub lifetime: Duration,
 }
 
 /// Shared by all traffic threads.
 pub struct Context {
-    /// Which entry this is.
+    /// What this entry's settings say of it.
     pub own: Own,
     /// Time.
     pub clock: SharedClock,
@@ -41,8 +43,6 @@
     pub view: Arc<ArcSwap<View>>,
     /// Tunables of the choice of a backend server.
     pub routing: RoutingConfig,
-    /// How long callers may keep an address answer.
-    pub lifetime: Duration,
     /// Requests being handled, streams included.
     pub open: Arc<AtomicUsize>,
     /// Tunables of retries.
@@ -63,7 +63,6 @@
         client: AgentClient,
         view: Arc<ArcSwap<View>>,
         prefixes: Arc<Prefixes>,
-        lifetime: Duration,
         seed: u64,
     ) -> Self {
         let retry = RetryConfig::default();
@@ -73,7 +72,6 @@
             client,
             view,
             routing: RoutingConfig::default(),
-            lifetime,
             open: Arc::default(),
             usage: Arc::default(),
             prefixes,
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -91,9 +91,9 @@
     let own = Own {
         instance: settings.node.instance.clone(),
         domain: settings.node.domain.clone(),
+        lifetime: settings.lifetime,
     };
-    let lifetime = settings.lifetime;
-    let context = Context::new(own, clock, client, view, prefixes, lifetime, seed);
+    let context = Context::new(own, clock, client, view, prefixes, seed);
     let context = Arc::new(context);
     let callers = CallerConfig {
         max_body: settings.max_body,
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,15 +1,17 @@
 //! A small fleet of real processes around the stand-in platform.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use anyhow::{Context, ensure};
 use jj_platform::wire::{Instance, InstanceList, Role};
 use jj_utils::ids::{ConfigIndex, FailureDomainId};
 use tokio_util::sync::CancellationToken;
 
+pub use crate::fleet_config::FleetConfig;
 use crate::{
+    network::Network,
     process::{Process, free_addr, wait_until},
-    publication::{DOMAINS, MODEL_SERVICE, PLAIN_SERVICE, Publication},
+    publication::{MODEL_SERVICE, PLAIN_SERVICE, Publication},
     publish::{publish, publish_directory},
     relay::Relay,
     standins::{
@@ -21,57 +23,6 @@
 /// Longest wait for a process to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
-/// What to start.
-#[derive(Debug, Clone)]
-pub struct FleetConfig {
-    /// Entries.
-    pub entries: usize,
-    /// Model engines, each with an agent.
-    pub engines: usize,
-    /// Plain services, each with an agent.
-    pub services: usize,
-    /// Concurrent requests that a cold backend server bears.
-    pub cold_floor: u32,
-    /// Concurrent requests that a warm backend server bears.
-    pub concurrency: u32,
-    /// Whether requests go through the relays on both sides of each agent.
-    pub relays: bool,
-    /// Flags of every engine.
-    pub engine_flags: Vec<String>,
-    /// Flags of every plain service.
-    pub service_flags: Vec<String>,
-    /// Flags of every agent.
-    pub agent_flags: Vec<String>,
-    /// Flags of every entry.
-    pub entry_flags: Vec<String>,
-    /// The configuration.
-    pub publication: Publication,
-    /// Operators' files to publish in its place; they declare the same services.
-    pub directory: Option<PathBuf>,
-    /// Failure domains, which the instances fill in turn.
-    pub domains: Vec<FailureDomainId>,
-}
-
-impl Default for FleetConfig {
-    fn default() -> Self {
-        Self {
-            entries: 2,
-            engines: 2,
-            services: 2,
-            cold_floor: 4,
-            concurrency: 64,
-            relays: true,
-            engine_flags: Vec::new(),
-            service_flags: Vec::new(),
-            agent_flags: Vec::new(),
-            entry_flags: Vec::new(),
-            publication: Publication::default(),
-            directory: None,
-            domains: DOMAINS.map(str::to_owned).to_vec(),
-        }
-    }
-}
-
 /// One process of the system.
 #[derive(Debug)]
 pub struct Node {
@@ -115,6 +66,8 @@
     pub services: Vec<Server>,
     /// For the stand-ins' control ports.
     pub client: reqwest::Client,
+    /// Ways between failure domains and to the platform; without domains when none can be cut.
+    pub network: Network,
     config: FleetConfig,
     cancel: CancellationToken,
 }
@@ -132,7 +85,16 @@
     /// When a process does not start or is not ready in time.
     pub async fn start(config: FleetConfig) -> anyhow::Result<Self> {
         let addr = free_addr()?;
-        let args = args(["platform", "--addr", &addr.to_string()]);
+        let cancel = CancellationToken::new();
+        let cut: &[FailureDomainId] = match config.network {
+            true => &config.domains,
+            false => &[],
+        };
+        let network = Network::start(cut, cancel.clone()).await?;
+        let mut args = args(["platform", "--addr", &addr.to_string()]);
+        for view in network.platforms() {
+            args.extend(["--view".to_owned(), view.to_string()]);
+        }
         let mut fleet = Self {
             platform: Process::start("platform", "jujube-lab", &args)?,
             platform_url: format!("http://{addr}"),
@@ -140,8 +102,9 @@
             engines: Vec::new(),
             services: Vec::new(),
             client: reqwest::Client::builder().no_proxy().build()?,
+            network,
             config,
-            cancel: CancellationToken::new(),
+            cancel,
         };
         fleet.wait_answer(&format!("http://{addr}/calls")).await?;
         fleet.publish_first().await?;
@@ -188,11 +151,31 @@
     ///
     /// # Errors
     /// When the platform does not take it.
-    pub async fn publish_instances(&self) -> anyhow::Result<()> {
-        let list = InstanceList {
-            instances: self.nodes().map(|node| node.listed.clone()).collect(),
-        };
-        let url = format!("{}/v1/instances", self.platform_url);
+    pub async fn publish_instances(&mut self) -> anyhow::Result<()> {
+        let instances = self.nodes().map(|node| node.listed.clone()).collect();
+        self.publish_list(instances).await
+    }
+
+    /// Puts a live list, as each failure domain sees it.
+    ///
+    /// # Errors
+    /// When the platform does not take it.
+    pub async fn publish_list(&mut self, instances: Vec<Instance>) -> anyhow::Result<()> {
+        for (addr, list) in self.network.lists(&instances).await? {
+            self.put_instances(&format!("http://{addr}"), list).await?;
+        }
+        self.put_instances(&self.platform_url, instances).await
+    }
+
+    /// Base URL of the platform for processes of a failure domain.
+    pub fn platform_of(&self, domain: &str) -> String {
+        let url = self.network.platform_url(domain);
+        url.unwrap_or_else(|| self.platform_url.clone())
+    }
+
+    async fn put_instances(&self, platform: &str, instances: Vec<Instance>) -> anyhow::Result<()> {
+        let list = InstanceList { instances };
+        let url = format!("{platform}/v1/instances");
         let answer = self.client.put(url).json(&list).send().await?;
         ensure!(
             answer.status().is_success(),
@@ -369,6 +352,7 @@
         flags: Vec<String>,
     ) -> anyhow::Result<Node> {
         let operator = free_addr()?;
+        let platform = self.platform_of(&listed.domain);
         let mut all = command;
         all.extend(args([
             "--instance",
@@ -376,7 +360,7 @@
             "--domain",
             &listed.domain,
             "--platform",
-            &self.platform_url,
+            &platform,
             "--traffic-addr",
             &listed.traffic.to_string(),
             "--control-addr",
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
+pub mod standstill;
 pub mod subset;
 pub mod tokens;
 pub mod verdict;
