refactor: permits, what a fleet is opened with, and shapes of groups stand once

Both control contexts repeated what the fleet is opened with and now hold it; node/fleet.rs gives its settings to fleet_config.rs. Behaviour unchanged.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -1,44 +1,44 @@
 //! The control thread: it alone owns the gate; traffic threads send it messages and read the
 //! snapshot that it publishes.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
 
-use arc_swap::ArcSwap;
 use jj_node::{
     control_port::GroupHandler,
     fleet::{self, Fleet, OpenContext, Own},
 };
 use jj_operator::{
-    audit::{AuditTrail, Change},
+    audit::Change,
     documents::{Limits, ServiceKind},
 };
 use jj_peer::control::LoadReport;
 use jj_platform::{config_reader::ConfigView, live_list::LiveList, wire::Role};
 use jj_policy::{
     admission::{
-        Admission, AdmissionConfig, ColdCause, Finish, Offer, Refusal, RefusalReason, Released,
-        ServerReport, Ticket, Waiting,
+        Admission, AdmissionConfig, ColdCause, Offer, Refusal, Released, ServerReport, Ticket,
+        Waiting,
     },
     lost_calls::{LostCalls, LostCallsConfig},
-    verdict::Verdict,
 };
 use jj_utils::{
-    clock::{SharedClock, Timestamp},
+    clock::Timestamp,
     collections::FastMap,
     events,
-    ids::{ClientAccountId, ConfigIndex, FailureDomainId, Incarnation, InstanceId, ServiceId},
+    ids::{ConfigIndex, FailureDomainId, Incarnation, InstanceId, ServiceId},
 };
 use jsonrpsee::server::ServerHandle;
 use tokio::{
-    sync::{mpsc, oneshot, watch},
+    sync::{oneshot, watch},
     time::MissedTickBehavior,
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{attempts::Attempts, keys::Keys, lifecycle::Lifecycle};
-
-/// Messages that may wait for the control thread.
-const QUEUE: usize = 4096;
+use crate::{
+    attempts::Attempts,
+    keys::Keys,
+    lifecycle::Lifecycle,
+    permit::{Control, Inbox, Message, Permit, Reply, Request},
+};
 
 /// Most messages handled between two looks at the fleet.
 const BATCH: usize = 64;
@@ -49,159 +49,6 @@
 /// Interval of looking at the queue while something waits.
 const QUEUE_TICK: Duration = Duration::from_millis(20);
 
-/// A request that asks for a place at the backend server.
-#[derive(Debug, Clone)]
-pub struct Request {
-    /// Whose share it uses.
-    pub account: ClientAccountId,
-    /// Weight of the account.
-    pub weight: u32,
-    /// Tokens that it takes in the engine's memory, at most.
-    pub tokens: u32,
-    /// When its whole answer is due.
-    pub due: Timestamp,
-    /// Cancelled when the request has to wait for its turn.
-    pub queued: CancellationToken,
-}
-
-/// A request that got no place; nothing of it ran.
-#[derive(Debug, Clone)]
-pub struct Refused {
-    /// Always "not run".
-    pub verdict: Verdict,
-    /// Why, for logs and callers.
-    pub reason: &'static str,
-    /// True when the server takes work of other client accounts.
-    pub account_only: bool,
-}
-
-impl Refused {
-    fn new(retry_after: Duration, reason: &'static str) -> Self {
-        Self {
-            verdict: Verdict::NotRun { retry_after },
-            reason,
-            account_only: false,
-        }
-    }
-}
-
-impl From<Refusal> for Refused {
-    fn from(refusal: Refusal) -> Self {
-        let reason = match refusal.reason {
-            RefusalReason::Draining => "agent is draining",
-            RefusalReason::Deadline => "no place in time",
-            RefusalReason::AccountFull => "too much of the client account waits",
-            RefusalReason::QueueFull => "queue full",
-        };
-        Self {
-            account_only: !refusal.reason.closes_server(),
-            ..Self::new(refusal.retry_after, reason)
-        }
-    }
-}
-
-type Reply = oneshot::Sender<Result<Permit, Refused>>;
-
-/// Message to the control thread.
-#[derive(Debug)]
-enum Message {
-    Offer(Request, Reply),
-    Answered(Ticket),
-    Finished(Ticket, Finish),
-    Report(ServerReport),
-    Closed,
-}
-
-/// Permission to go to the backend server; gives its place back when dropped.
-#[derive(Debug)]
-pub struct Permit {
-    control: Control,
-    ticket: Ticket,
-    finish: Finish,
-    lost: CancellationToken,
-}
-
-/// Tells the control thread how the request of a permit goes on.
-#[derive(Debug, Clone)]
-pub struct Notes {
-    control: Control,
-    ticket: Ticket,
-}
-
-impl Notes {
-    /// Notes the first byte of an answer.
-    pub fn answered(&self) {
-        let _ = self.control.notes.send(Message::Answered(self.ticket));
-    }
-}
-
-impl Permit {
-    /// Notes how the request has gone so far; without a note nothing was sent.
-    pub fn note(&mut self, finish: Finish) {
-        self.finish = finish;
-    }
-
-    /// For the part of the request that outlives the permit.
-    pub fn notes(&self) -> Notes {
-        Notes {
-            control: self.control.clone(),
-            ticket: self.ticket,
-        }
-    }
-
-    /// Cancelled when the backend server does not work on the request any more, though no answer
-    /// has come.
-    pub fn lost(&self) -> CancellationToken {
-        self.lost.clone()
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let message = Message::Finished(self.ticket, self.finish);
-        // The channel is unbounded for notes: a lost one would take a place for good.
-        let _ = self.control.notes.send(message);
-    }
-}
-
-/// Handle to the control thread.
-#[derive(Debug, Clone)]
-pub struct Control {
-    offers: mpsc::Sender<Message>,
-    notes: mpsc::UnboundedSender<Message>,
-    load: Arc<ArcSwap<LoadReport>>,
-}
-
-impl Control {
-    /// Asks for a place at the backend server; waits in the gate's queue when need be.
-    ///
-    /// # Errors
-    /// When there is no place.
-    pub async fn admit(&self, request: Request) -> Result<Permit, Refused> {
-        let (reply, answer) = oneshot::channel();
-        let refused = Refused::new(TICK, "too many requests arrive");
-        self.offers
-            .try_send(Message::Offer(request, reply))
-            .map_err(|_| refused.clone())?;
-        answer.await.map_err(|_| refused)?
-    }
-
-    /// Passes on what the backend server says of itself.
-    pub fn report(&self, report: ServerReport) {
-        let _ = self.notes.send(Message::Report(report));
-    }
-
-    /// Passes on that the backend server closed an idle connection.
-    pub fn closed(&self) {
-        let _ = self.notes.send(Message::Closed);
-    }
-
-    /// Load as the control thread published it last.
-    pub fn load(&self) -> Arc<LoadReport> {
-        self.load.load_full()
-    }
-}
-
 /// What the control thread needs.
 #[derive(Clone)]
 pub struct ControlContext {
@@ -215,10 +62,6 @@
     pub service: ServiceId,
     /// Kind of its backend server.
     pub kind: ServiceKind,
-    /// Base URL of the platform.
-    pub platform: String,
-    /// Where control calls arrive.
-    pub control_addr: SocketAddr,
     /// Attempts to sweep.
     pub attempts: Arc<Attempts>,
     /// Keys to sweep.
@@ -227,12 +70,8 @@
     pub lifecycle: Arc<Lifecycle>,
     /// Requests of a group's leader, when this agent is a rank's.
     pub group: Option<GroupHandler>,
-    /// Changes made here, for operators.
-    pub audit: Arc<AuditTrail>,
-    /// Time.
-    pub clock: SharedClock,
-    /// Ends the thread.
-    pub token: CancellationToken,
+    /// Platform, clock, audit trail and what ends the thread.
+    pub opening: OpenContext,
 }
 
 /// What other threads get of the control thread.
@@ -250,14 +89,7 @@
 /// # Errors
 /// When the thread can't be started or the port can't be bound.
 pub async fn start(context: ControlContext, config: AdmissionConfig) -> anyhow::Result<Started> {
-    let (offers, offered) = mpsc::channel(QUEUE);
-    let (notes, noted) = mpsc::unbounded_channel();
-    let load = Arc::new(ArcSwap::from_pointee(LoadReport::default()));
-    let control = Control {
-        offers,
-        notes,
-        load,
-    };
+    let (control, inbox) = Control::new();
     let handle = control.clone();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -276,9 +108,7 @@
                     }
                 };
                 let _ = started.send(Ok((fleet.config(), fleet.watch_list())));
-                State::new(context, control, config, fleet)
-                    .run(offered, noted)
-                    .await;
+                State::new(context, control, config, fleet).run(inbox).await;
                 let _ = port.stop();
             });
         })?;
@@ -304,14 +134,7 @@
         draining: Box::new(move || lifecycle.is_draining()),
         group: context.group.clone(),
     };
-    let opening = OpenContext {
-        platform: context.platform.clone(),
-        control_addr: context.control_addr,
-        clock: Arc::clone(&context.clock),
-        audit: Arc::clone(&context.audit),
-        token: context.token.clone(),
-    };
-    fleet::open(opening, own).await
+    fleet::open(context.opening.clone(), own).await
 }
 
 /// A request at the backend server.
@@ -342,7 +165,7 @@
         config: AdmissionConfig,
         fleet: Fleet,
     ) -> Self {
-        let gate = Admission::new(config, context.clock.now());
+        let gate = Admission::new(config, context.opening.clock.now());
         Self {
             context,
             fleet,
@@ -376,12 +199,8 @@
         }
     }
 
-    async fn run(
-        mut self,
-        mut offered: mpsc::Receiver<Message>,
-        mut noted: mpsc::UnboundedReceiver<Message>,
-    ) {
-        let token = self.context.token.clone();
+    async fn run(mut self, mut inbox: Inbox) {
+        let token = self.context.opening.token.clone();
         let mut tick = tokio::time::interval(TICK);
         let mut queue_tick = tokio::time::interval(QUEUE_TICK);
         queue_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -389,13 +208,9 @@
             tokio::select! {
                 biased;
                 () = token.cancelled() => return,
-                Some(message) = noted.recv() => {
-                    self.handle(message);
-                    self.drain(&mut offered, &mut noted);
-                }
-                Some(message) = offered.recv() => {
+                message = inbox.next() => {
                     self.handle(message);
-                    self.drain(&mut offered, &mut noted);
+                    self.drain(&mut inbox);
                 }
                 () = self.fleet.step() => {}
                 _ = queue_tick.tick(), if !self.replies.is_empty() => self.advance(),
@@ -407,23 +222,15 @@
         }
     }
 
-    /// Handles what has arrived by now, notes first, so that one look at the fleet and one
-    /// published snapshot serve many messages.
-    fn drain(
-        &mut self,
-        offered: &mut mpsc::Receiver<Message>,
-        noted: &mut mpsc::UnboundedReceiver<Message>,
-    ) {
-        for _ in 0..BATCH {
-            let Ok(message) = noted.try_recv().or_else(|_| offered.try_recv()) else {
-                return;
-            };
-            self.handle(message);
-        }
+    /// Handles what has arrived by now, so that one look at the fleet and one published snapshot
+    /// serve many messages.
+    fn drain(&mut self, inbox: &mut Inbox) {
+        let arrived = std::iter::from_fn(|| inbox.try_next());
+        arrived.take(BATCH).for_each(|message| self.handle(message));
     }
 
     fn handle(&mut self, message: Message) {
-        let now = self.context.clock.now();
+        let now = self.context.opening.clock.now();
         match message {
             Message::Offer(request, reply) => self.offer(now, request, reply),
             Message::Answered(ticket) => self.answered(now, ticket),
@@ -496,7 +303,7 @@
         let gate = &mut self.gate;
         self.replies
             .retain(|ticket, reply| !(reply.is_closed() && gate.cancel(*ticket)));
-        let released = gate.advance(self.context.clock.now());
+        let released = gate.advance(self.context.opening.clock.now());
         self.release(released);
     }
 
@@ -518,21 +325,18 @@
     /// Sends a permit; dropped on the way, it comes back as a finish.
     fn permit(&mut self, ticket: Ticket, reply: Reply) {
         let begun = Begun {
-            at: self.context.clock.now(),
+            at: self.context.opening.clock.now(),
             lost: CancellationToken::new(),
         };
-        let permit = Permit {
-            control: self.control.clone(),
-            ticket,
-            finish: Finish::Unsent,
-            lost: begun.lost.clone(),
-        };
+        let permit = Permit::new(self.control.clone(), ticket, begun.lost.clone());
         self.begun.insert(ticket, begun);
         let _ = reply.send(Ok(permit));
     }
 
     fn sweep(&self) {
-        self.context.attempts.sweep(self.context.clock.now());
+        self.context
+            .attempts
+            .sweep(self.context.opening.clock.now());
         self.context.keys.sweep();
     }
 
@@ -558,11 +362,11 @@
             reason: reason.to_owned(),
             index: self.index,
         };
-        self.context.audit.record(event, recorded);
+        self.context.opening.audit.record(event, recorded);
     }
 
     fn publish(&self) {
-        let seen = self.gate.snapshot(self.context.clock.now());
+        let seen = self.gate.snapshot(self.context.opening.clock.now());
         let report = LoadReport {
             limit: seen.limit,
             running: seen.in_flight + seen.orphans,
@@ -571,7 +375,7 @@
             reachable: true,
             leaving: false,
         };
-        self.control.load.store(Arc::new(report));
+        self.control.publish(report);
     }
 }
 
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod lifecycle;
 mod operators;
+mod permit;
 mod probe;
 mod repeats;
 mod runner;
@@ -23,7 +24,7 @@
 use attempts::{Attempts, AttemptsConfig};
 use cache::CacheNews;
 use jj_backend::call::BackendClient;
-use jj_node::{operator_port, process, shutdown};
+use jj_node::{fleet::OpenContext, operator_port, process, shutdown};
 use jj_operator::{audit::AuditTrail, documents::ServiceKind};
 use jj_peer::client::LinkConfig;
 use jj_policy::{
@@ -107,15 +108,17 @@
         domain: settings.node.domain.clone(),
         service: settings.service.clone(),
         kind: settings.kind,
-        platform: settings.node.platform.clone(),
-        control_addr: settings.node.control_addr,
+        opening: OpenContext {
+            platform: settings.node.platform.clone(),
+            control_addr: settings.node.control_addr,
+            clock: Arc::clone(&clock),
+            audit: Arc::clone(&audit),
+            token: token.clone(),
+        },
         attempts: Arc::clone(&attempts),
         keys: Arc::clone(&keys),
         lifecycle: Arc::clone(&lifecycle),
         group: settings.rank.map(|_| handler),
-        audit: Arc::clone(&audit),
-        clock: Arc::clone(&clock),
-        token: token.clone(),
     };
     let started = control::start(control, admission).await?;
     let control::Started {
--- a/crates/agent/src/operators.rs
+++ b/crates/agent/src/operators.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use tokio::sync::watch;
 
-use crate::{control::Control, lifecycle::Lifecycle, settings::Settings};
+use crate::{lifecycle::Lifecycle, permit::Control, settings::Settings};
 
 /// Sources of the operators' view.
 #[derive(Clone)]
--- a/crates/agent/src/probe.rs
+++ b/crates/agent/src/probe.rs
@@ -12,7 +12,7 @@
 use tokio::{io::AsyncReadExt, net::TcpStream, time::MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
-use crate::control::Control;
+use crate::permit::Control;
 
 /// Interval of reading the report.
 const INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -16,9 +16,9 @@
 
 use crate::{
     attempt::Attempt,
-    control::{Control, Notes, Permit, Request},
     keys::KeyGuard,
     lifecycle::Lifecycle,
+    permit::{Control, Notes, Permit, Request},
     repeats::Repeats,
 };
 
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -12,7 +12,6 @@
 
 use arc_swap::ArcSwap;
 use jj_node::fleet::{self, Fleet, Heard, OpenContext, Own};
-use jj_operator::audit::AuditTrail;
 use jj_platform::{
     config_reader::ConfigView,
     wire::{Instance, InstanceList, Role},
@@ -24,13 +23,11 @@
     subset::Node,
 };
 use jj_utils::{
-    clock::SharedClock,
     collections::FastMap,
     ids::{FailureDomainId, Incarnation, InstanceId},
 };
 use jsonrpsee::server::ServerHandle;
 use tokio::sync::{oneshot, watch};
-use tokio_util::sync::CancellationToken;
 
 use crate::view::{self, Agent, Local, RemoteClock, View};
 
@@ -52,20 +49,12 @@
     pub incarnation: Incarnation,
     /// Its failure domain.
     pub domain: FailureDomainId,
-    /// Base URL of the platform.
-    pub platform: String,
-    /// Where control calls arrive.
-    pub control_addr: SocketAddr,
-    /// Time.
-    pub clock: SharedClock,
+    /// Platform, clock, audit trail and what ends the thread.
+    pub opening: OpenContext,
     /// Set once the process is leaving.
     pub draining: Arc<AtomicBool>,
-    /// Changes made here, for operators.
-    pub audit: Arc<AuditTrail>,
     /// Where the view is published.
     pub view: Arc<ArcSwap<View>>,
-    /// Ends the thread.
-    pub token: CancellationToken,
 }
 
 /// Starts the control thread; returns once its port is open.
@@ -118,14 +107,7 @@
         draining: Box::new(move || draining.load(Ordering::SeqCst)),
         group: None,
     };
-    let opening = OpenContext {
-        platform: context.platform.clone(),
-        control_addr: context.control_addr,
-        clock: Arc::clone(&context.clock),
-        audit: Arc::clone(&context.audit),
-        token: context.token.clone(),
-    };
-    fleet::open(opening, own).await
+    fleet::open(context.opening.clone(), own).await
 }
 
 struct State {
@@ -136,7 +118,7 @@
 
 impl State {
     async fn run(mut self) {
-        let token = self.context.token.clone();
+        let token = self.context.opening.token.clone();
         let mut refresh = tokio::time::interval(REFRESH);
         let mut config = self.fleet.config();
         loop {
@@ -236,7 +218,7 @@
             domain: &i.domain,
         });
         let nodes: Vec<Node<'_>> = nodes.collect();
-        let now = self.context.clock.now();
+        let now = self.context.opening.clock.now();
         let traffic = |id: &InstanceId| entries.iter().find(|i| i.id == *id).map(|i| i.traffic);
         let one = |group: u64| {
             let answer = addresses::answer(&config, self.fleet.membership(), &nodes, group, now);
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::ArcSwap;
 use jj_caller::{request::CallerConfig, server};
-use jj_node::{operator_port, process, shutdown};
+use jj_node::{fleet::OpenContext, operator_port, process, shutdown};
 use jj_operator::{
     audit::AuditTrail,
     port::{Readiness, Status},
@@ -67,13 +67,15 @@
         instance: settings.node.instance.clone(),
         incarnation,
         domain: settings.node.domain.clone(),
-        platform: settings.node.platform.clone(),
-        control_addr: settings.node.control_addr,
-        clock: Arc::clone(&clock),
+        opening: OpenContext {
+            platform: settings.node.platform.clone(),
+            control_addr: settings.node.control_addr,
+            clock: Arc::clone(&clock),
+            audit: Arc::clone(&audit),
+            token: token.clone(),
+        },
         draining: Arc::clone(&draining),
-        audit: Arc::clone(&audit),
         view: Arc::clone(&view),
-        token: token.clone(),
     };
     let config = control::start(control).await?;
     let prefixes = Arc::new(Prefixes::default());
--- a/crates/lab/src/experiments/leader_bytes.rs
+++ b/crates/lab/src/experiments/leader_bytes.rs
@@ -39,33 +39,21 @@
 use crate::{
     experiments::{
         popularity_traces::{Drift, generate},
-        rebalance::{PERIODS, outcome},
+        rebalance::{self, PERIODS, outcome},
     },
     process::free_addr,
 };
 
 /// Groups measured; the last is the size to come.
 const SHAPES: [GroupShape; 4] = [
-    GroupShape {
-        ranks: 8,
-        experts: 32,
-        slots: 6,
-    },
-    GroupShape {
-        ranks: 16,
-        experts: 64,
-        slots: 6,
-    },
+    rebalance::SHAPES[0],
+    rebalance::SHAPES[1],
     GroupShape {
         ranks: 32,
         experts: 96,
         slots: 4,
     },
-    GroupShape {
-        ranks: 64,
-        experts: 128,
-        slots: 4,
-    },
+    rebalance::SHAPES[2],
 ];
 
 /// Traces that make a group switch.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,19 +1,14 @@
 //! What one process knows of the others, and whether it may take new work: live list, heartbeats
 //! and configuration feed the membership and authority decisions.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use jj_operator::{audit::AuditTrail, documents::DomainState, published::Published};
-use jj_peer::control::{Heartbeat, LoadReport};
-use jj_platform::{
-    config_reader::ConfigView,
-    live_list::LiveList,
-    wire::{InstanceList, Role},
-};
+use jj_peer::control::Heartbeat;
+use jj_platform::{config_reader::ConfigView, live_list::LiveList, wire::InstanceList};
 use jj_policy::{
     authority::{Authority, AuthorityConfig, PeerAnswer, Permit, Standing},
-    coverage::CoverageConfig,
-    membership::{self, Listed, MemberState, Membership, MembershipConfig},
+    membership::{self, Listed, MemberState, Membership},
     witnesses,
 };
 use jj_utils::{
@@ -26,92 +21,17 @@
     sync::watch,
     time::{Interval, MissedTickBehavior},
 };
-use tokio_util::sync::CancellationToken;
 
+pub use crate::fleet_config::{FleetConfig, OpenContext, Own};
 use crate::{
-    control_port::{self, ControlPort, GroupHandler},
+    control_port::{self, ControlPort},
     fleet_audit::FleetAudit,
+    fleet_config::membership_config,
     follower::{self, FollowContext, Follower},
     heartbeats::{Answer, GroupQuestion, Heartbeats, Received},
     peers::{Chooser, EntryCoverage, Peer, Peers},
 };
 
-/// How peers are asked.
-#[derive(Debug, Clone)]
-pub struct FleetConfig {
-    /// Time between two heartbeats to one peer.
-    pub interval: Duration,
-    /// Which agents an entry talks to; all of them in a small fleet.
-    pub coverage: CoverageConfig,
-    /// Entries that a process asks only to learn of configuration and partitions.
-    pub witnesses: usize,
-    /// Time between two early heartbeats to a listed peer that was never heard from.
-    pub early: Duration,
-    /// Early heartbeats after a change of the live list: a process may be listed before it listens.
-    pub early_asks: u32,
-}
-
-impl Default for FleetConfig {
-    fn default() -> Self {
-        Self {
-            interval: Duration::from_secs(2),
-            coverage: CoverageConfig::default(),
-            witnesses: 3,
-            early: Duration::from_millis(250),
-            early_asks: 20,
-        }
-    }
-}
-
-/// Silence is judged by the interval of heartbeats: one may be lost before an instance is suspect,
-/// two before it counts as gone. A failed connect tells sooner.
-fn membership_config(config: &FleetConfig) -> MembershipConfig {
-    MembershipConfig {
-        suspect_after: config.interval * 2,
-        gone_after: config.interval * 3,
-        ..MembershipConfig::default()
-    }
-}
-
-/// Tells the load of this process's backend server; none for an entry.
-pub type LoadSource = Box<dyn Fn() -> Option<LoadReport> + Send>;
-
-/// Tells whether this process is leaving.
-pub type DrainSource = Box<dyn Fn() -> bool + Send>;
-
-/// What this process is.
-pub struct Own {
-    /// Name of the instance.
-    pub instance: InstanceId,
-    /// Life of the process.
-    pub incarnation: Incarnation,
-    /// Its failure domain.
-    pub domain: FailureDomainId,
-    /// What runs here.
-    pub role: Role,
-    /// Its load.
-    pub load: LoadSource,
-    /// Whether it is leaving.
-    pub draining: DrainSource,
-    /// Requests of a group's leader, where this process is a rank's agent.
-    pub group: Option<GroupHandler>,
-}
-
-/// What opening needs beside what this process is.
-#[derive(Clone)]
-pub struct OpenContext {
-    /// Base URL of the platform.
-    pub platform: String,
-    /// Where control calls and heartbeats arrive.
-    pub control_addr: SocketAddr,
-    /// Time.
-    pub clock: SharedClock,
-    /// Where changes are recorded.
-    pub audit: Arc<AuditTrail>,
-    /// Ends the following of the platform.
-    pub token: CancellationToken,
-}
-
 /// Opens the control port and starts following, on the current runtime. The port closes when its
 /// handle is dropped.
 ///
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod datagram;
 pub mod fleet;
 pub mod fleet_audit;
+pub mod fleet_config;
 pub mod follower;
 pub mod group_link;
 pub mod heartbeats;
