fix(agent): leave to start is looked at again once a connection is open

Cause of woken_entry_and_agent_start_nothing_in_a_withdrawn_domain failing in one whole run (start 10,036 ms after the withdrawal): the agent was stopped after its last look, while it opened a connection to its server, and wrote the request over it when it woke. The test freezes agents at their first calls, which all open connections.

Ruled out: stale permits (dated evidence) and the handling of messages in batches (the look reads the clock itself).

Left: a stop before the write over a connection that was open already.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -126,7 +126,9 @@
         config,
         list,
     } = started;
-    let backend = BackendClient::new(&settings.backend, BACKEND_CONNECT)?;
+    let (leave, time) = (Arc::clone(&lifecycle), Arc::clone(&clock));
+    let may_start = Arc::new(move || leave.refusal(time.now()).is_none());
+    let backend = BackendClient::new(&settings.backend, BACKEND_CONNECT, may_start)?;
     if let Some(rank) = settings.rank {
         let member = group::MemberContext {
             service: settings.service.clone(),
--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -10,9 +10,12 @@
     frames::{Head, Header},
 };
 use jj_utils::ids::RequestId;
-use reqwest::{Client, Method, RequestBuilder, Response};
+use reqwest::{Client, ClientBuilder, Method, RequestBuilder, Response};
 
-use crate::stream::{first_token_limit, token_events};
+use crate::{
+    guard::{GuardLayer, MayStart},
+    stream::{first_token_limit, token_events},
+};
 
 /// Header that names the request towards the backend server.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -72,24 +75,31 @@
 }
 
 /// Client of one backend server.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct BackendClient {
-    /// Holds the connections; replaced when some of them have gone silent.
+    /// Holds the connections of calls; replaced when some of them have gone silent.
+    calls: Arc<ArcSwap<Client>>,
+    /// Holds the connections of reports, orders and cancellations; replaced likewise.
     http: Arc<ArcSwap<Client>>,
     base: String,
     connect: Duration,
+    may_start: MayStart,
 }
 
 impl BackendClient {
-    /// Builds a client for the backend server at `base`, such as `http://127.0.0.1:8000`.
+    /// Builds a client for the backend server at `base`, such as `http://127.0.0.1:8000`. A
+    /// connection for a call that opens when `may_start` says no is not used.
     ///
     /// # Errors
     /// When the HTTP client can't be built.
-    pub fn new(base: &str, connect: Duration) -> anyhow::Result<Self> {
+    pub fn new(base: &str, connect: Duration, may_start: MayStart) -> anyhow::Result<Self> {
+        let calls = guarded(connect, &may_start)?;
         Ok(Self {
-            http: Arc::new(ArcSwap::from_pointee(client(connect)?)),
+            calls: Arc::new(ArcSwap::from_pointee(calls)),
+            http: Arc::new(ArcSwap::from_pointee(builder(connect).build()?)),
             base: base.trim_end_matches('/').to_owned(),
             connect,
+            may_start,
         })
     }
 
@@ -97,7 +107,10 @@
     /// progress keep theirs.
     pub fn renew(&self) {
         // A client that can't be built again leaves the old one, whose connections time out.
-        if let Ok(http) = client(self.connect) {
+        if let Ok(calls) = guarded(self.connect, &self.may_start) {
+            self.calls.store(Arc::new(calls));
+        }
+        if let Ok(http) = builder(self.connect).build() {
             self.http.store(Arc::new(http));
         }
     }
@@ -203,14 +216,18 @@
     }
 }
 
-fn client(connect: Duration) -> Result<Client, reqwest::Error> {
+fn builder(connect: Duration) -> ClientBuilder {
     Client::builder()
         .connect_timeout(connect)
         .pool_idle_timeout(Duration::from_secs(5))
         .tcp_nodelay(true)
         .no_proxy()
         .redirect(reqwest::redirect::Policy::none())
-        .build()
+}
+
+fn guarded(connect: Duration, may_start: &MayStart) -> Result<Client, reqwest::Error> {
+    let layer = GuardLayer(Arc::clone(may_start));
+    builder(connect).connector_layer(layer).build()
 }
 
 /// True for headers that are passed on between caller and backend server.
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cache;
 pub mod call;
+pub mod guard;
 pub mod health;
 pub mod orders;
 pub mod stream;
