fix(entry): a failure keeps what it says beside its verdict

Found on reading the whole change: the link made failures anew on the way and lost never_arrived, so retries that should be free were paid for.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -208,7 +208,7 @@
     /// A failure with what holding the attempt back tells.
     fn unreleased(&self, failure: Failure) -> Failure {
         let verdict = self.start.verdict(failure.verdict, UNREACHABLE_RETRY);
-        Failure::new(verdict, failure.reason)
+        Failure { verdict, ..failure }
     }
 
     /// The outcome of this attempt as one of its request: the question for it may have fenced the
