--- /dev/null
+++ b/crates/direct/src/events.rs
@@ -0,0 +1,77 @@
+//! Splits the bytes of an event stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+use jj_utils::common_derives;
+
+use crate::dialect::EventId;
+
+/// Longest event, in bytes; a longer one is taken for a broken stream.
+const LONGEST_EVENT: usize = 1 << 20;
+
+common_derives! {value:
+    /// One event as it arrived.
+    pub struct Event {
+        /// Its id, where it names one.
+        pub id: Option<EventId>,
+        /// All its bytes, with the empty line that ends it.
+        pub bytes: Bytes,
+    }
+}
+
+/// Bytes of a stream that do not make a whole event yet.
+#[derive(Debug, Default)]
+pub struct Framer {
+    pending: BytesMut,
+    /// Bytes of `pending` in which no end was found.
+    searched: usize,
+}
+
+impl Framer {
+    /// Adds bytes that arrived.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.pending.extend_from_slice(bytes);
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let Some(end) = end_of_event(&self.pending, self.searched) else {
+            self.searched = self.pending.len().saturating_sub(3);
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.pending.split_to(end).freeze();
+        let id = event_id(&bytes);
+        Some(Event { id, bytes })
+    }
+
+    /// Whether part of an event has arrived.
+    pub fn has_partial(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Whether the event that arrives is longer than any should be.
+    pub fn is_overlong(&self) -> bool {
+        self.pending.len() > LONGEST_EVENT
+    }
+}
+
+/// Index after the empty line that ends the first event.
+fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
+    let rest = bytes.get(from..)?;
+    let newlines = rest.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    for (index, _) in newlines {
+        match rest.get(index + 1..) {
+            Some([b'\n', ..]) => return Some(from + index + 2),
+            Some([b'\r', b'\n', ..]) => return Some(from + index + 3),
+            _ => {}
+        }
+    }
+    None
+}
+
+/// Number in the `id` line of an event.
+fn event_id(bytes: &[u8]) -> Option<EventId> {
+    let text = std::str::from_utf8(bytes).ok()?;
+    let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
+    value.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,13 @@
+//! HTTP plumbing of the direct way: a server for callers, connections to backend servers, event
+//! streams, and the headers that a deployment's dialect gives names to.
+
+#![warn(clippy::unwrap_used)]
+
+pub mod body;
+pub mod call;
+pub mod dialect;
+pub mod events;
+pub mod instance;
+pub mod pool;
+pub mod server;
+pub mod socket;
--- /dev/null
+++ b/crates/direct/src/server.rs
@@ -0,0 +1,119 @@
+//! HTTP servers of a process: for callers, and the small ones beside it.
+//!
+//! `poem` runs on the same library but can't bound the head of a request, close idle connections
+//! while others go on, or say when the last one has ended.
+
+use std::{convert::Infallible, net::SocketAddr, pin::pin, time::Duration};
+
+use futures_util::future::LocalBoxFuture;
+use http::{Request, Response};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use jj_utils::common_derives;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{body::AnswerBody, socket};
+
+/// Pause after a failed accept, such as one without a free descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A request as it arrived.
+pub type Arrival = Request<Incoming>;
+
+/// Answers requests; one closure for each port.
+pub type Handler = Rc<dyn Fn(Arrival, SocketAddr) -> LocalBoxFuture<'static, Response<AnswerBody>>>;
+
+common_derives! {copy:
+    /// Bounds on one connection.
+    pub struct ServerConfig {
+        /// Bytes of a request's head.
+        pub header_bytes: usize,
+        /// Time for which a connection may wait for the next request's head.
+        pub head_time: Duration,
+    }
+}
+
+impl Default for ServerConfig {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            head_time: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Ends of a server.
+#[derive(Debug, Clone, Default)]
+pub struct ServerStop {
+    /// Takes no new connections, and closes those that are idle; open answers go on.
+    pub leave: CancellationToken,
+}
+
+/// Serves a port until it is told to leave; returns once every answer has ended.
+pub async fn serve(
+    listener: TcpListener,
+    config: impl Fn() -> ServerConfig,
+    handler: Handler,
+    stop: ServerStop,
+) {
+    let open = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.leave.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let connection = connection(
+                    stream,
+                    peer,
+                    config(),
+                    Rc::clone(&handler),
+                    stop.leave.clone(),
+                );
+                open.spawn_local(connection);
+            }
+            Err(error) => {
+                log::warn!("a connection could not be accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    open.close();
+    open.wait().await;
+}
+
+async fn connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    config: ServerConfig,
+    handler: Handler,
+    leave: CancellationToken,
+) {
+    socket::prepare_accepted(&stream);
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(config.head_time)
+        .max_header_size(config.header_bytes)
+        .auto_date_header(false)
+        .pipeline_flush(true);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = leave.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("connection of {peer} ended: {error}");
+    }
+}
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -37,6 +37,15 @@
             optional --log-level level: String
         }
 
+        /// Runs an entry on the users' prepared machines, which sends requests to backend servers
+        /// itself.
+        cmd front {
+            /// Settings file of the instance; without it, the one that the platform names.
+            optional --settings path: PathBuf
+            /// Least level of log lines: error, warn, info, debug.
+            optional --log-level level: String
+        }
+
         /// Checks the operators' files below a directory and reports every fault at once.
         /// Exit codes: 0 nothing wrong, 1 faults found, 2 wrong usage or unreadable files.
         cmd check {
--- /dev/null
+++ b/crates/entry/src/front.rs
@@ -0,0 +1,43 @@
+//! The `front` command: an entry on the users' prepared machines.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use jj_adapter::settings::PATH_VARIABLE;
+use jj_front::run::{self, Options};
+use jj_utils::{
+    events, log_event,
+    settings::{SettingsReader, process_env},
+};
+use log::LevelFilter;
+
+use crate::{EXIT_USAGE, cli::Front};
+
+/// Runs an entry; wrong settings end with exit code 2.
+pub fn run(flags: Front) -> ExitCode {
+    let options = match read(flags) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("{error:#}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run::run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log_event!(events::PROCESS_FAILED, "{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(flags: Front) -> anyhow::Result<Options> {
+    let mut reader = SettingsReader::new(&process_env);
+    let level = reader.optional("log-level", flags.log_level, LevelFilter::Info);
+    reader.finish()?;
+    let named = std::env::var_os(PATH_VARIABLE).map(PathBuf::from);
+    let path = flags.settings.or(named);
+    let path = path.ok_or_else(|| {
+        anyhow::anyhow!("--settings (or the variable {PATH_VARIABLE}) is required")
+    })?;
+    Ok(Options { path, level })
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -9,6 +9,7 @@
 mod context;
 mod control;
 mod forward;
+mod front;
 mod handler;
 mod keys;
 mod link;
@@ -36,6 +37,7 @@
     }
     match Jujubejunction::from_env_or_exit().subcommand {
         JujubejunctionCmd::Serve(flags) => serve(flags),
+        JujubejunctionCmd::Front(flags) => front::run(flags),
         JujubejunctionCmd::Check(flags) => commands::check(&flags),
         JujubejunctionCmd::Collect(flags) => commands::collect(&flags),
         JujubejunctionCmd::Status(flags) => commands::status(&flags),
--- /dev/null
+++ b/crates/front/src/follower.rs
@@ -0,0 +1,218 @@
+//! Keeps what is known of the store fresh: from the store itself, or from peers that read it.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use jj_adapter::store::{Store, StoreError};
+use jj_direct::pool::{Pool, PoolConfig};
+use jj_policy::{
+    reader::{self, ReaderConfig},
+    server_list::Revision,
+};
+use jj_utils::{clock::Timestamp, events, log_event};
+
+use crate::{replica::ReplicaCopy, shared::Shared};
+
+/// Everything in the store: servers and operator's keys.
+const ALL: &str = "";
+
+/// Longest time that the store takes for an answer when it is sound, and some more.
+const ANSWER_LIMIT: Duration = Duration::from_millis(700);
+
+/// Longest wait of a watch for a change; servers write more often than that.
+const WATCH_WAIT: Duration = Duration::from_millis(500);
+
+/// Longest time for which a peer is asked.
+const PEER_LIMIT: Duration = Duration::from_millis(400);
+
+/// Longest pause between two looks at whether the store is to be read.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Path at which an entry tells peers all that it knows of the store.
+pub const REPLICA_PATH: &str = "/replica";
+
+/// Follows the store for as long as the process runs.
+///
+/// # Errors
+/// When the client of the store can't be built.
+pub async fn run(shared: Rc<Shared>) -> anyhow::Result<()> {
+    let mut follower = Follower {
+        store: Store::new(shared.settings().store)?,
+        config: ReaderConfig::default(),
+        failures: 0,
+        not_before: Timestamp::ZERO,
+        needs_range: true,
+        is_down: false,
+        pool: Pool::new(PoolConfig::default(), shared.clock.clone()),
+        shared,
+    };
+    loop {
+        follower.step().await;
+        tokio::select! {
+            () = tokio::time::sleep(LOOK) => {}
+            () = follower.shared.look.notified() => {}
+        }
+    }
+}
+
+struct Follower {
+    shared: Rc<Shared>,
+    store: Store,
+    config: ReaderConfig,
+    /// Calls to the store that failed in a row.
+    failures: u32,
+    /// The store is left alone until then.
+    not_before: Timestamp,
+    /// All items are to be read, since changes alone would leave gaps.
+    needs_range: bool,
+    is_down: bool,
+    pool: Pool,
+}
+
+impl Follower {
+    async fn step(&mut self) {
+        self.ask_peer().await;
+        let now = self.shared.clock.now();
+        if now >= self.not_before && self.is_due(now) {
+            self.read().await;
+        }
+        self.settle();
+    }
+
+    /// Whether it is this process's turn to read the store.
+    fn is_due(&self, now: Timestamp) -> bool {
+        let replica = self.shared.replica.borrow();
+        if replica.at.is_none() {
+            return true;
+        }
+        let name = self.shared.settings().name.clone();
+        let peers = self.shared.peers.borrow();
+        let before = peers.alive().filter(|it| it.hello.name < name).count();
+        now >= replica.asked + reader::due_age(&self.config, before)
+    }
+
+    async fn read(&mut self) {
+        let asked = self.shared.clock.now();
+        let known = self
+            .shared
+            .replica
+            .borrow()
+            .at
+            .filter(|_| !self.needs_range);
+        let result = match known {
+            Some(at) => self.watch(at).await,
+            None => self.range().await,
+        };
+        match result {
+            Ok(()) => self.succeeded(asked),
+            Err(StoreError::Compacted) => {
+                log_event!(events::STORE_COMPACTED, at = known.unwrap_or_default(); "reads all");
+                self.needs_range = true;
+            }
+            Err(error) => self.failed(&error),
+        }
+    }
+
+    async fn range(&mut self) -> Result<(), StoreError> {
+        metrics::counter!("jujube_store_calls_total", "call" => "range").increment(1);
+        let answer = self.store.range(ALL, ANSWER_LIMIT).await?;
+        let now = self.shared.clock.now();
+        self.shared
+            .replica
+            .borrow_mut()
+            .replace(now, answer.at, answer.found);
+        self.needs_range = false;
+        Ok(())
+    }
+
+    async fn watch(&mut self, at: Revision) -> Result<(), StoreError> {
+        metrics::counter!("jujube_store_calls_total", "call" => "watch").increment(1);
+        let answer = self.store.watch(ALL, at, WATCH_WAIT, ANSWER_LIMIT).await?;
+        let now = self.shared.clock.now();
+        let mut replica = self.shared.replica.borrow_mut();
+        // A peer's copy may have come in meanwhile.
+        if replica.at == Some(at) {
+            replica.apply(now, answer.at, answer.found);
+        }
+        Ok(())
+    }
+
+    fn succeeded(&mut self, asked: Timestamp) {
+        let mut replica = self.shared.replica.borrow_mut();
+        replica.asked = replica.asked.max(asked);
+        if self.is_down {
+            log_event!(events::CONFIG_SERVICE_BACK, at = replica.at.unwrap_or_default(); "it answers");
+        }
+        self.is_down = false;
+        self.failures = 0;
+        self.shared.room.notify_waiters();
+    }
+
+    fn failed(&mut self, error: &StoreError) {
+        let now = self.shared.clock.now();
+        self.failures += 1;
+        self.not_before = now + reader::pause(&self.config, self.failures, self.shared.draw());
+        if !self.is_down && self.failures > 1 {
+            self.is_down = true;
+            log_event!(events::CONFIG_SERVICE_DOWN, failures = self.failures; "{error}");
+        }
+        let mut replica = self.shared.replica.borrow_mut();
+        if now > replica.asked + self.config.stale {
+            replica.servers.disturbed(now);
+        }
+    }
+
+    /// Asks a peer that knows more than this process.
+    async fn ask_peer(&mut self) {
+        let Some(addr) = self.better_peer() else {
+            return;
+        };
+        match tokio::time::timeout(PEER_LIMIT, fetch(&self.pool, addr)).await {
+            Ok(Ok(copy)) => {
+                let now = self.shared.clock.now();
+                log_event!(
+                    events::STORE_NEWS,
+                    peer = addr.to_string(), at = copy.at, items = copy.items.len();
+                    "took what a peer knows of the store"
+                );
+                self.shared.replica.borrow_mut().adopt(now, copy);
+                self.shared.room.notify_waiters();
+            }
+            Ok(Err(error)) => log::debug!("peer {addr} tells nothing: {error}"),
+            Err(_) => log::debug!("peer {addr} does not answer"),
+        }
+    }
+
+    fn better_peer(&self) -> Option<SocketAddr> {
+        let replica = self.shared.replica.borrow();
+        let at = replica.at;
+        let peers = self.shared.peers.borrow();
+        let better = peers.alive().filter(|it| {
+            let store = it.hello.store;
+            let is_newer = at.is_none_or(|at| store.at > at);
+            is_newer && store.at > 0 && store.digest != replica.digest
+        });
+        let best = better.max_by_key(|it| it.hello.store.at)?;
+        Some(best.hello.control)
+    }
+
+    fn settle(&self) {
+        let now = self.shared.clock.now();
+        self.shared.replica.borrow_mut().settle(now);
+    }
+}
+
+async fn fetch(pool: &Pool, addr: SocketAddr) -> anyhow::Result<ReplicaCopy> {
+    let request = http::Request::get(REPLICA_PATH)
+        .header(http::header::HOST, addr.to_string())
+        .body(jj_direct::pool::RequestBody::default())?;
+    let connection = pool.take(addr).await?;
+    let mut answer = jj_direct::call::send(connection, request).await?;
+    anyhow::ensure!(answer.status.is_success(), "status {}", answer.status);
+    let body = answer.read(LONGEST_COPY).await?;
+    let body = body.map_err(|_| anyhow::anyhow!("the copy is too long"))?;
+    answer.finish(pool, None);
+    Ok(postcard::from_bytes(&body)?)
+}
+
+/// Longest copy of the store that a peer may send, in bytes.
+const LONGEST_COPY: usize = 16 << 20;
--- /dev/null
+++ b/crates/front/src/forward.rs
@@ -0,0 +1,464 @@
+//! Sends one request to servers until one has answered, or the request is given up.
+
+use std::{rc::Rc, time::Duration};
+
+use http::{HeaderMap, HeaderName, Request as HttpRequest, Response, StatusCode, header};
+use http_body_util::Full;
+use jj_direct::{
+    body::AnswerBody,
+    call::{self, CallAnswer, CallError},
+    dialect::{AnswerFacts, EventId, Outgoing},
+};
+use jj_policy::{
+    catalog::{RequestKind, Route},
+    placement::WaitBound,
+    server_health::Sign,
+};
+use jj_utils::{clock::Timestamp, events, ids::BackendServerId, log_event};
+
+use crate::{
+    answers::Refusal,
+    shared::{Place, Shared},
+    stream::{self, OpenStream},
+    traffic::Request,
+};
+
+/// Longest body that is read before the answer begins, in bytes.
+const BUFFERED_BODY: usize = 256 * 1024;
+
+/// Time left under which no attempt is worth its start.
+const LEAST_LEFT: Duration = Duration::from_millis(10);
+
+/// Longest wait for the first event of a stream; callers leave after two seconds.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_800);
+
+/// Part of the time left that one attempt of an idempotent request may take while there is
+/// another server to try.
+const ATTEMPT_PART: f64 = 0.4;
+
+/// Time after which a refused caller comes back where nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// What became of one attempt that has no answer for the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing has reached the server: the attempt counts as none.
+    NotSent,
+    /// The server said that it has not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// An answer for the caller.
+pub enum Answered {
+    /// All of it is there, or will be read to its end.
+    Plain(Response<AnswerBody>),
+    /// A stream whose first event is there.
+    Stream(Box<OpenStream>),
+}
+
+/// One request on its way.
+pub struct Forward {
+    /// State of the process.
+    pub shared: Rc<Shared>,
+    /// The request.
+    pub request: Rc<Request>,
+    /// What the log will say of it.
+    pub record: Record,
+    tried: Vec<BackendServerId>,
+    may_have_run: bool,
+}
+
+/// Says in the log how a request ended, once.
+pub struct Record {
+    shared: Rc<Shared>,
+    request: Rc<Request>,
+    /// Servers that it was sent to.
+    pub servers: Vec<BackendServerId>,
+    /// Status of the answer.
+    pub status: Option<StatusCode>,
+    /// When the first event or the whole answer was there.
+    pub first: Option<Timestamp>,
+    /// Events passed on.
+    pub events: u32,
+    /// How it ended.
+    pub end: &'static str,
+}
+
+impl Record {
+    /// Notes how the request ended.
+    pub fn finish(&mut self, end: &'static str) {
+        self.end = end;
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        let arrived = self.request.arrived;
+        let first = self.first.map(|at| at.saturating_sub(arrived));
+        let total = self.shared.since(arrived);
+        let kind = self.request.admitted.route.kind;
+        if let Some(first) = first {
+            metrics::histogram!("jujube_first_seconds").record(first.as_secs_f64());
+        }
+        metrics::histogram!("jujube_request_seconds").record(total.as_secs_f64());
+        log_event!(
+            events::REQUEST_ENDED,
+            request = self.request.id(),
+            route = self.request.admitted.route.name.as_str(),
+            kind = format!("{kind:?}"),
+            servers = self.servers.join(","),
+            status = self.status.map_or(0, |it| it.as_u16()),
+            first_ms = first.map_or(-1, |it| it.as_millis() as i64),
+            ms = total.as_millis() as u64,
+            prompt = self.request.facts.usage.prompt,
+            answer = self.request.facts.usage.answer,
+            sent_events = self.events;
+            "{}", self.end
+        );
+    }
+}
+
+/// Answers a request.
+pub async fn run(shared: &Rc<Shared>, request: Rc<Request>) -> Response<AnswerBody> {
+    shared.count_request();
+    let record = Record {
+        shared: Rc::clone(shared),
+        request: Rc::clone(&request),
+        servers: Vec::new(),
+        status: None,
+        first: None,
+        events: 0,
+        end: "the caller left",
+    };
+    let mut forward = Forward {
+        shared: Rc::clone(shared),
+        request,
+        record,
+        tried: Vec::new(),
+        may_have_run: false,
+    };
+    match forward.answer(None).await {
+        Ok(Answered::Plain(response)) => {
+            forward.record.status = Some(response.status());
+            forward.record.first = Some(shared.clock.now());
+            forward.record.end = "answered";
+            response
+        }
+        Ok(Answered::Stream(open)) => {
+            forward.record.status = Some(open.status);
+            forward.record.first = Some(shared.clock.now());
+            stream::response(forward, *open)
+        }
+        Err(refusal) => {
+            forward.record.status = Some(refusal.status());
+            forward.record.end = refusal.reason();
+            refusal.answer(&shared.dialect)
+        }
+    }
+}
+
+impl Forward {
+    /// The first answer that the caller can have; a stream goes on after `last_event`.
+    ///
+    /// # Errors
+    /// When the request is given up.
+    pub async fn answer(&mut self, last_event: Option<EventId>) -> Result<Answered, Refusal> {
+        loop {
+            let place = self.place().await?;
+            let server = place.server.id.clone();
+            let failure = match self.attempt(place, last_event).await {
+                Ok(answered) => return Ok(answered),
+                Err(failure) => failure,
+            };
+            self.tried.push(server.clone());
+            self.may_have_run |= failure == Failure::Unknown;
+            let again = self.may_repeat(failure);
+            log_event!(
+                events::ATTEMPT_FAILED,
+                request = self.request.id(), server = server,
+                failure = format!("{failure:?}"), again = again;
+                "attempt {} has no answer", self.tried.len()
+            );
+            if !again {
+                return Err(self.give_up("no server has answered"));
+            }
+        }
+    }
+
+    /// Whether another server may be tried after a failed attempt; pays for it.
+    fn may_repeat(&self, failure: Failure) -> bool {
+        let route = self.route();
+        let is_allowed = failure != Failure::Unknown || route.kind.is_repeatable();
+        let sent = self.record.servers.len() as u32;
+        let is_in_time = self.left() > LEAST_LEFT;
+        if !is_allowed || !is_in_time || self.tried.len() > MOST_TRIES {
+            return false;
+        }
+        failure == Failure::NotSent || (sent < route.attempts && self.shared.pay_repeat())
+    }
+
+    fn route(&self) -> &Route {
+        &self.request.admitted.route
+    }
+
+    fn left(&self) -> Duration {
+        self.request
+            .deadline
+            .saturating_sub(self.shared.clock.now())
+    }
+
+    /// The final answer of a request that is given up.
+    pub fn give_up(&self, reason: &'static str) -> Refusal {
+        if self.may_have_run {
+            return match self.left().is_zero() {
+                true => Refusal::TimedOut,
+                false => Refusal::Unknown { reason },
+            };
+        }
+        Refusal::NotRun {
+            after: RETRY_AFTER,
+            reason,
+        }
+    }
+
+    /// Waits for room at a server.
+    async fn place(&mut self) -> Result<Place, Refusal> {
+        let bound = WaitBound {
+            arrived: self.request.arrived,
+            aim: self.route().aim,
+            deadline: self.request.deadline,
+        };
+        let service = self.request.service.clone();
+        loop {
+            let room = self.shared.room.notified();
+            if let Some(place) = self.shared.place(&service, &self.tried) {
+                return Ok(place);
+            }
+            if !self.shared.has_servers(&service) {
+                return Err(self.give_up("no server takes requests"));
+            }
+            let until = bound.give_up();
+            let now = self.shared.clock.now();
+            if now >= until || !self.tried.is_empty() {
+                return Err(self.give_up("all servers are full"));
+            }
+            // A timeout only leads to another look.
+            let _ = tokio::time::timeout(until - now, room).await;
+        }
+    }
+
+    /// One attempt at one server.
+    async fn attempt(
+        &mut self,
+        place: Place,
+        last_event: Option<EventId>,
+    ) -> Result<Answered, Failure> {
+        let limit = self.attempt_limit();
+        let sent = tokio::time::timeout(limit, self.send(&place, last_event));
+        let (answer, facts) = match sent.await {
+            Ok(Ok(answered)) => answered,
+            Ok(Err(failure)) => {
+                let sign = match failure {
+                    Failure::NotSent => Sign::Unreachable,
+                    Failure::NotRun => Sign::Refused,
+                    Failure::Unknown => Sign::Failed,
+                };
+                place.observe(sign);
+                return Err(failure);
+            }
+            Err(_) => {
+                place.observe(Sign::Failed);
+                return Err(Failure::Unknown);
+            }
+        };
+        if self.route().kind.is_stream() && answer.status.is_success() {
+            let open = OpenStream::new(answer, facts, place, last_event);
+            return open
+                .start(limit)
+                .await
+                .map(|it| Answered::Stream(Box::new(it)));
+        }
+        self.plain(answer, facts, place).await.map(Answered::Plain)
+    }
+
+    fn attempt_limit(&self) -> Duration {
+        let left = self.left();
+        match self.route().kind {
+            RequestKind::Idempotent if self.has_more_tries() => {
+                left.mul_f64(ATTEMPT_PART).max(self.route().aim).min(left)
+            }
+            RequestKind::Idempotent | RequestKind::Once => left,
+            RequestKind::Stream | RequestKind::ResumableStream => left.min(FIRST_EVENT_LIMIT),
+        }
+    }
+
+    fn has_more_tries(&self) -> bool {
+        (self.record.servers.len() as u32) + 1 < self.route().attempts
+    }
+
+    /// Sends the request and reads the head of the answer.
+    async fn send(
+        &mut self,
+        place: &Place,
+        last_event: Option<EventId>,
+    ) -> Result<(CallAnswer, AnswerFacts), Failure> {
+        let addr = place.server.addr;
+        let mut tries = 0;
+        let answer = loop {
+            let connection = match self.shared.pool.take(addr).await {
+                Ok(connection) => connection,
+                Err(_) => return Err(Failure::NotSent),
+            };
+            let request = self.outgoing(place, last_event);
+            match call::send(connection, request).await {
+                Ok(answer) => break answer,
+                // The server closed an idle connection just then.
+                Err(CallError::NotSent(_)) if tries < MOST_CLOSED => tries += 1,
+                Err(CallError::NotSent(_)) => return Err(Failure::NotSent),
+                Err(CallError::Lost(_)) => {
+                    self.record.servers.push(place.server.id.clone());
+                    return Err(Failure::Unknown);
+                }
+            }
+        };
+        self.record.servers.push(place.server.id.clone());
+        let facts = (self.shared.dialect.read_answer)(answer.status, &answer.headers);
+        if !is_own(&facts, &answer, self.request.facts.id.as_deref()) {
+            return Err(Failure::Unknown);
+        }
+        if facts.not_run {
+            let keep_alive = facts.keep_alive;
+            finish_small(answer, &self.shared, keep_alive).await;
+            return Err(Failure::NotRun);
+        }
+        Ok((answer, facts))
+    }
+
+    fn outgoing(
+        &self,
+        place: &Place,
+        last_event: Option<EventId>,
+    ) -> HttpRequest<Full<bytes::Bytes>> {
+        let head = &self.request.head;
+        let mut request = HttpRequest::new(Full::new(self.request.body.clone()));
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = head.uri.clone();
+        let mut headers = head.headers.clone();
+        remove_hop_headers(&mut headers);
+        let account = self.request.admitted.account.as_ref();
+        let outgoing = Outgoing {
+            server: &place.server.id,
+            left: self.request.facts.deadline.map(|_| self.left()),
+            account: account.map(|it| it.name.as_str()),
+            last_event: last_event.or(self.request.facts.last_event),
+            rank: None,
+        };
+        (self.shared.dialect.write_request)(&mut headers, &outgoing);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// An answer that is not a stream of events.
+    async fn plain(
+        &self,
+        mut answer: CallAnswer,
+        facts: AnswerFacts,
+        place: Place,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let limit = self.left();
+        let read = tokio::time::timeout(limit, answer.read(BUFFERED_BODY)).await;
+        let Ok(Ok(body)) = read else {
+            place.observe(Sign::Failed);
+            return Err(Failure::Unknown);
+        };
+        let is_error = answer.status.is_server_error();
+        place.observe(if is_error { Sign::Failed } else { Sign::Good });
+        if is_error && self.route().kind == RequestKind::Idempotent && self.has_more_tries() {
+            return Err(Failure::Unknown);
+        }
+        let status = answer.status;
+        let mut headers = std::mem::take(&mut answer.headers);
+        let length = answer.length();
+        let is_head = self.request.head.method == http::Method::HEAD;
+        let stated = headers.get(header::CONTENT_LENGTH).cloned();
+        remove_hop_headers(&mut headers);
+        let body = match body {
+            Ok(whole) => {
+                let keep_alive = kept(&facts);
+                answer.finish(&self.shared.pool, keep_alive);
+                AnswerBody::whole(whole)
+            }
+            Err(begun) => stream::rest(begun, answer, place, length),
+        };
+        if let Some(stated) = stated.filter(|_| is_head) {
+            headers.insert(header::CONTENT_LENGTH, stated);
+        }
+        let mut response = Response::new(body);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        Ok(response)
+    }
+}
+
+/// Most servers that one request is tried at, also those that nothing reached.
+const MOST_TRIES: usize = 4;
+
+/// Most connections in a row that may turn out closed by the server.
+const MOST_CLOSED: u32 = 3;
+
+/// Whether an answer is the one to this request, and as the server made it.
+fn is_own(facts: &AnswerFacts, answer: &CallAnswer, id: Option<&str>) -> bool {
+    let is_other = id.is_some() && facts.request_id.as_deref() != id;
+    let is_success = answer.status.is_success();
+    let is_altered = answer.headers.contains_key(header::CONTENT_ENCODING);
+    match is_success {
+        true => !is_other && facts.signed && !is_altered,
+        false => facts.request_id.is_none() || !is_other,
+    }
+}
+
+/// Time for which the server keeps the connection; nothing where it closes it.
+pub fn kept(facts: &AnswerFacts) -> Option<Duration> {
+    match facts.closes {
+        true => Some(Duration::ZERO),
+        false => facts.keep_alive,
+    }
+}
+
+/// Removes the headers that belong to one connection, with those that it names.
+pub fn remove_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .filter_map(|it| it.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// Reads a refusal's short body, so that the connection can go on.
+async fn finish_small(mut answer: CallAnswer, shared: &Shared, keep_alive: Option<Duration>) {
+    const SHORT: Duration = Duration::from_millis(20);
+    const LIMIT: usize = 4_096;
+    if let Ok(Ok(Ok(_))) = tokio::time::timeout(SHORT, answer.read(LIMIT)).await {
+        answer.finish(&shared.pool, keep_alive);
+    }
+}
--- /dev/null
+++ b/crates/front/src/mesh.rs
@@ -0,0 +1,278 @@
+//! Signs of life and load between the entries.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use jj_utils::{clock::Timestamp, collections::FastMap, events, ids::FailureDomainId, log_event};
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+
+use crate::{
+    news::{Hello, MAX_DATAGRAM, Message, Standing, StoreNews},
+    shared::Shared,
+};
+
+/// Time between two signs of life.
+const HELLO_PAUSE: Duration = Duration::from_millis(200);
+
+/// Silence after which an entry is no longer named to callers, and its requests no longer count.
+const SILENT_AFTER: Duration = Duration::from_millis(1_200);
+
+/// Silence after which an entry is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// Shortest time between two messages on requests in flight.
+const USE_PAUSE: Duration = Duration::from_millis(8);
+
+/// A step of the clock between two signs of life from which the process was stopped.
+const STOPPED_FOR: Duration = Duration::from_millis(600);
+
+/// One other entry.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// What it said last.
+    pub hello: Hello,
+    /// When it was heard.
+    pub heard: Timestamp,
+    /// Number of its last message on requests in flight.
+    pub number: u64,
+}
+
+/// Other entries by address.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: FastMap<IpAddr, Peer>,
+    /// Addresses that may have an entry.
+    asked: FastMap<IpAddr, Timestamp>,
+    now: Timestamp,
+}
+
+impl Peers {
+    /// Entries heard lately.
+    pub fn alive(&self) -> impl Iterator<Item = &Peer> {
+        let now = self.now;
+        let known = self.known.values();
+        known.filter(move |it| it.heard + SILENT_AFTER >= now)
+    }
+
+    /// Number of entries heard lately.
+    pub fn count(&self) -> usize {
+        self.alive().count()
+    }
+
+    /// Entries heard lately that take requests: domain and address for callers.
+    pub fn ready(&self) -> impl Iterator<Item = (&FailureDomainId, SocketAddr)> {
+        let ready = self
+            .alive()
+            .filter(|it| it.hello.standing == Standing::Ready);
+        ready.map(|it| (&it.hello.domain, it.hello.traffic))
+    }
+}
+
+/// Exchanges signs of life and load with the other entries for as long as the process runs.
+pub async fn run(shared: Rc<Shared>, socket: UdpSocket) {
+    let mut tick = tokio::time::interval(HELLO_PAUSE);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut number = 0;
+    let mut last_tick = shared.clock.now();
+    let mut last_use = Timestamp::ZERO;
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                if let Ok((length, from)) = received {
+                    let now = shared.clock.now();
+                    shared.peers.borrow_mut().now = now;
+                    if let Some(message) = Message::read(&buffer[..length]) {
+                        take(&shared, from.ip(), message);
+                    }
+                }
+            }
+            _ = tick.tick() => {
+                let now = shared.clock.now();
+                if now > last_tick + STOPPED_FOR {
+                    drop_stale(&socket, &mut buffer);
+                    log_event!(
+                        events::PROCESS_STALLED,
+                        for_ms = (now - last_tick).as_millis() as u64; "the process stood still"
+                    );
+                }
+                last_tick = now;
+                shared.peers.borrow_mut().now = now;
+                forget_silent(&shared, now);
+                hello(&shared, &socket).await;
+                tell_use(&shared, &socket, &mut number).await;
+                last_use = now;
+            }
+            () = shared.changed.notified() => {
+                let now = shared.clock.now();
+                let due = last_use + USE_PAUSE;
+                if now < due {
+                    tokio::time::sleep(due - now).await;
+                }
+                last_use = shared.clock.now();
+                tell_use(&shared, &socket, &mut number).await;
+            }
+        }
+    }
+}
+
+/// Drops what arrived while the process stood still: it would pass for new.
+fn drop_stale(socket: &UdpSocket, buffer: &mut [u8]) {
+    while socket.try_recv_from(buffer).is_ok() {}
+}
+
+fn take(shared: &Rc<Shared>, from: IpAddr, message: Message) {
+    match message {
+        Message::Hello(hello) => take_hello(shared, from, hello),
+        Message::Use { life, number, uses } => {
+            let mut peers = shared.peers.borrow_mut();
+            let Some(peer) = peers.known.get_mut(&from) else {
+                return;
+            };
+            if peer.hello.life != life || number <= peer.number {
+                return;
+            }
+            peer.number = number;
+            shared.loads.borrow_mut().take_uses(&peer.hello.name, &uses);
+            shared.room.notify_waiters();
+        }
+    }
+}
+
+fn take_hello(shared: &Rc<Shared>, from: IpAddr, hello: Hello) {
+    let now = shared.clock.now();
+    let own = shared.settings().ip;
+    let mut peers = shared.peers.borrow_mut();
+    if hello.life == shared.life && from == own {
+        return;
+    }
+    for ip in hello.peers.iter().filter(|ip| **ip != own) {
+        peers.asked.entry(*ip).or_default();
+    }
+    let known = peers.known.get(&from);
+    let is_new = known.is_none_or(|it| it.hello.life != hello.life);
+    let changed = known.is_none_or(|it| it.hello.standing != hello.standing);
+    if is_new || changed {
+        log_event!(
+            events::MEMBER_CHANGED,
+            peer = hello.name.as_str(), life = hello.life; "entry is {:?}", hello.standing
+        );
+    }
+    let number = known.filter(|_| !is_new).map_or(0, |it| it.number);
+    let news = hello.store;
+    peers.known.insert(
+        from,
+        Peer {
+            hello,
+            heard: now,
+            number,
+        },
+    );
+    drop(peers);
+    take_store_news(shared, news);
+}
+
+/// A peer that knows the same, and has asked the store later, makes what is known here fresher.
+fn take_store_news(shared: &Rc<Shared>, news: StoreNews) {
+    let now = shared.clock.now();
+    let asked = now.saturating_sub(Duration::from_millis(u64::from(news.age_ms)));
+    let mut replica = shared.replica.borrow_mut();
+    if replica.at.is_none_or(|at| news.at < at) {
+        shared.look.notify_one();
+        return;
+    }
+    if news.digest == replica.digest {
+        replica.asked = replica.asked.max(asked);
+    } else if replica.at.is_some_and(|at| news.at > at) {
+        shared.look.notify_one();
+    }
+}
+
+fn forget_silent(shared: &Rc<Shared>, now: Timestamp) {
+    let mut peers = shared.peers.borrow_mut();
+    let mut loads = shared.loads.borrow_mut();
+    for peer in peers.known.values() {
+        let silent_for = now.saturating_sub(peer.heard);
+        if silent_for > SILENT_AFTER && silent_for <= SILENT_AFTER + HELLO_PAUSE * 2 {
+            loads.forget(&peer.hello.name);
+            log_event!(
+                events::MEMBER_CHANGED,
+                peer = peer.hello.name.as_str(), silent_ms = silent_for.as_millis() as u64;
+                "entry is silent"
+            );
+        }
+    }
+    peers.known.retain(|_, it| it.heard + FORGET_AFTER >= now);
+}
+
+async fn hello(shared: &Rc<Shared>, socket: &UdpSocket) {
+    let settings = shared.settings();
+    let (Some(traffic), Some(control)) = (settings.listen.traffic, settings.listen.control) else {
+        return;
+    };
+    let now = shared.clock.now();
+    let store = {
+        let replica = shared.replica.borrow();
+        StoreNews {
+            at: replica.at.unwrap_or_default(),
+            age_ms: now.saturating_sub(replica.asked).as_millis() as u32,
+            digest: replica.digest,
+        }
+    };
+    let (peers, targets) = targets(shared, &settings.seeds);
+    let message = Message::Hello(Hello {
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        life: shared.life,
+        traffic,
+        control,
+        standing: shared.standing.get(),
+        store,
+        peers,
+    });
+    send_all(socket, &message, &targets, settings.ports.0).await;
+}
+
+/// Entries heard lately, and all that may be there.
+fn targets(shared: &Rc<Shared>, seeds: &[SocketAddr]) -> (Vec<IpAddr>, Vec<IpAddr>) {
+    let own = shared.settings().ip;
+    let peers = shared.peers.borrow();
+    let now = peers.now;
+    let heard = peers
+        .known
+        .iter()
+        .filter(|(_, it)| it.heard + SILENT_AFTER >= now);
+    let heard: Vec<IpAddr> = heard.map(|(ip, _)| *ip).collect();
+    let mut targets: Vec<IpAddr> = peers.known.keys().copied().collect();
+    targets.extend(seeds.iter().map(SocketAddr::ip));
+    targets.extend(peers.asked.keys());
+    targets.sort_unstable();
+    targets.dedup();
+    targets.retain(|ip| *ip != own);
+    (heard, targets)
+}
+
+async fn tell_use(shared: &Rc<Shared>, socket: &UdpSocket, number: &mut u64) {
+    *number += 1;
+    let message = Message::Use {
+        life: shared.life,
+        number: *number,
+        uses: shared.loads.borrow().uses(),
+    };
+    let targets: Vec<IpAddr> = shared.peers.borrow().known.keys().copied().collect();
+    send_all(socket, &message, &targets, shared.settings().ports.0).await;
+}
+
+async fn send_all(socket: &UdpSocket, message: &Message, targets: &[IpAddr], port: u16) {
+    let Some(bytes) = message.bytes() else {
+        return;
+    };
+    for ip in targets {
+        // A datagram that can't be sent is like one that is lost.
+        let _ = socket.send_to(&bytes, SocketAddr::new(*ip, port)).await;
+    }
+}
--- /dev/null
+++ b/crates/front/src/ports.rs
@@ -0,0 +1,93 @@
+//! The small ports of an entry: readiness, directory, control and metrics.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use http::{HeaderValue, Response, StatusCode, header};
+use jj_adapter::directory;
+use jj_direct::{
+    body::AnswerBody,
+    server::{Arrival, Handler},
+};
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::{follower::REPLICA_PATH, news::Standing, shared::Shared};
+
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// Answers all small ports alike: which of them an address serves makes no difference.
+pub fn handler(shared: Rc<Shared>, metrics: PrometheusHandle) -> Handler {
+    Rc::new(move |arrival, _| {
+        let response = answer(&shared, &metrics, &arrival);
+        Box::pin(async move { response })
+    })
+}
+
+fn answer(
+    shared: &Rc<Shared>,
+    metrics: &PrometheusHandle,
+    arrival: &Arrival,
+) -> Response<AnswerBody> {
+    match arrival.uri().path() {
+        directory::READY_PATH => ready(shared),
+        directory::RESOLVE_PATH => resolve(shared, arrival.uri().query()),
+        REPLICA_PATH => replica(shared),
+        METRICS_PATH => text(StatusCode::OK, metrics.render()),
+        _ => text(StatusCode::NOT_FOUND, "there is nothing here\n".to_owned()),
+    }
+}
+
+fn text(status: StatusCode, body: String) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(body));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+fn ready(shared: &Rc<Shared>) -> Response<AnswerBody> {
+    match shared.standing.get() {
+        Standing::Ready => text(StatusCode::OK, "ready\n".to_owned()),
+        standing => text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("not ready: {standing:?}\n"),
+        ),
+    }
+}
+
+fn resolve(shared: &Rc<Shared>, query: Option<&str>) -> Response<AnswerBody> {
+    let addresses = addresses(shared, query);
+    if addresses.is_empty() {
+        let reason = "no entry takes requests\n".to_owned();
+        return text(StatusCode::SERVICE_UNAVAILABLE, reason);
+    }
+    let life = shared.settings().promises.address_life / 2;
+    let body = directory::answer(addresses, life);
+    let mut response = Response::new(AnswerBody::whole(body));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Entries that take requests.
+fn addresses(shared: &Rc<Shared>, _query: Option<&str>) -> Vec<SocketAddr> {
+    let settings = shared.settings();
+    let peers = shared.peers.borrow();
+    let mut addresses: Vec<SocketAddr> = peers.ready().map(|(_, addr)| addr).collect();
+    if shared.standing.get() == Standing::Ready {
+        addresses.extend(settings.listen.traffic);
+    }
+    addresses.truncate(directory::MOST_ADDRESSES);
+    addresses
+}
+
+fn replica(shared: &Rc<Shared>) -> Response<AnswerBody> {
+    let copy = shared.replica.borrow().copy();
+    match copy.and_then(|copy| postcard::to_stdvec(&copy).ok()) {
+        Some(bytes) => Response::new(AnswerBody::whole(bytes)),
+        None => text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "nothing is known yet\n".to_owned(),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/front/src/replica.rs
@@ -0,0 +1,219 @@
+//! What the platform's store says, as this process knows it from the store itself or from peers.
+
+use std::{collections::BTreeSet, rc::Rc};
+
+use jj_adapter::{
+    config, servers,
+    store::{Change, Item},
+};
+use jj_policy::{
+    catalog::Catalog,
+    server_list::{Revision, ServerList},
+};
+use jj_utils::{
+    clock::Timestamp, collections::FastMap, common_derives, events, ids::FailureDomainId, log_event,
+};
+use xxhash_rust::xxh3::Xxh3;
+
+common_derives! {wire:
+    /// One item as peers pass it on.
+    pub struct ItemCopy {
+        /// Its key.
+        pub key: String,
+        /// Its bytes.
+        pub value: Vec<u8>,
+        /// Revision of its last change.
+        pub revision: Revision,
+    }
+}
+
+common_derives! {wire:
+    /// All that a process knows of the store.
+    pub struct ReplicaCopy {
+        /// Revision up to which it is complete.
+        pub at: Revision,
+        /// Items.
+        pub items: Vec<ItemCopy>,
+    }
+}
+
+/// Items of the store, and what follows from them.
+#[derive(Default)]
+pub struct Replica {
+    items: FastMap<String, Item>,
+    /// Revision up to which the items are complete; none before the first read.
+    pub at: Option<Revision>,
+    /// When the store was asked for it, at the earliest.
+    pub asked: Timestamp,
+    /// Configuration in force; none before the first one.
+    pub catalog: Option<Rc<Catalog>>,
+    /// Servers.
+    pub servers: ServerList,
+    /// Failure domains to which nothing new is to be sent.
+    pub evacuated: BTreeSet<FailureDomainId>,
+    /// Digest of all this, apart from signs of life.
+    pub digest: u64,
+}
+
+impl Replica {
+    /// Takes in all items of one moment; older ones than those known are ignored.
+    pub fn replace(&mut self, now: Timestamp, at: Revision, items: Vec<Item>) {
+        if self.at.is_some_and(|known| at < known) {
+            return;
+        }
+        self.items = items.into_iter().map(|it| (it.key.clone(), it)).collect();
+        self.at = Some(at);
+        let records = self.items.values().filter_map(server_record);
+        self.servers.replace(now, records.collect());
+        self.take_catalog();
+        self.take_evacuated();
+        self.update_digest();
+    }
+
+    /// Takes in changes that follow on what is known.
+    pub fn apply(&mut self, now: Timestamp, at: Revision, changes: Vec<Change>) {
+        let mut has_news = false;
+        for change in changes {
+            has_news |= self.apply_one(now, change);
+        }
+        self.at = Some(at.max(self.at.unwrap_or_default()));
+        if has_news {
+            self.take_evacuated();
+            self.update_digest();
+        }
+    }
+
+    fn apply_one(&mut self, now: Timestamp, change: Change) -> bool {
+        match change {
+            Change::Put(item) => {
+                let is_config = item.key == config::CONFIG_KEY;
+                let has_news = match server_record(&item) {
+                    Some(record) => self.servers.put(now, record),
+                    None => true,
+                };
+                self.items.insert(item.key.clone(), item);
+                if is_config {
+                    self.take_catalog();
+                }
+                has_news
+            }
+            Change::Removed { key, .. } => {
+                self.items.remove(&key);
+                if let Some(id) = servers::id(&key) {
+                    self.servers.remove(now, id);
+                }
+                true
+            }
+        }
+    }
+
+    /// Drops the servers that are certainly gone.
+    pub fn settle(&mut self, now: Timestamp) {
+        if self.servers.settle(now) {
+            self.update_digest();
+        }
+    }
+
+    /// All of it, for a peer; none before the first read.
+    pub fn copy(&self) -> Option<ReplicaCopy> {
+        let items = self.items.values().map(|item| ItemCopy {
+            key: item.key.clone(),
+            value: item.value.clone(),
+            revision: item.revision,
+        });
+        Some(ReplicaCopy {
+            at: self.at?,
+            items: items.collect(),
+        })
+    }
+
+    /// Takes in what a peer knows.
+    pub fn adopt(&mut self, now: Timestamp, copy: ReplicaCopy) {
+        let items = copy.items.into_iter().map(|it| Item {
+            key: it.key,
+            value: it.value,
+            revision: it.revision,
+        });
+        self.replace(now, copy.at, items.collect());
+    }
+
+    /// Puts a newer configuration in force; the version never falls within one life.
+    fn take_catalog(&mut self) {
+        let Some(item) = self.items.get(config::CONFIG_KEY) else {
+            return;
+        };
+        let catalog = match config::parse(&item.value) {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                log_event!(events::CONFIG_REFUSED, revision = item.revision; "{error:#}");
+                return;
+            }
+        };
+        let known = self.catalog.as_ref().map(|it| it.version);
+        if known.is_some_and(|known| catalog.version <= known) {
+            return;
+        }
+        log_event!(
+            events::CONFIG_ACCEPTED,
+            version = catalog.version, before = known.unwrap_or_default(),
+            revision = item.revision, routes = catalog.routes.len();
+            "a configuration is in force"
+        );
+        self.catalog = Some(Rc::new(catalog));
+    }
+
+    fn take_evacuated(&mut self) {
+        let zones = self.items.keys().filter_map(|key| config::evacuated(key));
+        let evacuated: BTreeSet<FailureDomainId> = zones.map(str::to_owned).collect();
+        for domain in evacuated.difference(&self.evacuated) {
+            log_event!(events::DOMAIN_WITHDRAWN, domain = domain.as_str(); "withdrawn");
+        }
+        for domain in self.evacuated.difference(&evacuated) {
+            log_event!(events::DOMAIN_RETURNED, domain = domain.as_str(); "in service again");
+        }
+        self.evacuated = evacuated;
+    }
+
+    fn update_digest(&mut self) {
+        let mut lines: Vec<String> = self
+            .servers
+            .all()
+            .map(|it| {
+                let record = &it.record;
+                format!(
+                    "{} {} {:?} {:?}",
+                    record.id,
+                    record.addr,
+                    record.state,
+                    it.missing.is_some()
+                )
+            })
+            .collect();
+        lines.extend(self.evacuated.iter().cloned());
+        lines.sort_unstable();
+        let mut hash = Xxh3::new();
+        hash.update(
+            &self
+                .catalog
+                .as_ref()
+                .map_or(0, |it| it.version)
+                .to_le_bytes(),
+        );
+        for line in &lines {
+            hash.update(line.as_bytes());
+        }
+        self.digest = hash.digest();
+    }
+}
+
+/// The server that an item is about; one that can't be read names no server.
+fn server_record(item: &Item) -> Option<jj_policy::server_list::ServerRecord> {
+    let id = servers::id(&item.key)?;
+    match servers::parse(id, &item.value) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log::debug!("entry {} names no server: {error:#}", item.key);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/run.rs
@@ -0,0 +1,189 @@
+//! Starts an entry, and ends it when it is asked to leave.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::Duration,
+};
+
+use anyhow::Context;
+use jj_adapter::settings;
+use jj_direct::{
+    instance::InstanceSettings,
+    server::{self, Handler, ServerConfig, ServerStop},
+    socket,
+};
+use jj_utils::{
+    clock::SystemClock,
+    events, log_event,
+    logging::{self, LogFormat},
+};
+use log::LevelFilter;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::{JoinHandle, LocalSet, spawn_local},
+};
+
+use crate::{follower, mesh, news::Standing, ports, shared::Shared, traffic};
+
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(1);
+
+/// Time after the request to stop in which callers that hold the address are still served.
+const SERVE_ON: Duration = Duration::from_millis(4_500);
+
+/// Time before the end of the grace period at which the process ends.
+const END_MARGIN: Duration = Duration::from_millis(400);
+
+/// Time between two clean-ups of connections and metrics.
+const UPKEEP: Duration = Duration::from_secs(1);
+
+/// What the command line says.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Settings file.
+    pub path: PathBuf,
+    /// Least level of log lines.
+    pub level: LevelFilter,
+}
+
+/// Runs an entry until it is asked to leave and its requests have ended.
+///
+/// # Errors
+/// When the settings can't be read or an address can't be bound.
+pub fn run(options: &Options) -> anyhow::Result<()> {
+    logging::install(LogFormat::Json, options.level)?;
+    let settings = read_settings(&options.path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(settings, options.path.clone()))
+}
+
+fn read_settings(path: &Path) -> anyhow::Result<InstanceSettings> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("read the settings file {}", path.display()))?;
+    settings::parse(&text)
+}
+
+async fn serve(settings: InstanceSettings, path: PathBuf) -> anyhow::Result<()> {
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let clock = SystemClock::shared();
+    let shared = Shared::new(settings, clock);
+    let settings = shared.settings();
+    let traffic_addr = settings.listen.traffic.context("no address for callers")?;
+    let small = ports::handler(Rc::clone(&shared), metrics.clone());
+    for addr in small_ports(&settings) {
+        open(addr, Rc::clone(&small), ServerStop::default())?;
+    }
+    let datagrams = socket::datagrams(SocketAddr::new(settings.ip, settings.ports.0))
+        .context("bind the port for datagrams")?;
+    spawn_local(mesh::run(Rc::clone(&shared), datagrams));
+    spawn_local(follow(Rc::clone(&shared)));
+    spawn_local(watch_settings(Rc::clone(&shared), path));
+    spawn_local(upkeep(Rc::clone(&shared), metrics));
+    let stop = ServerStop::default();
+    let handler = traffic::handler(Rc::clone(&shared));
+    let server = open(traffic_addr, handler, stop.clone())?;
+    log_event!(
+        events::PROCESS_STARTED,
+        instance = settings.name.as_str(), life = shared.life,
+        domain = settings.domain.as_str();
+        "entry started"
+    );
+    let mut terminate = signal(SignalKind::terminate())?;
+    terminate.recv().await;
+    leave(&shared, stop, server).await;
+    Ok(())
+}
+
+/// Readiness, directory and control, and a port of the system's own for operators.
+fn small_ports(settings: &InstanceSettings) -> Vec<SocketAddr> {
+    let listen = &settings.listen;
+    let operators = SocketAddr::new(settings.ip, settings.ports.0 + 1);
+    let given = [listen.readiness, listen.directory, listen.control];
+    let mut ports: Vec<SocketAddr> = given.into_iter().flatten().collect();
+    ports.push(operators);
+    ports
+}
+
+fn open(addr: SocketAddr, handler: Handler, stop: ServerStop) -> anyhow::Result<JoinHandle<()>> {
+    let listener = socket::listen(addr).with_context(|| format!("listen on {addr}"))?;
+    let config = ServerConfig::default;
+    Ok(spawn_local(server::serve(listener, config, handler, stop)))
+}
+
+async fn follow(shared: Rc<Shared>) {
+    if let Err(error) = follower::run(shared).await {
+        log_event!(events::PROCESS_FAILED, "{error:#}");
+    }
+}
+
+/// Serves on for those who hold the address, then ends with the last request.
+async fn leave(shared: &Rc<Shared>, stop: ServerStop, server: JoinHandle<()>) {
+    let settings = shared.settings();
+    log_event!(events::PROCESS_DRAINING, instance = settings.name.as_str(); "entry leaves");
+    shared.standing.set(Standing::Leaving);
+    let grace = settings.promises.grace.saturating_sub(END_MARGIN);
+    let serve_on = SERVE_ON.min(grace / 2);
+    tokio::time::sleep(serve_on).await;
+    stop.leave.cancel();
+    let is_done = tokio::time::timeout(grace - serve_on, server).await.is_ok();
+    log_event!(
+        events::PROCESS_STOPPED,
+        instance = settings.name.as_str(), all_ended = is_done; "entry stopped"
+    );
+}
+
+/// Reads the settings again when the file has changed or a signal says so.
+async fn watch_settings(shared: Rc<Shared>, path: PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        log_event!(events::PROCESS_FAILED, "SIGHUP can't be handled");
+        return;
+    };
+    let mut known = modified(&path);
+    loop {
+        let asked = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS_LOOK) => false,
+        };
+        let newest = modified(&path);
+        if !asked && newest == known {
+            continue;
+        }
+        known = newest;
+        match read_settings(&path) {
+            Ok(settings) => {
+                log_event!(
+                    events::SETTINGS_RELOADED,
+                    signal = asked, seeds = settings.seeds.len(); "settings are in force"
+                );
+                *shared.settings.borrow_mut() = Rc::new(settings);
+            }
+            Err(error) => log_event!(events::CONFIG_REFUSED, "settings are not used: {error:#}"),
+        }
+    }
+}
+
+fn modified(path: &Path) -> Option<std::time::SystemTime> {
+    std::fs::metadata(path).and_then(|it| it.modified()).ok()
+}
+
+/// Becomes ready once there is a configuration, and tidies up.
+async fn upkeep(shared: Rc<Shared>, metrics: metrics_exporter_prometheus::PrometheusHandle) {
+    const READY_LOOK: Duration = Duration::from_millis(50);
+    while shared.replica.borrow().catalog.is_none() {
+        tokio::time::sleep(READY_LOOK).await;
+    }
+    if shared.standing.get() == Standing::Starting {
+        shared.standing.set(Standing::Ready);
+    }
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        shared.pool.tidy();
+        metrics.run_upkeep();
+    }
+}
--- /dev/null
+++ b/crates/front/src/shared.rs
@@ -0,0 +1,206 @@
+//! State that the tasks of an entry share. All of them run on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use jj_adapter::headers;
+use jj_direct::{
+    dialect::Dialect,
+    instance::InstanceSettings,
+    pool::{Pool, PoolConfig},
+};
+use jj_policy::{
+    placement::{self, Candidate, PlacementConfig},
+    repeat_budget::{RepeatBudget, RepeatConfig},
+    server_health::Sign,
+    server_list::ServerRecord,
+};
+use jj_utils::{
+    clock::{SharedClock, Timestamp},
+    ids::{BackendServerId, Incarnation},
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::sync::Notify;
+
+use crate::{fleet::Loads, mesh::Peers, news::Standing, replica::Replica};
+
+/// Requests at a model server, over its slots, from which it has no room: an engine's own queue
+/// knows neither deadlines nor the other servers.
+const ENGINE_DEPTH: f64 = 1.0;
+
+/// Requests at a plain server, over its slots, from which it has no room; their work is short.
+const PLAIN_DEPTH: f64 = 2.0;
+
+/// State of one process.
+pub struct Shared {
+    /// What the settings file says.
+    pub settings: RefCell<Rc<InstanceSettings>>,
+    /// Time.
+    pub clock: SharedClock,
+    /// This life of the process.
+    pub life: Incarnation,
+    /// Headers of callers and servers.
+    pub dialect: Dialect,
+    /// What the store says.
+    pub replica: RefCell<Replica>,
+    /// Other entries.
+    pub peers: RefCell<Peers>,
+    /// Requests in flight.
+    pub loads: RefCell<Loads>,
+    /// Connections to servers.
+    pub pool: Pool,
+    /// Whether this entry takes requests.
+    pub standing: Cell<Standing>,
+    /// Requests that wait for room look again.
+    pub room: Notify,
+    /// The store should be looked at sooner than planned.
+    pub look: Notify,
+    /// Requests in flight have changed.
+    pub changed: Notify,
+    budget: RefCell<RepeatBudget>,
+    random: RefCell<Pcg64Mcg>,
+}
+
+/// A place at a server, given back when dropped.
+pub struct Place {
+    /// The server.
+    pub server: Rc<ServerRecord>,
+    shared: Rc<Shared>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.shared.loads.borrow_mut().end(&self.server.id);
+        self.shared.room.notify_waiters();
+        self.shared.changed.notify_one();
+    }
+}
+
+impl Place {
+    /// Takes in how the attempt at this server ended.
+    pub fn observe(&self, sign: Sign) {
+        let now = self.shared.clock.now();
+        self.shared
+            .loads
+            .borrow_mut()
+            .observe(now, &self.server.id, sign);
+    }
+}
+
+impl Shared {
+    /// State of a process that knows nothing yet.
+    pub fn new(settings: InstanceSettings, clock: SharedClock) -> Rc<Self> {
+        Rc::new(Self {
+            settings: RefCell::new(Rc::new(settings)),
+            life: rand::random(),
+            dialect: headers::DIALECT,
+            replica: RefCell::default(),
+            peers: RefCell::default(),
+            loads: RefCell::default(),
+            pool: Pool::new(PoolConfig::default(), clock.clone()),
+            standing: Cell::new(Standing::Starting),
+            room: Notify::new(),
+            look: Notify::new(),
+            changed: Notify::new(),
+            budget: RefCell::default(),
+            random: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
+            clock,
+        })
+    }
+
+    /// Settings in force.
+    pub fn settings(&self) -> Rc<InstanceSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// A random number.
+    pub fn draw(&self) -> u64 {
+        self.random.borrow_mut().next_u64()
+    }
+
+    /// A server of a service with room, if there is one.
+    pub fn place(self: &Rc<Self>, service: &str, tried: &[BackendServerId]) -> Option<Place> {
+        let draw = self.draw();
+        let now = self.clock.now();
+        let domain = self.settings().domain.clone();
+        let replica = self.replica.borrow();
+        let catalog = replica.catalog.as_ref()?;
+        let is_model = catalog.services.get(service)?.engine.is_some();
+        let loads = self.loads.borrow();
+        let records: Vec<&ServerRecord> = replica
+            .servers
+            .usable()
+            .map(|it| &it.record)
+            .filter(|it| it.service == service && !replica.evacuated.contains(&it.domain))
+            .collect();
+        let candidates: Vec<Candidate> = records
+            .iter()
+            .map(|record| Candidate {
+                id: record.id.clone(),
+                is_near: record.domain == domain,
+                slots: record.slots,
+                own: loads.own(&record.id),
+                others: loads.others(&record.id),
+                avoid: loads.is_avoided(now, &record.id),
+                cold_room: None,
+                tried: tried.contains(&record.id),
+            })
+            .collect();
+        let config = PlacementConfig {
+            depth: if is_model { ENGINE_DEPTH } else { PLAIN_DEPTH },
+            ..PlacementConfig::default()
+        };
+        let chosen = placement::choose(&config, &candidates, draw)?;
+        let record = records.iter().find(|it| it.id == chosen.id)?;
+        let server = Rc::new((*record).clone());
+        drop(loads);
+        self.loads.borrow_mut().start(&server.id);
+        self.changed.notify_one();
+        Some(Place {
+            server,
+            shared: Rc::clone(self),
+        })
+    }
+
+    /// Whether any server of a service may take requests at all.
+    pub fn has_servers(&self, service: &str) -> bool {
+        let replica = self.replica.borrow();
+        let mut usable = replica.servers.usable();
+        usable.any(|it| {
+            it.record.service == service && !replica.evacuated.contains(&it.record.domain)
+        })
+    }
+
+    /// Counts a request taken in.
+    pub fn count_request(&self) {
+        let config = self.repeat_config();
+        self.budget.borrow_mut().request(&config, self.clock.now());
+    }
+
+    /// Pays for a repeat; false where this process's part of the bound is used up.
+    pub fn pay_repeat(&self) -> bool {
+        let config = self.repeat_config();
+        self.budget.borrow_mut().repeat(&config, self.clock.now())
+    }
+
+    fn repeat_config(&self) -> RepeatConfig {
+        let settings = self.settings();
+        let promises = &settings.promises;
+        let processes = self.peers.borrow().count() + 1;
+        RepeatConfig::part(
+            promises.retry_window,
+            promises.retry_ratio,
+            promises.retry_slack,
+            processes,
+        )
+    }
+
+    /// Time since something happened.
+    pub fn since(&self, then: Timestamp) -> Duration {
+        self.clock.now().saturating_sub(then)
+    }
+}
--- /dev/null
+++ b/crates/front/src/traffic.rs
@@ -0,0 +1,174 @@
+//! Takes one request of a caller up to the point where it is sent to a server.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::LocalBoxFuture;
+use http::{Response, StatusCode, header, request::Parts};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use jj_direct::{
+    body::AnswerBody,
+    dialect::RequestFacts,
+    server::{Arrival, Handler},
+};
+use jj_policy::catalog::{Admitted, Catalog, Denied, TrafficLimits};
+use jj_utils::{clock::Timestamp, events, ids::ServiceId, log_event};
+
+use crate::{answers::Refusal, forward, news::Standing, shared::Shared};
+
+/// Time after which a caller comes back that came before the first configuration.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+
+/// Longest time in which a request's body has to arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// A caller's request, whole and allowed.
+pub struct Request {
+    /// Head as it arrived.
+    pub head: Parts,
+    /// Body.
+    pub body: Bytes,
+    /// What the headers say.
+    pub facts: RequestFacts,
+    /// Its route and account.
+    pub admitted: Admitted,
+    /// Service that takes it.
+    pub service: ServiceId,
+    /// When it arrived.
+    pub arrived: Timestamp,
+    /// When its answer is worth nothing any more.
+    pub deadline: Timestamp,
+}
+
+impl Request {
+    /// Id of this arrival, for logs.
+    pub fn id(&self) -> &str {
+        self.facts.id.as_deref().unwrap_or("-")
+    }
+}
+
+/// The handler of callers' requests.
+pub fn handler(shared: Rc<Shared>) -> Handler {
+    Rc::new(move |arrival, peer| {
+        let shared = Rc::clone(&shared);
+        let answer: LocalBoxFuture<'static, Response<AnswerBody>> =
+            Box::pin(async move { answer(shared, arrival, peer).await });
+        answer
+    })
+}
+
+async fn answer(shared: Rc<Shared>, arrival: Arrival, _: SocketAddr) -> Response<AnswerBody> {
+    let arrived = shared.clock.now();
+    let mut response = match read(&shared, arrival, arrived).await {
+        Ok(request) => forward::run(&shared, Rc::new(request)).await,
+        Err((id, refusal)) => {
+            log_event!(
+                events::REQUEST_ENDED,
+                request = id.as_deref().unwrap_or("-"),
+                status = refusal.status().as_u16(),
+                ms = shared.since(arrived).as_millis() as u64;
+                "{}", refusal.reason()
+            );
+            refusal.answer(&shared.dialect)
+        }
+    };
+    metrics::counter!("jujube_requests_total", "status" => response.status().as_u16().to_string())
+        .increment(1);
+    if shared.standing.get() == Standing::Leaving {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+type Rejected = (Option<String>, Refusal);
+
+async fn read(
+    shared: &Rc<Shared>,
+    arrival: Arrival,
+    arrived: Timestamp,
+) -> Result<Request, Rejected> {
+    let (head, body) = arrival.into_parts();
+    let facts = (shared.dialect.read_request)(&head.headers).map_err(|_| {
+        (
+            None,
+            invalid(StatusCode::BAD_REQUEST, "a header can't be read"),
+        )
+    })?;
+    let rejected = |refusal| (facts.id.clone(), refusal);
+    let catalog = shared.replica.borrow().catalog.clone();
+    let catalog = catalog.ok_or_else(|| rejected(not_configured()))?;
+    let admitted = admit(&catalog, &head, &facts).map_err(rejected)?;
+    let service = Catalog::target(&admitted.route, shared.draw()).cloned();
+    let service = service.ok_or_else(|| rejected(not_configured()))?;
+    let body = read_body(&catalog.limits, body).await.map_err(rejected)?;
+    let wait = facts.deadline.unwrap_or(admitted.route.timeout);
+    Ok(Request {
+        deadline: arrived + wait.min(admitted.route.timeout),
+        head,
+        body,
+        facts,
+        admitted,
+        service,
+        arrived,
+    })
+}
+
+fn admit(catalog: &Catalog, head: &Parts, facts: &RequestFacts) -> Result<Admitted, Refusal> {
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|it| it.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let admitted = catalog.admit(host, head.uri.path(), facts.key.as_deref());
+    admitted.map_err(|denied| match denied {
+        Denied::NoRoute => invalid(StatusCode::NOT_FOUND, "no route for this host and path"),
+        Denied::NoKey => invalid(StatusCode::UNAUTHORIZED, "the key is missing or unknown"),
+    })
+}
+
+async fn read_body(limits: &TrafficLimits, body: Incoming) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let too_long = || invalid(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(too_long());
+    }
+    match tokio::time::timeout(BODY_TIME, collect(limits.body_bytes, body)).await {
+        Ok(Ok(Some(bytes))) => Ok(bytes),
+        Ok(Ok(None)) => Err(too_long()),
+        Ok(Err(_)) => Err(invalid(StatusCode::BAD_REQUEST, "the body broke off")),
+        Err(_) => Err(invalid(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time",
+        )),
+    }
+}
+
+/// All bytes of a body; none where it is longer than the limit.
+async fn collect(limit: usize, mut body: Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(bytes) = frame?.into_data() {
+            whole.extend_from_slice(&bytes);
+        }
+        if whole.len() > limit {
+            return Ok(None);
+        }
+    }
+    Ok(Some(whole.freeze()))
+}
+
+fn invalid(status: StatusCode, reason: &'static str) -> Refusal {
+    Refusal::Invalid { status, reason }
+}
+
+fn not_configured() -> Refusal {
+    Refusal::NotRun {
+        after: NO_CONFIG_RETRY,
+        reason: "there is no configuration yet",
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,102 @@
+//! Chooses the backend server of a request among those of its service.
+//!
+//! Load pattern: steady traffic through several entries, each of which knows its own requests at
+//! once and those of the others a few milliseconds later.
+
+use std::time::Duration;
+
+use jj_utils::{clock::Timestamp, common_derives, ids::BackendServerId};
+
+common_derives! {value:
+    /// What is known of one server.
+    pub struct Candidate {
+        /// Its id.
+        pub id: BackendServerId,
+        /// Whether it is in this process's failure domain.
+        pub is_near: bool,
+        /// Requests that it works on at once.
+        pub slots: u32,
+        /// Requests of this process at the server.
+        pub own: u32,
+        /// Requests of the other processes there.
+        pub others: u32,
+        /// Whether new requests should go elsewhere for now; see [`crate::server_health`].
+        pub avoid: bool,
+        /// Requests that this process may still send there in this second, while it is cold.
+        pub cold_room: Option<u32>,
+        /// Whether this request was sent there already.
+        pub tried: bool,
+    }
+}
+
+impl Candidate {
+    /// Requests at the server over its slots.
+    fn load(&self) -> f64 {
+        f64::from(self.own + self.others) / f64::from(self.slots.max(1))
+    }
+
+    fn has_room(&self, depth: f64) -> bool {
+        self.load() < depth && self.cold_room != Some(0) && !self.tried
+    }
+}
+
+/// Tunables of the choice.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacementConfig {
+    /// Requests at a server, over its slots, from which it has no room.
+    pub depth: f64,
+    /// Load that a server in another failure domain has to be lower by, over its slots.
+    pub far_load: f64,
+}
+
+impl Default for PlacementConfig {
+    fn default() -> Self {
+        Self {
+            depth: 1.0,
+            far_load: 0.10,
+        }
+    }
+}
+
+/// The server with room that has the least load; `draw` is a random number that decides between
+/// equal ones.
+pub fn choose<'a>(
+    config: &PlacementConfig,
+    candidates: &'a [Candidate],
+    draw: u64,
+) -> Option<&'a Candidate> {
+    let best = |avoid: bool| {
+        let open = candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, it)| it.avoid == avoid && it.has_room(config.depth));
+        let keyed = open.map(|(index, it)| {
+            let far = if it.is_near { 0.0 } else { config.far_load };
+            let turn = (index as u64).wrapping_add(draw) % candidates.len() as u64;
+            (it.load() + far, turn, it)
+        });
+        let least = keyed.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        least.map(|(_, _, it)| it)
+    };
+    best(false).or_else(|| best(true))
+}
+
+common_derives! {copy:
+    /// How long a request may wait for room.
+    pub struct WaitBound {
+        /// When it arrived.
+        pub arrived: Timestamp,
+        /// Time within which its answer is on time.
+        pub aim: Duration,
+        /// When its answer is worth nothing any more.
+        pub deadline: Timestamp,
+    }
+}
+
+impl WaitBound {
+    /// The moment at which a request that still has no server is rejected: with a quarter of its
+    /// aim gone, an answer from here is hardly on time, while the caller can still come back.
+    pub fn give_up(&self) -> Timestamp {
+        (self.arrived + self.aim / 4).min(self.deadline)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/server_list.rs
@@ -0,0 +1,153 @@
+//! What is believed of the backend servers that the platform lists.
+//!
+//! An entry that vanishes while the platform is disturbed says nothing: it comes back within a
+//! short time if the server lives. So absences count only once the platform has answered without
+//! trouble for that long.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jj_utils::{
+    clock::Timestamp,
+    collections::FastMap,
+    common_derives,
+    ids::{BackendServerId, FailureDomainId, ServiceId},
+};
+
+/// Number of a change in the platform's store; rises with each change.
+pub type Revision = u64;
+
+/// Time after the platform's return within which entries of living servers come back.
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
+
+common_derives! {copy:
+    /// What a server says of itself.
+    pub enum ServerState {
+        /// Takes requests.
+        Serving,
+        /// Will end soon; takes no new requests.
+        Leaving,
+    }
+}
+
+common_derives! {value:
+    /// One listed server.
+    pub struct ServerRecord {
+        /// Its id.
+        pub id: BackendServerId,
+        /// Service that it belongs to.
+        pub service: ServiceId,
+        /// Where it takes requests.
+        pub addr: SocketAddr,
+        /// Its failure domain.
+        pub domain: FailureDomainId,
+        /// Requests that it works on at once.
+        pub slots: u32,
+        /// What it says of itself.
+        pub state: ServerState,
+        /// Time for which it stays cold, when the entry was written.
+        pub cold_left: Duration,
+        /// Start of this life of the server, where it says so.
+        pub born: Option<u64>,
+    }
+}
+
+common_derives! {value:
+    /// A server in use, with what was found out about its entry.
+    pub struct Listed {
+        /// The entry.
+        pub record: ServerRecord,
+        /// When the entry was last seen or written, by this process's clock.
+        pub seen: Timestamp,
+        /// Since when the entry is missing, where it is.
+        pub missing: Option<Timestamp>,
+    }
+}
+
+/// Servers by id.
+#[derive(Debug, Clone, Default)]
+pub struct ServerList {
+    servers: FastMap<BackendServerId, Listed>,
+    /// When trouble with the platform was last seen to end.
+    calm_since: Timestamp,
+}
+
+impl ServerList {
+    /// Takes in an entry; true when it says something new beside a sign of life.
+    pub fn put(&mut self, now: Timestamp, record: ServerRecord) -> bool {
+        let known = self.servers.get(&record.id);
+        let is_new = known.is_none_or(|it| it.record != record || it.missing.is_some());
+        let listed = Listed {
+            record,
+            seen: now,
+            missing: None,
+        };
+        self.servers.insert(listed.record.id.clone(), listed);
+        is_new
+    }
+
+    /// Takes in that an entry is gone.
+    pub fn remove(&mut self, now: Timestamp, id: &str) -> bool {
+        let Some(listed) = self.servers.get_mut(id) else {
+            return false;
+        };
+        listed.missing.get_or_insert(now);
+        true
+    }
+
+    /// Takes in all entries that there are at one moment.
+    pub fn replace(&mut self, now: Timestamp, records: Vec<ServerRecord>) -> bool {
+        let mut changed = false;
+        let present: Vec<BackendServerId> = records.iter().map(|it| it.id.clone()).collect();
+        for record in records {
+            changed |= self.put(now, record);
+        }
+        for (id, listed) in &mut self.servers {
+            if !present.contains(id) && listed.missing.is_none() {
+                listed.missing = Some(now);
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Notes that the platform could not be asked up to now.
+    pub fn disturbed(&mut self, now: Timestamp) {
+        self.calm_since = self.calm_since.max(now);
+    }
+
+    /// Drops the servers whose absence is certain; true when there were any.
+    pub fn settle(&mut self, now: Timestamp) -> bool {
+        let calm = self.calm_since;
+        let before = self.servers.len();
+        self.servers.retain(|_, listed| !is_gone(listed, calm, now));
+        self.servers.len() != before
+    }
+
+    /// The servers of which new requests may go to some, in no order.
+    pub fn usable(&self) -> impl Iterator<Item = &Listed> {
+        let serving = |it: &&Listed| it.record.state == ServerState::Serving;
+        self.servers.values().filter(serving)
+    }
+
+    /// All servers that are not certainly gone.
+    pub fn all(&self) -> impl Iterator<Item = &Listed> {
+        self.servers.values()
+    }
+
+    /// One server.
+    pub fn get(&self, id: &str) -> Option<&Listed> {
+        self.servers.get(id)
+    }
+}
+
+/// An absence in calm times is certain at once; one seen within a disturbance or shortly after it
+/// is certain when the entry has not come back in time.
+fn is_gone(listed: &Listed, calm: Timestamp, now: Timestamp) -> bool {
+    let Some(missing) = listed.missing else {
+        return false;
+    };
+    if missing >= calm + RETURN_TIME || calm.is_zero() {
+        return true;
+    }
+    now >= calm + RETURN_TIME
+}
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -31,6 +31,8 @@
     PROCESS_DRAINING = 1002 Info "process_draining";
     PROCESS_STOPPED = 1003 Info "process_stopped";
     PROCESS_FAILED = 1004 Error "process_failed";
+    PROCESS_STALLED = 1005 Warn "process_stalled";
+    SETTINGS_RELOADED = 1006 Info "settings_reloaded";
     // 11xx: requests
     REQUEST_REFUSED = 1101 Debug "request_refused";
     ATTEMPT_RETRIED = 1102 Info "attempt_retried";
@@ -39,6 +41,8 @@
     ANSWER_DROPPED = 1105 Warn "answer_dropped";
     KEY_REPLAYED = 1106 Info "key_replayed";
     CALL_REPEATED = 1107 Warn "call_repeated";
+    REQUEST_ENDED = 1108 Info "request_ended";
+    ATTEMPT_FAILED = 1109 Info "attempt_failed";
     // 12xx: admission
     LIMIT_TO_FLOOR = 1201 Warn "limit_to_floor";
     SERVER_WARM = 1202 Info "server_warm";
@@ -49,6 +53,8 @@
     CONFIG_SERVICE_DOWN = 1303 Warn "config_service_down";
     CONFIG_SERVICE_BACK = 1304 Info "config_service_back";
     CONFIG_STALE_READ = 1305 Warn "config_stale_read";
+    STORE_COMPACTED = 1306 Info "store_compacted";
+    STORE_NEWS = 1307 Info "store_news";
     // 14xx: membership and failure domains
     MEMBER_CHANGED = 1401 Info "member_changed";
     DOMAIN_WITHDRAWN = 1402 Warn "domain_withdrawn";
@@ -63,9 +69,16 @@
     REBALANCE_PLANNED = 1505 Info "rebalance_planned";
 }
 
-/// Logs one numbered event: `log_event!(events::CONFIG_ACCEPTED, "accepted index {index}")`.
+/// Logs one numbered event, with fields that stand beside the message:
+/// `log_event!(events::CONFIG_ACCEPTED, index = index; "accepted")`.
 #[macro_export]
 macro_rules! log_event {
+    ($event:expr, $($key:ident = $value:expr),+; $($arg:tt)+) => {{
+        let event: $crate::events::Event = $event;
+        ::log::log!(
+            target: "jujube", event.level, event = event.code, $($key = $value),+; $($arg)+
+        )
+    }};
     ($event:expr, $($arg:tt)+) => {{
         let event: $crate::events::Event = $event;
         ::log::log!(target: "jujube", event.level, event = event.code; $($arg)+)
--- /dev/null
+++ b/crates/utils/src/log_output.rs
@@ -0,0 +1,113 @@
+//! Standard output for log lines that never holds the process up.
+//!
+//! A line is left out where the reader of the output is behind, and where more lines come than a
+//! fixed rate; the next line that is written says how many were left out.
+
+use std::{
+    io::{self, Write},
+    time::{Duration, Instant},
+};
+
+use rustix::{
+    event::{PollFd, PollFlags, Timespec, poll},
+    stdio::stdout,
+};
+
+/// Lines a second that are written in the long run.
+const LINES_PER_SECOND: f64 = 200.0;
+
+/// Lines that may come at once.
+const BURST: f64 = 1_000.0;
+
+/// Longest line, in bytes: a pipe takes that much in one piece, or says that it can't.
+const LONGEST_LINE: usize = 4_096;
+
+/// Decides which lines are written.
+#[derive(Debug)]
+pub struct LineBudget {
+    balance: f64,
+    filled: Duration,
+    left_out: u64,
+}
+
+impl Default for LineBudget {
+    fn default() -> Self {
+        Self {
+            balance: BURST,
+            filled: Duration::ZERO,
+            left_out: 0,
+        }
+    }
+}
+
+impl LineBudget {
+    /// Whether a line may be written now; `now` is the time since the start.
+    pub fn take(&mut self, now: Duration) -> bool {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = now;
+        self.balance = (self.balance + passed * LINES_PER_SECOND).min(BURST);
+        if self.balance < 1.0 {
+            self.left_out += 1;
+            return false;
+        }
+        self.balance -= 1.0;
+        true
+    }
+
+    /// Counts a line that could not be written.
+    pub fn lost(&mut self) {
+        self.left_out += 1;
+    }
+
+    /// Lines left out since the last call.
+    pub fn take_left_out(&mut self) -> u64 {
+        std::mem::take(&mut self.left_out)
+    }
+}
+
+/// Writes whole lines to standard output, or leaves them out.
+pub struct LogOutput {
+    budget: LineBudget,
+    started: Instant,
+}
+
+impl Default for LogOutput {
+    fn default() -> Self {
+        Self {
+            budget: LineBudget::default(),
+            started: Instant::now(),
+        }
+    }
+}
+
+impl Write for LogOutput {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if !self.budget.take(self.started.elapsed()) {
+            return Ok(line.len());
+        }
+        let left_out = self.budget.take_left_out();
+        if left_out > 0 {
+            put(format!("{{\"left_out\":{left_out}}}\n").as_bytes());
+        }
+        if !put(&line[..line.len().min(LONGEST_LINE)]) {
+            self.budget.lost();
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes bytes if the output takes them without a wait.
+fn put(bytes: &[u8]) -> bool {
+    let output = stdout();
+    let mut fds = [PollFd::new(&output, PollFlags::OUT)];
+    let at_once = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    let is_writable = poll(&mut fds, Some(&at_once)).is_ok_and(|ready| ready > 0);
+    is_writable && rustix::io::write(output, bytes).is_ok()
+}
--- a/crates/utils/src/logging.rs
+++ b/crates/utils/src/logging.rs
@@ -1,11 +1,15 @@
-//! Log set-up: text or JSON lines on standard error, through `fern`.
+//! Log set-up: text or JSON lines on standard output, through `fern`.
 
-use std::{fmt, str::FromStr};
+use std::{fmt, io::Write, str::FromStr};
 
 use anyhow::Context;
-use log::{LevelFilter, Record, kv::Key};
+use log::{
+    LevelFilter, Record,
+    kv::{self, Key, Value, VisitSource},
+};
+use serde_json::Map;
 
-use crate::clock::unix_millis;
+use crate::{clock::unix_millis, log_output::LogOutput};
 
 /// Form of a log line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -41,33 +45,79 @@
         })
         .level(LevelFilter::Warn)
         .level_for("jujube", level)
-        .chain(std::io::stderr())
+        .chain(Box::new(LogOutput::default()) as Box<dyn Write + Send>)
         .apply()
         .context("install the logger")
 }
 
 fn text_line(message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let level = record.level();
+    let fields: String = fields(record)
+        .iter()
+        .map(|(name, value)| format!(" {name}={value}"))
+        .collect();
     match event_code(record) {
-        Some(code) => format!("{} {level:5} JJ-{code} {message}", unix_millis()),
-        None => format!("{} {level:5} {} {message}", unix_millis(), record.target()),
+        Some(code) => format!("{} {level:5} JJ-{code} {message}{fields}", unix_millis()),
+        None => format!(
+            "{} {level:5} {} {message}{fields}",
+            unix_millis(),
+            record.target()
+        ),
     }
 }
 
 fn json_line(message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
-    serde_json::json!({
+    let mut line = serde_json::json!({
         "time_ms": unix_millis(),
         "level": record.level().as_str(),
         "event": event_code(record).map(|code| format!("JJ-{code}")),
         "target": record.target(),
         "message": message.to_string(),
-    })
-    .to_string()
+    });
+    if let Some(line) = line.as_object_mut() {
+        line.extend(fields(record));
+    }
+    line.to_string()
 }
 
+/// Field that holds the number of the event.
+const EVENT_FIELD: &str = "event";
+
 fn event_code(record: &Record<'_>) -> Option<u64> {
     record
         .key_values()
-        .get(Key::from("event"))
+        .get(Key::from(EVENT_FIELD))
         .and_then(|value| value.to_u64())
 }
+
+/// What the line says beside its message.
+fn fields(record: &Record<'_>) -> Map<String, serde_json::Value> {
+    let mut fields = Fields(Map::new());
+    // The collector below never fails.
+    let _ = record.key_values().visit(&mut fields);
+    fields.0
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        if key.as_str() != EVENT_FIELD {
+            self.0.insert(key.to_string(), json_value(&value));
+        }
+        Ok(())
+    }
+}
+
+fn json_value(value: &Value<'_>) -> serde_json::Value {
+    if let Some(number) = value.to_u64() {
+        return number.into();
+    }
+    if let Some(number) = value.to_f64() {
+        return number.into();
+    }
+    if let Some(flag) = value.to_bool() {
+        return flag.into();
+    }
+    value.to_string().into()
+}
