--- /dev/null
+++ b/crates/agent/src/balance.rs
@@ -0,0 +1,39 @@
+//! The `balance` command: an agent beside a model engine on the users' prepared machines.
+
+use std::process::ExitCode;
+
+use jj_adapter::settings;
+use jj_rank::run::{self, Options};
+use jj_utils::{
+    events, log_event,
+    settings::{SettingsReader, process_env},
+};
+use log::LevelFilter;
+
+use crate::{EXIT_USAGE, settings::Balance};
+
+/// Runs an agent; wrong settings end with exit code 2.
+pub fn run(flags: Balance) -> ExitCode {
+    let options = match read(flags) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("{error:#}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run::run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log_event!(events::PROCESS_FAILED, "{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(flags: Balance) -> anyhow::Result<Options> {
+    let mut reader = SettingsReader::new(&process_env);
+    let level = reader.optional("log-level", flags.log_level, LevelFilter::Info);
+    reader.finish()?;
+    let path = settings::path(flags.settings)?;
+    Ok(Options { path, level })
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -4,6 +4,7 @@
 
 mod attempt;
 mod attempts;
+mod balance;
 mod cache;
 mod control;
 mod group;
@@ -14,6 +15,7 @@
 mod operators;
 mod permit;
 mod probe;
+
 mod repeats;
 mod runner;
 mod settings;
@@ -40,7 +42,7 @@
 use keys::Keys;
 use lifecycle::Lifecycle;
 use repeats::Repeats;
-use settings::{JujubeAgent, Settings};
+use settings::{JujubeAgent, JujubeAgentCmd, Settings};
 use tokio_util::sync::CancellationToken;
 
 /// Longest time to open a connection to the backend server, which is on the same instance.
@@ -58,6 +60,13 @@
         println!("jujube-agent {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    match flags.subcommand {
+        JujubeAgentCmd::Serve(flags) => serve(flags),
+        JujubeAgentCmd::Balance(flags) => balance::run(flags),
+    }
+}
+
+fn serve(flags: settings::Serve) -> ExitCode {
     let settings = match Settings::read(flags, &process_env) {
         Ok(settings) => settings,
         Err(error) => {
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of the agent, from flags and environment variables.
 
+use std::path::PathBuf;
+
 use jj_node::{
     node_flags,
     settings::{NodeSettings, read_url},
@@ -16,40 +18,52 @@
     cmd jujube-agent {
         /// Print the version and exit.
         optional --version
-        /// Name of this instance, as the platform lists it.
-        optional --instance name: String
-        /// Failure domain of this instance.
-        optional --domain name: String
-        /// Service that the backend server belongs to.
-        optional --service name: String
-        /// Kind of the backend server: `model` or `plain`.
-        optional --kind kind: String
-        /// Base URL of the backend server, such as http://127.0.0.1:8000.
-        optional --backend url: String
-        /// Position of the backend server in its service's lock-step group.
-        optional --rank rank: String
-        /// Base URL of the platform.
-        optional --platform url: String
-        /// Address for attempts from entries.
-        optional --traffic-addr addr: String
-        /// Address for control calls from the system's other processes.
-        optional --control-addr addr: String
-        /// Address of the operators' port.
-        optional --operator-addr addr: String
-        /// Concurrent requests that the cold backend server bears, until configuration says.
-        optional --cold-floor count: String
-        /// Concurrent requests that the warm backend server bears, until configuration says.
-        optional --concurrency count: String
-        /// Tokens that the engine's memory holds, until configuration says; 0 for no limit.
-        optional --tokens count: String
-        /// Longest wait for requests in progress after SIGTERM, such as 60s.
-        optional --grace duration: String
-        /// Threads for traffic.
-        optional --threads count: String
-        /// Form of log lines: `text` or `json`.
-        optional --log-format format: String
-        /// Least level of log lines: error, warn, info, debug.
-        optional --log-level level: String
+        /// Runs beside a backend server and is the only way to it; this is the default.
+        default cmd serve {
+            /// Name of this instance, as the platform lists it.
+            optional --instance name: String
+            /// Failure domain of this instance.
+            optional --domain name: String
+            /// Service that the backend server belongs to.
+            optional --service name: String
+            /// Kind of the backend server: `model` or `plain`.
+            optional --kind kind: String
+            /// Base URL of the backend server, such as http://127.0.0.1:8000.
+            optional --backend url: String
+            /// Position of the backend server in its service's lock-step group.
+            optional --rank rank: String
+            /// Base URL of the platform.
+            optional --platform url: String
+            /// Address for attempts from entries.
+            optional --traffic-addr addr: String
+            /// Address for control calls from the system's other processes.
+            optional --control-addr addr: String
+            /// Address of the operators' port.
+            optional --operator-addr addr: String
+            /// Concurrent requests that the cold backend server bears, until configuration says.
+            optional --cold-floor count: String
+            /// Concurrent requests that the warm backend server bears, until configuration says.
+            optional --concurrency count: String
+            /// Tokens that the engine's memory holds, until configuration says; 0 for no limit.
+            optional --tokens count: String
+            /// Longest wait for requests in progress after SIGTERM, such as 60s.
+            optional --grace duration: String
+            /// Threads for traffic.
+            optional --threads count: String
+            /// Form of log lines: `text` or `json`.
+            optional --log-format format: String
+            /// Least level of log lines: error, warn, info, debug.
+            optional --log-level level: String
+        }
+
+        /// Runs beside a model engine on the users' prepared machines and keeps its group's expert
+        /// map balanced; requests do not pass it.
+        cmd balance {
+            /// Settings file of the instance; without it, the one that the platform names.
+            optional --settings path: PathBuf
+            /// Least level of log lines: error, warn, info, debug.
+            optional --log-level level: String
+        }
     }
 }
 
@@ -79,7 +93,7 @@
     ///
     /// # Errors
     /// Every error found, one a line.
-    pub fn read(flags: JujubeAgent, env: &EnvLookup<'_>) -> anyhow::Result<Self> {
+    pub fn read(flags: Serve, env: &EnvLookup<'_>) -> anyhow::Result<Self> {
         let mut reader = SettingsReader::new(env);
         let node = NodeSettings::read(&mut reader, node_flags!(flags));
         let service = reader.required("service", flags.service);
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -1,8 +1,8 @@
 //! The `front` command: an entry on the users' prepared machines.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::process::ExitCode;
 
-use jj_adapter::settings::PATH_VARIABLE;
+use jj_adapter::settings;
 use jj_front::run::{self, Options};
 use jj_utils::{
     events, log_event,
@@ -34,10 +34,6 @@
     let mut reader = SettingsReader::new(&process_env);
     let level = reader.optional("log-level", flags.log_level, LevelFilter::Info);
     reader.finish()?;
-    let named = std::env::var_os(PATH_VARIABLE).map(PathBuf::from);
-    let path = flags.settings.or(named);
-    let path = path.ok_or_else(|| {
-        anyhow::anyhow!("--settings (or the variable {PATH_VARIABLE}) is required")
-    })?;
+    let path = settings::path(flags.settings)?;
     Ok(Options { path, level })
 }
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -7,7 +7,7 @@
     ids::{BackendServerId, InstanceId},
 };
 
-use crate::news::{ServerTag, ServerUse, server_tag};
+use jj_news::{ServerTag, ServerUse, server_tag};
 
 /// What this process knows of one server's load.
 #[derive(Debug, Clone, Default)]
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod follower;
 pub mod forward;
 pub mod mesh;
-pub mod news;
 pub mod ports;
 pub mod replica;
 pub mod run;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -10,10 +10,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
-use crate::{
-    news::{Hello, MAX_DATAGRAM, Message, Standing, StoreNews},
-    shared::Shared,
-};
+use jj_news::{Hello, MAX_DATAGRAM, Message, Roster, Standing, StoreNews};
+
+use crate::shared::Shared;
 
 /// Time between two signs of life.
 const HELLO_PAUSE: Duration = Duration::from_millis(200);
@@ -87,7 +86,7 @@
                     let now = shared.clock.now();
                     shared.peers.borrow_mut().now = now;
                     if let Some(message) = Message::read(&buffer[..length]) {
-                        take(&shared, from.ip(), message);
+                        take(&shared, &socket, from, message);
                     }
                 }
             }
@@ -125,12 +124,19 @@
     while socket.try_recv_from(buffer).is_ok() {}
 }
 
-fn take(shared: &Rc<Shared>, from: IpAddr, message: Message) {
+fn take(shared: &Rc<Shared>, socket: &UdpSocket, from: SocketAddr, message: Message) {
+    let ip = from.ip();
     match message {
-        Message::Hello(hello) => take_hello(shared, from, hello),
+        Message::Hello(hello) => take_hello(shared, ip, hello),
+        Message::AskRoster { server } => {
+            if let Some(bytes) = roster(shared, server).and_then(|it| Message::Roster(it).bytes()) {
+                // The agent asks again when this is lost.
+                let _ = socket.try_send_to(&bytes, from);
+            }
+        }
         Message::Use { life, number, uses } => {
             let mut peers = shared.peers.borrow_mut();
-            let Some(peer) = peers.known.get_mut(&from) else {
+            let Some(peer) = peers.known.get_mut(&ip) else {
                 return;
             };
             if peer.hello.life != life || number <= peer.number {
@@ -140,9 +146,29 @@
             shared.loads.borrow_mut().take_uses(&peer.hello.name, &uses);
             shared.room.notify_waiters();
         }
+        // The rest is for agents.
+        _ => {}
     }
 }
 
+/// What the agent beside a server has to know.
+fn roster(shared: &Rc<Shared>, server: SocketAddr) -> Option<Roster> {
+    let replica = shared.replica.borrow();
+    let catalog = replica.catalog.as_ref()?;
+    let all = || replica.servers.all().map(|it| &it.record);
+    let service = &all().find(|it| it.addr == server)?.service;
+    let engine = catalog.services.get(service)?.engine.as_ref()?;
+    let servers = all().filter(|it| it.service == *service);
+    let peers = shared.peers.borrow();
+    let own = shared.settings().ip;
+    let entries = peers.alive().map(|it| it.hello.traffic.ip());
+    Some(Roster {
+        experts: engine.experts?,
+        servers: servers.map(|it| it.addr).collect(),
+        entries: entries.chain([own]).collect(),
+    })
+}
+
 fn take_hello(shared: &Rc<Shared>, from: IpAddr, hello: Hello) {
     let now = shared.clock.now();
     let own = shared.settings().ip;
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -10,7 +10,8 @@
 };
 use metrics_exporter_prometheus::PrometheusHandle;
 
-use crate::{follower::REPLICA_PATH, news::Standing, shared::Shared};
+use crate::{follower::REPLICA_PATH, shared::Shared};
+use jj_news::Standing;
 
 /// Path of the metrics.
 pub const METRICS_PATH: &str = "/metrics";
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -26,7 +26,8 @@
     task::{JoinHandle, LocalSet, spawn_local},
 };
 
-use crate::{follower, mesh, news::Standing, ports, shared::Shared, traffic};
+use crate::{follower, mesh, ports, shared::Shared, traffic};
+use jj_news::Standing;
 
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(1);
@@ -55,7 +56,7 @@
 /// When the settings can't be read or an address can't be bound.
 pub fn run(options: &Options) -> anyhow::Result<()> {
     logging::install(LogFormat::Json, options.level)?;
-    let settings = read_settings(&options.path)?;
+    let settings = settings::read(&options.path)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -63,12 +64,6 @@
     local.block_on(&runtime, serve(settings, options.path.clone()))
 }
 
-fn read_settings(path: &Path) -> anyhow::Result<InstanceSettings> {
-    let text = std::fs::read_to_string(path)
-        .with_context(|| format!("read the settings file {}", path.display()))?;
-    settings::parse(&text)
-}
-
 async fn serve(settings: InstanceSettings, path: PathBuf) -> anyhow::Result<()> {
     let metrics = PrometheusBuilder::new().install_recorder()?;
     let clock = SystemClock::shared();
@@ -155,7 +150,7 @@
             continue;
         }
         known = newest;
-        match read_settings(&path) {
+        match settings::read(&path) {
             Ok(settings) => {
                 log_event!(
                     events::SETTINGS_RELOADED,
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -26,7 +26,8 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
-use crate::{fleet::Loads, mesh::Peers, news::Standing, replica::Replica};
+use crate::{fleet::Loads, mesh::Peers, replica::Replica};
+use jj_news::Standing;
 
 /// Requests at a model server, over its slots, from which it has no room: an engine's own queue
 /// knows neither deadlines nor the other servers.
--- a/crates/front/src/traffic.rs
+++ b/crates/front/src/traffic.rs
@@ -15,7 +15,8 @@
 use jj_policy::catalog::{Admitted, Catalog, Denied, TrafficLimits};
 use jj_utils::{clock::Timestamp, events, ids::ServiceId, log_event};
 
-use crate::{answers::Refusal, forward, news::Standing, shared::Shared};
+use crate::{answers::Refusal, forward, shared::Shared};
+use jj_news::Standing;
 
 /// Time after which a caller comes back that came before the first configuration.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/news/src/lib.rs
@@ -0,0 +1,200 @@
+//! What the system's processes tell each other in datagrams on the direct way.
+
+#![warn(clippy::unwrap_used)]
+
+use std::net::{IpAddr, SocketAddr};
+
+use jj_policy::{
+    catalog::ExpertSpec,
+    map_switch::{Goal, MapVersion, RankView, SetMap},
+    server_list::Revision,
+};
+use jj_utils::{
+    common_derives,
+    ids::{FailureDomainId, Incarnation, InstanceId, Rank},
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Largest datagram read, in bytes.
+pub const MAX_DATAGRAM: usize = 8 * 1024;
+
+/// Short name of a backend server: part of the hash of its id.
+pub type ServerTag = u32;
+
+/// The short name of a server.
+pub fn server_tag(id: &str) -> ServerTag {
+    xxh3_64(id.as_bytes()) as ServerTag
+}
+
+common_derives! {wire:
+    /// Whether an entry takes requests.
+    #[derive(Copy, Eq)]
+    pub enum Standing {
+        /// Not yet.
+        Starting,
+        /// Yes.
+        Ready,
+        /// It is about to end.
+        Leaving,
+    }
+}
+
+common_derives! {wire:
+    /// What an entry knows of the store.
+    #[derive(Copy, Eq, Default)]
+    pub struct StoreNews {
+        /// Revision up to which it knows everything.
+        pub at: Revision,
+        /// Time since the store was asked for it, in milliseconds.
+        pub age_ms: u32,
+        /// Digest of what the store says, apart from signs of life.
+        pub digest: u64,
+    }
+}
+
+common_derives! {wire:
+    /// Sign of life of an entry.
+    pub struct Hello {
+        /// Its name.
+        pub name: InstanceId,
+        /// Its failure domain.
+        pub domain: FailureDomainId,
+        /// This life of it.
+        pub life: Incarnation,
+        /// Where callers reach it.
+        pub traffic: SocketAddr,
+        /// Where other processes ask it for what the store says.
+        pub control: SocketAddr,
+        /// Whether it takes requests.
+        pub standing: Standing,
+        /// What it knows of the store.
+        pub store: StoreNews,
+        /// Entries that it heard lately.
+        pub peers: Vec<IpAddr>,
+    }
+}
+
+common_derives! {wire:
+    /// Requests of one entry at one server.
+    #[derive(Copy, Eq)]
+    pub struct ServerUse {
+        /// The server.
+        pub server: ServerTag,
+        /// Requests in flight.
+        pub requests: u32,
+    }
+}
+
+common_derives! {wire:
+    /// What an agent has to know of its service.
+    pub struct Roster {
+        /// Experts of the service's engines.
+        pub experts: ExpertSpec,
+        /// Addresses of its servers.
+        pub servers: Vec<SocketAddr>,
+        /// Entries that may be asked.
+        pub entries: Vec<IpAddr>,
+    }
+}
+
+common_derives! {wire:
+    /// Sign of life of an agent, for the other agents of its group.
+    pub struct RankStatus {
+        /// This life of it.
+        pub life: Incarnation,
+        /// Position of its engine.
+        pub rank: Rank,
+        /// Engine beside it.
+        pub server: SocketAddr,
+        /// What the engine said last.
+        pub view: RankView,
+        /// Age of that, in milliseconds.
+        pub age_ms: u32,
+    }
+}
+
+common_derives! {wire:
+    /// How often the requests of one rank chose each expert since it started.
+    pub struct RankCounts {
+        /// Position of the engine.
+        pub rank: Rank,
+        /// Formation of the group.
+        pub epoch: u64,
+        /// Set after set, expert after expert.
+        pub counts: Vec<u64>,
+    }
+}
+
+common_derives! {wire:
+    /// What a leader wants of a rank.
+    pub struct RankTask {
+        /// Number of the task, which the answer names.
+        pub number: u64,
+        /// The goal.
+        pub goal: Goal,
+        /// The map, while the goal is to load it.
+        pub map: Option<Vec<SetMap>>,
+    }
+}
+
+common_derives! {wire:
+    /// One datagram.
+    pub enum Message {
+        /// Sign of life.
+        Hello(Hello),
+        /// All requests of an entry that are in flight; servers without any are left out.
+        Use {
+            /// Life of the entry.
+            life: Incarnation,
+            /// Rises with each message of this life.
+            number: u64,
+            /// Requests by server.
+            uses: Vec<ServerUse>,
+        },
+        /// An agent asks an entry for the roster of its service.
+        AskRoster {
+            /// Engine beside the agent.
+            server: SocketAddr,
+        },
+        /// The answer.
+        Roster(Roster),
+        /// Sign of life of an agent.
+        RankStatus(RankStatus),
+        /// Counts for the agent that leads.
+        RankCounts(RankCounts),
+        /// A leader's task for a rank.
+        RankTask(RankTask),
+        /// A leader asks for the experts of a rank under the map in force.
+        AskExperts,
+        /// The answer.
+        RankExperts {
+            /// Position of the engine.
+            rank: Rank,
+            /// The map.
+            version: MapVersion,
+            /// Experts by set.
+            sets: Vec<Vec<u32>>,
+        },
+        /// The answer to a task.
+        RankReply {
+            /// Number of the task.
+            number: u64,
+            /// Position of the engine.
+            rank: Rank,
+            /// What the engine said after the task had come.
+            view: RankView,
+        },
+    }
+}
+
+impl Message {
+    /// The bytes to send; none where the message can't be written.
+    pub fn bytes(&self) -> Option<Vec<u8>> {
+        postcard::to_stdvec(self).ok()
+    }
+
+    /// Reads a datagram; none where it isn't one of these.
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
--- a/crates/policy/src/catalog.rs
+++ b/crates/policy/src/catalog.rs
@@ -110,8 +110,9 @@
     }
 }
 
-common_derives! {copy:
+common_derives! {wire:
     /// Experts of a group whose ranks work in lock-step.
+    #[derive(Copy, Eq)]
     pub struct ExpertSpec {
         /// Sets of layers, each with its own experts.
         pub sets: u32,
--- /dev/null
+++ b/crates/policy/src/expert_plan.rs
@@ -0,0 +1,366 @@
+//! Plans the next expert map of a group whose layers form several sets, each with its own experts.
+//!
+//! A pass takes as long as, set by set, its most loaded rank. In one switch each rank can load only
+//! a few experts of a set, so a plan is the best map within reach of the one in force, and several
+//! switches in a row may follow a large shift of demand.
+//!
+//! Load pattern: every few seconds other experts come into demand, a single one with up to a fifth
+//! of all tokens of its set.
+
+use jj_utils::common_derives;
+
+use crate::map_switch::SetMap;
+
+/// Part of all tokens of a set that chose each expert.
+pub type Shares = Vec<f64>;
+
+common_derives! {copy:
+    /// Size of a group.
+    pub struct PlanShape {
+        /// Ranks.
+        pub ranks: usize,
+        /// Experts of a set.
+        pub experts: usize,
+        /// Experts of a set that a rank holds at most.
+        pub slots: usize,
+        /// Experts of a set that a rank can load in one switch.
+        pub spare: usize,
+    }
+}
+
+common_derives! {value:
+    /// A map, and what it would change.
+    pub struct Plan {
+        /// Experts by set and rank.
+        pub map: Vec<SetMap>,
+        /// Highest load of a rank over the mean, as a mean over the sets, before.
+        pub before: f64,
+        /// The same after.
+        pub after: f64,
+        /// Experts that ranks have to load.
+        pub loads: usize,
+        /// Most experts that one rank has to load.
+        pub most_loads: usize,
+    }
+}
+
+/// Most moves in one set.
+const MOST_MOVES: usize = 200;
+
+/// Highest load over the mean at which a set needs no further move.
+const GOOD_ENOUGH: f64 = 1.01;
+
+/// How steeply the penalty of a rank's load grows, so that the sum over all ranks stands for the
+/// highest load.
+const PENALTY_POWER: i32 = 12;
+
+/// The map without knowledge of demand: experts in turn.
+pub fn default_map(shape: PlanShape, sets: usize) -> Vec<SetMap> {
+    let rank = |rank: usize| (rank..shape.experts).step_by(shape.ranks.max(1));
+    let set: SetMap = (0..shape.ranks)
+        .map(|it| rank(it).map(|expert| expert as u32).collect())
+        .collect();
+    vec![set; sets]
+}
+
+/// Highest load of a rank over the mean, as a mean over the sets.
+pub fn imbalance(map: &[SetMap], shares: &[Shares]) -> f64 {
+    let sets = map.iter().zip(shares);
+    let total: f64 = sets.map(|(set, shares)| set_imbalance(set, shares)).sum();
+    total / map.len().max(1) as f64
+}
+
+fn set_imbalance(set: &SetMap, shares: &Shares) -> f64 {
+    let mut holders = vec![0_u32; shares.len()];
+    for expert in set.iter().flatten() {
+        holders[*expert as usize] += 1;
+    }
+    let load = |rank: &Vec<u32>| -> f64 {
+        let loads = rank
+            .iter()
+            .map(|it| shares[*it as usize] / f64::from(holders[*it as usize].max(1)));
+        loads.sum()
+    };
+    let highest = set.iter().map(load).fold(0.0, f64::max);
+    let total: f64 = shares.iter().sum();
+    match total > 0.0 {
+        true => highest * set.len() as f64 / total,
+        false => 1.0,
+    }
+}
+
+/// The best map within reach of the one in force.
+pub fn plan(shape: PlanShape, map: &[SetMap], shares: &[Shares]) -> Plan {
+    let sets = map.iter().zip(shares);
+    let planned: Vec<SetMap> = sets
+        .map(|(set, shares)| improve(shape, set, shares))
+        .collect();
+    let loads = |rank: usize| -> usize {
+        let sets = planned.iter().zip(map);
+        sets.map(|(new, old)| count_new(&new[rank], &old[rank]))
+            .sum()
+    };
+    let by_rank: Vec<usize> = (0..shape.ranks).map(loads).collect();
+    Plan {
+        before: imbalance(map, shares),
+        after: imbalance(&planned, shares),
+        loads: by_rank.iter().sum(),
+        most_loads: by_rank.into_iter().max().unwrap_or_default(),
+        map: planned,
+    }
+}
+
+fn count_new(new: &[u32], old: &[u32]) -> usize {
+    new.iter().filter(|expert| !old.contains(expert)).count()
+}
+
+fn improve(shape: PlanShape, set: &SetMap, shares: &Shares) -> SetMap {
+    let mut search = Search::new(shape, set, shares);
+    for _ in 0..MOST_MOVES {
+        if search.highest() <= search.mean * GOOD_ENOUGH || !search.improve() {
+            break;
+        }
+    }
+    search.lists
+}
+
+common_derives! {copy:
+    /// One change of a set's map.
+    enum Move {
+        /// A rank takes a replica of an expert, in place of another one if it has no free slot.
+        Take { rank: usize, expert: u32, out: Option<u32> },
+        /// A rank drops an expert that others hold too.
+        Drop { rank: usize, expert: u32 },
+        /// Two ranks exchange experts.
+        Swap { rank: usize, expert: u32, other: usize, theirs: u32 },
+    }
+}
+
+/// A set's map under change.
+struct Search<'a> {
+    shape: PlanShape,
+    base: &'a SetMap,
+    shares: &'a Shares,
+    lists: SetMap,
+    holders: Vec<Vec<usize>>,
+    loads: Vec<f64>,
+    mean: f64,
+}
+
+impl<'a> Search<'a> {
+    fn new(shape: PlanShape, base: &'a SetMap, shares: &'a Shares) -> Self {
+        let mut search = Self {
+            shape,
+            base,
+            shares,
+            lists: base.clone(),
+            holders: Vec::new(),
+            loads: Vec::new(),
+            mean: shares.iter().sum::<f64>() / shape.ranks.max(1) as f64,
+        };
+        search.refresh();
+        search
+    }
+
+    fn refresh(&mut self) {
+        self.holders = vec![Vec::new(); self.shape.experts];
+        for (rank, list) in self.lists.iter().enumerate() {
+            for expert in list {
+                self.holders[*expert as usize].push(rank);
+            }
+        }
+        let load = |list: &Vec<u32>| list.iter().map(|it| self.share(*it, 0)).sum();
+        self.loads = self.lists.iter().map(load).collect();
+    }
+
+    fn highest(&self) -> f64 {
+        self.loads.iter().copied().fold(0.0, f64::max)
+    }
+
+    /// Load of one replica of an expert, with so many more replicas than now.
+    fn share(&self, expert: u32, more: i32) -> f64 {
+        let holders = self.holders[expert as usize].len() as i32 + more;
+        self.shares[expert as usize] / f64::from(holders.max(1))
+    }
+
+    /// Makes the move that helps the most loaded rank best; false when none helps.
+    fn improve(&mut self) -> bool {
+        let ranks = 0..self.loads.len();
+        let Some(hottest) = ranks.max_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b])) else {
+            return false;
+        };
+        let mut best: Option<(f64, Move)> = None;
+        for change in self.candidates(hottest) {
+            let gain = self.gain(&change);
+            if gain > best.map_or(1e-9, |(best, _)| best) {
+                best = Some((gain, change));
+            }
+        }
+        let Some((_, change)) = best else {
+            return false;
+        };
+        self.apply(&change);
+        true
+    }
+
+    fn candidates(&self, hottest: usize) -> Vec<Move> {
+        let mut moves = Vec::new();
+        for expert in &self.lists[hottest] {
+            self.add_spreads(*expert, &mut moves);
+            self.add_swaps(hottest, *expert, &mut moves);
+            if self.holders[*expert as usize].len() > 1 {
+                moves.push(Move::Drop {
+                    rank: hottest,
+                    expert: *expert,
+                });
+            }
+        }
+        moves
+    }
+
+    /// Moves that give an expert one more replica.
+    fn add_spreads(&self, expert: u32, moves: &mut Vec<Move>) {
+        for rank in 0..self.lists.len() {
+            if self.lists[rank].contains(&expert) {
+                continue;
+            }
+            if self.lists[rank].len() < self.shape.slots && self.may_take(rank, expert, None) {
+                moves.push(Move::Take {
+                    rank,
+                    expert,
+                    out: None,
+                });
+            }
+            for out in &self.lists[rank] {
+                let is_spare = self.holders[*out as usize].len() > 1;
+                if is_spare && self.may_take(rank, expert, Some(*out)) {
+                    moves.push(Move::Take {
+                        rank,
+                        expert,
+                        out: Some(*out),
+                    });
+                }
+            }
+        }
+    }
+
+    fn add_swaps(&self, rank: usize, expert: u32, moves: &mut Vec<Move>) {
+        for other in (0..self.lists.len()).filter(|it| *it != rank) {
+            if self.lists[other].contains(&expert) {
+                continue;
+            }
+            for theirs in &self.lists[other] {
+                let is_lighter = self.share(*theirs, 0) < self.share(expert, 0);
+                if is_lighter
+                    && !self.lists[rank].contains(theirs)
+                    && self.may_take(other, expert, Some(*theirs))
+                    && self.may_take(rank, *theirs, Some(expert))
+                {
+                    moves.push(Move::Swap {
+                        rank,
+                        expert,
+                        other,
+                        theirs: *theirs,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Whether a rank can load an expert in this switch, without one that it gives up.
+    fn may_take(&self, rank: usize, expert: u32, out: Option<u32>) -> bool {
+        let base = &self.base[rank];
+        if base.contains(&expert) {
+            return true;
+        }
+        let kept = self.lists[rank].iter().filter(|it| Some(**it) != out);
+        let new = kept.filter(|it| !base.contains(it)).count();
+        new < self.shape.spare
+    }
+
+    /// What the sum of all penalties falls by.
+    fn gain(&self, change: &Move) -> f64 {
+        let mut deltas = Deltas::default();
+        match *change {
+            Move::Take { rank, expert, out } => {
+                self.add_replica(rank, expert, &mut deltas);
+                if let Some(out) = out {
+                    self.drop_replica(rank, out, &mut deltas);
+                }
+            }
+            Move::Drop { rank, expert } => self.drop_replica(rank, expert, &mut deltas),
+            Move::Swap {
+                rank,
+                expert,
+                other,
+                theirs,
+            } => {
+                let shift = self.share(expert, 0) - self.share(theirs, 0);
+                deltas.add(rank, -shift);
+                deltas.add(other, shift);
+            }
+        }
+        let gains = deltas.0.iter().map(|(rank, delta)| {
+            self.penalty(self.loads[*rank]) - self.penalty(self.loads[*rank] + delta)
+        });
+        gains.sum()
+    }
+
+    fn add_replica(&self, rank: usize, expert: u32, deltas: &mut Deltas) {
+        let (now, then) = (self.share(expert, 0), self.share(expert, 1));
+        for holder in &self.holders[expert as usize] {
+            deltas.add(*holder, then - now);
+        }
+        deltas.add(rank, then);
+    }
+
+    fn drop_replica(&self, rank: usize, expert: u32, deltas: &mut Deltas) {
+        let (now, then) = (self.share(expert, 0), self.share(expert, -1));
+        for holder in self.holders[expert as usize]
+            .iter()
+            .filter(|it| **it != rank)
+        {
+            deltas.add(*holder, then - now);
+        }
+        deltas.add(rank, -now);
+    }
+
+    fn penalty(&self, load: f64) -> f64 {
+        (load / self.mean).powi(PENALTY_POWER)
+    }
+
+    fn apply(&mut self, change: &Move) {
+        match *change {
+            Move::Take { rank, expert, out } => {
+                self.lists[rank].retain(|it| Some(*it) != out);
+                self.lists[rank].push(expert);
+            }
+            Move::Drop { rank, expert } => self.lists[rank].retain(|it| *it != expert),
+            Move::Swap {
+                rank,
+                expert,
+                other,
+                theirs,
+            } => {
+                self.lists[rank].retain(|it| *it != expert);
+                self.lists[rank].push(theirs);
+                self.lists[other].retain(|it| *it != theirs);
+                self.lists[other].push(expert);
+            }
+        }
+        self.refresh();
+    }
+}
+
+/// Changes of the ranks' loads.
+#[derive(Default)]
+struct Deltas(Vec<(usize, f64)>);
+
+impl Deltas {
+    fn add(&mut self, rank: usize, delta: f64) {
+        match self.0.iter_mut().find(|(it, _)| *it == rank) {
+            Some((_, sum)) => *sum += delta,
+            None => self.0.push((rank, delta)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/map_switch.rs
@@ -0,0 +1,237 @@
+//! The switch of a group's expert map where engines take single orders that may be carried out late.
+//!
+//! A leader has all ranks load the new map, holds the group before a pass that lies ahead, has all
+//! ranks activate the map from that pass on, and releases the pass. While the pass is held it can't
+//! begin, so an order that is lost or late costs time and nothing else. There is no way back: once
+//! a pass is held for a map that all ranks have loaded, every leader that comes along finishes the
+//! same switch. What decides is one order at one rank: the release at the rank that holds, which is
+//! void when that rank has accepted any other order since the leader read it.
+//!
+//! Orders name the formation of the group and the number of orders that the rank had accepted, so
+//! one that is carried out late is void unless nothing has happened at that rank since.
+
+use jj_utils::{common_derives, ids::Term};
+
+/// Version of an expert map; a group's versions only rise.
+pub type MapVersion = u64;
+
+/// Number of a pass of a group, counted from its formation.
+pub type Pass = u64;
+
+/// Experts of one set of layers by rank.
+pub type SetMap = Vec<Vec<u32>>;
+
+common_derives! {wire:
+    /// The first pass that uses a map.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    pub struct Activation {
+        /// The map.
+        pub version: MapVersion,
+        /// The pass.
+        pub pass: Pass,
+    }
+}
+
+common_derives! {wire:
+    /// What a rank's engine says of itself.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    pub struct RankView {
+        /// Formation of the group.
+        pub epoch: u64,
+        /// Whether the group works.
+        pub is_open: bool,
+        /// Last pass that was begun.
+        pub pass: Pass,
+        /// Orders that were accepted.
+        pub sequence: u64,
+        /// Map in force.
+        pub map: MapVersion,
+        /// Map that is loaded and not in force.
+        pub loaded: Option<MapVersion>,
+        /// Map that will be in force from a pass on.
+        pub active: Option<Activation>,
+        /// Pass that the group doesn't begin before it is released at this rank.
+        pub held: Option<Pass>,
+    }
+}
+
+common_derives! {value:
+    /// An order to one rank's engine.
+    #[derive(Eq)]
+    pub enum RankOrder {
+        /// Load the experts of a map that are new to the rank.
+        Load {
+            /// The map's number.
+            version: MapVersion,
+            /// All of the map.
+            map: Vec<SetMap>,
+        },
+        /// Use a loaded map from a pass on.
+        Activate(Activation),
+        /// Undo an activation.
+        Cancel {
+            /// The map.
+            version: MapVersion,
+        },
+        /// Do not begin a pass.
+        Hold {
+            /// The pass.
+            pass: Pass,
+        },
+        /// Begin a held pass.
+        Release {
+            /// The pass.
+            pass: Pass,
+        },
+    }
+}
+
+common_derives! {wire:
+    /// What a leader wants of one rank.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    pub struct Goal {
+        /// Fencing number of the leader.
+        pub term: Term,
+        /// Formation of the group.
+        pub epoch: u64,
+        /// Map to load.
+        pub version: MapVersion,
+        /// Pass from which to use it, once the pass is held.
+        pub pass: Option<Pass>,
+    }
+}
+
+common_derives! {copy:
+    /// What a rank has to do next for a goal.
+    pub enum Step {
+        /// The goal is reached.
+        Done,
+        /// Load the map.
+        Load,
+        /// The map is being loaded.
+        Wait,
+        /// Undo the activation of another map.
+        Cancel(MapVersion),
+        /// Activate the map.
+        Activate(Activation),
+        /// The goal can't be reached any more.
+        Impossible,
+    }
+}
+
+/// What the rank with this view has to do next for a goal. `is_loading` says that the engine has
+/// accepted the load and not finished it.
+pub fn next_step(view: &RankView, goal: &Goal, is_loading: bool) -> Step {
+    if view.epoch != goal.epoch || !view.is_open || view.map > goal.version {
+        return Step::Impossible;
+    }
+    if view.map == goal.version {
+        return Step::Done;
+    }
+    match (view.active, goal.pass) {
+        (Some(active), Some(pass)) if active.version == goal.version => match active.pass == pass {
+            true => Step::Done,
+            false => Step::Impossible,
+        },
+        (Some(active), None) if active.version == goal.version => Step::Done,
+        (Some(active), _) => Step::Cancel(active.version),
+        (None, _) if view.loaded != Some(goal.version) => match is_loading {
+            true => Step::Wait,
+            false => Step::Load,
+        },
+        (None, Some(pass)) if view.pass >= pass => Step::Impossible,
+        (None, Some(pass)) => Step::Activate(Activation {
+            version: goal.version,
+            pass,
+        }),
+        (None, None) => Step::Done,
+    }
+}
+
+common_derives! {copy:
+    /// Where a switch stands, as a leader reads it off the views of all ranks.
+    pub enum Standing {
+        /// Ranks are missing, or of different formations: nothing can be done.
+        Unclear,
+        /// Nothing is under way.
+        Quiet,
+        /// All ranks have loaded this map and nothing is held.
+        Loaded(MapVersion),
+        /// A pass is held.
+        Held {
+            /// Rank that holds it.
+            gate: usize,
+            /// The pass.
+            pass: Pass,
+            /// Map that the ranks are to use from that pass on; none where they disagree, so that
+            /// a new one has to be loaded.
+            version: Option<MapVersion>,
+        },
+        /// All ranks will use a map from a pass on that nothing holds.
+        Decided(Activation),
+    }
+}
+
+/// Reads off where a switch stands.
+pub fn standing(views: &[Option<RankView>]) -> Standing {
+    let Some(views) = views.iter().copied().collect::<Option<Vec<RankView>>>() else {
+        return Standing::Unclear;
+    };
+    let Some(first) = views.first() else {
+        return Standing::Unclear;
+    };
+    if views
+        .iter()
+        .any(|it| it.epoch != first.epoch || !it.is_open)
+    {
+        return Standing::Unclear;
+    }
+    let holding = views.iter().enumerate();
+    let holding = holding.filter_map(|(rank, it)| Some((it.held?, rank)));
+    if let Some((pass, gate)) = holding.min() {
+        let version = common_version(&views, pass);
+        return Standing::Held {
+            gate,
+            pass,
+            version,
+        };
+    }
+    if let Some(active) = views.iter().find_map(|it| it.active) {
+        return Standing::Decided(active);
+    }
+    match first.loaded {
+        Some(version) if views.iter().all(|it| it.loaded == Some(version)) => {
+            Standing::Loaded(version)
+        }
+        _ => Standing::Quiet,
+    }
+}
+
+/// The map that all ranks have loaded, or have activated for the pass.
+fn common_version(views: &[RankView], pass: Pass) -> Option<MapVersion> {
+    let newest = views
+        .iter()
+        .filter_map(|it| it.loaded.max(it.active.map(|it| it.version)));
+    let version = newest.max()?;
+    let activation = Activation { version, pass };
+    let fits = |it: &RankView| match it.active {
+        Some(active) => active == activation,
+        None => it.loaded == Some(version),
+    };
+    views.iter().all(fits).then_some(version)
+}
+
+/// Whether every rank will use a map from a pass on.
+pub fn all_active(views: &[Option<RankView>], activation: Activation) -> bool {
+    let active = |it: &Option<RankView>| it.is_some_and(|it| it.active == Some(activation));
+    !views.is_empty() && views.iter().all(active)
+}
+
+/// The next free version of a map over all that a group has had.
+pub fn next_version(views: &[Option<RankView>]) -> MapVersion {
+    let versions = views
+        .iter()
+        .flatten()
+        .flat_map(|it| [Some(it.map), it.loaded, it.active.map(|it| it.version)]);
+    versions.flatten().max().unwrap_or_default() + 1
+}
--- /dev/null
+++ b/crates/rank/src/driver.rs
@@ -0,0 +1,148 @@
+//! Brings one engine to the goal that a leader has set.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jj_adapter::engine::{Engine, EngineReport, OrderGuard, OrderOutcome};
+use jj_news::{Message, RankTask};
+use jj_policy::map_switch::{self, Activation, Goal, RankOrder, RankView, SetMap, Step};
+
+use crate::{
+    mesh,
+    state::{HeldExperts, State},
+};
+
+/// Longest wait for an engine's answer. An order that has none may be carried out later, so a new
+/// one names the number of orders that the engine has accepted since.
+pub const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+
+/// Time after which a load that was accepted and is still not complete is ordered again.
+const LOAD_LIMIT: Duration = Duration::from_secs(4);
+
+/// Works on a task at the engine beside this agent, and answers.
+pub async fn work(state: &State, from: SocketAddr, task: RankTask) {
+    let Ok(report) = read(state).await else {
+        return;
+    };
+    let view = advance(state, &state.engine, &report.view, &task).await;
+    let reply = Message::RankReply {
+        number: task.number,
+        rank: report.rank,
+        view,
+    };
+    mesh::send(state, from, &reply);
+}
+
+/// Reads the report of the engine beside this agent.
+///
+/// # Errors
+/// When it does not answer.
+pub async fn read(state: &State) -> anyhow::Result<EngineReport> {
+    let asked = state.clock.now();
+    let report = state.engine.report(ANSWER_LIMIT).await?;
+    let mut known = state.known.borrow_mut();
+    if known.read <= asked {
+        known.read = asked;
+        known.report = Some(report.clone());
+    }
+    Ok(report)
+}
+
+/// Takes the next step towards the goal; what the engine says of itself after it.
+pub async fn advance(state: &State, engine: &Engine, view: &RankView, task: &RankTask) -> RankView {
+    let is_loading = is_loading(state, task.goal.version);
+    let step = map_switch::next_step(view, &task.goal, is_loading);
+    let Some(order) = order_for(step, &task.goal, task.map.as_deref()) else {
+        return *view;
+    };
+    let outcome = give(engine, view, &task.goal, &order).await;
+    if outcome != OrderOutcome::Accepted {
+        return *view;
+    }
+    if matches!(order, RankOrder::Load { .. }) {
+        let now = state.clock.now();
+        state.known.borrow_mut().loading = Some((task.goal.version, now));
+    }
+    after(*view, &order)
+}
+
+/// Gives an order that is void once the engine has accepted another one.
+pub async fn give(
+    engine: &Engine,
+    view: &RankView,
+    goal: &Goal,
+    order: &RankOrder,
+) -> OrderOutcome {
+    let guard = OrderGuard {
+        term: goal.term,
+        sequence: view.sequence,
+        epoch: goal.epoch,
+    };
+    engine.order(order, guard, ANSWER_LIMIT).await
+}
+
+fn is_loading(state: &State, version: u64) -> bool {
+    let now = state.clock.now();
+    let loading = state.known.borrow().loading;
+    loading.is_some_and(|(it, since)| it == version && now < since + LOAD_LIMIT)
+}
+
+fn order_for(step: Step, goal: &Goal, map: Option<&[SetMap]>) -> Option<RankOrder> {
+    match step {
+        Step::Load => Some(RankOrder::Load {
+            version: goal.version,
+            map: map?.to_vec(),
+        }),
+        Step::Cancel(version) => Some(RankOrder::Cancel { version }),
+        Step::Activate(activation) => Some(RankOrder::Activate(activation)),
+        Step::Done | Step::Wait | Step::Impossible => None,
+    }
+}
+
+/// The engine's state once it has accepted an order.
+fn after(view: RankView, order: &RankOrder) -> RankView {
+    let sequence = view.sequence + 1;
+    match order {
+        RankOrder::Activate(Activation { version, pass }) => RankView {
+            sequence,
+            active: Some(Activation {
+                version: *version,
+                pass: *pass,
+            }),
+            ..view
+        },
+        RankOrder::Cancel { .. } => RankView {
+            sequence,
+            active: None,
+            ..view
+        },
+        _ => RankView { sequence, ..view },
+    }
+}
+
+/// Tells a leader the experts of the engine beside this agent.
+pub async fn tell_experts(state: &State, to: SocketAddr) {
+    let Some(rank) = state.rank() else {
+        return;
+    };
+    let Ok(experts) = state.engine.experts(ANSWER_LIMIT).await else {
+        return;
+    };
+    let message = Message::RankExperts {
+        rank,
+        version: experts.version,
+        sets: experts.sets,
+    };
+    mesh::send(state, to, &message);
+}
+
+/// Notes the experts of the engine beside this agent.
+pub async fn note_experts(state: &State) {
+    let (Some(rank), Ok(experts)) = (state.rank(), state.engine.experts(ANSWER_LIMIT).await) else {
+        return;
+    };
+    let held = HeldExperts {
+        version: experts.version,
+        sets: experts.sets,
+    };
+    state.known.borrow_mut().experts.insert(rank, held);
+}
--- /dev/null
+++ b/crates/rank/src/lead.rs
@@ -0,0 +1,183 @@
+//! The agent that leads its group: watches the demand for experts and starts switches that pay.
+
+use std::{rc::Rc, time::Duration};
+
+use jj_news::Message;
+use jj_policy::{
+    expert_plan::{self, Plan, PlanShape},
+    map_switch::{self, MapVersion, RankView, SetMap, Standing},
+};
+use jj_utils::{clock::Timestamp, events, ids::Rank, log_event};
+
+use crate::{driver, mesh, state::State, switch};
+
+/// Time between two looks at the demand.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Shortest time between two switches: their copies slow the group down.
+const SWITCH_PAUSE: Duration = Duration::from_millis(600);
+
+/// What a switch has to improve the imbalance by to pay for its copies.
+const LEAST_GAIN: f64 = 0.06;
+
+/// Time for which nothing was heard of another leader's switch before this agent finishes it.
+const LEADER_SILENCE: Duration = Duration::from_millis(400);
+
+/// Leads for as long as the process runs, whenever it is this agent's turn.
+pub async fn run(state: Rc<State>) {
+    let mut leader = Leader {
+        state,
+        map: None,
+        switched: Timestamp::ZERO,
+        was_leading: false,
+    };
+    loop {
+        tokio::time::sleep(LOOK).await;
+        leader.look().await;
+    }
+}
+
+struct Leader {
+    state: Rc<State>,
+    /// Content of the map in force, with its formation and version.
+    map: Option<(u64, MapVersion, Vec<SetMap>)>,
+    switched: Timestamp,
+    was_leading: bool,
+}
+
+impl Leader {
+    async fn look(&mut self) {
+        let leads = self.state.leads();
+        if leads != self.was_leading {
+            self.was_leading = leads;
+            let rank = self.state.rank().unwrap_or_default();
+            log_event!(events::GROUP_LEADER, rank = rank, leads = leads; "leader of the group");
+        }
+        if !leads {
+            self.map = None;
+            return;
+        }
+        if driver::read(&self.state).await.is_err() {
+            return;
+        }
+        let Some(views) = self.views() else {
+            return;
+        };
+        match map_switch::standing(&views) {
+            Standing::Held { .. } => self.finish(&views).await,
+            Standing::Quiet | Standing::Loaded(_) => self.consider(&views).await,
+            Standing::Decided(_) | Standing::Unclear => {}
+        }
+    }
+
+    /// What the engines of all ranks said last; none while a rank was never heard.
+    fn views(&self) -> Option<Vec<Option<RankView>>> {
+        let known = self.state.known.borrow();
+        let report = known.report.as_ref()?;
+        let view = |rank: Rank| match rank == report.rank {
+            true => Some(report.view),
+            false => known.members.get(&rank).map(|it| it.status.view),
+        };
+        Some((0..report.size).map(view).collect())
+    }
+
+    /// Finishes a switch that an earlier leader left.
+    async fn finish(&mut self, views: &[Option<RankView>]) {
+        let led = self.state.known.borrow().led;
+        if self.state.clock.now() < led + LEADER_SILENCE {
+            return;
+        }
+        switch::finish(&self.state, views).await;
+        self.map = None;
+    }
+
+    /// Starts a switch if one pays.
+    async fn consider(&mut self, views: &[Option<RankView>]) {
+        let now = self.state.clock.now();
+        if now < self.switched + SWITCH_PAUSE {
+            return;
+        }
+        let Some(first) = views.first().copied().flatten() else {
+            return;
+        };
+        let is_one = |it: &Option<RankView>| {
+            it.is_some_and(|it| it.epoch == first.epoch && it.map == first.map)
+        };
+        if !views.iter().all(is_one) || !self.learn_map(first.epoch, first.map).await {
+            return;
+        }
+        let Some(plan) = self.plan(views.len()) else {
+            return;
+        };
+        metrics::gauge!("jujube_expert_imbalance").set(plan.before);
+        if plan.before - plan.after < LEAST_GAIN {
+            return;
+        }
+        log_event!(
+            events::REBALANCE_PLANNED,
+            before = plan.before, after = plan.after, loads = plan.loads,
+            most = plan.most_loads, version = first.map;
+            "a better expert map is in reach"
+        );
+        self.map = match switch::run(&self.state, views, plan.map).await {
+            Some((version, map)) => Some((first.epoch, version, map)),
+            None => None,
+        };
+        self.switched = self.state.clock.now();
+    }
+
+    fn plan(&self, ranks: usize) -> Option<Plan> {
+        let known = self.state.known.borrow();
+        let spec = known.roster.as_ref()?.experts;
+        let shares = known.demand.shares(spec.sets as usize)?;
+        let (_, _, map) = self.map.as_ref()?;
+        let shape = PlanShape {
+            ranks,
+            experts: spec.experts as usize,
+            slots: spec.slots as usize,
+            spare: spec.spare as usize,
+        };
+        Some(expert_plan::plan(shape, map, &shares))
+    }
+
+    /// Learns the experts of all ranks under the map in force; false until all have told them.
+    async fn learn_map(&mut self, epoch: u64, version: MapVersion) -> bool {
+        if self
+            .map
+            .as_ref()
+            .is_some_and(|it| it.0 == epoch && it.1 == version)
+        {
+            return true;
+        }
+        let size = self
+            .state
+            .known
+            .borrow()
+            .report
+            .as_ref()
+            .map_or(0, |it| it.size);
+        if let Some(map) = self.told_map(size, version) {
+            self.map = Some((epoch, version, map));
+            return true;
+        }
+        driver::note_experts(&self.state).await;
+        for addr in mesh::others(&self.state) {
+            mesh::send(&self.state, addr, &Message::AskExperts);
+        }
+        false
+    }
+
+    /// The map that all ranks have told.
+    fn told_map(&self, size: u32, version: MapVersion) -> Option<Vec<SetMap>> {
+        let known = self.state.known.borrow();
+        let ranks: Option<Vec<_>> = (0..size)
+            .map(|rank| known.experts.get(&rank).filter(|it| it.version == version))
+            .collect();
+        let ranks = ranks?;
+        let sets = ranks.first()?.sets.len();
+        let set = |set: usize| -> Option<SetMap> {
+            ranks.iter().map(|it| it.sets.get(set).cloned()).collect()
+        };
+        (0..sets).map(set).collect()
+    }
+}
--- /dev/null
+++ b/crates/rank/src/mesh.rs
@@ -0,0 +1,193 @@
+//! Datagrams between the agents of a group, and with entries.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use jj_news::{MAX_DATAGRAM, Message, RankCounts, RankStatus, RankTask, Roster};
+use jj_policy::map_switch::RankView;
+use jj_utils::{clock::Timestamp, events, ids::Rank, log_event};
+use tokio::task::spawn_local;
+
+use crate::{
+    driver,
+    state::{HeldExperts, Member, State, TaskReply},
+};
+
+/// Time between two signs of life.
+const STATUS_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time between two questions for the roster.
+const ROSTER_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// A step of the clock between two signs of life from which the process was stopped.
+const STOPPED_FOR: Duration = Duration::from_millis(700);
+
+/// Takes datagrams in for as long as the process runs.
+pub async fn receive(state: Rc<State>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        if let Ok((length, from)) = state.socket.recv_from(&mut buffer).await
+            && let Some(message) = Message::read(&buffer[..length])
+        {
+            take(&state, from, message);
+        }
+    }
+}
+
+/// Says that this agent lives, and asks for the roster.
+pub async fn tell(state: Rc<State>) {
+    let mut last = state.clock.now();
+    let mut asked = None;
+    let mut turn = 0;
+    loop {
+        let now = state.clock.now();
+        if now > last + STOPPED_FOR {
+            drop_stale(&state);
+            let stopped = (now - last).as_millis() as u64;
+            log_event!(events::PROCESS_STALLED, for_ms = stopped; "the process stood still");
+        }
+        last = now;
+        let has_roster = state.known.borrow().roster.is_some();
+        if !has_roster || asked.is_none_or(|at| now >= at + ROSTER_PAUSE) {
+            ask_roster(&state, turn);
+            turn += 1;
+            asked = Some(now);
+        }
+        tell_status(&state);
+        tokio::time::sleep(STATUS_PAUSE).await;
+    }
+}
+
+/// Drops what arrived while the process stood still: it would pass for new.
+fn drop_stale(state: &State) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    while state.socket.try_recv_from(&mut buffer).is_ok() {}
+}
+
+/// Asks one entry after the other.
+fn ask_roster(state: &State, turn: usize) {
+    let settings = state.settings();
+    let seeds = settings.seeds.iter().map(SocketAddr::ip);
+    let mut entries: Vec<_> = seeds.collect();
+    if let Some(roster) = &state.known.borrow().roster {
+        entries.extend(&roster.entries);
+    }
+    entries.sort_unstable();
+    entries.dedup();
+    let Some(ip) = entries.get((turn + state.life as usize) % entries.len().max(1)) else {
+        return;
+    };
+    let message = Message::AskRoster {
+        server: state.server,
+    };
+    send(state, state.agent_addr(*ip), &message);
+}
+
+fn tell_status(state: &State) {
+    let status = {
+        let known = state.known.borrow();
+        let Some(report) = &known.report else {
+            return;
+        };
+        RankStatus {
+            life: state.life,
+            rank: report.rank,
+            server: state.server,
+            view: report.view,
+            age_ms: state.clock.now().saturating_sub(known.read).as_millis() as u32,
+        }
+    };
+    let message = Message::RankStatus(status);
+    for addr in others(state) {
+        send(state, addr, &message);
+    }
+}
+
+/// Agents beside the other servers of the service.
+pub fn others(state: &State) -> Vec<SocketAddr> {
+    let known = state.known.borrow();
+    let servers = known.roster.iter().flat_map(|it| &it.servers);
+    let others = servers.filter(|it| **it != state.server);
+    others.map(|it| state.agent_addr(it.ip())).collect()
+}
+
+/// Sends a datagram; one that can't be sent is like one that is lost.
+pub fn send(state: &State, to: SocketAddr, message: &Message) {
+    if let Some(bytes) = message.bytes() {
+        let _ = state.socket.try_send_to(&bytes, to);
+    }
+}
+
+fn take(state: &Rc<State>, from: SocketAddr, message: Message) {
+    let now = state.clock.now();
+    match message {
+        Message::Roster(roster) => take_roster(state, roster),
+        Message::RankStatus(status) => take_status(state, now, status),
+        Message::RankCounts(counts) => take_counts(state, now, counts),
+        Message::RankTask(task) => take_task(state, now, from, task),
+        Message::RankReply { number, rank, view } => take_reply(state, number, rank, view),
+        Message::AskExperts => {
+            let state = Rc::clone(state);
+            spawn_local(async move { driver::tell_experts(&state, from).await });
+        }
+        Message::RankExperts {
+            rank,
+            version,
+            sets,
+        } => {
+            let held = HeldExperts { version, sets };
+            state.known.borrow_mut().experts.insert(rank, held);
+        }
+        // The rest is for entries.
+        _ => {}
+    }
+}
+
+fn take_roster(state: &State, roster: Roster) {
+    let mut known = state.known.borrow_mut();
+    let before = known.roster.as_ref().map_or(0, |it| it.servers.len());
+    if before != roster.servers.len() {
+        log_event!(
+            events::MEMBER_CHANGED,
+            servers = roster.servers.len(), before = before; "the service has other servers"
+        );
+    }
+    known.roster = Some(roster);
+}
+
+fn take_status(state: &State, now: Timestamp, status: RankStatus) {
+    let mut known = state.known.borrow_mut();
+    let rank = status.rank;
+    let member = Member { status, heard: now };
+    known.members.insert(rank, member);
+}
+
+fn take_counts(state: &State, now: Timestamp, counts: RankCounts) {
+    let mut known = state.known.borrow_mut();
+    known
+        .demand
+        .observe(now, counts.rank, counts.epoch, counts.counts);
+}
+
+fn take_reply(state: &State, number: u64, rank: Rank, view: RankView) {
+    let mut known = state.known.borrow_mut();
+    let newest = known.replies.get(&rank).map_or(0, |it| it.number);
+    if number >= newest {
+        known.replies.insert(rank, TaskReply { number, view });
+        drop(known);
+        state.replied.notify_one();
+    }
+}
+
+/// A task of a leader that no newer one has replaced is worked on at once.
+fn take_task(state: &Rc<State>, now: Timestamp, from: SocketAddr, task: RankTask) {
+    {
+        let mut known = state.known.borrow_mut();
+        if task.goal.term < known.term {
+            return;
+        }
+        known.term = task.goal.term;
+        known.led = now;
+    }
+    let state = Rc::clone(state);
+    spawn_local(async move { driver::work(&state, from, task).await });
+}
--- /dev/null
+++ b/crates/rank/src/run.rs
@@ -0,0 +1,128 @@
+//! Starts an agent, and ends it when it is asked to leave.
+
+use std::{net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
+
+use anyhow::Context;
+use jj_adapter::{engine::Engine, settings};
+use jj_direct::{instance::InstanceSettings, socket};
+use jj_news::{Message, RankCounts};
+use jj_utils::{
+    clock::SystemClock,
+    events, log_event,
+    logging::{self, LogFormat},
+};
+use log::LevelFilter;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::{LocalSet, spawn_local},
+};
+
+use crate::{driver, lead, mesh, state::State};
+
+/// Time between two reads of the engine's report.
+const REPORT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time between two reads of the counts.
+const COUNTS_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest wait for the counts.
+const COUNTS_LIMIT: Duration = Duration::from_millis(200);
+
+/// What the command line says.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Settings file.
+    pub path: PathBuf,
+    /// Least level of log lines.
+    pub level: LevelFilter,
+}
+
+/// Runs an agent until it is asked to leave.
+///
+/// # Errors
+/// When the settings can't be read or the port for datagrams can't be bound.
+pub fn run(options: &Options) -> anyhow::Result<()> {
+    logging::install(LogFormat::Json, options.level)?;
+    let settings = settings::read(&options.path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, work(settings))
+}
+
+async fn work(settings: InstanceSettings) -> anyhow::Result<()> {
+    let server = settings.server.context("no server beside this agent")?;
+    let addr = SocketAddr::new(settings.ip, settings.ports.0);
+    let socket = socket::datagrams(addr).context("bind the port for datagrams")?;
+    let name = settings.name.clone();
+    let state = Rc::new(State {
+        settings: std::cell::RefCell::new(Rc::new(settings)),
+        clock: SystemClock::shared(),
+        life: rand::random(),
+        engine: Engine::new(server)?,
+        server,
+        socket,
+        known: std::cell::RefCell::default(),
+        replied: tokio::sync::Notify::new(),
+    });
+    spawn_local(mesh::receive(Rc::clone(&state)));
+    spawn_local(mesh::tell(Rc::clone(&state)));
+    spawn_local(reports(Rc::clone(&state)));
+    spawn_local(counts(Rc::clone(&state)));
+    spawn_local(lead::run(Rc::clone(&state)));
+    log_event!(
+        events::PROCESS_STARTED,
+        instance = name.as_str(), life = state.life, server = server.to_string();
+        "agent started"
+    );
+    let mut terminate = signal(SignalKind::terminate())?;
+    terminate.recv().await;
+    log_event!(events::PROCESS_STOPPED, instance = name.as_str(); "agent stopped");
+    Ok(())
+}
+
+async fn reports(state: Rc<State>) {
+    let mut was_read = true;
+    loop {
+        let is_read = driver::read(&state).await;
+        if was_read != is_read.is_ok() {
+            was_read = is_read.is_ok();
+            match is_read {
+                Ok(report) => log_event!(
+                    events::SERVER_WARM, rank = report.rank, epoch = report.view.epoch;
+                    "the engine answers"
+                ),
+                Err(error) => log_event!(events::SERVER_UNREACHABLE, "{error:#}"),
+            }
+        }
+        tokio::time::sleep(REPORT_PAUSE).await;
+    }
+}
+
+/// Tells the leader the counts of this rank, or takes them in where this agent leads.
+async fn counts(state: Rc<State>) {
+    loop {
+        tokio::time::sleep(COUNTS_PAUSE).await;
+        let Some(rank) = state.rank() else {
+            continue;
+        };
+        let Ok(found) = state.engine.counts(COUNTS_LIMIT).await else {
+            continue;
+        };
+        match state.leader() {
+            Some(leader) => {
+                let message = Message::RankCounts(RankCounts {
+                    rank,
+                    epoch: found.epoch,
+                    counts: found.counts,
+                });
+                mesh::send(&state, leader, &message);
+            }
+            None => {
+                let now = state.clock.now();
+                let mut known = state.known.borrow_mut();
+                known.demand.observe(now, rank, found.epoch, found.counts);
+            }
+        }
+    }
+}
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -67,6 +67,7 @@
     MAP_ABORTED = 1503 Warn "map_aborted";
     ORDER_FENCED = 1504 Warn "order_fenced";
     REBALANCE_PLANNED = 1505 Info "rebalance_planned";
+    GROUP_LEADER = 1506 Info "group_leader";
 }
 
 /// Logs one numbered event, with fields that stand beside the message:
