feat(policy): map switches copy few experts, early, as far as the length of passes asks

Now a plan goes only as far as the imbalance at which passes take 0.6 of the pause aimed at, prefers moves without a copy, and looks come each 100 ms.

--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -95,6 +95,8 @@
     pub first: Option<Timestamp>,
     /// Events passed on.
     pub events: u32,
+    /// Longest pause between two events, and when it ended.
+    pub pause: (Duration, Timestamp),
     /// How it ended.
     pub end: &'static str,
 }
@@ -127,7 +129,9 @@
             ms = total.as_millis() as u64,
             prompt = self.request.facts.usage.prompt,
             answer = self.request.facts.usage.answer,
-            sent_events = self.events;
+            sent_events = self.events,
+            pause_ms = self.pause.0.as_millis() as u64,
+            pause_end = self.pause.1.as_millis() as u64;
             "{}", self.end
         );
     }
@@ -143,6 +147,7 @@
         status: None,
         first: None,
         events: 0,
+        pause: Default::default(),
         end: "the caller left",
     };
     let mut forward = Forward {
@@ -299,7 +304,7 @@
     fn attempt_limit(&self) -> Duration {
         let left = self.left();
         match self.route().kind {
-            RequestKind::Idempotent if self.has_more_tries() => {
+            RequestKind::Idempotent if self.has_more_tries(1) => {
                 left.mul_f64(ATTEMPT_PART).max(self.route().aim).min(left)
             }
             RequestKind::Idempotent | RequestKind::Once => left,
@@ -307,8 +312,9 @@
         }
     }
 
-    fn has_more_tries(&self) -> bool {
-        (self.record.servers.len() as u32) + 1 < self.route().attempts
+    /// Whether the route allows another server once the request has been sent to one more.
+    fn has_more_tries(&self, sending: u32) -> bool {
+        (self.record.servers.len() as u32) + sending < self.route().attempts
     }
 
     /// Sends the request and reads the head of the answer.
@@ -388,7 +394,7 @@
         };
         let is_error = answer.status.is_server_error();
         place.observe(if is_error { Sign::Failed } else { Sign::Good });
-        if is_error && self.route().kind == RequestKind::Idempotent && self.has_more_tries() {
+        if is_error && self.route().kind == RequestKind::Idempotent && self.has_more_tries(0) {
             return Err(Failure::Unknown);
         }
         let status = answer.status;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -3,9 +3,11 @@
 use std::{
     net::{IpAddr, SocketAddr},
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
+use jj_policy::catalog::{Catalog, Route};
 use jj_utils::{clock::Timestamp, collections::FastMap, events, ids::FailureDomainId, log_event};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -26,6 +28,9 @@
 /// Shortest time between two messages on requests in flight.
 const USE_PAUSE: Duration = Duration::from_millis(8);
 
+/// Pause between events that is aimed at where no route declares one.
+const DEFAULT_GAP: Duration = Duration::from_millis(200);
+
 /// A step of the clock between two signs of life from which the process was stopped.
 const STOPPED_FOR: Duration = Duration::from_millis(600);
 
@@ -151,6 +156,13 @@
     }
 }
 
+/// Shortest pause between events that a route to a service aims at.
+fn shortest_gap(catalog: &Catalog, service: &str) -> Duration {
+    let leads = |route: &&Arc<Route>| route.targets.iter().any(|it| it.service == service);
+    let gaps = catalog.routes.iter().filter(leads).filter_map(|it| it.gap);
+    gaps.min().unwrap_or(DEFAULT_GAP)
+}
+
 /// What the agent beside a server has to know.
 fn roster(shared: &Rc<Shared>, server: SocketAddr) -> Option<Roster> {
     let replica = shared.replica.borrow();
@@ -164,6 +176,8 @@
     let entries = peers.alive().map(|it| it.hello.traffic.ip());
     Some(Roster {
         experts: engine.experts?,
+        idle_pass: engine.step * engine.stride,
+        gap: shortest_gap(catalog, service),
         servers: servers.map(|it| it.addr).collect(),
         entries: entries.chain([own]).collect(),
     })
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -152,7 +152,12 @@
             let next = tokio::time::timeout(limit, open.next()).await;
             let reason = match next {
                 Ok(Next::Events(bytes, count)) => {
-                    progress = shared.clock.now();
+                    let now = shared.clock.now();
+                    let pause = now.saturating_sub(progress);
+                    if forward.record.events > 0 && pause > forward.record.pause.0 {
+                        forward.record.pause = (pause, now);
+                    }
+                    progress = now;
                     forward.record.events += count;
                     yield Ok(bytes);
                     continue;
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -2,7 +2,10 @@
 
 #![warn(clippy::unwrap_used)]
 
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use jj_policy::{
     catalog::ExpertSpec,
@@ -90,6 +93,10 @@
     pub struct Roster {
         /// Experts of the service's engines.
         pub experts: ExpertSpec,
+        /// Time that a pass takes without any work for tokens.
+        pub idle_pass: Duration,
+        /// Shortest pause between events that a route to the service aims at.
+        pub gap: Duration,
         /// Addresses of its servers.
         pub servers: Vec<SocketAddr>,
         /// Entries that may be asked.
--- a/crates/policy/src/expert_plan.rs
+++ b/crates/policy/src/expert_plan.rs
@@ -7,6 +7,8 @@
 //! Load pattern: every few seconds other experts come into demand, a single one with up to a fifth
 //! of all tokens of its set.
 
+use std::time::Duration;
+
 use jj_utils::common_derives;
 
 use crate::map_switch::SetMap;
@@ -28,6 +30,32 @@
     }
 }
 
+common_derives! {copy:
+    /// How long the passes of a group are.
+    pub struct PassTimes {
+        /// Time that a pass takes without any work for tokens.
+        pub idle: Duration,
+        /// Time that a pass takes now.
+        pub now: Duration,
+        /// Time that a pass may take.
+        pub goal: Duration,
+    }
+}
+
+/// Bounds on the imbalance that a plan aims at: less isn't worth its copies, more is too near to
+/// what the next shift adds.
+const TARGETS: (f64, f64) = (1.06, 1.7);
+
+/// The imbalance at which passes are as long as they may be.
+pub fn target(times: PassTimes, imbalance: f64) -> f64 {
+    let work = times.now.saturating_sub(times.idle).as_secs_f64();
+    let room = times.goal.saturating_sub(times.idle).as_secs_f64();
+    if work <= 0.0 {
+        return TARGETS.1;
+    }
+    (imbalance * room / work).clamp(TARGETS.0, TARGETS.1)
+}
+
 common_derives! {value:
     /// A map, and what it would change.
     pub struct Plan {
@@ -47,8 +75,8 @@
 /// Most moves in one set.
 const MOST_MOVES: usize = 200;
 
-/// Highest load over the mean at which a set needs no further move.
-const GOOD_ENOUGH: f64 = 1.01;
+/// What a copy counts in the choice between moves, beside one: moves without a copy go first.
+const COPY_COST: f64 = 0.25;
 
 /// How steeply the penalty of a rank's load grows, so that the sum over all ranks stands for the
 /// highest load.
@@ -89,11 +117,12 @@
     }
 }
 
-/// The best map within reach of the one in force.
-pub fn plan(shape: PlanShape, map: &[SetMap], shares: &[Shares]) -> Plan {
+/// A map within reach of the one in force whose highest load over the mean is at most `target` in
+/// each set, with few copies.
+pub fn plan(shape: PlanShape, map: &[SetMap], shares: &[Shares], target: f64) -> Plan {
     let sets = map.iter().zip(shares);
     let planned: Vec<SetMap> = sets
-        .map(|(set, shares)| improve(shape, set, shares))
+        .map(|(set, shares)| improve(shape, set, shares, target))
         .collect();
     let loads = |rank: usize| -> usize {
         let sets = planned.iter().zip(map);
@@ -114,10 +143,10 @@
     new.iter().filter(|expert| !old.contains(expert)).count()
 }
 
-fn improve(shape: PlanShape, set: &SetMap, shares: &Shares) -> SetMap {
+fn improve(shape: PlanShape, set: &SetMap, shares: &Shares, target: f64) -> SetMap {
     let mut search = Search::new(shape, set, shares);
     for _ in 0..MOST_MOVES {
-        if search.highest() <= search.mean * GOOD_ENOUGH || !search.improve() {
+        if search.highest() <= search.mean * target || !search.improve() {
             break;
         }
     }
@@ -191,7 +220,7 @@
         };
         let mut best: Option<(f64, Move)> = None;
         for change in self.candidates(hottest) {
-            let gain = self.gain(&change);
+            let gain = self.gain(&change) / (COPY_COST + self.copies(&change));
             if gain > best.map_or(1e-9, |(best, _)| best) {
                 best = Some((gain, change));
             }
@@ -278,6 +307,24 @@
         new < self.shape.spare
     }
 
+    /// Experts that ranks have to load for a move.
+    fn copies(&self, change: &Move) -> f64 {
+        let copy = |rank: usize, expert: u32| match self.base[rank].contains(&expert) {
+            true => 0.0,
+            false => 1.0,
+        };
+        match *change {
+            Move::Take { rank, expert, .. } => copy(rank, expert),
+            Move::Drop { .. } => 0.0,
+            Move::Swap {
+                rank,
+                expert,
+                other,
+                theirs,
+            } => copy(rank, theirs) + copy(other, expert),
+        }
+    }
+
     /// What the sum of all penalties falls by.
     fn gain(&self, change: &Move) -> f64 {
         let mut deltas = Deltas::default();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod membership;
 pub mod once;
 pub mod orphans;
+pub mod pass_clock;
 pub mod placement;
 pub mod popularity;
 pub mod prefix;
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -42,6 +42,7 @@
     let mut known = state.known.borrow_mut();
     if known.read <= asked {
         known.read = asked;
+        known.passes.observe(state.clock.now(), report.view.pass);
         known.report = Some(report.clone());
     }
     Ok(report)
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -4,7 +4,7 @@
 
 use jj_news::Message;
 use jj_policy::{
-    expert_plan::{self, Plan, PlanShape},
+    expert_plan::{self, PassTimes, Plan, PlanShape},
     map_switch::{self, MapVersion, RankView, SetMap, Standing},
 };
 use jj_utils::{clock::Timestamp, events, ids::Rank, log_event};
@@ -12,13 +12,17 @@
 use crate::{driver, mesh, state::State, switch};
 
 /// Time between two looks at the demand.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK: Duration = Duration::from_millis(100);
 
 /// Shortest time between two switches: their copies slow the group down.
-const SWITCH_PAUSE: Duration = Duration::from_millis(600);
+const SWITCH_PAUSE: Duration = Duration::from_millis(200);
 
-/// What a switch has to improve the imbalance by to pay for its copies.
-const LEAST_GAIN: f64 = 0.06;
+/// Imbalance over the one aimed at from which a switch pays for its copies.
+const LEAST_GAIN: f64 = 0.25;
+
+/// Part of the pause between events that is aimed at which a pass may take: the next shift of
+/// demand, copies and long prompts need the rest.
+const PASS_PART: f64 = 0.6;
 
 /// Time for which nothing was heard of another leader's switch before this agent finishes it.
 const LEADER_SILENCE: Duration = Duration::from_millis(400);
@@ -106,29 +110,29 @@
         if !views.iter().all(is_one) || !self.learn_map(first.epoch, first.map).await {
             return;
         }
-        let Some(plan) = self.plan(views.len()) else {
+        let Some((plan, target)) = self.plan(views.len()) else {
             return;
         };
         metrics::gauge!("jujube_expert_imbalance").set(plan.before);
-        if plan.before - plan.after < LEAST_GAIN {
+        if plan.before < target + LEAST_GAIN || plan.before - plan.after < LEAST_GAIN / 2.0 {
             return;
         }
         log_event!(
             events::REBALANCE_PLANNED,
             before = plan.before, after = plan.after, loads = plan.loads,
-            most = plan.most_loads, version = first.map;
+            most = plan.most_loads, version = first.map, target = target;
             "a better expert map is in reach"
         );
-        self.map = match switch::run(&self.state, views, plan.map).await {
-            Some((version, map)) => Some((first.epoch, version, map)),
-            None => None,
-        };
+        let switched = switch::run(&self.state, views, plan.map).await;
+        self.map = switched.map(|(version, map)| (first.epoch, version, map));
         self.switched = self.state.clock.now();
     }
 
-    fn plan(&self, ranks: usize) -> Option<Plan> {
+    /// The next map, and the imbalance that it aims at.
+    fn plan(&self, ranks: usize) -> Option<(Plan, f64)> {
         let known = self.state.known.borrow();
-        let spec = known.roster.as_ref()?.experts;
+        let roster = known.roster.as_ref()?;
+        let spec = roster.experts;
         let shares = known.demand.shares(spec.sets as usize)?;
         let (_, _, map) = self.map.as_ref()?;
         let shape = PlanShape {
@@ -137,7 +141,13 @@
             slots: spec.slots as usize,
             spare: spec.spare as usize,
         };
-        Some(expert_plan::plan(shape, map, &shares))
+        let times = PassTimes {
+            idle: roster.idle_pass,
+            now: known.passes.length().unwrap_or(roster.idle_pass),
+            goal: roster.gap.mul_f64(PASS_PART),
+        };
+        let target = expert_plan::target(times, expert_plan::imbalance(map, &shares));
+        Some((expert_plan::plan(shape, map, &shares, target), target))
     }
 
     /// Learns the experts of all ranks under the map in force; false until all have told them.
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -23,7 +23,7 @@
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time between two reads of the counts.
-const COUNTS_PAUSE: Duration = Duration::from_millis(250);
+const COUNTS_PAUSE: Duration = Duration::from_millis(150);
 
 /// Longest wait for the counts.
 const COUNTS_LIMIT: Duration = Duration::from_millis(200);
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -13,6 +13,7 @@
 use jj_policy::{
     demand::Demand,
     map_switch::{MapVersion, RankView},
+    pass_clock::PassClock,
 };
 use jj_utils::{
     clock::{SharedClock, Timestamp},
@@ -58,6 +59,8 @@
     pub report: Option<EngineReport>,
     /// When that was read.
     pub read: Timestamp,
+    /// Length of the group's passes.
+    pub passes: PassClock,
     /// What an entry said of the service.
     pub roster: Option<Roster>,
     /// Agents of the group by rank.
