--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -115,6 +115,10 @@
         pub server: SocketAddr,
         /// What the engine said last.
         pub view: RankView,
+        /// Requests that the engine works on.
+        pub running: u32,
+        /// Requests that wait there.
+        pub waiting: u32,
         /// Age of that, in milliseconds.
         pub age_ms: u32,
     }
--- a/crates/policy/src/expert_plan.rs
+++ b/crates/policy/src/expert_plan.rs
@@ -27,6 +27,8 @@
         pub slots: usize,
         /// Experts of a set that a rank can load in one switch.
         pub spare: usize,
+        /// Experts of all sets that a rank may load in one switch, so that the load is short.
+        pub loads: usize,
     }
 }
 
@@ -73,7 +75,7 @@
 }
 
 /// Most moves in one set.
-const MOST_MOVES: usize = 200;
+const MOST_MOVES: usize = 100;
 
 /// What a copy counts in the choice between moves, beside one: moves without a copy go first.
 const COPY_COST: f64 = 0.25;
@@ -118,12 +120,26 @@
 }
 
 /// A map within reach of the one in force whose highest load over the mean is at most `target` in
-/// each set, with few copies.
+/// each set, with few copies. The most uneven set goes first, since ranks load only a few experts.
 pub fn plan(shape: PlanShape, map: &[SetMap], shares: &[Shares], target: f64) -> Plan {
+    let mut budget = vec![shape.loads; shape.ranks];
     let sets = map.iter().zip(shares);
-    let planned: Vec<SetMap> = sets
-        .map(|(set, shares)| improve(shape, set, shares, target))
-        .collect();
+    let mut searches: Vec<Search> = sets.map(|(set, it)| Search::new(shape, set, it)).collect();
+    let mut open: Vec<usize> = (0..searches.len()).collect();
+    for _ in 0..MOST_MOVES * searches.len() {
+        let uneven = |it: &usize| searches[*it].imbalance();
+        let Some(worst) = open
+            .iter()
+            .copied()
+            .max_by(|a, b| uneven(a).total_cmp(&uneven(b)))
+        else {
+            break;
+        };
+        if uneven(&worst) <= target || !searches[worst].improve(&mut budget) {
+            open.retain(|it| *it != worst);
+        }
+    }
+    let planned: Vec<SetMap> = searches.into_iter().map(|it| it.lists).collect();
     let loads = |rank: usize| -> usize {
         let sets = planned.iter().zip(map);
         sets.map(|(new, old)| count_new(&new[rank], &old[rank]))
@@ -143,16 +159,6 @@
     new.iter().filter(|expert| !old.contains(expert)).count()
 }
 
-fn improve(shape: PlanShape, set: &SetMap, shares: &Shares, target: f64) -> SetMap {
-    let mut search = Search::new(shape, set, shares);
-    for _ in 0..MOST_MOVES {
-        if search.highest() <= search.mean * target || !search.improve() {
-            break;
-        }
-    }
-    search.lists
-}
-
 common_derives! {copy:
     /// One change of a set's map.
     enum Move {
@@ -165,6 +171,21 @@
     }
 }
 
+/// The experts that ranks take up in a move.
+fn taken(change: &Move) -> impl Iterator<Item = (usize, u32)> {
+    let (first, second) = match *change {
+        Move::Take { rank, expert, .. } => (Some((rank, expert)), None),
+        Move::Drop { .. } => (None, None),
+        Move::Swap {
+            rank,
+            expert,
+            other,
+            theirs,
+        } => (Some((rank, theirs)), Some((other, expert))),
+    };
+    first.into_iter().chain(second)
+}
+
 /// A set's map under change.
 struct Search<'a> {
     shape: PlanShape,
@@ -202,8 +223,13 @@
         self.loads = self.lists.iter().map(load).collect();
     }
 
-    fn highest(&self) -> f64 {
-        self.loads.iter().copied().fold(0.0, f64::max)
+    /// Highest load over the mean.
+    fn imbalance(&self) -> f64 {
+        let highest = self.loads.iter().copied().fold(0.0, f64::max);
+        match self.mean > 0.0 {
+            true => highest / self.mean,
+            false => 1.0,
+        }
     }
 
     /// Load of one replica of an expert, with so many more replicas than now.
@@ -212,14 +238,18 @@
         self.shares[expert as usize] / f64::from(holders.max(1))
     }
 
-    /// Makes the move that helps the most loaded rank best; false when none helps.
-    fn improve(&mut self) -> bool {
+    /// Makes the move that helps the most loaded rank best, within what ranks may still load; false
+    /// when none helps.
+    fn improve(&mut self, budget: &mut [usize]) -> bool {
         let ranks = 0..self.loads.len();
         let Some(hottest) = ranks.max_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b])) else {
             return false;
         };
         let mut best: Option<(f64, Move)> = None;
         for change in self.candidates(hottest) {
+            if !self.is_within(&change, budget) {
+                continue;
+            }
             let gain = self.gain(&change) / (COPY_COST + self.copies(&change));
             if gain > best.map_or(1e-9, |(best, _)| best) {
                 best = Some((gain, change));
@@ -228,10 +258,25 @@
         let Some((_, change)) = best else {
             return false;
         };
+        for (rank, expert) in taken(&change) {
+            if !self.is_loaded(rank, expert) {
+                budget[rank] -= 1;
+            }
+        }
         self.apply(&change);
         true
     }
 
+    /// Whether a rank holds an expert under the map in force.
+    fn is_loaded(&self, rank: usize, expert: u32) -> bool {
+        self.base[rank].contains(&expert)
+    }
+
+    fn is_within(&self, change: &Move, budget: &[usize]) -> bool {
+        let mut taken = taken(change);
+        taken.all(|(rank, expert)| self.is_loaded(rank, expert) || budget[rank] > 0)
+    }
+
     fn candidates(&self, hottest: usize) -> Vec<Move> {
         let mut moves = Vec::new();
         for expert in &self.lists[hottest] {
@@ -309,20 +354,8 @@
 
     /// Experts that ranks have to load for a move.
     fn copies(&self, change: &Move) -> f64 {
-        let copy = |rank: usize, expert: u32| match self.base[rank].contains(&expert) {
-            true => 0.0,
-            false => 1.0,
-        };
-        match *change {
-            Move::Take { rank, expert, .. } => copy(rank, expert),
-            Move::Drop { .. } => 0.0,
-            Move::Swap {
-                rank,
-                expert,
-                other,
-                theirs,
-            } => copy(rank, theirs) + copy(other, expert),
-        }
+        let copies = taken(change).filter(|(rank, expert)| !self.is_loaded(*rank, *expert));
+        copies.count() as f64
     }
 
     /// What the sum of all penalties falls by.
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -20,6 +20,10 @@
 /// Imbalance over the one aimed at from which a switch pays for its copies.
 const LEAST_GAIN: f64 = 0.25;
 
+/// Experts that a rank loads in one switch at most: a switch that is short can follow a shift of
+/// demand at once, and the next one refines it.
+const MOST_LOADS: usize = 2;
+
 /// Part of the pause between events that is aimed at which a pass may take: the next shift of
 /// demand, copies and long prompts need the rest.
 const PASS_PART: f64 = 0.6;
@@ -114,6 +118,7 @@
             return;
         };
         metrics::gauge!("jujube_expert_imbalance").set(plan.before);
+        self.log_load(plan.before);
         if plan.before < target + LEAST_GAIN || plan.before - plan.after < LEAST_GAIN / 2.0 {
             return;
         }
@@ -128,6 +133,22 @@
         self.switched = self.state.clock.now();
     }
 
+    /// Says how the group works, for those who look at one that is slow.
+    fn log_load(&self, imbalance: f64) {
+        let known = self.state.known.borrow();
+        let others = known.members.values().map(|it| it.status.running);
+        let own = known.report.as_ref().map_or(0, |it| it.running);
+        let running: Vec<u32> = others.chain([own]).collect();
+        let pass = known.passes.length().unwrap_or_default();
+        log_event!(
+            events::GROUP_LOAD,
+            imbalance = imbalance, pass_ms = pass.as_secs_f64() * 1e3,
+            running = running.iter().sum::<u32>(),
+            busiest = running.iter().max().copied().unwrap_or_default();
+            "load of the group"
+        );
+    }
+
     /// The next map, and the imbalance that it aims at.
     fn plan(&self, ranks: usize) -> Option<(Plan, f64)> {
         let known = self.state.known.borrow();
@@ -140,6 +161,7 @@
             experts: spec.experts as usize,
             slots: spec.slots as usize,
             spare: spec.spare as usize,
+            loads: MOST_LOADS,
         };
         let times = PassTimes {
             idle: roster.idle_pass,
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -68,6 +68,7 @@
     ORDER_FENCED = 1504 Warn "order_fenced";
     REBALANCE_PLANNED = 1505 Info "rebalance_planned";
     GROUP_LEADER = 1506 Info "group_leader";
+    GROUP_LOAD = 1507 Debug "group_load";
 }
 
 /// Logs one numbered event, with fields that stand beside the message:
