feat(policy): a model of the pass decides what starts, and a shift of demand drops older counts

Ruled out: that requests at work keep their old choices (a mix of slow and fast counts, tried before this).

Entries now read the imbalance off the pauses of their streams, tell each other prompt tokens, and start a request only if the next pass stays within 0.85 of the pause aimed at.

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -1,38 +1,56 @@
 //! Requests in flight at each backend server, of this process and of the others.
 
-use jj_policy::server_health::{HealthConfig, ServerHealth, Sign};
+use std::time::Duration;
+
+use jj_news::{ServerTag, ServerUse, TokensSent, server_tag};
+use jj_policy::{
+    pass_model::{PassConfig, PassModel, PassSpec, PauseMeter},
+    server_health::{HealthConfig, ServerHealth, Sign},
+};
 use jj_utils::{
     clock::Timestamp,
     collections::FastMap,
-    ids::{BackendServerId, InstanceId},
+    events,
+    ids::{BackendServerId, InstanceId, ServiceId},
+    log_event,
 };
 
-use jj_news::{ServerTag, ServerUse, server_tag};
-
 /// What this process knows of one server's load.
 #[derive(Debug, Clone, Default)]
-pub struct ServerLoad {
+struct ServerLoad {
     /// Requests of this process.
-    pub own: u32,
+    own: u32,
     /// Judgement by its answers.
-    pub health: ServerHealth,
+    health: ServerHealth,
+}
+
+/// Passes of the group that the servers of a service form.
+#[derive(Debug, Default)]
+struct GroupLoad {
+    meter: PauseMeter,
+    model: PassModel,
+    /// Prompt tokens that this process has sent.
+    sent: u64,
 }
 
 /// Loads of all servers.
 #[derive(Debug, Default)]
 pub struct Loads {
     servers: FastMap<BackendServerId, ServerLoad>,
-    others: FastMap<InstanceId, FastMap<ServerTag, u32>>,
+    peers: FastMap<InstanceId, Vec<ServerUse>>,
+    /// Requests of all other processes by server.
+    others: FastMap<ServerTag, u32>,
+    groups: FastMap<ServiceId, GroupLoad>,
+    /// Prompt tokens that others have sent, as they told last.
+    told: FastMap<(InstanceId, ServerTag), u64>,
     health: HealthConfig,
-    /// Rises with each change of this process's own requests.
-    pub changes: u64,
+    passes: PassConfig,
 }
 
 impl Loads {
     /// Counts a request that is sent to a server.
     pub fn start(&mut self, server: &str) {
         self.servers.entry(server.to_owned()).or_default().own += 1;
-        self.changes += 1;
     }
 
     /// Counts a request that has ended.
@@ -40,7 +58,6 @@
         if let Some(load) = self.servers.get_mut(server) {
             load.own = load.own.saturating_sub(1);
         }
-        self.changes += 1;
     }
 
     /// Takes in how an attempt ended.
@@ -56,8 +73,10 @@
 
     /// Requests of the others at a server.
     pub fn others(&self, server: &str) -> u32 {
-        let tag = server_tag(server);
-        self.others.values().filter_map(|uses| uses.get(&tag)).sum()
+        self.others
+            .get(&server_tag(server))
+            .copied()
+            .unwrap_or_default()
     }
 
     /// Whether new requests should keep away from a server.
@@ -77,14 +96,108 @@
         .collect()
     }
 
-    /// Takes in all requests of another process.
-    pub fn take_uses(&mut self, peer: &str, uses: &[ServerUse]) {
-        let uses = uses.iter().map(|it| (it.server, it.requests)).collect();
-        self.others.insert(peer.to_owned(), uses);
+    /// Takes in all requests of another process, and the prompt tokens that it has sent.
+    pub fn take_uses(
+        &mut self,
+        now: Timestamp,
+        peer: &str,
+        uses: Vec<ServerUse>,
+        tokens: &[TokensSent],
+    ) {
+        self.peers.insert(peer.to_owned(), uses);
+        self.sum_up();
+        for told in tokens {
+            let before = self
+                .told
+                .insert((peer.to_owned(), told.service), told.total);
+            let new = told.total.saturating_sub(before.unwrap_or(told.total));
+            let groups = self.groups.iter_mut();
+            let group = groups
+                .into_iter()
+                .find(|(id, _)| server_tag(id) == told.service);
+            if let (Some((_, group)), true) = (group, new > 0) {
+                group
+                    .model
+                    .sent(now, u32::try_from(new).unwrap_or(u32::MAX));
+            }
+        }
+    }
+
+    /// Prompt tokens that this process has sent, for the others.
+    pub fn tokens_sent(&self) -> Vec<TokensSent> {
+        let groups = self.groups.iter();
+        groups
+            .map(|(service, group)| TokensSent {
+                service: server_tag(service),
+                total: group.sent,
+            })
+            .collect()
     }
 
     /// Drops the requests of a process that is gone.
     pub fn forget(&mut self, peer: &str) {
-        self.others.remove(peer);
+        self.peers.remove(peer);
+        self.sum_up();
+    }
+
+    fn sum_up(&mut self) {
+        self.others.clear();
+        for it in self.peers.values().flatten() {
+            *self.others.entry(it.server).or_default() += it.requests;
+        }
+    }
+
+    /// Notes that a request with a prompt is sent to a group.
+    pub fn send_prompt(&mut self, now: Timestamp, service: &str, tokens: u32) {
+        let group = self.groups.entry(service.to_owned()).or_default();
+        group.sent += u64::from(tokens);
+        group.model.sent(now, tokens);
+    }
+
+    /// Takes in the pause before an event of a stream, while the group had so many requests; true
+    /// when it told the length of a pass.
+    pub fn take_pause(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        spec: &PassSpec,
+        pause: Duration,
+        requests: u32,
+    ) -> bool {
+        let Some(group) = self.groups.get_mut(service) else {
+            return false;
+        };
+        let Some(pass) = group.meter.observe(now, pause) else {
+            return false;
+        };
+        // A group that stands still says nothing about its load.
+        if pass > spec.gap * 3 {
+            return false;
+        }
+        group.model.observe(&self.passes, spec, now, pass, requests);
+        let (imbalance, worst) = group.model.imbalance();
+        log_event!(
+            events::PASS_SEEN,
+            pass_ms = pass.as_millis() as u64, requests = requests,
+            imbalance = imbalance, worst = worst;
+            "length of a pass"
+        );
+        true
+    }
+
+    /// Whether the group of a service may be sent one more request.
+    pub fn may_start(
+        &self,
+        now: Timestamp,
+        service: &str,
+        spec: &PassSpec,
+        requests: u32,
+        prompt: u32,
+    ) -> bool {
+        let group = self.groups.get(service);
+        group.is_none_or(|it| {
+            it.model
+                .may_start(&self.passes, spec, now, requests, prompt)
+        })
     }
 }
--- a/crates/front/src/follower.rs
+++ b/crates/front/src/follower.rs
@@ -144,7 +144,7 @@
         }
         self.is_down = false;
         self.failures = 0;
-        self.shared.room.notify_waiters();
+        self.shared.room.notify_one();
     }
 
     fn failed(&mut self, error: &StoreError) {
@@ -175,7 +175,7 @@
                     "took what a peer knows of the store"
                 );
                 self.shared.replica.borrow_mut().adopt(now, copy);
-                self.shared.room.notify_waiters();
+                self.shared.room.notify_one();
             }
             Ok(Err(error)) => log::debug!("peer {addr} tells nothing: {error}"),
             Err(_) => log::debug!("peer {addr} does not answer"),
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     answers::Refusal,
+    dispatch,
     shared::{Place, Shared},
     stream::{self, OpenStream},
     traffic::Request,
@@ -243,27 +244,30 @@
 
     /// Waits for room at a server.
     async fn place(&mut self) -> Result<Place, Refusal> {
+        let service = self.request.service.clone();
+        let must_wait = dispatch::has_waiting(&self.shared, &service) && self.tried.is_empty();
+        let prompt = self.request.facts.usage.prompt;
+        if !must_wait && let Some(place) = self.shared.place(&service, &self.tried, prompt) {
+            return Ok(place);
+        }
+        if !self.shared.has_servers(&service) {
+            return Err(self.give_up("no server takes requests"));
+        }
         let bound = WaitBound {
             arrived: self.request.arrived,
             aim: self.route().aim,
             deadline: self.request.deadline,
         };
-        let service = self.request.service.clone();
-        loop {
-            let room = self.shared.room.notified();
-            if let Some(place) = self.shared.place(&service, &self.tried) {
-                return Ok(place);
-            }
-            if !self.shared.has_servers(&service) {
-                return Err(self.give_up("no server takes requests"));
-            }
-            let until = bound.give_up();
-            let now = self.shared.clock.now();
-            if now >= until || !self.tried.is_empty() {
-                return Err(self.give_up("all servers are full"));
-            }
-            // A timeout only leads to another look.
-            let _ = tokio::time::timeout(until - now, room).await;
+        let until = bound.give_up();
+        let now = self.shared.clock.now();
+        if now >= until || !self.tried.is_empty() {
+            return Err(self.give_up("all servers are full"));
+        }
+        let mut spot = dispatch::wait(&self.shared, &self.request, &self.tried);
+        self.shared.room.notify_one();
+        match tokio::time::timeout(until - now, &mut spot.place).await {
+            Ok(Ok(place)) => Ok(place),
+            Ok(Err(_)) | Err(_) => Err(self.give_up("all servers are full")),
         }
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod answers;
+pub mod dispatch;
 pub mod fleet;
 pub mod follower;
 pub mod forward;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -3,18 +3,16 @@
 use std::{
     net::{IpAddr, SocketAddr},
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
-use jj_policy::catalog::{Catalog, Route};
 use jj_utils::{clock::Timestamp, collections::FastMap, events, ids::FailureDomainId, log_event};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
 use jj_news::{Hello, MAX_DATAGRAM, Message, Roster, Standing, StoreNews};
 
-use crate::shared::Shared;
+use crate::{replica::DEFAULT_GAP, shared::Shared};
 
 /// Time between two signs of life.
 const HELLO_PAUSE: Duration = Duration::from_millis(200);
@@ -28,9 +26,6 @@
 /// Shortest time between two messages on requests in flight.
 const USE_PAUSE: Duration = Duration::from_millis(8);
 
-/// Pause between events that is aimed at where no route declares one.
-const DEFAULT_GAP: Duration = Duration::from_millis(200);
-
 /// A step of the clock between two signs of life from which the process was stopped.
 const STOPPED_FOR: Duration = Duration::from_millis(600);
 
@@ -139,7 +134,12 @@
                 let _ = socket.try_send_to(&bytes, from);
             }
         }
-        Message::Use { life, number, uses } => {
+        Message::Use {
+            life,
+            number,
+            uses,
+            tokens,
+        } => {
             let mut peers = shared.peers.borrow_mut();
             let Some(peer) = peers.known.get_mut(&ip) else {
                 return;
@@ -148,21 +148,16 @@
                 return;
             }
             peer.number = number;
-            shared.loads.borrow_mut().take_uses(&peer.hello.name, &uses);
-            shared.room.notify_waiters();
+            let now = shared.clock.now();
+            let mut loads = shared.loads.borrow_mut();
+            loads.take_uses(now, &peer.hello.name, uses, &tokens);
+            shared.room.notify_one();
         }
         // The rest is for agents.
         _ => {}
     }
 }
 
-/// Shortest pause between events that a route to a service aims at.
-fn shortest_gap(catalog: &Catalog, service: &str) -> Duration {
-    let leads = |route: &&Arc<Route>| route.targets.iter().any(|it| it.service == service);
-    let gaps = catalog.routes.iter().filter(leads).filter_map(|it| it.gap);
-    gaps.min().unwrap_or(DEFAULT_GAP)
-}
-
 /// What the agent beside a server has to know.
 fn roster(shared: &Rc<Shared>, server: SocketAddr) -> Option<Roster> {
     let replica = shared.replica.borrow();
@@ -177,7 +172,7 @@
     Some(Roster {
         experts: engine.experts?,
         idle_pass: engine.step * engine.stride,
-        gap: shortest_gap(catalog, service),
+        gap: catalog.gap(service).unwrap_or(DEFAULT_GAP),
         servers: servers.map(|it| it.addr).collect(),
         entries: entries.chain([own]).collect(),
     })
@@ -302,6 +297,7 @@
         life: shared.life,
         number: *number,
         uses: shared.loads.borrow().uses(),
+        tokens: shared.loads.borrow().tokens_sent(),
     };
     let targets: Vec<IpAddr> = shared.peers.borrow().known.keys().copied().collect();
     send_all(socket, &message, &targets, shared.settings().ports.0).await;
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -1,6 +1,6 @@
 //! What the platform's store says, as this process knows it from the store itself or from peers.
 
-use std::{collections::BTreeSet, rc::Rc};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use jj_adapter::{
     config, servers,
@@ -8,7 +8,8 @@
 };
 use jj_policy::{
     catalog::Catalog,
-    server_list::{Revision, ServerList},
+    pass_model::PassSpec,
+    server_list::{Revision, ServerList, ServerRecord},
 };
 use jj_utils::{
     clock::Timestamp, collections::FastMap, common_derives, events, ids::FailureDomainId, log_event,
@@ -107,6 +108,20 @@
         }
     }
 
+    /// Servers of a service to which new requests may go.
+    pub fn usable(&self, service: &str) -> impl Iterator<Item = &ServerRecord> {
+        let usable = self.servers.usable().map(|it| &it.record);
+        usable.filter(move |it| it.service == service && !self.evacuated.contains(&it.domain))
+    }
+
+    /// The passes of a service's engines; none where they form no group.
+    pub fn pass_spec(&self, service: &str) -> Option<PassSpec> {
+        let catalog = self.catalog.as_ref()?;
+        let engine = catalog.services.get(service)?.engine.as_ref()?;
+        let gap = catalog.gap(service).unwrap_or(DEFAULT_GAP);
+        PassSpec::new(engine, self.usable(service).count(), gap)
+    }
+
     /// Drops the servers that are certainly gone.
     pub fn settle(&mut self, now: Timestamp) {
         if self.servers.settle(now) {
@@ -206,8 +221,11 @@
     }
 }
 
+/// Pause between events that is aimed at where no route declares one.
+pub const DEFAULT_GAP: Duration = Duration::from_millis(200);
+
 /// The server that an item is about; one that can't be read names no server.
-fn server_record(item: &Item) -> Option<jj_policy::server_list::ServerRecord> {
+fn server_record(item: &Item) -> Option<ServerRecord> {
     let id = servers::id(&item.key)?;
     match servers::parse(id, &item.value) {
         Ok(record) => Some(record),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -26,7 +26,7 @@
     task::{JoinHandle, LocalSet, spawn_local},
 };
 
-use crate::{follower, mesh, ports, shared::Shared, traffic};
+use crate::{dispatch, follower, mesh, ports, shared::Shared, traffic};
 use jj_news::Standing;
 
 /// Time between two looks at the settings file, which may change without a signal.
@@ -78,6 +78,7 @@
         .context("bind the port for datagrams")?;
     spawn_local(mesh::run(Rc::clone(&shared), datagrams));
     spawn_local(follow(Rc::clone(&shared)));
+    spawn_local(dispatch::run(Rc::clone(&shared)));
     spawn_local(watch_settings(Rc::clone(&shared), path));
     spawn_local(upkeep(Rc::clone(&shared), metrics));
     let stop = ServerStop::default();
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -26,7 +26,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
-use crate::{fleet::Loads, mesh::Peers, replica::Replica};
+use crate::{dispatch::Waiting, fleet::Loads, mesh::Peers, replica::Replica};
 use jj_news::Standing;
 
 /// Requests at a model server, over its slots, from which it has no room: an engine's own queue
@@ -56,8 +56,10 @@
     pub pool: Pool,
     /// Whether this entry takes requests.
     pub standing: Cell<Standing>,
-    /// Requests that wait for room look again.
+    /// There may be room for requests that wait.
     pub room: Notify,
+    /// Requests that wait for room.
+    pub waiting: RefCell<Waiting>,
     /// The store should be looked at sooner than planned.
     pub look: Notify,
     /// Requests in flight have changed.
@@ -73,10 +75,18 @@
     shared: Rc<Shared>,
 }
 
+/// Requests at all servers of a service.
+fn all_uses(loads: &Loads, records: &[&ServerRecord]) -> u32 {
+    let uses = records
+        .iter()
+        .map(|it| loads.own(&it.id) + loads.others(&it.id));
+    uses.sum()
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.shared.loads.borrow_mut().end(&self.server.id);
-        self.shared.room.notify_waiters();
+        self.shared.room.notify_one();
         self.shared.changed.notify_one();
     }
 }
@@ -105,6 +115,7 @@
             pool: Pool::new(PoolConfig::default(), clock.clone()),
             standing: Cell::new(Standing::Starting),
             room: Notify::new(),
+            waiting: RefCell::default(),
             look: Notify::new(),
             changed: Notify::new(),
             budget: RefCell::default(),
@@ -124,20 +135,25 @@
     }
 
     /// A server of a service with room, if there is one.
-    pub fn place(self: &Rc<Self>, service: &str, tried: &[BackendServerId]) -> Option<Place> {
+    pub fn place(
+        self: &Rc<Self>,
+        service: &str,
+        tried: &[BackendServerId],
+        prompt: u32,
+    ) -> Option<Place> {
         let draw = self.draw();
         let now = self.clock.now();
         let domain = self.settings().domain.clone();
         let replica = self.replica.borrow();
-        let catalog = replica.catalog.as_ref()?;
-        let is_model = catalog.services.get(service)?.engine.is_some();
+        let spec = replica.pass_spec(service);
+        let records: Vec<&ServerRecord> = replica.usable(service).collect();
         let loads = self.loads.borrow();
-        let records: Vec<&ServerRecord> = replica
-            .servers
-            .usable()
-            .map(|it| &it.record)
-            .filter(|it| it.service == service && !replica.evacuated.contains(&it.domain))
-            .collect();
+        let is_model = spec.is_some();
+        if let Some(spec) = &spec
+            && !loads.may_start(now, service, spec, all_uses(&loads, &records), prompt)
+        {
+            return None;
+        }
         let candidates: Vec<Candidate> = records
             .iter()
             .map(|record| Candidate {
@@ -159,7 +175,12 @@
         let record = records.iter().find(|it| it.id == chosen.id)?;
         let server = Rc::new((*record).clone());
         drop(loads);
-        self.loads.borrow_mut().start(&server.id);
+        let mut loads = self.loads.borrow_mut();
+        loads.start(&server.id);
+        if is_model {
+            loads.send_prompt(now, service, prompt);
+        }
+        drop(loads);
         self.changed.notify_one();
         Some(Place {
             server,
@@ -167,13 +188,24 @@
         })
     }
 
+    /// Takes in the pause before an event of a stream.
+    pub fn take_pause(&self, service: &str, pause: Duration) {
+        let now = self.clock.now();
+        let replica = self.replica.borrow();
+        let Some(spec) = replica.pass_spec(service) else {
+            return;
+        };
+        let mut loads = self.loads.borrow_mut();
+        let records: Vec<&ServerRecord> = replica.usable(service).collect();
+        let requests = all_uses(&loads, &records);
+        if loads.take_pause(now, service, &spec, pause, requests) {
+            self.room.notify_one();
+        }
+    }
+
     /// Whether any server of a service may take requests at all.
     pub fn has_servers(&self, service: &str) -> bool {
-        let replica = self.replica.borrow();
-        let mut usable = replica.servers.usable();
-        usable.any(|it| {
-            it.record.service == service && !replica.evacuated.contains(&it.record.domain)
-        })
+        self.replica.borrow().usable(service).next().is_some()
     }
 
     /// Counts a request taken in.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -154,8 +154,11 @@
                 Ok(Next::Events(bytes, count)) => {
                     let now = shared.clock.now();
                     let pause = now.saturating_sub(progress);
-                    if forward.record.events > 0 && pause > forward.record.pause.0 {
-                        forward.record.pause = (pause, now);
+                    if forward.record.events > 0 {
+                        shared.take_pause(&forward.request.service, pause);
+                        if pause > forward.record.pause.0 {
+                            forward.record.pause = (pause, now);
+                        }
                     }
                     progress = now;
                     forward.record.events += count;
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -21,10 +21,10 @@
 /// Largest datagram read, in bytes.
 pub const MAX_DATAGRAM: usize = 8 * 1024;
 
-/// Short name of a backend server: part of the hash of its id.
+/// Short name of a backend server or service: part of the hash of its name.
 pub type ServerTag = u32;
 
-/// The short name of a server.
+/// The short name of a server or service.
 pub fn server_tag(id: &str) -> ServerTag {
     xxh3_64(id.as_bytes()) as ServerTag
 }
@@ -88,6 +88,17 @@
     }
 }
 
+common_derives! {wire:
+    /// Prompt tokens that one entry has sent to the servers of a service.
+    #[derive(Copy, Eq)]
+    pub struct TokensSent {
+        /// The service.
+        pub service: ServerTag,
+        /// Tokens since the entry started.
+        pub total: u64,
+    }
+}
+
 common_derives! {wire:
     /// What an agent has to know of its service.
     pub struct Roster {
@@ -161,6 +172,8 @@
             number: u64,
             /// Requests by server.
             uses: Vec<ServerUse>,
+            /// Prompt tokens by service.
+            tokens: Vec<TokensSent>,
         },
         /// An agent asks an entry for the roster of its service.
         AskRoster {
--- a/crates/policy/src/catalog.rs
+++ b/crates/policy/src/catalog.rs
@@ -253,6 +253,16 @@
         Ok(Admitted { route, account })
     }
 
+    /// Shortest pause between events that a route to a service aims at.
+    pub fn gap(&self, service: &str) -> Option<Duration> {
+        let leads = |route: &&Arc<Route>| route.targets.iter().any(|it| it.service == service);
+        self.routes
+            .iter()
+            .filter(leads)
+            .filter_map(|it| it.gap)
+            .min()
+    }
+
     /// The service that takes a request of a route; `draw` is a random number.
     pub fn target(route: &Route, draw: u64) -> Option<&ServiceId> {
         let total: u64 = route.targets.iter().map(|it| u64::from(it.weight)).sum();
--- a/crates/policy/src/pass_clock.rs
+++ b/crates/policy/src/pass_clock.rs
@@ -1,42 +1,35 @@
 //! Measures how long the passes of a group take, from the numbers of passes that were begun.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use jj_utils::clock::Timestamp;
 
-/// Fewest passes that a measurement spans.
-const SPAN: u64 = 3;
-
-/// Time after which a measurement is begun anew, since the group may have stood idle.
-const LONGEST: Duration = Duration::from_secs(1);
+/// Time that a measurement spans: the numbers are read too rarely to see single passes.
+const SPAN: Duration = Duration::from_millis(700);
 
 /// Length of the passes of one group.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct PassClock {
-    first: Option<(Timestamp, u64)>,
-    length: Option<Duration>,
+    seen: VecDeque<(Timestamp, u64)>,
 }
 
 impl PassClock {
     /// Takes in the number of the last pass that was begun.
     pub fn observe(&mut self, now: Timestamp, pass: u64) {
-        let Some((since, first)) = self.first else {
-            self.first = Some((now, pass));
-            return;
-        };
-        let took = now.saturating_sub(since);
-        if pass < first || took > LONGEST {
-            self.first = Some((now, pass));
-            return;
+        if self.seen.back().is_some_and(|(_, last)| pass < *last) {
+            self.seen.clear();
         }
-        if pass >= first + SPAN {
-            self.length = Some(took / (pass - first) as u32);
-            self.first = Some((now, pass));
+        self.seen.push_back((now, pass));
+        while self.seen.get(1).is_some_and(|(at, _)| *at + SPAN <= now) {
+            self.seen.pop_front();
         }
     }
 
     /// Mean length of the last few passes; none before any were seen.
     pub fn length(&self) -> Option<Duration> {
-        self.length
+        let (since, first) = self.seen.front()?;
+        let (until, last) = self.seen.back()?;
+        let passes = u32::try_from(last - first).ok().filter(|it| *it > 0)?;
+        Some(until.saturating_sub(*since) / passes)
     }
 }
--- /dev/null
+++ b/crates/policy/src/pass_model.rs
@@ -0,0 +1,231 @@
+//! How much work a lock-step group may be given, so that its passes stay short enough for the pauses
+//! between events that callers expect.
+//!
+//! Every request that runs makes each pass of the whole group longer, and every prompt makes the
+//! pass longer in which it is read; a pass that is too long makes every stream of the group late at
+//! once. Most of the work is done by experts, and set by set the most loaded rank counts. So what a
+//! pass takes beyond its fixed part is told by the work that was given, times the imbalance of the
+//! experts, and the imbalance can be read off the passes that were seen.
+//!
+//! Load pattern: near the group's capacity, other experts come into demand every few seconds, and
+//! the imbalance is three times as high until the expert map has followed. Requests that wait
+//! meanwhile must not all be read in one pass after it.
+
+use std::{collections::VecDeque, time::Duration};
+
+use jj_utils::{clock::Timestamp, common_derives};
+
+use crate::catalog::EngineSpec;
+
+common_derives! {value:
+    /// Tunables of the admission to a group.
+    pub struct PassConfig {
+        /// Part of the pause between events that the next pass may take as things are.
+        pub part: f64,
+        /// Part of it that a pass may take when the imbalance is as high as it was lately.
+        pub worst_part: f64,
+        /// Time in which the memory of a high imbalance falls to a half.
+        pub half_life: Duration,
+        /// Requests for each server that are always allowed.
+        pub least: f64,
+    }
+}
+
+impl Default for PassConfig {
+    fn default() -> Self {
+        Self {
+            part: 0.85,
+            worst_part: 0.95,
+            half_life: Duration::from_secs(8),
+            least: 3.0,
+        }
+    }
+}
+
+common_derives! {copy:
+    /// What the passes of a group consist of, and what they have to keep.
+    pub struct PassSpec {
+        /// Servers of the group.
+        pub ranks: u32,
+        /// Pause between events that callers expect at most.
+        pub gap: Duration,
+        /// Time that a pass takes without any work for tokens.
+        pub idle: Duration,
+        /// Time that a request adds to the passes of its own server.
+        pub writer: Duration,
+        /// Time that a million prompt tokens take on one server.
+        pub reading: Duration,
+        /// Part of the work for tokens that experts do, in thousandths.
+        pub expert_milli: u32,
+    }
+}
+
+impl PassSpec {
+    /// The passes of a group of so many engines; none where they don't work in lock-step.
+    pub fn new(engine: &EngineSpec, ranks: usize, gap: Duration) -> Option<Self> {
+        let experts = engine.experts?;
+        Some(Self {
+            ranks: ranks.max(1) as u32,
+            gap,
+            idle: engine.step * engine.stride,
+            writer: Duration::from_secs_f64(engine.per_writer) * engine.stride,
+            reading: Duration::from_secs_f64(1e6 / engine.read_rate.max(1.0)),
+            expert_milli: experts.share_milli,
+        })
+    }
+
+    /// Part of a pass that experts take where their work is even, in seconds.
+    fn even(&self, requests: f64, tokens: f64) -> f64 {
+        let writing = self.writer.as_secs_f64() * requests;
+        let reading = self.reading.as_secs_f64() * tokens / 1e6;
+        self.expert_share() * (writing + reading) / f64::from(self.ranks)
+    }
+
+    /// Part of a pass that does not depend on the experts, in seconds.
+    fn fixed(&self, requests: f64) -> f64 {
+        let fullest = requests / f64::from(self.ranks) * FULLEST;
+        let own = self.writer.as_secs_f64() * fullest * (1.0 - self.expert_share());
+        self.idle.as_secs_f64() + own
+    }
+
+    fn expert_share(&self) -> f64 {
+        f64::from(self.expert_milli) / 1e3
+    }
+}
+
+/// Requests at the fullest server over the mean.
+const FULLEST: f64 = 1.3;
+
+/// Weight of the newest pass in the mean of prompt tokens.
+const TOKEN_WEIGHT: f64 = 0.1;
+
+/// Highest imbalance that is believed: more is a pause for another reason.
+const HIGHEST: f64 = 8.0;
+
+/// Work that a group was given, and how its passes were.
+#[derive(Debug, Clone, Default)]
+pub struct PassModel {
+    /// Prompt tokens of requests by when they were sent.
+    reads: VecDeque<(Timestamp, u32)>,
+    /// Length of the last pass.
+    pass: Duration,
+    /// Imbalance in the last pass, and the highest lately.
+    now: f64,
+    worst: f64,
+    /// Mean of the prompt tokens that a pass reads.
+    tokens: f64,
+    at: Timestamp,
+}
+
+/// Time for which sent prompts are remembered.
+const READS_KEPT: Duration = Duration::from_millis(600);
+
+impl PassModel {
+    /// Notes that a request with a prompt was sent, here or by another process.
+    pub fn sent(&mut self, now: Timestamp, tokens: u32) {
+        self.reads.push_back((now, tokens));
+        while self
+            .reads
+            .front()
+            .is_some_and(|(at, _)| *at + READS_KEPT < now)
+        {
+            self.reads.pop_front();
+        }
+    }
+
+    /// Takes in a pass that has just ended, with so many requests at work.
+    pub fn observe(
+        &mut self,
+        config: &PassConfig,
+        spec: &PassSpec,
+        now: Timestamp,
+        pass: Duration,
+        requests: u32,
+    ) {
+        let requests = f64::from(requests);
+        // What was read in it had been sent before it began.
+        let begun = now.saturating_sub(pass);
+        let tokens = self.tokens_between(begun.saturating_sub(pass), begun);
+        self.tokens += (tokens - self.tokens) * TOKEN_WEIGHT;
+        let experts = (pass.as_secs_f64() - spec.fixed(requests)).max(0.0);
+        let even = spec.even(requests, tokens);
+        self.fade(config, now);
+        self.pass = pass;
+        if even > 0.0 {
+            self.now = (experts / even).clamp(1.0, HIGHEST);
+            self.worst = self.worst.max(self.now);
+        }
+    }
+
+    /// Whether one more request may be sent while so many are at work.
+    pub fn may_start(
+        &self,
+        config: &PassConfig,
+        spec: &PassSpec,
+        now: Timestamp,
+        requests: u32,
+        prompt: u32,
+    ) -> bool {
+        let requests = f64::from(requests) + 1.0;
+        if requests <= config.least * f64::from(spec.ranks) {
+            return true;
+        }
+        let sent = self.tokens_between(now.saturating_sub(self.pass), now);
+        let tokens = sent + f64::from(prompt);
+        let next = spec.fixed(requests) + self.now.max(1.0) * spec.even(requests, tokens);
+        let worst = spec.fixed(requests) + self.worst.max(1.0) * spec.even(requests, self.tokens);
+        let gap = spec.gap.as_secs_f64();
+        next <= gap * config.part && worst <= gap * config.worst_part
+    }
+
+    /// Imbalance in the last pass, and the highest lately.
+    pub fn imbalance(&self) -> (f64, f64) {
+        (self.now, self.worst)
+    }
+
+    fn tokens_between(&self, since: Timestamp, until: Timestamp) -> f64 {
+        let within = self
+            .reads
+            .iter()
+            .filter(|(at, _)| *at > since && *at <= until);
+        within.map(|(_, tokens)| f64::from(*tokens)).sum()
+    }
+
+    fn fade(&mut self, config: &PassConfig, now: Timestamp) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = now;
+        let part = 0.5_f64.powf(passed / config.half_life.as_secs_f64());
+        self.worst = 1.0 + (self.worst - 1.0).max(0.0) * part;
+    }
+}
+
+/// Shortest time over which the pauses of several streams are compared.
+const BIN: Duration = Duration::from_millis(30);
+
+/// Fewest pauses that tell the length of a pass.
+const FEWEST: usize = 3;
+
+/// Reads the length of a group's passes off the pauses of its streams: all streams of a group have
+/// an event in each pass, so what most of them see is the pass, and the rest is the network.
+#[derive(Debug, Clone, Default)]
+pub struct PauseMeter {
+    begun: Timestamp,
+    pauses: Vec<Duration>,
+}
+
+impl PauseMeter {
+    /// Takes in the pause of one stream before its newest event; the length of the last pass, once
+    /// enough streams have told theirs.
+    pub fn observe(&mut self, now: Timestamp, pause: Duration) -> Option<Duration> {
+        if now >= self.begun + BIN {
+            self.pauses.clear();
+            self.begun = now;
+        }
+        self.pauses.push(pause);
+        if self.pauses.len() != FEWEST {
+            return None;
+        }
+        self.pauses.sort_unstable();
+        Some(self.pauses[FEWEST / 2])
+    }
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -93,10 +93,13 @@
     }
 }
 
+/// Part of its aim that a request may wait; the rest is what a server needs.
+const WAIT_PART: f64 = 0.45;
+
 impl WaitBound {
-    /// The moment at which a request that still has no server is rejected: with a quarter of its
-    /// aim gone, an answer from here is hardly on time, while the caller can still come back.
+    /// The moment at which a request that still has no server is rejected: later than that, its
+    /// answer is hardly on time, while the caller can still come back.
     pub fn give_up(&self) -> Timestamp {
-        (self.arrived + self.aim / 4).min(self.deadline)
+        (self.arrived + self.aim.mul_f64(WAIT_PART)).min(self.deadline)
     }
 }
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -12,21 +12,26 @@
 use crate::{driver, mesh, state::State, switch};
 
 /// Time between two looks at the demand.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(50);
 
 /// Shortest time between two switches: their copies slow the group down.
-const SWITCH_PAUSE: Duration = Duration::from_millis(200);
+const SWITCH_PAUSE: Duration = Duration::from_millis(100);
 
 /// Imbalance over the one aimed at from which a switch pays for its copies.
 const LEAST_GAIN: f64 = 0.25;
 
-/// Experts that a rank loads in one switch at most: a switch that is short can follow a shift of
-/// demand at once, and the next one refines it.
-const MOST_LOADS: usize = 2;
+/// Imbalance from which a switch has to be as short as it can.
+const URGENT: f64 = 1.8;
+
+/// Experts that a rank loads in one switch at most: a short switch can follow a shift of demand at
+/// once, and the next one refines it.
+fn most_loads(imbalance: f64) -> usize {
+    if imbalance >= URGENT { 1 } else { 2 }
+}
 
 /// Part of the pause between events that is aimed at which a pass may take: the next shift of
 /// demand, copies and long prompts need the rest.
-const PASS_PART: f64 = 0.6;
+const PASS_PART: f64 = 0.45;
 
 /// Time for which nothing was heard of another leader's switch before this agent finishes it.
 const LEADER_SILENCE: Duration = Duration::from_millis(400);
@@ -142,7 +147,7 @@
         let pass = known.passes.length().unwrap_or_default();
         log_event!(
             events::GROUP_LOAD,
-            imbalance = imbalance, pass_ms = pass.as_secs_f64() * 1e3,
+            imbalance = imbalance, distance = known.demand.distance, pass_ms = pass.as_secs_f64() * 1e3,
             running = running.iter().sum::<u32>(),
             busiest = running.iter().max().copied().unwrap_or_default();
             "load of the group"
@@ -151,17 +156,18 @@
 
     /// The next map, and the imbalance that it aims at.
     fn plan(&self, ranks: usize) -> Option<(Plan, f64)> {
-        let known = self.state.known.borrow();
+        let now = self.state.clock.now();
+        let mut known = self.state.known.borrow_mut();
+        let spec = known.roster.as_ref()?.experts;
+        let shares = known.demand.shares(now, spec.sets as usize)?;
         let roster = known.roster.as_ref()?;
-        let spec = roster.experts;
-        let shares = known.demand.shares(spec.sets as usize)?;
         let (_, _, map) = self.map.as_ref()?;
         let shape = PlanShape {
             ranks,
             experts: spec.experts as usize,
             slots: spec.slots as usize,
             spare: spec.spare as usize,
-            loads: MOST_LOADS,
+            loads: most_loads(expert_plan::imbalance(map, &shares)),
         };
         let times = PassTimes {
             idle: roster.idle_pass,
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -23,10 +23,10 @@
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time between two reads of the counts.
-const COUNTS_PAUSE: Duration = Duration::from_millis(150);
+const COUNTS_PAUSE: Duration = Duration::from_millis(80);
 
 /// Longest wait for the counts.
-const COUNTS_LIMIT: Duration = Duration::from_millis(200);
+const COUNTS_LIMIT: Duration = Duration::from_millis(100);
 
 /// What the command line says.
 #[derive(Debug, Clone)]
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -69,6 +69,7 @@
     REBALANCE_PLANNED = 1505 Info "rebalance_planned";
     GROUP_LEADER = 1506 Info "group_leader";
     GROUP_LOAD = 1507 Debug "group_load";
+    PASS_SEEN = 1508 Debug "pass_seen";
 }
 
 /// Logs one numbered event, with fields that stand beside the message:
