feat(rank): a switch leaves no engine's state unknown when one of its agents stops

Cause: an instance that is stopped takes its engine out of reach. Ruled out: that a longer wait reaches that engine (1 s tried), that other agents did not notice (they tried from 0.24 s).

Now a third rank holds the pass, a deputy activates the map at the leader's engine, the leader at the others; agents that see the group stand still ask the deputy and finish forward or back. A load never undoes an activation. Both programs read changed settings again; SIGHUP ended agents before.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod events;
 pub mod instance;
 pub mod pool;
+pub mod reload;
 pub mod server;
 pub mod socket;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,16 +1,12 @@
 //! Starts an entry, and ends it when it is asked to leave.
 
-use std::{
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    rc::Rc,
-    time::Duration,
-};
+use std::{net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use jj_adapter::settings;
 use jj_direct::{
     instance::InstanceSettings,
+    reload,
     server::{self, Handler, ServerConfig, ServerStop},
     socket,
 };
@@ -29,9 +25,6 @@
 use crate::{dispatch, follower, mesh, ports, shared::Shared, traffic};
 use jj_news::Standing;
 
-/// Time between two looks at the settings file, which may change without a signal.
-const SETTINGS_LOOK: Duration = Duration::from_secs(1);
-
 /// Time after the request to stop in which callers that hold the address are still served.
 const SERVE_ON: Duration = Duration::from_millis(4_500);
 
@@ -64,30 +57,31 @@
     local.block_on(&runtime, serve(settings, options.path.clone()))
 }
 
-async fn serve(settings: InstanceSettings, path: PathBuf) -> anyhow::Result<()> {
+async fn serve(given: InstanceSettings, path: PathBuf) -> anyhow::Result<()> {
     let metrics = PrometheusBuilder::new().install_recorder()?;
     let clock = SystemClock::shared();
-    let shared = Shared::new(settings, clock);
-    let settings = shared.settings();
-    let traffic_addr = settings.listen.traffic.context("no address for callers")?;
+    let shared = Shared::new(given, clock);
+    let own = shared.settings();
+    let traffic_addr = own.listen.traffic.context("no address for callers")?;
     let small = ports::handler(Rc::clone(&shared), metrics.clone());
-    for addr in small_ports(&settings) {
+    for addr in small_ports(&own) {
         open(addr, Rc::clone(&small), ServerStop::default())?;
     }
-    let datagrams = socket::datagrams(SocketAddr::new(settings.ip, settings.ports.0))
+    let datagrams = socket::datagrams(SocketAddr::new(own.ip, own.ports.0))
         .context("bind the port for datagrams")?;
     spawn_local(mesh::run(Rc::clone(&shared), datagrams));
     spawn_local(follow(Rc::clone(&shared)));
     spawn_local(dispatch::run(Rc::clone(&shared)));
-    spawn_local(watch_settings(Rc::clone(&shared), path));
+    let reloaded = Rc::clone(&shared);
+    let take = move |settings| *reloaded.settings.borrow_mut() = settings;
+    spawn_local(reload::watch(path, settings::read, take));
     spawn_local(upkeep(Rc::clone(&shared), metrics));
     let stop = ServerStop::default();
     let handler = traffic::handler(Rc::clone(&shared));
     let server = open(traffic_addr, handler, stop.clone())?;
     log_event!(
         events::PROCESS_STARTED,
-        instance = settings.name.as_str(), life = shared.life,
-        domain = settings.domain.as_str();
+        instance = own.name.as_str(), life = shared.life, domain = own.domain.as_str();
         "entry started"
     );
     let mut terminate = signal(SignalKind::terminate())?;
@@ -134,40 +128,6 @@
     );
 }
 
-/// Reads the settings again when the file has changed or a signal says so.
-async fn watch_settings(shared: Rc<Shared>, path: PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log_event!(events::PROCESS_FAILED, "SIGHUP can't be handled");
-        return;
-    };
-    let mut known = modified(&path);
-    loop {
-        let asked = tokio::select! {
-            _ = hangup.recv() => true,
-            () = tokio::time::sleep(SETTINGS_LOOK) => false,
-        };
-        let newest = modified(&path);
-        if !asked && newest == known {
-            continue;
-        }
-        known = newest;
-        match settings::read(&path) {
-            Ok(settings) => {
-                log_event!(
-                    events::SETTINGS_RELOADED,
-                    signal = asked, seeds = settings.seeds.len(); "settings are in force"
-                );
-                *shared.settings.borrow_mut() = Rc::new(settings);
-            }
-            Err(error) => log_event!(events::CONFIG_REFUSED, "settings are not used: {error:#}"),
-        }
-    }
-}
-
-fn modified(path: &Path) -> Option<std::time::SystemTime> {
-    std::fs::metadata(path).and_then(|it| it.modified()).ok()
-}
-
 /// Becomes ready once there is a configuration, and tidies up.
 async fn upkeep(shared: Rc<Shared>, metrics: metrics_exporter_prometheus::PrometheusHandle) {
     const READY_LOOK: Duration = Duration::from_millis(50);
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -9,12 +9,12 @@
 
 use jj_policy::{
     catalog::ExpertSpec,
-    map_switch::{Goal, MapVersion, RankView, SetMap},
+    map_switch::{Activation, Goal, MapVersion, RankView, SetMap},
     server_list::Revision,
 };
 use jj_utils::{
     common_derives,
-    ids::{FailureDomainId, Incarnation, InstanceId, Rank},
+    ids::{FailureDomainId, Incarnation, InstanceId, Rank, Term},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -147,11 +147,39 @@
     }
 }
 
+common_derives! {wire:
+    /// Ranks with a part in a switch of the expert map.
+    #[derive(Copy, Eq)]
+    pub struct SwitchRoles {
+        /// Its agent leads the switch, and orders nothing at its own engine while a pass is held.
+        pub leader: Rank,
+        /// Its agent activates the map at the leader's engine.
+        pub deputy: Rank,
+        /// Its engine holds the pass; its agent orders nothing meanwhile.
+        pub gate: Rank,
+    }
+}
+
+common_derives! {wire:
+    /// What a deputy knows of the leader's engine.
+    #[derive(Copy, Eq)]
+    pub enum DeputyState {
+        /// It has not ordered anything there for this switch, and will not do so any more.
+        Nothing,
+        /// The engine has accepted the activation.
+        Active(Activation),
+        /// It has ordered the activation and does not know what came of it.
+        Unknown,
+    }
+}
+
 common_derives! {wire:
     /// What a leader wants of a rank.
     pub struct RankTask {
         /// Number of the task, which the answer names.
         pub number: u64,
+        /// Who does what.
+        pub roles: SwitchRoles,
         /// The goal.
         pub goal: Goal,
         /// The map, while the goal is to load it.
@@ -188,6 +216,31 @@
         RankCounts(RankCounts),
         /// A leader's task for a rank.
         RankTask(RankTask),
+        /// A leader asks its deputy to activate a map at the leader's engine.
+        Deputise {
+            /// Number of the request, which the answer names.
+            number: u64,
+            /// The leader's engine.
+            server: SocketAddr,
+            /// What to activate, and for whom.
+            goal: Goal,
+            /// Orders that the engine has accepted.
+            sequence: u64,
+        },
+        /// An agent that finishes a switch asks the deputy what it knows of the leader's engine.
+        AskDeputy {
+            /// Number of the question.
+            number: u64,
+            /// Fencing number of the one who asks; the deputy obeys no lower one from then on.
+            term: Term,
+        },
+        /// The answer of a deputy.
+        Deputy {
+            /// Number of the request or question.
+            number: u64,
+            /// What it knows.
+            state: DeputyState,
+        },
         /// A leader asks for the experts of a rank under the map in force.
         AskExperts,
         /// The answer.
--- a/crates/policy/src/map_switch.rs
+++ b/crates/policy/src/map_switch.rs
@@ -110,8 +110,6 @@
         Load,
         /// The map is being loaded.
         Wait,
-        /// Undo the activation of another map.
-        Cancel(MapVersion),
         /// Activate the map.
         Activate(Activation),
         /// The goal can't be reached any more.
@@ -134,7 +132,7 @@
             false => Step::Impossible,
         },
         (Some(active), None) if active.version == goal.version => Step::Done,
-        (Some(active), _) => Step::Cancel(active.version),
+        (Some(_), _) => Step::Impossible,
         (None, _) if view.loaded != Some(goal.version) => match is_loading {
             true => Step::Wait,
             false => Step::Load,
@@ -163,10 +161,7 @@
             gate: usize,
             /// The pass.
             pass: Pass,
-            /// Map that the ranks are to use from that pass on; none where they disagree, so that
-            /// a new one has to be loaded.
-            version: Option<MapVersion>,
-        },
+    },
         /// All ranks will use a map from a pass on that nothing holds.
         Decided(Activation),
     }
@@ -189,12 +184,7 @@
     let holding = views.iter().enumerate();
     let holding = holding.filter_map(|(rank, it)| Some((it.held?, rank)));
     if let Some((pass, gate)) = holding.min() {
-        let version = common_version(&views, pass);
-        return Standing::Held {
-            gate,
-            pass,
-            version,
-        };
+        return Standing::Held { gate, pass };
     }
     if let Some(active) = views.iter().find_map(|it| it.active) {
         return Standing::Decided(active);
@@ -207,8 +197,10 @@
     }
 }
 
-/// The map that all ranks have loaded, or have activated for the pass.
-fn common_version(views: &[RankView], pass: Pass) -> Option<MapVersion> {
+/// The map that all ranks have loaded, or have activated for a held pass; none where they disagree,
+/// so that a new one has to be loaded.
+pub fn common_version(views: &[Option<RankView>], pass: Pass) -> Option<MapVersion> {
+    let views = views.iter().copied().collect::<Option<Vec<RankView>>>()?;
     let newest = views
         .iter()
         .filter_map(|it| it.loaded.max(it.active.map(|it| it.version)));
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -6,6 +6,8 @@
 use jj_news::{Message, RankTask};
 use jj_policy::map_switch::{self, Activation, Goal, RankOrder, RankView, SetMap, Step};
 
+use jj_utils::{events, log_event};
+
 use crate::{
     mesh,
     state::{HeldExperts, State},
@@ -40,8 +42,24 @@
     let asked = state.clock.now();
     let report = state.engine.report(ANSWER_LIMIT).await?;
     let mut known = state.known.borrow_mut();
+    let before = known
+        .report
+        .as_ref()
+        .map(|it| (it.view.is_open, it.view.epoch));
+    if before != Some((report.view.is_open, report.view.epoch)) {
+        log_event!(
+            events::GROUP_STATE,
+            rank = report.rank, epoch = report.view.epoch, open = report.view.is_open;
+            "the group's state as its engine reports it"
+        );
+        state.changed.notify_one();
+    }
     if known.read <= asked {
         known.read = asked;
+        let pass = known.report.as_ref().map(|it| it.view.pass);
+        if pass != Some(report.view.pass) || report.running == 0 || !report.view.is_open {
+            known.advanced = state.clock.now();
+        }
         known.passes.observe(state.clock.now(), report.view.pass);
         known.report = Some(report.clone());
     }
@@ -93,14 +111,13 @@
             version: goal.version,
             map: map?.to_vec(),
         }),
-        Step::Cancel(version) => Some(RankOrder::Cancel { version }),
         Step::Activate(activation) => Some(RankOrder::Activate(activation)),
         Step::Done | Step::Wait | Step::Impossible => None,
     }
 }
 
 /// The engine's state once it has accepted an order.
-fn after(view: RankView, order: &RankOrder) -> RankView {
+pub fn after(view: RankView, order: &RankOrder) -> RankView {
     let sequence = view.sequence + 1;
     match order {
         RankOrder::Activate(Activation { version, pass }) => RankView {
@@ -116,6 +133,11 @@
             active: None,
             ..view
         },
+        RankOrder::Hold { pass } => RankView {
+            sequence,
+            held: Some(*pass),
+            ..view
+        },
         _ => RankView { sequence, ..view },
     }
 }
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -33,9 +33,6 @@
 /// demand, copies and long prompts need the rest.
 const PASS_PART: f64 = 0.45;
 
-/// Time for which nothing was heard of another leader's switch before this agent finishes it.
-const LEADER_SILENCE: Duration = Duration::from_millis(400);
-
 /// Leads for as long as the process runs, whenever it is this agent's turn.
 pub async fn run(state: Rc<State>) {
     let mut leader = Leader {
@@ -77,9 +74,8 @@
             return;
         };
         match map_switch::standing(&views) {
-            Standing::Held { .. } => self.finish(&views).await,
             Standing::Quiet | Standing::Loaded(_) => self.consider(&views).await,
-            Standing::Decided(_) | Standing::Unclear => {}
+            Standing::Held { .. } | Standing::Decided(_) | Standing::Unclear => {}
         }
     }
 
@@ -94,16 +90,6 @@
         Some((0..report.size).map(view).collect())
     }
 
-    /// Finishes a switch that an earlier leader left.
-    async fn finish(&mut self, views: &[Option<RankView>]) {
-        let led = self.state.known.borrow().led;
-        if self.state.clock.now() < led + LEADER_SILENCE {
-            return;
-        }
-        switch::finish(&self.state, views).await;
-        self.map = None;
-    }
-
     /// Starts a switch if one pays.
     async fn consider(&mut self, views: &[Option<RankView>]) {
         let now = self.state.clock.now();
@@ -194,7 +180,7 @@
             .report
             .as_ref()
             .map_or(0, |it| it.size);
-        if let Some(map) = self.told_map(size, version) {
+        if let Some(map) = self.state.told_map(size, version) {
             self.map = Some((epoch, version, map));
             return true;
         }
@@ -204,18 +190,4 @@
         }
         false
     }
-
-    /// The map that all ranks have told.
-    fn told_map(&self, size: u32, version: MapVersion) -> Option<Vec<SetMap>> {
-        let known = self.state.known.borrow();
-        let ranks: Option<Vec<_>> = (0..size)
-            .map(|rank| known.experts.get(&rank).filter(|it| it.version == version))
-            .collect();
-        let ranks = ranks?;
-        let sets = ranks.first()?.sets.len();
-        let set = |set: usize| -> Option<SetMap> {
-            ranks.iter().map(|it| it.sets.get(set).cloned()).collect()
-        };
-        (0..sets).map(set).collect()
-    }
 }
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -4,9 +4,11 @@
 
 #![warn(clippy::unwrap_used)]
 
+pub mod deputy;
 pub mod driver;
 pub mod lead;
 pub mod mesh;
+pub mod rescue;
 pub mod run;
 pub mod state;
 pub mod switch;
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -8,8 +8,8 @@
 use tokio::task::spawn_local;
 
 use crate::{
-    driver,
-    state::{HeldExperts, Member, State, TaskReply},
+    deputy, driver,
+    state::{HeldExperts, Member, State, TaskReply, TaskSeen},
 };
 
 /// Time between two signs of life.
@@ -127,6 +127,29 @@
         Message::RankCounts(counts) => take_counts(state, now, counts),
         Message::RankTask(task) => take_task(state, now, from, task),
         Message::RankReply { number, rank, view } => take_reply(state, number, rank, view),
+        Message::Deputise {
+            number,
+            server,
+            goal,
+            sequence,
+        } => {
+            let state = Rc::clone(state);
+            let request = deputy::Request {
+                number,
+                server,
+                goal,
+                sequence,
+            };
+            spawn_local(async move { deputy::activate(&state, from, request).await });
+        }
+        Message::AskDeputy { number, term } => deputy::answer(state, from, number, term),
+        Message::Deputy {
+            number,
+            state: told,
+        } => {
+            state.known.borrow_mut().told = Some((number, told));
+            state.replied.notify_one();
+        }
         Message::AskExperts => {
             let state = Rc::clone(state);
             spawn_local(async move { driver::tell_experts(&state, from).await });
@@ -188,7 +211,14 @@
             return;
         }
         known.term = task.goal.term;
-        known.led = now;
+        // A load begins another switch, for which nothing was done yet.
+        if task.map.is_some() && known.deputy.is_some_and(|(term, _)| term < task.goal.term) {
+            known.deputy = None;
+        }
+        known.task = Some(TaskSeen {
+            at: now,
+            roles: task.roles,
+        });
     }
     let state = Rc::clone(state);
     spawn_local(async move { driver::work(&state, from, task).await });
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use jj_adapter::{engine::Engine, settings};
-use jj_direct::{instance::InstanceSettings, socket};
+use jj_direct::{instance::InstanceSettings, reload, socket};
 use jj_news::{Message, RankCounts};
 use jj_utils::{
     clock::SystemClock,
@@ -17,11 +17,17 @@
     task::{LocalSet, spawn_local},
 };
 
-use crate::{driver, lead, mesh, state::State};
+use crate::{driver, lead, mesh, rescue, state::State};
 
 /// Time between two reads of the engine's report.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 
+/// The same while a switch is under way.
+const SWITCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time after a leader's task for which a switch counts as under way.
+const SWITCH_WATCH: Duration = Duration::from_millis(1_500);
+
 /// Time between two reads of the counts.
 const COUNTS_PAUSE: Duration = Duration::from_millis(80);
 
@@ -47,16 +53,16 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, work(settings))
+    LocalSet::new().block_on(&runtime, work(settings, options.path.clone()))
 }
 
-async fn work(settings: InstanceSettings) -> anyhow::Result<()> {
-    let server = settings.server.context("no server beside this agent")?;
-    let addr = SocketAddr::new(settings.ip, settings.ports.0);
+async fn work(given: InstanceSettings, path: PathBuf) -> anyhow::Result<()> {
+    let server = given.server.context("no server beside this agent")?;
+    let addr = SocketAddr::new(given.ip, given.ports.0);
     let socket = socket::datagrams(addr).context("bind the port for datagrams")?;
-    let name = settings.name.clone();
+    let name = given.name.clone();
     let state = Rc::new(State {
-        settings: std::cell::RefCell::new(Rc::new(settings)),
+        settings: std::cell::RefCell::new(Rc::new(given)),
         clock: SystemClock::shared(),
         life: rand::random(),
         engine: Engine::new(server)?,
@@ -64,12 +70,17 @@
         socket,
         known: std::cell::RefCell::default(),
         replied: tokio::sync::Notify::new(),
+        changed: tokio::sync::Notify::new(),
     });
     spawn_local(mesh::receive(Rc::clone(&state)));
     spawn_local(mesh::tell(Rc::clone(&state)));
     spawn_local(reports(Rc::clone(&state)));
     spawn_local(counts(Rc::clone(&state)));
     spawn_local(lead::run(Rc::clone(&state)));
+    spawn_local(rescue::run(Rc::clone(&state)));
+    let reloaded = Rc::clone(&state);
+    let take = move |settings| *reloaded.settings.borrow_mut() = settings;
+    spawn_local(reload::watch(path, settings::read, take));
     log_event!(
         events::PROCESS_STARTED,
         instance = name.as_str(), life = state.life, server = server.to_string();
@@ -95,7 +106,17 @@
                 Err(error) => log_event!(events::SERVER_UNREACHABLE, "{error:#}"),
             }
         }
-        tokio::time::sleep(REPORT_PAUSE).await;
+        tokio::time::sleep(report_pause(&state)).await;
+    }
+}
+
+/// Reports are read often while a switch is under way, so that one that has stopped is seen.
+fn report_pause(state: &State) -> Duration {
+    let now = state.clock.now();
+    let task = state.known.borrow().task;
+    match task.is_some_and(|it| now < it.at + SWITCH_WATCH) {
+        true => SWITCH_PAUSE,
+        false => REPORT_PAUSE,
     }
 }
 
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -9,10 +9,10 @@
 
 use jj_adapter::engine::{Engine, EngineReport};
 use jj_direct::instance::InstanceSettings;
-use jj_news::{RankStatus, Roster};
+use jj_news::{DeputyState, RankStatus, Roster, SwitchRoles};
 use jj_policy::{
     demand::Demand,
-    map_switch::{MapVersion, RankView},
+    map_switch::{MapVersion, RankView, SetMap},
     pass_clock::PassClock,
 };
 use jj_utils::{
@@ -43,6 +43,15 @@
     pub view: RankView,
 }
 
+/// A task of a leader, as it was seen.
+#[derive(Debug, Clone, Copy)]
+pub struct TaskSeen {
+    /// When.
+    pub at: Timestamp,
+    /// Who does what in the switch.
+    pub roles: SwitchRoles,
+}
+
 /// Experts of one rank.
 #[derive(Debug, Clone)]
 pub struct HeldExperts {
@@ -75,8 +84,16 @@
     pub term: Term,
     /// Map that the engine beside it loads, and since when.
     pub loading: Option<(MapVersion, Timestamp)>,
-    /// When a task of another leader was last seen.
-    pub led: Timestamp,
+    /// The last task of a leader.
+    pub task: Option<TaskSeen>,
+    /// When the group last began a pass, or had nothing to do.
+    pub advanced: Timestamp,
+    /// Whether this agent carries a switch out.
+    pub switching: bool,
+    /// What this agent knows as a deputy, and under which fencing number.
+    pub deputy: Option<(Term, DeputyState)>,
+    /// The last answer of a deputy.
+    pub told: Option<(u64, DeputyState)>,
     /// Number of the last task given.
     pub number: u64,
 }
@@ -99,6 +116,8 @@
     pub known: RefCell<Knowledge>,
     /// An answer to a task has come.
     pub replied: Notify,
+    /// The state of the group has changed.
+    pub changed: Notify,
 }
 
 impl State {
@@ -144,4 +163,18 @@
         let (rank, member) = alive.min_by_key(|(rank, _)| **rank)?;
         (*rank < own).then(|| self.agent_addr(member.status.server.ip()))
     }
+
+    /// The map that all ranks have told.
+    pub fn told_map(&self, size: u32, version: MapVersion) -> Option<Vec<SetMap>> {
+        let known = self.known.borrow();
+        let ranks: Option<Vec<_>> = (0..size)
+            .map(|rank| known.experts.get(&rank).filter(|it| it.version == version))
+            .collect();
+        let ranks = ranks?;
+        let sets = ranks.first()?.sets.len();
+        let set = |set: usize| -> Option<SetMap> {
+            ranks.iter().map(|it| it.sets.get(set).cloned()).collect()
+        };
+        (0..sets).map(set).collect()
+    }
 }
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -1,11 +1,17 @@
 //! Carries a switch of the expert map out, from the load to the release of the held pass.
+//!
+//! All ranks load the map, each by its own agent. Then the leader has one rank hold a pass, has its
+//! deputy activate the map at the leader's own engine, activates it at all others itself, and
+//! releases the pass. An agent that stops in between takes only its own engine out of reach, and it
+//! has ordered nothing there, so that the others know the state of each engine and can finish.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use futures_util::future::join_all;
 use jj_adapter::engine::{Engine, OrderOutcome};
-use jj_news::{Message, RankTask};
+use jj_news::{DeputyState, Message, RankTask, SwitchRoles};
 use jj_policy::map_switch::{
-    self, Activation, Goal, MapVersion, Pass, RankOrder, RankView, SetMap, Standing,
+    self, Activation, Goal, MapVersion, Pass, RankOrder, RankView, SetMap,
 };
 use jj_utils::{
     clock::{Timestamp, unix_millis},
@@ -15,16 +21,22 @@
     log_event,
 };
 
-use crate::{driver, mesh, state::State};
+use crate::{
+    driver, mesh,
+    state::{SILENT_AFTER, State},
+};
 
 /// Longest time for all ranks to load a map; the switch is given up after it, since nothing holds.
-const LOAD_LIMIT: Duration = Duration::from_secs(4);
+const LOAD_LIMIT: Duration = Duration::from_secs(3);
 
 /// Pause before a load that has no answer is asked for again.
 const LOAD_RETRY: Duration = Duration::from_millis(70);
 
-/// Pause before an activation that has no answer is asked for again; the group may be waiting.
-const ACTIVATE_RETRY: Duration = Duration::from_millis(25);
+/// Pause before something that the group may wait for is asked for again.
+const HELD_RETRY: Duration = Duration::from_millis(25);
+
+/// Longest time for a rank to tell its state.
+const QUERY_LIMIT: Duration = Duration::from_millis(150);
 
 /// Passes between the last one begun and the first one with the new map: one for the rest of the
 /// pass under way, and one for the orders.
@@ -33,11 +45,11 @@
 /// Tries to hold a pass, each for a later one.
 const HOLD_TRIES: u32 = 4;
 
-/// Silence of an agent while the group is held after which its engine gets orders directly.
-const AGENT_LIMIT: Duration = Duration::from_millis(150);
+/// Longest time for the deputy to activate the map; the switch is given up after it.
+const DEPUTY_LIMIT: Duration = Duration::from_millis(200);
 
-/// Longest time for one leader to finish a held switch before it looks at everything anew.
-const FINISH_LIMIT: Duration = Duration::from_secs(3);
+/// Longest time for one agent to finish a held switch before others may try.
+const FINISH_LIMIT: Duration = Duration::from_secs(2);
 
 /// What the fencing number grows by when a higher one was seen.
 const TERM_STEP: Term = 5_000;
@@ -46,10 +58,11 @@
 struct Switch {
     state: Rc<State>,
     goal: Goal,
+    roles: SwitchRoles,
     size: u32,
     own: Rank,
     started: Timestamp,
-    /// Views of the ranks that were read since the switch began.
+    /// Views of the ranks that were read since the last question.
     views: FastMap<Rank, RankView>,
 }
 
@@ -59,93 +72,72 @@
     views: &[Option<RankView>],
     map: Vec<SetMap>,
 ) -> Option<(MapVersion, Vec<SetMap>)> {
-    let mut switch = Switch::new(state, views)?;
+    let roles = choose_roles(state)?;
+    let epoch = views.first().copied().flatten()?.epoch;
+    let mut switch = Switch::new(state, roles, epoch, views.len() as u32)?;
     switch.goal.version = map_switch::next_version(views);
-    if !switch.load(&map).await {
-        switch.log(false, "not all ranks have loaded the map");
-        return None;
-    }
-    if !switch.hold().await {
-        switch.log(false, "the pass could not be held");
-        return None;
-    }
-    let gate = Gate::own(state, switch.own);
-    let is_done = switch.decide(&gate).await;
-    switch.log(is_done, "the pass was released");
-    is_done.then_some((switch.goal.version, map))
+    let is_done = switch.carry_out(&map).await;
+    let version = switch.goal.version;
+    is_done.then_some((version, map))
 }
 
-/// Finishes a switch that holds a pass and whose leader is gone.
-pub async fn finish(state: &Rc<State>, views: &[Option<RankView>]) {
-    let Standing::Held {
-        gate,
-        pass,
-        version,
-    } = map_switch::standing(views)
-    else {
-        return;
+/// Finishes the switch of a leader that is gone, if a pass is held for it.
+pub async fn rescue(state: &Rc<State>, roles: SwitchRoles) {
+    let epoch_and_size = {
+        let known = state.known.borrow();
+        known.report.as_ref().map(|it| (it.view.epoch, it.size))
     };
-    let (Some(mut switch), Some(gate)) = (Switch::new(state, views), Gate::of(state, gate as Rank))
-    else {
+    let Some((epoch, size)) = epoch_and_size else {
         return;
     };
-    // Ranks that disagree can't be brought together without a map that all of them load.
-    let Some(version) = version else {
-        switch.log(false, "the ranks have loaded different maps");
-        return;
-    };
-    switch.goal.version = version;
-    switch.goal.pass = Some(pass);
-    let is_done = switch.decide(&gate).await;
-    switch.log(is_done, "a switch that another leader left");
+    if let Some(mut switch) = Switch::new(state, roles, epoch, size) {
+        switch.finish().await;
+    }
 }
 
-/// The rank that holds the pass.
-struct Gate {
-    rank: Rank,
-    engine: Engine,
+/// A deputy and a rank that holds, among the agents that are heard.
+fn choose_roles(state: &State) -> Option<SwitchRoles> {
+    let now = state.clock.now();
+    let known = state.known.borrow();
+    let leader = known.report.as_ref()?.rank;
+    let alive = known
+        .members
+        .iter()
+        .filter(|(_, it)| it.heard + SILENT_AFTER >= now);
+    let mut alive: Vec<Rank> = alive.map(|(rank, _)| *rank).collect();
+    alive.retain(|rank| *rank != leader);
+    alive.sort_unstable();
+    Some(SwitchRoles {
+        leader,
+        deputy: *alive.first()?,
+        gate: *alive.get(1)?,
+    })
 }
 
-impl Gate {
-    fn own(state: &State, rank: Rank) -> Self {
-        Self {
-            rank,
-            engine: state.engine.clone(),
-        }
-    }
-
-    fn of(state: &State, rank: Rank) -> Option<Self> {
-        if state.rank() == Some(rank) {
-            return Some(Self::own(state, rank));
-        }
-        let addr = server_of(state, rank)?;
-        let engine = Engine::new(addr).ok()?;
-        Some(Self { rank, engine })
+impl Drop for Switch {
+    fn drop(&mut self) {
+        self.state.known.borrow_mut().switching = false;
     }
 }
 
-fn server_of(state: &State, rank: Rank) -> Option<SocketAddr> {
-    let known = state.known.borrow();
-    known.members.get(&rank).map(|it| it.status.server)
-}
-
 impl Switch {
-    fn new(state: &Rc<State>, views: &[Option<RankView>]) -> Option<Self> {
+    fn new(state: &Rc<State>, roles: SwitchRoles, epoch: u64, size: u32) -> Option<Self> {
         let own = state.rank()?;
-        let first = views.first().copied().flatten()?;
         let term = {
             let mut known = state.known.borrow_mut();
+            known.switching = true;
             known.term = (known.term + 1).max(unix_millis());
             known.term
         };
         Some(Self {
             goal: Goal {
                 term,
-                epoch: first.epoch,
+                epoch,
                 version: 0,
                 pass: None,
             },
-            size: views.len() as u32,
+            roles,
+            size,
             own,
             started: state.clock.now(),
             views: FastMap::default(),
@@ -153,7 +145,23 @@
         })
     }
 
-    fn log(&self, is_done: bool, what: &'static str) {
+    /// Loads a map, holds a pass and decides; false when the group stays with the map in force.
+    async fn carry_out(&mut self, map: &[SetMap]) -> bool {
+        if !self.load(map).await {
+            return self.end(false, "not all ranks have loaded the map");
+        }
+        if !self.is_current() || !self.hold().await {
+            return self.end(false, "the pass could not be held");
+        }
+        if !self.deputise().await {
+            self.roll_back(&[self.own]).await;
+            return self.end(false, "the deputy does not answer");
+        }
+        let is_done = self.decide().await;
+        self.end(is_done, "the pass was released")
+    }
+
+    fn end(&self, is_done: bool, what: &'static str) -> bool {
         let event = match is_done {
             true => events::MAP_COMMITTED,
             false => events::MAP_ABORTED,
@@ -162,44 +170,77 @@
         log_event!(
             event,
             version = self.goal.version, pass = self.goal.pass.unwrap_or_default(),
-            epoch = self.goal.epoch, term = self.goal.term, ms = ms.as_millis() as u64;
+            epoch = self.goal.epoch, term = self.goal.term, ms = ms.as_millis() as u64,
+            gate = self.roles.gate, deputy = self.roles.deputy;
             "{what}"
         );
+        is_done
+    }
+
+    /// Whether no newer leader was seen, and this process was not stopped.
+    fn is_current(&self) -> bool {
+        self.state.known.borrow().term == self.goal.term
+    }
+
+    fn activation(&self) -> Option<Activation> {
+        let pass = self.goal.pass?;
+        Some(Activation {
+            version: self.goal.version,
+            pass,
+        })
     }
 
     /// Has all ranks load the map; false when one has not in time.
     async fn load(&mut self, map: &[SetMap]) -> bool {
         let limit = self.state.clock.now() + LOAD_LIMIT;
         let version = self.goal.version;
+        let all: Vec<Rank> = (0..self.size).collect();
         let is_loaded = move |view: &RankView| view.loaded == Some(version);
-        self.drive(limit, LOAD_RETRY, Some(map), is_loaded).await
+        self.drive(&all, limit, LOAD_RETRY, Some(map), is_loaded)
+            .await
+    }
+
+    /// Asks ranks for their state; false when one does not tell it in time.
+    async fn query(&mut self, ranks: &[Rank], limit: Duration) -> bool {
+        let limit = self.state.clock.now() + limit;
+        self.drive(ranks, limit, HELD_RETRY, None, |_| true).await
     }
 
-    /// Gives all ranks the goal again and again until the view of each is as it should be.
+    /// Gives ranks the goal again and again until the view of each is as it should be.
     async fn drive(
         &mut self,
+        ranks: &[Rank],
         limit: Timestamp,
         retry: Duration,
         map: Option<&[SetMap]>,
         is_reached: impl Fn(&RankView) -> bool,
     ) -> bool {
         let state = Rc::clone(&self.state);
-        let begun = state.clock.now();
         let number = self.next_number();
-        let mut missing: Vec<Rank> = (0..self.size).collect();
+        let mut missing = ranks.to_vec();
+        missing.iter().for_each(|rank| {
+            self.views.remove(rank);
+        });
         while !missing.is_empty() {
-            let now = state.clock.now();
-            if now >= limit {
+            if state.clock.now() >= limit {
                 return false;
             }
-            let is_held = self.goal.pass.is_some();
             for rank in &missing {
-                let is_silent = is_held && now >= begun + AGENT_LIMIT;
-                self.give_task(*rank, number, map, is_silent).await;
+                self.give_task(*rank, number, map).await;
             }
-            self.wait_replies(&state, retry).await;
-            for rank in &missing {
-                self.take_reply(*rank, number);
+            let until = tokio::time::Instant::now() + retry;
+            loop {
+                for rank in &missing {
+                    self.take_reply(*rank, number);
+                }
+                let reached = |rank: &Rank| self.views.get(rank).is_some_and(&is_reached);
+                if missing.iter().all(reached) {
+                    break;
+                }
+                let replied = state.replied.notified();
+                if tokio::time::timeout_at(until, replied).await.is_err() {
+                    break;
+                }
             }
             let epoch = self.goal.epoch;
             if self.views.values().any(|it| it.epoch != epoch) {
@@ -211,36 +252,12 @@
         true
     }
 
-    fn next_number(&mut self) -> u64 {
+    fn next_number(&self) -> u64 {
         let mut known = self.state.known.borrow_mut();
         known.number = (known.number + 1).max(self.goal.term);
-        self.views.clear();
         known.number
     }
 
-    /// Waits a short while for answers, and for those that come right after the first one.
-    async fn wait_replies(&self, state: &State, retry: Duration) {
-        let until = tokio::time::Instant::now() + retry;
-        let settle = Duration::from_millis(2);
-        while tokio::time::timeout_at(until, state.replied.notified())
-            .await
-            .is_ok()
-        {
-            if self.all_replied() {
-                tokio::time::sleep(settle.min(retry)).await;
-                return;
-            }
-        }
-    }
-
-    fn all_replied(&self) -> bool {
-        let known = self.state.known.borrow();
-        let number = known.number;
-        let others = (0..self.size).filter(|rank| *rank != self.own);
-        let mut others = others.map(|rank| known.replies.get(&rank));
-        others.all(|it| it.is_some_and(|it| it.number == number))
-    }
-
     fn take_reply(&mut self, rank: Rank, number: u64) {
         let known = self.state.known.borrow();
         if let Some(reply) = known.replies.get(&rank).filter(|it| it.number == number) {
@@ -248,50 +265,49 @@
         }
     }
 
-    async fn give_task(
-        &mut self,
-        rank: Rank,
-        number: u64,
-        map: Option<&[SetMap]>,
-        is_silent: bool,
-    ) {
+    async fn give_task(&mut self, rank: Rank, number: u64, map: Option<&[SetMap]>) {
         let task = RankTask {
             number,
+            roles: self.roles,
             goal: self.goal,
             map: map.map(<[SetMap]>::to_vec),
         };
-        let has_reply = self.views.contains_key(&rank);
         if rank == self.own {
-            let engine = self.state.engine.clone();
-            self.work_at(rank, &engine, &task).await;
+            if let Ok(report) = driver::read(&self.state).await {
+                let engine = self.state.engine.clone();
+                let view = driver::advance(&self.state, &engine, &report.view, &task).await;
+                self.views.insert(rank, view);
+            }
             return;
         }
-        let Some(server) = server_of(&self.state, rank) else {
-            return;
+        if let Some(server) = server_of(&self.state, rank) {
+            let agent = self.state.agent_addr(server.ip());
+            mesh::send(&self.state, agent, &Message::RankTask(task));
+        }
+    }
+
+    /// Gives an order to a rank's engine; its new state where it was accepted.
+    async fn order(&self, rank: Rank, order: &RankOrder) -> Result<RankView, OrderOutcome> {
+        let (Some(view), Some(engine)) = (self.views.get(&rank), self.engine(rank)) else {
+            return Err(OrderOutcome::Unknown);
         };
-        if is_silent
-            && !has_reply
-            && let Ok(engine) = Engine::new(server)
-        {
-            self.work_at(rank, &engine, &task).await;
-            return;
+        match driver::give(&engine, view, &self.goal, order).await {
+            OrderOutcome::Accepted => Ok(driver::after(*view, order)),
+            outcome => Err(outcome),
         }
-        let agent = self.state.agent_addr(server.ip());
-        mesh::send(&self.state, agent, &Message::RankTask(task));
     }
 
-    /// Works on a task at an engine without its agent.
-    async fn work_at(&mut self, rank: Rank, engine: &Engine, task: &RankTask) {
-        if let Ok(report) = engine.report(driver::ANSWER_LIMIT).await
-            && report.rank == rank
-        {
-            let view = driver::advance(&self.state, engine, &report.view, task).await;
-            self.views.insert(rank, view);
+    fn engine(&self, rank: Rank) -> Option<Engine> {
+        if rank == self.own {
+            return Some(self.state.engine.clone());
         }
+        let server = server_of(&self.state, rank)?;
+        Some(self.state.engine.at(server))
     }
 
-    /// Holds a pass that lies ahead at this agent's engine.
+    /// Has the gate hold a pass that lies ahead.
     async fn hold(&mut self) -> bool {
+        let gate = self.roles.gate;
         for _ in 0..HOLD_TRIES {
             let Ok(report) = driver::read(&self.state).await else {
                 continue;
@@ -300,20 +316,23 @@
             if view.epoch != self.goal.epoch || !view.is_open {
                 return false;
             }
-            if let Some(pass) = view.held {
-                self.goal.pass = Some(pass);
-                return true;
-            }
             let pass = view.pass + PASS_LEAD;
-            let order = RankOrder::Hold { pass };
-            let outcome = driver::give(&self.state.engine, &view, &self.goal, &order).await;
-            match outcome {
-                OrderOutcome::Accepted => {
+            match self.order(gate, &RankOrder::Hold { pass }).await {
+                Ok(view) => {
+                    self.views.insert(gate, view);
                     self.goal.pass = Some(pass);
                     return true;
                 }
-                OrderOutcome::Fenced => self.raise_term(),
-                OrderOutcome::Refused | OrderOutcome::Unknown => {}
+                Err(OrderOutcome::Fenced) => self.raise_term(),
+                Err(_) => {}
+            }
+            // An order without an answer may have been accepted.
+            if !self.query(&[gate], QUERY_LIMIT).await {
+                return false;
+            }
+            if let Some(pass) = self.views.get(&gate).and_then(|it| it.held) {
+                self.goal.pass = Some(pass);
+                return true;
             }
         }
         false
@@ -325,81 +344,366 @@
         self.goal.term = known.term;
     }
 
-    /// Has all ranks activate the map and releases the pass. The rank that holds comes first, and
-    /// its state is read before that of the others: the release is void if it has accepted any
-    /// order since.
-    async fn decide(&mut self, gate: &Gate) -> bool {
-        let Some(pass) = self.goal.pass else {
+    /// Has the deputy activate the map at this agent's engine.
+    async fn deputise(&mut self) -> bool {
+        let (Some(activation), Some(deputy)) =
+            (self.activation(), server_of(&self.state, self.roles.deputy))
+        else {
             return false;
         };
-        let activation = Activation {
-            version: self.goal.version,
-            pass,
+        let deputy = self.state.agent_addr(deputy.ip());
+        let limit = self.state.clock.now() + DEPUTY_LIMIT;
+        while self.state.clock.now() < limit {
+            let Ok(report) = driver::read(&self.state).await else {
+                continue;
+            };
+            self.views.insert(self.own, report.view);
+            if report.view.active == Some(activation) {
+                return true;
+            }
+            let number = self.next_number();
+            let message = Message::Deputise {
+                number,
+                server: self.state.server,
+                goal: self.goal,
+                sequence: report.view.sequence,
+            };
+            mesh::send(&self.state, deputy, &message);
+            wait_deputy(&self.state, number, HELD_RETRY).await;
+        }
+        let report = driver::read(&self.state).await;
+        report.is_ok_and(|it| it.view.active == Some(activation))
+    }
+
+    /// Takes a switch back: undoes the activation at ranks where there may be one, and releases the
+    /// pass. An order on its way to a rank is void once the rank has accepted another one, so each
+    /// of them accepts one before the gate is released.
+    async fn roll_back(&mut self, ranks: &[Rank]) -> bool {
+        let Some(pass) = self.goal.pass else {
+            return true;
         };
+        let gate = self.roles.gate;
+        for rank in ranks.iter().filter(|rank| **rank != gate) {
+            if !self.make_inactive(*rank, pass).await {
+                return false;
+            }
+        }
+        if ranks.contains(&gate) && !self.cancel(gate).await {
+            return false;
+        }
+        for rank in ranks.iter().filter(|rank| **rank != gate) {
+            self.release(*rank, pass).await;
+        }
+        self.release(gate, pass).await
+    }
+
+    /// Has a rank accept an order after which it uses no other map from the pass on.
+    async fn make_inactive(&mut self, rank: Rank, pass: Pass) -> bool {
         let limit = self.state.clock.now() + FINISH_LIMIT;
+        let mut has_accepted = false;
         while self.state.clock.now() < limit {
-            match self.try_decide(gate, activation, limit).await {
+            if !self.query(&[rank], QUERY_LIMIT).await {
+                continue;
+            }
+            let Some(view) = self.views.get(&rank).copied() else {
+                continue;
+            };
+            if view.epoch != self.goal.epoch || (has_accepted && view.active.is_none()) {
+                return true;
+            }
+            let order = match view.active {
+                Some(active) => RankOrder::Cancel {
+                    version: active.version,
+                },
+                None => RankOrder::Hold { pass },
+            };
+            has_accepted |= self.order(rank, &order).await.is_ok();
+        }
+        false
+    }
+
+    /// Undoes an activation at the gate; its hold stays.
+    async fn cancel(&mut self, gate: Rank) -> bool {
+        let limit = self.state.clock.now() + FINISH_LIMIT;
+        while self.state.clock.now() < limit {
+            if !self.query(&[gate], QUERY_LIMIT).await {
+                continue;
+            }
+            let active = self.views.get(&gate).and_then(|it| it.active);
+            let Some(active) = active else {
+                return true;
+            };
+            let order = RankOrder::Cancel {
+                version: active.version,
+            };
+            // Whatever came of it shows in the next view.
+            let _ = self.order(gate, &order).await;
+        }
+        false
+    }
+
+    /// Releases a pass at a rank, however often it takes.
+    async fn release(&mut self, rank: Rank, pass: Pass) -> bool {
+        let limit = self.state.clock.now() + FINISH_LIMIT;
+        while self.state.clock.now() < limit {
+            if !self.query(&[rank], QUERY_LIMIT).await {
+                continue;
+            }
+            let view = self.views.get(&rank).copied();
+            if view.is_none_or(|it| it.held != Some(pass)) {
+                return true;
+            }
+            // Whatever came of it shows in the next view.
+            let _ = self.order(rank, &RankOrder::Release { pass }).await;
+        }
+        false
+    }
+
+    /// Activates the map at all other ranks and releases the pass, or takes the switch back where a
+    /// rank can't follow any more.
+    async fn decide(&mut self) -> bool {
+        let limit = self.state.clock.now() + FINISH_LIMIT;
+        while self.state.clock.now() < limit {
+            match self.try_decide().await {
                 Decision::Done => return true,
-                Decision::Again => {}
-                Decision::Impossible => return false,
+                Decision::Again => tokio::task::yield_now().await,
+                Decision::Lost => return false,
+                Decision::Blocked => {
+                    let all: Vec<Rank> = (0..self.size).collect();
+                    self.roll_back(&all).await;
+                    return false;
+                }
             }
         }
         false
     }
 
-    async fn try_decide(
-        &mut self,
-        gate: &Gate,
-        activation: Activation,
-        limit: Timestamp,
-    ) -> Decision {
-        let Some(view) = self.prepare_gate(gate, activation).await else {
-            return Decision::Again;
+    /// One try to decide. The gate comes first: the release is void when it has accepted any order
+    /// since.
+    async fn try_decide(&mut self) -> Decision {
+        let Some(activation) = self.activation() else {
+            return Decision::Lost;
         };
-        if view.epoch != self.goal.epoch || !view.is_open {
-            return Decision::Impossible;
-        }
-        if view.held != Some(activation.pass) {
-            return Decision::Done;
+        let gate = self.roles.gate;
+        if !self.activate(&[gate], activation).await {
+            return self.obstacle();
         }
-        let is_active =
-            move |it: &RankView| it.active == Some(activation) || it.map == activation.version;
-        if !is_active(&view) {
+        let Some(gate_view) = self.views.get(&gate).copied() else {
             return Decision::Again;
+        };
+        if gate_view.held != Some(activation.pass) {
+            return Decision::Done;
         }
-        let activated = self.drive(limit, ACTIVATE_RETRY, None, is_active);
-        if !activated.await {
-            return Decision::Again;
+        let others: Vec<Rank> = (0..self.size)
+            .filter(|rank| *rank != gate && *rank != self.roles.leader)
+            .collect();
+        if !self.activate(&others, activation).await {
+            return self.obstacle();
         }
+        self.views.insert(gate, gate_view);
         let order = RankOrder::Release {
             pass: activation.pass,
         };
-        match driver::give(&gate.engine, &view, &self.goal, &order).await {
-            OrderOutcome::Accepted => Decision::Done,
-            OrderOutcome::Fenced => {
-                self.raise_term();
-                Decision::Again
-            }
-            OrderOutcome::Refused | OrderOutcome::Unknown => Decision::Again,
+        match self.order(gate, &order).await {
+            Ok(_) => return Decision::Done,
+            Err(OrderOutcome::Fenced) => self.raise_term(),
+            Err(_) => {}
         }
+        self.query(&[gate], QUERY_LIMIT).await;
+        Decision::Again
     }
 
-    /// Activates the map at the rank that holds; its state after that.
-    async fn prepare_gate(&mut self, gate: &Gate, activation: Activation) -> Option<RankView> {
-        let read = || gate.engine.report(driver::ANSWER_LIMIT);
-        let view = read().await.ok().filter(|it| it.rank == gate.rank)?.view;
-        if view.held != Some(activation.pass) || view.active == Some(activation) {
-            return Some(view);
+    /// What stands against an activation that did not come about.
+    fn obstacle(&self) -> Decision {
+        if self.is_lost() {
+            return Decision::Lost;
+        }
+        let version = self.goal.version;
+        let is_blocked = |it: &RankView| {
+            it.map > version
+                || (it.active.is_none() && it.map != version && it.loaded != Some(version))
+        };
+        match self.views.values().any(is_blocked) {
+            true => Decision::Blocked,
+            false => Decision::Again,
+        }
+    }
+
+    /// Whether the group has formed anew, so that nothing of the switch is left.
+    fn is_lost(&self) -> bool {
+        let epoch = self.goal.epoch;
+        self.views
+            .values()
+            .any(|it| it.epoch != epoch || !it.is_open)
+    }
+
+    /// Activates the map at ranks, all at once; false when it has to be tried again.
+    async fn activate(&mut self, ranks: &[Rank], activation: Activation) -> bool {
+        let is_active =
+            |view: &RankView| view.active == Some(activation) || view.map == activation.version;
+        let missing: Vec<Rank> = ranks
+            .iter()
+            .copied()
+            .filter(|rank| !self.views.get(rank).is_some_and(is_active))
+            .collect();
+        if missing.is_empty() {
+            return true;
         }
         let order = RankOrder::Activate(activation);
-        driver::give(&gate.engine, &view, &self.goal, &order).await;
-        Some(read().await.ok()?.view)
+        let orders = missing.iter().map(|rank| self.order(*rank, &order));
+        let results = join_all(orders).await;
+        let mut unclear = Vec::new();
+        for (rank, result) in missing.iter().zip(results) {
+            match result {
+                Ok(view) => {
+                    self.views.insert(*rank, view);
+                }
+                Err(OrderOutcome::Fenced) => {
+                    self.raise_term();
+                    unclear.push(*rank);
+                }
+                Err(_) => unclear.push(*rank),
+            }
+        }
+        if unclear.is_empty() {
+            return true;
+        }
+        // An order without an answer may have been accepted: the rank's agent sees it.
+        self.query(&unclear, QUERY_LIMIT).await;
+        let view = |rank: &Rank| self.views.get(rank).is_some_and(is_active);
+        unclear.iter().all(view)
+    }
+
+    /// Brings a held pass to its end for a leader that is gone: forward where the leader's engine
+    /// uses the map, and back where nobody has ordered anything there.
+    async fn finish(&mut self) {
+        let gate = self.roles.gate;
+        if !self.query(&[gate], QUERY_LIMIT).await {
+            self.end(false, "the gate does not tell its state");
+            return;
+        }
+        let Some(pass) = self.views.get(&gate).and_then(|it| it.held) else {
+            return;
+        };
+        self.goal.pass = Some(pass);
+        let leader = self.ask_leader().await;
+        let others: Vec<Rank> = (0..self.size)
+            .filter(|it| *it != self.roles.leader)
+            .collect();
+        if !self.query(&others, QUERY_LIMIT * 2).await {
+            self.end(false, "a rank does not tell its state");
+            return;
+        }
+        let is_done = match leader {
+            LeaderState::Active(active) if active.pass == pass => {
+                self.goal.version = active.version;
+                self.decide().await
+            }
+            LeaderState::Active(_) | LeaderState::Unknown => false,
+            // A leader orders nothing at the others before its deputy has activated its own engine.
+            LeaderState::Inactive if !others.iter().any(|it| self.is_active(*it)) => {
+                self.release(gate, pass).await
+            }
+            LeaderState::Inactive => self.roll_back(&others).await,
+            LeaderState::Reachable => {
+                let all: Vec<Rank> = (0..self.size).collect();
+                self.roll_back(&all).await
+            }
+        };
+        self.end(is_done, "a switch that another leader left");
+    }
+
+    fn is_active(&self, rank: Rank) -> bool {
+        self.views.get(&rank).is_some_and(|it| it.active.is_some())
+    }
+
+    /// What is known of the leader's engine. The deputy is asked first, since it orders nothing there
+    /// for an earlier leader once it was asked.
+    async fn ask_leader(&mut self) -> LeaderState {
+        let leader = self.roles.leader;
+        let deputy = self.deputy_state().await;
+        if self.query(&[leader], QUERY_LIMIT / 2).await {
+            let active = self.views.get(&leader).and_then(|it| it.active);
+            return active.map_or(LeaderState::Reachable, LeaderState::Active);
+        }
+        match deputy {
+            Some(DeputyState::Nothing) => LeaderState::Inactive,
+            Some(DeputyState::Active(activation)) => LeaderState::Active(activation),
+            Some(DeputyState::Unknown) | None => LeaderState::Unknown,
+        }
+    }
+
+    async fn deputy_state(&mut self) -> Option<DeputyState> {
+        if self.roles.deputy != self.own {
+            return self.ask_deputy().await;
+        }
+        let known = self.state.known.borrow();
+        Some(
+            known
+                .deputy
+                .map_or(DeputyState::Nothing, |(_, state)| state),
+        )
+    }
+
+    async fn ask_deputy(&self) -> Option<DeputyState> {
+        let server = server_of(&self.state, self.roles.deputy)?;
+        let deputy = self.state.agent_addr(server.ip());
+        let number = self.next_number();
+        let limit = self.state.clock.now() + QUERY_LIMIT;
+        while self.state.clock.now() < limit {
+            let message = Message::AskDeputy {
+                number,
+                term: self.goal.term,
+            };
+            mesh::send(&self.state, deputy, &message);
+            if let Some(state) = wait_deputy(&self.state, number, HELD_RETRY).await {
+                return Some(state);
+            }
+        }
+        None
     }
 }
 
-/// What came of one try to finish.
+/// What came of one try to decide.
 enum Decision {
     Done,
     Again,
-    Impossible,
+    /// A rank can't use the map any more.
+    Blocked,
+    /// The group has formed anew.
+    Lost,
+}
+
+/// What is known of the leader's engine.
+enum LeaderState {
+    /// It will use a map.
+    Active(Activation),
+    /// It can't be reached, and nobody has ordered it to.
+    Inactive,
+    /// It will not as things stand, and can be reached.
+    Reachable,
+    /// It may or may not.
+    Unknown,
+}
+
+fn server_of(state: &State, rank: Rank) -> Option<SocketAddr> {
+    let known = state.known.borrow();
+    known.members.get(&rank).map(|it| it.status.server)
+}
+
+/// Waits a short while for the answer of a deputy.
+async fn wait_deputy(state: &State, number: u64, retry: Duration) -> Option<DeputyState> {
+    let until = tokio::time::Instant::now() + retry;
+    loop {
+        let told = state.known.borrow().told;
+        if let Some((_, told)) = told.filter(|(it, _)| *it == number) {
+            return Some(told);
+        }
+        if tokio::time::timeout_at(until, state.replied.notified())
+            .await
+            .is_err()
+        {
+            return None;
+        }
+    }
 }
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -70,6 +70,7 @@
     GROUP_LEADER = 1506 Info "group_leader";
     GROUP_LOAD = 1507 Debug "group_load";
     PASS_SEEN = 1508 Debug "pass_seen";
+    GROUP_STATE = 1509 Info "group_state";
 }
 
 /// Logs one numbered event, with fields that stand beside the message:
