feat(policy): outages of a group are known, and callers are told when to come back

Agents tell entries whether their group works; entries also take it for out when no stream has had an event for 350 ms. New requests are rejected at once for the time that the outage is expected to last (a third of what callers have left at most, which is as long as they honour); one whose caller has come back waits for up to 1.7 s, since another rejection would be its last answer.

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use jj_news::{ServerTag, ServerUse, TokensSent, server_tag};
 use jj_policy::{
+    outage::{Outage, OutageConfig, Outlook},
     pass_model::{PassConfig, PassModel, PassSpec, PauseMeter},
     server_health::{HealthConfig, ServerHealth, Sign},
 };
@@ -29,6 +30,9 @@
 struct GroupLoad {
     meter: PauseMeter,
     model: PassModel,
+    outage: Outage,
+    /// Streams of this process that have had an event.
+    streams: u32,
     /// Prompt tokens that this process has sent.
     sent: u64,
 }
@@ -45,6 +49,7 @@
     told: FastMap<(InstanceId, ServerTag), u64>,
     health: HealthConfig,
     passes: PassConfig,
+    outages: OutageConfig,
 }
 
 impl Loads {
@@ -185,6 +190,43 @@
         true
     }
 
+    /// Takes in an event of a stream, whatever the pause before it.
+    pub fn take_event(&mut self, now: Timestamp, service: &str) {
+        if let Some(group) = self.groups.get_mut(service) {
+            group.outage.event(now);
+        }
+    }
+
+    /// Counts a stream that has had its first event, or one that has ended.
+    pub fn count_stream(&mut self, service: &str, has_begun: bool) {
+        if let Some(group) = self.groups.get_mut(service) {
+            match has_begun {
+                true => group.streams += 1,
+                false => group.streams = group.streams.saturating_sub(1),
+            }
+        }
+    }
+
+    /// Takes in what an agent says of the group of a service.
+    pub fn take_word(&mut self, now: Timestamp, service: &str, works: bool) {
+        let group = self.groups.entry(service.to_owned()).or_default();
+        group.outage.word(now, works);
+    }
+
+    /// Takes in that a server refused a request since its group does not work.
+    pub fn take_refusal(&mut self, now: Timestamp, service: &str) {
+        if let Some(group) = self.groups.get_mut(service) {
+            group.outage.refused(now);
+        }
+    }
+
+    /// How the outage of a service's group stands; none where it works.
+    pub fn outage(&mut self, now: Timestamp, service: &str) -> Option<Outlook> {
+        let group = self.groups.get_mut(service)?;
+        let is_out = group.outage.is_out(&self.outages, now, group.streams);
+        is_out.then(|| group.outage.outlook(&self.outages, now))
+    }
+
     /// Whether the group of a service may be sent one more request.
     pub fn may_start(
         &self,
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -11,6 +11,7 @@
 };
 use jj_policy::{
     catalog::{RequestKind, Route},
+    outage::{self, OutageAnswer},
     placement::WaitBound,
     server_health::Sign,
 };
@@ -230,16 +231,18 @@
 
     /// The final answer of a request that is given up.
     pub fn give_up(&self, reason: &'static str) -> Refusal {
+        self.give_up_until(RETRY_AFTER, reason)
+    }
+
+    /// The same, with the time after which the caller may come back where the request has not run.
+    fn give_up_until(&self, after: Duration, reason: &'static str) -> Refusal {
         if self.may_have_run {
             return match self.left().is_zero() {
                 true => Refusal::TimedOut,
                 false => Refusal::Unknown { reason },
             };
         }
-        Refusal::NotRun {
-            after: RETRY_AFTER,
-            reason,
-        }
+        Refusal::NotRun { after, reason }
     }
 
     /// Waits for room at a server.
@@ -253,6 +256,25 @@
         if !self.shared.has_servers(&service) {
             return Err(self.give_up("no server takes requests"));
         }
+        let wait = self.wait_for_room()?;
+        let mut spot = dispatch::wait(&self.shared, &self.request, &self.tried);
+        self.shared.room.notify_one();
+        match tokio::time::timeout(wait, &mut spot.place).await {
+            Ok(Ok(place)) => Ok(place),
+            Ok(Err(_)) | Err(_) => Err(self.give_up("all servers are full")),
+        }
+    }
+
+    /// Time for which the request may wait for room.
+    fn wait_for_room(&self) -> Result<Duration, Refusal> {
+        if let Some(outage) = self.shared.outage(&self.request.service) {
+            return match outage::answer(outage, self.left(), self.request.has_returned) {
+                OutageAnswer::Wait(wait) => Ok(wait),
+                OutageAnswer::Reject(after) => {
+                    Err(self.give_up_until(after, "the group does not work"))
+                }
+            };
+        }
         let bound = WaitBound {
             arrived: self.request.arrived,
             aim: self.route().aim,
@@ -260,14 +282,9 @@
         };
         let until = bound.give_up();
         let now = self.shared.clock.now();
-        if now >= until || !self.tried.is_empty() {
-            return Err(self.give_up("all servers are full"));
-        }
-        let mut spot = dispatch::wait(&self.shared, &self.request, &self.tried);
-        self.shared.room.notify_one();
-        match tokio::time::timeout(until - now, &mut spot.place).await {
-            Ok(Ok(place)) => Ok(place),
-            Ok(Err(_)) | Err(_) => Err(self.give_up("all servers are full")),
+        match now >= until || !self.tried.is_empty() {
+            true => Err(self.give_up("all servers are full")),
+            false => Ok(until - now),
         }
     }
 
@@ -352,6 +369,12 @@
             return Err(Failure::Unknown);
         }
         if facts.not_run {
+            let is_full = facts.load.is_some_and(|it| it.waiting > 0);
+            if !is_full && !facts.misdirected {
+                let now = self.shared.clock.now();
+                let mut loads = self.shared.loads.borrow_mut();
+                loads.take_refusal(now, &self.request.service);
+            }
             let keep_alive = facts.keep_alive;
             finish_small(answer, &self.shared, keep_alive).await;
             return Err(Failure::NotRun);
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -153,6 +153,14 @@
             loads.take_uses(now, &peer.hello.name, uses, &tokens);
             shared.room.notify_one();
         }
+        Message::GroupNews(news) => {
+            let service = shared.replica.borrow().service_at(news.server);
+            if let Some(service) = service {
+                let now = shared.clock.now();
+                shared.loads.borrow_mut().take_word(now, &service, news.works);
+                shared.room.notify_one();
+            }
+        }
         // The rest is for agents.
         _ => {}
     }
@@ -162,17 +170,17 @@
 fn roster(shared: &Rc<Shared>, server: SocketAddr) -> Option<Roster> {
     let replica = shared.replica.borrow();
     let catalog = replica.catalog.as_ref()?;
-    let all = || replica.servers.all().map(|it| &it.record);
-    let service = &all().find(|it| it.addr == server)?.service;
-    let engine = catalog.services.get(service)?.engine.as_ref()?;
-    let servers = all().filter(|it| it.service == *service);
+    let service = replica.service_at(server)?;
+    let engine = catalog.services.get(&service)?.engine.as_ref()?;
+    let all = replica.servers.all().map(|it| &it.record);
+    let servers = all.filter(|it| it.service == service);
     let peers = shared.peers.borrow();
     let own = shared.settings().ip;
     let entries = peers.alive().map(|it| it.hello.traffic.ip());
     Some(Roster {
         experts: engine.experts?,
         idle_pass: engine.step * engine.stride,
-        gap: catalog.gap(service).unwrap_or(DEFAULT_GAP),
+        gap: catalog.gap(&service).unwrap_or(DEFAULT_GAP),
         servers: servers.map(|it| it.addr).collect(),
         entries: entries.chain([own]).collect(),
     })
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -1,6 +1,6 @@
 //! What the platform's store says, as this process knows it from the store itself or from peers.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use jj_adapter::{
     config, servers,
@@ -12,7 +12,7 @@
     server_list::{Revision, ServerList, ServerRecord},
 };
 use jj_utils::{
-    clock::Timestamp, collections::FastMap, common_derives, events, ids::FailureDomainId, log_event,
+    clock::Timestamp, collections::FastMap, common_derives, events, ids::{FailureDomainId, ServiceId}, log_event,
 };
 use xxhash_rust::xxh3::Xxh3;
 
@@ -114,6 +114,13 @@
         usable.filter(move |it| it.service == service && !self.evacuated.contains(&it.domain))
     }
 
+    /// Service of the server at an address.
+    pub fn service_at(&self, addr: SocketAddr) -> Option<ServiceId> {
+        let mut servers = self.servers.all().map(|it| &it.record);
+        let server = servers.find(|it| it.addr == addr)?;
+        Some(server.service.clone())
+    }
+
     /// The passes of a service's engines; none where they form no group.
     pub fn pass_spec(&self, service: &str) -> Option<PassSpec> {
         let catalog = self.catalog.as_ref()?;
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -13,6 +13,7 @@
     pool::{Pool, PoolConfig},
 };
 use jj_policy::{
+    outage::Outlook,
     placement::{self, Candidate, PlacementConfig},
     repeat_budget::{RepeatBudget, RepeatConfig},
     server_health::Sign,
@@ -20,6 +21,7 @@
 };
 use jj_utils::{
     clock::{SharedClock, Timestamp},
+    collections::FastMap,
     ids::{BackendServerId, Incarnation},
 };
 use rand::{Rng, SeedableRng};
@@ -36,6 +38,9 @@
 /// Requests at a plain server, over its slots, from which it has no room; their work is short.
 const PLAIN_DEPTH: f64 = 2.0;
 
+/// Time that a request has to lack for its caller to have spent it elsewhere.
+const LATE_BY: Duration = Duration::from_millis(200);
+
 /// State of one process.
 pub struct Shared {
     /// What the settings file says.
@@ -65,6 +70,8 @@
     /// Requests in flight have changed.
     pub changed: Notify,
     budget: RefCell<RepeatBudget>,
+    /// Longest time that callers of a route wait.
+    deadlines: RefCell<FastMap<String, Duration>>,
     random: RefCell<Pcg64Mcg>,
 }
 
@@ -119,6 +126,7 @@
             look: Notify::new(),
             changed: Notify::new(),
             budget: RefCell::default(),
+            deadlines: RefCell::default(),
             random: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
             clock,
         })
@@ -147,8 +155,11 @@
         let replica = self.replica.borrow();
         let spec = replica.pass_spec(service);
         let records: Vec<&ServerRecord> = replica.usable(service).collect();
-        let loads = self.loads.borrow();
         let is_model = spec.is_some();
+        if is_model && self.outage(service).is_some() {
+            return None;
+        }
+        let loads = self.loads.borrow();
         if let Some(spec) = &spec
             && !loads.may_start(now, service, spec, all_uses(&loads, &records), prompt)
         {
@@ -188,6 +199,12 @@
         })
     }
 
+    /// How the outage of a service's group stands; none where it works.
+    pub fn outage(&self, service: &str) -> Option<Outlook> {
+        let now = self.clock.now();
+        self.loads.borrow_mut().outage(now, service)
+    }
+
     /// Takes in the pause before an event of a stream.
     pub fn take_pause(&self, service: &str, pause: Duration) {
         let now = self.clock.now();
@@ -196,6 +213,7 @@
             return;
         };
         let mut loads = self.loads.borrow_mut();
+        loads.take_event(now, service);
         let records: Vec<&ServerRecord> = replica.usable(service).collect();
         let requests = all_uses(&loads, &records);
         if loads.take_pause(now, service, &spec, pause, requests) {
@@ -208,6 +226,22 @@
         self.replica.borrow().usable(service).next().is_some()
     }
 
+    /// Whether a request has less time left than others of its route come with, since its caller has
+    /// spent some of it elsewhere.
+    pub fn is_late(&self, route: &str, left: Duration) -> bool {
+        let mut deadlines = self.deadlines.borrow_mut();
+        match deadlines.get_mut(route) {
+            Some(longest) => {
+                *longest = left.max(*longest);
+                left + LATE_BY < *longest
+            }
+            None => {
+                deadlines.insert(route.to_owned(), left);
+                false
+            }
+        }
+    }
+
     /// Counts a request taken in.
     pub fn count_request(&self) {
         let config = self.repeat_config();
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -12,11 +12,11 @@
     events::Framer,
 };
 use jj_policy::{catalog::RequestKind, server_health::Sign};
-use jj_utils::{clock::Timestamp, events, log_event};
+use jj_utils::{clock::Timestamp, events, ids::ServiceId, log_event};
 
 use crate::{
     forward::{self, Answered, Failure, Forward},
-    shared::Place,
+    shared::{Place, Shared},
 };
 
 /// Longest pause between two events after which the connection is taken for dead: a group that
@@ -145,6 +145,7 @@
 ) -> impl futures_util::Stream<Item = io::Result<Bytes>> {
     async_stream::stream! {
         let shared = Rc::clone(&forward.shared);
+        let _counted = Counted::new(&forward);
         let mut progress: Timestamp = shared.clock.now();
         loop {
             let left = forward.request.deadline.saturating_sub(shared.clock.now());
@@ -200,6 +201,28 @@
     }
 }
 
+/// Counts a stream as open until it is dropped.
+struct Counted {
+    shared: Rc<Shared>,
+    service: ServiceId,
+}
+
+impl Counted {
+    fn new(forward: &Forward) -> Self {
+        let service = forward.request.service.clone();
+        let shared = Rc::clone(&forward.shared);
+        shared.loads.borrow_mut().count_stream(&service, true);
+        Self { shared, service }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let mut loads = self.shared.loads.borrow_mut();
+        loads.count_stream(&self.service, false);
+    }
+}
+
 /// Goes on at another server after the last event that was passed on.
 async fn resume(
     forward: &mut Forward,
--- a/crates/front/src/traffic.rs
+++ b/crates/front/src/traffic.rs
@@ -36,6 +36,8 @@
     pub admitted: Admitted,
     /// Service that takes it.
     pub service: ServiceId,
+    /// Whether its caller has come with it before.
+    pub has_returned: bool,
     /// When it arrived.
     pub arrived: Timestamp,
     /// When its answer is worth nothing any more.
@@ -105,7 +107,9 @@
     let service = service.ok_or_else(|| rejected(not_configured()))?;
     let body = read_body(&catalog.limits, body).await.map_err(rejected)?;
     let wait = facts.deadline.unwrap_or(admitted.route.timeout);
+    let has_returned = facts.last_event.is_some() || shared.is_late(&admitted.route.name, wait);
     Ok(Request {
+        has_returned,
         deadline: arrived + wait.min(admitted.route.timeout),
         head,
         body,
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -115,6 +115,19 @@
     }
 }
 
+common_derives! {wire:
+    /// What the agent that leads a group tells entries of it.
+    #[derive(Copy, Eq)]
+    pub struct GroupNews {
+        /// Engine beside the agent.
+        pub server: SocketAddr,
+        /// Formation of the group.
+        pub epoch: u64,
+        /// Whether the group works.
+        pub works: bool,
+    }
+}
+
 common_derives! {wire:
     /// Sign of life of an agent, for the other agents of its group.
     pub struct RankStatus {
@@ -210,6 +223,8 @@
         },
         /// The answer.
         Roster(Roster),
+        /// State of a group, for entries.
+        GroupNews(GroupNews),
         /// Sign of life of an agent.
         RankStatus(RankStatus),
         /// Counts for the agent that leads.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod membership;
 pub mod once;
 pub mod orphans;
+pub mod outage;
 pub mod pass_clock;
 pub mod pass_model;
 pub mod placement;
--- /dev/null
+++ b/crates/policy/src/outage.rs
@@ -0,0 +1,163 @@
+//! Whether the group behind a service works at all, and when it may work again.
+//!
+//! Load pattern: one rank of a lock-step group fails and all of them stand still, first without a
+//! word, then refusing everything, until the rank is back and the group has formed anew. Requests
+//! that are sent meanwhile only wait; their callers come back once, so what they are told decides
+//! whether they find the group at work.
+
+use std::time::Duration;
+
+use jj_utils::{clock::Timestamp, common_derives};
+
+common_derives! {value:
+    /// Tunables of the judgement.
+    pub struct OutageConfig {
+        /// Time without any event of any stream from which the group stands still.
+        pub still: Duration,
+        /// Streams that have to be open for that.
+        pub streams: u32,
+        /// Time for which the word of an agent counts.
+        pub word_life: Duration,
+        /// Time for which refusals of servers count.
+        pub refused_life: Duration,
+        /// Length that is expected of the first outage.
+        pub usual: Duration,
+        /// Least time that is expected to be left.
+        pub least_left: Duration,
+    }
+}
+
+impl Default for OutageConfig {
+    fn default() -> Self {
+        Self {
+            still: Duration::from_millis(350),
+            streams: 4,
+            word_life: Duration::from_millis(1_200),
+            refused_life: Duration::from_millis(250),
+            usual: Duration::from_millis(4_500),
+            least_left: Duration::from_millis(700),
+        }
+    }
+}
+
+/// State of one group.
+#[derive(Debug, Clone, Default)]
+pub struct Outage {
+    since: Option<Timestamp>,
+    /// When an agent last said whether the group works, and what.
+    word: Option<(Timestamp, bool)>,
+    /// When a server last refused since its group does not work.
+    refused: Option<Timestamp>,
+    /// When a stream last had an event.
+    event: Timestamp,
+    /// Mean length of the outages seen.
+    length: Option<Duration>,
+}
+
+impl Outage {
+    /// Takes in an event of a stream.
+    pub fn event(&mut self, now: Timestamp) {
+        self.event = now;
+        self.refused = None;
+        if self.word.is_some_and(|(_, works)| !works) {
+            self.word = None;
+        }
+        self.end(now);
+    }
+
+    /// Takes in what an agent says of its group.
+    pub fn word(&mut self, now: Timestamp, works: bool) {
+        self.word = Some((now, works));
+        if works {
+            self.refused = None;
+            self.end(now);
+        }
+    }
+
+    /// Takes in that a server refused a request since its group does not work.
+    pub fn refused(&mut self, now: Timestamp) {
+        let is_contradicted = self.word.is_some_and(|(at, works)| works && at > self.event);
+        if !is_contradicted {
+            self.refused = Some(now);
+        }
+    }
+
+    /// Whether the group does not work, while so many streams are open.
+    pub fn is_out(&mut self, config: &OutageConfig, now: Timestamp, streams: u32) -> bool {
+        let is_fresh = |at: Timestamp, life: Duration| now <= at + life;
+        let word = self.word.filter(|(at, _)| is_fresh(*at, config.word_life));
+        let is_said = word.is_some_and(|(_, works)| !works);
+        let is_refused = self.refused.is_some_and(|at| is_fresh(at, config.refused_life));
+        let is_still = streams >= config.streams && now > self.event + config.still;
+        let is_out = is_said || is_refused || is_still;
+        match is_out {
+            true => {
+                self.since.get_or_insert(now);
+            }
+            false => self.end(now),
+        }
+        is_out
+    }
+
+    /// How the outage stands.
+    pub fn outlook(&self, config: &OutageConfig, now: Timestamp) -> Outlook {
+        let since = self.since.unwrap_or(now);
+        let age = now.saturating_sub(since);
+        let length = self.length.unwrap_or(config.usual);
+        let left = length.saturating_sub(age).max(config.least_left);
+        Outlook { age, left }
+    }
+
+    fn end(&mut self, now: Timestamp) {
+        let Some(since) = self.since.take() else {
+            return;
+        };
+        let length = now.saturating_sub(since);
+        // A short pause says nothing about how long a failed rank is away.
+        if length > SHORT {
+            self.length = Some(self.length.map_or(length, |mean| (mean + length) / 2));
+        }
+    }
+}
+
+/// Longest pause that is no outage.
+const SHORT: Duration = Duration::from_millis(1_000);
+
+common_derives! {copy:
+    /// How an outage stands.
+    pub struct Outlook {
+        /// Time since it began.
+        pub age: Duration,
+        /// Time that it is expected to last from now on.
+        pub left: Duration,
+    }
+}
+
+common_derives! {copy:
+    /// What to do with a request whose group does not work.
+    pub enum OutageAnswer {
+        /// Reject it at once; the caller may come back after this time.
+        Reject(Duration),
+        /// Have it wait for this long at most.
+        Wait(Duration),
+    }
+}
+
+/// Longest time for which a caller waits for the first event, less some for the event itself.
+const PATIENCE: Duration = Duration::from_millis(1_700);
+
+/// Part of the time that callers have left up to which they let themselves be sent away.
+const RETURN_PART: f64 = 1.0 / 3.0;
+
+/// Age of an outage from which it may end while a caller waits.
+const RIPE: Duration = Duration::from_millis(500);
+
+/// What to do with a request that has `left` until its deadline. A caller comes back once: the first
+/// time it is sent away for as long as the outage is expected to last, or as long as it lets itself
+/// be sent; when it `has_returned` it waits, since another rejection would be its last answer.
+pub fn answer(outlook: Outlook, left: Duration, has_returned: bool) -> OutageAnswer {
+    if has_returned && outlook.age >= RIPE {
+        return OutageAnswer::Wait(PATIENCE.min(left));
+    }
+    OutageAnswer::Reject(outlook.left.min(left.mul_f64(RETURN_PART)))
+}
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use jj_news::{MAX_DATAGRAM, Message, RankCounts, RankStatus, RankTask, Roster};
+use jj_news::{GroupNews, MAX_DATAGRAM, Message, RankCounts, RankStatus, RankTask, Roster};
 use jj_policy::map_switch::RankView;
 use jj_utils::{clock::Timestamp, events, ids::Rank, log_event};
 use tokio::task::spawn_local;
@@ -82,6 +82,33 @@
     send(state, state.agent_addr(*ip), &message);
 }
 
+/// Tells entries whether the group works, at once when that changes: a leader does, and any agent
+/// that sees a change.
+pub async fn tell_entries(state: Rc<State>) {
+    loop {
+        let changed = state.changed.notified();
+        let has_changed = tokio::time::timeout(STATUS_PAUSE, changed).await.is_ok();
+        if has_changed || state.leads() {
+            tell_group(&state);
+        }
+    }
+}
+
+fn tell_group(state: &State) {
+    let known = state.known.borrow();
+    let (Some(report), Some(roster)) = (&known.report, &known.roster) else {
+        return;
+    };
+    let message = Message::GroupNews(GroupNews {
+        server: state.server,
+        epoch: report.view.epoch,
+        works: report.view.is_open,
+    });
+    for ip in &roster.entries {
+        send(state, state.agent_addr(*ip), &message);
+    }
+}
+
 fn tell_status(state: &State) {
     let status = {
         let known = state.known.borrow();
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -74,6 +74,7 @@
     });
     spawn_local(mesh::receive(Rc::clone(&state)));
     spawn_local(mesh::tell(Rc::clone(&state)));
+    spawn_local(mesh::tell_entries(Rc::clone(&state)));
     spawn_local(reports(Rc::clone(&state)));
     spawn_local(counts(Rc::clone(&state)));
     spawn_local(lead::run(Rc::clone(&state)));
