feat(policy): late answers while none can be on time; slow ranks get less of the experts' work

Now the group is filled while passes would be too long even with few requests, and a request whose answer would surely not be finished by its deadline is rejected at once. Plans count slow ranks as more loaded.

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -190,6 +190,12 @@
         true
     }
 
+    /// Time that an answer of so many tokens takes at the group of a service as it is now.
+    pub fn answer_time(&self, service: &str, spec: &PassSpec, tokens: u32) -> Duration {
+        let group = self.groups.get(service);
+        group.map_or(Duration::ZERO, |it| it.model.answer_time(spec, tokens))
+    }
+
     /// Takes in an event of a stream, whatever the pause before it.
     pub fn take_event(&mut self, now: Timestamp, service: &str) {
         if let Some(group) = self.groups.get_mut(service) {
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -28,6 +28,10 @@
 /// Longest body that is read before the answer begins, in bytes.
 const BUFFERED_BODY: usize = 256 * 1024;
 
+/// Part of the time that an answer is expected to take which has to be over the time left for it to
+/// be hopeless; callers' estimates of lengths are often far off.
+const HOPELESS_PART: f64 = 0.7;
+
 /// Time left under which no attempt is worth its start.
 const LEAST_LEFT: Duration = Duration::from_millis(10);
 
@@ -248,6 +252,10 @@
     /// Waits for room at a server.
     async fn place(&mut self) -> Result<Place, Refusal> {
         let service = self.request.service.clone();
+        if self.is_hopeless() {
+            let after = self.left().mul_f64(outage::RETURN_PART);
+            return Err(self.give_up_until(after, "the answer can't be finished in time"));
+        }
         let must_wait = dispatch::has_waiting(&self.shared, &service) && self.tried.is_empty();
         let prompt = self.request.facts.usage.prompt;
         if !must_wait && let Some(place) = self.shared.place(&service, &self.tried, prompt) {
@@ -265,6 +273,16 @@
         }
     }
 
+    /// Whether the answer would surely not be finished by the deadline, by the caller's own estimate
+    /// of its length.
+    fn is_hopeless(&self) -> bool {
+        let Some(tokens) = self.request.facts.length_hint else {
+            return false;
+        };
+        let time = self.shared.answer_time(&self.request.service, tokens);
+        time.is_some_and(|time| time.mul_f64(HOPELESS_PART) > self.left())
+    }
+
     /// Time for which the request may wait for room.
     fn wait_for_room(&self) -> Result<Duration, Refusal> {
         if let Some(outage) = self.shared.outage(&self.request.service) {
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -205,6 +205,13 @@
         self.loads.borrow_mut().outage(now, service)
     }
 
+    /// Time that an answer of so many tokens takes at a service as it is now; none where no group
+    /// of engines gives it.
+    pub fn answer_time(&self, service: &str, tokens: u32) -> Option<Duration> {
+        let spec = self.replica.borrow().pass_spec(service)?;
+        Some(self.loads.borrow().answer_time(service, &spec, tokens))
+    }
+
     /// Takes in the pause before an event of a stream.
     pub fn take_pause(&self, service: &str, pause: Duration) {
         let now = self.clock.now();
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -139,6 +139,8 @@
         pub server: SocketAddr,
         /// What the engine said last.
         pub view: RankView,
+        /// How much slower than usual the engine works.
+        pub pace: f64,
         /// Requests that the engine works on.
         pub running: u32,
         /// Requests that wait there.
--- a/crates/policy/src/expert_plan.rs
+++ b/crates/policy/src/expert_plan.rs
@@ -16,7 +16,7 @@
 /// Part of all tokens of a set that chose each expert.
 pub type Shares = Vec<f64>;
 
-common_derives! {copy:
+common_derives! {value:
     /// Size of a group.
     pub struct PlanShape {
         /// Ranks.
@@ -29,6 +29,19 @@
         pub spare: usize,
         /// Experts of all sets that a rank may load in one switch, so that the load is short.
         pub loads: usize,
+        /// How much slower than usual each rank works; 1 for ranks that are not named.
+        pub paces: Vec<f64>,
+    }
+}
+
+impl PlanShape {
+    fn pace(&self, rank: usize) -> f64 {
+        self.paces.get(rank).copied().unwrap_or(1.0).max(1.0)
+    }
+
+    /// Ranks of the usual speed that work as fast as all ranks together.
+    fn usual_ranks(&self) -> f64 {
+        (0..self.ranks).map(|rank| 1.0 / self.pace(rank)).sum()
     }
 }
 
@@ -85,7 +98,7 @@
 const PENALTY_POWER: i32 = 12;
 
 /// The map without knowledge of demand: experts in turn.
-pub fn default_map(shape: PlanShape, sets: usize) -> Vec<SetMap> {
+pub fn default_map(shape: &PlanShape, sets: usize) -> Vec<SetMap> {
     let rank = |rank: usize| (rank..shape.experts).step_by(shape.ranks.max(1));
     let set: SetMap = (0..shape.ranks)
         .map(|it| rank(it).map(|expert| expert as u32).collect())
@@ -93,35 +106,36 @@
     vec![set; sets]
 }
 
-/// Highest load of a rank over the mean, as a mean over the sets.
-pub fn imbalance(map: &[SetMap], shares: &[Shares]) -> f64 {
+/// Highest load of a rank over what it would be if all had an equal part, as a mean over the sets.
+/// Slow ranks count as more loaded.
+pub fn imbalance(shape: &PlanShape, map: &[SetMap], shares: &[Shares]) -> f64 {
     let sets = map.iter().zip(shares);
-    let total: f64 = sets.map(|(set, shares)| set_imbalance(set, shares)).sum();
-    total / map.len().max(1) as f64
+    let each = sets.map(|(set, shares)| set_imbalance(shape, set, shares));
+    each.sum::<f64>() / map.len().max(1) as f64
 }
 
-fn set_imbalance(set: &SetMap, shares: &Shares) -> f64 {
+fn set_imbalance(shape: &PlanShape, set: &SetMap, shares: &Shares) -> f64 {
     let mut holders = vec![0_u32; shares.len()];
     for expert in set.iter().flatten() {
         holders[*expert as usize] += 1;
     }
-    let load = |rank: &Vec<u32>| -> f64 {
-        let loads = rank
+    let load = |(rank, experts): (usize, &Vec<u32>)| -> f64 {
+        let loads = experts
             .iter()
             .map(|it| shares[*it as usize] / f64::from(holders[*it as usize].max(1)));
-        loads.sum()
+        loads.sum::<f64>() * shape.pace(rank)
     };
-    let highest = set.iter().map(load).fold(0.0, f64::max);
+    let highest = set.iter().enumerate().map(load).fold(0.0, f64::max);
     let total: f64 = shares.iter().sum();
     match total > 0.0 {
-        true => highest * set.len() as f64 / total,
+        true => highest * shape.usual_ranks() / total,
         false => 1.0,
     }
 }
 
 /// A map within reach of the one in force whose highest load over the mean is at most `target` in
 /// each set, with few copies. The most uneven set goes first, since ranks load only a few experts.
-pub fn plan(shape: PlanShape, map: &[SetMap], shares: &[Shares], target: f64) -> Plan {
+pub fn plan(shape: &PlanShape, map: &[SetMap], shares: &[Shares], target: f64) -> Plan {
     let mut budget = vec![shape.loads; shape.ranks];
     let sets = map.iter().zip(shares);
     let mut searches: Vec<Search> = sets.map(|(set, it)| Search::new(shape, set, it)).collect();
@@ -147,8 +161,8 @@
     };
     let by_rank: Vec<usize> = (0..shape.ranks).map(loads).collect();
     Plan {
-        before: imbalance(map, shares),
-        after: imbalance(&planned, shares),
+        before: imbalance(shape, map, shares),
+        after: imbalance(shape, &planned, shares),
         loads: by_rank.iter().sum(),
         most_loads: by_rank.into_iter().max().unwrap_or_default(),
         map: planned,
@@ -188,7 +202,7 @@
 
 /// A set's map under change.
 struct Search<'a> {
-    shape: PlanShape,
+    shape: &'a PlanShape,
     base: &'a SetMap,
     shares: &'a Shares,
     lists: SetMap,
@@ -198,7 +212,7 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(shape: PlanShape, base: &'a SetMap, shares: &'a Shares) -> Self {
+    fn new(shape: &'a PlanShape, base: &'a SetMap, shares: &'a Shares) -> Self {
         let mut search = Self {
             shape,
             base,
@@ -206,7 +220,7 @@
             lists: base.clone(),
             holders: Vec::new(),
             loads: Vec::new(),
-            mean: shares.iter().sum::<f64>() / shape.ranks.max(1) as f64,
+            mean: shares.iter().sum::<f64>() / shape.usual_ranks().max(1.0),
         };
         search.refresh();
         search
@@ -219,8 +233,11 @@
                 self.holders[*expert as usize].push(rank);
             }
         }
-        let load = |list: &Vec<u32>| list.iter().map(|it| self.share(*it, 0)).sum();
-        self.loads = self.lists.iter().map(load).collect();
+        let load = |(rank, list): (usize, &Vec<u32>)| {
+            let shares = list.iter().map(|it| self.share(*it, 0));
+            shares.sum::<f64>() * self.shape.pace(rank)
+        };
+        self.loads = self.lists.iter().enumerate().map(load).collect();
     }
 
     /// Highest load over the mean.
@@ -381,7 +398,8 @@
             }
         }
         let gains = deltas.0.iter().map(|(rank, delta)| {
-            self.penalty(self.loads[*rank]) - self.penalty(self.loads[*rank] + delta)
+            let after = self.loads[*rank] + delta * self.shape.pace(*rank);
+            self.penalty(self.loads[*rank]) - self.penalty(after)
         });
         gains.sum()
     }
--- a/crates/policy/src/outage.rs
+++ b/crates/policy/src/outage.rs
@@ -147,7 +147,7 @@
 const PATIENCE: Duration = Duration::from_millis(1_700);
 
 /// Part of the time that callers have left up to which they let themselves be sent away.
-const RETURN_PART: f64 = 1.0 / 3.0;
+pub const RETURN_PART: f64 = 1.0 / 3.0;
 
 /// Age of an outage from which it may end while a caller waits.
 const RIPE: Duration = Duration::from_millis(500);
--- a/crates/policy/src/pass_model.rs
+++ b/crates/policy/src/pass_model.rs
@@ -49,6 +49,8 @@
         pub ranks: u32,
         /// Pause between events that callers expect at most.
         pub gap: Duration,
+        /// Tokens of each answer that a pass produces.
+        pub stride: u32,
         /// Time that a pass takes without any work for tokens.
         pub idle: Duration,
         /// Time that a request adds to the passes of its own server.
@@ -67,6 +69,7 @@
         Some(Self {
             ranks: ranks.max(1) as u32,
             gap,
+            stride: engine.stride.max(1),
             idle: engine.step * engine.stride,
             writer: Duration::from_secs_f64(engine.per_writer) * engine.stride,
             reading: Duration::from_secs_f64(1e6 / engine.read_rate.max(1.0)),
@@ -93,6 +96,9 @@
     }
 }
 
+/// Passes that a request waits for and that read its prompt.
+const PASSES_BEFORE: u32 = 2;
+
 /// Requests at the fullest server over the mean.
 const FULLEST: f64 = 1.3;
 
@@ -107,8 +113,9 @@
 pub struct PassModel {
     /// Prompt tokens of requests by when they were sent.
     reads: VecDeque<(Timestamp, u32)>,
-    /// Length of the last pass.
+    /// Length of the last pass, and requests at work in it.
     pass: Duration,
+    requests: f64,
     /// Imbalance in the last pass, and the highest lately.
     now: f64,
     worst: f64,
@@ -151,6 +158,7 @@
         let even = spec.even(requests, tokens);
         self.fade(config, now);
         self.pass = pass;
+        self.requests = requests;
         if even > 0.0 {
             self.now = (experts / even).clamp(1.0, HIGHEST);
             self.worst = self.worst.max(self.now);
@@ -167,7 +175,8 @@
         prompt: u32,
     ) -> bool {
         let requests = f64::from(requests) + 1.0;
-        if requests <= config.least * f64::from(spec.ranks) {
+        let least = config.least * f64::from(spec.ranks);
+        if requests <= least || self.is_too_slow(spec, least) {
             return true;
         }
         let sent = self.tokens_between(now.saturating_sub(self.pass), now);
@@ -178,6 +187,20 @@
         next <= gap * config.part && worst <= gap * config.worst_part
     }
 
+    /// Whether passes would be too long even with few requests, so that no answer can be on time and
+    /// as many as possible should be given late.
+    fn is_too_slow(&self, spec: &PassSpec, least: f64) -> bool {
+        let part = (least / self.requests.max(1.0)).min(1.0);
+        let work = self.pass.saturating_sub(spec.idle).mul_f64(part);
+        spec.idle + work > spec.gap
+    }
+
+    /// Time that an answer of so many tokens takes as passes are now, its wait for a pass included.
+    pub fn answer_time(&self, spec: &PassSpec, tokens: u32) -> Duration {
+        let passes = tokens.div_ceil(spec.stride) + PASSES_BEFORE;
+        self.pass * passes
+    }
+
     /// Imbalance in the last pass, and the highest lately.
     pub fn imbalance(&self) -> (f64, f64) {
         (self.now, self.worst)
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -148,20 +148,23 @@
         let shares = known.demand.shares(now, spec.sets as usize)?;
         let roster = known.roster.as_ref()?;
         let (_, _, map) = self.map.as_ref()?;
-        let shape = PlanShape {
+        let mut shape = PlanShape {
             ranks,
             experts: spec.experts as usize,
             slots: spec.slots as usize,
             spare: spec.spare as usize,
-            loads: most_loads(expert_plan::imbalance(map, &shares)),
+            loads: 0,
+            paces: known.paces(ranks),
         };
+        let imbalance = expert_plan::imbalance(&shape, map, &shares);
+        shape.loads = most_loads(imbalance);
         let times = PassTimes {
             idle: roster.idle_pass,
             now: known.passes.length().unwrap_or(roster.idle_pass),
             goal: roster.gap.mul_f64(PASS_PART),
         };
-        let target = expert_plan::target(times, expert_plan::imbalance(map, &shares));
-        Some((expert_plan::plan(shape, map, &shares, target), target))
+        let target = expert_plan::target(times, imbalance);
+        Some((expert_plan::plan(&shape, map, &shares, target), target))
     }
 
     /// Learns the experts of all ranks under the map in force; false until all have told them.
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -120,6 +120,7 @@
             rank: report.rank,
             server: state.server,
             view: report.view,
+            pace: report.pace,
             running: report.running,
             waiting: report.waiting,
             age_ms: state.clock.now().saturating_sub(known.read).as_millis() as u32,
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -98,6 +98,18 @@
     pub number: u64,
 }
 
+impl Knowledge {
+    /// How much slower than usual each rank works, as far as it was told.
+    pub fn paces(&self, ranks: usize) -> Vec<f64> {
+        let own = self.report.as_ref();
+        let pace = |rank: Rank| match own.filter(|it| it.rank == rank) {
+            Some(report) => report.pace,
+            None => self.members.get(&rank).map_or(1.0, |it| it.status.pace),
+        };
+        (0..ranks as Rank).map(pace).collect()
+    }
+}
+
 /// State of one agent.
 pub struct State {
     /// Settings in force.
