feat(rank): counts as growth of a sample of ranks, maps as changes, so that large groups fit

Cause at 72 ranks: counts (1,728 numbers) and maps (2,592) did not fit a datagram or the leader's 8 Mbit/s, so no switch was made.

--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -157,7 +157,10 @@
             let service = shared.replica.borrow().service_at(news.server);
             if let Some(service) = service {
                 let now = shared.clock.now();
-                shared.loads.borrow_mut().take_word(now, &service, news.works);
+                shared
+                    .loads
+                    .borrow_mut()
+                    .take_word(now, &service, news.works);
                 shared.room.notify_one();
             }
         }
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -12,7 +12,11 @@
     server_list::{Revision, ServerList, ServerRecord},
 };
 use jj_utils::{
-    clock::Timestamp, collections::FastMap, common_derives, events, ids::{FailureDomainId, ServiceId}, log_event,
+    clock::Timestamp,
+    collections::FastMap,
+    common_derives, events,
+    ids::{FailureDomainId, ServiceId},
+    log_event,
 };
 use xxhash_rust::xxh3::Xxh3;
 
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -151,14 +151,10 @@
 }
 
 common_derives! {wire:
-    /// How often the requests of one rank chose each expert since it started.
+    /// How often the requests of one rank chose each expert since it told last.
     pub struct RankCounts {
-        /// Position of the engine.
-        pub rank: Rank,
-        /// Formation of the group.
-        pub epoch: u64,
         /// Set after set, expert after expert.
-        pub counts: Vec<u64>,
+        pub grown: Vec<u32>,
     }
 }
 
@@ -188,6 +184,71 @@
     }
 }
 
+common_derives! {wire:
+    /// Experts of one rank in a set.
+    #[derive(Eq)]
+    pub struct RankChange {
+        /// The set.
+        pub set: u16,
+        /// The rank.
+        pub rank: u16,
+        /// Its experts.
+        pub experts: Vec<u16>,
+    }
+}
+
+common_derives! {wire:
+    /// A map that ranks are to load: where it differs from the one in force, which all agents know
+    /// unless they have just started.
+    #[derive(Eq)]
+    pub enum MapNews {
+        /// The differences.
+        Changes {
+            /// The other map.
+            base: MapVersion,
+            /// Ranks with other experts.
+            changes: Vec<RankChange>,
+        },
+        /// All of it.
+        Whole(Vec<SetMap>),
+    }
+}
+
+impl MapNews {
+    /// What leads from one map to another.
+    pub fn changes(base: MapVersion, from: &[SetMap], to: &[SetMap]) -> Self {
+        let sets = from.iter().zip(to).enumerate();
+        let changes = sets.flat_map(|(set, (from, to))| {
+            let ranks = from.iter().zip(to).enumerate();
+            let changed = ranks.filter(|(_, (from, to))| from != to);
+            changed.map(move |(rank, (_, to))| RankChange {
+                set: set as u16,
+                rank: rank as u16,
+                experts: to.iter().map(|it| *it as u16).collect(),
+            })
+        });
+        Self::Changes {
+            base,
+            changes: changes.collect(),
+        }
+    }
+
+    /// The map; `known` gives the content of other maps. None where it is of an unknown one.
+    pub fn map(&self, known: impl Fn(MapVersion) -> Option<Vec<SetMap>>) -> Option<Vec<SetMap>> {
+        let (base, changes) = match self {
+            Self::Whole(map) => return Some(map.clone()),
+            Self::Changes { base, changes } => (base, changes),
+        };
+        let mut map = known(*base)?;
+        for change in changes {
+            let set = map.get_mut(usize::from(change.set))?;
+            let rank = set.get_mut(usize::from(change.rank))?;
+            *rank = change.experts.iter().map(|it| u32::from(*it)).collect();
+        }
+        Some(map)
+    }
+}
+
 common_derives! {wire:
     /// What a leader wants of a rank.
     pub struct RankTask {
@@ -197,8 +258,8 @@
         pub roles: SwitchRoles,
         /// The goal.
         pub goal: Goal,
-        /// The map, while the goal is to load it.
-        pub map: Option<Vec<SetMap>>,
+        /// The map, while the goal is to load it and the rank has not said that it does.
+        pub map: Option<MapNews>,
     }
 }
 
@@ -277,6 +338,8 @@
             rank: Rank,
             /// What the engine said after the task had come.
             view: RankView,
+            /// Whether the agent knows the content of the map.
+            knows: bool,
         },
     }
 }
--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use jj_utils::{clock::Timestamp, collections::FastMap, ids::Rank};
+use jj_utils::clock::Timestamp;
 
 use crate::expert_plan::Shares;
 
@@ -20,21 +20,35 @@
 /// Shortest time over which the newest counts are compared.
 const WINDOW: Duration = Duration::from_millis(90);
 
-/// Shortest time between two counts of a rank, so that a doubled message has no weight.
-const SHORTEST: Duration = Duration::from_millis(10);
-
-/// Counts of one rank since it started.
-#[derive(Debug, Clone)]
-struct RankCounts {
+/// Reads how much running counts have grown.
+#[derive(Debug, Clone, Default)]
+pub struct Growth {
     epoch: u64,
     counts: Vec<u64>,
-    at: Timestamp,
+}
+
+impl Growth {
+    /// What the counts have grown by since the last call; none at first, and after the group has
+    /// formed anew.
+    pub fn since(&mut self, epoch: u64, counts: Vec<u64>) -> Option<Vec<u32>> {
+        let is_known = self.epoch == epoch && self.counts.len() == counts.len();
+        let grown = is_known.then(|| {
+            let pairs = counts.iter().zip(&self.counts);
+            // Counts start anew with the rank.
+            let grown = pairs.map(|(new, old)| new.saturating_sub(*old));
+            grown
+                .map(|it| u32::try_from(it).unwrap_or(u32::MAX))
+                .collect()
+        });
+        self.epoch = epoch;
+        self.counts = counts;
+        grown
+    }
 }
 
 /// Demand for each expert of each set.
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
-    ranks: FastMap<Rank, RankCounts>,
     /// Counts that fade.
     kept: Vec<f64>,
     /// Counts since the last comparison.
@@ -45,27 +59,15 @@
 }
 
 impl Demand {
-    /// Takes in the counts of a rank.
-    pub fn observe(&mut self, now: Timestamp, rank: Rank, epoch: u64, counts: Vec<u64>) {
-        if self.kept.len() != counts.len() {
-            self.kept = vec![0.0; counts.len()];
-            self.newest = vec![0.0; counts.len()];
-            self.ranks.clear();
-        }
-        let before = self.ranks.get(&rank);
-        let before = before.filter(|it| it.epoch == epoch && it.counts.len() == counts.len());
-        if before.is_some_and(|it| now < it.at + SHORTEST) {
-            return;
+    /// Takes in what the counts of a rank have grown by.
+    pub fn observe(&mut self, grown: &[u32]) {
+        if self.kept.len() != grown.len() {
+            self.kept = vec![0.0; grown.len()];
+            self.newest = vec![0.0; grown.len()];
         }
-        if let Some(before) = before {
-            let grown = counts.iter().zip(&before.counts);
-            for (newest, (new, old)) in self.newest.iter_mut().zip(grown) {
-                // Counts start anew with the rank.
-                *newest += new.saturating_sub(*old) as f64;
-            }
+        for (newest, grown) in self.newest.iter_mut().zip(grown) {
+            *newest += f64::from(*grown);
         }
-        let at = now;
-        self.ranks.insert(rank, RankCounts { epoch, counts, at });
     }
 
     /// Shares of the experts, set by set; none where nothing was counted lately.
--- a/crates/policy/src/expert_plan.rs
+++ b/crates/policy/src/expert_plan.rs
@@ -18,6 +18,7 @@
 
 common_derives! {value:
     /// Size of a group.
+    #[derive(Default)]
     pub struct PlanShape {
         /// Ranks.
         pub ranks: usize,
--- a/crates/policy/src/outage.rs
+++ b/crates/policy/src/outage.rs
@@ -76,7 +76,9 @@
 
     /// Takes in that a server refused a request since its group does not work.
     pub fn refused(&mut self, now: Timestamp) {
-        let is_contradicted = self.word.is_some_and(|(at, works)| works && at > self.event);
+        let is_contradicted = self
+            .word
+            .is_some_and(|(at, works)| works && at > self.event);
         if !is_contradicted {
             self.refused = Some(now);
         }
@@ -87,7 +89,9 @@
         let is_fresh = |at: Timestamp, life: Duration| now <= at + life;
         let word = self.word.filter(|(at, _)| is_fresh(*at, config.word_life));
         let is_said = word.is_some_and(|(_, works)| !works);
-        let is_refused = self.refused.is_some_and(|at| is_fresh(at, config.refused_life));
+        let is_refused = self
+            .refused
+            .is_some_and(|at| is_fresh(at, config.refused_life));
         let is_still = streams >= config.streams && now > self.event + config.still;
         let is_out = is_said || is_refused || is_still;
         match is_out {
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -25,11 +25,20 @@
     let Ok(report) = read(state).await else {
         return;
     };
-    let view = advance(state, &state.engine, &report.view, &task).await;
+    let map = state.known.borrow_mut().map_of(&task);
+    let view = advance(
+        state,
+        &state.engine,
+        &report.view,
+        &task.goal,
+        map.as_deref(),
+    )
+    .await;
     let reply = Message::RankReply {
         number: task.number,
         rank: report.rank,
         view,
+        knows: map.is_some(),
     };
     mesh::send(state, from, &reply);
 }
@@ -67,19 +76,25 @@
 }
 
 /// Takes the next step towards the goal; what the engine says of itself after it.
-pub async fn advance(state: &State, engine: &Engine, view: &RankView, task: &RankTask) -> RankView {
-    let is_loading = is_loading(state, task.goal.version);
-    let step = map_switch::next_step(view, &task.goal, is_loading);
-    let Some(order) = order_for(step, &task.goal, task.map.as_deref()) else {
+pub async fn advance(
+    state: &State,
+    engine: &Engine,
+    view: &RankView,
+    goal: &Goal,
+    map: Option<&[SetMap]>,
+) -> RankView {
+    let is_loading = is_loading(state, goal.version);
+    let step = map_switch::next_step(view, goal, is_loading);
+    let Some(order) = order_for(step, goal, map) else {
         return *view;
     };
-    let outcome = give(engine, view, &task.goal, &order).await;
+    let outcome = give(engine, view, goal, &order).await;
     if outcome != OrderOutcome::Accepted {
         return *view;
     }
     if matches!(order, RankOrder::Load { .. }) {
         let now = state.clock.now();
-        state.known.borrow_mut().loading = Some((task.goal.version, now));
+        state.known.borrow_mut().loading = Some((goal.version, now));
     }
     after(*view, &order)
 }
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -108,9 +108,8 @@
         let Some((plan, target)) = self.plan(views.len()) else {
             return;
         };
-        metrics::gauge!("jujube_expert_imbalance").set(plan.before);
         self.log_load(plan.before);
-        if plan.before < target + LEAST_GAIN || plan.before - plan.after < LEAST_GAIN / 2.0 {
+        if plan.before - plan.after < LEAST_GAIN / 2.0 {
             return;
         }
         log_event!(
@@ -119,7 +118,11 @@
             most = plan.most_loads, version = first.map, target = target;
             "a better expert map is in reach"
         );
-        let switched = switch::run(&self.state, views, plan.map).await;
+        let Some((_, version, map)) = &self.map else {
+            return;
+        };
+        let from = (*version, map.as_slice());
+        let switched = switch::run(&self.state, views, from, plan.map).await;
         self.map = switched.map(|(version, map)| (first.epoch, version, map));
         self.switched = self.state.clock.now();
     }
@@ -140,7 +143,7 @@
         );
     }
 
-    /// The next map, and the imbalance that it aims at.
+    /// A better map where the one in force is too uneven, and the imbalance that it aims at.
     fn plan(&self, ranks: usize) -> Option<(Plan, f64)> {
         let now = self.state.clock.now();
         let mut known = self.state.known.borrow_mut();
@@ -164,6 +167,10 @@
             goal: roster.gap.mul_f64(PASS_PART),
         };
         let target = expert_plan::target(times, imbalance);
+        metrics::gauge!("jujube_expert_imbalance").set(imbalance);
+        if imbalance < target + LEAST_GAIN {
+            return None;
+        }
         Some((expert_plan::plan(&shape, map, &shares, target), target))
     }
 
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -2,8 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use jj_news::{GroupNews, MAX_DATAGRAM, Message, RankCounts, RankStatus, RankTask, Roster};
-use jj_policy::map_switch::RankView;
+use jj_news::{GroupNews, MAX_DATAGRAM, Message, RankStatus, RankTask, Roster};
 use jj_utils::{clock::Timestamp, events, ids::Rank, log_event};
 use tokio::task::spawn_local;
 
@@ -12,8 +11,8 @@
     state::{HeldExperts, Member, State, TaskReply, TaskSeen},
 };
 
-/// Time between two signs of life.
-const STATUS_PAUSE: Duration = Duration::from_millis(300);
+/// Time between two words of a leader to entries.
+const TELL_PAUSE: Duration = Duration::from_millis(300);
 
 /// Time between two questions for the roster.
 const ROSTER_PAUSE: Duration = Duration::from_millis(1_500);
@@ -53,7 +52,7 @@
             asked = Some(now);
         }
         tell_status(&state);
-        tokio::time::sleep(STATUS_PAUSE).await;
+        tokio::time::sleep(state.status_pause()).await;
     }
 }
 
@@ -87,7 +86,7 @@
 pub async fn tell_entries(state: Rc<State>) {
     loop {
         let changed = state.changed.notified();
-        let has_changed = tokio::time::timeout(STATUS_PAUSE, changed).await.is_ok();
+        let has_changed = tokio::time::timeout(TELL_PAUSE, changed).await.is_ok();
         if has_changed || state.leads() {
             tell_group(&state);
         }
@@ -152,9 +151,21 @@
     match message {
         Message::Roster(roster) => take_roster(state, roster),
         Message::RankStatus(status) => take_status(state, now, status),
-        Message::RankCounts(counts) => take_counts(state, now, counts),
+        Message::RankCounts(counts) => state.known.borrow_mut().demand.observe(&counts.grown),
         Message::RankTask(task) => take_task(state, now, from, task),
-        Message::RankReply { number, rank, view } => take_reply(state, number, rank, view),
+        Message::RankReply {
+            number,
+            rank,
+            view,
+            knows,
+        } => {
+            let reply = TaskReply {
+                number,
+                view,
+                knows,
+            };
+            take_reply(state, rank, reply);
+        }
         Message::Deputise {
             number,
             server,
@@ -214,18 +225,11 @@
     known.members.insert(rank, member);
 }
 
-fn take_counts(state: &State, now: Timestamp, counts: RankCounts) {
-    let mut known = state.known.borrow_mut();
-    known
-        .demand
-        .observe(now, counts.rank, counts.epoch, counts.counts);
-}
-
-fn take_reply(state: &State, number: u64, rank: Rank, view: RankView) {
+fn take_reply(state: &State, rank: Rank, reply: TaskReply) {
     let mut known = state.known.borrow_mut();
     let newest = known.replies.get(&rank).map_or(0, |it| it.number);
-    if number >= newest {
-        known.replies.insert(rank, TaskReply { number, view });
+    if reply.number >= newest {
+        known.replies.insert(rank, reply);
         drop(known);
         state.replied.notify_one();
     }
--- a/crates/rank/src/rescue.rs
+++ b/crates/rank/src/rescue.rs
@@ -9,10 +9,7 @@
 use jj_news::SwitchRoles;
 use jj_utils::clock::Timestamp;
 
-use crate::{
-    state::{SILENT_AFTER, State},
-    switch,
-};
+use crate::{state::State, switch};
 
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(40);
@@ -41,6 +38,7 @@
 
 /// The switch that this agent has to finish, by who does what in it.
 fn left_by(state: &State, now: Timestamp) -> Option<SwitchRoles> {
+    let alive = state.alive();
     let known = state.known.borrow();
     let task = known.task.filter(|it| now < it.at + WATCH)?;
     let own = known.report.as_ref()?.rank;
@@ -48,12 +46,9 @@
     if known.switching || leader == own {
         return None;
     }
-    let alive = known
-        .members
-        .iter()
-        .filter(|(_, it)| it.heard + SILENT_AFTER >= now);
     let before = alive
-        .filter(|(rank, _)| **rank < own && **rank != leader)
+        .iter()
+        .filter(|it| **it < own && **it != leader)
         .count();
     let patience = STILL_FOR + STEP * u32::try_from(before).unwrap_or(u32::MAX);
     // One that finishes the switch gives tasks as well.
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -6,6 +6,7 @@
 use jj_adapter::{engine::Engine, settings};
 use jj_direct::{instance::InstanceSettings, reload, socket};
 use jj_news::{Message, RankCounts};
+use jj_policy::demand::Growth;
 use jj_utils::{
     clock::SystemClock,
     events, log_event,
@@ -31,6 +32,9 @@
 /// Time between two reads of the counts.
 const COUNTS_PAUSE: Duration = Duration::from_millis(80);
 
+/// Ranks that tell their counts at most, or a few more.
+const SAMPLED_RANKS: u32 = 16;
+
 /// Longest wait for the counts.
 const COUNTS_LIMIT: Duration = Duration::from_millis(100);
 
@@ -121,30 +125,31 @@
     }
 }
 
-/// Tells the leader the counts of this rank, or takes them in where this agent leads.
+/// Tells the leader what the counts of this rank have grown by, or takes it in where this agent leads.
 async fn counts(state: Rc<State>) {
+    let mut growth = Growth::default();
     loop {
         tokio::time::sleep(COUNTS_PAUSE).await;
-        let Some(rank) = state.rank() else {
+        if !is_sampled(&state) {
             continue;
-        };
+        }
         let Ok(found) = state.engine.counts(COUNTS_LIMIT).await else {
             continue;
         };
+        let Some(grown) = growth.since(found.epoch, found.counts) else {
+            continue;
+        };
         match state.leader() {
-            Some(leader) => {
-                let message = Message::RankCounts(RankCounts {
-                    rank,
-                    epoch: found.epoch,
-                    counts: found.counts,
-                });
-                mesh::send(&state, leader, &message);
-            }
-            None => {
-                let now = state.clock.now();
-                let mut known = state.known.borrow_mut();
-                known.demand.observe(now, rank, found.epoch, found.counts);
-            }
+            Some(leader) => mesh::send(&state, leader, &Message::RankCounts(RankCounts { grown })),
+            None => state.known.borrow_mut().demand.observe(&grown),
         }
     }
 }
+
+/// Whether this rank tells its counts: some ranks of a large group are enough to know the demand,
+/// and the leader's link takes no more.
+fn is_sampled(state: &State) -> bool {
+    let known = state.known.borrow();
+    let report = known.report.as_ref();
+    report.is_some_and(|it| it.rank % it.size.div_ceil(SAMPLED_RANKS).max(1) == 0)
+}
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -9,9 +9,10 @@
 
 use jj_adapter::engine::{Engine, EngineReport};
 use jj_direct::instance::InstanceSettings;
-use jj_news::{DeputyState, RankStatus, Roster, SwitchRoles};
+use jj_news::{DeputyState, RankStatus, RankTask, Roster, SwitchRoles};
 use jj_policy::{
     demand::Demand,
+    expert_plan::{self, PlanShape},
     map_switch::{MapVersion, RankView, SetMap},
     pass_clock::PassClock,
 };
@@ -22,8 +23,15 @@
 };
 use tokio::{net::UdpSocket, sync::Notify};
 
-/// Silence after which an agent passes for gone.
-pub const SILENT_AFTER: Duration = Duration::from_millis(1_000);
+/// Time between two signs of life in a small group.
+const STATUS_PAUSE: Duration = Duration::from_millis(300);
+
+/// Ranks of a group up to which it is small; in larger ones signs of life are rarer, since each goes
+/// to all others.
+const SMALL_GROUP: u32 = 24;
+
+/// Signs of life without which an agent passes for gone.
+const MISSED: f64 = 3.4;
 
 /// An agent of the group, as it was heard last.
 #[derive(Debug, Clone)]
@@ -41,6 +49,8 @@
     pub number: u64,
     /// What the engine said after the task had come.
     pub view: RankView,
+    /// Whether the agent knows the content of the map.
+    pub knows: bool,
 }
 
 /// A task of a leader, as it was seen.
@@ -76,6 +86,8 @@
     pub members: FastMap<Rank, Member>,
     /// Newest answers to tasks by rank.
     pub replies: FastMap<Rank, TaskReply>,
+    /// Content of the maps that were told last, and in which formation.
+    pub maps: (u64, FastMap<MapVersion, Vec<SetMap>>),
     /// Experts by rank, as they were told last.
     pub experts: FastMap<Rank, HeldExperts>,
     /// Demand for experts, while this agent leads.
@@ -98,7 +110,43 @@
     pub number: u64,
 }
 
+/// Maps before the newest one whose content is kept.
+const MAPS_KEPT: MapVersion = 16;
+
+/// The map with which a group forms.
+fn default_map(roster: &Roster, size: u32) -> Option<Vec<SetMap>> {
+    let shape = PlanShape {
+        ranks: size as usize,
+        experts: roster.experts.experts as usize,
+        ..PlanShape::default()
+    };
+    Some(expert_plan::default_map(
+        &shape,
+        roster.experts.sets as usize,
+    ))
+}
+
 impl Knowledge {
+    /// The map of a task, if its content is known.
+    pub fn map_of(&mut self, task: &RankTask) -> Option<Vec<SetMap>> {
+        let (epoch, maps) = &mut self.maps;
+        if *epoch != task.goal.epoch {
+            *epoch = task.goal.epoch;
+            maps.clear();
+        }
+        if let Some(map) = maps.get(&task.goal.version) {
+            return Some(map.clone());
+        }
+        let map = task.map.as_ref()?.map(|version| match version {
+            0 => default_map(self.roster.as_ref()?, self.report.as_ref()?.size),
+            version => maps.get(&version).cloned(),
+        })?;
+        let oldest = task.goal.version.saturating_sub(MAPS_KEPT);
+        maps.retain(|version, _| *version >= oldest);
+        maps.insert(task.goal.version, map.clone());
+        Some(map)
+    }
+
     /// How much slower than usual each rank works, as far as it was told.
     pub fn paces(&self, ranks: usize) -> Vec<f64> {
         let own = self.report.as_ref();
@@ -138,6 +186,26 @@
         Rc::clone(&self.settings.borrow())
     }
 
+    /// Time between two signs of life.
+    pub fn status_pause(&self) -> Duration {
+        let size = self.known.borrow().report.as_ref().map_or(0, |it| it.size);
+        STATUS_PAUSE * size.div_ceil(SMALL_GROUP).clamp(1, 3)
+    }
+
+    /// Agents of the group that were heard lately, by rank.
+    pub fn alive(&self) -> Vec<Rank> {
+        let now = self.clock.now();
+        let silent = self.status_pause().mul_f64(MISSED);
+        let known = self.known.borrow();
+        let alive = known
+            .members
+            .iter()
+            .filter(|(_, it)| it.heard + silent >= now);
+        let mut alive: Vec<Rank> = alive.map(|(rank, _)| *rank).collect();
+        alive.sort_unstable();
+        alive
+    }
+
     /// Where an agent beside a server takes datagrams.
     pub fn agent_addr(&self, ip: IpAddr) -> SocketAddr {
         SocketAddr::new(ip, self.settings().ports.0)
@@ -150,30 +218,19 @@
 
     /// Whether this agent leads its group: no agent with a lower rank is heard.
     pub fn leads(&self) -> bool {
-        let now = self.clock.now();
-        let known = self.known.borrow();
-        let Some(report) = &known.report else {
+        let Some(own) = self.rank() else {
             return false;
         };
-        let lower = known
-            .members
-            .iter()
-            .filter(|(rank, _)| **rank < report.rank);
-        let mut alive = lower.filter(|(_, it)| it.heard + SILENT_AFTER >= now);
-        alive.next().is_none()
+        self.alive().first().is_none_or(|lowest| own < *lowest)
     }
 
     /// The agent that leads, where it isn't this one.
     pub fn leader(&self) -> Option<SocketAddr> {
-        let now = self.clock.now();
+        let own = self.rank()?;
+        let lowest = self.alive().first().copied().filter(|it| *it < own)?;
         let known = self.known.borrow();
-        let own = known.report.as_ref()?.rank;
-        let alive = known
-            .members
-            .iter()
-            .filter(|(_, it)| it.heard + SILENT_AFTER >= now);
-        let (rank, member) = alive.min_by_key(|(rank, _)| **rank)?;
-        (*rank < own).then(|| self.agent_addr(member.status.server.ip()))
+        let server = known.members.get(&lowest)?.status.server;
+        Some(self.agent_addr(server.ip()))
     }
 
     /// The map that all ranks have told.
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -9,7 +9,7 @@
 
 use futures_util::future::join_all;
 use jj_adapter::engine::{Engine, OrderOutcome};
-use jj_news::{DeputyState, Message, RankTask, SwitchRoles};
+use jj_news::{DeputyState, MapNews, Message, RankTask, SwitchRoles};
 use jj_policy::map_switch::{
     self, Activation, Goal, MapVersion, Pass, RankOrder, RankView, SetMap,
 };
@@ -21,10 +21,7 @@
     log_event,
 };
 
-use crate::{
-    driver, mesh,
-    state::{SILENT_AFTER, State},
-};
+use crate::{driver, mesh, state::State};
 
 /// Longest time for all ranks to load a map; the switch is given up after it, since nothing holds.
 const LOAD_LIMIT: Duration = Duration::from_secs(3);
@@ -54,6 +51,13 @@
 /// What the fencing number grows by when a higher one was seen.
 const TERM_STEP: Term = 5_000;
 
+/// The content of a map, as it is told to ranks.
+struct Content<'a> {
+    whole: &'a [SetMap],
+    /// The same as differences from the map in force.
+    changes: MapNews,
+}
+
 /// One switch.
 struct Switch {
     state: Rc<State>,
@@ -70,13 +74,18 @@
 pub async fn run(
     state: &Rc<State>,
     views: &[Option<RankView>],
+    from: (MapVersion, &[SetMap]),
     map: Vec<SetMap>,
 ) -> Option<(MapVersion, Vec<SetMap>)> {
     let roles = choose_roles(state)?;
     let epoch = views.first().copied().flatten()?.epoch;
     let mut switch = Switch::new(state, roles, epoch, views.len() as u32)?;
     switch.goal.version = map_switch::next_version(views);
-    let is_done = switch.carry_out(&map).await;
+    let news = Content {
+        whole: &map,
+        changes: MapNews::changes(from.0, from.1, &map),
+    };
+    let is_done = switch.carry_out(&news).await;
     let version = switch.goal.version;
     is_done.then_some((version, map))
 }
@@ -97,20 +106,13 @@
 
 /// A deputy and a rank that holds, among the agents that are heard.
 fn choose_roles(state: &State) -> Option<SwitchRoles> {
-    let now = state.clock.now();
-    let known = state.known.borrow();
-    let leader = known.report.as_ref()?.rank;
-    let alive = known
-        .members
-        .iter()
-        .filter(|(_, it)| it.heard + SILENT_AFTER >= now);
-    let mut alive: Vec<Rank> = alive.map(|(rank, _)| *rank).collect();
-    alive.retain(|rank| *rank != leader);
-    alive.sort_unstable();
+    let leader = state.rank()?;
+    let alive = state.alive();
+    let mut others = alive.iter().filter(|it| **it != leader);
     Some(SwitchRoles {
         leader,
-        deputy: *alive.first()?,
-        gate: *alive.get(1)?,
+        deputy: *others.next()?,
+        gate: *others.next()?,
     })
 }
 
@@ -146,7 +148,7 @@
     }
 
     /// Loads a map, holds a pass and decides; false when the group stays with the map in force.
-    async fn carry_out(&mut self, map: &[SetMap]) -> bool {
+    async fn carry_out(&mut self, map: &Content<'_>) -> bool {
         if !self.load(map).await {
             return self.end(false, "not all ranks have loaded the map");
         }
@@ -191,7 +193,7 @@
     }
 
     /// Has all ranks load the map; false when one has not in time.
-    async fn load(&mut self, map: &[SetMap]) -> bool {
+    async fn load(&mut self, map: &Content<'_>) -> bool {
         let limit = self.state.clock.now() + LOAD_LIMIT;
         let version = self.goal.version;
         let all: Vec<Rank> = (0..self.size).collect();
@@ -212,7 +214,7 @@
         ranks: &[Rank],
         limit: Timestamp,
         retry: Duration,
-        map: Option<&[SetMap]>,
+        map: Option<&Content<'_>>,
         is_reached: impl Fn(&RankView) -> bool,
     ) -> bool {
         let state = Rc::clone(&self.state);
@@ -226,7 +228,9 @@
                 return false;
             }
             for rank in &missing {
-                self.give_task(*rank, number, map).await;
+                let news = map.and_then(|it| self.news_for(*rank, number, it));
+                let whole = map.map(|it| it.whole);
+                self.give_task(*rank, number, news, whole).await;
             }
             let until = tokio::time::Instant::now() + retry;
             loop {
@@ -265,21 +269,38 @@
         }
     }
 
-    async fn give_task(&mut self, rank: Rank, number: u64, map: Option<&[SetMap]>) {
-        let task = RankTask {
-            number,
-            roles: self.roles,
-            goal: self.goal,
-            map: map.map(<[SetMap]>::to_vec),
-        };
+    /// What a rank still has to be told of a map: nothing once its agent knows the content.
+    fn news_for(&self, rank: Rank, number: u64, map: &Content<'_>) -> Option<MapNews> {
+        let known = self.state.known.borrow();
+        let reply = known.replies.get(&rank);
+        match reply.filter(|it| it.number == number) {
+            None => Some(map.changes.clone()),
+            Some(reply) if reply.knows => None,
+            Some(_) => Some(MapNews::Whole(map.whole.to_vec())),
+        }
+    }
+
+    async fn give_task(
+        &mut self,
+        rank: Rank,
+        number: u64,
+        map: Option<MapNews>,
+        whole: Option<&[SetMap]>,
+    ) {
         if rank == self.own {
             if let Ok(report) = driver::read(&self.state).await {
-                let engine = self.state.engine.clone();
-                let view = driver::advance(&self.state, &engine, &report.view, &task).await;
+                let (state, engine) = (&self.state, &self.state.engine);
+                let view = driver::advance(state, engine, &report.view, &self.goal, whole).await;
                 self.views.insert(rank, view);
             }
             return;
         }
+        let task = RankTask {
+            number,
+            roles: self.roles,
+            goal: self.goal,
+            map,
+        };
         if let Some(server) = server_of(&self.state, rank) {
             let agent = self.state.agent_addr(server.ip());
             mesh::send(&self.state, agent, &Message::RankTask(task));
