refactor(rank): a switch of the expert map is a pure run; the agent only carries it out

The decisions of a switch (load, hold, deputy, activation, release, finishing and taking back) stand in policy::switch_run, given dated views and outcomes; crates/rank sends what it wants.

--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -9,8 +9,9 @@
 
 use jj_policy::{
     catalog::ExpertSpec,
-    map_switch::{Activation, Goal, MapVersion, RankView, SetMap},
+    map_switch::{Goal, MapVersion, RankView, SetMap},
     server_list::Revision,
+    switch_run::{DeputyState, SwitchRoles},
 };
 use jj_utils::{
     common_derives,
@@ -158,32 +159,6 @@
     }
 }
 
-common_derives! {wire:
-    /// Ranks with a part in a switch of the expert map.
-    #[derive(Copy, Eq)]
-    pub struct SwitchRoles {
-        /// Its agent leads the switch, and orders nothing at its own engine while a pass is held.
-        pub leader: Rank,
-        /// Its agent activates the map at the leader's engine.
-        pub deputy: Rank,
-        /// Its engine holds the pass; its agent orders nothing meanwhile.
-        pub gate: Rank,
-    }
-}
-
-common_derives! {wire:
-    /// What a deputy knows of the leader's engine.
-    #[derive(Copy, Eq)]
-    pub enum DeputyState {
-        /// It has not ordered anything there for this switch, and will not do so any more.
-        Nothing,
-        /// The engine has accepted the activation.
-        Active(Activation),
-        /// It has ordered the activation and does not know what came of it.
-        Unknown,
-    }
-}
-
 common_derives! {wire:
     /// Experts of one rank in a set.
     #[derive(Eq)]
@@ -338,7 +313,9 @@
             rank: Rank,
             /// What the engine said after the task had come.
             view: RankView,
-            /// Whether the agent knows the content of the map.
+            /// The map of the task, and whether the agent knows its content.
+            version: MapVersion,
+            /// See `version`.
             knows: bool,
         },
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod server_list;
 pub mod standstill;
 pub mod subset;
+pub mod switch_run;
 pub mod tokens;
 pub mod verdict;
 pub mod wait_queue;
--- a/crates/policy/src/map_switch.rs
+++ b/crates/policy/src/map_switch.rs
@@ -146,77 +146,18 @@
     }
 }
 
-common_derives! {copy:
-    /// Where a switch stands, as a leader reads it off the views of all ranks.
-    pub enum Standing {
-        /// Ranks are missing, or of different formations: nothing can be done.
-        Unclear,
-        /// Nothing is under way.
-        Quiet,
-        /// All ranks have loaded this map and nothing is held.
-        Loaded(MapVersion),
-        /// A pass is held.
-        Held {
-            /// Rank that holds it.
-            gate: usize,
-            /// The pass.
-            pass: Pass,
-    },
-        /// All ranks will use a map from a pass on that nothing holds.
-        Decided(Activation),
-    }
-}
-
-/// Reads off where a switch stands.
-pub fn standing(views: &[Option<RankView>]) -> Standing {
+/// Whether no switch is under way at ranks that all work and are of one formation.
+pub fn is_quiet(views: &[Option<RankView>]) -> bool {
     let Some(views) = views.iter().copied().collect::<Option<Vec<RankView>>>() else {
-        return Standing::Unclear;
+        return false;
     };
     let Some(first) = views.first() else {
-        return Standing::Unclear;
+        return false;
     };
-    if views
-        .iter()
-        .any(|it| it.epoch != first.epoch || !it.is_open)
-    {
-        return Standing::Unclear;
-    }
-    let holding = views.iter().enumerate();
-    let holding = holding.filter_map(|(rank, it)| Some((it.held?, rank)));
-    if let Some((pass, gate)) = holding.min() {
-        return Standing::Held { gate, pass };
-    }
-    if let Some(active) = views.iter().find_map(|it| it.active) {
-        return Standing::Decided(active);
-    }
-    match first.loaded {
-        Some(version) if views.iter().all(|it| it.loaded == Some(version)) => {
-            Standing::Loaded(version)
-        }
-        _ => Standing::Quiet,
-    }
-}
-
-/// The map that all ranks have loaded, or have activated for a held pass; none where they disagree,
-/// so that a new one has to be loaded.
-pub fn common_version(views: &[Option<RankView>], pass: Pass) -> Option<MapVersion> {
-    let views = views.iter().copied().collect::<Option<Vec<RankView>>>()?;
-    let newest = views
-        .iter()
-        .filter_map(|it| it.loaded.max(it.active.map(|it| it.version)));
-    let version = newest.max()?;
-    let activation = Activation { version, pass };
-    let fits = |it: &RankView| match it.active {
-        Some(active) => active == activation,
-        None => it.loaded == Some(version),
+    let is_quiet = |it: &RankView| {
+        it.epoch == first.epoch && it.is_open && it.held.is_none() && it.active.is_none()
     };
-    views.iter().all(fits).then_some(version)
-}
-
-/// Whether every rank will use a map from a pass on.
-pub fn all_active(views: &[Option<RankView>], activation: Activation) -> bool {
-    let active = |it: &Option<RankView>| it.is_some_and(|it| it.active == Some(activation));
-    !views.is_empty() && views.iter().all(active)
+    views.iter().all(is_quiet)
 }
 
 /// The next free version of a map over all that a group has had.
--- /dev/null
+++ b/crates/policy/src/switch_run.rs
@@ -0,0 +1,847 @@
+//! One agent's part in a switch of the expert map: as its leader, or as the one that finishes a switch
+//! whose leader is gone.
+//!
+//! All ranks load the map, each by its own agent. Then the leader has one rank, the gate, hold a pass;
+//! its deputy activates the map at the leader's own engine; the leader activates it at all others and
+//! releases the pass at the gate. An instance that stops takes its engine out of reach, so while a
+//! pass is held no agent orders anything at its own engine: what was ordered at the leader's is
+//! known to the deputy, and what was ordered elsewhere shows there.
+//!
+//! Every view is dated by its question. The release is decided on the gate's view, which is read
+//! before the others are confirmed, and is void once the gate has accepted any order since. To take
+//! a switch back, each rank that may have an order on its way accepts another one first.
+
+use std::time::Duration;
+
+use jj_utils::{common_derives, ids::Rank};
+
+use crate::map_switch::{Activation, Goal, MapVersion, Pass, RankOrder, RankView};
+
+common_derives! {wire:
+    /// Ranks with a part in a switch.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    pub struct SwitchRoles {
+        /// Its agent leads the switch, and orders nothing at its own engine while a pass is held.
+        pub leader: Rank,
+        /// Its agent activates the map at the leader's engine.
+        pub deputy: Rank,
+        /// Its engine holds the pass; its agent orders nothing meanwhile.
+        pub gate: Rank,
+    }
+}
+
+common_derives! {wire:
+    /// What a deputy knows of the leader's engine.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    pub enum DeputyState {
+        /// It has not ordered anything there for this switch, and will not for an earlier leader.
+        Nothing,
+        /// The engine has accepted the activation.
+        Active(Activation),
+        /// It has ordered the activation and does not know what came of it.
+        Unknown,
+    }
+}
+
+common_derives! {copy:
+    /// An order at a held pass.
+    pub enum HeldOrder {
+        /// Hold a pass.
+        Hold(Pass),
+        /// Use the loaded map from a pass on.
+        Activate(Activation),
+        /// Undo an activation.
+        Cancel(MapVersion),
+        /// Begin the held pass.
+        Release(Pass),
+    }
+}
+
+impl From<HeldOrder> for RankOrder {
+    fn from(order: HeldOrder) -> Self {
+        match order {
+            HeldOrder::Hold(pass) => Self::Hold { pass },
+            HeldOrder::Activate(activation) => Self::Activate(activation),
+            HeldOrder::Cancel(version) => Self::Cancel { version },
+            HeldOrder::Release(pass) => Self::Release { pass },
+        }
+    }
+}
+
+common_derives! {copy:
+    /// What became of an order.
+    pub enum Outcome {
+        /// The engine has accepted it.
+        Accepted,
+        /// The engine has refused it.
+        Refused,
+        /// Nobody knows; it may be carried out later.
+        Unknown,
+    }
+}
+
+common_derives! {copy:
+    /// What happens to a run.
+    pub enum Input {
+        /// A rank's agent has worked on the goal and tells what its engine said after the question.
+        View {
+            /// The rank.
+            rank: Rank,
+            /// Number of the question.
+            number: u64,
+            /// What the engine said.
+            view: RankView,
+        },
+        /// The outcome of an order.
+        Ordered {
+            /// The rank.
+            rank: Rank,
+            /// What became of it.
+            outcome: Outcome,
+        },
+        /// The deputy's answer.
+        Deputy(DeputyState),
+        /// Time to ask again what has no answer.
+        Tick,
+        /// What the run waits for now has had its time.
+        Timeout,
+    }
+}
+
+common_derives! {copy:
+    /// What a run does.
+    pub enum Output {
+        /// Have the agent of a rank work on the goal and tell its engine's state.
+        Ask {
+            /// The rank.
+            rank: Rank,
+            /// Number of the question.
+            number: u64,
+        },
+        /// Order something at a rank's engine.
+        Order {
+            /// The rank.
+            rank: Rank,
+            /// The order.
+            order: HeldOrder,
+            /// Orders that the engine has to have accepted so far.
+            sequence: u64,
+        },
+        /// Have the deputy activate the map at the leader's engine.
+        Deputise {
+            /// Orders that the engine has to have accepted so far.
+            sequence: u64,
+        },
+        /// Ask the deputy what it knows of the leader's engine.
+        AskDeputy,
+        /// The run has ended.
+        End(Ending),
+    }
+}
+
+common_derives! {copy:
+    /// How a run ended.
+    pub enum Ending {
+        /// The group uses the new map from the pass on.
+        Switched,
+        /// Somebody else has ended the switch.
+        Overtaken,
+        /// Not all ranks have loaded the map.
+        NotLoaded,
+        /// No pass could be held.
+        NotHeld,
+        /// The group goes on with the map in force.
+        TakenBack,
+        /// The group has formed anew.
+        Lost,
+        /// There is nothing to finish.
+        Nothing,
+        /// The state of a rank is unknown: nothing can be done now.
+        Unclear,
+    }
+}
+
+common_derives! {copy:
+    /// What a run does at a time.
+    pub enum Stage {
+        /// Ranks load the map.
+        Load,
+        /// The gate is to hold a pass.
+        Hold,
+        /// The deputy activates the map at the leader's engine.
+        Deputy,
+        /// The map is activated at the others and the pass released.
+        Forward,
+        /// The switch is taken back.
+        Back,
+        /// The gate is asked whether it holds a pass.
+        FindGate,
+        /// The deputy is asked what it knows.
+        FindDeputy,
+        /// The leader's engine is asked for.
+        FindLeader,
+        /// The other ranks are asked.
+        FindOthers,
+        /// It has ended.
+        Ended,
+    }
+}
+
+/// Longest time for all ranks to load a map; nothing holds meanwhile.
+const LOAD_LIMIT: Duration = Duration::from_secs(3);
+
+/// Longest time for the deputy, so that the group does not wait for one that has stopped.
+const DEPUTY_LIMIT: Duration = Duration::from_millis(200);
+
+/// Longest time to learn something of one rank while the group may wait.
+const FIND_LIMIT: Duration = Duration::from_millis(120);
+
+/// Longest time to bring a held pass to its end before others may try.
+const HELD_LIMIT: Duration = Duration::from_secs(2);
+
+common_derives! {copy:
+    /// Where a run stands.
+    enum Phase {
+        Loading,
+        Holding { tries: u32 },
+        Deputising { has_asked: bool },
+        Gate,
+        Others,
+        Releasing { sequence: u64 },
+        Inactive { all: bool },
+        Freeing,
+        FreeingGate,
+        FindGate,
+        FindDeputy,
+        FindLeader { deputy: Option<DeputyState> },
+        FindOthers,
+        Ended,
+    }
+}
+
+common_derives! {key:
+    /// What a run knows of a rank and waits for from it.
+    #[derive(Default)]
+    struct Cell {
+        view: Option<RankView>,
+        /// Number of the open question.
+        asked: Option<u64>,
+        ordered: Option<HeldOrder>,
+        /// Whether the rank has accepted an order of a switch that is taken back.
+        has_accepted: bool,
+    }
+}
+
+/// Passes between the last one begun and the first one with the new map: one for the rest of the
+/// pass under way, and one for the orders.
+const PASS_LEAD: Pass = 2;
+
+/// Tries to hold a pass, each for a later one.
+const HOLD_TRIES: u32 = 4;
+
+common_derives! {key:
+    /// One run.
+    pub struct SwitchRun {
+        goal: Goal,
+        roles: SwitchRoles,
+        own: Rank,
+        phase: Phase,
+        cells: Vec<Cell>,
+        number: u64,
+    }
+}
+
+impl SwitchRun {
+    /// A switch that this agent leads, with its first steps.
+    pub fn lead(goal: Goal, roles: SwitchRoles, size: u32, number: u64) -> (Self, Vec<Output>) {
+        Self::start(goal, roles, (roles.leader, size), number, Phase::Loading)
+    }
+
+    /// Finishes a switch whose leader is gone, with its first steps.
+    pub fn rescue(
+        goal: Goal,
+        roles: SwitchRoles,
+        own: Rank,
+        size: u32,
+        number: u64,
+    ) -> (Self, Vec<Output>) {
+        Self::start(goal, roles, (own, size), number, Phase::FindGate)
+    }
+
+    fn start(
+        goal: Goal,
+        roles: SwitchRoles,
+        (own, size): (Rank, u32),
+        number: u64,
+        phase: Phase,
+    ) -> (Self, Vec<Output>) {
+        let mut run = Self {
+            goal,
+            roles,
+            own,
+            phase,
+            cells: vec![Cell::default(); size as usize],
+            number,
+        };
+        let outputs = run.advance();
+        (run, outputs)
+    }
+
+    /// What is wanted, with the pass once one is held.
+    pub fn goal(&self) -> Goal {
+        self.goal
+    }
+
+    /// Raises the fencing number after a higher one was seen.
+    pub fn raise_term(&mut self, term: u64) {
+        self.goal.term = self.goal.term.max(term);
+    }
+
+    /// Whether the ranks still load the map, so that the group waits for nothing.
+    pub fn is_loading(&self) -> bool {
+        self.phase == Phase::Loading
+    }
+
+    /// What the run does now, and how long it may take.
+    pub fn stage(&self) -> (Stage, Duration) {
+        match self.phase {
+            Phase::Loading => (Stage::Load, LOAD_LIMIT),
+            Phase::Holding { .. } => (Stage::Hold, HELD_LIMIT),
+            Phase::Deputising { .. } => (Stage::Deputy, DEPUTY_LIMIT),
+            Phase::Gate | Phase::Others | Phase::Releasing { .. } => (Stage::Forward, HELD_LIMIT),
+            Phase::Inactive { .. } | Phase::Freeing | Phase::FreeingGate => {
+                (Stage::Back, HELD_LIMIT)
+            }
+            Phase::FindGate => (Stage::FindGate, FIND_LIMIT),
+            Phase::FindDeputy => (Stage::FindDeputy, FIND_LIMIT),
+            Phase::FindLeader { .. } => (Stage::FindLeader, FIND_LIMIT),
+            Phase::FindOthers => (Stage::FindOthers, FIND_LIMIT * 2),
+            Phase::Ended => (Stage::Ended, Duration::MAX),
+        }
+    }
+
+    /// Takes one input and says what to do.
+    pub fn handle(&mut self, input: Input) -> Vec<Output> {
+        if self.phase == Phase::Ended {
+            return Vec::new();
+        }
+        match input {
+            Input::View { rank, number, view } => self.take_view(rank, number, view),
+            Input::Ordered { rank, outcome } => self.take_outcome(rank, outcome),
+            Input::Deputy(state) => self.take_deputy(state),
+            Input::Tick => return self.repeat(),
+            Input::Timeout => return self.time_out(),
+        }
+        self.advance()
+    }
+
+    fn take_view(&mut self, rank: Rank, number: u64, view: RankView) {
+        let Some(cell) = self.cells.get_mut(rank as usize) else {
+            return;
+        };
+        if cell.asked == Some(number) {
+            cell.asked = None;
+            cell.view = Some(view);
+        }
+    }
+
+    fn take_outcome(&mut self, rank: Rank, outcome: Outcome) {
+        let is_holding = matches!(self.phase, Phase::Holding { .. });
+        let Some(cell) = self.cells.get_mut(rank as usize) else {
+            return;
+        };
+        let Some(order) = cell.ordered.take() else {
+            return;
+        };
+        let view = cell.view.take();
+        if outcome != Outcome::Accepted {
+            return;
+        }
+        cell.has_accepted = true;
+        if matches!(self.phase, Phase::Inactive { .. }) {
+            // What it is like after the order has to be read.
+            return;
+        }
+        cell.view = view.map(|view| after(view, order));
+        if let (true, HeldOrder::Hold(pass)) = (is_holding, order) {
+            self.goal.pass = Some(pass);
+        }
+    }
+
+    fn take_deputy(&mut self, state: DeputyState) {
+        match self.phase {
+            Phase::Deputising { has_asked: true } => {
+                self.cells[self.own as usize].view = None;
+                self.phase = Phase::Deputising { has_asked: false };
+            }
+            Phase::FindDeputy => {
+                self.phase = Phase::FindLeader {
+                    deputy: Some(state),
+                };
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks again what has no answer.
+    fn repeat(&mut self) -> Vec<Output> {
+        let version = self.goal.version;
+        match self.phase {
+            Phase::Loading => {
+                for cell in &mut self.cells {
+                    if cell.view.is_some_and(|it| it.loaded != Some(version)) {
+                        cell.view = None;
+                    }
+                }
+            }
+            Phase::Deputising { has_asked: true } => {
+                self.cells[self.own as usize].view = None;
+                self.phase = Phase::Deputising { has_asked: false };
+            }
+            Phase::FindDeputy => return vec![Output::AskDeputy],
+            _ => {}
+        }
+        let open = self.cells.iter().enumerate();
+        let open = open.filter_map(|(rank, cell)| Some((rank as Rank, cell.asked?)));
+        let mut outputs: Vec<Output> = open
+            .map(|(rank, number)| Output::Ask { rank, number })
+            .collect();
+        outputs.extend(self.advance());
+        outputs
+    }
+
+    fn time_out(&mut self) -> Vec<Output> {
+        match self.phase {
+            Phase::Loading => self.end(Ending::NotLoaded),
+            Phase::Deputising { .. } => {
+                self.begin_back(false);
+                self.advance()
+            }
+            Phase::FindDeputy => {
+                self.phase = Phase::FindLeader { deputy: None };
+                self.advance()
+            }
+            Phase::FindLeader { deputy } => {
+                self.cells[self.roles.leader as usize].asked = None;
+                self.judge(None, deputy)
+            }
+            _ => self.end(Ending::Unclear),
+        }
+    }
+
+    fn end(&mut self, ending: Ending) -> Vec<Output> {
+        self.phase = Phase::Ended;
+        vec![Output::End(ending)]
+    }
+
+    /// Does what is next, as far as is known.
+    fn advance(&mut self) -> Vec<Output> {
+        if self.is_lost() {
+            return self.end(Ending::Lost);
+        }
+        match self.phase {
+            Phase::Loading => self.load(),
+            Phase::Holding { tries } => self.hold(tries),
+            Phase::Deputising { has_asked } => self.deputise(has_asked),
+            Phase::Gate => self.activate_gate(),
+            Phase::Others => self.activate_others(),
+            Phase::Releasing { sequence } => self.release_gate(sequence),
+            Phase::Inactive { all } => self.make_inactive(all),
+            Phase::Freeing => self.free_others(),
+            Phase::FreeingGate => self.free_gate(),
+            Phase::FindGate => self.find_gate(),
+            Phase::FindDeputy => vec![Output::AskDeputy],
+            Phase::FindLeader { deputy } => self.find_leader(deputy),
+            Phase::FindOthers => self.find_others(),
+            Phase::Ended => Vec::new(),
+        }
+    }
+
+    /// Whether the group has formed anew, so that nothing of the switch is left.
+    fn is_lost(&self) -> bool {
+        let mut views = self.cells.iter().filter_map(|it| it.view);
+        views.any(|it| it.epoch != self.goal.epoch || !it.is_open)
+    }
+
+    fn activation(&self) -> Activation {
+        Activation {
+            version: self.goal.version,
+            pass: self.goal.pass.unwrap_or_default(),
+        }
+    }
+
+    fn view(&self, rank: Rank) -> Option<RankView> {
+        self.cells.get(rank as usize)?.view
+    }
+
+    /// Asks a rank for its state, unless the answer is there or on its way.
+    fn need(&mut self, rank: Rank) -> Option<Output> {
+        let cell = &mut self.cells[rank as usize];
+        if cell.view.is_some() || cell.asked.is_some() || cell.ordered.is_some() {
+            return None;
+        }
+        self.number += 1;
+        cell.asked = Some(self.number);
+        let number = self.number;
+        Some(Output::Ask { rank, number })
+    }
+
+    fn need_all(&mut self, ranks: &[Rank]) -> Vec<Output> {
+        ranks.iter().filter_map(|rank| self.need(*rank)).collect()
+    }
+
+    /// Orders something at a rank whose state is known.
+    fn order(&mut self, rank: Rank, order: HeldOrder) -> Option<Output> {
+        let cell = &mut self.cells[rank as usize];
+        let sequence = cell.view?.sequence;
+        if cell.ordered.is_some() {
+            return None;
+        }
+        cell.ordered = Some(order);
+        Some(Output::Order {
+            rank,
+            order,
+            sequence,
+        })
+    }
+
+    fn all(&self) -> Vec<Rank> {
+        (0..self.cells.len() as Rank).collect()
+    }
+
+    /// All ranks but the gate and the leader's.
+    fn others(&self) -> Vec<Rank> {
+        let SwitchRoles { leader, gate, .. } = self.roles;
+        let mut others = self.all();
+        others.retain(|rank| *rank != gate && *rank != leader);
+        others
+    }
+
+    fn load(&mut self) -> Vec<Output> {
+        let all = self.all();
+        let outputs = self.need_all(&all);
+        let version = Some(self.goal.version);
+        let is_loaded = |it: &Cell| it.view.is_some_and(|it| it.loaded == version);
+        if !self.cells.iter().all(is_loaded) {
+            return outputs;
+        }
+        self.phase = Phase::Holding { tries: 0 };
+        self.cells[self.own as usize].view = None;
+        self.advance()
+    }
+
+    fn hold(&mut self, tries: u32) -> Vec<Output> {
+        let (own, gate) = (self.own, self.roles.gate);
+        if let Some(pass) = self.view(gate).and_then(|it| it.held) {
+            self.goal.pass = Some(pass);
+            self.phase = Phase::Deputising { has_asked: false };
+            self.cells[own as usize].view = None;
+            return self.advance();
+        }
+        let outputs = self.need_all(&[own, gate]);
+        let (Some(view), Some(_)) = (self.view(own), self.view(gate)) else {
+            return outputs;
+        };
+        if self.cells[gate as usize].ordered.is_some() {
+            return outputs;
+        }
+        if tries >= HOLD_TRIES {
+            return self.end(Ending::NotHeld);
+        }
+        self.phase = Phase::Holding { tries: tries + 1 };
+        // The next try needs to know anew where the group is.
+        self.cells[own as usize].view = None;
+        let order = HeldOrder::Hold(view.pass + PASS_LEAD);
+        self.order(gate, order).into_iter().collect()
+    }
+
+    fn deputise(&mut self, has_asked: bool) -> Vec<Output> {
+        let own = self.own;
+        let Some(view) = self.view(own) else {
+            return self.need(own).into_iter().collect();
+        };
+        if view.active == Some(self.activation()) {
+            self.phase = Phase::Gate;
+            return self.advance();
+        }
+        if has_asked {
+            return Vec::new();
+        }
+        self.phase = Phase::Deputising { has_asked: true };
+        vec![Output::Deputise {
+            sequence: view.sequence,
+        }]
+    }
+
+    fn activate_gate(&mut self) -> Vec<Output> {
+        let gate = self.roles.gate;
+        let Some(view) = self.view(gate) else {
+            return self.need(gate).into_iter().collect();
+        };
+        if view.held != self.goal.pass {
+            return self.end(Ending::Overtaken);
+        }
+        if self.is_blocked(&view) {
+            self.begin_back(true);
+            return self.advance();
+        }
+        if view.active != Some(self.activation()) {
+            let order = HeldOrder::Activate(self.activation());
+            return self.order(gate, order).into_iter().collect();
+        }
+        self.phase = Phase::Others;
+        // A rank that was active before the gate was read has to be read after it.
+        let activation = Some(self.activation());
+        for rank in self.others() {
+            let cell = &mut self.cells[rank as usize];
+            if cell.view.is_some_and(|it| it.active == activation) {
+                cell.view = None;
+                cell.asked = None;
+            }
+        }
+        self.advance()
+    }
+
+    fn activate_others(&mut self) -> Vec<Output> {
+        let activation = self.activation();
+        let mut outputs = Vec::new();
+        let mut is_done = true;
+        for rank in self.others() {
+            let Some(view) = self.view(rank) else {
+                is_done = false;
+                outputs.extend(self.need(rank));
+                continue;
+            };
+            if view.active == Some(activation) || view.map == activation.version {
+                continue;
+            }
+            is_done = false;
+            if self.is_blocked(&view) {
+                self.begin_back(true);
+                return self.advance();
+            }
+            outputs.extend(self.order(rank, HeldOrder::Activate(activation)));
+        }
+        if !is_done {
+            return outputs;
+        }
+        let Some(gate) = self.view(self.roles.gate) else {
+            self.phase = Phase::Gate;
+            return self.advance();
+        };
+        self.phase = Phase::Releasing {
+            sequence: gate.sequence,
+        };
+        self.advance()
+    }
+
+    /// Whether a rank can't use the map any more.
+    fn is_blocked(&self, view: &RankView) -> bool {
+        let version = self.goal.version;
+        match view.active {
+            Some(active) => active != self.activation(),
+            None => view.map != version && view.loaded != Some(version),
+        }
+    }
+
+    fn release_gate(&mut self, sequence: u64) -> Vec<Output> {
+        let gate = self.roles.gate;
+        let pass = self.goal.pass.unwrap_or_default();
+        if self.cells[gate as usize].ordered.is_some() {
+            return Vec::new();
+        }
+        let Some(view) = self.view(gate) else {
+            return self.need(gate).into_iter().collect();
+        };
+        if view.held != Some(pass) {
+            let ending = match self.cells[gate as usize].has_accepted && view.held.is_none() {
+                true => Ending::Switched,
+                false => Ending::Overtaken,
+            };
+            return self.end(ending);
+        }
+        if view.sequence != sequence {
+            self.phase = Phase::Gate;
+            return self.advance();
+        }
+        self.cells[gate as usize].has_accepted = false;
+        self.order(gate, HeldOrder::Release(pass)).into_iter().collect()
+    }
+
+    /// Begins to take the switch back: at all ranks, or only at this agent's engine, where the deputy
+    /// may have ordered something.
+    fn begin_back(&mut self, all: bool) {
+        self.phase = Phase::Inactive { all };
+        for cell in &mut self.cells {
+            cell.asked = None;
+            cell.view = None;
+            cell.has_accepted = false;
+        }
+    }
+
+    /// Has each rank accept an order after which it is not active.
+    fn make_inactive(&mut self, all: bool) -> Vec<Output> {
+        let gate = self.roles.gate;
+        let pass = self.goal.pass.unwrap_or_default();
+        let ranks = if all { self.all() } else { vec![self.own] };
+        let mut outputs = Vec::new();
+        let mut is_done = true;
+        for rank in ranks {
+            let Some(view) = self.view(rank) else {
+                is_done = false;
+                outputs.extend(self.need(rank));
+                continue;
+            };
+            let has_accepted = self.cells[rank as usize].has_accepted || rank == gate;
+            let order = match view.active {
+                Some(active) => HeldOrder::Cancel(active.version),
+                None if has_accepted => continue,
+                None => HeldOrder::Hold(pass),
+            };
+            is_done = false;
+            outputs.extend(self.order(rank, order));
+        }
+        if !is_done {
+            return outputs;
+        }
+        self.phase = Phase::Freeing;
+        self.advance()
+    }
+
+    /// Releases the holds that were ordered to void other orders.
+    fn free_others(&mut self) -> Vec<Output> {
+        let gate = self.roles.gate;
+        let mut outputs = Vec::new();
+        let mut is_done = true;
+        for rank in self.all().into_iter().filter(|rank| *rank != gate) {
+            let cell = &self.cells[rank as usize];
+            if !cell.has_accepted {
+                continue;
+            }
+            let Some(view) = cell.view else {
+                is_done = false;
+                outputs.extend(self.need(rank));
+                continue;
+            };
+            if let Some(pass) = view.held {
+                is_done = false;
+                outputs.extend(self.order(rank, HeldOrder::Release(pass)));
+            }
+        }
+        if !is_done {
+            return outputs;
+        }
+        self.phase = Phase::FreeingGate;
+        self.cells[gate as usize].view = None;
+        self.advance()
+    }
+
+    fn free_gate(&mut self) -> Vec<Output> {
+        let gate = self.roles.gate;
+        let Some(view) = self.view(gate) else {
+            return self.need(gate).into_iter().collect();
+        };
+        match view.held {
+            Some(pass) if Some(pass) == self.goal.pass => {
+                let order = HeldOrder::Release(pass);
+                self.order(gate, order).into_iter().collect()
+            }
+            _ => self.end(Ending::TakenBack),
+        }
+    }
+
+    fn find_gate(&mut self) -> Vec<Output> {
+        let gate = self.roles.gate;
+        let Some(view) = self.view(gate) else {
+            return self.need(gate).into_iter().collect();
+        };
+        if view.held.is_none() {
+            return self.end(Ending::Nothing);
+        }
+        self.goal.pass = view.held;
+        self.phase = Phase::FindDeputy;
+        self.advance()
+    }
+
+    /// The leader's engine is read after the deputy was asked, since the deputy orders nothing there
+    /// for an earlier leader from then on.
+    fn find_leader(&mut self, deputy: Option<DeputyState>) -> Vec<Output> {
+        let leader = self.roles.leader;
+        match self.view(leader) {
+            None => self.need(leader).into_iter().collect(),
+            view => self.judge(view, deputy),
+        }
+    }
+
+    /// Decides whether the switch goes forward or back.
+    fn judge(&mut self, leader: Option<RankView>, deputy: Option<DeputyState>) -> Vec<Output> {
+        let pass = self.goal.pass.unwrap_or_default();
+        let told = match (leader, deputy) {
+            (Some(view), _) => view.active,
+            (None, Some(DeputyState::Active(active))) => Some(active),
+            (None, _) => None,
+        };
+        if let Some(active) = told.filter(|it| it.pass == pass) {
+            self.goal.version = active.version;
+            self.cells[self.roles.gate as usize].view = None;
+            self.phase = Phase::Gate;
+            return self.advance();
+        }
+        match (leader, deputy) {
+            // The engine can be reached, so that orders on their way there can be made void.
+            (Some(_), _) => {
+                self.begin_back(true);
+                self.advance()
+            }
+            (None, Some(DeputyState::Nothing | DeputyState::Active(_))) => {
+                self.phase = Phase::FindOthers;
+                self.advance()
+            }
+            (None, Some(DeputyState::Unknown) | None) => self.end(Ending::Unclear),
+        }
+    }
+
+    /// Nobody was ordered to use the map, since the leader orders nothing at the others before its
+    /// own engine uses it; so the pass is released as it is.
+    fn find_others(&mut self) -> Vec<Output> {
+        let others = self.others();
+        let outputs = self.need_all(&others);
+        let views: Option<Vec<RankView>> = others.iter().map(|it| self.view(*it)).collect();
+        let Some(views) = views else {
+            return outputs;
+        };
+        if views.iter().any(|it| it.active.is_some()) {
+            return self.end(Ending::Unclear);
+        }
+        self.phase = Phase::FreeingGate;
+        self.cells[self.roles.gate as usize].view = None;
+        self.advance()
+    }
+}
+
+/// An engine's state once it has accepted an order.
+pub fn after(view: RankView, order: HeldOrder) -> RankView {
+    let sequence = view.sequence + 1;
+    match order {
+        HeldOrder::Hold(pass) => RankView {
+            sequence,
+            held: Some(pass),
+            ..view
+        },
+        HeldOrder::Activate(activation) => RankView {
+            sequence,
+            active: Some(activation),
+            ..view
+        },
+        HeldOrder::Cancel(_) => RankView {
+            sequence,
+            active: None,
+            ..view
+        },
+        HeldOrder::Release(_) => RankView {
+            sequence,
+            held: None,
+            ..view
+        },
+    }
+}
--- a/crates/rank/src/deputy.rs
+++ b/crates/rank/src/deputy.rs
@@ -7,8 +7,11 @@
 use std::net::SocketAddr;
 
 use jj_adapter::engine::{OrderGuard, OrderOutcome};
-use jj_news::{DeputyState, Message};
-use jj_policy::map_switch::{Activation, Goal, RankOrder};
+use jj_news::Message;
+use jj_policy::{
+    map_switch::{Activation, Goal, RankOrder},
+    switch_run::DeputyState,
+};
 use jj_utils::ids::Term;
 
 use crate::{driver, mesh, state::State};
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -4,7 +4,7 @@
 
 use jj_adapter::engine::{Engine, EngineReport, OrderGuard, OrderOutcome};
 use jj_news::{Message, RankTask};
-use jj_policy::map_switch::{self, Activation, Goal, RankOrder, RankView, SetMap, Step};
+use jj_policy::map_switch::{self, Goal, RankOrder, RankView, SetMap, Step};
 
 use jj_utils::{events, log_event};
 
@@ -38,6 +38,7 @@
         number: task.number,
         rank: report.rank,
         view,
+        version: task.goal.version,
         knows: map.is_some(),
     };
     mesh::send(state, from, &reply);
@@ -96,7 +97,10 @@
         let now = state.clock.now();
         state.known.borrow_mut().loading = Some((goal.version, now));
     }
-    after(*view, &order)
+    RankView {
+        sequence: view.sequence + 1,
+        ..*view
+    }
 }
 
 /// Gives an order that is void once the engine has accepted another one.
@@ -131,32 +135,6 @@
     }
 }
 
-/// The engine's state once it has accepted an order.
-pub fn after(view: RankView, order: &RankOrder) -> RankView {
-    let sequence = view.sequence + 1;
-    match order {
-        RankOrder::Activate(Activation { version, pass }) => RankView {
-            sequence,
-            active: Some(Activation {
-                version: *version,
-                pass: *pass,
-            }),
-            ..view
-        },
-        RankOrder::Cancel { .. } => RankView {
-            sequence,
-            active: None,
-            ..view
-        },
-        RankOrder::Hold { pass } => RankView {
-            sequence,
-            held: Some(*pass),
-            ..view
-        },
-        _ => RankView { sequence, ..view },
-    }
-}
-
 /// Tells a leader the experts of the engine beside this agent.
 pub async fn tell_experts(state: &State, to: SocketAddr) {
     let Some(rank) = state.rank() else {
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -5,7 +5,7 @@
 use jj_news::Message;
 use jj_policy::{
     expert_plan::{self, PassTimes, Plan, PlanShape},
-    map_switch::{self, MapVersion, RankView, SetMap, Standing},
+    map_switch::{self, MapVersion, RankView, SetMap},
 };
 use jj_utils::{clock::Timestamp, events, ids::Rank, log_event};
 
@@ -73,9 +73,8 @@
         let Some(views) = self.views() else {
             return;
         };
-        match map_switch::standing(&views) {
-            Standing::Quiet | Standing::Loaded(_) => self.consider(&views).await,
-            Standing::Held { .. } | Standing::Decided(_) | Standing::Unclear => {}
+        if map_switch::is_quiet(&views) {
+            self.consider(&views).await;
         }
     }
 
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -157,11 +157,13 @@
             number,
             rank,
             view,
+            version,
             knows,
         } => {
             let reply = TaskReply {
                 number,
                 view,
+                version,
                 knows,
             };
             take_reply(state, rank, reply);
--- a/crates/rank/src/rescue.rs
+++ b/crates/rank/src/rescue.rs
@@ -6,7 +6,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use jj_news::SwitchRoles;
+use jj_policy::switch_run::SwitchRoles;
 use jj_utils::clock::Timestamp;
 
 use crate::{state::State, switch};
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -9,12 +9,13 @@
 
 use jj_adapter::engine::{Engine, EngineReport};
 use jj_direct::instance::InstanceSettings;
-use jj_news::{DeputyState, RankStatus, RankTask, Roster, SwitchRoles};
+use jj_news::{RankStatus, RankTask, Roster};
 use jj_policy::{
     demand::Demand,
     expert_plan::{self, PlanShape},
     map_switch::{MapVersion, RankView, SetMap},
     pass_clock::PassClock,
+    switch_run::{DeputyState, SwitchRoles},
 };
 use jj_utils::{
     clock::{SharedClock, Timestamp},
@@ -49,7 +50,9 @@
     pub number: u64,
     /// What the engine said after the task had come.
     pub view: RankView,
-    /// Whether the agent knows the content of the map.
+    /// The map of the task, and whether the agent knows its content.
+    pub version: MapVersion,
+    /// See [`TaskReply::version`].
     pub knows: bool,
 }
 
