--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -269,15 +269,20 @@
         RankCounts(RankCounts),
         /// A leader's task for a rank.
         RankTask(RankTask),
-        /// A leader asks its deputy to activate a map at the leader's engine.
+        /// A leader asks its deputy to hold a pass at the gate, and to activate a map at the leader's
+        /// engine.
         Deputise {
             /// Number of the request, which the answer names.
             number: u64,
+            /// What to activate, from which pass on, and for whom.
+            goal: Goal,
+            /// The gate's engine.
+            gate: SocketAddr,
+            /// Orders that the gate has accepted.
+            gate_sequence: u64,
             /// The leader's engine.
             server: SocketAddr,
-            /// What to activate, and for whom.
-            goal: Goal,
-            /// Orders that the engine has accepted.
+            /// Orders that the leader's engine has accepted.
             sequence: u64,
         },
         /// An agent that finishes a switch asks the deputy what it knows of the leader's engine.
--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -1,11 +1,12 @@
 //! One agent's part in a switch of the expert map: as its leader, or as the one that finishes a switch
 //! whose leader is gone.
 //!
-//! All ranks load the map, each by its own agent. Then the leader has one rank, the gate, hold a pass;
-//! its deputy activates the map at the leader's own engine; the leader activates it at all others and
+//! All ranks load the map, each by its own agent. Then the leader's deputy has one rank, the gate, hold
+//! a pass, and activates the map at the leader's engine; the leader activates it at all others and
 //! releases the pass at the gate. An instance that stops takes its engine out of reach, so while a
-//! pass is held no agent orders anything at its own engine: what was ordered at the leader's is
-//! known to the deputy, and what was ordered elsewhere shows there.
+//! pass is held no agent orders anything at its own engine, and the leader orders nothing before
+//! its own engine uses the map: what was ordered there is known to the deputy, and what was ordered
+//! elsewhere shows there.
 //!
 //! Every view is dated by its question. The release is decided on the gate's view, which is read
 //! before the others are confirmed, and is void once the gate has accepted any order since. To take
@@ -127,10 +128,14 @@
             /// Orders that the engine has to have accepted so far.
             sequence: u64,
         },
-        /// Have the deputy activate the map at the leader's engine.
+        /// Have the deputy hold a pass at the gate and activate the map at the leader's engine.
         Deputise {
-            /// Orders that the engine has to have accepted so far.
-            sequence: u64,
+            /// The pass.
+            pass: Pass,
+            /// Orders that the gate has to have accepted so far.
+            gate: u64,
+            /// Orders that the leader's engine has to have accepted so far.
+            own: u64,
         },
         /// Ask the deputy what it knows of the leader's engine.
         AskDeputy,
@@ -166,9 +171,7 @@
     pub enum Stage {
         /// Ranks load the map.
         Load,
-        /// The gate is to hold a pass.
-        Hold,
-        /// The deputy activates the map at the leader's engine.
+        /// The deputy holds a pass and activates the map at the leader's engine.
         Deputy,
         /// The map is activated at the others and the pass released.
         Forward,
@@ -191,7 +194,7 @@
 const LOAD_LIMIT: Duration = Duration::from_secs(3);
 
 /// Longest time for the deputy, so that the group does not wait for one that has stopped.
-const DEPUTY_LIMIT: Duration = Duration::from_millis(200);
+const DEPUTY_LIMIT: Duration = Duration::from_millis(140);
 
 /// Longest time to learn something of one rank while the group may wait.
 const FIND_LIMIT: Duration = Duration::from_millis(120);
@@ -203,18 +206,21 @@
     /// Where a run stands.
     enum Phase {
         Loading,
-        Holding { tries: u32 },
-        Deputising { has_asked: bool },
+        Deputising { has_asked: bool, has_answer: bool, tries: u32 },
+        /// Only the leader's own engine may be active, by its deputy.
+        BackOwn,
         Gate,
         Others,
         Releasing { sequence: u64 },
-        Inactive { all: bool },
-        Freeing,
-        FreeingGate,
+        /// The gate goes first; its state after that decides whether the release is void.
+        InactiveGate,
+        Inactive { sequence: u64 },
+        Freeing { sequence: u64 },
+        FreeingGate { sequence: u64 },
         FindGate,
         FindDeputy,
         FindLeader { deputy: Option<DeputyState> },
-        FindOthers,
+        FindOthers { sequence: u64 },
         Ended,
     }
 }
@@ -236,8 +242,8 @@
 /// pass under way, and one for the orders.
 const PASS_LEAD: Pass = 2;
 
-/// Tries to hold a pass, each for a later one.
-const HOLD_TRIES: u32 = 4;
+/// Requests to the deputy, each for a later pass while none is held.
+const DEPUTY_TRIES: u32 = 5;
 
 common_derives! {key:
     /// One run.
@@ -245,6 +251,10 @@
         goal: Goal,
         roles: SwitchRoles,
         own: Rank,
+        /// Whether another agent has begun the switch, so that orders of its may be on their way.
+        is_rescue: bool,
+        /// Whether the leader's engine can be ordered, which a leader itself never does.
+        reaches_leader: bool,
         phase: Phase,
         cells: Vec<Cell>,
         number: u64,
@@ -279,6 +289,8 @@
             goal,
             roles,
             own,
+            is_rescue: phase != Phase::Loading,
+            reaches_leader: false,
             phase,
             cells: vec![Cell::default(); size as usize],
             number,
@@ -306,16 +318,17 @@
     pub fn stage(&self) -> (Stage, Duration) {
         match self.phase {
             Phase::Loading => (Stage::Load, LOAD_LIMIT),
-            Phase::Holding { .. } => (Stage::Hold, HELD_LIMIT),
             Phase::Deputising { .. } => (Stage::Deputy, DEPUTY_LIMIT),
             Phase::Gate | Phase::Others | Phase::Releasing { .. } => (Stage::Forward, HELD_LIMIT),
-            Phase::Inactive { .. } | Phase::Freeing | Phase::FreeingGate => {
-                (Stage::Back, HELD_LIMIT)
-            }
+            Phase::BackOwn
+            | Phase::InactiveGate
+            | Phase::Inactive { .. }
+            | Phase::Freeing { .. }
+            | Phase::FreeingGate { .. } => (Stage::Back, HELD_LIMIT),
             Phase::FindGate => (Stage::FindGate, FIND_LIMIT),
             Phase::FindDeputy => (Stage::FindDeputy, FIND_LIMIT),
             Phase::FindLeader { .. } => (Stage::FindLeader, FIND_LIMIT),
-            Phase::FindOthers => (Stage::FindOthers, FIND_LIMIT * 2),
+            Phase::FindOthers { .. } => (Stage::FindOthers, FIND_LIMIT * 2),
             Phase::Ended => (Stage::Ended, Duration::MAX),
         }
     }
@@ -346,7 +359,6 @@
     }
 
     fn take_outcome(&mut self, rank: Rank, outcome: Outcome) {
-        let is_holding = matches!(self.phase, Phase::Holding { .. });
         let Some(cell) = self.cells.get_mut(rank as usize) else {
             return;
         };
@@ -358,21 +370,24 @@
             return;
         }
         cell.has_accepted = true;
-        if matches!(self.phase, Phase::Inactive { .. }) {
+        let back = [Phase::InactiveGate, Phase::BackOwn];
+        let is_back = back.contains(&self.phase) || matches!(self.phase, Phase::Inactive { .. });
+        if is_back {
             // What it is like after the order has to be read.
             return;
         }
         cell.view = view.map(|view| after(view, order));
-        if let (true, HeldOrder::Hold(pass)) = (is_holding, order) {
-            self.goal.pass = Some(pass);
-        }
     }
 
     fn take_deputy(&mut self, state: DeputyState) {
         match self.phase {
-            Phase::Deputising { has_asked: true } => {
-                self.cells[self.own as usize].view = None;
-                self.phase = Phase::Deputising { has_asked: false };
+            Phase::Deputising {
+                has_asked: true,
+                tries,
+                ..
+            } => {
+                let has_answer = matches!(state, DeputyState::Active(_));
+                self.look_again(has_answer, tries);
             }
             Phase::FindDeputy => {
                 self.phase = Phase::FindLeader {
@@ -383,6 +398,20 @@
         }
     }
 
+    /// Reads what has become of the deputy's orders.
+    fn look_again(&mut self, has_answer: bool, tries: u32) {
+        for rank in [self.own, self.roles.gate] {
+            let cell = &mut self.cells[rank as usize];
+            cell.view = None;
+            cell.asked = None;
+        }
+        self.phase = Phase::Deputising {
+            has_asked: false,
+            has_answer,
+            tries,
+        };
+    }
+
     /// Asks again what has no answer.
     fn repeat(&mut self) -> Vec<Output> {
         let version = self.goal.version;
@@ -394,10 +423,11 @@
                     }
                 }
             }
-            Phase::Deputising { has_asked: true } => {
-                self.cells[self.own as usize].view = None;
-                self.phase = Phase::Deputising { has_asked: false };
-            }
+            Phase::Deputising {
+                has_asked: true,
+                tries,
+                ..
+            } => self.look_again(false, tries),
             Phase::FindDeputy => return vec![Output::AskDeputy],
             _ => {}
         }
@@ -413,8 +443,10 @@
     fn time_out(&mut self) -> Vec<Output> {
         match self.phase {
             Phase::Loading => self.end(Ending::NotLoaded),
+            // The deputy's own engine is out of reach as well: the group can't follow.
             Phase::Deputising { .. } => {
-                self.begin_back(false);
+                self.forget_all();
+                self.phase = Phase::BackOwn;
                 self.advance()
             }
             Phase::FindDeputy => {
@@ -441,18 +473,23 @@
         }
         match self.phase {
             Phase::Loading => self.load(),
-            Phase::Holding { tries } => self.hold(tries),
-            Phase::Deputising { has_asked } => self.deputise(has_asked),
+            Phase::Deputising {
+                has_asked,
+                has_answer,
+                tries,
+            } => self.deputise(has_asked, has_answer, tries),
+            Phase::BackOwn => self.make_own_inactive(),
             Phase::Gate => self.activate_gate(),
             Phase::Others => self.activate_others(),
             Phase::Releasing { sequence } => self.release_gate(sequence),
-            Phase::Inactive { all } => self.make_inactive(all),
-            Phase::Freeing => self.free_others(),
-            Phase::FreeingGate => self.free_gate(),
+            Phase::InactiveGate => self.make_gate_inactive(),
+            Phase::Inactive { sequence } => self.make_inactive(sequence),
+            Phase::Freeing { sequence } => self.free_others(sequence),
+            Phase::FreeingGate { sequence } => self.free_gate(sequence),
             Phase::FindGate => self.find_gate(),
             Phase::FindDeputy => vec![Output::AskDeputy],
             Phase::FindLeader { deputy } => self.find_leader(deputy),
-            Phase::FindOthers => self.find_others(),
+            Phase::FindOthers { sequence } => self.find_others(sequence),
             Phase::Ended => Vec::new(),
         }
     }
@@ -509,14 +546,26 @@
         (0..self.cells.len() as Rank).collect()
     }
 
-    /// All ranks but the gate and the leader's.
+    /// All ranks but the gate, and the leader's unless this run may order it.
     fn others(&self) -> Vec<Rank> {
         let SwitchRoles { leader, gate, .. } = self.roles;
         let mut others = self.all();
-        others.retain(|rank| *rank != gate && *rank != leader);
+        others.retain(|rank| *rank != gate && (*rank != leader || self.reaches_leader));
         others
     }
 
+    /// The next order at a rank on the way forward; none once it uses the map. A run that finishes
+    /// the switch of another has each rank accept an order, so that older ones on their way there
+    /// are void.
+    fn forward_order(&self, rank: Rank, view: &RankView) -> Option<HeldOrder> {
+        let activation = self.activation();
+        if view.active != Some(activation) {
+            return Some(HeldOrder::Activate(activation));
+        }
+        let is_certain = !self.is_rescue || self.cells[rank as usize].has_accepted;
+        (!is_certain).then_some(HeldOrder::Cancel(activation.version))
+    }
+
     fn load(&mut self) -> Vec<Output> {
         let all = self.all();
         let outputs = self.need_all(&all);
@@ -525,54 +574,73 @@
         if !self.cells.iter().all(is_loaded) {
             return outputs;
         }
-        self.phase = Phase::Holding { tries: 0 };
-        self.cells[self.own as usize].view = None;
+        self.look_again(false, 0);
         self.advance()
     }
 
-    fn hold(&mut self, tries: u32) -> Vec<Output> {
+    /// Has the deputy act, and reads what came of it: its orders may be lost or late. The leader goes
+    /// on only once the deputy has answered, so that what one that has stopped then did is known.
+    fn deputise(&mut self, has_asked: bool, has_answer: bool, tries: u32) -> Vec<Output> {
         let (own, gate) = (self.own, self.roles.gate);
-        if let Some(pass) = self.view(gate).and_then(|it| it.held) {
-            self.goal.pass = Some(pass);
-            self.phase = Phase::Deputising { has_asked: false };
-            self.cells[own as usize].view = None;
-            return self.advance();
-        }
         let outputs = self.need_all(&[own, gate]);
-        let (Some(view), Some(_)) = (self.view(own), self.view(gate)) else {
+        let (Some(view), Some(gate_view)) = (self.view(own), self.view(gate)) else {
             return outputs;
         };
-        if self.cells[gate as usize].ordered.is_some() {
-            return outputs;
-        }
-        if tries >= HOLD_TRIES {
-            return self.end(Ending::NotHeld);
-        }
-        self.phase = Phase::Holding { tries: tries + 1 };
-        // The next try needs to know anew where the group is.
-        self.cells[own as usize].view = None;
-        let order = HeldOrder::Hold(view.pass + PASS_LEAD);
-        self.order(gate, order).into_iter().collect()
-    }
-
-    fn deputise(&mut self, has_asked: bool) -> Vec<Output> {
-        let own = self.own;
-        let Some(view) = self.view(own) else {
-            return self.need(own).into_iter().collect();
-        };
-        if view.active == Some(self.activation()) {
+        self.goal.pass = gate_view.held;
+        let is_active = gate_view.held.is_some() && view.active == Some(self.activation());
+        if is_active && has_answer {
             self.phase = Phase::Gate;
             return self.advance();
         }
         if has_asked {
             return Vec::new();
         }
-        self.phase = Phase::Deputising { has_asked: true };
+        if tries >= DEPUTY_TRIES {
+            return match gate_view.held {
+                None => self.end(Ending::NotHeld),
+                // Late orders of several tries may have left the two at different passes.
+                Some(_) => self.time_out(),
+            };
+        }
+        self.phase = Phase::Deputising {
+            has_asked: true,
+            has_answer: false,
+            tries: tries + 1,
+        };
         vec![Output::Deputise {
-            sequence: view.sequence,
+            pass: gate_view.held.unwrap_or(view.pass + PASS_LEAD),
+            gate: gate_view.sequence,
+            own: view.sequence,
         }]
     }
 
+    /// Has the leader's own engine accept an order after which it is not active, and releases the gate.
+    fn make_own_inactive(&mut self) -> Vec<Output> {
+        let (own, gate) = (self.own, self.roles.gate);
+        let Some(gate_view) = self.view(gate) else {
+            return self.need(gate).into_iter().collect();
+        };
+        let Some(pass) = gate_view.held else {
+            return self.end(Ending::NotHeld);
+        };
+        self.goal.pass = Some(pass);
+        let Some(view) = self.view(own) else {
+            return self.need(own).into_iter().collect();
+        };
+        let order = match (view.active, view.held) {
+            (Some(active), _) => HeldOrder::Cancel(active.version),
+            (None, Some(held)) => HeldOrder::Release(held),
+            (None, None) if !self.cells[own as usize].has_accepted => HeldOrder::Hold(pass),
+            (None, None) => {
+                self.phase = Phase::FreeingGate {
+                    sequence: gate_view.sequence,
+                };
+                return self.advance();
+            }
+        };
+        self.order(own, order).into_iter().collect()
+    }
+
     fn activate_gate(&mut self) -> Vec<Output> {
         let gate = self.roles.gate;
         let Some(view) = self.view(gate) else {
@@ -582,11 +650,10 @@
             return self.end(Ending::Overtaken);
         }
         if self.is_blocked(&view) {
-            self.begin_back(true);
+            self.begin_back();
             return self.advance();
         }
-        if view.active != Some(self.activation()) {
-            let order = HeldOrder::Activate(self.activation());
+        if let Some(order) = self.forward_order(gate, &view) {
             return self.order(gate, order).into_iter().collect();
         }
         self.phase = Phase::Others;
@@ -603,7 +670,6 @@
     }
 
     fn activate_others(&mut self) -> Vec<Output> {
-        let activation = self.activation();
         let mut outputs = Vec::new();
         let mut is_done = true;
         for rank in self.others() {
@@ -612,15 +678,17 @@
                 outputs.extend(self.need(rank));
                 continue;
             };
-            if view.active == Some(activation) || view.map == activation.version {
+            if view.map == self.goal.version {
                 continue;
             }
-            is_done = false;
             if self.is_blocked(&view) {
-                self.begin_back(true);
+                self.begin_back();
                 return self.advance();
             }
-            outputs.extend(self.order(rank, HeldOrder::Activate(activation)));
+            if let Some(order) = self.forward_order(rank, &view) {
+                is_done = false;
+                outputs.extend(self.order(rank, order));
+            }
         }
         if !is_done {
             return outputs;
@@ -665,13 +733,18 @@
             return self.advance();
         }
         self.cells[gate as usize].has_accepted = false;
-        self.order(gate, HeldOrder::Release(pass)).into_iter().collect()
+        self.order(gate, HeldOrder::Release(pass))
+            .into_iter()
+            .collect()
     }
 
-    /// Begins to take the switch back: at all ranks, or only at this agent's engine, where the deputy
-    /// may have ordered something.
-    fn begin_back(&mut self, all: bool) {
-        self.phase = Phase::Inactive { all };
+    /// Begins to take the switch back at all ranks.
+    fn begin_back(&mut self) {
+        self.forget_all();
+        self.phase = Phase::InactiveGate;
+    }
+
+    fn forget_all(&mut self) {
         for cell in &mut self.cells {
             cell.asked = None;
             cell.view = None;
@@ -679,24 +752,50 @@
         }
     }
 
+    /// Has the gate accept an order after which it is not active; its hold stays.
+    fn make_gate_inactive(&mut self) -> Vec<Output> {
+        let gate = self.roles.gate;
+        let Some(view) = self.view(gate) else {
+            return self.need(gate).into_iter().collect();
+        };
+        if view.held != self.goal.pass {
+            return self.end(Ending::Overtaken);
+        }
+        let pass = self.goal.pass.unwrap_or_default();
+        let order = match (view.active, view.loaded) {
+            (Some(active), _) => HeldOrder::Cancel(active.version),
+            // Without a loaded map no order on its way can activate one.
+            (None, Some(version)) if !self.cells[gate as usize].has_accepted => {
+                HeldOrder::Activate(Activation { version, pass })
+            }
+            (None, _) => {
+                self.phase = Phase::Inactive {
+                    sequence: view.sequence,
+                };
+                return self.advance();
+            }
+        };
+        self.order(gate, order).into_iter().collect()
+    }
+
     /// Has each rank accept an order after which it is not active.
-    fn make_inactive(&mut self, all: bool) -> Vec<Output> {
+    fn make_inactive(&mut self, sequence: u64) -> Vec<Output> {
         let gate = self.roles.gate;
         let pass = self.goal.pass.unwrap_or_default();
-        let ranks = if all { self.all() } else { vec![self.own] };
         let mut outputs = Vec::new();
         let mut is_done = true;
-        for rank in ranks {
+        for rank in self.all().into_iter().filter(|rank| *rank != gate) {
             let Some(view) = self.view(rank) else {
                 is_done = false;
                 outputs.extend(self.need(rank));
                 continue;
             };
-            let has_accepted = self.cells[rank as usize].has_accepted || rank == gate;
-            let order = match view.active {
-                Some(active) => HeldOrder::Cancel(active.version),
-                None if has_accepted => continue,
-                None => HeldOrder::Hold(pass),
+            let order = match (view.active, view.held) {
+                (Some(active), _) => HeldOrder::Cancel(active.version),
+                (None, _) if self.cells[rank as usize].has_accepted => continue,
+                // To hold what is held already would change nothing, and void nothing.
+                (None, Some(held)) => HeldOrder::Release(held),
+                (None, None) => HeldOrder::Hold(pass),
             };
             is_done = false;
             outputs.extend(self.order(rank, order));
@@ -704,21 +803,17 @@
         if !is_done {
             return outputs;
         }
-        self.phase = Phase::Freeing;
+        self.phase = Phase::Freeing { sequence };
         self.advance()
     }
 
     /// Releases the holds that were ordered to void other orders.
-    fn free_others(&mut self) -> Vec<Output> {
+    fn free_others(&mut self, sequence: u64) -> Vec<Output> {
         let gate = self.roles.gate;
         let mut outputs = Vec::new();
         let mut is_done = true;
         for rank in self.all().into_iter().filter(|rank| *rank != gate) {
-            let cell = &self.cells[rank as usize];
-            if !cell.has_accepted {
-                continue;
-            }
-            let Some(view) = cell.view else {
+            let Some(view) = self.view(rank) else {
                 is_done = false;
                 outputs.extend(self.need(rank));
                 continue;
@@ -731,22 +826,23 @@
         if !is_done {
             return outputs;
         }
-        self.phase = Phase::FreeingGate;
-        self.cells[gate as usize].view = None;
+        self.phase = Phase::FreeingGate { sequence };
         self.advance()
     }
 
-    fn free_gate(&mut self) -> Vec<Output> {
+    /// Releases the gate, unless it has accepted an order since the others were known to be inactive.
+    fn free_gate(&mut self, sequence: u64) -> Vec<Output> {
         let gate = self.roles.gate;
         let Some(view) = self.view(gate) else {
             return self.need(gate).into_iter().collect();
         };
         match view.held {
-            Some(pass) if Some(pass) == self.goal.pass => {
+            Some(pass) if Some(pass) == self.goal.pass && view.sequence == sequence => {
                 let order = HeldOrder::Release(pass);
                 self.order(gate, order).into_iter().collect()
             }
-            _ => self.end(Ending::TakenBack),
+            Some(_) => self.end(Ending::Overtaken),
+            None => self.end(Ending::TakenBack),
         }
     }
 
@@ -783,6 +879,7 @@
         };
         if let Some(active) = told.filter(|it| it.pass == pass) {
             self.goal.version = active.version;
+            self.reaches_leader = leader.is_some();
             self.cells[self.roles.gate as usize].view = None;
             self.phase = Phase::Gate;
             return self.advance();
@@ -790,11 +887,13 @@
         match (leader, deputy) {
             // The engine can be reached, so that orders on their way there can be made void.
             (Some(_), _) => {
-                self.begin_back(true);
+                self.begin_back();
                 self.advance()
             }
             (None, Some(DeputyState::Nothing | DeputyState::Active(_))) => {
-                self.phase = Phase::FindOthers;
+                let gate = self.view(self.roles.gate);
+                let sequence = gate.map_or(0, |it| it.sequence);
+                self.phase = Phase::FindOthers { sequence };
                 self.advance()
             }
             (None, Some(DeputyState::Unknown) | None) => self.end(Ending::Unclear),
@@ -803,7 +902,7 @@
 
     /// Nobody was ordered to use the map, since the leader orders nothing at the others before its
     /// own engine uses it; so the pass is released as it is.
-    fn find_others(&mut self) -> Vec<Output> {
+    fn find_others(&mut self, sequence: u64) -> Vec<Output> {
         let others = self.others();
         let outputs = self.need_all(&others);
         let views: Option<Vec<RankView>> = others.iter().map(|it| self.view(*it)).collect();
@@ -813,8 +912,7 @@
         if views.iter().any(|it| it.active.is_some()) {
             return self.end(Ending::Unclear);
         }
-        self.phase = Phase::FreeingGate;
-        self.cells[self.roles.gate as usize].view = None;
+        self.phase = Phase::FreeingGate { sequence };
         self.advance()
     }
 }
--- /dev/null
+++ b/crates/policy/tests/switch_run_walk.rs
@@ -0,0 +1,262 @@
+//! Exhaustive breadth-first walks over the switch of an expert map by single orders: no pass begins
+//! while two ranks use different maps, whatever orders are lost or late, whoever stops and wakes, and
+//! however many agents lead or finish at once.
+
+mod switch_world;
+
+use std::{
+    collections::hash_map::Entry,
+    hash::{DefaultHasher, Hash, Hasher},
+};
+
+use googletest::prelude::*;
+use jj_utils::collections::FastMap;
+use switch_world::{Budget, Event, Mutation, Setup, World};
+
+/// What a walk found.
+#[derive(Default)]
+struct Walk {
+    states: usize,
+    /// States in which all ranks use a new map.
+    switched: usize,
+    /// Shortest list of events to a pass with two maps.
+    violation: Option<Vec<Event>>,
+}
+
+/// Most states of one walk.
+const MOST_STATES: usize = 3_000_000;
+
+/// Stands for a state among those that were visited: whole ones of a long walk would need gigabytes.
+type Fingerprint = u64;
+
+fn fingerprint(world: &World) -> Fingerprint {
+    let mut hasher = DefaultHasher::new();
+    world.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Visits every state that can be reached, nearest first, up to the first violation.
+fn walk(name: &str, setup: Setup, budget: Budget) -> Walk {
+    let start = World::new(setup, budget);
+    let mut parents: FastMap<Fingerprint, Fingerprint> = FastMap::default();
+    parents.insert(fingerprint(&start), fingerprint(&start));
+    let mut layer = vec![start.clone()];
+    let mut walk = Walk::default();
+    while walk.violation.is_none() && !layer.is_empty() {
+        let mut next_layer = Vec::new();
+        for world in &layer {
+            walk.states += 1;
+            walk.switched += usize::from(world.has_switched());
+            assert!(walk.states < MOST_STATES, "{name}: the walk is too large");
+            if world.violated {
+                walk.violation = Some(events_to(&start, world, &parents));
+                break;
+            }
+            for (_, next) in world.successors() {
+                if let Entry::Vacant(entry) = parents.entry(fingerprint(&next)) {
+                    entry.insert(fingerprint(world));
+                    next_layer.push(next);
+                }
+            }
+        }
+        layer = next_layer;
+    }
+    println!("{name}: {} states, {} switched", walk.states, walk.switched);
+    for (number, event) in walk.violation.iter().flatten().enumerate() {
+        println!("  {number}: {event:?}");
+    }
+    walk
+}
+
+/// The events that led from the start to a state.
+fn events_to(
+    start: &World,
+    end: &World,
+    parents: &FastMap<Fingerprint, Fingerprint>,
+) -> Vec<Event> {
+    let mut path = vec![fingerprint(end)];
+    while path.last() != Some(&fingerprint(start)) {
+        let parent = path.last().and_then(|it| parents.get(it));
+        path.push(*parent.expect("each visited state has a parent"));
+    }
+    path.reverse();
+    let mut world = start.clone();
+    let mut events = Vec::new();
+    for wanted in path.into_iter().skip(1) {
+        let mut next = world.successors().into_iter();
+        let found = next.find(|(_, next)| fingerprint(next) == wanted);
+        let (event, next) = found.expect("a parent leads to its child");
+        events.push(event);
+        world = next;
+    }
+    events
+}
+
+fn setup(mutation: Mutation) -> Setup {
+    Setup {
+        fencing: true,
+        mutation,
+    }
+}
+
+fn budget() -> Budget {
+    Budget {
+        lost: 0,
+        late: 0,
+        stops: 0,
+        wakes: 0,
+        rescues: 0,
+        seconds: 0,
+        timeouts: 0,
+        ticks: 1,
+        last_pass: 3,
+    }
+}
+
+#[gtest]
+fn a_switch_without_faults() {
+    let found = walk("no faults", setup(Mutation::None), budget());
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched, gt(0));
+}
+
+#[gtest]
+fn orders_that_are_lost_and_late() {
+    let faults = Budget {
+        lost: 1,
+        late: 1,
+        ..budget()
+    };
+
+    let found = walk("lost and late", setup(Mutation::None), faults);
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched, gt(0));
+}
+
+#[gtest]
+fn a_leader_that_stops_and_one_that_finishes() {
+    let faults = Budget {
+        stops: 1,
+        rescues: 1,
+        lost: 1,
+        timeouts: 1,
+        ticks: 0,
+        last_pass: 2,
+        ..budget()
+    };
+
+    let found = walk("stopped leader", setup(Mutation::None), faults);
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched, gt(0));
+}
+
+#[gtest]
+fn late_orders_beside_one_that_finishes() {
+    let faults = Budget {
+        rescues: 1,
+        late: 1,
+        ticks: 0,
+        last_pass: 2,
+        ..budget()
+    };
+
+    let found = walk("late beside a rescue", setup(Mutation::None), faults);
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched, gt(0));
+}
+
+#[gtest]
+fn a_leader_that_stops_and_wakes_beside_one_that_finishes() {
+    let faults = Budget {
+        stops: 1,
+        wakes: 1,
+        rescues: 1,
+        timeouts: 1,
+        ticks: 0,
+        ..budget()
+    };
+
+    let found = walk("woken leader", setup(Mutation::None), faults);
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched, gt(0));
+}
+
+#[gtest]
+fn two_leaders_at_once() {
+    let faults = Budget {
+        seconds: 1,
+        timeouts: 1,
+        ..budget()
+    };
+
+    let found = walk("two leaders", setup(Mutation::None), faults);
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched, gt(0));
+}
+
+#[gtest]
+fn engines_that_do_not_fence() {
+    let setup = Setup {
+        fencing: false,
+        mutation: Mutation::None,
+    };
+    let faults = Budget {
+        stops: 1,
+        wakes: 1,
+        rescues: 1,
+        timeouts: 1,
+        ticks: 0,
+        ..budget()
+    };
+
+    let found = walk("no fencing", setup, faults);
+
+    expect_that!(found.violation, none());
+}
+
+#[gtest]
+fn the_walk_finds_orders_without_their_number() {
+    let faults = Budget {
+        late: 1,
+        rescues: 1,
+        stops: 1,
+        wakes: 1,
+        timeouts: 1,
+        ..budget()
+    };
+
+    let found = walk(
+        "orders without a number",
+        setup(Mutation::DropSequence),
+        faults,
+    );
+
+    expect_that!(found.violation, some(len(gt(0))));
+}
+
+#[gtest]
+fn the_walk_finds_a_deputy_that_forgets() {
+    let faults = Budget {
+        stops: 1,
+        rescues: 1,
+        timeouts: 1,
+        ..budget()
+    };
+
+    let found = walk("forgetful deputy", setup(Mutation::ForgetDeputy), faults);
+
+    expect_that!(found.violation, some(len(gt(0))));
+}
+
+#[gtest]
+fn the_walk_finds_passes_that_are_not_held() {
+    let found = walk("no hold", setup(Mutation::DropHold), budget());
+
+    expect_that!(found.violation, some(len(gt(0))));
+}
--- /dev/null
+++ b/crates/policy/tests/switch_world/mod.rs
@@ -0,0 +1,626 @@
+//! A group of four ranks whose agents switch its expert map, with engines that may lose the answer of
+//! an order or carry it out late, and agents that stop and wake.
+
+use jj_policy::{
+    map_switch::{Activation, Goal, MapVersion, Pass, RankView, Step, next_step},
+    switch_run::{
+        DeputyState, Ending, HeldOrder, Input, Outcome, Output, Stage, SwitchRoles, SwitchRun,
+    },
+};
+use jj_utils::{common_derives, ids::Rank};
+
+/// Ranks of the group: a leader, a deputy, a gate, and one that finishes or leads as well.
+pub const RANKS: usize = 4;
+
+/// Who does what in the first switch.
+pub const ROLES: SwitchRoles = SwitchRoles {
+    leader: 0,
+    deputy: 1,
+    gate: 2,
+};
+
+/// Who does what in a second one.
+const SECOND_ROLES: SwitchRoles = SwitchRoles {
+    leader: 3,
+    deputy: 1,
+    gate: 2,
+};
+
+common_derives! {copy:
+    /// What is left out of the protocol.
+    pub enum Mutation {
+        None,
+        /// Engines carry orders out whatever they have accepted since.
+        DropSequence,
+        /// A deputy does not remember what it has ordered.
+        ForgetDeputy,
+        /// Engines begin passes that are held.
+        DropHold,
+    }
+}
+
+common_derives! {copy:
+    /// How the deployment is, and what is left out.
+    pub struct Setup {
+        pub fencing: bool,
+        pub mutation: Mutation,
+    }
+}
+
+common_derives! {copy:
+    /// Faults that may still happen.
+    pub struct Budget {
+        /// Orders whose answer is lost though they were carried out.
+        pub lost: u32,
+        /// Orders that are carried out later, after their sender has given them up.
+        pub late: u32,
+        /// Times that the leader's instance stops, and wakes.
+        pub stops: u32,
+        pub wakes: u32,
+        /// Agents that finish the switch of another leader.
+        pub rescues: u32,
+        /// Second leaders.
+        pub seconds: u32,
+        /// Questions that pass without an answer in time.
+        pub timeouts: u32,
+        /// Times that something is asked again.
+        pub ticks: u32,
+        /// Last pass of the walk.
+        pub last_pass: Pass,
+    }
+}
+
+common_derives! {copy:
+    pub struct Engine {
+        pub map: MapVersion,
+        pub highest: MapVersion,
+        pub loaded: Option<MapVersion>,
+        pub active: Option<Activation>,
+        pub held: Option<Pass>,
+        pub sequence: u64,
+        pub fence: u64,
+    }
+}
+
+common_derives! {copy:
+    /// An order on its way to an engine.
+    pub struct Sent {
+        /// Who waits for the outcome: a run, or a deputy for it; nobody once it was given up.
+        pub waits: Waits,
+        pub rank: Rank,
+        pub order: HeldOrder,
+        pub term: u64,
+        pub sequence: u64,
+    }
+}
+
+common_derives! {copy:
+    pub enum Waits {
+        Run(usize),
+        /// A deputy that holds for a run.
+        Gate(Deputised),
+        /// A deputy that activates at the leader's engine.
+        Deputy(Deputised),
+        Nobody,
+    }
+}
+
+common_derives! {copy:
+    /// A leader's request to its deputy.
+    pub struct Deputised {
+        pub actor: usize,
+        /// Tells requests of one leader apart: answers to earlier ones don't count.
+        pub number: u64,
+        pub goal: Goal,
+        /// Orders that the gate and the leader's engine have to have accepted.
+        pub gate: u64,
+        pub own: u64,
+    }
+}
+
+common_derives! {key:
+    /// An agent that leads or finishes a switch.
+    pub struct Actor {
+        pub agent: Rank,
+        pub roles: SwitchRoles,
+        pub run: SwitchRun,
+        /// Questions without an answer.
+        pub asked: Vec<(Rank, u64)>,
+        /// The request that is on its way to the deputy.
+        pub deputise: Option<Deputised>,
+        /// Requests to the deputy so far.
+        pub requests: u64,
+        pub ask_deputy: bool,
+        pub ending: Option<Ending>,
+    }
+}
+
+common_derives! {copy:
+    /// What happens between two states.
+    pub enum Event {
+        Pass,
+        CarryOut(Sent),
+        LoseAnswer(Sent),
+        Delay(Sent),
+        Answer { actor: usize, rank: Rank },
+        Deputise { actor: usize },
+        AskDeputy { actor: usize },
+        Tick { actor: usize },
+        Timeout { actor: usize },
+        Stop,
+        Wake,
+        Rescue,
+        SecondLeader,
+    }
+}
+
+type Next = Vec<(Event, World)>;
+
+common_derives! {key:
+    pub struct World {
+        pub setup: Setup,
+        pub budget: Budget,
+        pub pass: Pass,
+        pub engines: [Engine; RANKS],
+        /// Highest fencing number that each agent has seen.
+        pub terms: [u64; RANKS],
+        /// What the deputy knows, and under which number.
+        pub deputy: Option<(u64, DeputyState)>,
+        pub actors: Vec<Actor>,
+        pub orders: Vec<Sent>,
+        pub stopped: bool,
+        pub violated: bool,
+    }
+}
+
+/// Fencing number of the first leader.
+const FIRST_TERM: u64 = 10;
+
+impl World {
+    /// A group at map 0 whose first agent begins a switch to map 1.
+    pub fn new(setup: Setup, budget: Budget) -> Self {
+        let engine = Engine {
+            map: 0,
+            highest: 0,
+            loaded: None,
+            active: None,
+            held: None,
+            sequence: 0,
+            fence: 0,
+        };
+        let mut world = Self {
+            setup,
+            budget,
+            pass: 0,
+            engines: [engine; RANKS],
+            terms: [0; RANKS],
+            deputy: None,
+            actors: Vec::new(),
+            orders: Vec::new(),
+            stopped: false,
+            violated: false,
+        };
+        let (run, outputs) = SwitchRun::lead(goal(FIRST_TERM, 1), ROLES, RANKS as u32, 100);
+        world.add_actor(0, ROLES, run, outputs);
+        world
+    }
+
+    fn add_actor(&mut self, agent: Rank, roles: SwitchRoles, run: SwitchRun, outputs: Vec<Output>) {
+        self.terms[agent as usize] = run.goal().term;
+        self.actors.push(Actor {
+            agent,
+            roles,
+            run,
+            asked: Vec::new(),
+            deputise: None,
+            requests: 0,
+            ask_deputy: false,
+            ending: None,
+        });
+        let index = self.actors.len() - 1;
+        self.perform(index, outputs);
+    }
+
+    /// Whether all ranks use a map that was switched to.
+    pub fn has_switched(&self) -> bool {
+        self.engines.iter().all(|it| it.map > 0)
+    }
+
+    /// Every state that may come next.
+    pub fn successors(&self) -> Next {
+        let mut next = Vec::new();
+        self.pass_events(&mut next);
+        self.order_events(&mut next);
+        self.actor_events(&mut next);
+        self.fault_events(&mut next);
+        next
+    }
+
+    fn pass_events(&self, next: &mut Next) {
+        let pass = self.pass + 1;
+        let is_held = self.engines.iter().any(|it| it.held == Some(pass));
+        if pass > self.budget.last_pass || (is_held && self.setup.mutation != Mutation::DropHold) {
+            return;
+        }
+        let mut world = self.clone();
+        world.pass = pass;
+        for engine in &mut world.engines {
+            if engine.active.is_some_and(|it| it.pass == pass) {
+                engine.map = engine.active.map_or(0, |it| it.version);
+                engine.active = None;
+                engine.loaded = None;
+            }
+        }
+        let first = world.engines[0].map;
+        world.violated = world.engines.iter().any(|it| it.map != first);
+        next.push((Event::Pass, world));
+    }
+
+    fn order_events(&self, next: &mut Next) {
+        for index in 0..self.orders.len() {
+            let sent = self.orders[index];
+            // Orders of one run to several ranks make no difference to each other.
+            let earlier = &self.orders[..index];
+            if sent.waits != Waits::Nobody && earlier.iter().any(|it| it.waits == sent.waits) {
+                continue;
+            }
+            let mut world = self.clone();
+            world.orders.remove(index);
+            if self.is_out_of_reach(sent.rank) {
+                world.tell(sent.waits, sent.rank, Outcome::Unknown);
+                next.push((Event::LoseAnswer(sent), world));
+                continue;
+            }
+            let outcome = world.carry_out(&sent);
+            let mut answered = world.clone();
+            answered.tell(sent.waits, sent.rank, outcome);
+            next.push((Event::CarryOut(sent), answered));
+            if sent.waits == Waits::Nobody {
+                continue;
+            }
+            if self.budget.lost > 0 {
+                world.budget.lost -= 1;
+                world.tell(sent.waits, sent.rank, Outcome::Unknown);
+                next.push((Event::LoseAnswer(sent), world));
+            }
+            if self.budget.late > 0 {
+                let mut world = self.clone();
+                world.budget.late -= 1;
+                world.orders[index].waits = Waits::Nobody;
+                world.tell(sent.waits, sent.rank, Outcome::Unknown);
+                next.push((Event::Delay(sent), world));
+            }
+        }
+    }
+
+    fn is_out_of_reach(&self, rank: Rank) -> bool {
+        self.stopped && rank == 0
+    }
+
+    fn is_stopped(&self, actor: usize) -> bool {
+        self.is_out_of_reach(self.actors[actor].agent)
+    }
+
+    fn actor_events(&self, next: &mut Next) {
+        for actor in 0..self.actors.len() {
+            if self.is_stopped(actor) || self.actors[actor].ending.is_some() {
+                continue;
+            }
+            self.answer_events(actor, next);
+            self.deputy_events(actor, next);
+            self.time_events(actor, next);
+        }
+    }
+
+    /// The first agent that can works on the goal and answers: which of several answers first makes
+    /// no difference to the others.
+    fn answer_events(&self, actor: usize, next: &mut Next) {
+        for (index, (rank, number)) in self.actors[actor].asked.iter().copied().enumerate() {
+            let agent = rank as usize;
+            let goal = self.actors[actor].run.goal();
+            if self.is_out_of_reach(rank) || self.terms[agent] > goal.term {
+                continue;
+            }
+            let mut world = self.clone();
+            world.actors[actor].asked.remove(index);
+            world.terms[agent] = goal.term;
+            world.forget_deputy(actor, rank);
+            world.work(rank, Goal { pass: None, ..goal });
+            let view = world.view(rank);
+            world.input(actor, Input::View { rank, number, view });
+            next.push((Event::Answer { actor, rank }, world));
+            return;
+        }
+    }
+
+    /// A load begins another switch, for which a deputy has done nothing yet.
+    fn forget_deputy(&mut self, actor: usize, rank: Rank) {
+        let actor = &self.actors[actor];
+        let goal = actor.run.goal();
+        let is_older = self.deputy.is_some_and(|(term, _)| term < goal.term);
+        if actor.run.is_loading() && rank == actor.roles.deputy && is_older {
+            self.deputy = None;
+        }
+    }
+
+    /// What an agent does at its own engine for a goal.
+    fn work(&mut self, rank: Rank, goal: Goal) {
+        let view = self.view(rank);
+        if next_step(&view, &goal, false) != Step::Load || goal.version == 0 {
+            return;
+        }
+        let engine = &mut self.engines[rank as usize];
+        let is_fenced = self.setup.fencing && goal.term < engine.fence;
+        if goal.version > engine.highest && !is_fenced {
+            engine.highest = goal.version;
+            engine.loaded = Some(goal.version);
+            engine.sequence += 1;
+            engine.fence = engine.fence.max(goal.term);
+        }
+    }
+
+    fn deputy_events(&self, actor: usize, next: &mut Next) {
+        let deputy = self.actors[actor].roles.deputy as usize;
+        let goal = self.actors[actor].run.goal();
+        if let Some(request) = self.actors[actor].deputise
+            && goal.term >= self.terms[deputy]
+        {
+            let mut world = self.clone();
+            world.actors[actor].deputise = None;
+            world.terms[deputy] = goal.term;
+            world.orders.push(Sent {
+                waits: Waits::Gate(request),
+                rank: world.actors[actor].roles.gate,
+                order: HeldOrder::Hold(activation(&request.goal).pass),
+                term: goal.term,
+                sequence: request.gate,
+            });
+            world.orders.sort_unstable();
+            next.push((Event::Deputise { actor }, world));
+        }
+        if self.actors[actor].ask_deputy {
+            let mut world = self.clone();
+            world.actors[actor].ask_deputy = false;
+            world.terms[deputy] = world.terms[deputy].max(goal.term);
+            let state = match self.setup.mutation {
+                Mutation::ForgetDeputy => DeputyState::Nothing,
+                _ => self.deputy.map_or(DeputyState::Nothing, |(_, state)| state),
+            };
+            world.input(actor, Input::Deputy(state));
+            next.push((Event::AskDeputy { actor }, world));
+        }
+    }
+
+    fn time_events(&self, actor: usize, next: &mut Next) {
+        if self.budget.ticks > 0 {
+            let mut world = self.clone();
+            world.budget.ticks -= 1;
+            world.input(actor, Input::Tick);
+            next.push((Event::Tick { actor }, world));
+        }
+        let stage = self.actors[actor].run.stage().0;
+        let may_time_out = [Stage::Deputy, Stage::FindDeputy, Stage::FindLeader];
+        if self.budget.timeouts > 0 && may_time_out.contains(&stage) {
+            let mut world = self.clone();
+            world.budget.timeouts -= 1;
+            world.actors[actor].ask_deputy = false;
+            world.input(actor, Input::Timeout);
+            next.push((Event::Timeout { actor }, world));
+        }
+    }
+
+    fn fault_events(&self, next: &mut Next) {
+        let is_held = self.engines.iter().any(|it| it.held.is_some());
+        let is_holding = self
+            .orders
+            .iter()
+            .any(|it| matches!(it.order, HeldOrder::Hold(_)));
+        if self.budget.stops > 0 && !self.stopped && (is_held || is_holding) {
+            let mut world = self.clone();
+            world.budget.stops -= 1;
+            world.stopped = true;
+            next.push((Event::Stop, world));
+        }
+        if self.budget.wakes > 0 && self.stopped {
+            let mut world = self.clone();
+            world.budget.wakes -= 1;
+            world.stopped = false;
+            next.push((Event::Wake, world));
+        }
+        // Agents finish a switch when the group stands still.
+        if self.budget.rescues > 0 && is_held {
+            let mut world = self.clone();
+            world.budget.rescues -= 1;
+            let goal = goal(self.next_term(), 0);
+            let (run, outputs) = SwitchRun::rescue(goal, ROLES, 3, RANKS as u32, 200);
+            world.add_actor(3, ROLES, run, outputs);
+            next.push((Event::Rescue, world));
+        }
+        if self.budget.seconds > 0 {
+            let mut world = self.clone();
+            world.budget.seconds -= 1;
+            let goal = goal(self.next_term(), 2);
+            let (run, outputs) = SwitchRun::lead(goal, SECOND_ROLES, RANKS as u32, 300);
+            world.add_actor(3, SECOND_ROLES, run, outputs);
+            next.push((Event::SecondLeader, world));
+        }
+    }
+
+    fn next_term(&self) -> u64 {
+        FIRST_TERM + self.actors.len() as u64
+    }
+
+    fn view(&self, rank: Rank) -> RankView {
+        let engine = &self.engines[rank as usize];
+        RankView {
+            epoch: 1,
+            is_open: true,
+            pass: self.pass,
+            sequence: engine.sequence,
+            map: engine.map,
+            loaded: engine.loaded,
+            active: engine.active,
+            held: engine.held,
+        }
+    }
+
+    fn carry_out(&mut self, sent: &Sent) -> Outcome {
+        let ignores = self.setup.mutation == Mutation::DropSequence;
+        let pass = self.pass;
+        let engine = &mut self.engines[sent.rank as usize];
+        if self.setup.fencing && sent.term < engine.fence {
+            return Outcome::Refused;
+        }
+        engine.fence = engine.fence.max(sent.term);
+        if engine.sequence != sent.sequence && !ignores {
+            return Outcome::Refused;
+        }
+        engine.obey(sent.order, pass)
+    }
+
+    fn tell(&mut self, waits: Waits, rank: Rank, outcome: Outcome) {
+        match waits {
+            Waits::Run(actor) => self.input(actor, Input::Ordered { rank, outcome }),
+            Waits::Gate(request) => self.held(request, outcome),
+            Waits::Deputy(request) => {
+                let goal = request.goal;
+                if outcome == Outcome::Accepted {
+                    self.deputy = Some((goal.term, DeputyState::Active(activation(&goal))));
+                }
+                self.tell_leader(request);
+            }
+            Waits::Nobody => {}
+        }
+    }
+
+    /// The deputy goes on once the gate holds, unless it was asked by another meanwhile.
+    fn held(&mut self, request: Deputised, outcome: Outcome) {
+        let actor = &self.actors[request.actor];
+        let (deputy, leader) = (actor.roles.deputy as usize, actor.roles.leader);
+        let goal = request.goal;
+        if outcome != Outcome::Accepted {
+            return self.tell_leader(request);
+        }
+        if self.terms[deputy] != goal.term {
+            return;
+        }
+        self.deputy = Some((goal.term, DeputyState::Unknown));
+        self.orders.push(Sent {
+            waits: Waits::Deputy(request),
+            rank: leader,
+            order: HeldOrder::Activate(activation(&goal)),
+            term: goal.term,
+            sequence: request.own,
+        });
+        self.orders.sort_unstable();
+    }
+
+    fn tell_leader(&mut self, request: Deputised) {
+        let actor = request.actor;
+        let state = self.deputy.map_or(DeputyState::Nothing, |(_, state)| state);
+        let is_newest = self.actors[actor].requests == request.number;
+        if is_newest && !self.is_stopped(actor) {
+            self.input(actor, Input::Deputy(state));
+        }
+    }
+
+    /// A run that has stopped gets what happened meanwhile when it wakes: here it is lost to it, as
+    /// an answer that came too late.
+    fn input(&mut self, actor: usize, input: Input) {
+        let outputs = self.actors[actor].run.handle(input);
+        self.perform(actor, outputs);
+    }
+
+    fn perform(&mut self, actor: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            let term = self.actors[actor].run.goal().term;
+            let it = &mut self.actors[actor];
+            match output {
+                Output::Ask { rank, number } => {
+                    it.asked.retain(|(asked, _)| *asked != rank);
+                    it.asked.push((rank, number));
+                    it.asked.sort_unstable();
+                }
+                Output::Order {
+                    rank,
+                    order,
+                    sequence,
+                } => {
+                    self.orders.push(Sent {
+                        waits: Waits::Run(actor),
+                        rank,
+                        order,
+                        term,
+                        sequence,
+                    });
+                    self.orders.sort_unstable();
+                }
+                Output::Deputise { pass, gate, own } => {
+                    it.requests += 1;
+                    it.deputise = Some(Deputised {
+                        actor,
+                        number: it.requests,
+                        goal: Goal {
+                            pass: Some(pass),
+                            ..it.run.goal()
+                        },
+                        gate,
+                        own,
+                    });
+                }
+                Output::AskDeputy => it.ask_deputy = true,
+                Output::End(ending) => it.ending = Some(ending),
+            }
+        }
+    }
+}
+
+impl Engine {
+    fn obey(&mut self, order: HeldOrder, pass: Pass) -> Outcome {
+        let is_done = match order {
+            HeldOrder::Hold(held) if self.held == Some(held) => return Outcome::Accepted,
+            HeldOrder::Hold(held) if self.held.is_none() && held > pass => {
+                self.held = Some(held);
+                true
+            }
+            HeldOrder::Activate(it) if self.active == Some(it) => return Outcome::Accepted,
+            HeldOrder::Activate(it) if self.active.is_none() => {
+                let can = self.loaded == Some(it.version) && it.pass > pass;
+                if can {
+                    self.active = Some(it);
+                }
+                can
+            }
+            HeldOrder::Cancel(version) if self.active.is_some_and(|it| it.version == version) => {
+                self.active = None;
+                true
+            }
+            HeldOrder::Release(held) if self.held == Some(held) => {
+                self.held = None;
+                true
+            }
+            _ => false,
+        };
+        if !is_done {
+            return Outcome::Refused;
+        }
+        self.sequence += 1;
+        Outcome::Accepted
+    }
+}
+
+fn goal(term: u64, version: MapVersion) -> Goal {
+    Goal {
+        term,
+        epoch: 1,
+        version,
+        pass: None,
+    }
+}
+
+fn activation(goal: &Goal) -> Activation {
+    Activation {
+        version: goal.version,
+        pass: goal.pass.unwrap_or_default(),
+    }
+}
--- a/crates/rank/src/deputy.rs
+++ b/crates/rank/src/deputy.rs
@@ -1,4 +1,4 @@
-//! The deputy of a leader: activates a map at the leader's engine, and nowhere else.
+//! The deputy of a leader: holds a pass at the gate, and activates a map at the leader's engine.
 //!
 //! An instance that stops takes its engine out of reach, and nobody can ask whether an order that it
 //! gave there was accepted. So no agent orders anything at its own engine while a pass is held, and
@@ -16,52 +16,77 @@
 
 use crate::{driver, mesh, state::State};
 
+/// An engine, and the orders that it has to have accepted for the next one not to be void.
+pub type Target = (SocketAddr, u64);
+
 /// What a leader asks for.
 pub struct Request {
     /// Number of the request.
     pub number: u64,
-    /// The leader's engine.
-    pub server: SocketAddr,
-    /// What to activate, and for whom.
+    /// What to activate, from which pass on, and for whom.
     pub goal: Goal,
-    /// Orders that the engine has accepted.
-    pub sequence: u64,
+    /// The engine that holds.
+    pub gate: Target,
+    /// The leader's engine.
+    pub leader: Target,
 }
 
-/// Activates the map at the leader's engine and answers.
+/// Holds the pass, activates the map at the leader's engine and answers.
 pub async fn activate(state: &State, from: SocketAddr, request: Request) {
     let goal = request.goal;
     let Some(pass) = goal.pass else {
         return;
     };
-    let activation = Activation {
-        version: goal.version,
-        pass,
-    };
     {
         let mut known = state.known.borrow_mut();
         if goal.term < known.term {
             return;
         }
         known.term = goal.term;
-        known.deputy = Some((goal.term, DeputyState::Unknown));
     }
+    let hold = RankOrder::Hold { pass };
+    if order(state, &goal, request.gate, &hold).await != OrderOutcome::Accepted {
+        let result = known(state);
+        return tell(state, from, request.number, result);
+    }
+    // Another agent may have asked to finish the switch meanwhile.
+    if state.known.borrow().term != goal.term {
+        return;
+    }
+    let activation = Activation {
+        version: goal.version,
+        pass,
+    };
+    note(state, &goal, DeputyState::Unknown);
+    let activate = RankOrder::Activate(activation);
+    if order(state, &goal, request.leader, &activate).await == OrderOutcome::Accepted {
+        note(state, &goal, DeputyState::Active(activation));
+    }
+    let result = known(state);
+    tell(state, from, request.number, result);
+}
+
+async fn order(state: &State, goal: &Goal, target: Target, order: &RankOrder) -> OrderOutcome {
+    let (addr, sequence) = target;
     let guard = OrderGuard {
         term: goal.term,
-        sequence: request.sequence,
+        sequence,
         epoch: goal.epoch,
     };
-    let order = RankOrder::Activate(activation);
-    let engine = state.engine.at(request.server);
-    let outcome = engine.order(&order, guard, driver::ANSWER_LIMIT).await;
-    let result = match outcome {
-        OrderOutcome::Accepted => DeputyState::Active(activation),
-        OrderOutcome::Refused | OrderOutcome::Fenced | OrderOutcome::Unknown => {
-            DeputyState::Unknown
-        }
-    };
+    let engine = state.engine.at(addr);
+    engine.order(order, guard, driver::ANSWER_LIMIT).await
+}
+
+fn note(state: &State, goal: &Goal, result: DeputyState) {
     state.known.borrow_mut().deputy = Some((goal.term, result));
-    tell(state, from, request.number, result);
+}
+
+/// What this deputy knows of the leader's engine.
+pub fn known(state: &State) -> DeputyState {
+    let known = state.known.borrow();
+    known
+        .deputy
+        .map_or(DeputyState::Nothing, |(_, state)| state)
 }
 
 /// Tells one who finishes a switch what this deputy knows, and obeys no earlier leader from then on.
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     deputy, driver,
-    state::{HeldExperts, Member, State, TaskReply, TaskSeen},
+    state::{HeldExperts, Member, SWITCHING_PAUSE, State, TaskReply, TaskSeen},
 };
 
 /// Time between two words of a leader to entries.
@@ -52,7 +52,13 @@
             asked = Some(now);
         }
         tell_status(&state);
-        tokio::time::sleep(state.status_pause()).await;
+        let pause = match state.known.borrow().switching {
+            true => SWITCHING_PAUSE,
+            false => state.status_pause(),
+        };
+        let begun = state.switch_begun.notified();
+        // A switch that begins is told at once.
+        let _ = tokio::time::timeout(pause, begun).await;
     }
 }
 
@@ -170,16 +176,18 @@
         }
         Message::Deputise {
             number,
-            server,
             goal,
+            gate,
+            gate_sequence,
+            server,
             sequence,
         } => {
             let state = Rc::clone(state);
             let request = deputy::Request {
                 number,
-                server,
                 goal,
-                sequence,
+                gate: (gate, gate_sequence),
+                leader: (server, sequence),
             };
             spawn_local(async move { deputy::activate(&state, from, request).await });
         }
--- a/crates/rank/src/rescue.rs
+++ b/crates/rank/src/rescue.rs
@@ -20,6 +20,9 @@
 /// Time that each further agent waits longer.
 const STEP: Duration = Duration::from_millis(80);
 
+/// Time for which a group stands still before a switch is taken over from a leader that lives.
+const LONGEST_STILL: Duration = Duration::from_millis(1_300);
+
 /// Time after a leader's last task in which a group may stand still for it.
 const WATCH: Duration = Duration::from_secs(8);
 
@@ -39,6 +42,7 @@
 /// The switch that this agent has to finish, by who does what in it.
 fn left_by(state: &State, now: Timestamp) -> Option<SwitchRoles> {
     let alive = state.alive();
+    let is_gone = |leader| state.is_silent(leader, now);
     let known = state.known.borrow();
     let task = known.task.filter(|it| now < it.at + WATCH)?;
     let own = known.report.as_ref()?.rank;
@@ -53,5 +57,6 @@
     let patience = STILL_FOR + STEP * u32::try_from(before).unwrap_or(u32::MAX);
     // One that finishes the switch gives tasks as well.
     let last = known.advanced.max(task.at);
-    (now >= last + patience).then_some(task.roles)
+    let is_left = is_gone(leader) || now >= last + LONGEST_STILL;
+    (is_left && now >= last + patience).then_some(task.roles)
 }
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -75,6 +75,7 @@
         known: std::cell::RefCell::default(),
         replied: tokio::sync::Notify::new(),
         changed: tokio::sync::Notify::new(),
+        switch_begun: tokio::sync::Notify::new(),
     });
     spawn_local(mesh::receive(Rc::clone(&state)));
     spawn_local(mesh::tell(Rc::clone(&state)));
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -31,6 +31,13 @@
 /// to all others.
 const SMALL_GROUP: u32 = 24;
 
+/// Silence of a leader, which gives signs of life more often during a switch, after which others
+/// finish it.
+const LEADER_SILENCE: Duration = Duration::from_millis(320);
+
+/// Time between two signs of life of an agent that carries a switch out.
+pub const SWITCHING_PAUSE: Duration = Duration::from_millis(90);
+
 /// Signs of life without which an agent passes for gone.
 const MISSED: f64 = 3.4;
 
@@ -181,6 +188,8 @@
     pub replied: Notify,
     /// The state of the group has changed.
     pub changed: Notify,
+    /// This agent begins to carry a switch out.
+    pub switch_begun: Notify,
 }
 
 impl State {
@@ -195,6 +204,13 @@
         STATUS_PAUSE * size.div_ceil(SMALL_GROUP).clamp(1, 3)
     }
 
+    /// Whether an agent has been silent for so long that a switch it leads is left to others.
+    pub fn is_silent(&self, rank: Rank, now: Timestamp) -> bool {
+        let known = self.known.borrow();
+        let heard = known.members.get(&rank).map(|it| it.heard);
+        heard.is_none_or(|heard| now > heard + LEADER_SILENCE)
+    }
+
     /// Agents of the group that were heard lately, by rank.
     pub fn alive(&self) -> Vec<Rank> {
         let now = self.clock.now();
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -3,16 +3,12 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use futures_util::{
-    StreamExt,
-    future::LocalBoxFuture,
-    stream::FuturesUnordered,
-};
+use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use jj_adapter::engine::{Engine, OrderGuard, OrderOutcome};
 use jj_news::{MapNews, Message, RankTask};
 use jj_policy::{
-    map_switch::{self, Goal, MapVersion, RankOrder, RankView, SetMap},
-    switch_run::{DeputyState, Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, SwitchRun},
+    map_switch::{self, Goal, MapVersion, Pass, RankOrder, RankView, SetMap},
+    switch_run::{Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, SwitchRun},
 };
 use jj_utils::{
     clock::{Timestamp, unix_millis},
@@ -22,7 +18,7 @@
     log_event,
 };
 
-use crate::{driver, mesh, state::State};
+use crate::{deputy, driver, mesh, state::State};
 
 /// Pause before a rank that loads a map is asked again.
 const LOAD_RETRY: Duration = Duration::from_millis(70);
@@ -60,7 +56,9 @@
     };
     let number = next_number(state, &goal);
     let (run, outputs) = SwitchRun::lead(goal, roles, views.len() as u32, number);
-    let ending = Carrier::new(state, run, roles, Some(&content)).carry_out(outputs).await;
+    let ending = Carrier::new(state, run, roles, Some(&content))
+        .carry_out(outputs)
+        .await;
     (ending == Ending::Switched).then_some((goal.version, map))
 }
 
@@ -68,7 +66,10 @@
 pub async fn rescue(state: &Rc<State>, roles: SwitchRoles) {
     let told = {
         let known = state.known.borrow();
-        known.report.as_ref().map(|it| (it.rank, it.size, it.view.epoch))
+        known
+            .report
+            .as_ref()
+            .map(|it| (it.rank, it.size, it.view.epoch))
     };
     let Some((own, size, epoch)) = told else {
         return;
@@ -81,7 +82,9 @@
     };
     let number = next_number(state, &goal);
     let (run, outputs) = SwitchRun::rescue(goal, roles, own, size, number);
-    Carrier::new(state, run, roles, None).carry_out(outputs).await;
+    Carrier::new(state, run, roles, None)
+        .carry_out(outputs)
+        .await;
 }
 
 /// A deputy and a rank that holds, among the agents that are heard.
@@ -145,6 +148,7 @@
         content: Option<&'a Content<'a>>,
     ) -> Self {
         state.known.borrow_mut().switching = true;
+        state.switch_begun.notify_one();
         Self {
             started: state.clock.now(),
             state: Rc::clone(state),
@@ -267,7 +271,7 @@
                     order,
                     sequence,
                 } => self.order(rank, order, sequence),
-                Output::Deputise { sequence } => self.deputise(sequence),
+                Output::Deputise { pass, gate, own } => self.deputise(pass, gate, own),
                 Output::AskDeputy => self.ask_deputy(),
                 Output::End(ending) => return Some(ending),
             }
@@ -337,9 +341,9 @@
     fn order(&mut self, rank: Rank, order: HeldOrder, sequence: u64) {
         let Some(engine) = self.engine(rank) else {
             let outcome = Outcome::Unknown;
-            return self
-                .work
-                .push(Box::pin(async move { Done::Input(Input::Ordered { rank, outcome }) }));
+            return self.work.push(Box::pin(async move {
+                Done::Input(Input::Ordered { rank, outcome })
+            }));
         };
         let goal = self.run.goal();
         let guard = OrderGuard {
@@ -367,12 +371,20 @@
         Some(self.state.engine.at(server))
     }
 
-    fn deputise(&mut self, sequence: u64) {
+    fn deputise(&mut self, pass: Pass, gate_sequence: u64, sequence: u64) {
+        let Some(gate) = server_of(&self.state, self.roles.gate) else {
+            return;
+        };
         self.deputy = self.next_number();
         let message = Message::Deputise {
             number: self.deputy,
+            goal: Goal {
+                pass: Some(pass),
+                ..self.run.goal()
+            },
+            gate,
+            gate_sequence,
             server: self.state.server,
-            goal: self.run.goal(),
             sequence,
         };
         self.send_deputy(&message);
@@ -381,9 +393,8 @@
     fn ask_deputy(&mut self) {
         self.deputy = self.next_number();
         if Some(self.roles.deputy) == self.state.rank() {
-            let mut known = self.state.known.borrow_mut();
-            let state = known.deputy.map_or(DeputyState::Nothing, |(_, state)| state);
-            known.told = Some((self.deputy, state));
+            let state = deputy::known(&self.state);
+            self.state.known.borrow_mut().told = Some((self.deputy, state));
             return;
         }
         let message = Message::AskDeputy {
