--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -95,6 +95,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// Says that the settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Asks it to end gracefully (SIGTERM).
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
--- /dev/null
+++ b/crates/policy/tests/reader.rs
@@ -0,0 +1,67 @@
+//! Which processes read the platform's store, and how many calls they make together.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::reader::{ReaderConfig, due_age, pause};
+
+/// Replays processes that all hear at once what one of them has read: calls of each in 60 s, where
+/// `can_read` says which processes the store serves.
+fn calls(processes: usize, can_read: impl Fn(usize) -> bool) -> Vec<u32> {
+    let config = ReaderConfig::default();
+    let mut calls = vec![0; processes];
+    let mut not_before = vec![Duration::ZERO; processes];
+    let mut failures = vec![0; processes];
+    let mut known = Duration::ZERO;
+    for step in 0..6_000_u64 {
+        let now = Duration::from_millis(step * 10);
+        for process in 0..processes {
+            if now < not_before[process] || now < known + due_age(&config, process) {
+                continue;
+            }
+            calls[process] += 1;
+            if can_read(process) {
+                known = now;
+                failures[process] = 0;
+            } else {
+                failures[process] += 1;
+                not_before[process] = now + pause(&config, failures[process], step);
+            }
+        }
+    }
+    calls
+}
+
+#[gtest]
+fn only_the_first_process_reads_while_the_store_serves_it() {
+    let calls = calls(22, |_| true);
+
+    expect_that!(calls[0], ge(190));
+    expect_that!(calls[1..].iter().sum::<u32>(), eq(0));
+}
+
+#[gtest]
+fn the_next_process_reads_where_the_first_is_turned_away() {
+    let calls = calls(22, |process| process >= 2);
+
+    expect_that!(calls[2], ge(70));
+    expect_that!(calls[3..].iter().sum::<u32>(), eq(0));
+}
+
+#[gtest]
+fn an_outage_costs_each_process_less_than_two_calls_a_second() {
+    let calls = calls(22, |_| false);
+
+    expect_that!(calls, each(le(&120)));
+}
+
+#[gtest]
+fn failed_calls_are_spread_and_never_further_apart_than_the_longest_pause() {
+    let config = ReaderConfig::default();
+
+    let pauses: Vec<Duration> = (0..1_000).map(|draw| pause(&config, 30, draw)).collect();
+
+    expect_that!(pauses.iter().max(), some(le(&config.longest)));
+    expect_that!(pauses.iter().min(), some(ge(&(config.longest / 2))));
+    expect_that!(pauses[0] == pauses[700], eq(false));
+}
--- /dev/null
+++ b/crates/policy/tests/server_list.rs
@@ -0,0 +1,116 @@
+//! What is believed of listed servers when the platform is calm, disturbed, and back.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::server_list::{ServerList, ServerRecord, ServerState};
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn record(id: &str) -> ServerRecord {
+    ServerRecord {
+        id: id.to_owned(),
+        service: "desk".to_owned(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        domain: "a".to_owned(),
+        slots: 6,
+        state: ServerState::Serving,
+        cold_left: Duration::ZERO,
+        born: Some(7),
+    }
+}
+
+fn list(ids: &[&str]) -> ServerList {
+    let mut list = ServerList::default();
+    for id in ids {
+        list.put(at(100), record(id));
+    }
+    list
+}
+
+fn usable(list: &ServerList) -> Vec<&str> {
+    let mut ids: Vec<&str> = list.usable().map(|it| it.record.id.as_str()).collect();
+    ids.sort_unstable();
+    ids
+}
+
+#[gtest]
+fn a_leaving_server_is_listed_but_not_usable() {
+    let mut list = list(&["s1", "s2"]);
+
+    let has_news = list.put(
+        at(200),
+        ServerRecord {
+            state: ServerState::Leaving,
+            ..record("s1")
+        },
+    );
+
+    expect_that!(has_news, eq(true));
+    expect_that!(usable(&list), elements_are![eq(&"s2")]);
+    expect_that!(list.get("s1"), some(anything()));
+}
+
+#[gtest]
+fn a_sign_of_life_is_no_news() {
+    let mut list = list(&["s1"]);
+
+    expect_that!(list.put(at(200), record("s1")), eq(false));
+}
+
+#[gtest]
+fn an_absence_in_calm_times_counts_at_once() {
+    let mut list = list(&["s1", "s2"]);
+
+    list.remove(at(5_000), "s1");
+    list.settle(at(5_000));
+
+    expect_that!(usable(&list), elements_are![eq(&"s2")]);
+}
+
+#[gtest]
+fn entries_that_lapse_in_an_outage_count_as_gone_two_seconds_after_it() {
+    let mut list = list(&["s1", "s2", "s3"]);
+    list.disturbed(at(10_000));
+
+    // The first answer after the outage lacks two servers; one of them comes back.
+    list.replace(at(10_100), vec![record("s1")]);
+    list.settle(at(10_100));
+    let at_once = usable(&list).len();
+    list.put(at(11_000), record("s2"));
+    list.settle(at(11_900));
+    let before = usable(&list).len();
+    list.settle(at(12_000));
+
+    expect_that!(at_once, eq(3));
+    expect_that!(before, eq(3));
+    expect_that!(usable(&list), elements_are![eq(&"s1"), eq(&"s2")]);
+}
+
+#[gtest]
+fn an_absence_well_after_an_outage_counts_at_once() {
+    let mut list = list(&["s1"]);
+    list.disturbed(at(10_000));
+
+    list.remove(at(12_500), "s1");
+    list.settle(at(12_500));
+
+    expect_that!(usable(&list), is_empty());
+}
+
+#[gtest]
+fn a_further_outage_starts_the_time_anew() {
+    let mut list = list(&["s1"]);
+    list.disturbed(at(10_000));
+    list.remove(at(10_100), "s1");
+
+    list.disturbed(at(11_500));
+    list.settle(at(12_500));
+    let within = usable(&list).len();
+    list.settle(at(13_500));
+
+    expect_that!(within, eq(1));
+    expect_that!(usable(&list), is_empty());
+}
