fix(front): the length of a long answer counts the part that was read before

Cause: an answer over 256 KiB is passed on as it arrives, and its length was taken from what was still to come after that part; the client got a head with 305,224 bytes for a body of 600,000 and took the first half for the whole.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -60,8 +60,8 @@
 }
 
 impl CallAnswer {
-    /// Length of the body, where the server tells it.
-    pub fn length(&self) -> Option<u64> {
+    /// Bytes of the body that are still to come, where the server tells its length.
+    pub fn bytes_left(&self) -> Option<u64> {
         self.body.size_hint().exact()
     }
 
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -444,7 +444,6 @@
         }
         let status = answer.status;
         let mut headers = std::mem::take(&mut answer.headers);
-        let length = answer.length();
         let is_head = self.request.head.method == http::Method::HEAD;
         let stated = headers.get(header::CONTENT_LENGTH).cloned();
         remove_hop_headers(&mut headers);
@@ -454,7 +453,7 @@
                 answer.finish(&self.shared.pool, keep_alive);
                 AnswerBody::whole(whole)
             }
-            Err(begun) => stream::rest(begun, answer, place, length),
+            Err(begun) => stream::rest(begun, answer, place),
         };
         if let Some(stated) = stated.filter(|_| is_head) {
             headers.insert(header::CONTENT_LENGTH, stated);
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -244,8 +244,9 @@
     }
 }
 
-/// The rest of a long body.
-pub fn rest(begun: Bytes, mut answer: CallAnswer, place: Place, length: Option<u64>) -> AnswerBody {
+/// A long body whose beginning has arrived.
+pub fn rest(begun: Bytes, mut answer: CallAnswer, place: Place) -> AnswerBody {
+    let length = answer.bytes_left().map(|left| left + begun.len() as u64);
     let parts = async_stream::stream! {
         // Holds the place for as long as the server works on the answer.
         let _place = place;
