fix(front): one entry reads the store also where little changes

It is dated by its end now, waits for 250 ms in place of 500, and the second entry steps in at 0.8 s in place of 0.65.

--- a/crates/front/src/follower.rs
+++ b/crates/front/src/follower.rs
@@ -18,8 +18,9 @@
 /// Longest time that the store takes for an answer when it is sound, and some more.
 const ANSWER_LIMIT: Duration = Duration::from_millis(700);
 
-/// Longest wait of a watch for a change; servers write more often than that.
-const WATCH_WAIT: Duration = Duration::from_millis(500);
+/// Longest wait of a watch for a change: with the pause before it and a sign of life after it, others
+/// still learn of its end before they read themselves.
+const WATCH_WAIT: Duration = Duration::from_millis(250);
 
 /// Longest time for which a peer is asked.
 const PEER_LIMIT: Duration = Duration::from_millis(400);
@@ -103,7 +104,7 @@
             None => self.range().await,
         };
         match result {
-            Ok(()) => self.succeeded(asked),
+            Ok(waited) => self.succeeded(asked + waited),
             Err(StoreError::Compacted) => {
                 log_event!(events::STORE_COMPACTED, at = known.unwrap_or_default(); "reads all");
                 self.needs_range = true;
@@ -112,7 +113,8 @@
         }
     }
 
-    async fn range(&mut self) -> Result<(), StoreError> {
+    /// Reads all items; the time after the question for which the answer still holds.
+    async fn range(&mut self) -> Result<Duration, StoreError> {
         metrics::counter!("jujube_store_calls_total", "call" => "range").increment(1);
         let answer = self.store.range(ALL, ANSWER_LIMIT).await?;
         let now = self.shared.clock.now();
@@ -121,24 +123,31 @@
             .borrow_mut()
             .replace(now, answer.at, answer.found);
         self.needs_range = false;
-        Ok(())
+        Ok(Duration::ZERO)
     }
 
-    async fn watch(&mut self, at: Revision) -> Result<(), StoreError> {
+    /// Waits for changes; the time after the question for which the answer still holds, which is all
+    /// of the wait where nothing has changed.
+    async fn watch(&mut self, at: Revision) -> Result<Duration, StoreError> {
         metrics::counter!("jujube_store_calls_total", "call" => "watch").increment(1);
         let answer = self.store.watch(ALL, at, WATCH_WAIT, ANSWER_LIMIT).await?;
         let now = self.shared.clock.now();
+        let waited = match answer.found.is_empty() {
+            true => WATCH_WAIT,
+            false => Duration::ZERO,
+        };
         let mut replica = self.shared.replica.borrow_mut();
         // A peer's copy may have come in meanwhile.
         if replica.at == Some(at) {
             replica.apply(now, answer.at, answer.found);
         }
-        Ok(())
+        Ok(waited)
     }
 
-    fn succeeded(&mut self, asked: Timestamp) {
+    /// Takes in that the store has answered, and how it stood at that time.
+    fn succeeded(&mut self, known: Timestamp) {
         let mut replica = self.shared.replica.borrow_mut();
-        replica.asked = replica.asked.max(asked);
+        replica.asked = replica.asked.max(known.min(self.shared.clock.now()));
         if self.is_down {
             log_event!(events::CONFIG_SERVICE_BACK, at = replica.at.unwrap_or_default(); "it answers");
         }
--- a/crates/policy/src/reader.rs
+++ b/crates/policy/src/reader.rs
@@ -30,7 +30,7 @@
     fn default() -> Self {
         Self {
             first: Duration::from_millis(300),
-            second: Duration::from_millis(350),
+            second: Duration::from_millis(500),
             step: Duration::from_millis(100),
             most_steps: 4,
             pause: Duration::from_millis(150),
