--- a/crates/direct/src/body.rs
+++ b/crates/direct/src/body.rs
@@ -10,12 +10,14 @@
 use futures_util::stream::LocalBoxStream;
 use http_body::{Body, Frame, SizeHint};
 
+use crate::caller_io::{Phase, SharedPhase};
+
 /// Parts of a body that arrive over time; an error breaks the connection, so that a partial answer
 /// never looks complete.
 pub type Parts = LocalBoxStream<'static, io::Result<Bytes>>;
 
-/// Body of an answer.
-pub enum AnswerBody {
+/// Where the bytes of a body come from.
+enum Content {
     /// All bytes are there.
     Whole(Option<Bytes>),
     /// Bytes arrive over time, up to a length if it is known.
@@ -27,22 +29,49 @@
     },
 }
 
-impl AnswerBody {
-    /// A body without bytes.
-    pub fn empty() -> Self {
-        Self::Whole(None)
+/// Body of an answer.
+pub struct AnswerBody {
+    content: Content,
+    /// Dropped with the body.
+    _end: Option<EndOfAnswer>,
+}
+
+/// Says, when dropped, that the answer on a connection has ended.
+pub struct EndOfAnswer(pub SharedPhase);
+
+impl Drop for EndOfAnswer {
+    fn drop(&mut self) {
+        self.0.set(Phase::Idle);
     }
+}
 
+impl AnswerBody {
     /// A body whose bytes are there.
     pub fn whole(bytes: impl Into<Bytes>) -> Self {
-        Self::Whole(Some(bytes.into()).filter(|bytes| !bytes.is_empty()))
+        let bytes = Some(bytes.into()).filter(|bytes| !bytes.is_empty());
+        Self {
+            content: Content::Whole(bytes),
+            _end: None,
+        }
     }
 
     /// A body whose bytes arrive over time.
     pub fn parts(parts: Parts, length: Option<u64>) -> Self {
-        Self::Parts {
+        let content = Content::Parts {
             parts,
             left: length,
+        };
+        Self {
+            content,
+            _end: None,
+        }
+    }
+
+    /// The same body, which says when it has ended.
+    pub fn ended_by(self, end: EndOfAnswer) -> Self {
+        Self {
+            _end: Some(end),
+            ..self
         }
     }
 }
@@ -55,9 +84,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        match &mut *self {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
-            Self::Parts { parts, left } => {
+        match &mut self.content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            Content::Parts { parts, left } => {
                 let part = std::task::ready!(parts.as_mut().poll_next(cx));
                 if let (Some(Ok(bytes)), Some(left)) = (&part, left) {
                     *left = left.saturating_sub(bytes.len() as u64);
@@ -68,15 +97,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        matches!(self.content, Content::Whole(None))
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(bytes) => {
+        match &self.content {
+            Content::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |it| it.len() as u64))
             }
-            Self::Parts { left, .. } => left.map_or_else(SizeHint::default, SizeHint::with_exact),
+            Content::Parts { left, .. } => {
+                left.map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
         }
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod call;
+pub mod caller_io;
 pub mod dialect;
 pub mod events;
 pub mod instance;
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -14,7 +14,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{body::AnswerBody, socket};
+use crate::{
+    body::{AnswerBody, EndOfAnswer},
+    caller_io::{CallerIo, Phase, SharedPhase},
+    socket,
+};
 
 /// Pause after a failed accept, such as one without a free descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -30,8 +34,10 @@
     pub struct ServerConfig {
         /// Bytes of a request's head.
         pub header_bytes: usize,
-        /// Time for which a connection may wait for the next request's head.
+        /// Time in which a request's head has to arrive once it has begun to.
         pub head_time: Duration,
+        /// Time for which a connection may wait for the next request.
+        pub idle_time: Duration,
     }
 }
 
@@ -39,7 +45,8 @@
     fn default() -> Self {
         Self {
             header_bytes: 16 * 1024,
-            head_time: Duration::from_secs(20),
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(20),
         }
     }
 }
@@ -94,18 +101,21 @@
     leave: CancellationToken,
 ) {
     socket::prepare_accepted(&stream);
+    let phase = SharedPhase::default();
+    let io = CallerIo::new(stream, Rc::clone(&phase), config.head_time, leave.clone());
     let service = service_fn(move |request| {
+        phase.set(Phase::Busy);
         let answer = handler(request, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let end = EndOfAnswer(Rc::clone(&phase));
+        async move { Ok::<_, Infallible>(answer.await.map(|body| body.ended_by(end))) }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(config.head_time)
+        .header_read_timeout(config.idle_time)
         .max_header_size(config.header_bytes)
-        .auto_date_header(false)
-        .pipeline_flush(true);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        .auto_date_header(false);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(io), service));
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = leave.cancelled() => {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -65,7 +65,12 @@
     let traffic_addr = own.listen.traffic.context("no address for callers")?;
     let small = ports::handler(Rc::clone(&shared), metrics.clone());
     for addr in small_ports(&own) {
-        open(addr, Rc::clone(&small), ServerStop::default())?;
+        open(
+            addr,
+            ServerConfig::default,
+            Rc::clone(&small),
+            ServerStop::default(),
+        )?;
     }
     let datagrams = socket::datagrams(SocketAddr::new(own.ip, own.ports.0))
         .context("bind the port for datagrams")?;
@@ -78,7 +83,9 @@
     spawn_local(upkeep(Rc::clone(&shared), metrics));
     let stop = ServerStop::default();
     let handler = traffic::handler(Rc::clone(&shared));
-    let server = open(traffic_addr, handler, stop.clone())?;
+    let limits = Rc::clone(&shared);
+    let config = move || traffic::server_config(&limits);
+    let server = open(traffic_addr, config, handler, stop.clone())?;
     log_event!(
         events::PROCESS_STARTED,
         instance = own.name.as_str(), life = shared.life, domain = own.domain.as_str();
@@ -100,9 +107,13 @@
     ports
 }
 
-fn open(addr: SocketAddr, handler: Handler, stop: ServerStop) -> anyhow::Result<JoinHandle<()>> {
+fn open(
+    addr: SocketAddr,
+    config: impl Fn() -> ServerConfig + 'static,
+    handler: Handler,
+    stop: ServerStop,
+) -> anyhow::Result<JoinHandle<()>> {
     let listener = socket::listen(addr).with_context(|| format!("listen on {addr}"))?;
-    let config = ServerConfig::default;
     Ok(spawn_local(server::serve(listener, config, handler, stop)))
 }
 
--- a/crates/front/src/traffic.rs
+++ b/crates/front/src/traffic.rs
@@ -10,7 +10,7 @@
 use jj_direct::{
     body::AnswerBody,
     dialect::RequestFacts,
-    server::{Arrival, Handler},
+    server::{Arrival, Handler, ServerConfig},
 };
 use jj_policy::catalog::{Admitted, Catalog, Denied, TrafficLimits};
 use jj_utils::{clock::Timestamp, events, ids::ServiceId, log_event};
@@ -61,6 +61,18 @@
     })
 }
 
+/// Bounds on callers' connections, as the configuration in force sets them.
+pub fn server_config(shared: &Shared) -> ServerConfig {
+    let replica = shared.replica.borrow();
+    let limits = replica.catalog.as_ref().map(|it| it.limits);
+    let limits = limits.unwrap_or_default();
+    ServerConfig {
+        header_bytes: limits.header_bytes,
+        head_time: limits.header_time,
+        idle_time: limits.idle_time,
+    }
+}
+
 async fn answer(shared: Rc<Shared>, arrival: Arrival, _: SocketAddr) -> Response<AnswerBody> {
     let arrived = shared.clock.now();
     let mut response = match read(&shared, arrival, arrived).await {
@@ -102,6 +114,10 @@
     let rejected = |refusal| (facts.id.clone(), refusal);
     let catalog = shared.replica.borrow().catalog.clone();
     let catalog = catalog.ok_or_else(|| rejected(not_configured()))?;
+    if head_bytes(&head) > catalog.limits.header_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(rejected(invalid(status, "the head is too long")));
+    }
     let admitted = admit(&catalog, &head, &facts).map_err(rejected)?;
     let service = Catalog::target(&admitted.route, shared.draw()).cloned();
     let service = service.ok_or_else(|| rejected(not_configured()))?;
@@ -120,6 +136,18 @@
     })
 }
 
+/// Bytes of a request's head as it was written.
+fn head_bytes(head: &Parts) -> usize {
+    /// Bytes of the version and the spaces in the first line, and of two line ends.
+    const FIRST_LINE: usize = 14;
+    /// Bytes of the colon, the space and the line end of a header.
+    const EACH: usize = 4;
+    let target = head.uri.path_and_query().map_or(1, |it| it.as_str().len());
+    let headers = head.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + EACH);
+    head.method.as_str().len() + target + FIRST_LINE + headers.sum::<usize>()
+}
+
 fn admit(catalog: &Catalog, head: &Parts, facts: &RequestFacts) -> Result<Admitted, Refusal> {
     let host = head
         .headers
