--- a/crates/policy/tests/catalog.rs
+++ b/crates/policy/tests/catalog.rs
@@ -49,14 +49,20 @@
         host: "other.example".to_owned(),
         ..a_route("other host", "/a/b/c/")
     };
-    let catalog = catalog(vec![a_route("short", "/a/"), a_route("long", "/a/b/"), other], &[]);
+    let catalog = catalog(
+        vec![a_route("short", "/a/"), a_route("long", "/a/b/"), other],
+        &[],
+    );
 
     let names = ["/a/b/c/x", "/a/x", "/a/b", "/b/"].map(|path| {
         let found = catalog.route("Desk.Example", path);
         found.map_or("none", |it| it.name.as_str()).to_owned()
     });
 
-    expect_that!(names, elements_are![eq("long"), eq("short"), eq("short"), eq("none")]);
+    expect_that!(
+        names,
+        elements_are![eq("long"), eq("short"), eq("short"), eq("none")]
+    );
 }
 
 #[gtest]
@@ -80,14 +86,19 @@
 fn an_unknown_route_is_told_before_an_unknown_key() {
     let catalog = catalog(vec![a_route("closed", "/closed/")], &[("k1", None)]);
 
-    let denied = catalog.admit("desk.example", "/gone/x", Some("unknown")).err();
+    let denied = catalog
+        .admit("desk.example", "/gone/x", Some("unknown"))
+        .err();
 
     expect_that!(denied, some(eq(Denied::NoRoute)));
 }
 
 #[gtest]
 fn the_rank_of_an_account_goes_before_that_of_the_route() {
-    let catalog = catalog(vec![a_route("r", "/r/")], &[("plain", None), ("urgent", Some(0))]);
+    let catalog = catalog(
+        vec![a_route("r", "/r/")],
+        &[("plain", None), ("urgent", Some(0))],
+    );
 
     let rank = |key| {
         let admitted = catalog.admit("desk.example", "/r/x", Some(key));
@@ -105,8 +116,10 @@
         ..a_route("split", "/s/")
     };
 
-    let new = (0..1_000).filter(|draw| Catalog::target(&split, *draw).is_some_and(|it| it == "new"));
-    let off = (0..1_000).filter(|draw| Catalog::target(&split, *draw).is_some_and(|it| it == "off"));
+    let new =
+        (0..1_000).filter(|draw| Catalog::target(&split, *draw).is_some_and(|it| it == "new"));
+    let off =
+        (0..1_000).filter(|draw| Catalog::target(&split, *draw).is_some_and(|it| it == "off"));
 
     expect_that!(new.count(), eq(100));
     expect_that!(off.count(), eq(0));
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -24,7 +24,11 @@
 
 #[gtest]
 fn the_server_with_the_least_load_of_all_processes_is_chosen() {
-    let candidates = [candidate("a", 3, 0), candidate("b", 0, 4), candidate("c", 1, 1)];
+    let candidates = [
+        candidate("a", 3, 0),
+        candidate("b", 0, 4),
+        candidate("c", 1, 1),
+    ];
 
     expect_that!(chosen(&candidates), some(eq("c")));
 }
@@ -43,13 +47,20 @@
 
 #[gtest]
 fn equal_servers_get_equal_parts() {
-    let candidates = [candidate("a", 1, 0), candidate("b", 1, 0), candidate("c", 1, 0)];
+    let candidates = [
+        candidate("a", 1, 0),
+        candidate("b", 1, 0),
+        candidate("c", 1, 0),
+    ];
     let config = PlacementConfig::default();
 
     let mut counts = [0, 0, 0];
     for draw in 0..300 {
         let id = choose(&config, &candidates, draw).map(|it| it.id.as_str());
-        counts[["a", "b", "c"].iter().position(|it| Some(*it) == id).unwrap()] += 1;
+        counts[["a", "b", "c"]
+            .iter()
+            .position(|it| Some(*it) == id)
+            .unwrap()] += 1;
     }
 
     expect_that!(counts, eq([100, 100, 100]));
@@ -62,8 +73,14 @@
         ..candidate("avoided", 0, 0)
     };
 
-    expect_that!(chosen(&[avoided.clone(), candidate("busy", 9, 0)]), some(eq("busy")));
-    expect_that!(chosen(&[avoided, candidate("full", 10, 0)]), some(eq("avoided")));
+    expect_that!(
+        chosen(&[avoided.clone(), candidate("busy", 9, 0)]),
+        some(eq("busy"))
+    );
+    expect_that!(
+        chosen(&[avoided, candidate("full", 10, 0)]),
+        some(eq("avoided"))
+    );
 }
 
 #[gtest]
--- a/crates/policy/tests/repeat_budget.rs
+++ b/crates/policy/tests/repeat_budget.rs
@@ -25,7 +25,11 @@
             }
         }
     }
-    let in_window = |end: &Duration| paid.iter().filter(|it| **it <= *end && **it + WINDOW > *end).count();
+    let in_window = |end: &Duration| {
+        paid.iter()
+            .filter(|it| **it <= *end && **it + WINDOW > *end)
+            .count()
+    };
     let most = paid.iter().map(in_window).max().unwrap_or_default();
     let requests = processes as f64 * rate as f64 * WINDOW.as_secs_f64();
     (most, requests * RATIO + SLACK)
@@ -52,7 +56,8 @@
 fn the_budget_comes_back_when_the_window_has_passed() {
     let config = RepeatConfig::part(WINDOW, RATIO, 10.0, 1);
     let mut budget = RepeatBudget::default();
-    let spend = |budget: &mut RepeatBudget, now| (0..100).filter(|_| budget.repeat(&config, now)).count();
+    let spend =
+        |budget: &mut RepeatBudget, now| (0..100).filter(|_| budget.repeat(&config, now)).count();
 
     let first = spend(&mut budget, Duration::ZERO);
     let none = spend(&mut budget, Duration::from_secs(9));
--- a/crates/policy/tests/server_health.rs
+++ b/crates/policy/tests/server_health.rs
@@ -17,7 +17,11 @@
     let mut health = ServerHealth::default();
 
     for number in 0..200 {
-        let sign = if number % 7 == 0 { Sign::Failed } else { Sign::Good };
+        let sign = if number % 7 == 0 {
+            Sign::Failed
+        } else {
+            Sign::Good
+        };
         health.observe(&config, at(number * 50), sign);
         expect_that!(health.is_avoided(at(number * 50)), eq(false));
     }
@@ -57,7 +61,13 @@
 
     expect_that!(
         pauses,
-        elements_are![eq(&at(400)), eq(&at(800)), eq(&at(1_600)), eq(&config.longest), eq(&config.longest)]
+        elements_are![
+            eq(&at(400)),
+            eq(&at(800)),
+            eq(&at(1_600)),
+            eq(&config.longest),
+            eq(&config.longest)
+        ]
     );
     expect_that!(health.is_avoided(now + config.pause), eq(false));
 }
--- a/crates/policy/tests/wait_queue.rs
+++ b/crates/policy/tests/wait_queue.rs
@@ -21,7 +21,11 @@
     queue.push(turn(1, 30, 2), "same time");
     queue.push(turn(0, 90, 4), "urgent");
 
-    let order: Vec<&str> = queue.turns().iter().filter_map(|it| queue.get(it).copied()).collect();
+    let order: Vec<&str> = queue
+        .turns()
+        .iter()
+        .filter_map(|it| queue.get(it).copied())
+        .collect();
 
     expect_that!(
         order,
