--- a/crates/policy/tests/reader.rs
+++ b/crates/policy/tests/reader.rs
@@ -44,7 +44,10 @@
 fn the_next_process_reads_where_the_first_is_turned_away() {
     let calls = calls(22, |process| process >= 2);
 
-    expect_that!(calls[2], ge(70));
+    // One call each time that its turn comes, but for the steps of the replay.
+    let due = due_age(&ReaderConfig::default(), 2);
+    let turns = Duration::from_secs(60).as_millis() / (due + Duration::from_millis(10)).as_millis();
+    expect_that!(u128::from(calls[2]), ge(turns));
     expect_that!(calls[3..].iter().sum::<u32>(), eq(0));
 }
 
