fix(rank): agents of large groups keep the datagrams they get, and leaders know what they switched

Cause: signs of life in a group of 72 are 0.9 s apart, and a step of over 0.7 s between two was taken for a stop of the process, upon which every agent dropped what it had received, each 0.9 s. And after a switch the leader waited for the word of every agent (up to 0.9 s) before it looked at the demand again.

--- a/crates/policy/src/map_switch.rs
+++ b/crates/policy/src/map_switch.rs
@@ -55,6 +55,28 @@
     }
 }
 
+impl RankView {
+    /// The newer of two views: the versions of maps only rise within one formation.
+    pub fn newest(self, known: Self) -> Self {
+        let is_older = self.epoch == known.epoch && self.map < known.map;
+        if is_older { known } else { self }
+    }
+
+    /// The same engine once it uses a map, unless it uses a later one.
+    pub fn switched(self, version: MapVersion) -> Self {
+        if self.map >= version {
+            return self;
+        }
+        Self {
+            map: version,
+            loaded: None,
+            active: None,
+            held: None,
+            ..self
+        }
+    }
+}
+
 common_derives! {value:
     /// An order to one rank's engine.
     #[derive(Eq)]
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -122,6 +122,9 @@
         };
         let from = (*version, map.as_slice());
         let switched = switch::run(&self.state, views, from, plan.map).await;
+        if let Some((version, _)) = &switched {
+            self.state.note_switched(*version);
+        }
         self.map = switched.map(|(version, map)| (first.epoch, version, map));
         self.switched = self.state.clock.now();
     }
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -17,8 +17,8 @@
 /// Time between two questions for the roster.
 const ROSTER_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// A step of the clock between two signs of life from which the process was stopped.
-const STOPPED_FOR: Duration = Duration::from_millis(700);
+/// Time by which the next sign of life is late when the process was stopped meanwhile.
+const STOPPED_FOR: Duration = Duration::from_millis(400);
 
 /// Takes datagrams in for as long as the process runs.
 pub async fn receive(state: Rc<State>) {
@@ -34,17 +34,16 @@
 
 /// Says that this agent lives, and asks for the roster.
 pub async fn tell(state: Rc<State>) {
-    let mut last = state.clock.now();
+    let mut due = state.clock.now();
     let mut asked = None;
     let mut turn = 0;
     loop {
         let now = state.clock.now();
-        if now > last + STOPPED_FOR {
+        if now > due + STOPPED_FOR {
             drop_stale(&state);
-            let stopped = (now - last).as_millis() as u64;
+            let stopped = (now - due).as_millis() as u64;
             log_event!(events::PROCESS_STALLED, for_ms = stopped; "the process stood still");
         }
-        last = now;
         let has_roster = state.known.borrow().roster.is_some();
         if !has_roster || asked.is_none_or(|at| now >= at + ROSTER_PAUSE) {
             ask_roster(&state, turn);
@@ -56,6 +55,7 @@
             true => SWITCHING_PAUSE,
             false => state.status_pause(),
         };
+        due = now + pause;
         let begun = state.switch_begun.notified();
         // A switch that begins is told at once.
         let _ = tokio::time::timeout(pause, begun).await;
@@ -228,9 +228,12 @@
     known.roster = Some(roster);
 }
 
-fn take_status(state: &State, now: Timestamp, status: RankStatus) {
+fn take_status(state: &State, now: Timestamp, mut status: RankStatus) {
     let mut known = state.known.borrow_mut();
     let rank = status.rank;
+    if let Some(member) = known.members.get(&rank) {
+        status.view = status.view.newest(member.status.view);
+    }
     let member = Member { status, heard: now };
     known.members.insert(rank, member);
 }
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -211,6 +211,14 @@
         heard.is_none_or(|heard| now > heard + LEADER_SILENCE)
     }
 
+    /// Notes that all ranks use a map from now on, which their agents tell only later.
+    pub fn note_switched(&self, version: MapVersion) {
+        let mut known = self.known.borrow_mut();
+        for member in known.members.values_mut() {
+            member.status.view = member.status.view.switched(version);
+        }
+    }
+
     /// Whether the engine of a rank holds a pass, as far as it was told.
     pub fn holds(&self, rank: Rank) -> bool {
         let known = self.known.borrow();
