--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -322,6 +322,8 @@
             version: MapVersion,
             /// See `version`.
             knows: bool,
+            /// An order for the task had no answer: it may be carried out later.
+            unanswered: bool,
         },
     }
 }
--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -258,6 +258,9 @@
 /// pass under way, and one for the orders.
 const PASS_LEAD: Pass = 2;
 
+/// The same where orders have to be given more than once, so that the group need not wait for them.
+const UNRELIABLE_LEAD: Pass = 5;
+
 /// Requests to the deputy, each for a later pass while none is held.
 const DEPUTY_TRIES: u32 = 5;
 
@@ -272,6 +275,8 @@
         /// Whether the leader's engine can be ordered, which a leader itself never does.
         reaches_leader: bool,
         phase: Phase,
+        /// Passes from the last one begun to the first one with the new map.
+        lead: Pass,
         cells: Vec<Cell>,
         number: u64,
     }
@@ -309,6 +314,7 @@
             is_rescue: phase != Phase::Loading,
             reaches_leader: false,
             phase,
+            lead: PASS_LEAD,
             cells: vec![Cell::default(); size as usize],
             number,
         };
@@ -326,6 +332,11 @@
         self.goal.term = self.goal.term.max(term);
     }
 
+    /// Leaves time for orders that are lost.
+    pub fn expect_losses(&mut self) {
+        self.lead = UNRELIABLE_LEAD;
+    }
+
     /// Whether the ranks still load the map, so that the group waits for nothing.
     pub fn is_loading(&self) -> bool {
         self.phase == Phase::Loading
@@ -625,7 +636,7 @@
             tries: tries + 1,
         };
         vec![Output::Deputise {
-            pass: gate_view.held.unwrap_or(view.pass + PASS_LEAD),
+            pass: gate_view.held.unwrap_or(view.pass + self.lead),
             gate: gate_view.sequence,
             own: view.sequence,
         }]
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -26,7 +26,7 @@
         return;
     };
     let map = state.known.borrow_mut().map_of(&task);
-    let view = advance(
+    let advanced = advance(
         state,
         &state.engine,
         &report.view,
@@ -37,9 +37,10 @@
     let reply = Message::RankReply {
         number: task.number,
         rank: report.rank,
-        view,
+        view: advanced.view,
         version: task.goal.version,
         knows: map.is_some(),
+        unanswered: advanced.unanswered,
     };
     mesh::send(state, from, &reply);
 }
@@ -77,30 +78,46 @@
     Ok(report)
 }
 
-/// Takes the next step towards the goal; what the engine says of itself after it.
+/// An engine after a step towards a goal.
+pub struct Advanced {
+    /// What the engine says of itself.
+    pub view: RankView,
+    /// The order had no answer.
+    pub unanswered: bool,
+}
+
+/// Takes the next step towards the goal.
 pub async fn advance(
     state: &State,
     engine: &Engine,
     view: &RankView,
     goal: &Goal,
     map: Option<&[SetMap]>,
-) -> RankView {
+) -> Advanced {
+    let unchanged = |unanswered| Advanced {
+        view: *view,
+        unanswered,
+    };
     let is_loading = is_loading(state, goal.version);
     let step = map_switch::next_step(view, goal, is_loading);
     let Some(order) = order_for(step, goal, map) else {
-        return *view;
+        return unchanged(false);
     };
     let outcome = give(engine, view, goal, &order).await;
     if outcome != OrderOutcome::Accepted {
-        return *view;
+        return unchanged(outcome == OrderOutcome::Unknown);
     }
     if matches!(order, RankOrder::Load { .. }) {
         let now = state.clock.now();
         state.known.borrow_mut().loading = Some((goal.version, now));
     }
-    RankView {
+    let view = RankView {
         sequence: view.sequence + 1,
         ..*view
+    };
+    Advanced {
+        view,
+        unanswered: false,
     }
 }
 
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -165,7 +165,11 @@
             view,
             version,
             knows,
+            unanswered,
         } => {
+            if unanswered {
+                state.note_unanswered();
+            }
             let reply = TaskReply {
                 number,
                 view,
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -38,6 +38,9 @@
 /// Time between two signs of life of an agent that carries a switch out.
 pub const SWITCHING_PAUSE: Duration = Duration::from_millis(90);
 
+/// Time for which orders count as unreliable after one that had no answer.
+const UNRELIABLE_FOR: Duration = Duration::from_secs(3);
+
 /// Signs of life without which an agent passes for gone.
 const MISSED: f64 = 3.4;
 
@@ -110,6 +113,8 @@
     pub task: Option<TaskSeen>,
     /// When the group last began a pass, or had nothing to do.
     pub advanced: Timestamp,
+    /// When an order to an engine of the group last had no answer.
+    pub unanswered: Option<Timestamp>,
     /// Whether this agent carries a switch out.
     pub switching: bool,
     /// What this agent knows as a deputy, and under which fencing number.
@@ -211,6 +216,17 @@
         heard.is_none_or(|heard| now > heard + LEADER_SILENCE)
     }
 
+    /// Notes that an order to an engine of the group had no answer.
+    pub fn note_unanswered(&self) {
+        self.known.borrow_mut().unanswered = Some(self.clock.now());
+    }
+
+    /// Whether orders are lost now and then.
+    pub fn is_unreliable(&self) -> bool {
+        let at = self.known.borrow().unanswered;
+        at.is_some_and(|at| self.clock.now() < at + UNRELIABLE_FOR)
+    }
+
     /// Notes that all ranks use a map from now on, which their agents tell only later.
     pub fn note_switched(&self, version: MapVersion) {
         let mut known = self.known.borrow_mut();
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -184,6 +184,9 @@
             } else {
                 self.next_input().await
             };
+            if self.state.is_unreliable() {
+                self.run.expect_losses();
+            }
             outputs = self.run.handle(input);
         }
     }
@@ -318,7 +321,11 @@
                 Ok(report) => {
                     let engine = &state.engine;
                     let map = map.as_deref();
-                    let view = driver::advance(&state, engine, &report.view, &goal, map).await;
+                    let advanced = driver::advance(&state, engine, &report.view, &goal, map).await;
+                    if advanced.unanswered {
+                        state.note_unanswered();
+                    }
+                    let view = advanced.view;
                     Done::Input(Input::View { rank, number, view })
                 }
                 Err(_) => Done::Input(Input::Tick),
@@ -351,13 +358,17 @@
             sequence,
             epoch: goal.epoch,
         };
+        let state = Rc::clone(&self.state);
         self.work.push(Box::pin(async move {
             let order = RankOrder::from(order);
             let outcome = match engine.order(&order, guard, driver::ANSWER_LIMIT).await {
                 OrderOutcome::Accepted => Outcome::Accepted,
                 OrderOutcome::Refused => Outcome::Refused,
                 OrderOutcome::Fenced => return Done::Fenced(rank),
-                OrderOutcome::Unknown => Outcome::Unknown,
+                OrderOutcome::Unknown => {
+                    state.note_unanswered();
+                    Outcome::Unknown
+                }
             };
             Done::Input(Input::Ordered { rank, outcome })
         }));
