--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -63,6 +63,8 @@
             optional --settings path: PathBuf
             /// Least level of log lines: error, warn, info, debug.
             optional --log-level level: String
+            /// Address at which the metrics are served, such as 10.0.0.4:9464.
+            optional --metrics-addr addr: String
         }
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dialect;
 pub mod events;
 pub mod instance;
+pub mod metrics_port;
 pub mod pool;
 pub mod reload;
 pub mod server;
--- /dev/null
+++ b/crates/direct/src/metrics_port.rs
@@ -0,0 +1,84 @@
+//! Counters and latency histograms of a process, served as text for Prometheus.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use anyhow::Context;
+use http::{HeaderValue, Response, StatusCode, header};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::task::spawn_local;
+
+use crate::{
+    body::AnswerBody,
+    server::{self, Handler, ServerConfig, ServerStop},
+    socket,
+};
+
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// Upper bounds of the buckets of all latency histograms, in seconds: from a call within a failure
+/// domain up to the longest deadline.
+const BUCKETS: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.8, 1.6, 4.0, 8.0,
+];
+
+/// Time between two clean-ups of what was recorded.
+const UPKEEP: Duration = Duration::from_secs(5);
+
+/// Has the process record its metrics.
+///
+/// # Errors
+/// When a recorder is installed already.
+pub fn install() -> anyhow::Result<PrometheusHandle> {
+    let builder = PrometheusBuilder::new().set_buckets(&BUCKETS)?;
+    Ok(builder.install_recorder()?)
+}
+
+/// The metrics as they are now.
+pub fn answer(metrics: &PrometheusHandle) -> Response<AnswerBody> {
+    text(StatusCode::OK, metrics.render())
+}
+
+/// An answer in plain text.
+pub fn text(status: StatusCode, body: impl Into<bytes::Bytes>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(body));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Serves a handler at an address for as long as the process runs.
+///
+/// # Errors
+/// When the address can't be bound.
+pub fn open(addr: SocketAddr, handler: Handler) -> anyhow::Result<()> {
+    let listener = socket::listen(addr).with_context(|| format!("listen on {addr}"))?;
+    let stop = ServerStop::default();
+    spawn_local(server::serve(
+        listener,
+        ServerConfig::default,
+        handler,
+        stop,
+    ));
+    Ok(())
+}
+
+/// A handler that serves the metrics and nothing else.
+pub fn handler(metrics: PrometheusHandle) -> Handler {
+    Rc::new(move |arrival, _| {
+        let response = match arrival.uri().path() {
+            METRICS_PATH => answer(&metrics),
+            _ => text(StatusCode::NOT_FOUND, "there is nothing here\n"),
+        };
+        Box::pin(async move { response })
+    })
+}
+
+/// Keeps what was recorded small for as long as the process runs.
+pub async fn upkeep(metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        metrics.run_upkeep();
+    }
+}
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -33,7 +33,12 @@
 fn read(flags: Front) -> anyhow::Result<Options> {
     let mut reader = SettingsReader::new(&process_env);
     let level = reader.optional("log-level", flags.log_level, LevelFilter::Info);
+    let metrics = reader.list("metrics-addr", flags.metrics_addr);
     reader.finish()?;
     let path = settings::path(flags.settings)?;
-    Ok(Options { path, level })
+    Ok(Options {
+        path,
+        level,
+        metrics,
+    })
 }
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -70,6 +70,17 @@
     Unknown,
 }
 
+impl Failure {
+    /// Its name in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// An answer for the caller.
 pub enum Answered {
     /// All of it is there, or will be read to its end.
@@ -115,6 +126,19 @@
     }
 }
 
+impl Record {
+    /// Counts an answer that was admitted and came late, by what was late.
+    fn count_late(&self, first: Option<Duration>) {
+        let route = &self.request.admitted.route;
+        if first.is_some_and(|first| first > route.aim) {
+            metrics::counter!("jujube_late_total", "what" => "first").increment(1);
+        }
+        if route.gap.is_some_and(|gap| self.pause.0 > gap) {
+            metrics::counter!("jujube_late_total", "what" => "pause").increment(1);
+        }
+    }
+}
+
 impl Drop for Record {
     fn drop(&mut self) {
         let arrived = self.request.arrived;
@@ -125,6 +149,7 @@
             metrics::histogram!("jujube_first_seconds").record(first.as_secs_f64());
         }
         metrics::histogram!("jujube_request_seconds").record(total.as_secs_f64());
+        self.count_late(first);
         log_event!(
             events::REQUEST_ENDED,
             request = self.request.id(),
@@ -177,6 +202,7 @@
             stream::response(forward, *open)
         }
         Err(refusal) => {
+            metrics::counter!("jujube_given_up_total", "reason" => refusal.reason()).increment(1);
             forward.record.status = Some(refusal.status());
             forward.record.end = refusal.reason();
             refusal.answer(&shared.dialect)
@@ -199,6 +225,8 @@
             };
             self.tried.push(server.clone());
             self.may_have_run |= failure == Failure::Unknown;
+            metrics::counter!("jujube_attempts_failed_total", "failure" => failure.name())
+                .increment(1);
             let again = self.may_repeat(failure);
             log_event!(
                 events::ATTEMPT_FAILED,
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -6,6 +6,7 @@
 use jj_adapter::directory;
 use jj_direct::{
     body::AnswerBody,
+    metrics_port::{self, METRICS_PATH, text},
     server::{Arrival, Handler},
 };
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -13,9 +14,6 @@
 use crate::{follower::REPLICA_PATH, shared::Shared};
 use jj_news::Standing;
 
-/// Path of the metrics.
-pub const METRICS_PATH: &str = "/metrics";
-
 /// Answers all small ports alike: which of them an address serves makes no difference.
 pub fn handler(shared: Rc<Shared>, metrics: PrometheusHandle) -> Handler {
     Rc::new(move |arrival, _| {
@@ -33,22 +31,14 @@
         directory::READY_PATH => ready(shared),
         directory::RESOLVE_PATH => resolve(shared, arrival.uri().query()),
         REPLICA_PATH => replica(shared),
-        METRICS_PATH => text(StatusCode::OK, metrics.render()),
-        _ => text(StatusCode::NOT_FOUND, "there is nothing here\n".to_owned()),
+        METRICS_PATH => metrics_port::answer(metrics),
+        _ => text(StatusCode::NOT_FOUND, "there is nothing here\n"),
     }
 }
 
-fn text(status: StatusCode, body: String) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::whole(body));
-    *response.status_mut() = status;
-    let kind = HeaderValue::from_static("text/plain");
-    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    response
-}
-
 fn ready(shared: &Rc<Shared>) -> Response<AnswerBody> {
     match shared.standing.get() {
-        Standing::Ready => text(StatusCode::OK, "ready\n".to_owned()),
+        Standing::Ready => text(StatusCode::OK, "ready\n"),
         standing => text(
             StatusCode::SERVICE_UNAVAILABLE,
             format!("not ready: {standing:?}\n"),
@@ -59,7 +49,7 @@
 fn resolve(shared: &Rc<Shared>, query: Option<&str>) -> Response<AnswerBody> {
     let addresses = addresses(shared, query);
     if addresses.is_empty() {
-        let reason = "no entry takes requests\n".to_owned();
+        let reason = "no entry takes requests\n";
         return text(StatusCode::SERVICE_UNAVAILABLE, reason);
     }
     let life = shared.settings().promises.address_life / 2;
@@ -86,9 +76,6 @@
     let copy = shared.replica.borrow().copy();
     match copy.and_then(|copy| postcard::to_stdvec(&copy).ok()) {
         Some(bytes) => Response::new(AnswerBody::whole(bytes)),
-        None => text(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "nothing is known yet\n".to_owned(),
-        ),
+        None => text(StatusCode::SERVICE_UNAVAILABLE, "nothing is known yet\n"),
     }
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -6,7 +6,7 @@
 use jj_adapter::settings;
 use jj_direct::{
     instance::InstanceSettings,
-    reload,
+    metrics_port, reload,
     server::{self, Handler, ServerConfig, ServerStop},
     socket,
 };
@@ -16,7 +16,6 @@
     logging::{self, LogFormat},
 };
 use log::LevelFilter;
-use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::{
     signal::unix::{SignalKind, signal},
     task::{JoinHandle, LocalSet, spawn_local},
@@ -31,7 +30,7 @@
 /// Time before the end of the grace period at which the process ends.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
-/// Time between two clean-ups of connections and metrics.
+/// Time between two clean-ups of connections.
 const UPKEEP: Duration = Duration::from_secs(1);
 
 /// What the command line says.
@@ -41,6 +40,8 @@
     pub path: PathBuf,
     /// Least level of log lines.
     pub level: LevelFilter,
+    /// Where the metrics are served beside the operators' port.
+    pub metrics: Vec<SocketAddr>,
 }
 
 /// Runs an entry until it is asked to leave and its requests have ended.
@@ -54,23 +55,18 @@
         .enable_all()
         .build()?;
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(settings, options.path.clone()))
+    local.block_on(&runtime, serve(settings, options))
 }
 
-async fn serve(given: InstanceSettings, path: PathBuf) -> anyhow::Result<()> {
-    let metrics = PrometheusBuilder::new().install_recorder()?;
+async fn serve(given: InstanceSettings, options: &Options) -> anyhow::Result<()> {
+    let metrics = metrics_port::install()?;
     let clock = SystemClock::shared();
     let shared = Shared::new(given, clock);
     let own = shared.settings();
     let traffic_addr = own.listen.traffic.context("no address for callers")?;
     let small = ports::handler(Rc::clone(&shared), metrics.clone());
-    for addr in small_ports(&own) {
-        open(
-            addr,
-            ServerConfig::default,
-            Rc::clone(&small),
-            ServerStop::default(),
-        )?;
+    for addr in small_ports(&own).into_iter().chain(options.metrics.clone()) {
+        metrics_port::open(addr, Rc::clone(&small))?;
     }
     let datagrams = socket::datagrams(SocketAddr::new(own.ip, own.ports.0))
         .context("bind the port for datagrams")?;
@@ -79,8 +75,10 @@
     spawn_local(dispatch::run(Rc::clone(&shared)));
     let reloaded = Rc::clone(&shared);
     let take = move |settings| *reloaded.settings.borrow_mut() = settings;
+    let path = options.path.clone();
     spawn_local(reload::watch(path, settings::read, take));
-    spawn_local(upkeep(Rc::clone(&shared), metrics));
+    spawn_local(metrics_port::upkeep(metrics));
+    spawn_local(upkeep(Rc::clone(&shared)));
     let stop = ServerStop::default();
     let handler = traffic::handler(Rc::clone(&shared));
     let limits = Rc::clone(&shared);
@@ -140,7 +138,7 @@
 }
 
 /// Becomes ready once there is a configuration, and tidies up.
-async fn upkeep(shared: Rc<Shared>, metrics: metrics_exporter_prometheus::PrometheusHandle) {
+async fn upkeep(shared: Rc<Shared>) {
     const READY_LOOK: Duration = Duration::from_millis(50);
     while shared.replica.borrow().catalog.is_none() {
         tokio::time::sleep(READY_LOOK).await;
@@ -151,6 +149,5 @@
     loop {
         tokio::time::sleep(UPKEEP).await;
         shared.pool.tidy();
-        metrics.run_upkeep();
     }
 }
--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -182,6 +182,22 @@
     }
 }
 
+impl Ending {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Switched => "switched",
+            Self::Overtaken => "overtaken",
+            Self::NotLoaded => "not_loaded",
+            Self::NotHeld => "not_held",
+            Self::TakenBack => "taken_back",
+            Self::Lost => "lost",
+            Self::Nothing => "nothing",
+            Self::Unclear => "unclear",
+        }
+    }
+}
+
 common_derives! {copy:
     /// What a run does at a time.
     pub enum Stage {
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use jj_adapter::{engine::Engine, settings};
-use jj_direct::{instance::InstanceSettings, reload, socket};
+use jj_direct::{instance::InstanceSettings, metrics_port, reload, socket};
 use jj_news::{Message, RankCounts};
 use jj_policy::demand::Growth;
 use jj_utils::{
@@ -45,6 +45,8 @@
     pub path: PathBuf,
     /// Least level of log lines.
     pub level: LevelFilter,
+    /// Where the metrics are served.
+    pub metrics: Vec<SocketAddr>,
 }
 
 /// Runs an agent until it is asked to leave.
@@ -57,10 +59,11 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, work(settings, options.path.clone()))
+    LocalSet::new().block_on(&runtime, work(settings, options))
 }
 
-async fn work(given: InstanceSettings, path: PathBuf) -> anyhow::Result<()> {
+async fn work(given: InstanceSettings, options: &Options) -> anyhow::Result<()> {
+    serve_metrics(&options.metrics)?;
     let server = given.server.context("no server beside this agent")?;
     let addr = SocketAddr::new(given.ip, given.ports.0);
     let socket = socket::datagrams(addr).context("bind the port for datagrams")?;
@@ -86,6 +89,7 @@
     spawn_local(rescue::run(Rc::clone(&state)));
     let reloaded = Rc::clone(&state);
     let take = move |settings| *reloaded.settings.borrow_mut() = settings;
+    let path = options.path.clone();
     spawn_local(reload::watch(path, settings::read, take));
     log_event!(
         events::PROCESS_STARTED,
@@ -98,6 +102,15 @@
     Ok(())
 }
 
+fn serve_metrics(addrs: &[SocketAddr]) -> anyhow::Result<()> {
+    let metrics = metrics_port::install()?;
+    spawn_local(metrics_port::upkeep(metrics.clone()));
+    let handler = metrics_port::handler(metrics);
+    addrs
+        .iter()
+        .try_for_each(|addr| metrics_port::open(*addr, Rc::clone(&handler)))
+}
+
 async fn reports(state: Rc<State>) {
     let mut was_read = true;
     loop {
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -203,6 +203,8 @@
         };
         let goal = self.run.goal();
         let ms = self.state.clock.now().saturating_sub(self.started);
+        metrics::counter!("jujube_switches_total", "ending" => ending.name()).increment(1);
+        metrics::histogram!("jujube_switch_seconds").record(ms.as_secs_f64());
         log_event!(
             event,
             version = goal.version, pass = goal.pass.unwrap_or_default(), epoch = goal.epoch,
@@ -366,6 +368,7 @@
                 OrderOutcome::Refused => Outcome::Refused,
                 OrderOutcome::Fenced => return Done::Fenced(rank),
                 OrderOutcome::Unknown => {
+                    metrics::counter!("jujube_orders_unanswered_total").increment(1);
                     state.note_unanswered();
                     Outcome::Unknown
                 }
