fix(rank): agents that have just started fetch the whole expert map

Cause: maps go out as changes of the one in force, which an agent that has just started does not know. Ruled out: the held pass (none held), the engines (they take the orders).

An agent's port for other agents and operators is new.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller_io;
 pub mod dialect;
 pub mod events;
+pub mod fetch;
 pub mod instance;
 pub mod metrics_port;
 pub mod pool;
--- a/crates/direct/src/metrics_port.rs
+++ b/crates/direct/src/metrics_port.rs
@@ -1,6 +1,6 @@
 //! Counters and latency histograms of a process, served as text for Prometheus.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use anyhow::Context;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -64,17 +64,6 @@
     Ok(())
 }
 
-/// A handler that serves the metrics and nothing else.
-pub fn handler(metrics: PrometheusHandle) -> Handler {
-    Rc::new(move |arrival, _| {
-        let response = match arrival.uri().path() {
-            METRICS_PATH => answer(&metrics),
-            _ => text(StatusCode::NOT_FOUND, "there is nothing here\n"),
-        };
-        Box::pin(async move { response })
-    })
-}
-
 /// Keeps what was recorded small for as long as the process runs.
 pub async fn upkeep(metrics: PrometheusHandle) {
     loop {
--- a/crates/front/src/follower.rs
+++ b/crates/front/src/follower.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use jj_adapter::store::{Store, StoreError};
-use jj_direct::pool::{Pool, PoolConfig};
+use jj_direct::{
+    fetch,
+    pool::{Pool, PoolConfig},
+};
 use jj_policy::{
     reader::{self, ReaderConfig},
     server_list::Revision,
@@ -175,7 +178,7 @@
         let Some(addr) = self.better_peer() else {
             return;
         };
-        match tokio::time::timeout(PEER_LIMIT, fetch(&self.pool, addr)).await {
+        match tokio::time::timeout(PEER_LIMIT, self.fetch(addr)).await {
             Ok(Ok(copy)) => {
                 let now = self.shared.clock.now();
                 log_event!(
@@ -191,6 +194,10 @@
         }
     }
 
+    async fn fetch(&self, addr: SocketAddr) -> anyhow::Result<ReplicaCopy> {
+        fetch::get(&self.pool, addr, REPLICA_PATH, LONGEST_COPY).await
+    }
+
     fn better_peer(&self) -> Option<SocketAddr> {
         let replica = self.shared.replica.borrow();
         let at = replica.at;
@@ -210,18 +217,5 @@
     }
 }
 
-async fn fetch(pool: &Pool, addr: SocketAddr) -> anyhow::Result<ReplicaCopy> {
-    let request = http::Request::get(REPLICA_PATH)
-        .header(http::header::HOST, addr.to_string())
-        .body(jj_direct::pool::RequestBody::default())?;
-    let connection = pool.take(addr).await?;
-    let mut answer = jj_direct::call::send(connection, request).await?;
-    anyhow::ensure!(answer.status.is_success(), "status {}", answer.status);
-    let body = answer.read(LONGEST_COPY).await?;
-    let body = body.map_err(|_| anyhow::anyhow!("the copy is too long"))?;
-    answer.finish(pool, None);
-    Ok(postcard::from_bytes(&body)?)
-}
-
 /// Longest copy of the store that a peer may send, in bytes.
 const LONGEST_COPY: usize = 16 << 20;
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -176,16 +176,11 @@
     /// A map that ranks are to load: where it differs from the one in force, which all agents know
     /// unless they have just started.
     #[derive(Eq)]
-    pub enum MapNews {
-        /// The differences.
-        Changes {
-            /// The other map.
-            base: MapVersion,
-            /// Ranks with other experts.
-            changes: Vec<RankChange>,
-        },
-        /// All of it.
-        Whole(Vec<SetMap>),
+    pub struct MapNews {
+        /// The other map.
+        pub base: MapVersion,
+        /// Ranks with other experts.
+        pub changes: Vec<RankChange>,
     }
 }
 
@@ -202,7 +197,7 @@
                 experts: to.iter().map(|it| *it as u16).collect(),
             })
         });
-        Self::Changes {
+        Self {
             base,
             changes: changes.collect(),
         }
@@ -210,12 +205,8 @@
 
     /// The map; `known` gives the content of other maps. None where it is of an unknown one.
     pub fn map(&self, known: impl Fn(MapVersion) -> Option<Vec<SetMap>>) -> Option<Vec<SetMap>> {
-        let (base, changes) = match self {
-            Self::Whole(map) => return Some(map.clone()),
-            Self::Changes { base, changes } => (base, changes),
-        };
-        let mut map = known(*base)?;
-        for change in changes {
+        let mut map = known(self.base)?;
+        for change in &self.changes {
             let set = map.get_mut(usize::from(change.set))?;
             let rank = set.get_mut(usize::from(change.rank))?;
             *rank = change.experts.iter().map(|it| u32::from(*it)).collect();
@@ -318,10 +309,8 @@
             rank: Rank,
             /// What the engine said after the task had come.
             view: RankView,
-            /// The map of the task, and whether the agent knows its content.
+            /// The map of the task.
             version: MapVersion,
-            /// See `version`.
-            knows: bool,
             /// An order for the task had no answer: it may be carried out later.
             unanswered: bool,
         },
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -9,7 +9,7 @@
 use jj_utils::{events, log_event};
 
 use crate::{
-    mesh,
+    maps, mesh,
     state::{HeldExperts, State},
 };
 
@@ -20,12 +20,22 @@
 /// Time after which a load that was accepted and is still not complete is ordered again.
 const LOAD_LIMIT: Duration = Duration::from_secs(4);
 
-/// Works on a task at the engine beside this agent, and answers.
+/// Works on a task at the engine beside this agent, and answers; once more when the map has been
+/// fetched that it lacks.
 pub async fn work(state: &State, from: SocketAddr, task: RankTask) {
+    let goal = task.goal;
+    if answer(state, from, &task).await && maps::fetch(state, from.ip(), &goal).await {
+        answer(state, from, &task).await;
+    }
+}
+
+/// Takes the next step of a task and tells what the engine said; true where the map of the task is
+/// not known.
+async fn answer(state: &State, from: SocketAddr, task: &RankTask) -> bool {
     let Ok(report) = read(state).await else {
-        return;
+        return false;
     };
-    let map = state.known.borrow_mut().map_of(&task);
+    let map = state.known.borrow_mut().map_of(task);
     let advanced = advance(
         state,
         &state.engine,
@@ -39,10 +49,12 @@
         rank: report.rank,
         view: advanced.view,
         version: task.goal.version,
-        knows: map.is_some(),
         unanswered: advanced.unanswered,
     };
     mesh::send(state, from, &reply);
+    let has_to_load =
+        report.view.map < task.goal.version && report.view.loaded != Some(task.goal.version);
+    map.is_none() && has_to_load
 }
 
 /// Reads the report of the engine beside this agent.
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod deputy;
 pub mod driver;
 pub mod lead;
+pub mod maps;
 pub mod mesh;
 pub mod rescue;
 pub mod run;
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -164,7 +164,6 @@
             rank,
             view,
             version,
-            knows,
             unanswered,
         } => {
             if unanswered {
@@ -174,7 +173,6 @@
                 number,
                 view,
                 version,
-                knows,
             };
             take_reply(state, rank, reply);
         }
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -4,7 +4,12 @@
 
 use anyhow::Context;
 use jj_adapter::{engine::Engine, settings};
-use jj_direct::{instance::InstanceSettings, metrics_port, reload, socket};
+use jj_direct::{
+    instance::InstanceSettings,
+    metrics_port,
+    pool::{Pool, PoolConfig},
+    reload, socket,
+};
 use jj_news::{Message, RankCounts};
 use jj_policy::demand::Growth;
 use jj_utils::{
@@ -18,7 +23,7 @@
     task::{LocalSet, spawn_local},
 };
 
-use crate::{driver, lead, mesh, rescue, state::State};
+use crate::{driver, lead, maps, mesh, rescue, state::State};
 
 /// Time between two reads of the engine's report.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
@@ -63,14 +68,17 @@
 }
 
 async fn work(given: InstanceSettings, options: &Options) -> anyhow::Result<()> {
-    serve_metrics(&options.metrics)?;
+    let metrics = metrics_port::install()?;
+    spawn_local(metrics_port::upkeep(metrics.clone()));
     let server = given.server.context("no server beside this agent")?;
     let addr = SocketAddr::new(given.ip, given.ports.0);
     let socket = socket::datagrams(addr).context("bind the port for datagrams")?;
     let name = given.name.clone();
+    let clock = SystemClock::shared();
     let state = Rc::new(State {
         settings: std::cell::RefCell::new(Rc::new(given)),
-        clock: SystemClock::shared(),
+        pool: Pool::new(PoolConfig::default(), clock.clone()),
+        clock,
         life: rand::random(),
         engine: Engine::new(server)?,
         server,
@@ -80,6 +88,11 @@
         changed: tokio::sync::Notify::new(),
         switch_begun: tokio::sync::Notify::new(),
     });
+    let port = maps::addr(&state, state.settings().ip);
+    let handler = maps::handler(Rc::clone(&state), metrics);
+    for addr in options.metrics.iter().copied().chain([port]) {
+        metrics_port::open(addr, Rc::clone(&handler))?;
+    }
     spawn_local(mesh::receive(Rc::clone(&state)));
     spawn_local(mesh::tell(Rc::clone(&state)));
     spawn_local(mesh::tell_entries(Rc::clone(&state)));
@@ -102,15 +115,6 @@
     Ok(())
 }
 
-fn serve_metrics(addrs: &[SocketAddr]) -> anyhow::Result<()> {
-    let metrics = metrics_port::install()?;
-    spawn_local(metrics_port::upkeep(metrics.clone()));
-    let handler = metrics_port::handler(metrics);
-    addrs
-        .iter()
-        .try_for_each(|addr| metrics_port::open(*addr, Rc::clone(&handler)))
-}
-
 async fn reports(state: Rc<State>) {
     let mut was_read = true;
     loop {
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -8,7 +8,7 @@
 };
 
 use jj_adapter::engine::{Engine, EngineReport};
-use jj_direct::instance::InstanceSettings;
+use jj_direct::{instance::InstanceSettings, pool::Pool};
 use jj_news::{RankStatus, RankTask, Roster};
 use jj_policy::{
     demand::Demand,
@@ -60,10 +60,8 @@
     pub number: u64,
     /// What the engine said after the task had come.
     pub view: RankView,
-    /// The map of the task, and whether the agent knows its content.
+    /// The map of the task.
     pub version: MapVersion,
-    /// See [`TaskReply::version`].
-    pub knows: bool,
 }
 
 /// A task of a leader, as it was seen.
@@ -101,6 +99,8 @@
     pub replies: FastMap<Rank, TaskReply>,
     /// Content of the maps that were told last, and in which formation.
     pub maps: (u64, FastMap<MapVersion, Vec<SetMap>>),
+    /// Formation and version of the map that is being fetched.
+    pub fetching: Option<(u64, MapVersion)>,
     /// Experts by rank, as they were told last.
     pub experts: FastMap<Rank, HeldExperts>,
     /// Demand for experts, while this agent leads.
@@ -144,24 +144,36 @@
 impl Knowledge {
     /// The map of a task, if its content is known.
     pub fn map_of(&mut self, task: &RankTask) -> Option<Vec<SetMap>> {
-        let (epoch, maps) = &mut self.maps;
-        if *epoch != task.goal.epoch {
-            *epoch = task.goal.epoch;
-            maps.clear();
-        }
-        if let Some(map) = maps.get(&task.goal.version) {
+        let epoch = task.goal.epoch;
+        if let Some(map) = self.map(epoch, task.goal.version) {
             return Some(map.clone());
         }
         let map = task.map.as_ref()?.map(|version| match version {
             0 => default_map(self.roster.as_ref()?, self.report.as_ref()?.size),
-            version => maps.get(&version).cloned(),
+            version => self.map(epoch, version).cloned(),
         })?;
-        let oldest = task.goal.version.saturating_sub(MAPS_KEPT);
-        maps.retain(|version, _| *version >= oldest);
-        maps.insert(task.goal.version, map.clone());
+        self.keep_map(epoch, task.goal.version, map.clone());
         Some(map)
     }
 
+    /// The content of a map, if it is known.
+    pub fn map(&self, epoch: u64, version: MapVersion) -> Option<&Vec<SetMap>> {
+        let (known, maps) = &self.maps;
+        maps.get(&version).filter(|_| *known == epoch)
+    }
+
+    /// Keeps the content of a map; those of other formations and much older ones are dropped.
+    pub fn keep_map(&mut self, epoch: u64, version: MapVersion, map: Vec<SetMap>) {
+        let (known, maps) = &mut self.maps;
+        if *known != epoch {
+            *known = epoch;
+            maps.clear();
+        }
+        let oldest = version.saturating_sub(MAPS_KEPT);
+        maps.retain(|version, _| *version >= oldest);
+        maps.insert(version, map);
+    }
+
     /// How much slower than usual each rank works, as far as it was told.
     pub fn paces(&self, ranks: usize) -> Vec<f64> {
         let own = self.report.as_ref();
@@ -187,6 +199,8 @@
     pub server: SocketAddr,
     /// Socket for datagrams.
     pub socket: UdpSocket,
+    /// Connections to other agents.
+    pub pool: Pool,
     /// What it knows.
     pub known: RefCell<Knowledge>,
     /// An answer to a task has come.
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -55,6 +55,10 @@
         changes: MapNews::changes(from.0, from.1, &map),
     };
     let number = next_number(state, &goal);
+    state
+        .known
+        .borrow_mut()
+        .keep_map(goal.epoch, goal.version, map.clone());
     let (run, outputs) = SwitchRun::lead(goal, roles, views.len() as u32, number);
     let ending = Carrier::new(state, run, roles, Some(&content))
         .carry_out(outputs)
@@ -340,11 +344,9 @@
         let content = self.content.filter(|_| self.run.is_loading())?;
         let known = self.state.known.borrow();
         let first = known.replies.get(&rank);
-        match first.filter(|it| it.version == self.run.goal().version) {
-            None => Some(content.changes.clone()),
-            Some(reply) if reply.knows => None,
-            Some(_) => Some(MapNews::Whole(content.whole.to_vec())),
-        }
+        let has_answered = first.is_some_and(|it| it.version == self.run.goal().version);
+        // One that doesn't know the map in force fetches the new one.
+        (!has_answered).then(|| content.changes.clone())
     }
 
     fn order(&mut self, rank: Rank, order: HeldOrder, sequence: u64) {
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -71,6 +71,7 @@
     GROUP_LOAD = 1507 Debug "group_load";
     PASS_SEEN = 1508 Debug "pass_seen";
     GROUP_STATE = 1509 Info "group_state";
+    MAP_FETCHED = 1510 Info "map_fetched";
 }
 
 /// Logs one numbered event, with fields that stand beside the message:
