--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -180,7 +180,8 @@
             return false;
         }
         group.model.observe(&self.passes, spec, now, pass, requests);
-        let (imbalance, worst) = group.model.imbalance();
+        let imbalance = group.model.imbalance();
+        let worst = group.model.worst(&self.passes, now);
         log_event!(
             events::PASS_SEEN,
             pass_ms = pass.as_millis() as u64, requests = requests,
--- a/crates/policy/src/pass_model.rs
+++ b/crates/policy/src/pass_model.rs
@@ -24,7 +24,10 @@
         pub part: f64,
         /// Part of it that a pass may take when the imbalance is as high as it was lately.
         pub worst_part: f64,
-        /// Time in which the memory of a high imbalance falls to a half.
+        /// Time for which a high imbalance is expected to come back: shifts of demand follow each
+        /// other at this pace or faster.
+        pub memory: Duration,
+        /// Time in which the memory of it falls to a half after that.
         pub half_life: Duration,
         /// Requests for each server that are always allowed.
         pub least: f64,
@@ -36,7 +39,8 @@
         Self {
             part: 0.85,
             worst_part: 0.95,
-            half_life: Duration::from_secs(8),
+            memory: Duration::from_secs(6),
+            half_life: Duration::from_secs(4),
             least: 3.0,
         }
     }
@@ -128,14 +132,14 @@
     /// Length of the last pass, and requests at work in it.
     pass: Duration,
     requests: f64,
-    /// Imbalance in the last pass, and the highest lately.
+    /// Imbalance in the last pass.
     now: f64,
-    worst: f64,
+    /// High imbalances of the past, each higher than all after it.
+    peaks: VecDeque<(Timestamp, f64)>,
     /// When the last pass ended.
     ended: Timestamp,
     /// Mean of the prompt tokens that a pass reads.
     tokens: f64,
-    at: Timestamp,
 }
 
 /// Time for which sent prompts are remembered.
@@ -170,7 +174,7 @@
         self.tokens += (tokens - self.tokens) * TOKEN_WEIGHT;
         let experts = (pass.as_secs_f64() - spec.fixed(requests)).max(0.0);
         let even = spec.even(requests, tokens);
-        self.fade(config, now);
+        self.forget(config, now);
         self.pass = pass;
         self.requests = requests;
         if even > 0.0 {
@@ -179,7 +183,7 @@
             // A single long pass was held up by something else than its work.
             let is_next = begun <= self.ended + pass;
             if is_next {
-                self.worst = self.worst.max(self.now.min(before));
+                self.remember(now, self.now.min(before));
             }
         }
         self.ended = now;
@@ -198,7 +202,8 @@
         let sent = self.tokens_between(now.saturating_sub(self.pass), now);
         let tokens = sent + f64::from(prompt);
         let next = spec.fixed(requests) + self.now.max(1.0) * spec.even(requests, tokens);
-        let worst = spec.fixed(requests) + self.worst.max(1.0) * spec.even(requests, self.tokens);
+        let worst =
+            spec.fixed(requests) + self.worst(config, now) * spec.even(requests, self.tokens);
         let least = config.least * f64::from(spec.ranks);
         let gap = spec.gap.as_secs_f64();
         let is_short = next <= gap * config.part && worst <= gap * config.worst_part;
@@ -223,9 +228,16 @@
         self.pass * passes
     }
 
-    /// Imbalance in the last pass, and the highest lately.
-    pub fn imbalance(&self) -> (f64, f64) {
-        (self.now, self.worst)
+    /// Imbalance in the last pass.
+    pub fn imbalance(&self) -> f64 {
+        self.now
+    }
+
+    /// The highest imbalance that is expected to come back.
+    pub fn worst(&self, config: &PassConfig, now: Timestamp) -> f64 {
+        let peaks = self.peaks.iter();
+        let faded = peaks.map(|(at, peak)| 1.0 + (peak - 1.0) * fading(config, now, *at));
+        faded.fold(1.0, f64::max)
     }
 
     fn tokens_between(&self, since: Timestamp, until: Timestamp) -> f64 {
@@ -236,12 +248,37 @@
         within.map(|(_, tokens)| f64::from(*tokens)).sum()
     }
 
-    fn fade(&mut self, config: &PassConfig, now: Timestamp) {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.at = now;
-        let part = 0.5_f64.powf(passed / config.half_life.as_secs_f64());
-        self.worst = 1.0 + (self.worst - 1.0).max(0.0) * part;
+    fn remember(&mut self, now: Timestamp, imbalance: f64) {
+        while self.peaks.back().is_some_and(|(_, it)| *it <= imbalance) {
+            self.peaks.pop_back();
+        }
+        let is_covered = self
+            .peaks
+            .back()
+            .is_some_and(|(at, _)| *at + PEAK_PAUSE > now);
+        if !is_covered {
+            self.peaks.push_back((now, imbalance));
+        }
     }
+
+    fn forget(&mut self, config: &PassConfig, now: Timestamp) {
+        let is_over = |at: Timestamp| fading(config, now, at) < FORGOTTEN;
+        while self.peaks.front().is_some_and(|(at, _)| is_over(*at)) {
+            self.peaks.pop_front();
+        }
+    }
+}
+
+/// Time for which a high imbalance stands for lower ones after it.
+const PEAK_PAUSE: Duration = Duration::from_millis(500);
+
+/// Part of an imbalance under which it is no longer remembered.
+const FORGOTTEN: f64 = 0.05;
+
+/// Part of an imbalance seen at a time that is still expected to come back.
+fn fading(config: &PassConfig, now: Timestamp, at: Timestamp) -> f64 {
+    let age = now.saturating_sub(at).saturating_sub(config.memory);
+    0.5_f64.powf(age.as_secs_f64() / config.half_life.as_secs_f64())
 }
 
 /// Shortest time over which the pauses of several streams are compared.
--- a/crates/policy/tests/pass_model.rs
+++ b/crates/policy/tests/pass_model.rs
@@ -93,6 +93,20 @@
     expect_that!(replay.most(), gt(after));
 }
 
+#[gtest]
+fn room_is_kept_for_shifts_that_follow_each_other() {
+    let mut replay = Replay::new();
+    // Recorded: a rank that works 1.6 times slower, and a shift of demand each 4.1 s.
+    replay.passes(400, &[83, 84, 110, 112, 109, 103, 87, 84]);
+    let after = replay.most();
+
+    for _ in 0..48 {
+        replay.passes(400, &[83]);
+    }
+
+    expect_that!(replay.most(), eq(after));
+}
+
 #[gtest]
 fn what_is_given_leaves_room_for_the_next_shift_of_demand() {
     let mut replay = Replay::new();
