feat(front): entries tell each other which servers they keep away from

Cause: a server that breaks each request at once has the least load of all and draws what comes; each of 32 entries had to learn of each of 8 such servers by failures of its own. One broken answer is now enough for a pause, and entries tell each other of their pauses with their use of servers. Ruled out: a shorter judgement alone (each entry sees one or two answers a second of a server).

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -25,6 +25,15 @@
     health: ServerHealth,
 }
 
+/// What other processes say of a server that they keep away from.
+#[derive(Debug, Clone, Copy, Default)]
+struct Avoided {
+    /// Until when.
+    until: Timestamp,
+    /// Pauses in a row that one of them has made.
+    pauses: u32,
+}
+
 /// Passes of the group that the servers of a service form.
 #[derive(Debug, Default)]
 struct GroupLoad {
@@ -45,6 +54,8 @@
     /// Requests of all other processes by server.
     others: FastMap<ServerTag, u32>,
     groups: FastMap<ServiceId, GroupLoad>,
+    /// Servers that others keep away from.
+    avoided: FastMap<ServerTag, Avoided>,
     /// Prompt tokens that others have sent, as they told last.
     told: FastMap<(InstanceId, ServerTag), u64>,
     health: HealthConfig,
@@ -67,7 +78,11 @@
 
     /// Takes in how an attempt ended.
     pub fn observe(&mut self, now: Timestamp, server: &str, sign: Sign) {
+        let told = self.avoided.get(&server_tag(server));
         let load = self.servers.entry(server.to_owned()).or_default();
+        if let Some(told) = told {
+            load.health.learn(told.pauses);
+        }
         load.health.observe(&self.health, now, sign);
     }
 
@@ -86,19 +101,25 @@
 
     /// Whether new requests should keep away from a server.
     pub fn is_avoided(&self, now: Timestamp, server: &str) -> bool {
-        self.servers
-            .get(server)
-            .is_some_and(|it| it.health.is_avoided(now))
+        let load = self.servers.get(server);
+        if load.is_some_and(|it| it.health.is_avoided(now)) {
+            return true;
+        }
+        let is_fresh = load.is_some_and(|it| it.health.is_fresh(&self.health, now));
+        let told = self.avoided.get(&server_tag(server));
+        !is_fresh && told.is_some_and(|it| now < it.until)
     }
 
-    /// All requests of this process, for the others.
-    pub fn uses(&self) -> Vec<ServerUse> {
-        let busy = self.servers.iter().filter(|(_, load)| load.own > 0);
-        busy.map(|(id, load)| ServerUse {
+    /// All requests of this process, and the servers that it keeps away from, for the others.
+    pub fn uses(&self, now: Timestamp) -> Vec<ServerUse> {
+        let uses = self.servers.iter().map(|(id, load)| ServerUse {
             server: server_tag(id),
             requests: load.own,
-        })
-        .collect()
+            avoid_ms: load.health.pause_told(now).as_millis() as u32,
+            pauses: load.health.pauses(),
+        });
+        uses.filter(|it| it.requests > 0 || it.avoid_ms > 0)
+            .collect()
     }
 
     /// Takes in all requests of another process, and the prompt tokens that it has sent.
@@ -109,6 +130,7 @@
         uses: Vec<ServerUse>,
         tokens: &[TokensSent],
     ) {
+        self.take_avoided(now, &uses);
         self.peers.insert(peer.to_owned(), uses);
         self.sum_up();
         for told in tokens {
@@ -128,6 +150,18 @@
         }
     }
 
+    /// Takes in which servers another process keeps away from.
+    fn take_avoided(&mut self, now: Timestamp, uses: &[ServerUse]) {
+        let longest = self.health.longest;
+        self.avoided.retain(|_, it| now < it.until + longest);
+        for told in uses.iter().filter(|it| it.avoid_ms > 0) {
+            let left = Duration::from_millis(u64::from(told.avoid_ms));
+            let avoided = self.avoided.entry(told.server).or_default();
+            avoided.until = avoided.until.max(now + left.min(longest));
+            avoided.pauses = avoided.pauses.max(told.pauses);
+        }
+    }
+
     /// Prompt tokens that this process has sent, for the others.
     pub fn tokens_sent(&self) -> Vec<TokensSent> {
         let groups = self.groups.iter();
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -369,7 +369,7 @@
                 let sign = match failure {
                     Failure::NotSent => Sign::Unreachable,
                     Failure::NotRun => Sign::Refused,
-                    Failure::Unknown => Sign::Failed,
+                    Failure::Unknown => Sign::Broken,
                 };
                 place.observe(sign);
                 return Err(failure);
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -307,7 +307,7 @@
     let message = Message::Use {
         life: shared.life,
         number: *number,
-        uses: shared.loads.borrow().uses(),
+        uses: shared.loads.borrow().uses(shared.clock.now()),
         tokens: shared.loads.borrow().tokens_sent(),
     };
     let targets: Vec<IpAddr> = shared.peers.borrow().known.keys().copied().collect();
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -79,13 +79,17 @@
 }
 
 common_derives! {wire:
-    /// Requests of one entry at one server.
+    /// Requests of one entry at one server, and whether it keeps away from it.
     #[derive(Copy, Eq)]
     pub struct ServerUse {
         /// The server.
         pub server: ServerTag,
         /// Requests in flight.
         pub requests: u32,
+        /// Milliseconds for which the entry sends no new ones there.
+        pub avoid_ms: u32,
+        /// Pauses of this kind that it has made in a row.
+        pub pauses: u32,
     }
 }
 
--- a/crates/policy/src/server_health.rs
+++ b/crates/policy/src/server_health.rs
@@ -2,7 +2,9 @@
 //!
 //! Load pattern: a server whose health check is good fails, refuses or holds a part of its
 //! requests. Its failures are spread over the entries, so each judges by few answers; a server is
-//! tried again after a pause that doubles while it goes on failing.
+//! tried again after a pause that doubles while it goes on failing. One that breaks every request at
+//! once has the least load of all and draws them; so a broken answer is enough, and entries tell
+//! each other which servers they keep away from.
 
 use std::time::Duration;
 
@@ -13,8 +15,10 @@
     pub enum Sign {
         /// It answered.
         Good,
-        /// It failed, or gave no answer.
+        /// It answered with a failure, or held the request for too long.
         Failed,
+        /// It broke off without an answer.
+        Broken,
         /// It can't be reached at all.
         Unreachable,
         /// It refused work.
@@ -33,6 +37,8 @@
     pub pause: Duration,
     /// Longest pause.
     pub longest: Duration,
+    /// Time for which a good answer counts more than the word of others.
+    pub fresh: Duration,
 }
 
 impl Default for HealthConfig {
@@ -42,6 +48,7 @@
             weight: 0.2,
             pause: Duration::from_millis(400),
             longest: Duration::from_secs(3),
+            fresh: Duration::from_millis(500),
         }
     }
 }
@@ -52,6 +59,10 @@
     failed_part: f64,
     pauses: u32,
     until: Timestamp,
+    /// Whether it could not be reached at all.
+    is_unreachable: bool,
+    /// When it last gave a good answer.
+    good: Option<Timestamp>,
 }
 
 impl ServerHealth {
@@ -60,13 +71,14 @@
         let failed = match sign {
             Sign::Good => 0.0,
             Sign::Refused => return self.rest(config, now),
-            Sign::Failed | Sign::Unreachable => 1.0,
+            Sign::Failed | Sign::Broken | Sign::Unreachable => 1.0,
         };
         self.failed_part += (failed - self.failed_part) * config.weight;
+        self.is_unreachable = sign == Sign::Unreachable;
         let is_bad = self.failed_part >= config.bad_part;
         match sign {
-            Sign::Good if !is_bad => self.pauses = 0,
-            Sign::Unreachable => self.rest(config, now),
+            Sign::Good if !is_bad => self.recover(now),
+            Sign::Unreachable | Sign::Broken => self.rest(config, now),
             Sign::Failed if is_bad => self.rest(config, now),
             _ => {}
         }
@@ -77,8 +89,39 @@
         now < self.until
     }
 
+    /// Time for which other processes should keep away from the server as well: one that can't be
+    /// reached from here may be sound for them.
+    pub fn pause_told(&self, now: Timestamp) -> Duration {
+        match self.is_unreachable {
+            true => Duration::ZERO,
+            false => self.until.saturating_sub(now),
+        }
+    }
+
+    /// Pauses in a row, of which each is twice as long as the one before.
+    pub fn pauses(&self) -> u32 {
+        self.pauses
+    }
+
+    /// Takes in how many pauses in a row another process has made, so that the next one of this
+    /// process is no shorter.
+    pub fn learn(&mut self, pauses: u32) {
+        self.pauses = self.pauses.max(pauses);
+    }
+
+    /// Whether the server has just given a good answer, which counts more than the word of others:
+    /// servers may fail for some callers only.
+    pub fn is_fresh(&self, config: &HealthConfig, now: Timestamp) -> bool {
+        self.good.is_some_and(|at| now < at + config.fresh)
+    }
+
+    fn recover(&mut self, now: Timestamp) {
+        self.pauses = 0;
+        self.good = Some(now);
+    }
+
     fn rest(&mut self, config: &HealthConfig, now: Timestamp) {
-        if self.is_avoided(now) {
+        if now < self.until {
             return;
         }
         let pause = config.pause * 2_u32.saturating_pow(self.pauses.min(8));
