fix(policy): a deputy that stops in a switch leaves nothing held, and rescuers take turns

The leader now reads the deputy's rank again before it goes on; a late hold of the deputy's is made void; agents take turns also while the leader is alive. Ruled out: longer patience alone (the same stop, later).

--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -442,9 +442,10 @@
         }
     }
 
-    /// Reads what has become of the deputy's orders.
+    /// Reads what has become of the deputy's orders, and whether the deputy's own instance is still
+    /// there: an order that is sent to one that has just stopped leaves its engine's state unknown.
     fn look_again(&mut self, has_answer: bool, tries: u32) {
-        for rank in [self.own, self.roles.gate] {
+        for rank in [self.own, self.roles.gate, self.roles.deputy] {
             let cell = &mut self.cells[rank as usize];
             cell.view = None;
             cell.asked = None;
@@ -626,10 +627,14 @@
     /// on only once the deputy has answered, so that what one that has stopped then did is known.
     fn deputise(&mut self, has_asked: bool, has_answer: bool, tries: u32) -> Vec<Output> {
         let (own, gate) = (self.own, self.roles.gate);
-        let outputs = self.need_all(&[own, gate]);
+        let deputy = self.roles.deputy;
+        let outputs = self.need_all(&[own, gate, deputy]);
         let (Some(view), Some(gate_view)) = (self.view(own), self.view(gate)) else {
             return outputs;
         };
+        if self.view(deputy).is_none() {
+            return outputs;
+        }
         self.goal.pass = gate_view.held;
         let is_active = gate_view.held.is_some() && view.active == Some(self.activation());
         if is_active && has_answer {
@@ -659,13 +664,16 @@
     }
 
     /// Has the leader's own engine accept an order after which it is not active, and releases the gate.
+    /// Where the gate does not hold, the deputy's order may still be on its way; it is void once the
+    /// gate has held and been released.
     fn make_own_inactive(&mut self) -> Vec<Output> {
         let (own, gate) = (self.own, self.roles.gate);
         let Some(gate_view) = self.view(gate) else {
             return self.need(gate).into_iter().collect();
         };
         let Some(pass) = gate_view.held else {
-            return self.end(Ending::NotHeld);
+            let hold = HeldOrder::Hold(gate_view.pass + PASS_LEAD);
+            return self.order(gate, hold).into_iter().collect();
         };
         self.goal.pass = Some(pass);
         let Some(view) = self.view(own) else {
--- a/crates/rank/src/rescue.rs
+++ b/crates/rank/src/rescue.rs
@@ -62,8 +62,11 @@
     let before = alive.iter().filter(|it| **it < own && **it != leader);
     // One that finishes the switch gives tasks as well.
     let last = state.known.borrow().advanced.max(task.at);
-    let is_left = state.is_silent(leader, now) || now >= last + LONGEST_STILL;
-    (is_left && now >= last + STILL_FOR + turn(before.count())).then_some(task.roles)
+    let patience = match state.is_silent(leader, now) {
+        true => STILL_FOR,
+        false => LONGEST_STILL,
+    };
+    (now >= last + patience + turn(before.count())).then_some(task.roles)
 }
 
 /// A switch of which this agent knows nothing but that a rank holds a pass; `tried` is when another
