feat(front): cold servers get what they bear over all entries

Cause: nothing bounded the requests at a server that had just started; the declared rate (and the bound of half more and five) holds over all entries. The load of a returned server is the least of all, so all entries sent it what came next. Ruled out: counting what others send (news is 10 ms old at best, and a burst needs less).

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use jj_news::{ServerTag, ServerUse, TokensSent, server_tag};
 use jj_policy::{
+    cold_rate::ColdAllowance,
     outage::{Outage, OutageConfig, Outlook},
     pass_model::{Forecast, PassConfig, PassModel, PassSpec, PauseMeter},
     server_health::{HealthConfig, ServerHealth, Sign},
@@ -54,6 +55,8 @@
     /// Requests of all other processes by server.
     others: FastMap<ServerTag, u32>,
     groups: FastMap<ServiceId, GroupLoad>,
+    /// Requests that may still be sent to each cold server.
+    cold: FastMap<BackendServerId, ColdAllowance>,
     /// Servers that others keep away from.
     avoided: FastMap<ServerTag, Avoided>,
     /// Prompt tokens that others have sent, as they told last.
@@ -64,8 +67,24 @@
 }
 
 impl Loads {
+    /// Requests that this process may send to a cold server now, at so many a second; `draw` is a
+    /// random number.
+    pub fn cold_room(&mut self, now: Timestamp, server: &str, rate: f64, draw: u64) -> u32 {
+        let cold = self.cold.entry(server.to_owned());
+        let allowance = cold.or_insert_with(|| ColdAllowance::new(now, draw));
+        allowance.room(rate, now)
+    }
+
+    /// Forgets that a server was cold.
+    pub fn warm(&mut self, server: &str) {
+        self.cold.remove(server);
+    }
+
     /// Counts a request that is sent to a server.
     pub fn start(&mut self, server: &str) {
+        if let Some(allowance) = self.cold.get_mut(server) {
+            allowance.take();
+        }
         self.servers.entry(server.to_owned()).or_default().own += 1;
     }
 
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -118,6 +118,14 @@
         usable.filter(move |it| it.service == service && !self.evacuated.contains(&it.domain))
     }
 
+    /// Requests a second that a server bears over all processes; none once it is warm.
+    pub fn cold_rate(&self, now: Timestamp, id: &str) -> Option<f64> {
+        let listed = self.servers.get(id).filter(|it| now < it.cold_until)?;
+        let service = listed.record.service.as_str();
+        let rate = self.catalog.as_ref()?.services.get(service)?.cold_rate;
+        (rate > 0.0).then_some(rate)
+    }
+
     /// Service of the server at an address.
     pub fn service_at(&self, addr: SocketAddr) -> Option<ServiceId> {
         let mut servers = self.servers.all().map(|it| &it.record);
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -13,6 +13,7 @@
     pool::{Pool, PoolConfig},
 };
 use jj_policy::{
+    cold_rate,
     outage::Outlook,
     pass_model::Forecast,
     placement::{self, Candidate, PlacementConfig},
@@ -160,7 +161,7 @@
         if is_model && self.outage(service).is_some() {
             return None;
         }
-        let loads = self.loads.borrow();
+        let mut loads = self.loads.borrow_mut();
         if let Some(spec) = &spec {
             let requests = all_uses(&loads, &records);
             let forecast = loads.forecast(now, service, spec, requests, prompt);
@@ -177,7 +178,7 @@
                 own: loads.own(&record.id),
                 others: loads.others(&record.id),
                 avoid: loads.is_avoided(now, &record.id),
-                cold_room: None,
+                cold_room: self.cold_room(&replica, &mut loads, &record.id),
                 tried: tried.contains(&record.id),
             })
             .collect();
@@ -188,8 +189,6 @@
         let chosen = placement::choose(&config, &candidates, draw)?;
         let record = records.iter().find(|it| it.id == chosen.id)?;
         let server = Rc::new((*record).clone());
-        drop(loads);
-        let mut loads = self.loads.borrow_mut();
         loads.start(&server.id);
         if is_model {
             loads.send_prompt(now, service, prompt);
@@ -202,6 +201,18 @@
         })
     }
 
+    /// Requests that this process may send to a server now; none where it is warm.
+    fn cold_room(&self, replica: &Replica, loads: &mut Loads, server: &str) -> Option<u32> {
+        let now = self.clock.now();
+        let Some(rate) = replica.cold_rate(now, server) else {
+            loads.warm(server);
+            return None;
+        };
+        let processes = self.peers.borrow().count() + 1;
+        let rate = cold_rate::part(rate, processes);
+        Some(loads.cold_room(now, server, rate, self.draw()))
+    }
+
     /// What one more request would do to the group of a service now, and the requests at work there;
     /// none where no group works.
     pub fn forecast(&self, service: &str, prompt: u32) -> Option<(Forecast, u32)> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod call_budget;
 pub mod catalog;
 pub mod cold;
+pub mod cold_rate;
 pub mod config_order;
 pub mod coverage;
 pub mod demand;
--- a/crates/policy/src/server_list.rs
+++ b/crates/policy/src/server_list.rs
@@ -60,6 +60,8 @@
         pub seen: Timestamp,
         /// Since when the entry is missing, where it is.
         pub missing: Option<Timestamp>,
+        /// Until when the server is cold, by what its entry said when that last changed.
+        pub cold_until: Timestamp,
     }
 }
 
@@ -76,7 +78,11 @@
     pub fn put(&mut self, now: Timestamp, record: ServerRecord) -> bool {
         let known = self.servers.get(&record.id);
         let is_new = known.is_none_or(|it| it.record != record || it.missing.is_some());
+        // An entry that is written again with the same time left only shows that the server lives.
+        let same = known.filter(|it| it.record.cold_left == record.cold_left);
+        let same = same.filter(|it| it.record.born == record.born);
         let listed = Listed {
+            cold_until: same.map_or(now + record.cold_left, |it| it.cold_until),
             record,
             seen: now,
             missing: None,
