fix(front): servers that never answer count among those a request may reach

The count now comes before the request is sent. A connection that was not there in time is told from an answer that was not: nothing has been sent.

--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http::{HeaderMap, HeaderName, Request as HttpRequest, Response, StatusCode, header};
+use http::{HeaderMap, HeaderName, Request as HttpRequest, Response, header};
 use http_body_util::Full;
 use jj_direct::{
     body::AnswerBody,
@@ -11,16 +11,17 @@
 };
 use jj_policy::{
     catalog::{RequestKind, Route},
-    outage::{self, OutageAnswer},
+    outage::{self, OutageAnswer, Outlook},
     pass_model::Forecast,
     placement::WaitBound,
     server_health::Sign,
 };
-use jj_utils::{clock::Timestamp, events, ids::BackendServerId, log_event};
+use jj_utils::{events, ids::BackendServerId, log_event};
 
 use crate::{
     answers::Refusal,
     dispatch,
+    record::Record,
     shared::{Place, Shared},
     stream::{self, OpenStream},
     traffic::Request,
@@ -99,95 +100,21 @@
     pub record: Record,
     tried: Vec<BackendServerId>,
     may_have_run: bool,
-}
-
-/// Says in the log how a request ended, once.
-pub struct Record {
-    shared: Rc<Shared>,
-    request: Rc<Request>,
-    /// Servers that it was sent to.
-    pub servers: Vec<BackendServerId>,
-    /// Status of the answer.
-    pub status: Option<StatusCode>,
-    /// When the first event or the whole answer was there.
-    pub first: Option<Timestamp>,
-    /// Events passed on.
-    pub events: u32,
-    /// Longest pause between two events, and when it ended.
-    pub pause: (Duration, Timestamp),
-    /// How it ended.
-    pub end: &'static str,
-}
-
-impl Record {
-    /// Notes how the request ended.
-    pub fn finish(&mut self, end: &'static str) {
-        self.end = end;
-    }
-}
-
-impl Record {
-    /// Counts an answer that was admitted and came late, by what was late.
-    fn count_late(&self, first: Option<Duration>) {
-        let route = &self.request.admitted.route;
-        if first.is_some_and(|first| first > route.aim) {
-            metrics::counter!("jujube_late_total", "what" => "first").increment(1);
-        }
-        if route.gap.is_some_and(|gap| self.pause.0 > gap) {
-            metrics::counter!("jujube_late_total", "what" => "pause").increment(1);
-        }
-    }
-}
-
-impl Drop for Record {
-    fn drop(&mut self) {
-        let arrived = self.request.arrived;
-        let first = self.first.map(|at| at.saturating_sub(arrived));
-        let total = self.shared.since(arrived);
-        let kind = self.request.admitted.route.kind;
-        if let Some(first) = first {
-            metrics::histogram!("jujube_first_seconds").record(first.as_secs_f64());
-        }
-        metrics::histogram!("jujube_request_seconds").record(total.as_secs_f64());
-        self.count_late(first);
-        log_event!(
-            events::REQUEST_ENDED,
-            request = self.request.id(),
-            route = self.request.admitted.route.name.as_str(),
-            kind = format!("{kind:?}"),
-            servers = self.servers.join(","),
-            status = self.status.map_or(0, |it| it.as_u16()),
-            first_ms = first.map_or(-1, |it| it.as_millis() as i64),
-            ms = total.as_millis() as u64,
-            prompt = self.request.facts.usage.prompt,
-            answer = self.request.facts.usage.answer,
-            sent_events = self.events,
-            pause_ms = self.pause.0.as_millis() as u64,
-            pause_end = self.pause.1.as_millis() as u64;
-            "{}", self.end
-        );
-    }
+    /// Why the last attempt has no answer, for the log.
+    cause: String,
 }
 
 /// Answers a request.
 pub async fn run(shared: &Rc<Shared>, request: Rc<Request>) -> Response<AnswerBody> {
     shared.count_request();
-    let record = Record {
-        shared: Rc::clone(shared),
-        request: Rc::clone(&request),
-        servers: Vec::new(),
-        status: None,
-        first: None,
-        events: 0,
-        pause: Default::default(),
-        end: "the caller left",
-    };
+    let record = Record::new(shared, &request);
     let mut forward = Forward {
         shared: Rc::clone(shared),
         request,
         record,
         tried: Vec::new(),
         may_have_run: false,
+        cause: String::new(),
     };
     match forward.answer(None).await {
         Ok(Answered::Plain(response)) => {
@@ -203,6 +130,7 @@
         }
         Err(refusal) => {
             metrics::counter!("jujube_given_up_total", "reason" => refusal.reason()).increment(1);
+            forward.log_unknown(&refusal);
             forward.record.status = Some(refusal.status());
             forward.record.end = refusal.reason();
             refusal.answer(&shared.dialect)
@@ -231,8 +159,9 @@
             log_event!(
                 events::ATTEMPT_FAILED,
                 request = self.request.id(), server = server,
-                failure = format!("{failure:?}"), again = again;
-                "attempt {} has no answer", self.tried.len()
+                failure = format!("{failure:?}"), again = again,
+                left_ms = self.left().as_millis() as u64;
+                "attempt {} has no answer: {}", self.tried.len(), self.cause
             );
             if !again {
                 return Err(self.give_up("no server has answered"));
@@ -278,6 +207,20 @@
         Refusal::NotRun { after, reason }
     }
 
+    /// Says in the log that a request that may run once only may have run.
+    fn log_unknown(&self, refusal: &Refusal) {
+        let is_unknown = matches!(refusal, Refusal::Unknown { .. } | Refusal::TimedOut);
+        if self.route().kind != RequestKind::Once || !is_unknown || !self.may_have_run {
+            return;
+        }
+        log_event!(
+            events::OUTCOME_UNKNOWN,
+            request = self.request.id(), service = self.request.service.as_str(),
+            servers = self.record.servers.join(","), status = refusal.status().as_u16();
+            "may have run: {}", self.cause
+        );
+    }
+
     /// Waits for room at a server.
     async fn place(&mut self) -> Result<Place, Refusal> {
         let service = self.request.service.clone();
@@ -322,6 +265,19 @@
         self.give_up("all servers are full")
     }
 
+    /// Rejects the request since the group of its service does not work, and says why in the log.
+    fn out(&self, outage: &Outlook, after: Duration) -> Refusal {
+        log_event!(
+            events::REQUEST_REFUSED,
+            request = self.request.id(), service = self.request.service.as_str(),
+            out_ms = outage.age.as_millis() as u64, expected_ms = outage.left.as_millis() as u64,
+            left_ms = self.left().as_millis() as u64, has_returned = self.request.has_returned,
+            retry_after_ms = after.as_millis() as u64;
+            "the group does not work"
+        );
+        self.give_up_until(after, "the group does not work")
+    }
+
     /// Whether the answer would surely not be finished by the deadline, by the caller's own estimate
     /// of its length.
     fn is_hopeless(&self) -> bool {
@@ -337,9 +293,7 @@
         if let Some(outage) = self.shared.outage(&self.request.service) {
             return match outage::answer(outage, self.left(), self.request.has_returned) {
                 OutageAnswer::Wait(wait) => Ok(wait),
-                OutageAnswer::Reject(after) => {
-                    Err(self.give_up_until(after, "the group does not work"))
-                }
+                OutageAnswer::Reject(after) => Err(self.out(&outage, after)),
             };
         }
         let bound = WaitBound {
@@ -362,6 +316,7 @@
         last_event: Option<EventId>,
     ) -> Result<Answered, Failure> {
         let limit = self.attempt_limit();
+        let sent_before = self.record.servers.len();
         let sent = tokio::time::timeout(limit, self.send(&place, last_event));
         let (answer, facts) = match sent.await {
             Ok(Ok(answered)) => answered,
@@ -374,13 +329,20 @@
                 place.observe(sign);
                 return Err(failure);
             }
+            Err(_) if self.record.servers.len() == sent_before => {
+                self.cause = format!("no connection within {} ms", limit.as_millis());
+                place.observe(Sign::Unreachable);
+                return Err(Failure::NotSent);
+            }
             Err(_) => {
+                self.cause = format!("nothing within {} ms", limit.as_millis());
                 place.observe(Sign::Failed);
                 return Err(Failure::Unknown);
             }
         };
         if self.route().kind.is_stream() && answer.status.is_success() {
             let open = OpenStream::new(answer, facts, place, last_event);
+            self.cause = "no event".to_owned();
             return open
                 .start(limit)
                 .await
@@ -416,23 +378,35 @@
         let answer = loop {
             let connection = match self.shared.pool.take(addr).await {
                 Ok(connection) => connection,
-                Err(_) => return Err(Failure::NotSent),
+                Err(error) => {
+                    self.cause = error.to_string();
+                    return Err(Failure::NotSent);
+                }
             };
             let request = self.outgoing(place, last_event);
-            match call::send(connection, request).await {
+            // Counted before, since this may be given up while it waits for the answer.
+            self.record.servers.push(place.server.id.clone());
+            let error = match call::send(connection, request).await {
                 Ok(answer) => break answer,
-                // The server closed an idle connection just then.
-                Err(CallError::NotSent(_)) if tries < MOST_CLOSED => tries += 1,
-                Err(CallError::NotSent(_)) => return Err(Failure::NotSent),
-                Err(CallError::Lost(_)) => {
-                    self.record.servers.push(place.server.id.clone());
-                    return Err(Failure::Unknown);
-                }
+                Err(error) => error,
+            };
+            self.cause = error.to_string();
+            if matches!(error, CallError::Lost(_)) {
+                return Err(Failure::Unknown);
+            }
+            self.record.servers.pop();
+            // The server closed an idle connection just then.
+            tries += 1;
+            if tries > MOST_CLOSED {
+                return Err(Failure::NotSent);
             }
         };
-        self.record.servers.push(place.server.id.clone());
         let facts = (self.shared.dialect.read_answer)(answer.status, &answer.headers);
         if !is_own(&facts, &answer, self.request.facts.id.as_deref()) {
+            self.cause = format!(
+                "status {} that is not its own answer",
+                answer.status.as_u16()
+            );
             return Err(Failure::Unknown);
         }
         if facts.not_run {
@@ -442,6 +416,7 @@
                 let mut loads = self.shared.loads.borrow_mut();
                 loads.take_refusal(now, &self.request.service);
             }
+            self.cause = format!("refused with status {}", answer.status.as_u16());
             let keep_alive = facts.keep_alive;
             finish_small(answer, &self.shared, keep_alive).await;
             return Err(Failure::NotRun);
@@ -475,7 +450,7 @@
 
     /// An answer that is not a stream of events.
     async fn plain(
-        &self,
+        &mut self,
         mut answer: CallAnswer,
         facts: AnswerFacts,
         place: Place,
@@ -483,12 +458,14 @@
         let limit = self.left();
         let read = tokio::time::timeout(limit, answer.read(BUFFERED_BODY)).await;
         let Ok(Ok(body)) = read else {
+            self.cause = "the answer broke off".to_owned();
             place.observe(Sign::Failed);
             return Err(Failure::Unknown);
         };
         let is_error = answer.status.is_server_error();
         place.observe(if is_error { Sign::Failed } else { Sign::Good });
         if is_error && self.route().kind == RequestKind::Idempotent && self.has_more_tries(0) {
+            self.cause = format!("status {}", answer.status.as_u16());
             return Err(Failure::Unknown);
         }
         let status = answer.status;
