--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -129,6 +129,12 @@
         !is_fresh && told.is_some_and(|it| now < it.until)
     }
 
+    /// Whether a server could not be reached when it was last tried.
+    pub fn is_unreachable(&self, server: &str) -> bool {
+        let load = self.servers.get(server);
+        load.is_some_and(|it| it.health.is_unreachable())
+    }
+
     /// All requests of this process, and the servers that it keeps away from, for the others.
     pub fn uses(&self, now: Timestamp) -> Vec<ServerUse> {
         let uses = self.servers.iter().map(|(id, load)| ServerUse {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod mesh;
 pub mod ports;
+pub mod record;
 pub mod replica;
 pub mod run;
 pub mod shared;
--- /dev/null
+++ b/crates/front/src/record.rs
@@ -0,0 +1,89 @@
+//! What the log and the metrics say of a request once it has ended.
+
+use std::{rc::Rc, time::Duration};
+
+use http::StatusCode;
+use jj_utils::{clock::Timestamp, events, ids::BackendServerId, log_event};
+
+use crate::{shared::Shared, traffic::Request};
+
+/// Says in the log how a request ended, once.
+pub struct Record {
+    shared: Rc<Shared>,
+    request: Rc<Request>,
+    /// Servers that it was sent to.
+    pub servers: Vec<BackendServerId>,
+    /// Status of the answer.
+    pub status: Option<StatusCode>,
+    /// When the first event or the whole answer was there.
+    pub first: Option<Timestamp>,
+    /// Events passed on.
+    pub events: u32,
+    /// Longest pause between two events, and when it ended.
+    pub pause: (Duration, Timestamp),
+    /// How it ended.
+    pub end: &'static str,
+}
+
+impl Record {
+    /// A request that has just arrived.
+    pub fn new(shared: &Rc<Shared>, request: &Rc<Request>) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            request: Rc::clone(request),
+            servers: Vec::new(),
+            status: None,
+            first: None,
+            events: 0,
+            pause: Default::default(),
+            end: "the caller left",
+        }
+    }
+
+    /// Notes how the request ended.
+    pub fn finish(&mut self, end: &'static str) {
+        self.end = end;
+    }
+
+    /// Counts an answer that was admitted and came late, by what was late.
+    fn count_late(&self, first: Option<Duration>) {
+        let route = &self.request.admitted.route;
+        if first.is_some_and(|first| first > route.aim) {
+            metrics::counter!("jujube_late_total", "what" => "first").increment(1);
+        }
+        if route.gap.is_some_and(|gap| self.pause.0 > gap) {
+            metrics::counter!("jujube_late_total", "what" => "pause").increment(1);
+        }
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        let arrived = self.request.arrived;
+        let first = self.first.map(|at| at.saturating_sub(arrived));
+        let total = self.shared.since(arrived);
+        let kind = self.request.admitted.route.kind;
+        if let Some(first) = first {
+            metrics::histogram!("jujube_first_seconds").record(first.as_secs_f64());
+        }
+        metrics::histogram!("jujube_request_seconds").record(total.as_secs_f64());
+        self.count_late(first);
+        log_event!(
+            events::REQUEST_ENDED,
+            request = self.request.id(),
+            route = self.request.admitted.route.name.as_str(),
+            version = self.request.version,
+            kind = format!("{kind:?}"),
+            servers = self.servers.join(","),
+            status = self.status.map_or(0, |it| it.as_u16()),
+            first_ms = first.map_or(-1, |it| it.as_millis() as i64),
+            ms = total.as_millis() as u64,
+            prompt = self.request.facts.usage.prompt,
+            answer = self.request.facts.usage.answer,
+            sent_events = self.events,
+            pause_ms = self.pause.0.as_millis() as u64,
+            pause_end = self.pause.1.as_millis() as u64;
+            "{}", self.end
+        );
+    }
+}
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -133,12 +133,13 @@
         Some(server.service.clone())
     }
 
-    /// The passes of a service's engines; none where they form no group.
-    pub fn pass_spec(&self, service: &str) -> Option<PassSpec> {
+    /// The passes of a service's engines, of which so many work together; none where they form no
+    /// group.
+    pub fn pass_spec(&self, service: &str, ranks: usize) -> Option<PassSpec> {
         let catalog = self.catalog.as_ref()?;
         let engine = catalog.services.get(service)?.engine.as_ref()?;
         let gap = catalog.gap(service).unwrap_or(DEFAULT_GAP);
-        PassSpec::new(engine, self.usable(service).count(), gap)
+        PassSpec::new(engine, ranks, gap)
     }
 
     /// Drops the servers that are certainly gone.
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -15,7 +15,7 @@
 use jj_policy::{
     cold_rate,
     outage::Outlook,
-    pass_model::Forecast,
+    pass_model::{Forecast, PassSpec},
     placement::{self, Candidate, PlacementConfig},
     repeat_budget::{RepeatBudget, RepeatConfig},
     server_health::Sign,
@@ -84,6 +84,18 @@
     shared: Rc<Shared>,
 }
 
+/// Passes of the group that a service's servers form; none where they form none. Servers that can't
+/// be reached take no part: their entries outlive them for a while.
+fn pass_spec(
+    replica: &Replica,
+    loads: &Loads,
+    service: &str,
+    records: &[&ServerRecord],
+) -> Option<PassSpec> {
+    let reached = records.iter().filter(|it| !loads.is_unreachable(&it.id));
+    replica.pass_spec(service, reached.count())
+}
+
 /// Requests at all servers of a service.
 fn all_uses(loads: &Loads, records: &[&ServerRecord]) -> u32 {
     let uses = records
@@ -155,8 +167,8 @@
         let now = self.clock.now();
         let domain = self.settings().domain.clone();
         let replica = self.replica.borrow();
-        let spec = replica.pass_spec(service);
         let records: Vec<&ServerRecord> = replica.usable(service).collect();
+        let spec = pass_spec(&replica, &self.loads.borrow(), service, &records);
         let is_model = spec.is_some();
         if is_model && self.outage(service).is_some() {
             return None;
@@ -218,9 +230,9 @@
     pub fn forecast(&self, service: &str, prompt: u32) -> Option<(Forecast, u32)> {
         let now = self.clock.now();
         let replica = self.replica.borrow();
-        let spec = replica.pass_spec(service)?;
         let records: Vec<&ServerRecord> = replica.usable(service).collect();
         let loads = self.loads.borrow();
+        let spec = pass_spec(&replica, &loads, service, &records)?;
         let requests = all_uses(&loads, &records);
         let forecast = loads.forecast(now, service, &spec, requests, prompt)?;
         Some((forecast, requests))
@@ -235,20 +247,23 @@
     /// Time that an answer of so many tokens takes at a service as it is now; none where no group
     /// of engines gives it.
     pub fn answer_time(&self, service: &str, tokens: u32) -> Option<Duration> {
-        let spec = self.replica.borrow().pass_spec(service)?;
-        Some(self.loads.borrow().answer_time(service, &spec, tokens))
+        let replica = self.replica.borrow();
+        let records: Vec<&ServerRecord> = replica.usable(service).collect();
+        let loads = self.loads.borrow();
+        let spec = pass_spec(&replica, &loads, service, &records)?;
+        Some(loads.answer_time(service, &spec, tokens))
     }
 
     /// Takes in the pause before an event of a stream.
     pub fn take_pause(&self, service: &str, pause: Duration) {
         let now = self.clock.now();
         let replica = self.replica.borrow();
-        let Some(spec) = replica.pass_spec(service) else {
+        let records: Vec<&ServerRecord> = replica.usable(service).collect();
+        let mut loads = self.loads.borrow_mut();
+        let Some(spec) = pass_spec(&replica, &loads, service, &records) else {
             return;
         };
-        let mut loads = self.loads.borrow_mut();
         loads.take_event(now, service);
-        let records: Vec<&ServerRecord> = replica.usable(service).collect();
         let requests = all_uses(&loads, &records);
         if loads.take_pause(now, service, &spec, pause, requests) {
             self.room.notify_one();
--- a/crates/front/src/traffic.rs
+++ b/crates/front/src/traffic.rs
@@ -38,6 +38,8 @@
     pub service: ServiceId,
     /// Whether its caller has come with it before.
     pub has_returned: bool,
+    /// Version of the configuration that admitted it.
+    pub version: u64,
     /// When it arrived.
     pub arrived: Timestamp,
     /// When its answer is worth nothing any more.
@@ -77,15 +79,9 @@
     let arrived = shared.clock.now();
     let mut response = match read(&shared, arrival, arrived).await {
         Ok(request) => forward::run(&shared, Rc::new(request)).await,
-        Err((id, refusal)) => {
-            log_event!(
-                events::REQUEST_ENDED,
-                request = id.as_deref().unwrap_or("-"),
-                status = refusal.status().as_u16(),
-                ms = shared.since(arrived).as_millis() as u64;
-                "{}", refusal.reason()
-            );
-            refusal.answer(&shared.dialect)
+        Err(rejected) => {
+            log_rejected(&shared, arrived, &rejected);
+            rejected.refusal.answer(&shared.dialect)
         }
     };
     metrics::counter!("jujube_requests_total", "status" => response.status().as_u16().to_string())
@@ -97,7 +93,37 @@
     response
 }
 
-type Rejected = (Option<String>, Refusal);
+/// A request that was rejected before its route was known.
+struct Rejected {
+    id: Option<String>,
+    /// Host and path that it asked for.
+    asked: String,
+    refusal: Refusal,
+}
+
+fn log_rejected(shared: &Shared, arrived: Timestamp, rejected: &Rejected) {
+    let replica = shared.replica.borrow();
+    let version = replica.catalog.as_ref().map_or(0, |it| it.version);
+    log_event!(
+        events::REQUEST_ENDED,
+        request = rejected.id.as_deref().unwrap_or("-"),
+        asked = rejected.asked.as_str(),
+        version = version,
+        store_age_ms = shared.since(replica.asked).as_millis() as u64,
+        status = rejected.refusal.status().as_u16(),
+        ms = shared.since(arrived).as_millis() as u64;
+        "{}", rejected.refusal.reason()
+    );
+}
+
+/// Longest part of a request's target that is logged, in characters.
+const LOGGED_TARGET: usize = 120;
+
+/// Host and path of a request, for the log.
+fn asked_of(head: &Parts) -> String {
+    let text = format!("{}{}", host(head), head.uri.path());
+    text.chars().take(LOGGED_TARGET).collect()
+}
 
 async fn read(
     shared: &Rc<Shared>,
@@ -105,13 +131,16 @@
     arrived: Timestamp,
 ) -> Result<Request, Rejected> {
     let (head, body) = arrival.into_parts();
-    let facts = (shared.dialect.read_request)(&head.headers).map_err(|_| {
-        (
-            None,
-            invalid(StatusCode::BAD_REQUEST, "a header can't be read"),
-        )
+    let facts = (shared.dialect.read_request)(&head.headers).map_err(|_| Rejected {
+        id: None,
+        asked: asked_of(&head),
+        refusal: invalid(StatusCode::BAD_REQUEST, "a header can't be read"),
     })?;
-    let rejected = |refusal| (facts.id.clone(), refusal);
+    let rejected = |refusal| Rejected {
+        id: facts.id.clone(),
+        asked: asked_of(&head),
+        refusal,
+    };
     let catalog = shared.replica.borrow().catalog.clone();
     let catalog = catalog.ok_or_else(|| rejected(not_configured()))?;
     if head_bytes(&head) > catalog.limits.header_bytes {
@@ -126,6 +155,7 @@
     let has_returned = facts.last_event.is_some() || shared.is_late(&admitted.route.name, wait);
     Ok(Request {
         has_returned,
+        version: catalog.version,
         deadline: arrived + wait.min(admitted.route.timeout),
         head,
         body,
@@ -148,14 +178,18 @@
     head.method.as_str().len() + target + FIRST_LINE + headers.sum::<usize>()
 }
 
-fn admit(catalog: &Catalog, head: &Parts, facts: &RequestFacts) -> Result<Admitted, Refusal> {
+/// Name of the host that a request asks for, without a port.
+fn host(head: &Parts) -> &str {
     let host = head
         .headers
         .get(header::HOST)
         .and_then(|it| it.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    let admitted = catalog.admit(host, head.uri.path(), facts.key.as_deref());
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+fn admit(catalog: &Catalog, head: &Parts, facts: &RequestFacts) -> Result<Admitted, Refusal> {
+    let admitted = catalog.admit(host(head), head.uri.path(), facts.key.as_deref());
     admitted.map_err(|denied| match denied {
         Denied::NoRoute => invalid(StatusCode::NOT_FOUND, "no route for this host and path"),
         Denied::NoKey => invalid(StatusCode::UNAUTHORIZED, "the key is missing or unknown"),
--- a/crates/policy/src/map_switch.rs
+++ b/crates/policy/src/map_switch.rs
@@ -1,11 +1,8 @@
 //! The switch of a group's expert map where engines take single orders that may be carried out late.
 //!
-//! A leader has all ranks load the new map, holds the group before a pass that lies ahead, has all
-//! ranks activate the map from that pass on, and releases the pass. While the pass is held it can't
-//! begin, so an order that is lost or late costs time and nothing else. There is no way back: once
-//! a pass is held for a map that all ranks have loaded, every leader that comes along finishes the
-//! same switch. What decides is one order at one rank: the release at the rank that holds, which is
-//! void when that rank has accepted any other order since the leader read it.
+//! A rank's part: what its engine says, which order comes next on the way to a goal, and what is told
+//! to the one that leads the switch. [`crate::switch_run`] decides for the group, what is held and
+//! released, and when a switch is taken back.
 //!
 //! Orders name the formation of the group and the number of orders that the rank had accepted, so
 //! one that is carried out late is void unless nothing has happened at that rank since.
--- a/crates/policy/src/server_health.rs
+++ b/crates/policy/src/server_health.rs
@@ -68,13 +68,13 @@
 impl ServerHealth {
     /// Takes in the end of an attempt.
     pub fn observe(&mut self, config: &HealthConfig, now: Timestamp, sign: Sign) {
+        self.is_unreachable = sign == Sign::Unreachable;
         let failed = match sign {
             Sign::Good => 0.0,
             Sign::Refused => return self.rest(config, now),
             Sign::Failed | Sign::Broken | Sign::Unreachable => 1.0,
         };
         self.failed_part += (failed - self.failed_part) * config.weight;
-        self.is_unreachable = sign == Sign::Unreachable;
         let is_bad = self.failed_part >= config.bad_part;
         match sign {
             Sign::Good if !is_bad => self.recover(now),
@@ -89,6 +89,12 @@
         now < self.until
     }
 
+    /// Whether nobody listened at the server's address when it was last tried, so that it is likely to
+    /// be gone though it is listed still.
+    pub fn is_unreachable(&self) -> bool {
+        self.is_unreachable
+    }
+
     /// Time for which other processes should keep away from the server as well: one that can't be
     /// reached from here may be sound for them.
     pub fn pause_told(&self, now: Timestamp) -> Duration {
--- a/crates/policy/tests/server_health.rs
+++ b/crates/policy/tests/server_health.rs
@@ -42,6 +42,18 @@
     }
 }
 
+#[gtest]
+fn a_server_is_unreachable_until_it_has_answered() {
+    let config = HealthConfig::default();
+    let mut health = ServerHealth::default();
+
+    health.observe(&config, Duration::from_secs(1), Sign::Unreachable);
+    expect_that!(health.is_unreachable(), eq(true));
+    health.observe(&config, Duration::from_secs(2), Sign::Good);
+
+    expect_that!(health.is_unreachable(), eq(false));
+}
+
 #[gtest]
 fn the_pause_doubles_while_a_server_goes_on_failing_and_ends_with_its_recovery() {
     let config = HealthConfig::default();
