--- /dev/null
+++ b/crates/policy/tests/expert_plan.rs
@@ -0,0 +1,130 @@
+//! Plans of expert maps: within what ranks can hold and load, and near an even load after few switches.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::{
+    expert_plan::{PassTimes, PlanShape, Shares, default_map, imbalance, plan, target},
+    map_switch::SetMap,
+};
+use rand::{SeedableRng, seq::SliceRandom};
+use rand_pcg::Pcg64Mcg;
+
+const SETS: usize = 4;
+
+/// A group as large as those of the users' first deployments.
+fn shape() -> PlanShape {
+    PlanShape {
+        ranks: 16,
+        experts: 64,
+        slots: 5,
+        spare: 2,
+        loads: 2,
+        paces: Vec::new(),
+    }
+}
+
+/// Demand in which a single expert has up to a fifth of all tokens of its set.
+fn skewed(draws: &mut Pcg64Mcg, shape: &PlanShape) -> Vec<Shares> {
+    let set = |_| {
+        let mut shares: Shares = (1..=shape.experts).map(|it| 1.0 / it as f64).collect();
+        shares.shuffle(draws);
+        let total: f64 = shares.iter().sum();
+        shares.into_iter().map(|it| it / total).collect()
+    };
+    (0..SETS).map(set).collect()
+}
+
+fn new_experts(before: &[SetMap], after: &[SetMap], rank: usize) -> Vec<usize> {
+    let sets = before.iter().zip(after);
+    let new = sets.map(|(old, new)| {
+        let is_new = |it: &&u32| !old[rank].contains(it);
+        new[rank].iter().filter(is_new).count()
+    });
+    new.collect()
+}
+
+#[gtest]
+fn a_plan_keeps_to_what_ranks_hold_and_load_and_loses_no_expert() {
+    let mut draws = Pcg64Mcg::seed_from_u64(7);
+    let shape = shape();
+    let mut map = default_map(&shape, SETS);
+    for _ in 0..20 {
+        let shares = skewed(&mut draws, &shape);
+
+        let planned = plan(&shape, &map, &shares, 1.06);
+
+        for rank in 0..shape.ranks {
+            let new = new_experts(&map, &planned.map, rank);
+            expect_that!(new.iter().sum::<usize>(), le(shape.loads));
+            expect_that!(new, each(le(&shape.spare)));
+        }
+        for set in &planned.map {
+            expect_that!(set.iter().map(Vec::len).max().unwrap(), le(shape.slots));
+            let is_held = |expert: u32| set.iter().any(|it| it.contains(&expert));
+            expect_that!((0..shape.experts as u32).all(is_held), eq(true));
+        }
+        expect_that!(planned.after, le(planned.before));
+        map = planned.map;
+    }
+}
+
+#[gtest]
+fn a_few_switches_bring_the_load_near_its_mean_after_a_shift() {
+    let mut draws = Pcg64Mcg::seed_from_u64(8);
+    let shape = shape();
+    let shares = skewed(&mut draws, &shape);
+    let mut map = default_map(&shape, SETS);
+    let naive = imbalance(&shape, &map, &shares);
+    for _ in 0..6 {
+        map = plan(&shape, &map, &shares, 1.06).map;
+    }
+
+    let reached = imbalance(&shape, &map, &shares);
+
+    println!("map without knowledge {naive:.2}, after six switches {reached:.2}");
+    expect_that!(naive, gt(1.5));
+    expect_that!(reached, lt(1.15));
+}
+
+#[gtest]
+fn a_plan_that_has_reached_its_target_changes_nothing() {
+    let shape = shape();
+    let even = vec![vec![1.0 / shape.experts as f64; shape.experts]; SETS];
+    let map = default_map(&shape, SETS);
+
+    let planned = plan(&shape, &map, &even, 1.06);
+
+    expect_that!(planned.loads, eq(0));
+    expect_that!(planned.map, eq(&map));
+}
+
+#[gtest]
+fn a_slow_rank_gets_less_work() {
+    let usual = shape();
+    let slow = PlanShape {
+        paces: vec![4.0],
+        ..shape()
+    };
+    let even = vec![vec![1.0 / usual.experts as f64; usual.experts]; SETS];
+    let mut map = default_map(&slow, SETS);
+    let before = imbalance(&slow, &map, &even);
+    for _ in 0..8 {
+        map = plan(&slow, &map, &even, 1.06).map;
+    }
+
+    expect_that!(imbalance(&slow, &map, &even), lt(before / 1.5));
+}
+
+#[gtest]
+fn the_target_is_the_imbalance_at_which_passes_are_as_long_as_they_may_be() {
+    let times = |now: u64| PassTimes {
+        idle: Duration::from_millis(30),
+        now: Duration::from_millis(now),
+        goal: Duration::from_millis(60),
+    };
+
+    expect_that!(target(times(90), 3.0), near(1.5, 1e-9));
+    expect_that!(target(times(40), 1.2), eq(1.7));
+    expect_that!(target(times(500), 1.2), eq(1.06));
+}
--- /dev/null
+++ b/crates/policy/tests/outage.rs
@@ -0,0 +1,131 @@
+//! Whether a group that stands still is known to, and what its callers are told.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jj_policy::outage::{Outage, OutageAnswer, OutageConfig, Outlook, answer};
+
+const STREAMS: u32 = 20;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A group whose streams have had events up to a moment.
+fn working_until(ms: u64) -> Outage {
+    let mut outage = Outage::default();
+    outage.event(at(ms));
+    outage
+}
+
+fn is_out(outage: &mut Outage, ms: u64, streams: u32) -> bool {
+    outage.is_out(&OutageConfig::default(), at(ms), streams)
+}
+
+fn outlook(outage: &Outage, ms: u64) -> Outlook {
+    outage.outlook(&OutageConfig::default(), at(ms))
+}
+
+#[gtest]
+fn a_group_is_out_once_no_stream_has_had_an_event_for_a_while() {
+    let mut outage = working_until(1_000);
+
+    expect_that!(is_out(&mut outage, 1_300, STREAMS), eq(false));
+    expect_that!(is_out(&mut outage, 1_400, STREAMS), eq(true));
+    outage.event(at(1_500));
+    expect_that!(is_out(&mut outage, 1_510, STREAMS), eq(false));
+}
+
+#[gtest]
+fn silence_of_a_few_streams_says_nothing() {
+    let mut outage = working_until(1_000);
+
+    expect_that!(is_out(&mut outage, 5_000, 3), eq(false));
+}
+
+#[gtest]
+fn the_word_of_an_agent_counts_for_a_while_and_an_event_refutes_it() {
+    let mut said = working_until(1_000);
+    said.word(at(1_100), false);
+    let mut refuted = said.clone();
+    refuted.event(at(1_150));
+
+    expect_that!(is_out(&mut said, 1_200, 0), eq(true));
+    expect_that!(is_out(&mut said, 2_400, 0), eq(false));
+    expect_that!(is_out(&mut refuted, 1_200, 0), eq(false));
+}
+
+#[gtest]
+fn a_refusal_of_a_server_counts_unless_an_agent_has_said_since_that_the_group_works() {
+    let mut refused = working_until(1_000);
+    refused.refused(at(1_100));
+    let mut contradicted = working_until(1_000);
+    contradicted.word(at(1_050), true);
+    contradicted.refused(at(1_100));
+
+    expect_that!(is_out(&mut refused, 1_200, 0), eq(true));
+    expect_that!(is_out(&mut refused, 1_400, 0), eq(false));
+    expect_that!(is_out(&mut contradicted, 1_200, 0), eq(false));
+}
+
+#[gtest]
+fn the_expected_length_follows_the_outages_that_were_seen() {
+    let config = OutageConfig::default();
+    let mut outage = working_until(1_000);
+    is_out(&mut outage, 2_000, STREAMS);
+    let first = outlook(&outage, 2_500);
+    outage.event(at(4_000));
+    is_out(&mut outage, 10_000, STREAMS);
+
+    let second = outlook(&outage, 10_500);
+
+    expect_that!(first.age, eq(at(500)));
+    expect_that!(first.left, eq(config.usual - at(500)));
+    expect_that!(second.left, eq(at(1_500)));
+    expect_that!(outlook(&outage, 20_000).left, eq(config.least_left));
+}
+
+#[gtest]
+fn a_short_pause_leaves_the_expected_length_as_it_is() {
+    let mut outage = working_until(1_000);
+    is_out(&mut outage, 1_500, STREAMS);
+    outage.event(at(1_900));
+    is_out(&mut outage, 10_000, STREAMS);
+
+    expect_that!(
+        outlook(&outage, 10_000).left,
+        eq(OutageConfig::default().usual)
+    );
+}
+
+#[gtest]
+fn callers_are_sent_away_once_and_wait_the_second_time() {
+    let young = Outlook {
+        age: at(100),
+        left: at(1_200),
+    };
+    let ripe = Outlook {
+        age: at(900),
+        left: at(1_200),
+    };
+    let long = Outlook {
+        age: at(900),
+        left: at(9_000),
+    };
+    let left = at(6_000);
+
+    expect_that!(
+        answer(ripe, left, false),
+        eq(OutageAnswer::Reject(at(1_200)))
+    );
+    expect_that!(
+        answer(long, left, false),
+        eq(OutageAnswer::Reject(at(2_000)))
+    );
+    expect_that!(
+        answer(young, left, true),
+        eq(OutageAnswer::Reject(at(1_200)))
+    );
+    expect_that!(answer(ripe, left, true), eq(OutageAnswer::Wait(at(1_700))));
+    expect_that!(answer(ripe, at(800), true), eq(OutageAnswer::Wait(at(800))));
+}
