--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use futures_util::{StreamExt, TryStreamExt, stream::BoxStream};
+use futures_util::{StreamExt, TryStreamExt};
 use jj_peer::{
     attempt::{AttemptHead, Call},
     frames::{Head, Header},
@@ -12,14 +12,12 @@
 use jj_utils::ids::RequestId;
 use reqwest::{Client, ClientBuilder, Method, RequestBuilder, Response};
 
+pub use crate::call_error::{CallError, Parts, REQUEST_ID_HEADER};
 use crate::{
     guard::{GuardLayer, MayStart},
     stream::{first_token_limit, token_events},
 };
 
-/// Header that names the request towards the backend server.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
-
 /// Header that asks an engine to start a stream at a token.
 pub const RESUME_HEADER: &str = "x-resume-from";
 
@@ -46,26 +44,6 @@
     "content-length",
 ];
 
-/// Why a call to a backend server failed.
-#[derive(Debug, thiserror::Error)]
-pub enum CallError {
-    /// No connection could be opened: no byte was sent.
-    #[error("backend server not reachable: {0}")]
-    Unreachable(reqwest::Error),
-    /// The call itself is malformed: no byte was sent.
-    #[error("malformed call: {0}")]
-    Malformed(String),
-    /// The connection was lost after bytes were sent.
-    #[error("connection to the backend server lost: {0}")]
-    Lost(reqwest::Error),
-    /// The stream broke or ended without its end marker.
-    #[error("answer of the backend server is not whole: {0}")]
-    Truncated(String),
-}
-
-/// The parts of an answer's body, in order: pieces of a plain body or tokens of a stream.
-pub type Parts = BoxStream<'static, Result<Bytes, CallError>>;
-
 /// An answer whose body is still arriving.
 pub struct BackendAnswer {
     /// Status and end-to-end headers.
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cache;
 pub mod call;
+pub mod call_error;
 pub mod guard;
 pub mod health;
 pub mod orders;
--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -13,7 +13,7 @@
 use reqwest::Response;
 use serde::Deserialize;
 
-use crate::call::{CallError, Parts, REQUEST_ID_HEADER};
+use crate::call_error::{CallError, Parts, REQUEST_ID_HEADER};
 
 /// Data of the event that ends a whole stream.
 pub const DONE: &str = "[DONE]";
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -18,7 +18,10 @@
 use serde_json::json;
 
 use crate::{
-    context::Context, control::CALLER_GROUPS, routes::Routed, serve::NOT_READY, view::View,
+    context::{Context, NOT_READY},
+    control::CALLER_GROUPS,
+    routes::Routed,
+    view::View,
 };
 
 /// Path at which callers ask which addresses to use.
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -10,6 +10,7 @@
 use jj_policy::{
     retry::{self, Attempts, RetryBudget, RetryConfig, RetryDecision, RetryFacts},
     routing::RoutingConfig,
+    verdict::Verdict,
 };
 use jj_utils::{
     clock::SharedClock,
@@ -20,6 +21,11 @@
 
 use crate::{prefixes::Prefixes, usage::Usage, view::View};
 
+/// Verdict on requests that arrive before the first configuration.
+pub const NOT_READY: Verdict = Verdict::NotRun {
+    retry_after: Duration::from_secs(1),
+};
+
 /// What this entry's settings say of it.
 #[derive(Debug, Clone)]
 pub struct Own {
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     addresses::{self, ADDRESSES_PATH},
-    context::Context,
+    context::{Context, NOT_READY},
     forward::Forward,
     keys::{self, KEYS_PATH},
     routes,
@@ -33,7 +33,7 @@
     }
     let Some(published) = &view.published else {
         let detail = "no configuration yet";
-        return Err(Refusal::given_up(crate::serve::NOT_READY, detail));
+        return Err(Refusal::given_up(NOT_READY, detail));
     };
     if request.method == "GET" && request.path == MODELS_PATH {
         return Ok(models(published));
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -17,7 +17,6 @@
 };
 use jj_peer::client::{AgentClient, LinkConfig};
 use jj_platform::config_reader::ConfigView;
-use jj_policy::verdict::Verdict;
 use jj_utils::{
     clock::{SystemClock, unix_millis},
     events, log_event,
@@ -35,11 +34,6 @@
     view::View,
 };
 
-/// Verdict on requests that arrive before the first configuration.
-pub const NOT_READY: Verdict = Verdict::NotRun {
-    retry_after: Duration::from_secs(1),
-};
-
 /// Time in which every other entry hears that this one is leaving and drops it from its answers:
 /// two heartbeats.
 const LEAVING_SPREAD: Duration = Duration::from_secs(4);
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -2,35 +2,19 @@
 
 use std::{rc::Rc, time::Duration};
 
-use jj_policy::wait_queue::{Ticket, Turn, WaitQueue};
-use jj_utils::{
-    collections::FastMap,
-    ids::{BackendServerId, ServiceId},
-};
+use jj_policy::wait_queue::{Turn, WaitQueue};
+use jj_utils::ids::{BackendServerId, ServiceId};
 use tokio::sync::oneshot;
 
 use crate::{
+    request::Request,
     shared::{Place, Shared},
-    traffic::Request,
+    waiting::Waiter,
 };
 
 /// Longest time between two looks at the requests that wait.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// A request that waits.
-struct Waiter {
-    tried: Vec<BackendServerId>,
-    prompt: u32,
-    place: oneshot::Sender<Place>,
-}
-
-/// Requests that wait, by service.
-#[derive(Default)]
-pub struct Waiting {
-    queues: FastMap<ServiceId, WaitQueue<Waiter>>,
-    tickets: Ticket,
-}
-
 /// A place in the queue, given up when dropped.
 pub struct Spot {
     shared: Rc<Shared>,
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -21,10 +21,11 @@
 use crate::{
     answers::Refusal,
     dispatch,
+    failure::Failure,
+    open_stream::{self, OpenStream},
     record::Record,
+    request::Request,
     shared::{Place, Shared},
-    stream::{self, OpenStream},
-    traffic::Request,
 };
 
 /// Longest body that is read before the answer begins, in bytes.
@@ -60,28 +61,6 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-/// What became of one attempt that has no answer for the caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Failure {
-    /// Nothing has reached the server: the attempt counts as none.
-    NotSent,
-    /// The server said that it has not run.
-    NotRun,
-    /// It may have run.
-    Unknown,
-}
-
-impl Failure {
-    /// Its name in metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Self::NotSent => "not_sent",
-            Self::NotRun => "not_run",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
 /// An answer for the caller.
 pub enum Answered {
     /// All of it is there, or will be read to its end.
@@ -104,41 +83,19 @@
     cause: String,
 }
 
-/// Answers a request.
-pub async fn run(shared: &Rc<Shared>, request: Rc<Request>) -> Response<AnswerBody> {
-    shared.count_request();
-    let record = Record::new(shared, &request);
-    let mut forward = Forward {
-        shared: Rc::clone(shared),
-        request,
-        record,
-        tried: Vec::new(),
-        may_have_run: false,
-        cause: String::new(),
-    };
-    match forward.answer(None).await {
-        Ok(Answered::Plain(response)) => {
-            forward.record.status = Some(response.status());
-            forward.record.first = Some(shared.clock.now());
-            forward.record.end = "answered";
-            response
-        }
-        Ok(Answered::Stream(open)) => {
-            forward.record.status = Some(open.status);
-            forward.record.first = Some(shared.clock.now());
-            stream::response(forward, *open)
-        }
-        Err(refusal) => {
-            metrics::counter!("jujube_given_up_total", "reason" => refusal.reason()).increment(1);
-            forward.log_unknown(&refusal);
-            forward.record.status = Some(refusal.status());
-            forward.record.end = refusal.reason();
-            refusal.answer(&shared.dialect)
+impl Forward {
+    /// A request that was not sent anywhere yet.
+    pub fn new(shared: &Rc<Shared>, request: Rc<Request>) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            record: Record::new(shared, &request),
+            request,
+            tried: Vec::new(),
+            may_have_run: false,
+            cause: String::new(),
         }
     }
-}
 
-impl Forward {
     /// The first answer that the caller can have; a stream goes on after `last_event`.
     ///
     /// # Errors
@@ -208,7 +165,7 @@
     }
 
     /// Says in the log that a request that may run once only may have run.
-    fn log_unknown(&self, refusal: &Refusal) {
+    pub fn log_unknown(&self, refusal: &Refusal) {
         let is_unknown = matches!(refusal, Refusal::Unknown { .. } | Refusal::TimedOut);
         if self.route().kind != RequestKind::Once || !is_unknown || !self.may_have_run {
             return;
@@ -479,7 +436,7 @@
                 answer.finish(&self.shared.pool, keep_alive);
                 AnswerBody::whole(whole)
             }
-            Err(begun) => stream::rest(begun, answer, place),
+            Err(begun) => open_stream::rest(begun, answer, place),
         };
         if let Some(stated) = stated.filter(|_| is_head) {
             headers.insert(header::CONTENT_LENGTH, stated);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,14 +7,19 @@
 
 pub mod answers;
 pub mod dispatch;
+pub mod failure;
 pub mod fleet;
 pub mod follower;
 pub mod forward;
 pub mod mesh;
+pub mod open_stream;
+pub mod peers;
 pub mod ports;
 pub mod record;
 pub mod replica;
+pub mod request;
 pub mod run;
 pub mod shared;
 pub mod stream;
 pub mod traffic;
+pub mod waiting;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -6,20 +6,21 @@
     time::Duration,
 };
 
-use jj_utils::{clock::Timestamp, collections::FastMap, events, ids::FailureDomainId, log_event};
+use jj_utils::{clock::Timestamp, events, log_event};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
-use jj_news::{Hello, MAX_DATAGRAM, Message, Roster, Standing, StoreNews};
+use jj_news::{Hello, MAX_DATAGRAM, Message, Roster, StoreNews};
 
-use crate::{replica::DEFAULT_GAP, shared::Shared};
+use crate::{
+    peers::{Peer, SILENT_AFTER},
+    replica::DEFAULT_GAP,
+    shared::Shared,
+};
 
 /// Time between two signs of life.
 const HELLO_PAUSE: Duration = Duration::from_millis(200);
 
-/// Silence after which an entry is no longer named to callers, and its requests no longer count.
-const SILENT_AFTER: Duration = Duration::from_millis(1_200);
-
 /// Silence after which an entry is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -29,48 +30,6 @@
 /// A step of the clock between two signs of life from which the process was stopped.
 const STOPPED_FOR: Duration = Duration::from_millis(600);
 
-/// One other entry.
-#[derive(Debug, Clone)]
-pub struct Peer {
-    /// What it said last.
-    pub hello: Hello,
-    /// When it was heard.
-    pub heard: Timestamp,
-    /// Number of its last message on requests in flight.
-    pub number: u64,
-}
-
-/// Other entries by address.
-#[derive(Debug, Default)]
-pub struct Peers {
-    known: FastMap<IpAddr, Peer>,
-    /// Addresses that may have an entry.
-    asked: FastMap<IpAddr, Timestamp>,
-    now: Timestamp,
-}
-
-impl Peers {
-    /// Entries heard lately.
-    pub fn alive(&self) -> impl Iterator<Item = &Peer> {
-        let now = self.now;
-        let known = self.known.values();
-        known.filter(move |it| it.heard + SILENT_AFTER >= now)
-    }
-
-    /// Number of entries heard lately.
-    pub fn count(&self) -> usize {
-        self.alive().count()
-    }
-
-    /// Entries heard lately that take requests: domain and address for callers.
-    pub fn ready(&self) -> impl Iterator<Item = (&FailureDomainId, SocketAddr)> {
-        let ready = self
-            .alive()
-            .filter(|it| it.hello.standing == Standing::Ready);
-        ready.map(|it| (&it.hello.domain, it.hello.traffic))
-    }
-}
-
 /// Exchanges signs of life and load with the other entries for as long as the process runs.
 pub async fn run(shared: Rc<Shared>, socket: UdpSocket) {
     let mut tick = tokio::time::interval(HELLO_PAUSE);
--- a/crates/front/src/record.rs
+++ b/crates/front/src/record.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use jj_utils::{clock::Timestamp, events, ids::BackendServerId, log_event};
 
-use crate::{shared::Shared, traffic::Request};
+use crate::{request::Request, shared::Shared};
 
 /// Says in the log how a request ended, once.
 pub struct Record {
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -30,7 +30,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
-use crate::{dispatch::Waiting, fleet::Loads, mesh::Peers, replica::Replica};
+use crate::{fleet::Loads, peers::Peers, replica::Replica, waiting::Waiting};
 use jj_news::Standing;
 
 /// Requests at a model server, over its slots, from which it has no room: an engine's own queue
@@ -66,7 +66,7 @@
     /// There may be room for requests that wait.
     pub room: Notify,
     /// Requests that wait for room.
-    pub waiting: RefCell<Waiting>,
+    pub waiting: RefCell<Waiting<Place>>,
     /// The store should be looked at sooner than planned.
     pub look: Notify,
     /// Requests in flight have changed.
--- a/crates/front/src/traffic.rs
+++ b/crates/front/src/traffic.rs
@@ -13,9 +13,15 @@
     server::{Arrival, Handler, ServerConfig},
 };
 use jj_policy::catalog::{Admitted, Catalog, Denied, TrafficLimits};
-use jj_utils::{clock::Timestamp, events, ids::ServiceId, log_event};
-
-use crate::{answers::Refusal, forward, shared::Shared};
+use jj_utils::{clock::Timestamp, events, log_event};
+
+use crate::{
+    answers::Refusal,
+    forward::{Answered, Forward},
+    request::Request,
+    shared::Shared,
+    stream,
+};
 use jj_news::Standing;
 
 /// Time after which a caller comes back that came before the first configuration.
@@ -24,35 +30,6 @@
 /// Longest time in which a request's body has to arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
-/// A caller's request, whole and allowed.
-pub struct Request {
-    /// Head as it arrived.
-    pub head: Parts,
-    /// Body.
-    pub body: Bytes,
-    /// What the headers say.
-    pub facts: RequestFacts,
-    /// Its route and account.
-    pub admitted: Admitted,
-    /// Service that takes it.
-    pub service: ServiceId,
-    /// Whether its caller has come with it before.
-    pub has_returned: bool,
-    /// Version of the configuration that admitted it.
-    pub version: u64,
-    /// When it arrived.
-    pub arrived: Timestamp,
-    /// When its answer is worth nothing any more.
-    pub deadline: Timestamp,
-}
-
-impl Request {
-    /// Id of this arrival, for logs.
-    pub fn id(&self) -> &str {
-        self.facts.id.as_deref().unwrap_or("-")
-    }
-}
-
 /// The handler of callers' requests.
 pub fn handler(shared: Rc<Shared>) -> Handler {
     Rc::new(move |arrival, peer| {
@@ -78,7 +55,7 @@
 async fn answer(shared: Rc<Shared>, arrival: Arrival, _: SocketAddr) -> Response<AnswerBody> {
     let arrived = shared.clock.now();
     let mut response = match read(&shared, arrival, arrived).await {
-        Ok(request) => forward::run(&shared, Rc::new(request)).await,
+        Ok(request) => pass_on(&shared, Rc::new(request)).await,
         Err(rejected) => {
             log_rejected(&shared, arrived, &rejected);
             rejected.refusal.answer(&shared.dialect)
@@ -93,6 +70,32 @@
     response
 }
 
+/// Has a request that is allowed answered by a server.
+async fn pass_on(shared: &Rc<Shared>, request: Rc<Request>) -> Response<AnswerBody> {
+    shared.count_request();
+    let mut forward = Forward::new(shared, request);
+    match forward.answer(None).await {
+        Ok(Answered::Plain(response)) => {
+            forward.record.status = Some(response.status());
+            forward.record.first = Some(shared.clock.now());
+            forward.record.end = "answered";
+            response
+        }
+        Ok(Answered::Stream(open)) => {
+            forward.record.status = Some(open.status);
+            forward.record.first = Some(shared.clock.now());
+            stream::response(forward, *open)
+        }
+        Err(refusal) => {
+            metrics::counter!("jujube_given_up_total", "reason" => refusal.reason()).increment(1);
+            forward.log_unknown(&refusal);
+            forward.record.status = Some(refusal.status());
+            forward.record.end = refusal.reason();
+            refusal.answer(&shared.dialect)
+        }
+    }
+}
+
 /// A request that was rejected before its route was known.
 struct Rejected {
     id: Option<String>,
--- a/crates/peer/src/attempt.rs
+++ b/crates/peer/src/attempt.rs
@@ -5,10 +5,11 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use jj_utils::{
     common_derives,
-    ids::{AttemptId, ClientAccountId, Incarnation, RequestId, ServiceId},
+    ids::{ClientAccountId, ServiceId},
 };
 use tokio_util::codec::{Encoder, LengthDelimitedCodec};
 
+pub use crate::attempt_ref::AttemptRef;
 use crate::frames::{FrameError, FrameReader, Header, MAX_FRAME};
 
 /// Path at which an agent takes attempts, and under which it tells their outcome.
@@ -55,19 +56,6 @@
     }
 }
 
-common_derives! {wire:
-    /// Names one attempt at one life of one agent.
-    #[derive(Eq, Hash)]
-    pub struct AttemptRef {
-        /// The caller's request.
-        pub request: RequestId,
-        /// Number of the attempt within the request.
-        pub attempt: AttemptId,
-        /// Life of the agent that the attempt was chosen for.
-        pub incarnation: Incarnation,
-    }
-}
-
 common_derives! {wire:
     /// The HTTP call to the backend server.
     pub struct Call {
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -1,6 +1,6 @@
 //! Frames of an answer on its way from an agent to an entry.
 
-use crate::{attempt::AttemptRef, cache::CacheEventWire, control::LoadReport};
+use crate::{attempt_ref::AttemptRef, cache::CacheEventWire, control::LoadReport};
 use bytes::{Bytes, BytesMut};
 use jj_policy::verdict::Verdict;
 use jj_utils::common_derives;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod attempt;
+pub mod attempt_ref;
 pub mod cache;
 pub mod client;
 pub mod control;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod authority;
 pub mod cache_log;
 pub mod call_budget;
+pub mod candidate;
 pub mod catalog;
 pub mod cold;
 pub mod cold_rate;
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -2,25 +2,9 @@
 
 use std::time::Duration;
 
-use jj_utils::{clock::Timestamp, common_derives};
+use jj_utils::clock::Timestamp;
 
-use crate::routing::{Candidate, RoutingConfig};
-
-common_derives! {copy:
-    /// Load of one backend server, as its agent last reported it.
-    pub struct LoadReport {
-        /// Requests running at the backend server.
-        pub in_flight: u32,
-        /// Requests waiting in the agent.
-        pub queued: u32,
-        /// Concurrent requests that the agent admits now; low while the server is cold.
-        pub limit: u32,
-        /// Smoothed time from admission to the end of a request; zero while unknown.
-        pub service: Duration,
-        /// When the report arrived here.
-        pub at: Timestamp,
-    }
-}
+use crate::candidate::{Candidate, LoadReport, RoutingConfig};
 
 /// The mean of the candidates' reports, which an aged report is pulled towards.
 #[derive(Debug, Clone, Copy)]
--- a/crates/rank/src/deputy.rs
+++ b/crates/rank/src/deputy.rs
@@ -14,7 +14,7 @@
 };
 use jj_utils::ids::Term;
 
-use crate::{driver, mesh, state::State};
+use crate::{driver, state::State};
 
 /// An engine, and the orders that it has to have accepted for the next one not to be void.
 pub type Target = (SocketAddr, u64);
@@ -106,5 +106,5 @@
         number,
         state: result,
     };
-    mesh::send(state, to, &message);
+    state.send(to, &message);
 }
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -9,7 +9,7 @@
 use jj_utils::{events, log_event};
 
 use crate::{
-    maps, mesh,
+    maps,
     state::{HeldExperts, State},
 };
 
@@ -51,7 +51,7 @@
         version: task.goal.version,
         unanswered: advanced.unanswered,
     };
-    mesh::send(state, from, &reply);
+    state.send(from, &reply);
     let has_to_load =
         report.view.map < task.goal.version && report.view.loaded != Some(task.goal.version);
     map.is_none() && has_to_load
@@ -178,7 +178,7 @@
         version: experts.version,
         sets: experts.sets,
     };
-    mesh::send(state, to, &message);
+    state.send(to, &message);
 }
 
 /// Notes the experts of the engine beside this agent.
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -198,7 +198,7 @@
         }
         driver::note_experts(&self.state).await;
         for addr in mesh::others(&self.state) {
-            mesh::send(&self.state, addr, &Message::AskExperts);
+            self.state.send(addr, &Message::AskExperts);
         }
         false
     }
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -84,7 +84,7 @@
     let message = Message::AskRoster {
         server: state.server,
     };
-    send(state, state.agent_addr(*ip), &message);
+    state.send(state.agent_addr(*ip), &message);
 }
 
 /// Tells entries whether the group works, at once when that changes: a leader does, and any agent
@@ -110,7 +110,7 @@
         works: report.view.is_open,
     });
     for ip in &roster.entries {
-        send(state, state.agent_addr(*ip), &message);
+        state.send(state.agent_addr(*ip), &message);
     }
 }
 
@@ -133,7 +133,7 @@
     };
     let message = Message::RankStatus(status);
     for addr in others(state) {
-        send(state, addr, &message);
+        state.send(addr, &message);
     }
 }
 
@@ -145,13 +145,6 @@
     others.map(|it| state.agent_addr(it.ip())).collect()
 }
 
-/// Sends a datagram; one that can't be sent is like one that is lost.
-pub fn send(state: &State, to: SocketAddr, message: &Message) {
-    if let Some(bytes) = message.bytes() {
-        let _ = state.socket.try_send_to(&bytes, to);
-    }
-}
-
 fn take(state: &Rc<State>, from: SocketAddr, message: Message) {
     let now = state.clock.now();
     match message {
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -158,7 +158,7 @@
             continue;
         };
         match state.leader() {
-            Some(leader) => mesh::send(&state, leader, &Message::RankCounts(RankCounts { grown })),
+            Some(leader) => state.send(leader, &Message::RankCounts(RankCounts { grown })),
             None => state.known.borrow_mut().demand.observe(&grown),
         }
     }
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -9,7 +9,7 @@
 
 use jj_adapter::engine::{Engine, EngineReport};
 use jj_direct::{instance::InstanceSettings, pool::Pool};
-use jj_news::{RankStatus, RankTask, Roster};
+use jj_news::{Message, RankStatus, RankTask, Roster};
 use jj_policy::{
     demand::Demand,
     expert_plan::{self, PlanShape},
@@ -212,6 +212,13 @@
 }
 
 impl State {
+    /// Sends a datagram; one that can't be sent is like one that is lost.
+    pub fn send(&self, to: SocketAddr, message: &Message) {
+        if let Some(bytes) = message.bytes() {
+            let _ = self.socket.try_send_to(&bytes, to);
+        }
+    }
+
     /// Settings in force.
     pub fn settings(&self) -> Rc<InstanceSettings> {
         Rc::clone(&self.settings.borrow())
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -18,7 +18,7 @@
     log_event,
 };
 
-use crate::{deputy, driver, mesh, state::State};
+use crate::{deputy, driver, state::State};
 
 /// Pause before a rank that loads a map is asked again.
 const LOAD_RETRY: Duration = Duration::from_millis(70);
@@ -305,7 +305,7 @@
         };
         if let Some(server) = server_of(&self.state, rank) {
             let agent = self.state.agent_addr(server.ip());
-            mesh::send(&self.state, agent, &Message::RankTask(task));
+            self.state.send(agent, &Message::RankTask(task));
         }
     }
 
@@ -423,7 +423,7 @@
     fn send_deputy(&self, message: &Message) {
         if let Some(server) = server_of(&self.state, self.roles.deputy) {
             let agent = self.state.agent_addr(server.ip());
-            mesh::send(&self.state, agent, message);
+            self.state.send(agent, message);
         }
     }
 
