refactor: one loop over ranks in a run of a switch, one view of a rank, one look at a service's servers

policy: activate_others, make_inactive and free_others went over the ranks each by itself; order_each does it for all. A rank that is blocked is looked for before any order is given, so that none is prepared and dropped.

--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -166,8 +166,7 @@
 
     /// Says in the log that a request that may run once only may have run.
     pub fn log_unknown(&self, refusal: &Refusal) {
-        let is_unknown = matches!(refusal, Refusal::Unknown { .. } | Refusal::TimedOut);
-        if self.route().kind != RequestKind::Once || !is_unknown || !self.may_have_run {
+        if self.route().kind != RequestKind::Once || !self.may_have_run {
             return;
         }
         log_event!(
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -84,16 +84,18 @@
     shared: Rc<Shared>,
 }
 
-/// Passes of the group that a service's servers form; none where they form none. Servers that can't
-/// be reached take no part: their entries outlive them for a while.
-fn pass_spec(
-    replica: &Replica,
+/// Servers of a service that may take requests, and the passes of the group that they form, where
+/// they form one. Servers that can't be reached take no part in it: their entries outlive them for a
+/// while.
+fn servers_of<'a>(
+    replica: &'a Replica,
     loads: &Loads,
     service: &str,
-    records: &[&ServerRecord],
-) -> Option<PassSpec> {
+) -> (Vec<&'a ServerRecord>, Option<PassSpec>) {
+    let records: Vec<&ServerRecord> = replica.usable(service).collect();
     let reached = records.iter().filter(|it| !loads.is_unreachable(&it.id));
-    replica.pass_spec(service, reached.count())
+    let spec = replica.pass_spec(service, reached.count());
+    (records, spec)
 }
 
 /// Requests at all servers of a service.
@@ -167,8 +169,7 @@
         let now = self.clock.now();
         let domain = self.settings().domain.clone();
         let replica = self.replica.borrow();
-        let records: Vec<&ServerRecord> = replica.usable(service).collect();
-        let spec = pass_spec(&replica, &self.loads.borrow(), service, &records);
+        let (records, spec) = servers_of(&replica, &self.loads.borrow(), service);
         let is_model = spec.is_some();
         if is_model && self.outage(service).is_some() {
             return None;
@@ -220,8 +221,7 @@
             loads.warm(server);
             return None;
         };
-        let processes = self.peers.borrow().count() + 1;
-        let rate = cold_rate::part(rate, processes);
+        let rate = cold_rate::part(rate, self.processes());
         Some(loads.cold_room(now, server, rate, self.draw()))
     }
 
@@ -230,9 +230,9 @@
     pub fn forecast(&self, service: &str, prompt: u32) -> Option<(Forecast, u32)> {
         let now = self.clock.now();
         let replica = self.replica.borrow();
-        let records: Vec<&ServerRecord> = replica.usable(service).collect();
         let loads = self.loads.borrow();
-        let spec = pass_spec(&replica, &loads, service, &records)?;
+        let (records, spec) = servers_of(&replica, &loads, service);
+        let spec = spec?;
         let requests = all_uses(&loads, &records);
         let forecast = loads.forecast(now, service, &spec, requests, prompt)?;
         Some((forecast, requests))
@@ -248,19 +248,17 @@
     /// of engines gives it.
     pub fn answer_time(&self, service: &str, tokens: u32) -> Option<Duration> {
         let replica = self.replica.borrow();
-        let records: Vec<&ServerRecord> = replica.usable(service).collect();
         let loads = self.loads.borrow();
-        let spec = pass_spec(&replica, &loads, service, &records)?;
-        Some(loads.answer_time(service, &spec, tokens))
+        let (_, spec) = servers_of(&replica, &loads, service);
+        Some(loads.answer_time(service, &spec?, tokens))
     }
 
     /// Takes in the pause before an event of a stream.
     pub fn take_pause(&self, service: &str, pause: Duration) {
         let now = self.clock.now();
         let replica = self.replica.borrow();
-        let records: Vec<&ServerRecord> = replica.usable(service).collect();
         let mut loads = self.loads.borrow_mut();
-        let Some(spec) = pass_spec(&replica, &loads, service, &records) else {
+        let (records, Some(spec)) = servers_of(&replica, &loads, service) else {
             return;
         };
         loads.take_event(now, service);
@@ -303,15 +301,19 @@
         self.budget.borrow_mut().repeat(&config, self.clock.now())
     }
 
+    /// Entries heard lately, this one among them.
+    fn processes(&self) -> usize {
+        self.peers.borrow().count() + 1
+    }
+
     fn repeat_config(&self) -> RepeatConfig {
         let settings = self.settings();
         let promises = &settings.promises;
-        let processes = self.peers.borrow().count() + 1;
         RepeatConfig::part(
             promises.retry_window,
             promises.retry_ratio,
             promises.retry_slack,
-            processes,
+            self.processes(),
         )
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod server_list;
 pub mod standstill;
 pub mod subset;
+pub mod switch_messages;
 pub mod switch_run;
 pub mod tokens;
 pub mod verdict;
--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -16,187 +16,10 @@
 
 use jj_utils::{common_derives, ids::Rank};
 
-use crate::map_switch::{Activation, Goal, MapVersion, Pass, RankOrder, RankView};
-
-common_derives! {wire:
-    /// Ranks with a part in a switch.
-    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
-    pub struct SwitchRoles {
-        /// Its agent leads the switch, and orders nothing at its own engine while a pass is held.
-        pub leader: Rank,
-        /// Its agent activates the map at the leader's engine.
-        pub deputy: Rank,
-        /// Its engine holds the pass; its agent orders nothing meanwhile.
-        pub gate: Rank,
-    }
-}
-
-impl SwitchRoles {
-    /// Roles in a switch of which nothing is known but that this rank holds a pass.
-    pub fn unknown(gate: Rank) -> Self {
-        Self {
-            leader: gate,
-            deputy: gate,
-            gate,
-        }
-    }
-
-    /// Whether it is known who leads the switch; else it can only be taken back.
-    pub fn is_known(&self) -> bool {
-        self.leader != self.gate
-    }
-}
-
-common_derives! {wire:
-    /// What a deputy knows of the leader's engine.
-    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
-    pub enum DeputyState {
-        /// It has not ordered anything there for this switch, and will not for an earlier leader.
-        Nothing,
-        /// The engine has accepted the activation.
-        Active(Activation),
-        /// It has ordered the activation and does not know what came of it.
-        Unknown,
-    }
-}
-
-common_derives! {copy:
-    /// An order at a held pass.
-    pub enum HeldOrder {
-        /// Hold a pass.
-        Hold(Pass),
-        /// Use the loaded map from a pass on.
-        Activate(Activation),
-        /// Undo an activation.
-        Cancel(MapVersion),
-        /// Begin the held pass.
-        Release(Pass),
-    }
-}
-
-impl From<HeldOrder> for RankOrder {
-    fn from(order: HeldOrder) -> Self {
-        match order {
-            HeldOrder::Hold(pass) => Self::Hold { pass },
-            HeldOrder::Activate(activation) => Self::Activate(activation),
-            HeldOrder::Cancel(version) => Self::Cancel { version },
-            HeldOrder::Release(pass) => Self::Release { pass },
-        }
-    }
-}
-
-common_derives! {copy:
-    /// What became of an order.
-    pub enum Outcome {
-        /// The engine has accepted it.
-        Accepted,
-        /// The engine has refused it.
-        Refused,
-        /// Nobody knows; it may be carried out later.
-        Unknown,
-    }
-}
-
-common_derives! {copy:
-    /// What happens to a run.
-    pub enum Input {
-        /// A rank's agent has worked on the goal and tells what its engine said after the question.
-        View {
-            /// The rank.
-            rank: Rank,
-            /// Number of the question.
-            number: u64,
-            /// What the engine said.
-            view: RankView,
-        },
-        /// The outcome of an order.
-        Ordered {
-            /// The rank.
-            rank: Rank,
-            /// What became of it.
-            outcome: Outcome,
-        },
-        /// The deputy's answer.
-        Deputy(DeputyState),
-        /// Time to ask again what has no answer.
-        Tick,
-        /// What the run waits for now has had its time.
-        Timeout,
-    }
-}
-
-common_derives! {copy:
-    /// What a run does.
-    pub enum Output {
-        /// Have the agent of a rank work on the goal and tell its engine's state.
-        Ask {
-            /// The rank.
-            rank: Rank,
-            /// Number of the question.
-            number: u64,
-        },
-        /// Order something at a rank's engine.
-        Order {
-            /// The rank.
-            rank: Rank,
-            /// The order.
-            order: HeldOrder,
-            /// Orders that the engine has to have accepted so far.
-            sequence: u64,
-        },
-        /// Have the deputy hold a pass at the gate and activate the map at the leader's engine.
-        Deputise {
-            /// The pass.
-            pass: Pass,
-            /// Orders that the gate has to have accepted so far.
-            gate: u64,
-            /// Orders that the leader's engine has to have accepted so far.
-            own: u64,
-        },
-        /// Ask the deputy what it knows of the leader's engine.
-        AskDeputy,
-        /// The run has ended.
-        End(Ending),
-    }
-}
-
-common_derives! {copy:
-    /// How a run ended.
-    pub enum Ending {
-        /// The group uses the new map from the pass on.
-        Switched,
-        /// Somebody else has ended the switch.
-        Overtaken,
-        /// Not all ranks have loaded the map.
-        NotLoaded,
-        /// No pass could be held.
-        NotHeld,
-        /// The group goes on with the map in force.
-        TakenBack,
-        /// The group has formed anew.
-        Lost,
-        /// There is nothing to finish.
-        Nothing,
-        /// The state of a rank is unknown: nothing can be done now.
-        Unclear,
-    }
-}
-
-impl Ending {
-    /// Its name in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Switched => "switched",
-            Self::Overtaken => "overtaken",
-            Self::NotLoaded => "not_loaded",
-            Self::NotHeld => "not_held",
-            Self::TakenBack => "taken_back",
-            Self::Lost => "lost",
-            Self::Nothing => "nothing",
-            Self::Unclear => "unclear",
-        }
-    }
-}
+use crate::map_switch::{Activation, Goal, Pass, RankView};
+pub use crate::switch_messages::{
+    DeputyState, Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, after,
+};
 
 common_derives! {copy:
     /// What a run does at a time.
@@ -591,14 +414,42 @@
         (0..self.cells.len() as Rank).collect()
     }
 
+    fn all_but_gate(&self) -> Vec<Rank> {
+        let mut ranks = self.all();
+        ranks.retain(|rank| *rank != self.roles.gate);
+        ranks
+    }
+
     /// All ranks but the gate, and the leader's unless this run may order it.
     fn others(&self) -> Vec<Rank> {
-        let SwitchRoles { leader, gate, .. } = self.roles;
-        let mut others = self.all();
-        others.retain(|rank| *rank != gate && (*rank != leader || self.reaches_leader));
+        let mut others = self.all_but_gate();
+        others.retain(|rank| *rank != self.roles.leader || self.reaches_leader);
         others
     }
 
+    /// Gives each rank the next order that it needs, and asks for those that are not known; none once
+    /// all are known and need nothing more.
+    fn order_each(
+        &mut self,
+        ranks: &[Rank],
+        next: impl Fn(&Self, Rank, &RankView) -> Option<HeldOrder>,
+    ) -> Option<Vec<Output>> {
+        let mut outputs = Vec::new();
+        let mut is_done = true;
+        for rank in ranks.iter().copied() {
+            let Some(view) = self.view(rank) else {
+                is_done = false;
+                outputs.extend(self.need(rank));
+                continue;
+            };
+            if let Some(order) = next(self, rank, &view) {
+                is_done = false;
+                outputs.extend(self.order(rank, order));
+            }
+        }
+        (!is_done).then_some(outputs)
+    }
+
     /// The next order at a rank on the way forward; none once it uses the map. A run that finishes
     /// the switch of another has each rank accept an order, so that older ones on their way there
     /// are void.
@@ -722,27 +573,18 @@
     }
 
     fn activate_others(&mut self) -> Vec<Output> {
-        let mut outputs = Vec::new();
-        let mut is_done = true;
-        for rank in self.others() {
-            let Some(view) = self.view(rank) else {
-                is_done = false;
-                outputs.extend(self.need(rank));
-                continue;
-            };
-            if view.map == self.goal.version {
-                continue;
-            }
-            if self.is_blocked(&view) {
-                self.begin_back();
-                return self.advance();
-            }
-            if let Some(order) = self.forward_order(rank, &view) {
-                is_done = false;
-                outputs.extend(self.order(rank, order));
-            }
+        let version = self.goal.version;
+        let others = self.others();
+        let mut views = others.iter().filter_map(|rank| self.view(*rank));
+        if views.any(|it| it.map != version && self.is_blocked(&it)) {
+            self.begin_back();
+            return self.advance();
         }
-        if !is_done {
+        let next = |run: &Self, rank: Rank, view: &RankView| match view.map == version {
+            true => None,
+            false => run.forward_order(rank, view),
+        };
+        if let Some(outputs) = self.order_each(&others, next) {
             return outputs;
         }
         let Some(gate) = self.view(self.roles.gate) else {
@@ -832,27 +674,15 @@
 
     /// Has each rank accept an order after which it is not active.
     fn make_inactive(&mut self, sequence: u64) -> Vec<Output> {
-        let gate = self.roles.gate;
         let pass = self.goal.pass.unwrap_or_default();
-        let mut outputs = Vec::new();
-        let mut is_done = true;
-        for rank in self.all().into_iter().filter(|rank| *rank != gate) {
-            let Some(view) = self.view(rank) else {
-                is_done = false;
-                outputs.extend(self.need(rank));
-                continue;
-            };
-            let order = match (view.active, view.held) {
-                (Some(active), _) => HeldOrder::Cancel(active.version),
-                (None, _) if self.cells[rank as usize].has_accepted => continue,
-                // To hold what is held already would change nothing, and void nothing.
-                (None, Some(held)) => HeldOrder::Release(held),
-                (None, None) => HeldOrder::Hold(pass),
-            };
-            is_done = false;
-            outputs.extend(self.order(rank, order));
-        }
-        if !is_done {
+        let next = |run: &Self, rank: Rank, view: &RankView| match (view.active, view.held) {
+            (Some(active), _) => Some(HeldOrder::Cancel(active.version)),
+            (None, _) if run.cells[rank as usize].has_accepted => None,
+            // To hold what is held already would change nothing, and void nothing.
+            (None, Some(held)) => Some(HeldOrder::Release(held)),
+            (None, None) => Some(HeldOrder::Hold(pass)),
+        };
+        if let Some(outputs) = self.order_each(&self.all_but_gate(), next) {
             return outputs;
         }
         self.phase = Phase::Freeing { sequence };
@@ -861,21 +691,8 @@
 
     /// Releases the holds that were ordered to void other orders.
     fn free_others(&mut self, sequence: u64) -> Vec<Output> {
-        let gate = self.roles.gate;
-        let mut outputs = Vec::new();
-        let mut is_done = true;
-        for rank in self.all().into_iter().filter(|rank| *rank != gate) {
-            let Some(view) = self.view(rank) else {
-                is_done = false;
-                outputs.extend(self.need(rank));
-                continue;
-            };
-            if let Some(pass) = view.held {
-                is_done = false;
-                outputs.extend(self.order(rank, HeldOrder::Release(pass)));
-            }
-        }
-        if !is_done {
+        let next = |_: &Self, _, view: &RankView| view.held.map(HeldOrder::Release);
+        if let Some(outputs) = self.order_each(&self.all_but_gate(), next) {
             return outputs;
         }
         self.phase = Phase::FreeingGate { sequence };
@@ -971,30 +788,3 @@
         self.advance()
     }
 }
-
-/// An engine's state once it has accepted an order.
-pub fn after(view: RankView, order: HeldOrder) -> RankView {
-    let sequence = view.sequence + 1;
-    match order {
-        HeldOrder::Hold(pass) => RankView {
-            sequence,
-            held: Some(pass),
-            ..view
-        },
-        HeldOrder::Activate(activation) => RankView {
-            sequence,
-            active: Some(activation),
-            ..view
-        },
-        HeldOrder::Cancel(_) => RankView {
-            sequence,
-            active: None,
-            ..view
-        },
-        HeldOrder::Release(_) => RankView {
-            sequence,
-            held: None,
-            ..view
-        },
-    }
-}
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -7,7 +7,7 @@
     expert_plan::{self, PassTimes, Plan, PlanShape},
     map_switch::{self, MapVersion, RankView, SetMap},
 };
-use jj_utils::{clock::Timestamp, events, ids::Rank, log_event};
+use jj_utils::{clock::Timestamp, events, log_event};
 
 use crate::{driver, mesh, state::State, switch};
 
@@ -81,12 +81,8 @@
     /// What the engines of all ranks said last; none while a rank was never heard.
     fn views(&self) -> Option<Vec<Option<RankView>>> {
         let known = self.state.known.borrow();
-        let report = known.report.as_ref()?;
-        let view = |rank: Rank| match rank == report.rank {
-            true => Some(report.view),
-            false => known.members.get(&rank).map(|it| it.status.view),
-        };
-        Some((0..report.size).map(view).collect())
+        let size = known.report.as_ref()?.size;
+        Some((0..size).map(|rank| known.view(rank)).collect())
     }
 
     /// Starts a switch if one pays.
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -174,6 +174,14 @@
         maps.insert(version, map);
     }
 
+    /// What the engine of a rank said last.
+    pub fn view(&self, rank: Rank) -> Option<RankView> {
+        match self.report.as_ref().filter(|it| it.rank == rank) {
+            Some(report) => Some(report.view),
+            None => self.members.get(&rank).map(|it| it.status.view),
+        }
+    }
+
     /// How much slower than usual each rank works, as far as it was told.
     pub fn paces(&self, ranks: usize) -> Vec<f64> {
         let own = self.report.as_ref();
@@ -258,10 +266,7 @@
 
     /// Whether the engine of a rank holds a pass, as far as it was told.
     pub fn holds(&self, rank: Rank) -> bool {
-        let known = self.known.borrow();
-        let own = known.report.as_ref().filter(|it| it.rank == rank);
-        let told = known.members.get(&rank).map(|it| it.status.view);
-        let view = own.map(|it| it.view).or(told);
+        let view = self.known.borrow().view(rank);
         view.is_some_and(|it| it.held.is_some())
     }
 
