--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use jj_utils::clock::Timestamp;
+use jj_utils::{clock::Timestamp, common_derives};
 
 use crate::expert_plan::Shares;
 
@@ -20,6 +20,44 @@
 /// Shortest time over which the newest counts are compared.
 const WINDOW: Duration = Duration::from_millis(90);
 
+/// Ranks that tell their counts at most, or a few more: some ranks of a large group are enough to know
+/// the demand.
+const SAMPLED_RANKS: u32 = 16;
+
+/// Shortest time between two messages of a rank.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(80);
+
+/// Numbers that one agent takes in a second: its link is narrow, and other messages need it as well.
+const NUMBERS_A_SECOND: f64 = 300_000.0;
+
+common_derives! {copy:
+    /// Which ranks of a group tell their counts, and how often.
+    pub struct Sampling {
+        /// Each rank that is a multiple of it does.
+        pub stride: u32,
+        /// Time between two messages of a rank.
+        pub pause: Duration,
+    }
+}
+
+impl Sampling {
+    /// For a group of so many ranks with so many counts each.
+    pub fn new(ranks: u32, counts: usize) -> Self {
+        let stride = ranks.div_ceil(SAMPLED_RANKS).max(1);
+        let telling = ranks.div_ceil(stride);
+        let least = f64::from(telling) * counts as f64 / NUMBERS_A_SECOND;
+        Self {
+            stride,
+            pause: Duration::from_secs_f64(least).max(SHORTEST_PAUSE),
+        }
+    }
+
+    /// Whether a rank tells its counts.
+    pub fn is_sampled(&self, rank: u32) -> bool {
+        rank.is_multiple_of(self.stride)
+    }
+}
+
 /// Reads how much running counts have grown.
 #[derive(Debug, Clone, Default)]
 pub struct Growth {
@@ -56,6 +94,8 @@
     compared: Timestamp,
     /// Part of the choices that differed in the last comparison.
     pub distance: f64,
+    /// Time in which each rank that is asked tells its counts once.
+    pub pause: Duration,
 }
 
 impl Demand {
@@ -72,7 +112,7 @@
 
     /// Shares of the experts, set by set; none where nothing was counted lately.
     pub fn shares(&mut self, now: Timestamp, sets: usize) -> Option<Vec<Shares>> {
-        if now >= self.compared + WINDOW {
+        if now >= self.compared + WINDOW.max(self.pause) {
             self.compare(now, sets);
         }
         shares(&self.kept, sets)
--- /dev/null
+++ b/crates/policy/tests/watchers.rs
@@ -0,0 +1,169 @@
+//! Which agents of a group hear all others, as each agent works it out.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use jj_policy::{demand::Sampling, watchers::Watchers};
+use jj_utils::clock::Timestamp;
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(100);
+
+fn server(index: u8) -> SocketAddr {
+    (Ipv4Addr::new(10, 2, 0, index), 8_000).into()
+}
+
+fn order(count: u8) -> Vec<SocketAddr> {
+    (1..=count).map(server).collect()
+}
+
+/// Agents of a group in virtual time; those that watch are heard by all others.
+struct Group {
+    now: Timestamp,
+    order: Vec<SocketAddr>,
+    agents: BTreeMap<SocketAddr, Agent>,
+}
+
+#[derive(Default)]
+struct Agent {
+    watchers: Watchers,
+    heard: BTreeMap<SocketAddr, Timestamp>,
+    is_running: bool,
+}
+
+impl Group {
+    fn start(count: u8) -> Self {
+        let order = order(count);
+        let agents = order.iter().map(|it| {
+            let agent = Agent {
+                is_running: true,
+                ..Agent::default()
+            };
+            (*it, agent)
+        });
+        Self {
+            now: Timestamp::ZERO,
+            agents: agents.collect(),
+            order,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += LOOK;
+            self.look();
+        }
+    }
+
+    fn look(&mut self) {
+        let running: Vec<SocketAddr> = self.running().collect();
+        let mut telling = Vec::new();
+        for server in &running {
+            let agent = self.agents.get_mut(server).unwrap();
+            let heard = &agent.heard;
+            let heard = |it: SocketAddr| heard.get(&it).copied();
+            agent.watchers.choose(self.now, *server, &self.order, heard);
+            if agent.watchers.contains(*server) {
+                telling.push(*server);
+            }
+        }
+        for server in &running {
+            let agent = self.agents.get_mut(server).unwrap();
+            agent.heard.extend(telling.iter().map(|it| (*it, self.now)));
+        }
+    }
+
+    fn running(&self) -> impl Iterator<Item = SocketAddr> {
+        let running = self.agents.iter().filter(|(_, it)| it.is_running);
+        running.map(|(server, _)| *server)
+    }
+
+    /// The watchers as all agents see them; none where they differ.
+    fn watchers(&self) -> Option<Vec<SocketAddr>> {
+        let mut views = self
+            .running()
+            .map(|it| self.agents[&it].watchers.chosen().to_vec());
+        let first = views.next()?;
+        views.all(|it| it == first).then_some(first)
+    }
+}
+
+#[gtest]
+fn everybody_watches_in_a_small_group() {
+    let mut group = Group::start(16);
+
+    group.run(Duration::from_secs(3));
+
+    expect_that!(group.watchers(), some(eq(&order(16))));
+}
+
+#[gtest]
+fn a_few_agents_watch_a_large_group() {
+    let mut group = Group::start(192);
+
+    group.run(Duration::from_secs(3));
+
+    expect_that!(group.watchers(), some(eq(&order(4))));
+}
+
+#[gtest]
+fn watchers_that_are_gone_are_passed_over_by_all_and_come_back() {
+    let mut group = Group::start(192);
+    group.run(Duration::from_secs(3));
+    for gone in [1, 3] {
+        group.agents.insert(server(gone), Agent::default());
+    }
+
+    group.run(Duration::from_secs(3));
+    let without = group.watchers();
+    for back in [1, 3] {
+        group.agents.get_mut(&server(back)).unwrap().is_running = true;
+    }
+    group.run(Duration::from_secs(3));
+
+    expect_that!(
+        without,
+        some(eq(&vec![server(2), server(4), server(5), server(6)]))
+    );
+    expect_that!(group.watchers(), some(eq(&order(4))));
+}
+
+#[gtest]
+fn agents_that_start_anew_all_at_once_agree() {
+    let mut group = Group::start(72);
+    group.run(Duration::from_secs(3));
+    for agent in group.agents.values_mut() {
+        *agent = Agent {
+            is_running: true,
+            ..Agent::default()
+        };
+    }
+
+    group.run(Duration::from_millis(400));
+
+    expect_that!(group.watchers(), some(eq(&order(4))));
+}
+
+#[gtest]
+fn counts_fit_the_link_of_the_one_who_takes_them() {
+    /// Bytes a second that counts may take of a link of 6 Mbit/s: a half, at one byte a count and more.
+    const MOST_BYTES: f64 = 375_000.0;
+    for (ranks, counts) in [(12, 288), (16, 256), (63, 2_016), (72, 1_728), (192, 3_840)] {
+        let sampling = Sampling::new(ranks, counts);
+
+        let telling = (0..ranks).filter(|it| sampling.is_sampled(*it)).count();
+        let bytes = (telling * counts) as f64 / sampling.pause.as_secs_f64();
+        expect_that!(bytes, lt(MOST_BYTES), "{ranks} ranks");
+        expect_that!(telling, ge(12), "{ranks} ranks");
+        expect_that!(
+            sampling.pause,
+            le(Duration::from_millis(250)),
+            "{ranks} ranks"
+        );
+    }
+}
