--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -1,10 +1,12 @@
 //! Requests in flight at each backend server, of this process and of the others.
 
-use std::time::Duration;
+use std::{net::IpAddr, time::Duration};
 
-use jj_news::{ServerTag, ServerUse, TokensSent, server_tag};
+use jj_news::server_tag;
 use jj_policy::{
     cold_rate::ColdAllowance,
+    gossip::LifeTag,
+    load_sums::{LoadSums, OwnUse, ServerUse, SumsConfig, Telling, TokensSent, UseNews},
     outage::{Outage, OutageConfig, Outlook},
     pass_model::{Forecast, PassConfig, PassModel, PassSpec, PauseMeter},
     server_health::{HealthConfig, ServerHealth, Sign},
@@ -13,7 +15,7 @@
     clock::Timestamp,
     collections::FastMap,
     events,
-    ids::{BackendServerId, InstanceId, ServiceId},
+    ids::{BackendServerId, ServiceId},
     log_event,
 };
 
@@ -26,15 +28,6 @@
     health: ServerHealth,
 }
 
-/// What other processes say of a server that they keep away from.
-#[derive(Debug, Clone, Copy, Default)]
-struct Avoided {
-    /// Until when.
-    until: Timestamp,
-    /// Pauses in a row that one of them has made.
-    pauses: u32,
-}
-
 /// Passes of the group that the servers of a service form.
 #[derive(Debug, Default)]
 struct GroupLoad {
@@ -48,25 +41,33 @@
 }
 
 /// Loads of all servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Loads {
     servers: FastMap<BackendServerId, ServerLoad>,
-    peers: FastMap<InstanceId, Vec<ServerUse>>,
-    /// Requests of all other processes by server.
-    others: FastMap<ServerTag, u32>,
+    /// Requests of all other processes.
+    pub sums: LoadSums,
     groups: FastMap<ServiceId, GroupLoad>,
     /// Requests that may still be sent to each cold server.
     cold: FastMap<BackendServerId, ColdAllowance>,
-    /// Servers that others keep away from.
-    avoided: FastMap<ServerTag, Avoided>,
-    /// Prompt tokens that others have sent, as they told last.
-    told: FastMap<(InstanceId, ServerTag), u64>,
     health: HealthConfig,
     passes: PassConfig,
     outages: OutageConfig,
 }
 
 impl Loads {
+    /// Nothing is known.
+    pub fn new(life: LifeTag) -> Self {
+        Self {
+            servers: FastMap::default(),
+            sums: LoadSums::new(SumsConfig::default(), life),
+            groups: FastMap::default(),
+            cold: FastMap::default(),
+            health: HealthConfig::default(),
+            passes: PassConfig::default(),
+            outages: OutageConfig::default(),
+        }
+    }
+
     /// Requests that this process may send to a cold server now, at so many a second; `draw` is a
     /// random number.
     pub fn cold_room(&mut self, now: Timestamp, server: &str, rate: f64, draw: u64) -> u32 {
@@ -97,10 +98,10 @@
 
     /// Takes in how an attempt ended.
     pub fn observe(&mut self, now: Timestamp, server: &str, sign: Sign) {
-        let told = self.avoided.get(&server_tag(server));
+        let told = self.sums.avoided(server_tag(server));
         let load = self.servers.entry(server.to_owned()).or_default();
-        if let Some(told) = told {
-            load.health.learn(told.pauses);
+        if let Some((_, pauses)) = told {
+            load.health.learn(pauses);
         }
         load.health.observe(&self.health, now, sign);
     }
@@ -112,10 +113,7 @@
 
     /// Requests of the others at a server.
     pub fn others(&self, server: &str) -> u32 {
-        self.others
-            .get(&server_tag(server))
-            .copied()
-            .unwrap_or_default()
+        self.sums.others(server_tag(server))
     }
 
     /// Whether new requests should keep away from a server.
@@ -125,8 +123,8 @@
             return true;
         }
         let is_fresh = load.is_some_and(|it| it.health.is_fresh(&self.health, now));
-        let told = self.avoided.get(&server_tag(server));
-        !is_fresh && told.is_some_and(|it| now < it.until)
+        let told = self.sums.avoided(server_tag(server));
+        !is_fresh && told.is_some_and(|(until, _)| now < until)
     }
 
     /// Whether a server could not be reached when it was last tried.
@@ -135,8 +133,17 @@
         load.is_some_and(|it| it.health.is_unreachable())
     }
 
-    /// All requests of this process, and the servers that it keeps away from, for the others.
-    pub fn uses(&self, now: Timestamp) -> Vec<ServerUse> {
+    /// The messages on requests in flight that are due.
+    pub fn tell(&mut self, now: Timestamp) -> Vec<Telling> {
+        let own = OwnUse {
+            uses: self.own_uses(now),
+            tokens: self.own_tokens(),
+        };
+        self.sums.tell(now, own)
+    }
+
+    /// All requests of this process, and the servers that it keeps away from.
+    fn own_uses(&self, now: Timestamp) -> Vec<ServerUse> {
         let uses = self.servers.iter().map(|(id, load)| ServerUse {
             server: server_tag(id),
             requests: load.own,
@@ -147,48 +154,8 @@
             .collect()
     }
 
-    /// Takes in all requests of another process, and the prompt tokens that it has sent.
-    pub fn take_uses(
-        &mut self,
-        now: Timestamp,
-        peer: &str,
-        uses: Vec<ServerUse>,
-        tokens: &[TokensSent],
-    ) {
-        self.take_avoided(now, &uses);
-        self.peers.insert(peer.to_owned(), uses);
-        self.sum_up();
-        for told in tokens {
-            let before = self
-                .told
-                .insert((peer.to_owned(), told.service), told.total);
-            let new = told.total.saturating_sub(before.unwrap_or(told.total));
-            let groups = self.groups.iter_mut();
-            let group = groups
-                .into_iter()
-                .find(|(id, _)| server_tag(id) == told.service);
-            if let (Some((_, group)), true) = (group, new > 0) {
-                group
-                    .model
-                    .sent(now, u32::try_from(new).unwrap_or(u32::MAX));
-            }
-        }
-    }
-
-    /// Takes in which servers another process keeps away from.
-    fn take_avoided(&mut self, now: Timestamp, uses: &[ServerUse]) {
-        let longest = self.health.longest;
-        self.avoided.retain(|_, it| now < it.until + longest);
-        for told in uses.iter().filter(|it| it.avoid_ms > 0) {
-            let left = Duration::from_millis(u64::from(told.avoid_ms));
-            let avoided = self.avoided.entry(told.server).or_default();
-            avoided.until = avoided.until.max(now + left.min(longest));
-            avoided.pauses = avoided.pauses.max(told.pauses);
-        }
-    }
-
-    /// Prompt tokens that this process has sent, for the others.
-    pub fn tokens_sent(&self) -> Vec<TokensSent> {
+    /// Prompt tokens that this process has sent.
+    fn own_tokens(&self) -> Vec<TokensSent> {
         let groups = self.groups.iter();
         groups
             .map(|(service, group)| TokensSent {
@@ -198,16 +165,15 @@
             .collect()
     }
 
-    /// Drops the requests of a process that is gone.
-    pub fn forget(&mut self, peer: &str) {
-        self.peers.remove(peer);
-        self.sum_up();
-    }
-
-    fn sum_up(&mut self) {
-        self.others.clear();
-        for it in self.peers.values().flatten() {
-            *self.others.entry(it.server).or_default() += it.requests;
+    /// Takes in a message on requests in flight.
+    pub fn take_use(&mut self, now: Timestamp, from: IpAddr, news: &UseNews) {
+        for sent in self.sums.take(now, from, news) {
+            let mut groups = self.groups.iter_mut();
+            let group = groups.find(|(id, _)| server_tag(id) == sent.service);
+            if let (Some((_, group)), true) = (group, sent.total > 0) {
+                let tokens = u32::try_from(sent.total).unwrap_or(u32::MAX);
+                group.model.sent(now, tokens);
+            }
         }
     }
 
--- a/crates/front/src/follower.rs
+++ b/crates/front/src/follower.rs
@@ -13,7 +13,9 @@
 };
 use jj_utils::{clock::Timestamp, events, log_event};
 
-use crate::{replica::ReplicaCopy, shared::Shared};
+use jj_news::StoreNews;
+
+use crate::{peers::Peers, replica::ReplicaCopy, shared::Shared};
 
 /// Everything in the store: servers and operator's keys.
 const ALL: &str = "";
@@ -34,6 +36,9 @@
 /// Path at which an entry tells peers all that it knows of the store.
 pub const REPLICA_PATH: &str = "/replica";
 
+/// Begin of its query; a revision follows, up to which the one who asks knows everything.
+pub const SINCE: &str = "since=";
+
 /// Follows the store for as long as the process runs.
 ///
 /// # Errors
@@ -46,6 +51,7 @@
         not_before: Timestamp::ZERO,
         needs_range: true,
         is_down: false,
+        told: 0,
         pool: Pool::new(PoolConfig::default(), shared.clock.clone()),
         shared,
     };
@@ -69,6 +75,8 @@
     /// All items are to be read, since changes alone would leave gaps.
     needs_range: bool,
     is_down: bool,
+    /// Digest of what peers were told last.
+    told: u64,
     pool: Pool,
 }
 
@@ -88,9 +96,7 @@
         if replica.at.is_none() {
             return true;
         }
-        let name = self.shared.settings().name.clone();
-        let peers = self.shared.peers.borrow();
-        let before = peers.alive().filter(|it| it.hello.name < name).count();
+        let before = self.shared.peers.borrow().count_before();
         now >= replica.asked + reader::due_age(&self.config, before)
     }
 
@@ -156,7 +162,18 @@
         }
         self.is_down = false;
         self.failures = 0;
+        drop(replica);
+        self.tell();
+    }
+
+    /// Tells other tasks, and peers, what is new.
+    fn tell(&mut self) {
         self.shared.room.notify_one();
+        let digest = self.shared.replica.borrow().digest;
+        if digest != self.told {
+            self.told = digest;
+            self.shared.changed.notify_one();
+        }
     }
 
     fn failed(&mut self, error: &StoreError) {
@@ -183,11 +200,12 @@
                 let now = self.shared.clock.now();
                 log_event!(
                     events::STORE_NEWS,
-                    peer = addr.to_string(), at = copy.at, items = copy.items.len();
+                    peer = addr.to_string(), at = copy.at, items = copy.items.len(),
+                    removed = copy.removed.len(), whole = copy.since.is_none();
                     "took what a peer knows of the store"
                 );
                 self.shared.replica.borrow_mut().adopt(now, copy);
-                self.shared.room.notify_one();
+                self.tell();
             }
             Ok(Err(error)) => log::debug!("peer {addr} tells nothing: {error}"),
             Err(_) => log::debug!("peer {addr} does not answer"),
@@ -195,20 +213,24 @@
     }
 
     async fn fetch(&self, addr: SocketAddr) -> anyhow::Result<ReplicaCopy> {
-        fetch::get(&self.pool, addr, REPLICA_PATH, LONGEST_COPY).await
+        let at = self.shared.replica.borrow().at.unwrap_or_default();
+        let path = format!("{REPLICA_PATH}?{SINCE}{at}");
+        fetch::get(&self.pool, addr, &path, LONGEST_COPY).await
     }
 
     fn better_peer(&self) -> Option<SocketAddr> {
         let replica = self.shared.replica.borrow();
-        let at = replica.at;
-        let peers = self.shared.peers.borrow();
-        let better = peers.alive().filter(|it| {
-            let store = it.hello.store;
-            let is_newer = at.is_none_or(|at| store.at > at);
-            is_newer && store.at > 0 && store.digest != replica.digest
-        });
-        let best = better.max_by_key(|it| it.hello.store.at)?;
-        Some(best.hello.control)
+        let own = StoreNews {
+            at: replica.at.unwrap_or_default(),
+            age_ms: 0,
+            digest: replica.digest,
+        };
+        let ip = self
+            .shared
+            .peers
+            .borrow()
+            .knows_more(own, self.shared.draw())?;
+        Peers::at(ip, self.shared.settings().listen.control)
     }
 
     fn settle(&self) {
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -1,4 +1,4 @@
-//! Signs of life and load between the entries.
+//! Datagrams between the entries, and with agents: who is alive, what is in flight, what the store says.
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -6,125 +6,236 @@
     time::Duration,
 };
 
-use jj_utils::{clock::Timestamp, events, log_event};
-use tokio::net::UdpSocket;
-use tokio::time::MissedTickBehavior;
+use jj_news::{GroupNews, Hello, MAX_DATAGRAM, Message, Roster, StoreNews};
+use jj_policy::{
+    gossip::Change,
+    load_sums::{Scope, Telling},
+    server_list::ServerRecord,
+    subset::{self, Node},
+};
+use jj_utils::{clock::Timestamp, collections::FastMap, events, ids::ServiceId, log_event};
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, MissedTickBehavior},
+};
 
-use jj_news::{Hello, MAX_DATAGRAM, Message, Roster, StoreNews};
+use crate::{peers::Peers, replica::DEFAULT_GAP, shared::Shared};
 
-use crate::{
-    peers::{Peer, SILENT_AFTER},
-    replica::DEFAULT_GAP,
-    shared::Shared,
-};
+/// Time between two rounds of signs of life.
+const ROUND: Duration = Duration::from_millis(200);
 
-/// Time between two signs of life.
-const HELLO_PAUSE: Duration = Duration::from_millis(200);
+/// A step of the clock between two rounds from which the process was stopped.
+const STOPPED_FOR: Duration = Duration::from_millis(600);
 
-/// Silence after which an entry is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Datagrams that are read at once.
+const BATCH: usize = 64;
 
-/// Shortest time between two messages on requests in flight.
-const USE_PAUSE: Duration = Duration::from_millis(8);
+/// Entries of each failure domain that agents of a large fleet tell how the group is.
+const TOLD_OF_EACH: usize = 2;
 
-/// A step of the clock between two signs of life from which the process was stopped.
-const STOPPED_FOR: Duration = Duration::from_millis(600);
+/// Time within which the same word on a group is passed on once.
+const WORD_PAUSE: Duration = Duration::from_millis(150);
 
-/// Exchanges signs of life and load with the other entries for as long as the process runs.
+/// Exchanges datagrams for as long as the process runs.
 pub async fn run(shared: Rc<Shared>, socket: UdpSocket) {
-    let mut tick = tokio::time::interval(HELLO_PAUSE);
+    let mut tick = tokio::time::interval(ROUND);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut buffer = vec![0; MAX_DATAGRAM];
-    let mut number = 0;
-    let mut last_tick = shared.clock.now();
-    let mut last_use = Timestamp::ZERO;
+    let mut mesh = Mesh {
+        last_round: shared.clock.now(),
+        buffer: vec![0; MAX_DATAGRAM],
+        words: FastMap::default(),
+        shared,
+        socket,
+    };
     loop {
+        let due = mesh.due();
         tokio::select! {
-            received = socket.recv_from(&mut buffer) => {
+            received = mesh.socket.recv_from(&mut mesh.buffer) => {
                 if let Ok((length, from)) = received {
-                    let now = shared.clock.now();
-                    shared.peers.borrow_mut().now = now;
-                    if let Some(message) = Message::read(&buffer[..length]) {
-                        take(&shared, &socket, from, message);
-                    }
+                    mesh.take_batch(length, from);
                 }
             }
-            _ = tick.tick() => {
-                let now = shared.clock.now();
-                if now > last_tick + STOPPED_FOR {
-                    drop_stale(&socket, &mut buffer);
-                    log_event!(
-                        events::PROCESS_STALLED,
-                        for_ms = (now - last_tick).as_millis() as u64; "the process stood still"
-                    );
-                }
-                last_tick = now;
-                shared.peers.borrow_mut().now = now;
-                forget_silent(&shared, now);
-                hello(&shared, &socket).await;
-                tell_use(&shared, &socket, &mut number).await;
-                last_use = now;
-            }
-            () = shared.changed.notified() => {
-                let now = shared.clock.now();
-                let due = last_use + USE_PAUSE;
-                if now < due {
-                    tokio::time::sleep(due - now).await;
-                }
-                last_use = shared.clock.now();
-                tell_use(&shared, &socket, &mut number).await;
-            }
+            _ = tick.tick() => mesh.round(),
+            () = mesh.shared.changed.notified() => mesh.shared.loads.borrow_mut().sums.touch(),
+            () = tokio::time::sleep_until(due) => mesh.tell_use(),
         }
     }
 }
 
-/// Drops what arrived while the process stood still: it would pass for new.
-fn drop_stale(socket: &UdpSocket, buffer: &mut [u8]) {
-    while socket.try_recv_from(buffer).is_ok() {}
+struct Mesh {
+    shared: Rc<Shared>,
+    socket: UdpSocket,
+    buffer: Vec<u8>,
+    last_round: Timestamp,
+    /// What was passed on last of each group, and when.
+    words: FastMap<ServiceId, (bool, Timestamp)>,
 }
 
-fn take(shared: &Rc<Shared>, socket: &UdpSocket, from: SocketAddr, message: Message) {
-    let ip = from.ip();
-    match message {
-        Message::Hello(hello) => take_hello(shared, ip, hello),
-        Message::AskRoster { server } => {
-            if let Some(bytes) = roster(shared, server).and_then(|it| Message::Roster(it).bytes()) {
-                // The agent asks again when this is lost.
-                let _ = socket.try_send_to(&bytes, from);
-            }
-        }
-        Message::Use {
-            life,
-            number,
-            uses,
-            tokens,
-        } => {
-            let mut peers = shared.peers.borrow_mut();
-            let Some(peer) = peers.known.get_mut(&ip) else {
+impl Mesh {
+    /// When requests in flight are to be told.
+    fn due(&self) -> Instant {
+        let due = self.shared.loads.borrow().sums.due();
+        Instant::now() + due.saturating_sub(self.shared.clock.now())
+    }
+
+    /// Takes in a datagram, and those that have arrived with it.
+    fn take_batch(&mut self, length: usize, from: SocketAddr) {
+        self.look_at_clock();
+        self.take(length, from);
+        for _ in 1..BATCH {
+            let Ok((length, from)) = self.socket.try_recv_from(&mut self.buffer) else {
                 return;
             };
-            if peer.hello.life != life || number <= peer.number {
-                return;
+            self.take(length, from);
+        }
+    }
+
+    fn look_at_clock(&self) -> Timestamp {
+        let now = self.shared.clock.now();
+        self.shared.peers.borrow_mut().now = now;
+        now
+    }
+
+    fn take(&mut self, length: usize, from: SocketAddr) {
+        let ip = from.ip();
+        match Message::read(&self.buffer[..length]) {
+            Some(Message::Hello(hello)) => take_hello(&self.shared, ip, hello),
+            Some(Message::Use { uses, store }) => {
+                let now = self.shared.clock.now();
+                self.shared.loads.borrow_mut().take_use(now, ip, &uses);
+                self.shared.room.notify_one();
+                take_store_news(&self.shared, ip, store);
             }
-            peer.number = number;
-            let now = shared.clock.now();
-            let mut loads = shared.loads.borrow_mut();
-            loads.take_uses(now, &peer.hello.name, uses, &tokens);
-            shared.room.notify_one();
+            Some(Message::AskRoster { server }) => self.tell_roster(server, from),
+            Some(Message::GroupNews(news)) => self.take_group(news),
+            // The rest is for agents, or can't be read.
+            _ => {}
+        }
+    }
+
+    fn tell_roster(&self, server: SocketAddr, to: SocketAddr) {
+        if let Some(roster) = roster(&self.shared, server) {
+            self.send(&Message::Roster(roster), to);
+        }
+    }
+
+    /// Takes in a word on a group, and passes it on to the entries that this one tells of the others.
+    fn take_group(&mut self, news: GroupNews) {
+        let service = self.shared.replica.borrow().service_at(news.server);
+        let Some(service) = service else {
+            return;
+        };
+        let now = self.shared.clock.now();
+        let mut loads = self.shared.loads.borrow_mut();
+        loads.take_word(now, &service, news.works);
+        self.shared.room.notify_one();
+        let last = self.words.get(&service).copied();
+        if last.is_some_and(|(works, at)| works == news.works && now < at + WORD_PAUSE) {
+            return;
+        }
+        self.words.insert(service, (news.works, now));
+        let members: Vec<IpAddr> = loads.sums.members().collect();
+        drop(loads);
+        self.send_all(&Message::GroupNews(news), &members);
+    }
+
+    /// One round of signs of life.
+    fn round(&mut self) {
+        let now = self.look_at_clock();
+        if now > self.last_round + STOPPED_FOR {
+            self.drop_stale();
+            log_event!(
+                events::PROCESS_STALLED,
+                for_ms = (now - self.last_round).as_millis() as u64; "the process stood still"
+            );
+        }
+        self.last_round = now;
+        let targets = self.begin_round(now);
+        let settings = self.shared.settings();
+        let message = Message::Hello(Hello {
+            name: settings.name.clone(),
+            store: store_news(&self.shared),
+            members: self.shared.peers.borrow().gossip.told(now).into(),
+        });
+        self.send_all(&message, &targets);
+    }
+
+    /// The entries to tell in this round.
+    fn begin_round(&self, now: Timestamp) -> Vec<IpAddr> {
+        let mut peers = self.shared.peers.borrow_mut();
+        let seeds = self.shared.settings().seeds.clone();
+        peers.gossip.set_standing(self.shared.standing.get());
+        peers.gossip.set_seeds(seeds.iter().map(SocketAddr::ip));
+        for change in peers.gossip.take_silent(now) {
+            log_change(&peers, change);
+        }
+        let mut targets = peers.gossip.begin_round(now, || self.shared.draw());
+        let mut loads = self.shared.loads.borrow_mut();
+        if loads.sums.assign(now, &peers.gossip) {
+            log_event!(
+                events::AGGREGATOR_CHANGED,
+                role = format!("{:?}", loads.sums.role()), alive = peers.count();
+                "whom this entry tells what it has in flight"
+            );
         }
-        Message::GroupNews(news) => {
-            let service = shared.replica.borrow().service_at(news.server);
-            if let Some(service) = service {
-                let now = shared.clock.now();
-                shared
-                    .loads
-                    .borrow_mut()
-                    .take_word(now, &service, news.works);
-                shared.room.notify_one();
+        targets.extend(loads.sums.gossip_targets());
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    /// Drops what arrived while the process stood still: it would pass for new.
+    fn drop_stale(&mut self) {
+        while self.socket.try_recv_from(&mut self.buffer).is_ok() {}
+    }
+
+    /// Tells what is in flight, to those for whom it is this entry's turn.
+    fn tell_use(&self) {
+        let now = self.shared.clock.now();
+        let tellings = self.shared.loads.borrow_mut().tell(now);
+        let store = store_news(&self.shared);
+        for Telling { to, news } in tellings {
+            let mut uses = news;
+            for (ip, echo) in to {
+                if let Scope::Fleet { echo: told } = &mut uses.scope {
+                    *told = echo;
+                }
+                let message = Message::Use {
+                    uses: uses.clone(),
+                    store,
+                };
+                self.send_all(&message, &[ip]);
             }
         }
-        // The rest is for agents.
-        _ => {}
+    }
+
+    fn send_all(&self, message: &Message, targets: &[IpAddr]) {
+        let Some(bytes) = message.bytes() else {
+            return;
+        };
+        let port = self.shared.settings().ports.0;
+        for ip in targets {
+            // A datagram that can't be sent is like one that is lost.
+            let _ = self.socket.try_send_to(&bytes, SocketAddr::new(*ip, port));
+        }
+    }
+
+    fn send(&self, message: &Message, to: SocketAddr) {
+        if let Some(bytes) = message.bytes() {
+            // The one who asked asks again when this is lost.
+            let _ = self.socket.try_send_to(&bytes, to);
+        }
+    }
+}
+
+/// What this process knows of the store, for the others.
+fn store_news(shared: &Shared) -> StoreNews {
+    let replica = shared.replica.borrow();
+    let age = shared.since(replica.asked);
+    StoreNews {
+        at: replica.at.unwrap_or_default(),
+        age_ms: age.as_millis() as u32,
+        digest: replica.digest,
     }
 }
 
@@ -135,150 +246,76 @@
     let service = replica.service_at(server)?;
     let engine = catalog.services.get(&service)?.engine.as_ref()?;
     let all = replica.servers.all().map(|it| &it.record);
-    let servers = all.filter(|it| it.service == service);
+    let servers: Vec<&ServerRecord> = all.filter(|it| it.service == service).collect();
     let peers = shared.peers.borrow();
-    let own = shared.settings().ip;
-    let entries = peers.alive().map(|it| it.hello.traffic.ip());
+    let each = match peers.gossip.is_direct() {
+        true => usize::MAX,
+        false => TOLD_OF_EACH,
+    };
     Some(Roster {
         experts: engine.experts?,
         idle_pass: engine.step * engine.stride,
         gap: catalog.gap(&service).unwrap_or(DEFAULT_GAP),
-        servers: servers.map(|it| it.addr).collect(),
-        entries: entries.chain([own]).collect(),
+        servers: in_turn(&servers),
+        entries: peers.of_each_domain(each),
     })
 }
 
+/// Addresses of servers in an order that all entries find alike and that goes round the failure domains.
+fn in_turn(servers: &[&ServerRecord]) -> Vec<SocketAddr> {
+    let nodes: Vec<Node> = servers
+        .iter()
+        .map(|it| Node {
+            id: &it.id,
+            domain: &it.domain,
+        })
+        .collect();
+    let order = subset::pick(0, &nodes, nodes.len());
+    order.into_iter().map(|it| servers[it].addr).collect()
+}
+
 fn take_hello(shared: &Rc<Shared>, from: IpAddr, hello: Hello) {
-    let now = shared.clock.now();
-    let own = shared.settings().ip;
     let mut peers = shared.peers.borrow_mut();
-    if hello.life == shared.life && from == own {
-        return;
-    }
-    for ip in hello.peers.iter().filter(|ip| **ip != own) {
-        peers.asked.entry(*ip).or_default();
-    }
-    let known = peers.known.get(&from);
-    let is_new = known.is_none_or(|it| it.hello.life != hello.life);
-    let changed = known.is_none_or(|it| it.hello.standing != hello.standing);
-    if is_new || changed {
-        log_event!(
-            events::MEMBER_CHANGED,
-            peer = hello.name.as_str(), life = hello.life; "entry is {:?}", hello.standing
-        );
+    peers.name(from, hello.name);
+    let now = peers.now;
+    let changes = peers.gossip.take(now, from, hello.members.into());
+    for change in changes {
+        log_change(&peers, change);
     }
-    let number = known.filter(|_| !is_new).map_or(0, |it| it.number);
-    let news = hello.store;
-    peers.known.insert(
-        from,
-        Peer {
-            hello,
-            heard: now,
-            number,
-        },
-    );
     drop(peers);
-    take_store_news(shared, news);
+    take_store_news(shared, from, hello.store);
+}
+
+fn log_change(peers: &Peers, change: Change) {
+    let (ip, what) = match change {
+        Change::Joined(ip) => (ip, "entry has started"),
+        Change::Standing(ip) => (ip, "entry has another standing"),
+        Change::Silent(ip) => (ip, "entry is silent"),
+        Change::Back(ip) => (ip, "entry is heard again"),
+    };
+    let Some(member) = peers.gossip.member(ip) else {
+        return;
+    };
+    log_event!(
+        events::MEMBER_CHANGED,
+        peer = peers.name_of(ip), life = member.news.life,
+        standing = format!("{:?}", member.news.standing),
+        heard_ms = peers.now.saturating_sub(member.heard).as_millis() as u64;
+        "{what}"
+    );
 }
 
 /// A peer that knows the same, and has asked the store later, makes what is known here fresher.
-fn take_store_news(shared: &Rc<Shared>, news: StoreNews) {
+fn take_store_news(shared: &Rc<Shared>, from: IpAddr, news: StoreNews) {
+    shared.peers.borrow_mut().take_store_word(from, news);
     let now = shared.clock.now();
     let asked = now.saturating_sub(Duration::from_millis(u64::from(news.age_ms)));
     let mut replica = shared.replica.borrow_mut();
-    if replica.at.is_none_or(|at| news.at < at) {
+    if replica.at.is_none_or(|at| news.at > at) && news.digest != replica.digest {
         shared.look.notify_one();
         return;
     }
     if news.digest == replica.digest {
-        replica.asked = replica.asked.max(asked);
-    } else if replica.at.is_some_and(|at| news.at > at) {
-        shared.look.notify_one();
-    }
-}
-
-fn forget_silent(shared: &Rc<Shared>, now: Timestamp) {
-    let mut peers = shared.peers.borrow_mut();
-    let mut loads = shared.loads.borrow_mut();
-    for peer in peers.known.values() {
-        let silent_for = now.saturating_sub(peer.heard);
-        if silent_for > SILENT_AFTER && silent_for <= SILENT_AFTER + HELLO_PAUSE * 2 {
-            loads.forget(&peer.hello.name);
-            log_event!(
-                events::MEMBER_CHANGED,
-                peer = peer.hello.name.as_str(), silent_ms = silent_for.as_millis() as u64;
-                "entry is silent"
-            );
-        }
-    }
-    peers.known.retain(|_, it| it.heard + FORGET_AFTER >= now);
-}
-
-async fn hello(shared: &Rc<Shared>, socket: &UdpSocket) {
-    let settings = shared.settings();
-    let (Some(traffic), Some(control)) = (settings.listen.traffic, settings.listen.control) else {
-        return;
-    };
-    let now = shared.clock.now();
-    let store = {
-        let replica = shared.replica.borrow();
-        StoreNews {
-            at: replica.at.unwrap_or_default(),
-            age_ms: now.saturating_sub(replica.asked).as_millis() as u32,
-            digest: replica.digest,
-        }
-    };
-    let (peers, targets) = targets(shared, &settings.seeds);
-    let message = Message::Hello(Hello {
-        name: settings.name.clone(),
-        domain: settings.domain.clone(),
-        life: shared.life,
-        traffic,
-        control,
-        standing: shared.standing.get(),
-        store,
-        peers,
-    });
-    send_all(socket, &message, &targets, settings.ports.0).await;
-}
-
-/// Entries heard lately, and all that may be there.
-fn targets(shared: &Rc<Shared>, seeds: &[SocketAddr]) -> (Vec<IpAddr>, Vec<IpAddr>) {
-    let own = shared.settings().ip;
-    let peers = shared.peers.borrow();
-    let now = peers.now;
-    let heard = peers
-        .known
-        .iter()
-        .filter(|(_, it)| it.heard + SILENT_AFTER >= now);
-    let heard: Vec<IpAddr> = heard.map(|(ip, _)| *ip).collect();
-    let mut targets: Vec<IpAddr> = peers.known.keys().copied().collect();
-    targets.extend(seeds.iter().map(SocketAddr::ip));
-    targets.extend(peers.asked.keys());
-    targets.sort_unstable();
-    targets.dedup();
-    targets.retain(|ip| *ip != own);
-    (heard, targets)
-}
-
-async fn tell_use(shared: &Rc<Shared>, socket: &UdpSocket, number: &mut u64) {
-    *number += 1;
-    let message = Message::Use {
-        life: shared.life,
-        number: *number,
-        uses: shared.loads.borrow().uses(shared.clock.now()),
-        tokens: shared.loads.borrow().tokens_sent(),
-    };
-    let targets: Vec<IpAddr> = shared.peers.borrow().known.keys().copied().collect();
-    send_all(socket, &message, &targets, shared.settings().ports.0).await;
-}
-
-async fn send_all(socket: &UdpSocket, message: &Message, targets: &[IpAddr], port: u16) {
-    let Some(bytes) = message.bytes() else {
-        return;
-    };
-    for ip in targets {
-        // A datagram that can't be sent is like one that is lost.
-        let _ = socket.send_to(&bytes, SocketAddr::new(*ip, port)).await;
+        replica.confirm(asked, news.at);
     }
 }
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -11,8 +11,12 @@
 };
 use metrics_exporter_prometheus::PrometheusHandle;
 
-use crate::{follower::REPLICA_PATH, shared::Shared};
-use jj_news::Standing;
+use crate::{
+    follower::{REPLICA_PATH, SINCE},
+    peers::Peers,
+    shared::Shared,
+};
+use jj_policy::gossip::Standing;
 
 /// Answers all small ports alike: which of them an address serves makes no difference.
 pub fn handler(shared: Rc<Shared>, metrics: PrometheusHandle) -> Handler {
@@ -30,7 +34,7 @@
     match arrival.uri().path() {
         directory::READY_PATH => ready(shared),
         directory::RESOLVE_PATH => resolve(shared, arrival.uri().query()),
-        REPLICA_PATH => replica(shared),
+        REPLICA_PATH => replica(shared, arrival.uri().query()),
         METRICS_PATH => metrics_port::answer(metrics),
         _ => text(StatusCode::NOT_FOUND, "there is nothing here\n"),
     }
@@ -64,7 +68,9 @@
 fn addresses(shared: &Rc<Shared>, _query: Option<&str>) -> Vec<SocketAddr> {
     let settings = shared.settings();
     let peers = shared.peers.borrow();
-    let mut addresses: Vec<SocketAddr> = peers.ready().map(|(_, addr)| addr).collect();
+    let ready = peers.ready();
+    let ready = ready.filter_map(|ip| Peers::at(ip, settings.listen.traffic));
+    let mut addresses: Vec<SocketAddr> = ready.collect();
     if shared.standing.get() == Standing::Ready {
         addresses.extend(settings.listen.traffic);
     }
@@ -72,8 +78,10 @@
     addresses
 }
 
-fn replica(shared: &Rc<Shared>) -> Response<AnswerBody> {
-    let copy = shared.replica.borrow().copy();
+/// What this entry knows of the store that has changed since the revision in the query.
+fn replica(shared: &Rc<Shared>, query: Option<&str>) -> Response<AnswerBody> {
+    let since = query.and_then(|it| it.strip_prefix(SINCE)?.parse().ok());
+    let copy = shared.replica.borrow().copy(since);
     match copy.and_then(|copy| postcard::to_stdvec(&copy).ok()) {
         Some(bytes) => Response::new(AnswerBody::whole(bytes)),
         None => text(StatusCode::SERVICE_UNAVAILABLE, "nothing is known yet\n"),
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -1,6 +1,11 @@
 //! What the platform's store says, as this process knows it from the store itself or from peers.
 
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use jj_adapter::{
     config, servers,
@@ -33,19 +38,43 @@
 }
 
 common_derives! {wire:
-    /// All that a process knows of the store.
+    /// An item that is gone.
+    #[derive(Eq)]
+    pub struct Removal {
+        /// Its key.
+        pub key: String,
+        /// Revision of the removal, or a later one.
+        pub revision: Revision,
+    }
+}
+
+common_derives! {wire:
+    /// What a process knows of the store.
     pub struct ReplicaCopy {
         /// Revision up to which it is complete.
         pub at: Revision,
+        /// Revision after which the items have changed; all items where there is none.
+        pub since: Option<Revision>,
         /// Items.
         pub items: Vec<ItemCopy>,
+        /// Keys of items that were removed since then.
+        pub removed: Vec<Removal>,
     }
 }
 
+/// Removed items that are remembered.
+const REMOVALS_KEPT: usize = 512;
+
 /// Items of the store, and what follows from them.
 #[derive(Default)]
 pub struct Replica {
     items: FastMap<String, Item>,
+    /// Revision at which each item last said something new beside a sign of life.
+    news: FastMap<String, Revision>,
+    /// Items that were removed, in the order of their revisions.
+    removed: VecDeque<Removal>,
+    /// Revision after which all removals are known.
+    floor: Revision,
     /// Revision up to which the items are complete; none before the first read.
     pub at: Option<Revision>,
     /// When the store was asked for it, at the earliest.
@@ -66,7 +95,21 @@
         if self.at.is_some_and(|known| at < known) {
             return;
         }
-        self.items = items.into_iter().map(|it| (it.key.clone(), it)).collect();
+        self.floor = if self.at.is_none() { at } else { self.floor };
+        let items = items.into_iter().map(|it| (it.key.clone(), it));
+        let before = std::mem::replace(&mut self.items, items.collect());
+        for (key, item) in before {
+            match self.items.get(&key) {
+                Some(new) if new.revision == item.revision => {}
+                Some(new) => drop(self.news.insert(key, new.revision)),
+                None => self.note_removal(key, at),
+            }
+        }
+        for (key, item) in &self.items {
+            if !self.news.contains_key(key) {
+                self.news.insert(key.clone(), item.revision);
+            }
+        }
         self.at = Some(at);
         let records = self.items.values().filter_map(server_record);
         self.servers.replace(now, records.collect());
@@ -96,22 +139,42 @@
                     Some(record) => self.servers.put(now, record),
                     None => true,
                 };
+                if has_news {
+                    self.news.insert(item.key.clone(), item.revision);
+                }
                 self.items.insert(item.key.clone(), item);
                 if is_config {
                     self.take_catalog();
                 }
                 has_news
             }
-            Change::Removed { key, .. } => {
+            Change::Removed { key, revision } => {
                 self.items.remove(&key);
                 if let Some(id) = servers::id(&key) {
                     self.servers.remove(now, id);
                 }
+                self.note_removal(key, revision);
                 true
             }
         }
     }
 
+    fn note_removal(&mut self, key: String, revision: Revision) {
+        self.news.remove(&key);
+        self.removed.push_back(Removal { key, revision });
+        if self.removed.len() > REMOVALS_KEPT
+            && let Some(oldest) = self.removed.pop_front()
+        {
+            self.floor = self.floor.max(oldest.revision);
+        }
+    }
+
+    /// Takes in that the store was asked later, or has moved on, and what is known still holds.
+    pub fn confirm(&mut self, asked: Timestamp, at: Revision) {
+        self.asked = self.asked.max(asked);
+        self.at = self.at.map(|known| known.max(at));
+    }
+
     /// Servers of a service to which new requests may go.
     pub fn usable(&self, service: &str) -> impl Iterator<Item = &ServerRecord> {
         let usable = self.servers.usable().map(|it| &it.record);
@@ -149,16 +212,27 @@
         }
     }
 
-    /// All of it, for a peer; none before the first read.
-    pub fn copy(&self) -> Option<ReplicaCopy> {
-        let items = self.items.values().map(|item| ItemCopy {
+    /// What has changed since a revision, for a peer that knows everything up to it; all of it where
+    /// that is too long ago. None before the first read.
+    pub fn copy(&self, since: Option<Revision>) -> Option<ReplicaCopy> {
+        let since = since.filter(|it| *it >= self.floor);
+        let is_new = |key: &str| {
+            let changed = self.news.get(key).copied().unwrap_or(Revision::MAX);
+            since.is_none_or(|since| changed > since)
+        };
+        let items = self.items.values().filter(|item| is_new(&item.key));
+        let items = items.map(|item| ItemCopy {
             key: item.key.clone(),
             value: item.value.clone(),
             revision: item.revision,
         });
+        let removed = self.removed.iter();
+        let removed = removed.filter(|it| since.is_some_and(|since| it.revision > since));
         Some(ReplicaCopy {
             at: self.at?,
+            since,
             items: items.collect(),
+            removed: removed.cloned().collect(),
         })
     }
 
@@ -169,7 +243,19 @@
             value: it.value,
             revision: it.revision,
         });
-        self.replace(now, copy.at, items.collect());
+        match copy.since {
+            None => self.replace(now, copy.at, items.collect()),
+            Some(since) if self.at.is_some_and(|at| at >= since && at <= copy.at) => {
+                let removed = copy.removed.into_iter().map(|it| Change::Removed {
+                    key: it.key,
+                    revision: it.revision,
+                });
+                let changes = removed.chain(items.map(Change::Put));
+                self.apply(now, copy.at, changes.collect());
+            }
+            // The store was read meanwhile.
+            Some(_) => {}
+        }
     }
 
     /// Puts a newer configuration in force; the version never falls within one life.
@@ -215,12 +301,15 @@
             .all()
             .map(|it| {
                 let record = &it.record;
+                let is_cold = !record.cold_left.is_zero();
                 format!(
-                    "{} {} {:?} {:?}",
+                    "{} {} {:?} {:?} {is_cold} {:?} {}",
                     record.id,
                     record.addr,
                     record.state,
-                    it.missing.is_some()
+                    it.missing.is_some(),
+                    record.born,
+                    record.slots
                 )
             })
             .collect();
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::{dispatch, follower, mesh, ports, shared::Shared, traffic};
-use jj_news::Standing;
+use jj_policy::gossip::Standing;
 
 /// Time after the request to stop in which callers that hold the address are still served.
 const SERVE_ON: Duration = Duration::from_millis(4_500);
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -14,6 +14,7 @@
 };
 use jj_policy::{
     cold_rate,
+    gossip::{LifeTag, Standing},
     outage::Outlook,
     pass_model::{Forecast, PassSpec},
     placement::{self, Candidate, PlacementConfig},
@@ -31,7 +32,6 @@
 use tokio::sync::Notify;
 
 use crate::{fleet::Loads, peers::Peers, replica::Replica, waiting::Waiting};
-use jj_news::Standing;
 
 /// Requests at a model server, over its slots, from which it has no room: an engine's own queue
 /// knows neither deadlines nor the other servers.
@@ -128,13 +128,14 @@
 impl Shared {
     /// State of a process that knows nothing yet.
     pub fn new(settings: InstanceSettings, clock: SharedClock) -> Rc<Self> {
+        let life: Incarnation = rand::random();
         Rc::new(Self {
+            peers: RefCell::new(Peers::new(&settings, life as LifeTag)),
+            loads: RefCell::new(Loads::new(life as LifeTag)),
             settings: RefCell::new(Rc::new(settings)),
-            life: rand::random(),
+            life,
             dialect: headers::DIALECT,
             replica: RefCell::default(),
-            peers: RefCell::default(),
-            loads: RefCell::default(),
             pool: Pool::new(PoolConfig::default(), clock.clone()),
             standing: Cell::new(Standing::Starting),
             room: Notify::new(),
--- a/crates/front/src/traffic.rs
+++ b/crates/front/src/traffic.rs
@@ -22,7 +22,7 @@
     shared::Shared,
     stream,
 };
-use jj_news::Standing;
+use jj_policy::gossip::Standing;
 
 /// Time after which a caller comes back that came before the first configuration.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -2,6 +2,10 @@
 
 #![warn(clippy::unwrap_used)]
 
+mod member_table;
+
+pub use member_table::MemberTable;
+
 use std::{
     net::{IpAddr, SocketAddr},
     time::Duration,
@@ -9,40 +13,25 @@
 
 use jj_policy::{
     catalog::ExpertSpec,
+    load_sums::{ServerTag, UseNews},
     map_switch::{Goal, MapVersion, RankView, SetMap},
     server_list::Revision,
     switch_run::{DeputyState, SwitchRoles},
 };
 use jj_utils::{
     common_derives,
-    ids::{FailureDomainId, Incarnation, InstanceId, Rank, Term},
+    ids::{Incarnation, InstanceId, Rank, Term},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Largest datagram read, in bytes.
 pub const MAX_DATAGRAM: usize = 8 * 1024;
 
-/// Short name of a backend server or service: part of the hash of its name.
-pub type ServerTag = u32;
-
 /// The short name of a server or service.
 pub fn server_tag(id: &str) -> ServerTag {
     xxh3_64(id.as_bytes()) as ServerTag
 }
 
-common_derives! {wire:
-    /// Whether an entry takes requests.
-    #[derive(Copy, Eq)]
-    pub enum Standing {
-        /// Not yet.
-        Starting,
-        /// Yes.
-        Ready,
-        /// It is about to end.
-        Leaving,
-    }
-}
-
 common_derives! {wire:
     /// What an entry knows of the store.
     #[derive(Copy, Eq, Default)]
@@ -61,46 +50,10 @@
     pub struct Hello {
         /// Its name.
         pub name: InstanceId,
-        /// Its failure domain.
-        pub domain: FailureDomainId,
-        /// This life of it.
-        pub life: Incarnation,
-        /// Where callers reach it.
-        pub traffic: SocketAddr,
-        /// Where other processes ask it for what the store says.
-        pub control: SocketAddr,
-        /// Whether it takes requests.
-        pub standing: Standing,
         /// What it knows of the store.
         pub store: StoreNews,
-        /// Entries that it heard lately.
-        pub peers: Vec<IpAddr>,
-    }
-}
-
-common_derives! {wire:
-    /// Requests of one entry at one server, and whether it keeps away from it.
-    #[derive(Copy, Eq)]
-    pub struct ServerUse {
-        /// The server.
-        pub server: ServerTag,
-        /// Requests in flight.
-        pub requests: u32,
-        /// Milliseconds for which the entry sends no new ones there.
-        pub avoid_ms: u32,
-        /// Pauses of this kind that it has made in a row.
-        pub pauses: u32,
-    }
-}
-
-common_derives! {wire:
-    /// Prompt tokens that one entry has sent to the servers of a service.
-    #[derive(Copy, Eq)]
-    pub struct TokensSent {
-        /// The service.
-        pub service: ServerTag,
-        /// Tokens since the entry started.
-        pub total: u64,
+        /// Entries that it knows to be alive, itself among them.
+        pub members: MemberTable,
     }
 }
 
@@ -222,6 +175,8 @@
 common_derives! {wire:
     /// What a leader wants of a rank.
     pub struct RankTask {
+        /// Agent that gave it, to which the answer goes.
+        pub leader: SocketAddr,
         /// Number of the task, which the answer names.
         pub number: u64,
         /// Who does what.
@@ -238,16 +193,12 @@
     pub enum Message {
         /// Sign of life.
         Hello(Hello),
-        /// All requests of an entry that are in flight; servers without any are left out.
+        /// Requests in flight.
         Use {
-            /// Life of the entry.
-            life: Incarnation,
-            /// Rises with each message of this life.
-            number: u64,
-            /// Requests by server.
-            uses: Vec<ServerUse>,
-            /// Prompt tokens by service.
-            tokens: Vec<TokensSent>,
+            /// The requests.
+            uses: UseNews,
+            /// What the entry that tells this knows of the store.
+            store: StoreNews,
         },
         /// An agent asks an entry for the roster of its service.
         AskRoster {
@@ -264,6 +215,13 @@
         RankCounts(RankCounts),
         /// A leader's task for a rank.
         RankTask(RankTask),
+        /// A leader's task for several ranks, which the agent that gets it passes on.
+        TaskBatch {
+            /// Agents, each with the number of its task.
+            to: Vec<(SocketAddr, u64)>,
+            /// The task; its number is that of the agent.
+            task: RankTask,
+        },
         /// A leader asks its deputy to hold a pass at the gate, and to activate a map at the leader's
         /// engine.
         Deputise {
--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -97,6 +97,9 @@
 /// pass under way, and one for the orders.
 const PASS_LEAD: Pass = 2;
 
+/// Ranks for which orders take a pass longer.
+const RANKS_A_PASS: u32 = 96;
+
 /// The same where orders have to be given more than once, so that the group need not wait for them.
 const UNRELIABLE_LEAD: Pass = 5;
 
@@ -153,7 +156,7 @@
             is_rescue: phase != Phase::Loading,
             reaches_leader: false,
             phase,
-            lead: PASS_LEAD,
+            lead: PASS_LEAD + Pass::from(size / RANKS_A_PASS),
             cells: vec![Cell::default(); size as usize],
             number,
         };
@@ -173,7 +176,7 @@
 
     /// Leaves time for orders that are lost.
     pub fn expect_losses(&mut self) {
-        self.lead = UNRELIABLE_LEAD;
+        self.lead = self.lead.max(UNRELIABLE_LEAD);
     }
 
     /// Whether the ranks still load the map, so that the group waits for nothing.
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -22,16 +22,16 @@
 
 /// Works on a task at the engine beside this agent, and answers; once more when the map has been
 /// fetched that it lacks.
-pub async fn work(state: &State, from: SocketAddr, task: RankTask) {
+pub async fn work(state: &State, task: RankTask) {
     let goal = task.goal;
-    if answer(state, from, &task).await && maps::fetch(state, from.ip(), &goal).await {
-        answer(state, from, &task).await;
+    if answer(state, &task).await && maps::fetch(state, task.leader.ip(), &goal).await {
+        answer(state, &task).await;
     }
 }
 
 /// Takes the next step of a task and tells what the engine said; true where the map of the task is
 /// not known.
-async fn answer(state: &State, from: SocketAddr, task: &RankTask) -> bool {
+async fn answer(state: &State, task: &RankTask) -> bool {
     let Ok(report) = read(state).await else {
         return false;
     };
@@ -51,7 +51,7 @@
         version: task.goal.version,
         unanswered: advanced.unanswered,
     };
-    state.send(from, &reply);
+    state.send(task.leader, &reply);
     let has_to_load =
         report.view.map < task.goal.version && report.view.loaded != Some(task.goal.version);
     map.is_none() && has_to_load
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -9,7 +9,11 @@
 };
 use jj_utils::{clock::Timestamp, events, log_event};
 
-use crate::{driver, mesh, state::State, switch};
+use crate::{
+    driver, mesh,
+    state::{State, default_map},
+    switch,
+};
 
 /// Time between two looks at the demand.
 const LOOK: Duration = Duration::from_millis(50);
@@ -17,6 +21,9 @@
 /// Shortest time between two switches: their copies slow the group down.
 const SWITCH_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time between two questions to all ranks for their experts.
+const ASK_PAUSE: Duration = Duration::from_millis(150);
+
 /// Imbalance over the one aimed at from which a switch pays for its copies.
 const LEAST_GAIN: f64 = 0.25;
 
@@ -39,6 +46,7 @@
         state,
         map: None,
         switched: Timestamp::ZERO,
+        asked: Timestamp::ZERO,
         was_leading: false,
     };
     loop {
@@ -52,6 +60,8 @@
     /// Content of the map in force, with its formation and version.
     map: Option<(u64, MapVersion, Vec<SetMap>)>,
     switched: Timestamp,
+    /// When all ranks were asked for their experts.
+    asked: Timestamp,
     was_leading: bool,
 }
 
@@ -188,14 +198,34 @@
             .report
             .as_ref()
             .map_or(0, |it| it.size);
-        if let Some(map) = self.state.told_map(size, version) {
+        if let Some(map) = self.known_map(size, epoch, version) {
             self.map = Some((epoch, version, map));
             return true;
         }
+        let now = self.state.clock.now();
+        if now < self.asked + ASK_PAUSE {
+            return false;
+        }
+        self.asked = now;
         driver::note_experts(&self.state).await;
         for addr in mesh::others(&self.state) {
             self.state.send(addr, &Message::AskExperts);
         }
         false
     }
+
+    /// The content of a map: that of the first one follows from the size of the group, others were part
+    /// of a task, or are told by all ranks.
+    fn known_map(&self, size: u32, epoch: u64, version: MapVersion) -> Option<Vec<SetMap>> {
+        {
+            let known = self.state.known.borrow();
+            if version == 0 {
+                return default_map(known.roster.as_ref()?, size);
+            }
+            if let Some(map) = known.map(epoch, version) {
+                return Some(map.clone());
+            }
+        }
+        self.state.told_map(size, version)
+    }
 }
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -37,6 +37,7 @@
     let mut due = state.clock.now();
     let mut asked = None;
     let mut turn = 0;
+    let mut told_all = Timestamp::ZERO;
     loop {
         let now = state.clock.now();
         if now > due + STOPPED_FOR {
@@ -50,7 +51,15 @@
             turn += 1;
             asked = Some(now);
         }
-        tell_status(&state);
+        state.known.borrow_mut().choose_watchers(now, state.server);
+        let targets = match now >= told_all + state.status_pause() {
+            true => others(&state),
+            false => watchers(&state),
+        };
+        if now >= told_all + state.status_pause() {
+            told_all = now;
+        }
+        tell_status(&state, targets);
         let pause = match state.known.borrow().switching {
             true => SWITCHING_PAUSE,
             false => state.status_pause(),
@@ -93,7 +102,7 @@
     loop {
         let changed = state.changed.notified();
         let has_changed = tokio::time::timeout(TELL_PAUSE, changed).await.is_ok();
-        if has_changed || state.leads() {
+        if state.watches() && (has_changed || state.leads()) {
             tell_group(&state);
         }
     }
@@ -114,7 +123,7 @@
     }
 }
 
-fn tell_status(state: &State) {
+fn tell_status(state: &State, targets: Vec<SocketAddr>) {
     let status = {
         let known = state.known.borrow();
         let Some(report) = &known.report else {
@@ -132,26 +141,39 @@
         }
     };
     let message = Message::RankStatus(status);
-    for addr in others(state) {
+    for addr in targets {
         state.send(addr, &message);
     }
 }
 
-/// Agents beside the other servers of the service.
+/// Agents beside the other servers of the service that are to hear this one: all of them where it
+/// watches.
 pub fn others(state: &State) -> Vec<SocketAddr> {
+    if !state.watches() {
+        return watchers(state);
+    }
     let known = state.known.borrow();
     let servers = known.roster.iter().flat_map(|it| &it.servers);
     let others = servers.filter(|it| **it != state.server);
     others.map(|it| state.agent_addr(it.ip())).collect()
 }
 
+/// The other agents that hear all.
+fn watchers(state: &State) -> Vec<SocketAddr> {
+    let known = state.known.borrow();
+    let watchers = known.watchers.chosen().iter();
+    let others = watchers.filter(|it| **it != state.server);
+    others.map(|it| state.agent_addr(it.ip())).collect()
+}
+
 fn take(state: &Rc<State>, from: SocketAddr, message: Message) {
     let now = state.clock.now();
     match message {
         Message::Roster(roster) => take_roster(state, roster),
         Message::RankStatus(status) => take_status(state, now, status),
         Message::RankCounts(counts) => state.known.borrow_mut().demand.observe(&counts.grown),
-        Message::RankTask(task) => take_task(state, now, from, task),
+        Message::RankTask(task) => take_task(state, now, task),
+        Message::TaskBatch { to, task } => pass_on(state, now, to, task),
         Message::RankReply {
             number,
             rank,
@@ -244,7 +266,7 @@
 }
 
 /// A task of a leader that no newer one has replaced is worked on at once.
-fn take_task(state: &Rc<State>, now: Timestamp, from: SocketAddr, task: RankTask) {
+fn take_task(state: &Rc<State>, now: Timestamp, task: RankTask) {
     {
         let mut known = state.known.borrow_mut();
         if task.goal.term < known.term {
@@ -261,5 +283,20 @@
         });
     }
     let state = Rc::clone(state);
-    spawn_local(async move { driver::work(&state, from, task).await });
+    spawn_local(async move { driver::work(&state, task).await });
+}
+
+/// Passes a task on to several ranks, and takes the one that is for this agent.
+fn pass_on(state: &Rc<State>, now: Timestamp, to: Vec<(SocketAddr, u64)>, task: RankTask) {
+    let own = state.agent_addr(state.server.ip());
+    for (agent, number) in to {
+        let task = RankTask {
+            number,
+            ..task.clone()
+        };
+        match agent == own {
+            true => take_task(state, now, task),
+            false => state.send(agent, &Message::RankTask(task)),
+        }
+    }
 }
--- a/crates/rank/src/rescue.rs
+++ b/crates/rank/src/rescue.rs
@@ -58,8 +58,11 @@
 fn left_by_leader(state: &State, now: Timestamp, task: &TaskSeen) -> Option<SwitchRoles> {
     let leader = task.roles.leader;
     let own = state.rank().filter(|own| *own != leader)?;
-    let alive = state.alive();
-    let before = alive.iter().filter(|it| **it < own && **it != leader);
+    if !state.watches() {
+        return None;
+    }
+    let watching = state.watching();
+    let before = watching.iter().filter(|it| **it < own && **it != leader);
     // One that finishes the switch gives tasks as well.
     let last = state.known.borrow().advanced.max(task.at);
     let patience = match state.is_silent(leader, now) {
@@ -72,14 +75,14 @@
 /// A switch of which this agent knows nothing but that a rank holds a pass; `tried` is when another
 /// agent was last seen to take it back.
 fn left_by_unknown(state: &State, now: Timestamp, tried: Timestamp) -> Option<SwitchRoles> {
-    let own = state.rank()?;
-    let alive = state.alive();
-    let before = alive.iter().filter(|it| **it < own);
+    let own = state.rank().filter(|_| state.watches())?;
+    let watching = state.watching();
+    let before = watching.iter().filter(|it| **it < own);
     let last = state.known.borrow().advanced.max(tried);
     if now < last + LONGEST_STILL + turn(before.count()) {
         return None;
     }
-    let mut ranks = alive;
+    let mut ranks = state.alive();
     ranks.push(own);
     ranks.sort_unstable();
     let gate = ranks.into_iter().find(|rank| state.holds(*rank))?;
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -11,7 +11,7 @@
     reload, socket,
 };
 use jj_news::{Message, RankCounts};
-use jj_policy::demand::Growth;
+use jj_policy::demand::{Growth, Sampling};
 use jj_utils::{
     clock::SystemClock,
     events, log_event,
@@ -34,11 +34,8 @@
 /// Time after a leader's task for which a switch counts as under way.
 const SWITCH_WATCH: Duration = Duration::from_millis(1_500);
 
-/// Time between two reads of the counts.
-const COUNTS_PAUSE: Duration = Duration::from_millis(80);
-
-/// Ranks that tell their counts at most, or a few more.
-const SAMPLED_RANKS: u32 = 16;
+/// Time after which a rank that is not asked for its counts looks again.
+const COUNTS_LOOK: Duration = Duration::from_millis(500);
 
 /// Longest wait for the counts.
 const COUNTS_LIMIT: Duration = Duration::from_millis(100);
@@ -147,10 +144,11 @@
 async fn counts(state: Rc<State>) {
     let mut growth = Growth::default();
     loop {
-        tokio::time::sleep(COUNTS_PAUSE).await;
-        if !is_sampled(&state) {
+        let Some(sampling) = sampling(&state) else {
+            tokio::time::sleep(COUNTS_LOOK).await;
             continue;
-        }
+        };
+        tokio::time::sleep(sampling.pause).await;
         let Ok(found) = state.engine.counts(COUNTS_LIMIT).await else {
             continue;
         };
@@ -159,15 +157,20 @@
         };
         match state.leader() {
             Some(leader) => state.send(leader, &Message::RankCounts(RankCounts { grown })),
-            None => state.known.borrow_mut().demand.observe(&grown),
+            None => {
+                let mut known = state.known.borrow_mut();
+                known.demand.pause = sampling.pause;
+                known.demand.observe(&grown);
+            }
         }
     }
 }
 
-/// Whether this rank tells its counts: some ranks of a large group are enough to know the demand,
-/// and the leader's link takes no more.
-fn is_sampled(state: &State) -> bool {
+/// How this rank tells its counts; none where it doesn't.
+fn sampling(state: &State) -> Option<Sampling> {
     let known = state.known.borrow();
-    let report = known.report.as_ref();
-    report.is_some_and(|it| it.rank % it.size.div_ceil(SAMPLED_RANKS).max(1) == 0)
+    let report = known.report.as_ref()?;
+    let experts = known.roster.as_ref()?.experts;
+    let sampling = Sampling::new(report.size, (experts.sets * experts.experts) as usize);
+    sampling.is_sampled(report.rank).then_some(sampling)
 }
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -16,6 +16,7 @@
     map_switch::{MapVersion, RankView, SetMap},
     pass_clock::PassClock,
     switch_run::{DeputyState, SwitchRoles},
+    watchers::Watchers,
 };
 use jj_utils::{
     clock::{SharedClock, Timestamp},
@@ -93,8 +94,10 @@
     pub passes: PassClock,
     /// What an entry said of the service.
     pub roster: Option<Roster>,
-    /// Agents of the group by rank.
+    /// Agents of the group by rank; those that are heard.
     pub members: FastMap<Rank, Member>,
+    /// Agents that hear all others.
+    pub watchers: Watchers,
     /// Newest answers to tasks by rank.
     pub replies: FastMap<Rank, TaskReply>,
     /// Content of the maps that were told last, and in which formation.
@@ -129,7 +132,7 @@
 const MAPS_KEPT: MapVersion = 16;
 
 /// The map with which a group forms.
-fn default_map(roster: &Roster, size: u32) -> Option<Vec<SetMap>> {
+pub fn default_map(roster: &Roster, size: u32) -> Option<Vec<SetMap>> {
     let shape = PlanShape {
         ranks: size as usize,
         experts: roster.experts.experts as usize,
@@ -174,6 +177,18 @@
         maps.insert(version, map);
     }
 
+    /// Chooses the agents that hear all others anew.
+    pub fn choose_watchers(&mut self, now: Timestamp, own: SocketAddr) {
+        let Some(roster) = &self.roster else {
+            return;
+        };
+        let members = self.members.values();
+        let heard = members.map(|it| (it.status.server, it.heard));
+        let heard: FastMap<SocketAddr, Timestamp> = heard.collect();
+        let heard = |server: SocketAddr| heard.get(&server).copied();
+        self.watchers.choose(now, own, &roster.servers, heard);
+    }
+
     /// What the engine of a rank said last.
     pub fn view(&self, rank: Rank) -> Option<RankView> {
         match self.report.as_ref().filter(|it| it.rank == rank) {
@@ -234,10 +249,43 @@
 
     /// Time between two signs of life.
     pub fn status_pause(&self) -> Duration {
+        let known = self.known.borrow();
+        let is_large = !known.watchers.is_small();
+        if is_large && known.watchers.contains(self.server) {
+            return STATUS_PAUSE;
+        }
+        let size = known.report.as_ref().map_or(0, |it| it.size);
+        STATUS_PAUSE * size.div_ceil(SMALL_GROUP).clamp(1, 3)
+    }
+
+    /// Time between two signs of life of an agent that does not watch.
+    fn usual_pause(&self) -> Duration {
         let size = self.known.borrow().report.as_ref().map_or(0, |it| it.size);
         STATUS_PAUSE * size.div_ceil(SMALL_GROUP).clamp(1, 3)
     }
 
+    /// Agents that hear all others and were heard lately, by rank, without this one; they lead, and
+    /// finish the switches of leaders that are gone.
+    pub fn watching(&self) -> Vec<Rank> {
+        let mut ranks = self.alive();
+        let known = self.known.borrow();
+        if known.watchers.is_small() {
+            return ranks;
+        }
+        let is_watching = |rank: &Rank| {
+            let member = known.members.get(rank);
+            member.is_some_and(|it| known.watchers.contains(it.status.server))
+        };
+        ranks.retain(is_watching);
+        ranks
+    }
+
+    /// Whether this agent hears all others.
+    pub fn watches(&self) -> bool {
+        let known = self.known.borrow();
+        known.watchers.is_small() || known.watchers.contains(self.server)
+    }
+
     /// Whether an agent has been silent for so long that a switch it leads is left to others.
     pub fn is_silent(&self, rank: Rank, now: Timestamp) -> bool {
         let known = self.known.borrow();
@@ -273,7 +321,7 @@
     /// Agents of the group that were heard lately, by rank.
     pub fn alive(&self) -> Vec<Rank> {
         let now = self.clock.now();
-        let silent = self.status_pause().mul_f64(MISSED);
+        let silent = self.usual_pause().mul_f64(MISSED);
         let known = self.known.borrow();
         let alive = known
             .members
@@ -294,18 +342,19 @@
         self.known.borrow().report.as_ref().map(|it| it.rank)
     }
 
-    /// Whether this agent leads its group: no agent with a lower rank is heard.
+    /// Whether this agent leads its group: no agent that could and has a lower rank is heard.
     pub fn leads(&self) -> bool {
-        let Some(own) = self.rank() else {
+        let Some(own) = self.rank().filter(|_| self.watches()) else {
             return false;
         };
-        self.alive().first().is_none_or(|lowest| own < *lowest)
+        self.watching().first().is_none_or(|lowest| own < *lowest)
     }
 
     /// The agent that leads, where it isn't this one.
     pub fn leader(&self) -> Option<SocketAddr> {
         let own = self.rank()?;
-        let lowest = self.alive().first().copied().filter(|it| *it < own)?;
+        let lowest = self.watching().first().copied();
+        let lowest = lowest.filter(|it| *it < own || !self.watches())?;
         let known = self.known.borrow();
         let server = known.members.get(&lowest)?.status.server;
         Some(self.agent_addr(server.ip()))
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -26,6 +26,9 @@
 /// Pause before something that the group may wait for is asked again.
 const HELD_RETRY: Duration = Duration::from_millis(25);
 
+/// Ranks that a leader asks itself at most: its link is narrow, and so is its part of a core.
+const MOST_DIRECT: usize = 24;
+
 /// What the fencing number grows by when a higher one was seen.
 const TERM_STEP: Term = 5_000;
 
@@ -272,9 +275,10 @@
 
     /// Does what the run wants; how it ended, where it has.
     fn perform(&mut self, outputs: Vec<Output>) -> Option<Ending> {
+        let mut asked = Vec::new();
         for output in outputs {
             match output {
-                Output::Ask { rank, number } => self.ask(rank, number),
+                Output::Ask { rank, number } => asked.push((rank, number)),
                 Output::Order {
                     rank,
                     order,
@@ -285,27 +289,64 @@
                 Output::End(ending) => return Some(ending),
             }
         }
+        self.ask_all(asked);
         None
     }
 
-    fn ask(&mut self, rank: Rank, number: u64) {
+    /// Asks ranks; many of them over some that pass the task on.
+    fn ask_all(&mut self, asked: Vec<(Rank, u64)>) {
+        let mut plain = Vec::new();
+        let mut with_map = Vec::new();
+        for (rank, number) in asked {
+            let Some(agent) = self.note_asked(rank, number) else {
+                continue;
+            };
+            match self.has_to_hear(rank) {
+                true => with_map.push((agent, number)),
+                false => plain.push((agent, number)),
+            }
+        }
+        let changes = self.content.map(|it| it.changes.clone());
+        self.send_tasks(plain, None);
+        self.send_tasks(with_map, changes);
+    }
+
+    /// Notes that a rank is asked; its agent, unless that is this one or is not known.
+    fn note_asked(&mut self, rank: Rank, number: u64) -> Option<SocketAddr> {
         {
             let mut known = self.state.known.borrow_mut();
             known.number = known.number.max(number);
         }
         if Some(rank) == self.state.rank() {
-            return self.ask_own(rank, number);
+            self.ask_own(rank, number);
+            return None;
         }
         self.asked.insert(rank, number);
-        let task = RankTask {
+        let server = server_of(&self.state, rank)?;
+        Some(self.state.agent_addr(server.ip()))
+    }
+
+    fn send_tasks(&self, to: Vec<(SocketAddr, u64)>, map: Option<MapNews>) {
+        let task = |number| RankTask {
+            leader: self.state.agent_addr(self.state.server.ip()),
             number,
             roles: self.roles,
             goal: self.load_goal(),
-            map: self.news_for(rank),
+            map: map.clone(),
         };
-        if let Some(server) = server_of(&self.state, rank) {
-            let agent = self.state.agent_addr(server.ip());
-            self.state.send(agent, &Message::RankTask(task));
+        if to.len() <= MOST_DIRECT {
+            for (agent, number) in to {
+                self.state.send(agent, &Message::RankTask(task(number)));
+            }
+            return;
+        }
+        let each = to.len().isqrt();
+        for part in to.chunks(each) {
+            let message = Message::TaskBatch {
+                to: part.to_vec(),
+                task: task(0),
+            };
+            self.state.send(part[0].0, &message);
         }
     }
 
@@ -339,14 +380,15 @@
         }));
     }
 
-    /// What a rank still has to be told of the map: nothing once its agent knows the content.
-    fn news_for(&self, rank: Rank) -> Option<MapNews> {
-        let content = self.content.filter(|_| self.run.is_loading())?;
+    /// Whether a rank still has to be told of the map: not once its agent knows the content. One that
+    /// doesn't know the map in force fetches the new one.
+    fn has_to_hear(&self, rank: Rank) -> bool {
+        if self.content.is_none() || !self.run.is_loading() {
+            return false;
+        }
         let known = self.state.known.borrow();
         let first = known.replies.get(&rank);
-        let has_answered = first.is_some_and(|it| it.version == self.run.goal().version);
-        // One that doesn't know the map in force fetches the new one.
-        (!has_answered).then(|| content.changes.clone())
+        first.is_none_or(|it| it.version != self.run.goal().version)
     }
 
     fn order(&mut self, rank: Rank, order: HeldOrder, sequence: u64) {
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -61,6 +61,7 @@
     DOMAIN_RETURNED = 1403 Info "domain_returned";
     AUTHORITY_LOST = 1404 Warn "authority_lost";
     AUTHORITY_BACK = 1405 Info "authority_back";
+    AGGREGATOR_CHANGED = 1406 Info "aggregator_changed";
     // 15xx: groups
     MAP_PREPARED = 1501 Info "map_prepared";
     MAP_COMMITTED = 1502 Info "map_committed";
