fix(front): what was passed on counts as changed for those who know less

An entry that got an item by way of a peer, and found it as before, didn't pass it on to one that had seen it different in between; so that one stayed wrong.

--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -250,8 +250,13 @@
                     key: it.key,
                     revision: it.revision,
                 });
-                let changes = removed.chain(items.map(Change::Put));
+                let items: Vec<Item> = items.collect();
+                // One that is as before may have been different meanwhile, for those who know less.
+                let news = items.iter().map(|it| (it.key.clone(), it.revision));
+                let news: Vec<(String, Revision)> = news.collect();
+                let changes = removed.chain(items.into_iter().map(Change::Put));
                 self.apply(now, copy.at, changes.collect());
+                self.news.extend(news);
             }
             // The store was read meanwhile.
             Some(_) => {}
