feat(rank): many agents give the orders of a switch in a large group

Cause: the leader of 192 ranks gave some 190 orders at a held pass itself, with 0.15 of a core, and had the switch lie four passes ahead; a map with 370 changes took 3.7 KB and went to each rank, which the leader asked again before it had loaded (log of: 0.37 to 0.9 s a switch). Change: orders go in batches over agents that have no part in the switch and never order at their own engine; an unanswered batch is like orders without an answer, which the walked run bears. Ranks answer once they have loaded. Processes that start wait a little for what others know of the store, and take turns in an outage of it however many they are.

--- a/crates/front/src/follower.rs
+++ b/crates/front/src/follower.rs
@@ -44,9 +44,15 @@
 /// # Errors
 /// When the client of the store can't be built.
 pub async fn run(shared: Rc<Shared>) -> anyhow::Result<()> {
+    let config = ReaderConfig::default();
+    let settings = shared.settings();
+    let mut seeds = settings.seeds.iter().map(SocketAddr::ip);
+    let is_seed = seeds.any(|ip| ip == settings.ip) || settings.seeds.is_empty();
+    let wait = reader::first_read(&config, is_seed, shared.draw());
     let mut follower = Follower {
-        store: Store::new(shared.settings().store)?,
-        config: ReaderConfig::default(),
+        store: Store::new(settings.store)?,
+        first_read: shared.clock.now() + wait,
+        config,
         failures: 0,
         not_before: Timestamp::ZERO,
         needs_range: true,
@@ -72,6 +78,8 @@
     failures: u32,
     /// The store is left alone until then.
     not_before: Timestamp,
+    /// When a process that knows nothing reads.
+    first_read: Timestamp,
     /// All items are to be read, since changes alone would leave gaps.
     needs_range: bool,
     is_down: bool,
@@ -94,7 +102,7 @@
     fn is_due(&self, now: Timestamp) -> bool {
         let replica = self.shared.replica.borrow();
         if replica.at.is_none() {
-            return true;
+            return now >= self.first_read;
         }
         let before = self.shared.peers.borrow().count_before();
         now >= replica.asked + reader::due_age(&self.config, before)
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -2,8 +2,10 @@
 
 #![warn(clippy::unwrap_used)]
 
+mod map_news;
 mod member_table;
 
+pub use map_news::MapNews;
 pub use member_table::MemberTable;
 
 use std::{
@@ -14,9 +16,9 @@
 use jj_policy::{
     catalog::ExpertSpec,
     load_sums::{ServerTag, UseNews},
-    map_switch::{Goal, MapVersion, RankView, SetMap},
+    map_switch::{Goal, MapVersion, RankView},
     server_list::Revision,
-    switch_run::{DeputyState, SwitchRoles},
+    switch_run::{DeputyState, HeldOrder, Outcome, SwitchRoles},
 };
 use jj_utils::{
     common_derives,
@@ -116,62 +118,6 @@
     }
 }
 
-common_derives! {wire:
-    /// Experts of one rank in a set.
-    #[derive(Eq)]
-    pub struct RankChange {
-        /// The set.
-        pub set: u16,
-        /// The rank.
-        pub rank: u16,
-        /// Its experts.
-        pub experts: Vec<u16>,
-    }
-}
-
-common_derives! {wire:
-    /// A map that ranks are to load: where it differs from the one in force, which all agents know
-    /// unless they have just started.
-    #[derive(Eq)]
-    pub struct MapNews {
-        /// The other map.
-        pub base: MapVersion,
-        /// Ranks with other experts.
-        pub changes: Vec<RankChange>,
-    }
-}
-
-impl MapNews {
-    /// What leads from one map to another.
-    pub fn changes(base: MapVersion, from: &[SetMap], to: &[SetMap]) -> Self {
-        let sets = from.iter().zip(to).enumerate();
-        let changes = sets.flat_map(|(set, (from, to))| {
-            let ranks = from.iter().zip(to).enumerate();
-            let changed = ranks.filter(|(_, (from, to))| from != to);
-            changed.map(move |(rank, (_, to))| RankChange {
-                set: set as u16,
-                rank: rank as u16,
-                experts: to.iter().map(|it| *it as u16).collect(),
-            })
-        });
-        Self {
-            base,
-            changes: changes.collect(),
-        }
-    }
-
-    /// The map; `known` gives the content of other maps. None where it is of an unknown one.
-    pub fn map(&self, known: impl Fn(MapVersion) -> Option<Vec<SetMap>>) -> Option<Vec<SetMap>> {
-        let mut map = known(self.base)?;
-        for change in &self.changes {
-            let set = map.get_mut(usize::from(change.set))?;
-            let rank = set.get_mut(usize::from(change.rank))?;
-            *rank = change.experts.iter().map(|it| u32::from(*it)).collect();
-        }
-        Some(map)
-    }
-}
-
 common_derives! {wire:
     /// What a leader wants of a rank.
     pub struct RankTask {
@@ -188,6 +134,49 @@
     }
 }
 
+common_derives! {wire:
+    /// An order at the engine of a rank, for another agent to give.
+    #[derive(Copy, Eq)]
+    pub struct OrderPart {
+        /// Position of the engine.
+        pub rank: Rank,
+        /// The engine.
+        pub server: SocketAddr,
+        /// The order.
+        pub order: HeldOrder,
+        /// Orders that the engine has to have accepted so far.
+        pub sequence: u64,
+    }
+}
+
+common_derives! {wire:
+    /// Orders that an agent gives for the one that carries a switch out.
+    #[derive(Eq)]
+    pub struct OrderBatch {
+        /// Agent that carries the switch out.
+        pub leader: SocketAddr,
+        /// Number of the batch, which the answer names.
+        pub number: u64,
+        /// For what, and by whom.
+        pub goal: Goal,
+        /// The orders.
+        pub orders: Vec<OrderPart>,
+    }
+}
+
+common_derives! {wire:
+    /// What became of an order.
+    #[derive(Copy, Eq)]
+    pub struct OrderResult {
+        /// Position of the engine.
+        pub rank: Rank,
+        /// What became of it.
+        pub outcome: Outcome,
+        /// The engine has seen a higher fencing number.
+        pub is_fenced: bool,
+    }
+}
+
 common_derives! {wire:
     /// One datagram.
     pub enum Message {
@@ -222,6 +211,15 @@
             /// The task; its number is that of the agent.
             task: RankTask,
         },
+        /// Orders for an agent to give.
+        OrderBatch(OrderBatch),
+        /// The answer.
+        OrderResults {
+            /// Number of the batch.
+            number: u64,
+            /// What became of each order.
+            results: Vec<OrderResult>,
+        },
         /// A leader asks its deputy to hold a pass at the gate, and to activate a map at the leader's
         /// engine.
         Deputise {
--- a/crates/policy/src/expert_plan.rs
+++ b/crates/policy/src/expert_plan.rs
@@ -157,7 +157,7 @@
             open.retain(|it| *it != worst);
         }
     }
-    let planned: Vec<SetMap> = searches.into_iter().map(|it| it.lists).collect();
+    let planned: Vec<SetMap> = searches.into_iter().map(Search::into_map).collect();
     let loads = |rank: usize| -> usize {
         let sets = planned.iter().zip(map);
         sets.map(|(new, old)| count_new(&new[rank], &old[rank]))
@@ -230,6 +230,14 @@
         search
     }
 
+    /// The map, each rank's experts in ascending order.
+    fn into_map(mut self) -> SetMap {
+        for experts in &mut self.lists {
+            experts.sort_unstable();
+        }
+        self.lists
+    }
+
     fn count_holders(&mut self) {
         self.holders = vec![Vec::new(); self.shape.experts];
         for (rank, list) in self.lists.iter().enumerate() {
--- a/crates/policy/src/reader.rs
+++ b/crates/policy/src/reader.rs
@@ -16,8 +16,10 @@
     pub second: Duration,
     /// What each further process adds.
     pub step: Duration,
-    /// Most that further processes add.
-    pub most_steps: u32,
+    /// Time for which a process that has just started waits to hear from others, before it reads.
+    pub hearing: Duration,
+    /// Longest time that it waits beyond that, so that many that start at once don't all read.
+    pub spread: Duration,
     /// Pause after the first failure; doubles with each further one.
     pub pause: Duration,
     /// Longest pause.
@@ -32,7 +34,8 @@
             first: Duration::from_millis(300),
             second: Duration::from_millis(500),
             step: Duration::from_millis(100),
-            most_steps: 4,
+            hearing: Duration::from_millis(300),
+            spread: Duration::from_millis(500),
             pause: Duration::from_millis(150),
             longest: Duration::from_millis(1_200),
             stale: Duration::from_millis(1_500),
@@ -46,7 +49,16 @@
         return config.first;
     }
     let steps = u32::try_from(before - 1).unwrap_or(u32::MAX);
-    config.first + config.second + config.step * steps.min(config.most_steps)
+    config.first + config.second + config.step * steps
+}
+
+/// Time after its start at which a process that knows nothing reads; one of those that all others ask
+/// first does so at once. `draw` is a random number.
+pub fn first_read(config: &ReaderConfig, is_seed: bool, draw: u64) -> Duration {
+    match is_seed {
+        true => Duration::ZERO,
+        false => config.hearing + config.spread.mul_f64((draw % 1_000) as f64 / 1e3),
+    }
 }
 
 /// Pause after failures in a row; `draw` is a random number that spreads the processes.
--- a/crates/policy/src/switch_messages.rs
+++ b/crates/policy/src/switch_messages.rs
@@ -46,8 +46,9 @@
     }
 }
 
-common_derives! {copy:
+common_derives! {wire:
     /// An order at a held pass.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
     pub enum HeldOrder {
         /// Hold a pass.
         Hold(Pass),
@@ -71,8 +72,9 @@
     }
 }
 
-common_derives! {copy:
+common_derives! {wire:
     /// What became of an order.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
     pub enum Outcome {
         /// The engine has accepted it.
         Accepted,
--- a/crates/policy/tests/reader.rs
+++ b/crates/policy/tests/reader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use jj_policy::reader::{ReaderConfig, due_age, pause};
+use jj_policy::reader::{ReaderConfig, due_age, first_read, pause};
 
 /// Replays processes that all hear at once what one of them has read: calls of each in 60 s, where
 /// `can_read` says which processes the store serves.
@@ -68,3 +68,46 @@
     expect_that!(pauses.iter().min(), some(ge(&(config.longest / 2))));
     expect_that!(pauses[0] == pauses[700], eq(false));
 }
+
+/// Calls of all processes together in an outage of so many seconds that begins after one of them has
+/// read.
+fn calls_in_outage(processes: usize, seconds: u64) -> u32 {
+    let config = ReaderConfig::default();
+    let mut not_before = vec![Duration::ZERO; processes];
+    let mut failures = vec![0; processes];
+    let mut calls = 0;
+    for step in 0..seconds * 100 {
+        let now = Duration::from_millis(step * 10);
+        for process in 0..processes {
+            if now < not_before[process] || now < due_age(&config, process) {
+                continue;
+            }
+            calls += 1;
+            failures[process] += 1;
+            not_before[process] = now + pause(&config, failures[process], step);
+        }
+    }
+    calls
+}
+
+#[gtest]
+fn an_outage_costs_a_large_fleet_no_more_calls_than_a_middling_one() {
+    let middling = calls_in_outage(40, 5);
+    let large = calls_in_outage(390, 5);
+
+    expect_that!(large, le(middling + middling / 10), "{middling} {large}");
+}
+
+#[gtest]
+fn most_of_those_that_start_at_once_hear_from_others_before_they_read() {
+    /// Time by which all know what the first one has read.
+    const TOLD: Duration = Duration::from_millis(500);
+    let config = ReaderConfig::default();
+
+    let reads = (0..149_u64).map(|it| first_read(&config, it < 3, it * 7_919));
+    let reads: Vec<Duration> = reads.collect();
+
+    expect_that!(reads[..3], each(eq(&Duration::ZERO)));
+    expect_that!(reads.iter().filter(|it| **it < TOLD).count(), lt(70));
+    expect_that!(reads, each(lt(&Duration::from_secs(1))));
+}
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -17,6 +17,13 @@
 /// one names the number of orders that the engine has accepted since.
 pub const ANSWER_LIMIT: Duration = Duration::from_millis(60);
 
+/// Longest time that an agent waits for a load to be complete before it answers, so that the leader need
+/// not ask again.
+const LOAD_WAIT: Duration = Duration::from_millis(50);
+
+/// Time between two looks at a load.
+const LOAD_LOOK: Duration = Duration::from_millis(8);
+
 /// Time after which a load that was accepted and is still not complete is ordered again.
 const LOAD_LIMIT: Duration = Duration::from_secs(4);
 
@@ -44,10 +51,11 @@
         map.as_deref(),
     )
     .await;
+    let view = loaded(state, task, advanced.view).await;
     let reply = Message::RankReply {
         number: task.number,
         rank: report.rank,
-        view: advanced.view,
+        view,
         version: task.goal.version,
         unanswered: advanced.unanswered,
     };
@@ -57,6 +65,23 @@
     map.is_none() && has_to_load
 }
 
+/// The engine's view once it has loaded the map of a task, or after some time.
+async fn loaded(state: &State, task: &RankTask, view: RankView) -> RankView {
+    let mut view = view;
+    let until = state.clock.now() + LOAD_WAIT;
+    while is_loading(state, task.goal.version)
+        && view.loaded != Some(task.goal.version)
+        && view.map < task.goal.version
+        && state.clock.now() < until
+    {
+        tokio::time::sleep(LOAD_LOOK).await;
+        if let Ok(report) = read(state).await {
+            view = report.view;
+        }
+    }
+    view
+}
+
 /// Reads the report of the engine beside this agent.
 ///
 /// # Errors
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod lead;
 pub mod maps;
 pub mod mesh;
+pub mod orders;
 pub mod rescue;
 pub mod run;
 pub mod state;
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -7,7 +7,7 @@
 use tokio::task::spawn_local;
 
 use crate::{
-    deputy, driver,
+    deputy, driver, orders,
     state::{HeldExperts, Member, SWITCHING_PAUSE, State, TaskReply, TaskSeen},
 };
 
@@ -208,6 +208,14 @@
             };
             spawn_local(async move { deputy::activate(&state, from, request).await });
         }
+        Message::OrderBatch(batch) => {
+            let state = Rc::clone(state);
+            spawn_local(async move { orders::give(&state, batch).await });
+        }
+        Message::OrderResults { number, results } => {
+            state.known.borrow_mut().results.push((number, results));
+            state.replied.notify_one();
+        }
         Message::AskDeputy { number, term } => deputy::answer(state, from, number, term),
         Message::Deputy {
             number,
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -9,7 +9,7 @@
 
 use jj_adapter::engine::{Engine, EngineReport};
 use jj_direct::{instance::InstanceSettings, pool::Pool};
-use jj_news::{Message, RankStatus, RankTask, Roster};
+use jj_news::{Message, OrderResult, RankStatus, RankTask, Roster};
 use jj_policy::{
     demand::Demand,
     expert_plan::{self, PlanShape},
@@ -100,6 +100,8 @@
     pub watchers: Watchers,
     /// Newest answers to tasks by rank.
     pub replies: FastMap<Rank, TaskReply>,
+    /// Answers to batches of orders that were not looked at yet.
+    pub results: Vec<(u64, Vec<OrderResult>)>,
     /// Content of the maps that were told last, and in which formation.
     pub maps: (u64, FastMap<MapVersion, Vec<SetMap>>),
     /// Formation and version of the map that is being fetched.
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -1,11 +1,11 @@
 //! Carries out what a run of a switch decides: tasks to agents, orders to engines, questions to the
 //! deputy.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use jj_adapter::engine::{Engine, OrderGuard, OrderOutcome};
-use jj_news::{MapNews, Message, RankTask};
+use jj_news::{MapNews, Message, OrderBatch, OrderPart, RankTask};
 use jj_policy::{
     map_switch::{self, Goal, MapVersion, Pass, RankOrder, RankView, SetMap},
     switch_run::{Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, SwitchRun},
@@ -26,6 +26,12 @@
 /// Pause before something that the group may wait for is asked again.
 const HELD_RETRY: Duration = Duration::from_millis(25);
 
+/// Longest time for another agent to give its orders and to tell what became of them.
+const BATCH_LIMIT: Duration = Duration::from_millis(150);
+
+/// Ranks of a group for which answers take as much longer as in a small one.
+const PATIENT_RANKS: u32 = 96;
+
 /// Ranks that a leader asks itself at most: its link is narrow, and so is its part of a core.
 const MOST_DIRECT: usize = 24;
 
@@ -138,9 +144,23 @@
     asked: FastMap<Rank, u64>,
     /// Number of the last question to the deputy.
     deputy: u64,
+    /// Orders that other agents give.
+    batches: Vec<Batch>,
+    /// What became of such orders.
+    ordered: VecDeque<Input>,
+    /// How many times longer than in a small group answers take.
+    patience: u32,
     started: Timestamp,
 }
 
+/// Orders that another agent gives.
+struct Batch {
+    number: u64,
+    ranks: Vec<Rank>,
+    /// When what became of them counts as unknown.
+    until: Timestamp,
+}
+
 impl Drop for Carrier<'_> {
     fn drop(&mut self) {
         self.state.known.borrow_mut().switching = false;
@@ -156,7 +176,12 @@
     ) -> Self {
         state.known.borrow_mut().switching = true;
         state.switch_begun.notify_one();
+        state.known.borrow_mut().results.clear();
+        let size = state.known.borrow().report.as_ref().map_or(0, |it| it.size);
         Self {
+            batches: Vec::new(),
+            ordered: VecDeque::new(),
+            patience: 1 + size / PATIENT_RANKS,
             started: state.clock.now(),
             state: Rc::clone(state),
             run,
@@ -224,8 +249,8 @@
     /// The next thing that happens.
     async fn next_input(&mut self) -> Input {
         let retry = match self.run.is_loading() {
-            true => LOAD_RETRY,
-            false => HELD_RETRY,
+            true => LOAD_RETRY * self.patience,
+            false => HELD_RETRY * self.patience,
         };
         let until = tokio::time::Instant::now() + retry;
         let state = Rc::clone(&self.state);
@@ -250,6 +275,10 @@
 
     /// An answer that has come in by datagram.
     fn told(&mut self) -> Option<Input> {
+        self.take_results();
+        if let Some(input) = self.ordered.pop_front() {
+            return Some(input);
+        }
         let known = self.state.known.borrow();
         if let Some((number, state)) = known.told
             && number == self.deputy
@@ -276,6 +305,7 @@
     /// Does what the run wants; how it ended, where it has.
     fn perform(&mut self, outputs: Vec<Output>) -> Option<Ending> {
         let mut asked = Vec::new();
+        let mut orders = Vec::new();
         for output in outputs {
             match output {
                 Output::Ask { rank, number } => asked.push((rank, number)),
@@ -283,16 +313,115 @@
                     rank,
                     order,
                     sequence,
-                } => self.order(rank, order, sequence),
+                } => orders.push((rank, order, sequence)),
                 Output::Deputise { pass, gate, own } => self.deputise(pass, gate, own),
                 Output::AskDeputy => self.ask_deputy(),
                 Output::End(ending) => return Some(ending),
             }
         }
         self.ask_all(asked);
+        self.order_all(orders);
         None
     }
 
+    /// Gives orders; many of them over other agents.
+    fn order_all(&mut self, orders: Vec<(Rank, HeldOrder, u64)>) {
+        let helpers = match orders.len() > MOST_DIRECT {
+            true => self.helpers(),
+            false => Vec::new(),
+        };
+        if helpers.is_empty() {
+            for (rank, order, sequence) in orders {
+                self.order(rank, order, sequence);
+            }
+            return;
+        }
+        let each = orders.len().isqrt();
+        for (part, orders) in orders.chunks(each).enumerate() {
+            let is_free = |helper: &&Rank| orders.iter().all(|(rank, _, _)| rank != *helper);
+            let mut turn = helpers.iter().cycle().skip(part).take(helpers.len());
+            match turn.find(is_free) {
+                Some(helper) => self.order_over(*helper, orders),
+                None => {
+                    for (rank, order, sequence) in orders {
+                        self.order(*rank, *order, *sequence);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Agents that may give orders for this one: some that were heard lately, far from each other in
+    /// the order of ranks, and have no part of their own in the switch.
+    fn helpers(&self) -> Vec<Rank> {
+        let roles = [self.roles.leader, self.roles.deputy, self.roles.gate];
+        let mut alive = self.state.alive();
+        alive.retain(|rank| !roles.contains(rank) && Some(*rank) != self.state.rank());
+        let stride = alive.len().isqrt().max(1);
+        alive.into_iter().step_by(stride).collect()
+    }
+
+    fn order_over(&mut self, helper: Rank, orders: &[(Rank, HeldOrder, u64)]) {
+        let parts = orders.iter().filter_map(|(rank, order, sequence)| {
+            Some(OrderPart {
+                rank: *rank,
+                server: server_of(&self.state, *rank)?,
+                order: *order,
+                sequence: *sequence,
+            })
+        });
+        let batch = OrderBatch {
+            leader: self.state.agent_addr(self.state.server.ip()),
+            number: self.next_number(),
+            goal: self.run.goal(),
+            orders: parts.collect(),
+        };
+        self.batches.push(Batch {
+            number: batch.number,
+            ranks: orders.iter().map(|(rank, _, _)| *rank).collect(),
+            until: self.state.clock.now() + BATCH_LIMIT,
+        });
+        if let Some(server) = server_of(&self.state, helper) {
+            let agent = self.state.agent_addr(server.ip());
+            self.state.send(agent, &Message::OrderBatch(batch));
+        }
+    }
+
+    /// Takes in what other agents have told of orders, and gives up on those that don't answer.
+    fn take_results(&mut self) {
+        let told = std::mem::take(&mut self.state.known.borrow_mut().results);
+        for (number, results) in told {
+            let Some(index) = self.batches.iter().position(|it| it.number == number) else {
+                continue;
+            };
+            let batch = self.batches.swap_remove(index);
+            for rank in batch.ranks {
+                let result = results.iter().find(|it| it.rank == rank);
+                if result.is_some_and(|it| it.is_fenced) {
+                    self.raise_term();
+                }
+                let outcome = result.map_or(Outcome::Unknown, |it| it.outcome);
+                self.note_outcome(rank, outcome);
+            }
+        }
+        let now = self.state.clock.now();
+        let (late, open) = std::mem::take(&mut self.batches)
+            .into_iter()
+            .partition(|it: &Batch| it.until < now);
+        self.batches = open;
+        for rank in late.into_iter().flat_map(|it: Batch| it.ranks) {
+            self.note_outcome(rank, Outcome::Unknown);
+        }
+    }
+
+    fn note_outcome(&mut self, rank: Rank, outcome: Outcome) {
+        if outcome == Outcome::Unknown {
+            metrics::counter!("jujube_orders_unanswered_total").increment(1);
+            self.state.note_unanswered();
+        }
+        self.ordered.push_back(Input::Ordered { rank, outcome });
+    }
+
     /// Asks ranks; many of them over some that pass the task on.
     fn ask_all(&mut self, asked: Vec<(Rank, u64)>) {
         let mut plain = Vec::new();
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -73,6 +73,7 @@
     PASS_SEEN = 1508 Debug "pass_seen";
     GROUP_STATE = 1509 Info "group_state";
     MAP_FETCHED = 1510 Info "map_fetched";
+    ORDERS_GIVEN = 1511 Debug "orders_given";
 }
 
 /// Logs one numbered event, with fields that stand beside the message:
