fix(rank): fencing numbers and clocks that don't depend on the time of day

Cause: fencing numbers came from the time of day, which steps by seconds both ways and differs between machines, and two agents could choose the same one; the monotonic clock stands still while a machine is suspended, so what is known from before passes for fresh afterwards. Change: each rank has its own numbers, above the highest that any agent has told of; where nobody is left who knows it, an engine's refusal raises it. Numbers of questions are told apart by the agent's life. The clock counts suspensions.

--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -99,6 +99,8 @@
         pub server: SocketAddr,
         /// What the engine said last.
         pub view: RankView,
+        /// Highest fencing number that the agent has seen.
+        pub term: Term,
         /// How much slower than usual the engine works.
         pub pace: f64,
         /// Requests that the engine works on.
--- a/crates/policy/src/switch_messages.rs
+++ b/crates/policy/src/switch_messages.rs
@@ -1,9 +1,29 @@
 //! What a run of a switch of the expert map is told, and what it asks for.
 
-use jj_utils::{common_derives, ids::Rank};
+use jj_utils::{
+    common_derives,
+    ids::{Rank, Term},
+};
 
 use crate::map_switch::{Activation, MapVersion, Pass, RankOrder, RankView};
 
+/// Fencing numbers between two steps; each rank has its own one of them.
+const TERMS_A_STEP: Term = 4_096;
+
+/// Steps by which a fencing number rises that an engine has refused, since nobody who is left knows the
+/// highest one that it saw.
+const REFUSED_STEPS: Term = 64;
+
+/// A fencing number above all that are known, which no other rank can choose.
+pub fn next_term(highest: Term, rank: Rank) -> Term {
+    (highest / TERMS_A_STEP + 1) * TERMS_A_STEP + Term::from(rank) % TERMS_A_STEP
+}
+
+/// A fencing number in place of one that an engine has refused.
+pub fn raised_term(refused: Term, rank: Rank) -> Term {
+    next_term(refused + REFUSED_STEPS * TERMS_A_STEP, rank)
+}
+
 common_derives! {wire:
     /// Ranks with a part in a switch.
     #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -18,7 +18,8 @@
 
 use crate::map_switch::{Activation, Goal, Pass, RankView};
 pub use crate::switch_messages::{
-    DeputyState, Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, after,
+    DeputyState, Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, after, next_term,
+    raised_term,
 };
 
 common_derives! {copy:
--- a/crates/policy/tests/switch_run.rs
+++ b/crates/policy/tests/switch_run.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use jj_policy::{
     map_switch::{Goal, RankView},
-    switch_run::{Input, Output, SwitchRoles, SwitchRun},
+    switch_run::{Input, Output, SwitchRoles, SwitchRun, next_term, raised_term},
 };
 
 const RANKS: u32 = 4;
@@ -70,3 +70,24 @@
     // Recorded: 130 to 200 ms until all of 72 ranks had accepted, in passes of 60 ms and more.
     expect_that!(held_pass(run, first, loaded(20)), some(ge(24)));
 }
+
+#[gtest]
+fn fencing_numbers_rise_and_are_never_those_of_another_rank() {
+    let mut highest = 0;
+    for round in 0..200_u64 {
+        let rank = (round * 7 % 192) as u32;
+        let other = (rank + 1) % 192;
+
+        let (own, theirs) = (next_term(highest, rank), next_term(highest, other));
+        let raised = raised_term(own, rank);
+
+        expect_that!(own, gt(highest));
+        expect_that!(own == theirs, eq(false));
+        expect_that!(raised, gt(theirs));
+        highest = if round.is_multiple_of(50) {
+            raised
+        } else {
+            own
+        };
+    }
+}
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -134,6 +134,7 @@
             rank: report.rank,
             server: state.server,
             view: report.view,
+            term: known.term,
             pace: report.pace,
             running: report.running,
             waiting: report.waiting,
@@ -255,6 +256,7 @@
 
 fn take_status(state: &State, now: Timestamp, mut status: RankStatus) {
     let mut known = state.known.borrow_mut();
+    known.term = known.term.max(status.term);
     let rank = status.rank;
     if let Some(member) = known.members.get(&rank) {
         status.view = status.view.newest(member.status.view);
@@ -266,7 +268,7 @@
 fn take_reply(state: &State, rank: Rank, reply: TaskReply) {
     let mut known = state.known.borrow_mut();
     let newest = known.replies.get(&rank).map_or(0, |it| it.number);
-    if reply.number >= newest {
+    if known.is_own_number(reply.number) && reply.number >= newest {
         known.replies.insert(rank, reply);
         drop(known);
         state.replied.notify_one();
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -23,7 +23,10 @@
     task::{LocalSet, spawn_local},
 };
 
-use crate::{driver, lead, maps, mesh, rescue, state::State};
+use crate::{
+    driver, lead, maps, mesh, rescue,
+    state::{Knowledge, State},
+};
 
 /// Time between two reads of the engine's report.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
@@ -72,15 +75,16 @@
     let socket = socket::datagrams(addr).context("bind the port for datagrams")?;
     let name = given.name.clone();
     let clock = SystemClock::shared();
+    let life = rand::random();
     let state = Rc::new(State {
         settings: std::cell::RefCell::new(Rc::new(given)),
         pool: Pool::new(PoolConfig::default(), clock.clone()),
         clock,
-        life: rand::random(),
+        life,
         engine: Engine::new(server)?,
         server,
         socket,
-        known: std::cell::RefCell::default(),
+        known: std::cell::RefCell::new(Knowledge::new(life)),
         replied: tokio::sync::Notify::new(),
         changed: tokio::sync::Notify::new(),
         switch_begun: tokio::sync::Notify::new(),
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -83,6 +83,9 @@
     pub sets: Vec<Vec<u32>>,
 }
 
+/// Bits of a question's number that count the questions of one life of an agent.
+const NUMBER_BITS: u32 = 32;
+
 /// Knowledge of one agent.
 #[derive(Default)]
 pub struct Knowledge {
@@ -147,6 +150,19 @@
 }
 
 impl Knowledge {
+    /// Knows nothing; questions are numbered apart from those of earlier lives.
+    pub fn new(life: Incarnation) -> Self {
+        Self {
+            number: (life >> NUMBER_BITS) << NUMBER_BITS,
+            ..Self::default()
+        }
+    }
+
+    /// Whether a question with this number is of this life.
+    pub fn is_own_number(&self, number: u64) -> bool {
+        number >> NUMBER_BITS == self.number >> NUMBER_BITS
+    }
+
     /// The map of a task, if its content is known.
     pub fn map_of(&mut self, task: &RankTask) -> Option<Vec<SetMap>> {
         let epoch = task.goal.epoch;
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -8,10 +8,10 @@
 use jj_news::{MapNews, Message, OrderBatch, OrderPart, RankTask};
 use jj_policy::{
     map_switch::{self, Goal, MapVersion, Pass, RankOrder, RankView, SetMap},
-    switch_run::{Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, SwitchRun},
+    switch_run::{self, Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, SwitchRun},
 };
 use jj_utils::{
-    clock::{Timestamp, unix_millis},
+    clock::Timestamp,
     collections::FastMap,
     events,
     ids::{Rank, Term},
@@ -35,9 +35,6 @@
 /// Ranks that a leader asks itself at most: its link is narrow, and so is its part of a core.
 const MOST_DIRECT: usize = 24;
 
-/// What the fencing number grows by when a higher one was seen.
-const TERM_STEP: Term = 5_000;
-
 /// The content of a map, as it is told to ranks.
 struct Content<'a> {
     whole: &'a [SetMap],
@@ -63,7 +60,7 @@
         whole: &map,
         changes: MapNews::changes(from.0, from.1, &map),
     };
-    let number = next_number(state, &goal);
+    let number = state.known.borrow().number;
     state
         .known
         .borrow_mut()
@@ -93,7 +90,7 @@
         version: 0,
         pass: None,
     };
-    let number = next_number(state, &goal);
+    let number = state.known.borrow().number;
     let (run, outputs) = SwitchRun::rescue(goal, roles, own, size, number);
     Carrier::new(state, run, roles, None)
         .carry_out(outputs)
@@ -113,17 +110,12 @@
 }
 
 fn next_term(state: &State) -> Term {
+    let rank = state.rank().unwrap_or_default();
     let mut known = state.known.borrow_mut();
-    known.term = (known.term + 1).max(unix_millis());
+    known.term = switch_run::next_term(known.term, rank);
     known.term
 }
 
-/// A number above those of all earlier questions of this agent.
-fn next_number(state: &State, goal: &Goal) -> u64 {
-    let known = state.known.borrow();
-    known.number.max(goal.term)
-}
-
 type Work = LocalBoxFuture<'static, Done>;
 
 /// What a call to an engine has come to.
@@ -297,8 +289,10 @@
     }
 
     fn raise_term(&mut self) {
+        let rank = self.state.rank().unwrap_or_default();
         let mut known = self.state.known.borrow_mut();
-        known.term = known.term.max(self.run.goal().term) + TERM_STEP;
+        let refused = known.term.max(self.run.goal().term);
+        known.term = switch_run::raised_term(refused, rank);
         self.run.raise_term(known.term);
     }
 
--- a/crates/utils/src/clock.rs
+++ b/crates/utils/src/clock.rs
@@ -2,9 +2,11 @@
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// Monotonic time since the origin of the process's clock.
 pub type Timestamp = Duration;
 
@@ -17,17 +19,25 @@
     fn now(&self) -> Timestamp;
 }
 
-/// The machine's monotonic clock; goes on while the process is stopped.
+/// The machine's monotonic clock; goes on while the process is stopped or the machine is suspended.
 #[derive(Debug, Clone)]
 pub struct SystemClock {
-    origin: Instant,
+    origin: Duration,
+}
+
+/// Time since the machine was started, its suspensions included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
 }
 
 impl SystemClock {
     /// Starts a clock whose origin is the moment of the call.
     pub fn new() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: since_boot(),
         }
     }
 
@@ -45,7 +55,7 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Timestamp {
-        self.origin.elapsed()
+        since_boot().saturating_sub(self.origin)
     }
 }
 
@@ -68,7 +78,8 @@
     }
 }
 
-/// Wall-clock time in milliseconds since the Unix epoch; for logs and incarnations only.
+/// Wall-clock time in milliseconds since the Unix epoch; for logs and incarnations only, since it may
+/// step in both directions.
 pub fn unix_millis() -> u64 {
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
