--- a/crates/policy/src/load_sums.rs
+++ b/crates/policy/src/load_sums.rs
@@ -95,8 +95,10 @@
     pub struct SumsConfig {
         /// Shortest time between two reports of an entry.
         pub own_pause: Duration,
-        /// Shortest time between two messages of an aggregator.
+        /// Shortest time between two messages of an aggregator to the same entry.
         pub sum_pause: Duration,
+        /// The same for each entry that it tells, where these are many.
+        pub sum_share: Duration,
         /// Longest time between two messages.
         pub keep: Duration,
         /// Time between two messages that name all servers.
@@ -119,8 +121,9 @@
         Self {
             own_pause: Duration::from_millis(8),
             sum_pause: Duration::from_millis(16),
+            sum_share: Duration::from_micros(600),
             keep: Duration::from_millis(150),
-            whole: Duration::from_millis(400),
+            whole: Duration::from_millis(300),
             small: 24,
             expire: Duration::from_millis(900),
             patience: Duration::from_millis(400),
@@ -511,12 +514,19 @@
     pub fn due(&self) -> Timestamp {
         let pause = match (self.has_changed, self.is_serving()) {
             (false, _) => self.config.keep,
-            (true, true) => self.config.sum_pause,
+            (true, true) => self.sum_pause(),
             (true, false) => self.config.own_pause,
         };
         self.told_at + pause
     }
 
+    /// Time between two messages of this aggregator to the same entry.
+    fn sum_pause(&self) -> Duration {
+        let members = u32::try_from(self.near.by_ip.len()).unwrap_or(u32::MAX);
+        let share = self.config.sum_share.saturating_mul(members);
+        self.config.sum_pause.max(share)
+    }
+
     /// Whether others report to this entry.
     fn is_serving(&self) -> bool {
         !self.near.by_ip.is_empty()
