fix(policy): the imbalance of a group that has just formed is not expected back

Ruled out: orders and switches (four within 2 s), the outage itself (a failure domain and then all processes were lost; the group was down for 6.7 s). Change: peaks are forgotten when an outage ends, and not remembered for 2.5 s after. Test: the passes that an entry recorded, replayed: turned away at more than 30 moments with short passes before, at none now.

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -40,6 +40,15 @@
     sent: u64,
 }
 
+impl GroupLoad {
+    /// A group that works again after an outage has formed anew.
+    fn notice_formation(&mut self, now: Timestamp) {
+        if self.outage.take_end() {
+            self.model.formed(now);
+        }
+    }
+}
+
 /// Loads of all servers.
 #[derive(Debug)]
 pub struct Loads {
@@ -226,6 +235,7 @@
     pub fn take_event(&mut self, now: Timestamp, service: &str) {
         if let Some(group) = self.groups.get_mut(service) {
             group.outage.event(now);
+            group.notice_formation(now);
         }
     }
 
@@ -243,6 +253,7 @@
     pub fn take_word(&mut self, now: Timestamp, service: &str, works: bool) {
         let group = self.groups.entry(service.to_owned()).or_default();
         group.outage.word(now, works);
+        group.notice_formation(now);
     }
 
     /// Takes in that a server refused a request since its group does not work.
@@ -256,6 +267,7 @@
     pub fn outage(&mut self, now: Timestamp, service: &str) -> Option<Outlook> {
         let group = self.groups.get_mut(service)?;
         let is_out = group.outage.is_out(&self.outages, now, group.streams);
+        group.notice_formation(now);
         is_out.then(|| group.outage.outlook(&self.outages, now))
     }
 
--- a/crates/policy/src/outage.rs
+++ b/crates/policy/src/outage.rs
@@ -52,6 +52,8 @@
     event: Timestamp,
     /// Mean length of the outages seen.
     length: Option<Duration>,
+    /// An outage has ended that nobody was told of.
+    has_ended: bool,
 }
 
 impl Outage {
@@ -112,6 +114,11 @@
         Outlook { age, left }
     }
 
+    /// Whether an outage has ended since the last call.
+    pub fn take_end(&mut self) -> bool {
+        std::mem::take(&mut self.has_ended)
+    }
+
     fn end(&mut self, now: Timestamp) {
         let Some(since) = self.since.take() else {
             return;
@@ -119,6 +126,7 @@
         let length = now.saturating_sub(since);
         // A short pause says nothing about how long a failed rank is away.
         if length > SHORT {
+            self.has_ended = true;
             self.length = Some(self.length.map_or(length, |mean| (mean + length) / 2));
         }
     }
--- a/crates/policy/src/pass_model.rs
+++ b/crates/policy/src/pass_model.rs
@@ -7,6 +7,9 @@
 //! pass takes beyond its fixed part is told by the work that was given, times the imbalance of the
 //! experts, and the imbalance can be read off the passes that were seen.
 //!
+//! A group that has formed anew begins with a map that knows nothing of the demand. Its imbalance then is
+//! no sign of what the next shift does, so it is not remembered.
+//!
 //! Load pattern: near the group's capacity, other experts come into demand every few seconds, and
 //! the imbalance is three times as high until the expert map has followed. Requests that wait
 //! meanwhile must not all be read in one pass after it.
@@ -29,6 +32,9 @@
         pub memory: Duration,
         /// Time in which the memory of it falls to a half after that.
         pub half_life: Duration,
+        /// Time after the formation of a group in which its imbalance is that of the first map, which
+        /// won't come back.
+        pub settle: Duration,
         /// Requests for each server that are always allowed.
         pub least: f64,
     }
@@ -41,6 +47,7 @@
             worst_part: 0.95,
             memory: Duration::from_secs(6),
             half_life: Duration::from_secs(4),
+            settle: Duration::from_millis(2_500),
             least: 3.0,
         }
     }
@@ -138,6 +145,8 @@
     peaks: VecDeque<(Timestamp, f64)>,
     /// When the last pass ended.
     ended: Timestamp,
+    /// When the group last formed, where that was seen.
+    formed: Option<Timestamp>,
     /// Mean of the prompt tokens that a pass reads.
     tokens: f64,
 }
@@ -182,13 +191,20 @@
             self.now = (experts / even).clamp(1.0, HIGHEST);
             // A single long pass was held up by something else than its work.
             let is_next = begun <= self.ended + pass;
-            if is_next {
+            let is_settling = self.formed.is_some_and(|at| now < at + config.settle);
+            if is_next && !is_settling {
                 self.remember(now, self.now.min(before));
             }
         }
         self.ended = now;
     }
 
+    /// Notes that the group has just formed: what its passes were like before says nothing of them now.
+    pub fn formed(&mut self, now: Timestamp) {
+        self.peaks.clear();
+        self.formed = Some(now);
+    }
+
     /// How long passes will be if one more request is sent while so many are at work.
     pub fn forecast(
         &self,
--- a/crates/policy/tests/pass_model.rs
+++ b/crates/policy/tests/pass_model.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use jj_policy::pass_model::{PassConfig, PassModel, PassSpec, PauseMeter};
+use serde_json::Value;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -168,3 +169,52 @@
     );
     expect_that!(next[2], some(eq(ms(70))));
 }
+
+/// Passes that an entry saw after a group of twelve ranks had formed anew, recorded in an incident.
+const FORMATION: &str = include_str!("traces/passes_after_formation.json");
+
+/// Plays the recorded passes; the moments in milliseconds at which one more request had no room though
+/// the last pass was short.
+fn turned_away(note_formation: bool) -> Vec<u64> {
+    /// Length of a pass, in milliseconds, that leaves room for more at a gap of 120 ms.
+    const SHORT: u64 = 70;
+    let spec = PassSpec {
+        ranks: 12,
+        gap: ms(120),
+        stride: 6,
+        idle: Duration::from_micros(29_040),
+        writer: Duration::from_micros(2_172),
+        reading: ms(13_369),
+        expert_milli: 850,
+    };
+    let config = PassConfig::default();
+    let trace: Value = serde_json::from_str(FORMATION).unwrap();
+    let mut model = PassModel::default();
+    if note_formation {
+        model.formed(ms(trace["formed_ms"].as_u64().unwrap()));
+    }
+    let mut found = Vec::new();
+    for seen in trace["passes"].as_array().unwrap() {
+        let number = |name: &str| seen[name].as_u64().unwrap();
+        let (now, pass, requests) = (
+            ms(number("at_ms")),
+            number("pass_ms"),
+            number("requests") as u32,
+        );
+        model.observe(&config, &spec, now, ms(pass), requests);
+        let forecast = model.forecast(&config, &spec, now, requests, 700);
+        if pass < SHORT && !forecast.has_room {
+            found.push(number("at_ms"));
+        }
+    }
+    found
+}
+
+#[gtest]
+fn the_imbalance_of_a_group_that_has_just_formed_is_not_expected_back() {
+    let naive = turned_away(false);
+    let turned_away = turned_away(true);
+
+    expect_that!(naive.len(), gt(30));
+    expect_that!(turned_away, eq(&Vec::<u64>::new()));
+}
