fix(front): a group with a slow rank is slow and not out; callers who have come back are known

After 350 ms without any event entries took the group for out, in each pass anew: some 970 requests were rejected for it between 18 and 28 s. Passes over three gaps were taken for stand-still and not looked at, so that room was given on the passes before; and the imbalance of 8 that they stood for was expected back for 6 s. Change: a pause counts as stand-still from two passes on, as they were lately; a long pass counts once a second one has followed; agents tell the pace of the slowest engine, which the model takes into account; how long first callers wait is learned while nobody is rejected. A metric and the log say which requests had come back and how they ended. After a formation a high imbalance is expected back for 0.6 s. Ruled out: the map (the experts' part of these passes is small).

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -34,12 +34,19 @@
     meter: PauseMeter,
     model: PassModel,
     outage: Outage,
+    /// Formation in which it was last said to work.
+    epoch: Option<u64>,
+    /// How much slower than usual its slowest server works, and when an agent said so.
+    pace: Option<(Timestamp, f64)>,
     /// Streams of this process that have had an event.
     streams: u32,
     /// Prompt tokens that this process has sent.
     sent: u64,
 }
 
+/// Time for which the word of an agent on the pace of its group counts.
+const PACE_LIFE: Duration = Duration::from_millis(1_200);
+
 impl GroupLoad {
     /// A group that works again after an outage has formed anew.
     fn notice_formation(&mut self, now: Timestamp) {
@@ -209,10 +216,13 @@
         let Some(pass) = group.meter.observe(now, pause) else {
             return false;
         };
-        // A group that stands still says nothing about its load.
-        if pass > spec.gap * 3 {
+        if !group.meter.is_telling(spec, now, pass) {
             return false;
         }
+        if group.model.is_new() {
+            // It may have formed just before this process began to look.
+            group.model.formed(now);
+        }
         group.model.observe(&self.passes, spec, now, pass, requests);
         let imbalance = group.model.imbalance();
         let worst = group.model.worst(&self.passes, now);
@@ -225,6 +235,13 @@
         true
     }
 
+    /// How much slower than usual the slowest server of a group works, as far as it was said lately.
+    pub fn pace(&self, now: Timestamp, service: &str) -> f64 {
+        let said = self.groups.get(service).and_then(|it| it.pace);
+        let fresh = said.filter(|(at, _)| *at + PACE_LIFE >= now);
+        fresh.map_or(1.0, |(_, pace)| pace)
+    }
+
     /// Time that an answer of so many tokens takes at the group of a service as it is now.
     pub fn answer_time(&self, service: &str, spec: &PassSpec, tokens: u32) -> Duration {
         let group = self.groups.get(service);
@@ -250,10 +267,17 @@
     }
 
     /// Takes in what an agent says of the group of a service.
-    pub fn take_word(&mut self, now: Timestamp, service: &str, works: bool) {
+    pub fn take_word(&mut self, now: Timestamp, service: &str, epoch: u64, works: bool, pace: f64) {
         let group = self.groups.entry(service.to_owned()).or_default();
+        group.pace = Some((now, pace));
         group.outage.word(now, works);
         group.notice_formation(now);
+        if works && group.epoch != Some(epoch) {
+            let is_another = group.epoch.replace(epoch).is_some();
+            if is_another {
+                group.model.formed(now);
+            }
+        }
     }
 
     /// Takes in that a server refused a request since its group does not work.
--- a/crates/front/src/record.rs
+++ b/crates/front/src/record.rs
@@ -45,6 +45,20 @@
         self.end = end;
     }
 
+    /// Counts a request whose caller has come back, by whether it was served this time.
+    fn count_returned(&self) {
+        if !self.request.has_returned {
+            return;
+        }
+        let end = match self.status {
+            Some(status) if status.is_success() => "served",
+            Some(StatusCode::SERVICE_UNAVAILABLE) => "rejected",
+            Some(_) => "failed",
+            None => "left",
+        };
+        metrics::counter!("jujube_returned_total", "end" => end).increment(1);
+    }
+
     /// Counts an answer that was admitted and came late, by what was late.
     fn count_late(&self, first: Option<Duration>) {
         let route = &self.request.admitted.route;
@@ -68,11 +82,13 @@
         }
         metrics::histogram!("jujube_request_seconds").record(total.as_secs_f64());
         self.count_late(first);
+        self.count_returned();
         log_event!(
             events::REQUEST_ENDED,
             request = self.request.id(),
             route = self.request.admitted.route.name.as_str(),
             version = self.request.version,
+            returned = self.request.has_returned,
             kind = format!("{kind:?}"),
             servers = self.servers.join(","),
             status = self.status.map_or(0, |it| it.as_u16()),
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -19,6 +19,7 @@
     pass_model::{Forecast, PassSpec},
     placement::{self, Candidate, PlacementConfig},
     repeat_budget::{RepeatBudget, RepeatConfig},
+    returning::{Returning, ReturningConfig},
     server_health::Sign,
     server_list::ServerRecord,
 };
@@ -40,9 +41,6 @@
 /// Requests at a plain server, over its slots, from which it has no room; their work is short.
 const PLAIN_DEPTH: f64 = 2.0;
 
-/// Time that a request has to lack for its caller to have spent it elsewhere.
-const LATE_BY: Duration = Duration::from_millis(200);
-
 /// State of one process.
 pub struct Shared {
     /// What the settings file says.
@@ -72,8 +70,10 @@
     /// Requests in flight have changed.
     pub changed: Notify,
     budget: RefCell<RepeatBudget>,
-    /// Longest time that callers of a route wait.
-    deadlines: RefCell<FastMap<String, Duration>>,
+    /// How long first callers of each route wait.
+    returning: RefCell<FastMap<String, Returning>>,
+    /// When a request was last rejected.
+    rejected: Cell<Option<Timestamp>>,
     random: RefCell<Pcg64Mcg>,
 }
 
@@ -90,11 +90,13 @@
 fn servers_of<'a>(
     replica: &'a Replica,
     loads: &Loads,
+    now: Timestamp,
     service: &str,
 ) -> (Vec<&'a ServerRecord>, Option<PassSpec>) {
     let records: Vec<&ServerRecord> = replica.usable(service).collect();
     let reached = records.iter().filter(|it| !loads.is_unreachable(&it.id));
     let spec = replica.pass_spec(service, reached.count());
+    let spec = spec.map(|it| it.slowed(loads.pace(now, service)));
     (records, spec)
 }
 
@@ -143,7 +145,8 @@
             look: Notify::new(),
             changed: Notify::new(),
             budget: RefCell::default(),
-            deadlines: RefCell::default(),
+            returning: RefCell::default(),
+            rejected: Cell::default(),
             random: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
             clock,
         })
@@ -170,7 +173,7 @@
         let now = self.clock.now();
         let domain = self.settings().domain.clone();
         let replica = self.replica.borrow();
-        let (records, spec) = servers_of(&replica, &self.loads.borrow(), service);
+        let (records, spec) = servers_of(&replica, &self.loads.borrow(), now, service);
         let is_model = spec.is_some();
         if is_model && self.outage(service).is_some() {
             return None;
@@ -232,7 +235,7 @@
         let now = self.clock.now();
         let replica = self.replica.borrow();
         let loads = self.loads.borrow();
-        let (records, spec) = servers_of(&replica, &loads, service);
+        let (records, spec) = servers_of(&replica, &loads, now, service);
         let spec = spec?;
         let requests = all_uses(&loads, &records);
         let forecast = loads.forecast(now, service, &spec, requests, prompt)?;
@@ -250,7 +253,7 @@
     pub fn answer_time(&self, service: &str, tokens: u32) -> Option<Duration> {
         let replica = self.replica.borrow();
         let loads = self.loads.borrow();
-        let (_, spec) = servers_of(&replica, &loads, service);
+        let (_, spec) = servers_of(&replica, &loads, self.clock.now(), service);
         Some(loads.answer_time(service, &spec?, tokens))
     }
 
@@ -259,7 +262,7 @@
         let now = self.clock.now();
         let replica = self.replica.borrow();
         let mut loads = self.loads.borrow_mut();
-        let (records, Some(spec)) = servers_of(&replica, &loads, service) else {
+        let (records, Some(spec)) = servers_of(&replica, &loads, now, service) else {
             return;
         };
         loads.take_event(now, service);
@@ -274,20 +277,21 @@
         self.replica.borrow().usable(service).next().is_some()
     }
 
-    /// Whether a request has less time left than others of its route come with, since its caller has
-    /// spent some of it elsewhere.
-    pub fn is_late(&self, route: &str, left: Duration) -> bool {
-        let mut deadlines = self.deadlines.borrow_mut();
-        match deadlines.get_mut(route) {
-            Some(longest) => {
-                *longest = left.max(*longest);
-                left + LATE_BY < *longest
-            }
-            None => {
-                deadlines.insert(route.to_owned(), left);
-                false
-            }
+    /// Whether the caller of a request on a route has come back with it, by the time that it has left.
+    pub fn has_returned(&self, route: &str, left: Duration) -> bool {
+        let now = self.clock.now();
+        let mut routes = self.returning.borrow_mut();
+        if !routes.contains_key(route) {
+            routes.insert(route.to_owned(), Returning::default());
         }
+        let config = ReturningConfig::default();
+        let known = routes.get_mut(route);
+        known.is_some_and(|it| it.observe(&config, now, self.rejected.get(), left))
+    }
+
+    /// Notes that a request was rejected whose caller may come back.
+    pub fn note_rejected(&self) {
+        self.rejected.set(Some(self.clock.now()));
     }
 
     /// Counts a request taken in.
--- a/crates/front/src/traffic.rs
+++ b/crates/front/src/traffic.rs
@@ -89,6 +89,9 @@
         Err(refusal) => {
             metrics::counter!("jujube_given_up_total", "reason" => refusal.reason()).increment(1);
             forward.log_unknown(&refusal);
+            if matches!(refusal, Refusal::NotRun { .. }) {
+                shared.note_rejected();
+            }
             forward.record.status = Some(refusal.status());
             forward.record.end = refusal.reason();
             refusal.answer(&shared.dialect)
@@ -155,7 +158,8 @@
     let service = service.ok_or_else(|| rejected(not_configured()))?;
     let body = read_body(&catalog.limits, body).await.map_err(rejected)?;
     let wait = facts.deadline.unwrap_or(admitted.route.timeout);
-    let has_returned = facts.last_event.is_some() || shared.is_late(&admitted.route.name, wait);
+    let has_returned =
+        facts.last_event.is_some() || shared.has_returned(&admitted.route.name, wait);
     Ok(Request {
         has_returned,
         version: catalog.version,
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -77,7 +77,7 @@
 
 common_derives! {wire:
     /// What the agent that leads a group tells entries of it.
-    #[derive(Copy, Eq)]
+    #[derive(Copy)]
     pub struct GroupNews {
         /// Engine beside the agent.
         pub server: SocketAddr,
@@ -85,6 +85,8 @@
         pub epoch: u64,
         /// Whether the group works.
         pub works: bool,
+        /// How much slower than usual its slowest engine works.
+        pub pace: f64,
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod rendezvous;
 pub mod repeat_budget;
 pub mod retry;
+pub mod returning;
 pub mod routing;
 pub mod server_health;
 pub mod server_list;
--- a/crates/policy/src/outage.rs
+++ b/crates/policy/src/outage.rs
@@ -1,5 +1,8 @@
 //! Whether the group behind a service works at all, and when it may work again.
 //!
+//! A group may also be slow: one rank that takes twelve times as long makes passes of half a second, between
+//! which no stream has an event. That is no outage, and callers are better served late than sent away.
+//!
 //! Load pattern: one rank of a lock-step group fails and all of them stand still, first without a
 //! word, then refusing everything, until the rank is back and the group has formed anew. Requests
 //! that are sent meanwhile only wait; their callers come back once, so what they are told decides
@@ -14,6 +17,8 @@
     pub struct OutageConfig {
         /// Time without any event of any stream from which the group stands still.
         pub still: Duration,
+        /// The same in passes as they were lately, where these are long.
+        pub still_passes: u32,
         /// Streams that have to be open for that.
         pub streams: u32,
         /// Time for which the word of an agent counts.
@@ -31,6 +36,7 @@
     fn default() -> Self {
         Self {
             still: Duration::from_millis(350),
+            still_passes: 2,
             streams: 4,
             word_life: Duration::from_millis(1_200),
             refused_life: Duration::from_millis(250),
@@ -50,6 +56,8 @@
     refused: Option<Timestamp>,
     /// When a stream last had an event.
     event: Timestamp,
+    /// The last two pauses without any event: those between passes.
+    pauses: (Duration, Duration),
     /// Mean length of the outages seen.
     length: Option<Duration>,
     /// An outage has ended that nobody was told of.
@@ -59,6 +67,10 @@
 impl Outage {
     /// Takes in an event of a stream.
     pub fn event(&mut self, now: Timestamp) {
+        let pause = now.saturating_sub(self.event);
+        if pause >= LEAST_PAUSE {
+            self.pauses = (self.pauses.1, pause);
+        }
         self.event = now;
         self.refused = None;
         if self.word.is_some_and(|(_, works)| !works) {
@@ -94,7 +106,8 @@
         let is_refused = self
             .refused
             .is_some_and(|at| is_fresh(at, config.refused_life));
-        let is_still = streams >= config.streams && now > self.event + config.still;
+        let still = config.still.max(self.pass() * config.still_passes);
+        let is_still = streams >= config.streams && now > self.event + still;
         let is_out = is_said || is_refused || is_still;
         match is_out {
             true => {
@@ -105,6 +118,11 @@
         is_out
     }
 
+    /// Length of a pass as it was lately; a single pause that is longer is no pass.
+    fn pass(&self) -> Duration {
+        self.pauses.0.min(self.pauses.1)
+    }
+
     /// How the outage stands.
     pub fn outlook(&self, config: &OutageConfig, now: Timestamp) -> Outlook {
         let since = self.since.unwrap_or(now);
@@ -132,6 +150,9 @@
     }
 }
 
+/// Shortest pause without any event that may lie between two passes: events of one pass come together.
+const LEAST_PAUSE: Duration = Duration::from_millis(30);
+
 /// Longest pause that is no outage.
 const SHORT: Duration = Duration::from_millis(1_000);
 
--- a/crates/policy/src/pass_model.rs
+++ b/crates/policy/src/pass_model.rs
@@ -8,7 +8,7 @@
 //! experts, and the imbalance can be read off the passes that were seen.
 //!
 //! A group that has formed anew begins with a map that knows nothing of the demand. Its imbalance then is
-//! no sign of what the next shift does, so it is not remembered.
+//! no sign of what the next shift does, so it is remembered for a moment only.
 //!
 //! Load pattern: near the group's capacity, other experts come into demand every few seconds, and
 //! the imbalance is three times as high until the expert map has followed. Requests that wait
@@ -35,6 +35,8 @@
         /// Time after the formation of a group in which its imbalance is that of the first map, which
         /// won't come back.
         pub settle: Duration,
+        /// Time for which a high imbalance is expected back in that time.
+        pub settle_memory: Duration,
         /// Requests for each server that are always allowed.
         pub least: f64,
     }
@@ -47,7 +49,8 @@
             worst_part: 0.95,
             memory: Duration::from_secs(6),
             half_life: Duration::from_secs(4),
-            settle: Duration::from_millis(2_500),
+            settle: Duration::from_millis(3_500),
+            settle_memory: Duration::from_millis(600),
             least: 3.0,
         }
     }
@@ -70,6 +73,8 @@
         pub reading: Duration,
         /// Part of the work for tokens that experts do, in thousandths.
         pub expert_milli: u32,
+        /// How much slower than usual the slowest server works, in thousandths.
+        pub pace_milli: u32,
     }
 }
 
@@ -85,9 +90,23 @@
             writer: Duration::from_secs_f64(engine.per_writer) * engine.stride,
             reading: Duration::from_secs_f64(1e6 / engine.read_rate.max(1.0)),
             expert_milli: experts.share_milli,
+            pace_milli: 1_000,
         })
     }
 
+    /// The same while the slowest engine works so many times slower than usual. What experts do there goes
+    /// to other ranks, but each pass waits for the part that every rank does itself.
+    pub fn slowed(self, pace: f64) -> Self {
+        Self {
+            pace_milli: (pace.max(1.0) * 1e3) as u32,
+            ..self
+        }
+    }
+
+    fn pace(&self) -> f64 {
+        f64::from(self.pace_milli) / 1e3
+    }
+
     /// Part of a pass that experts take where their work is even, in seconds.
     fn even(&self, requests: f64, tokens: f64) -> f64 {
         let writing = self.writer.as_secs_f64() * requests;
@@ -99,7 +118,7 @@
     fn fixed(&self, requests: f64) -> f64 {
         let fullest = requests / f64::from(self.ranks) * FULLEST;
         let own = self.writer.as_secs_f64() * fullest * (1.0 - self.expert_share());
-        self.idle.as_secs_f64() + own
+        (self.idle.as_secs_f64() + own) * self.pace()
     }
 
     fn expert_share(&self) -> f64 {
@@ -188,11 +207,11 @@
         self.requests = requests;
         if even > 0.0 {
             let before = self.now;
-            self.now = (experts / even).clamp(1.0, HIGHEST);
+            let imbalance = experts / even;
+            self.now = imbalance.clamp(1.0, HIGHEST);
             // A single long pass was held up by something else than its work.
             let is_next = begun <= self.ended + pass;
-            let is_settling = self.formed.is_some_and(|at| now < at + config.settle);
-            if is_next && !is_settling {
+            if is_next && imbalance <= HIGHEST {
                 self.remember(now, self.now.min(before));
             }
         }
@@ -205,6 +224,11 @@
         self.formed = Some(now);
     }
 
+    /// Whether no pass was seen yet.
+    pub fn is_new(&self) -> bool {
+        self.ended.is_zero()
+    }
+
     /// How long passes will be if one more request is sent while so many are at work.
     pub fn forecast(
         &self,
@@ -234,8 +258,9 @@
     /// as many as possible should be given late.
     fn is_too_slow(&self, spec: &PassSpec, least: f64) -> bool {
         let part = (least / self.requests.max(1.0)).min(1.0);
-        let work = self.pass.saturating_sub(spec.idle).mul_f64(part);
-        spec.idle + work > spec.gap
+        let idle = spec.idle.mul_f64(spec.pace());
+        let work = self.pass.saturating_sub(idle).mul_f64(part);
+        idle + work > spec.gap
     }
 
     /// Time that an answer of so many tokens takes as passes are now, its wait for a pass included.
@@ -278,6 +303,11 @@
     }
 
     fn forget(&mut self, config: &PassConfig, now: Timestamp) {
+        if let Some(formed) = self.formed {
+            let settled = formed + config.settle;
+            let is_first = |at: Timestamp| at < settled && now >= at + config.settle_memory;
+            self.peaks.retain(|(at, _)| !is_first(*at));
+        }
         let is_over = |at: Timestamp| fading(config, now, at) < FORGOTTEN;
         while self.peaks.front().is_some_and(|(at, _)| is_over(*at)) {
             self.peaks.pop_front();
@@ -300,6 +330,9 @@
 /// Shortest time over which the pauses of several streams are compared.
 const BIN: Duration = Duration::from_millis(30);
 
+/// Pauses between events that callers expect which make a pass long.
+const LONG_GAPS: u32 = 3;
+
 /// Fewest pauses that tell the length of a pass.
 const FEWEST: usize = 3;
 
@@ -309,6 +342,8 @@
 pub struct PauseMeter {
     begun: Timestamp,
     pauses: Vec<Duration>,
+    /// When the last long pass ended, and its length.
+    long: Option<(Timestamp, Duration)>,
 }
 
 impl PauseMeter {
@@ -326,4 +361,19 @@
         self.pauses.sort_unstable();
         Some(self.pauses[FEWEST / 2])
     }
+
+    /// Whether the length of a pass that has just ended tells what passes are like. One that is much
+    /// longer than it should be does where the one before was like it: else the group stood still for
+    /// another reason.
+    pub fn is_telling(&mut self, spec: &PassSpec, now: Timestamp, pass: Duration) -> bool {
+        if pass <= spec.gap * LONG_GAPS {
+            self.long = None;
+            return true;
+        }
+        let before = self.long.replace((now, pass));
+        before.is_some_and(|(ended, length)| {
+            let follows = ended + pass + BIN >= now;
+            follows && length <= pass * 2 && pass <= length * 2
+        })
+    }
 }
--- a/crates/policy/tests/outage.rs
+++ b/crates/policy/tests/outage.rs
@@ -129,3 +129,37 @@
     expect_that!(answer(ripe, left, true), eq(OutageAnswer::Wait(at(1_700))));
     expect_that!(answer(ripe, at(800), true), eq(OutageAnswer::Wait(at(800))));
 }
+
+#[gtest]
+fn a_group_whose_passes_are_long_is_slow_and_not_out() {
+    // Recorded: one rank of 63 is twelve times slower, so that passes take 430 ms.
+    let passes = [430, 425, 440, 431, 428, 436];
+    let mut outage = working_until(1_000);
+    let mut now = 1_000;
+    let mut said = Vec::new();
+    for pass in passes {
+        for part in 1..=4 {
+            said.push(is_out(&mut outage, now + pass * part / 4 - 1, STREAMS));
+        }
+        now += pass;
+        for stream in 0..5 {
+            outage.event(at(now + stream));
+        }
+        now += 4;
+    }
+
+    // The first two can't be told from an outage.
+    expect_that!(said[8..], each(eq(&false)));
+    expect_that!(is_out(&mut outage, now + 800, STREAMS), eq(false));
+    expect_that!(is_out(&mut outage, now + 950, STREAMS), eq(true));
+}
+
+#[gtest]
+fn a_single_long_pause_is_no_pass() {
+    let mut outage = working_until(1_000);
+    for ms in [1_060, 1_120, 1_620, 1_680, 1_740] {
+        outage.event(at(ms));
+    }
+
+    expect_that!(is_out(&mut outage, 2_100, STREAMS), eq(true));
+}
--- a/crates/policy/tests/pass_model.rs
+++ b/crates/policy/tests/pass_model.rs
@@ -20,6 +20,7 @@
         writer: Duration::from_micros(3_045),
         reading: ms(13_369),
         expert_milli: 850,
+        pace_milli: 1_000,
     }
 }
 
@@ -186,6 +187,7 @@
         writer: Duration::from_micros(2_172),
         reading: ms(13_369),
         expert_milli: 850,
+        pace_milli: 1_000,
     };
     let config = PassConfig::default();
     let trace: Value = serde_json::from_str(FORMATION).unwrap();
@@ -218,3 +220,64 @@
     expect_that!(naive.len(), gt(30));
     expect_that!(turned_away, eq(&Vec::<u64>::new()));
 }
+
+#[gtest]
+fn long_passes_tell_their_length_once_a_second_one_has_followed() {
+    let mut meter = PauseMeter::default();
+    let told = |meter: &mut PauseMeter, passes: &[u64]| -> Vec<bool> {
+        let mut now = ms(10_000);
+        let telling = passes.iter().map(|pass| {
+            now += ms(*pass);
+            meter.is_telling(&spec(), now, ms(*pass))
+        });
+        telling.collect()
+    };
+
+    // A group that stood still once, and one with a rank that is twelve times slower.
+    let stood_still = told(&mut meter, &[64, 1_700, 66, 65]);
+    let slow = told(&mut meter, &[64, 433, 428, 431, 66]);
+
+    expect_that!(
+        stood_still,
+        elements_are![eq(&true), eq(&false), eq(&true), eq(&true)]
+    );
+    expect_that!(
+        slow,
+        elements_are![eq(&true), eq(&false), eq(&true), eq(&true), eq(&true)]
+    );
+}
+
+/// Plays passes of a group with a slow rank and then usual ones: whether there is room in the end of
+/// each.
+fn room_beside_slow_rank(told: &PassSpec, slow: &[u64]) -> (bool, bool) {
+    let config = PassConfig::default();
+    let mut model = PassModel::default();
+    let mut now = ms(10_000);
+    for pass in slow {
+        now += ms(*pass);
+        model.observe(&config, told, now, ms(*pass), 620);
+    }
+    let while_slow = model.forecast(&config, told, now, 640, 700).has_room;
+    for pass in [66, 63] {
+        now += ms(pass);
+        model.observe(&config, &spec(), now, ms(pass), 400);
+    }
+    let after = model.forecast(&config, &spec(), now, 400, 700).has_room;
+    (while_slow, after)
+}
+
+#[gtest]
+fn a_group_with_a_slow_rank_is_filled_and_has_room_again_once_it_is_gone() {
+    // Recorded: one rank of 63 works twelve times slower for nine seconds.
+    let recorded = [473, 468, 478, 550, 488, 540, 499, 512, 506, 595, 575, 518];
+    // Drawn for one that works five times slower.
+    let drawn = [212, 208, 221, 215, 209, 218];
+
+    let twelve = room_beside_slow_rank(&spec().slowed(12.0), &recorded);
+    let five = room_beside_slow_rank(&spec().slowed(5.0), &drawn);
+    let naive = room_beside_slow_rank(&spec(), &drawn);
+
+    expect_that!(twelve, eq((true, true)));
+    expect_that!(five, eq((true, true)));
+    expect_that!(naive, eq((false, false)));
+}
