feat(rank): switches go on while an agent is frozen or gone, and load as much as is quick

Change: after three questions in vain the leader has the engine load the map itself, while nothing is held; deputies are those heard just now who have not failed lately. Ranks load for up to 120 ms, or 240 where it is not urgent (16 ranks with copies of 111 ms: 1 and 2 as before; 72 ranks with 18 ms: 6).

--- a/crates/policy/src/catalog.rs
+++ b/crates/policy/src/catalog.rs
@@ -131,6 +131,14 @@
     }
 }
 
+impl ExpertSpec {
+    /// Time in which a rank loads one expert.
+    pub fn load_time(&self) -> Duration {
+        let megabits = f64::from(self.megabytes) * 8.0;
+        Duration::from_secs_f64(megabits / f64::from(self.load_rate.max(1)))
+    }
+}
+
 common_derives! {value:
     /// One service.
     pub struct ServiceSpec {
--- a/crates/policy/src/expert_plan.rs
+++ b/crates/policy/src/expert_plan.rs
@@ -46,6 +46,24 @@
     }
 }
 
+/// Imbalance from which a switch has to be as short as it can.
+const URGENT: f64 = 1.8;
+
+/// Time that ranks may load for a switch; longer where the imbalance is not urgent.
+const LOAD_TIMES: (Duration, Duration) = (Duration::from_millis(120), Duration::from_millis(240));
+
+/// Experts that all ranks together load in a switch at most: the agents are told of each.
+const MOST_LOADS: usize = 600;
+
+/// Experts that a rank loads in one switch at most, each of which takes so long: a short switch follows a
+/// shift at once, and the next one refines it.
+pub fn loads_a_rank(ranks: usize, load_time: Duration, imbalance: f64) -> usize {
+    let (urgent, usual) = LOAD_TIMES;
+    let time = if imbalance >= URGENT { urgent } else { usual };
+    let most = (time.as_secs_f64() / load_time.as_secs_f64().max(1e-3)) as usize;
+    most.min(MOST_LOADS / ranks.max(1)).max(1)
+}
+
 common_derives! {copy:
     /// How long the passes of a group are.
     pub struct PassTimes {
--- a/crates/policy/tests/expert_plan.rs
+++ b/crates/policy/tests/expert_plan.rs
@@ -4,7 +4,9 @@
 
 use googletest::prelude::*;
 use jj_policy::{
-    expert_plan::{PassTimes, PlanShape, Shares, default_map, imbalance, plan, target},
+    expert_plan::{
+        PassTimes, PlanShape, Shares, default_map, imbalance, loads_a_rank, plan, target,
+    },
     map_switch::SetMap,
 };
 use rand::{SeedableRng, seq::SliceRandom};
@@ -187,3 +189,15 @@
     expect_that!(target(times(40), 1.2), eq(1.7));
     expect_that!(target(times(500), 1.2), eq(1.06));
 }
+
+#[gtest]
+fn ranks_load_as_many_experts_as_a_short_switch_allows() {
+    let ms = Duration::from_millis;
+
+    // Experts of 2.5 GB, of 400 MB and of 170 MB at 180 Gbit/s.
+    expect_that!(loads_a_rank(16, ms(111), 3.0), eq(1));
+    expect_that!(loads_a_rank(16, ms(111), 1.4), eq(2));
+    expect_that!(loads_a_rank(72, ms(18), 3.0), eq(6));
+    expect_that!(loads_a_rank(192, ms(7), 3.0), eq(3));
+    expect_that!(loads_a_rank(16, ms(900), 1.4), eq(1));
+}
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -24,6 +24,12 @@
 /// Time between two looks at a load.
 const LOAD_LOOK: Duration = Duration::from_millis(8);
 
+/// Time between two looks at a load at an engine beside another agent, whose reports are older.
+const FAR_LOOK: Duration = Duration::from_millis(60);
+
+/// Looks at it.
+const FAR_LOOKS: u32 = 12;
+
 /// Time after which a load that was accepted and is still not complete is ordered again.
 const LOAD_LIMIT: Duration = Duration::from_secs(4);
 
@@ -82,6 +88,31 @@
     view
 }
 
+/// Has an engine load a map whose agent does not answer; its view once it has, as far as it is certain: a
+/// report to another instance may be old, so only the number of the accepted order is believed.
+pub async fn load_at(engine: &Engine, goal: &Goal, map: Vec<SetMap>) -> Option<RankView> {
+    let view = engine.report(ANSWER_LIMIT).await.ok()?.view;
+    let order = match map_switch::next_step(&view, goal, false) {
+        Step::Load => RankOrder::Load {
+            version: goal.version,
+            map,
+        },
+        _ => return None,
+    };
+    if give(engine, &view, goal, &order).await != OrderOutcome::Accepted {
+        return None;
+    }
+    for _ in 0..FAR_LOOKS {
+        tokio::time::sleep(FAR_LOOK).await;
+        let seen = engine.report(ANSWER_LIMIT).await.ok()?.view;
+        let is_loaded = seen.loaded == Some(goal.version);
+        if is_loaded && seen.sequence == view.sequence + 1 {
+            return Some(seen);
+        }
+    }
+    None
+}
+
 /// Reads the report of the engine beside this agent.
 ///
 /// # Errors
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -24,18 +24,12 @@
 /// Time between two questions to all ranks for their experts.
 const ASK_PAUSE: Duration = Duration::from_millis(150);
 
+/// Other agents that a switch needs: a deputy and one whose engine holds.
+const HELPERS: usize = 2;
+
 /// Imbalance over the one aimed at from which a switch pays for its copies.
 const LEAST_GAIN: f64 = 0.25;
 
-/// Imbalance from which a switch has to be as short as it can.
-const URGENT: f64 = 1.8;
-
-/// Experts that a rank loads in one switch at most: a short switch can follow a shift of demand at
-/// once, and the next one refines it.
-fn most_loads(imbalance: f64) -> usize {
-    if imbalance >= URGENT { 1 } else { 2 }
-}
-
 /// Part of the pause between events that is aimed at which a pass may take: the next shift of
 /// demand, copies and long prompts need the rest.
 const PASS_PART: f64 = 0.45;
@@ -98,7 +92,8 @@
     /// Starts a switch if one pays.
     async fn consider(&mut self, views: &[Option<RankView>]) {
         let now = self.state.clock.now();
-        if now < self.switched + SWITCH_PAUSE {
+        let can_switch = self.state.alive().len() >= HELPERS;
+        if now < self.switched + SWITCH_PAUSE || !can_switch {
             return;
         }
         let Some(first) = views.first().copied().flatten() else {
@@ -168,7 +163,7 @@
             paces: known.paces(ranks),
         };
         let imbalance = expert_plan::imbalance(&shape, map, &shares);
-        shape.loads = most_loads(imbalance);
+        shape.loads = expert_plan::loads_a_rank(ranks, spec.load_time(), imbalance);
         let times = PassTimes {
             idle: roster.idle_pass,
             now: known.passes.length().unwrap_or(roster.idle_pass),
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -117,6 +117,7 @@
         server: state.server,
         epoch: report.view.epoch,
         works: report.view.is_open,
+        pace: state.slowest(&known),
     });
     for ip in &roster.entries {
         state.send(state.agent_addr(*ip), &message);
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -32,6 +32,9 @@
 /// to all others.
 const SMALL_GROUP: u32 = 24;
 
+/// Time for which what an agent said of its engine's pace counts.
+const PACE_LIFE: Duration = Duration::from_millis(2_500);
+
 /// Silence of a leader, which gives signs of life more often during a switch, after which others
 /// finish it.
 const LEADER_SILENCE: Duration = Duration::from_millis(320);
@@ -42,6 +45,12 @@
 /// Time for which orders count as unreliable after one that had no answer.
 const UNRELIABLE_FOR: Duration = Duration::from_secs(3);
 
+/// Time for which an agent is not chosen as a deputy after a switch that failed, if there are others.
+const UNFIT_FOR: Duration = Duration::from_secs(3);
+
+/// Signs of life within which an agent was heard just now.
+const FRESH: f64 = 1.4;
+
 /// Signs of life without which an agent passes for gone.
 const MISSED: f64 = 3.4;
 
@@ -125,6 +134,8 @@
     pub unanswered: Option<Timestamp>,
     /// Whether this agent carries a switch out.
     pub switching: bool,
+    /// When switches with these ranks as deputies failed.
+    pub unfit: FastMap<Rank, Timestamp>,
     /// What this agent knows as a deputy, and under which fencing number.
     pub deputy: Option<(Term, DeputyState)>,
     /// The last answer of a deputy.
@@ -276,6 +287,15 @@
         STATUS_PAUSE * size.div_ceil(SMALL_GROUP).clamp(1, 3)
     }
 
+    /// How much slower than usual the slowest engine works, of those that were heard of lately.
+    pub fn slowest(&self, known: &Knowledge) -> f64 {
+        let now = self.clock.now();
+        let members = known.members.values();
+        let fresh = members.filter(|it| it.heard + PACE_LIFE >= now);
+        let own = known.report.as_ref().map_or(1.0, |it| it.pace);
+        fresh.map(|it| it.status.pace).fold(own, f64::max)
+    }
+
     /// Time between two signs of life of an agent that does not watch.
     fn usual_pause(&self) -> Duration {
         let size = self.known.borrow().report.as_ref().map_or(0, |it| it.size);
@@ -350,6 +370,31 @@
         alive
     }
 
+    /// Agents of the group, those first that were heard just now and have not failed as a deputy lately,
+    /// then by rank.
+    pub fn by_fitness(&self) -> Vec<Rank> {
+        let now = self.clock.now();
+        let mut ranks = self.alive();
+        let known = self.known.borrow();
+        let unfit = |rank: &Rank| {
+            let failed = known.unfit.get(rank);
+            let is_unfit = failed.is_some_and(|at| now < *at + UNFIT_FOR);
+            let heard = known
+                .members
+                .get(rank)
+                .map_or(Timestamp::ZERO, |it| it.heard);
+            (is_unfit, now > heard + STATUS_PAUSE.mul_f64(FRESH), *rank)
+        };
+        ranks.sort_by_key(unfit);
+        ranks
+    }
+
+    /// Notes that a switch with this deputy has failed.
+    pub fn note_unfit(&self, rank: Rank) {
+        let now = self.clock.now();
+        self.known.borrow_mut().unfit.insert(rank, now);
+    }
+
     /// Where an agent beside a server takes datagrams.
     pub fn agent_addr(&self, ip: IpAddr) -> SocketAddr {
         SocketAddr::new(ip, self.settings().ports.0)
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -26,6 +26,9 @@
 /// Pause before something that the group may wait for is asked again.
 const HELD_RETRY: Duration = Duration::from_millis(25);
 
+/// Questions without an answer after which the leader has a rank's engine load the map itself.
+const MOST_MISSES: u32 = 3;
+
 /// Longest time for another agent to give its orders and to tell what became of them.
 const BATCH_LIMIT: Duration = Duration::from_millis(150);
 
@@ -69,6 +72,9 @@
     let ending = Carrier::new(state, run, roles, Some(&content))
         .carry_out(outputs)
         .await;
+    if !matches!(ending, Ending::Switched | Ending::Lost) {
+        state.note_unfit(roles.deputy);
+    }
     (ending == Ending::Switched).then_some((goal.version, map))
 }
 
@@ -100,8 +106,8 @@
 /// A deputy and a rank that holds, among the agents that are heard.
 fn choose_roles(state: &State) -> Option<SwitchRoles> {
     let leader = state.rank()?;
-    let alive = state.alive();
-    let mut others = alive.iter().filter(|it| **it != leader);
+    let fit = state.by_fitness();
+    let mut others = fit.iter().filter(|it| **it != leader);
     Some(SwitchRoles {
         leader,
         deputy: *others.next()?,
@@ -134,6 +140,8 @@
     work: FuturesUnordered<Work>,
     /// Open questions: rank and number.
     asked: FastMap<Rank, u64>,
+    /// How often ranks have been asked in vain.
+    misses: FastMap<Rank, u32>,
     /// Number of the last question to the deputy.
     deputy: u64,
     /// Orders that other agents give.
@@ -171,6 +179,7 @@
         state.known.borrow_mut().results.clear();
         let size = state.known.borrow().report.as_ref().map_or(0, |it| it.size);
         Self {
+            misses: FastMap::default(),
             batches: Vec::new(),
             ordered: VecDeque::new(),
             patience: 1 + size / PATIENT_RANKS,
@@ -444,11 +453,40 @@
             self.ask_own(rank, number);
             return None;
         }
-        self.asked.insert(rank, number);
+        let before = self.asked.insert(rank, number);
         let server = server_of(&self.state, rank)?;
+        if self.run.is_loading() && before == Some(number) {
+            let misses = self.misses.entry(rank).or_default();
+            *misses += 1;
+            if *misses == MOST_MISSES {
+                self.load_for(rank, server, number);
+            }
+        }
         Some(self.state.agent_addr(server.ip()))
     }
 
+    /// Has the engine of a rank load the map whose agent does not answer: nothing is held meanwhile, so an
+    /// order of the agent that comes late does no harm.
+    fn load_for(&mut self, rank: Rank, server: SocketAddr, number: u64) {
+        let Some(content) = self.content else {
+            return;
+        };
+        let engine = self.state.engine.at(server);
+        let goal = self.load_goal();
+        let map = content.whole.to_vec();
+        log_event!(
+            events::LOADED_FOR,
+            rank = rank, server = server.to_string(), version = goal.version;
+            "orders a load for an agent that does not answer"
+        );
+        self.work.push(Box::pin(async move {
+            match driver::load_at(&engine, &goal, map).await {
+                Some(view) => Done::Input(Input::View { rank, number, view }),
+                None => Done::Input(Input::Tick),
+            }
+        }));
+    }
+
     fn send_tasks(&self, to: Vec<(SocketAddr, u64)>, map: Option<MapNews>) {
         let task = |number| RankTask {
             leader: self.state.agent_addr(self.state.server.ip()),
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -74,6 +74,7 @@
     GROUP_STATE = 1509 Info "group_state";
     MAP_FETCHED = 1510 Info "map_fetched";
     ORDERS_GIVEN = 1511 Debug "orders_given";
+    LOADED_FOR = 1512 Info "loaded_for";
 }
 
 /// Logs one numbered event, with fields that stand beside the message:
