--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -103,6 +103,8 @@
         pub view: RankView,
         /// Highest fencing number that the agent has seen.
         pub term: Term,
+        /// Whether it carries a switch out.
+        pub switching: bool,
         /// How much slower than usual the engine works.
         pub pace: f64,
         /// Requests that the engine works on.
@@ -176,8 +178,6 @@
         pub rank: Rank,
         /// What became of it.
         pub outcome: Outcome,
-        /// The engine has seen a higher fencing number.
-        pub is_fenced: bool,
     }
 }
 
@@ -240,6 +240,13 @@
             /// Orders that the leader's engine has accepted.
             sequence: u64,
         },
+        /// An agent does not do what it was asked, since it has obeyed a leader under a higher fencing number.
+        Outranked {
+            /// Number of the question.
+            number: u64,
+            /// The higher number.
+            term: Term,
+        },
         /// An agent that finishes a switch asks the deputy what it knows of the leader's engine.
         AskDeputy {
             /// Number of the question.
@@ -253,6 +260,8 @@
             number: u64,
             /// What it knows.
             state: DeputyState,
+            /// An engine refused one of its orders, since it has seen a higher fencing number.
+            is_fenced: bool,
         },
         /// A leader asks for the experts of a rank under the map in force.
         AskExperts,
@@ -275,8 +284,8 @@
             view: RankView,
             /// The map of the task.
             version: MapVersion,
-            /// An order for the task had no answer: it may be carried out later.
-            unanswered: bool,
+            /// What became of the order for the task; none where none was given.
+            outcome: Option<Outcome>,
         },
     }
 }
--- a/crates/policy/src/map_switch.rs
+++ b/crates/policy/src/map_switch.rs
@@ -179,11 +179,17 @@
     views.iter().all(is_quiet)
 }
 
-/// The next free version of a map over all that a group has had.
-pub fn next_version(views: &[Option<RankView>]) -> MapVersion {
+/// Versions between two that follow each other: which of them a switch takes is drawn.
+const VERSIONS_A_STEP: MapVersion = 1 << 20;
+
+/// A free version of a map over all that a group shows. An order to load another map may still be on its
+/// way from an agent that is gone, or its load may be under way and not show yet; `draw`, a random
+/// number, keeps the two from having one version.
+pub fn next_version(views: &[Option<RankView>], draw: u64) -> MapVersion {
     let versions = views
         .iter()
         .flatten()
         .flat_map(|it| [Some(it.map), it.loaded, it.active.map(|it| it.version)]);
-    versions.flatten().max().unwrap_or_default() + 1
+    let highest = versions.flatten().max().unwrap_or_default();
+    (highest / VERSIONS_A_STEP + 1) * VERSIONS_A_STEP + draw % VERSIONS_A_STEP
 }
--- a/crates/policy/src/switch_messages.rs
+++ b/crates/policy/src/switch_messages.rs
@@ -10,18 +10,25 @@
 /// Fencing numbers between two steps; each rank has its own one of them.
 const TERMS_A_STEP: Term = 4_096;
 
-/// Steps by which a fencing number rises that an engine has refused, since nobody who is left knows the
-/// highest one that it saw.
+/// Steps by which a fencing number rises when an engine has refused it for the first time.
 const REFUSED_STEPS: Term = 64;
 
+/// Most times that the steps are doubled: two agents that raise theirs against each other must not use
+/// all numbers up.
+pub const MOST_RAISES: u32 = 24;
+
 /// A fencing number above all that are known, which no other rank can choose.
 pub fn next_term(highest: Term, rank: Rank) -> Term {
-    (highest / TERMS_A_STEP + 1) * TERMS_A_STEP + Term::from(rank) % TERMS_A_STEP
+    let steps = (highest / TERMS_A_STEP).saturating_add(1);
+    steps.saturating_mul(TERMS_A_STEP) | (Term::from(rank) % TERMS_A_STEP)
 }
 
-/// A fencing number in place of one that an engine has refused.
-pub fn raised_term(refused: Term, rank: Rank) -> Term {
-    next_term(refused + REFUSED_STEPS * TERMS_A_STEP, rank)
+/// A fencing number in place of one that an engine has refused, after so many others of the same switch.
+/// An engine remembers numbers of agents that are gone and does not say how high they were, so each try
+/// rises twice as far as the one before.
+pub fn raised_term(refused: Term, rank: Rank, raises: u32) -> Term {
+    let steps = REFUSED_STEPS << raises.min(MOST_RAISES);
+    next_term(refused.saturating_add(steps * TERMS_A_STEP), rank)
 }
 
 common_derives! {wire:
@@ -98,13 +105,27 @@
     pub enum Outcome {
         /// The engine has accepted it.
         Accepted,
-        /// The engine has refused it.
+        /// It does not fit the engine's state.
         Refused,
+        /// The engine has seen a higher fencing number.
+        Fenced,
         /// Nobody knows; it may be carried out later.
         Unknown,
     }
 }
 
+impl Outcome {
+    /// Its name in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused => "refused",
+            Self::Fenced => "fenced",
+            Self::Unknown => "unanswered",
+        }
+    }
+}
+
 common_derives! {copy:
     /// What happens to a run.
     pub enum Input {
@@ -116,6 +137,8 @@
             number: u64,
             /// What the engine said.
             view: RankView,
+            /// What became of the order that the agent gave; none where it gave none.
+            outcome: Option<Outcome>,
         },
         /// The outcome of an order.
         Ordered {
@@ -125,7 +148,15 @@
             outcome: Outcome,
         },
         /// The deputy's answer.
-        Deputy(DeputyState),
+        Deputy {
+            /// What it knows.
+            state: DeputyState,
+            /// An engine refused one of its orders, since it has seen a higher fencing number.
+            is_fenced: bool,
+        },
+        /// An agent obeys no leader under a fencing number as low as this run's: it has obeyed one under this
+        /// number.
+        Outranked(Term),
         /// Time to ask again what has no answer.
         Tick,
         /// What the run waits for now has had its time.
@@ -175,6 +206,8 @@
         Switched,
         /// Somebody else has ended the switch.
         Overtaken,
+        /// The fencing number was too low while a pass may have been held.
+        Fenced,
         /// Not all ranks have loaded the map.
         NotLoaded,
         /// No pass could be held.
@@ -196,6 +229,7 @@
         match self {
             Self::Switched => "switched",
             Self::Overtaken => "overtaken",
+            Self::Fenced => "fenced",
             Self::NotLoaded => "not_loaded",
             Self::NotHeld => "not_held",
             Self::TakenBack => "taken_back",
--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -14,12 +14,15 @@
 
 use std::time::Duration;
 
-use jj_utils::{common_derives, ids::Rank};
+use jj_utils::{
+    common_derives,
+    ids::{Rank, Term},
+};
 
 use crate::map_switch::{Activation, Goal, Pass, RankView};
 pub use crate::switch_messages::{
-    DeputyState, Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, after, next_term,
-    raised_term,
+    DeputyState, Ending, HeldOrder, Input, MOST_RAISES, Outcome, Output, SwitchRoles, after,
+    next_term, raised_term,
 };
 
 common_derives! {copy:
@@ -122,6 +125,12 @@
         lead: Pass,
         cells: Vec<Cell>,
         number: u64,
+        /// Times that the fencing number was too low and has been raised.
+        raises: u32,
+        /// Whether it was too low when it could not be raised any more.
+        is_fenced: bool,
+        /// Whether an order at a held pass may have been carried out.
+        has_ordered: bool,
     }
 }
 
@@ -160,6 +169,9 @@
             lead: PASS_LEAD + Pass::from(size / RANKS_A_PASS),
             cells: vec![Cell::default(); size as usize],
             number,
+            raises: 0,
+            is_fenced: false,
+            has_ordered: false,
         };
         let outputs = run.advance();
         (run, outputs)
@@ -170,9 +182,45 @@
         self.goal
     }
 
-    /// Raises the fencing number after a higher one was seen.
-    pub fn raise_term(&mut self, term: u64) {
-        self.goal.term = self.goal.term.max(term);
+    /// Ranks that the run waits for: those that have not told that they have loaded the map, and later those
+    /// that have a question or an order open.
+    pub fn missing(&self) -> Vec<Rank> {
+        let version = Some(self.goal.version);
+        let is_missing = |it: &Cell| match self.phase {
+            Phase::Loading => it.view.is_none_or(|it| it.loaded != version),
+            _ => it.asked.is_some() || it.ordered.is_some(),
+        };
+        let cells = self.cells.iter().enumerate();
+        let missing = cells.filter(|(_, it)| is_missing(it));
+        missing.map(|(rank, _)| rank as Rank).collect()
+    }
+
+    /// What the run does once its fencing number is too low. While the ranks load nothing is held, so it
+    /// goes on under a higher one. Later another agent has taken the switch over, and what it has done
+    /// meanwhile is not known here.
+    fn give_way(&mut self, term: Term) {
+        if self.phase != Phase::Loading || self.raises == MOST_RAISES {
+            self.is_fenced = true;
+            return;
+        }
+        self.goal.term = term;
+        self.raises += 1;
+        let version = Some(self.goal.version);
+        for cell in &mut self.cells {
+            cell.view = cell.view.filter(|it| it.loaded == version);
+            cell.asked = None;
+        }
+    }
+
+    /// Gives way to whoever has used a higher fencing number at an engine.
+    fn take_fence(&mut self) {
+        self.give_way(raised_term(self.goal.term, self.own, self.raises));
+    }
+
+    /// Whether the run has ended before any of its orders can have changed anything, so that it may begin
+    /// anew at once under a higher fencing number.
+    pub fn has_done_nothing(&self) -> bool {
+        !self.has_ordered
     }
 
     /// Leaves time for orders that are lost.
@@ -210,22 +258,35 @@
             return Vec::new();
         }
         match input {
-            Input::View { rank, number, view } => self.take_view(rank, number, view),
+            Input::View {
+                rank,
+                number,
+                view,
+                outcome,
+            } => self.take_view(rank, number, view, outcome),
             Input::Ordered { rank, outcome } => self.take_outcome(rank, outcome),
-            Input::Deputy(state) => self.take_deputy(state),
+            Input::Deputy { state, is_fenced } => self.take_deputy(state, is_fenced),
+            Input::Outranked(term) if term > self.goal.term => {
+                self.give_way(next_term(term, self.own));
+            }
+            Input::Outranked(_) => {}
             Input::Tick => return self.repeat(),
             Input::Timeout => return self.time_out(),
         }
         self.advance()
     }
 
-    fn take_view(&mut self, rank: Rank, number: u64, view: RankView) {
+    fn take_view(&mut self, rank: Rank, number: u64, view: RankView, outcome: Option<Outcome>) {
         let Some(cell) = self.cells.get_mut(rank as usize) else {
             return;
         };
-        if cell.asked == Some(number) {
-            cell.asked = None;
-            cell.view = Some(view);
+        if cell.asked != Some(number) {
+            return;
+        }
+        cell.asked = None;
+        cell.view = Some(view);
+        if outcome == Some(Outcome::Fenced) {
+            self.take_fence();
         }
     }
 
@@ -237,9 +298,16 @@
             return;
         };
         let view = cell.view.take();
-        if outcome != Outcome::Accepted {
-            return;
+        match outcome {
+            Outcome::Accepted => {}
+            Outcome::Unknown => {
+                self.has_ordered = true;
+                return;
+            }
+            Outcome::Fenced => return self.take_fence(),
+            Outcome::Refused => return,
         }
+        self.has_ordered = true;
         cell.has_accepted = true;
         let back = [Phase::InactiveGate, Phase::BackOwn];
         let is_back = back.contains(&self.phase) || matches!(self.phase, Phase::Inactive { .. });
@@ -250,13 +318,16 @@
         cell.view = view.map(|view| after(view, order));
     }
 
-    fn take_deputy(&mut self, state: DeputyState) {
+    fn take_deputy(&mut self, state: DeputyState, is_fenced: bool) {
         match self.phase {
             Phase::Deputising {
                 has_asked: true,
                 tries,
                 ..
             } => {
+                if is_fenced {
+                    return self.take_fence();
+                }
                 let has_answer = matches!(state, DeputyState::Active(_));
                 self.look_again(has_answer, tries);
             }
@@ -343,6 +414,9 @@
         if self.is_lost() {
             return self.end(Ending::Lost);
         }
+        if self.is_fenced {
+            return self.end(Ending::Fenced);
+        }
         match self.phase {
             Phase::Loading => self.load(),
             Phase::Deputising {
@@ -506,6 +580,7 @@
                 Some(_) => self.time_out(),
             };
         }
+        self.has_ordered = true;
         self.phase = Phase::Deputising {
             has_asked: true,
             has_answer: false,
--- a/crates/policy/tests/map_switch.rs
+++ b/crates/policy/tests/map_switch.rs
@@ -1,5 +1,7 @@
 //! The next order of one rank on the way to a map, and when no switch is under way.
 
+use std::collections::BTreeSet;
+
 use googletest::prelude::*;
 use jj_policy::map_switch::{Activation, Goal, RankView, Step, is_quiet, next_step, next_version};
 
@@ -123,8 +125,22 @@
 fn a_new_version_is_above_all_that_any_rank_has_had() {
     let views = [Some(view()), None, Some(active())];
 
-    expect_that!(next_version(&views), eq(VERSION + 1));
-    expect_that!(next_version(&[None]), eq(1));
+    for draw in [0, 1, u64::MAX] {
+        expect_that!(next_version(&views, draw), gt(VERSION));
+        expect_that!(next_version(&[None], draw), gt(0));
+    }
+}
+
+/// An order of an agent that is gone may still be on its way, or its load under way and not shown yet.
+#[gtest]
+fn two_agents_that_see_the_same_take_different_versions() {
+    let views = [Some(view()), Some(view())];
+
+    let versions: BTreeSet<u64> = (0..100)
+        .map(|draw| next_version(&views, draw * 7_919))
+        .collect();
+
+    expect_that!(versions.len(), eq(100));
 }
 
 #[gtest]
--- a/crates/policy/tests/switch_run_walk.rs
+++ b/crates/policy/tests/switch_run_walk.rs
@@ -19,6 +19,8 @@
     states: usize,
     /// States in which all ranks use a new map.
     switched: usize,
+    /// States in which nothing can happen any more and the map is the old one.
+    unswitched: usize,
     /// States in which nothing can happen any more and a pass is held for good.
     stuck: usize,
     /// Shortest list of events to a pass with two maps.
@@ -39,7 +41,10 @@
 
 /// Visits every state that can be reached, nearest first, up to the first violation.
 fn walk(name: &str, setup: Setup, budget: Budget) -> Walk {
-    let start = World::new(setup, budget);
+    walk_from(name, World::new(setup, budget))
+}
+
+fn walk_from(name: &str, start: World) -> Walk {
     let mut parents: FastMap<Fingerprint, Fingerprint> = FastMap::default();
     parents.insert(fingerprint(&start), fingerprint(&start));
     let mut layer = vec![start.clone()];
@@ -55,6 +60,7 @@
                 break;
             }
             let successors = world.successors();
+            walk.unswitched += usize::from(successors.is_empty() && !world.has_switched());
             walk.stuck +=
                 usize::from(successors.is_empty() && world.is_held() && !world.ends_free());
             for (_, next) in successors {
@@ -130,6 +136,45 @@
     expect_that!(found.switched, gt(0));
 }
 
+/// The agents begin far below the fencing numbers that the engines have seen.
+#[gtest]
+fn a_switch_after_all_agents_have_started_anew() {
+    let start = World::restarted(setup(Mutation::None), budget());
+
+    let found = walk_from("restarted", start);
+    let fresh = walk("no faults", setup(Mutation::None), budget());
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched, eq(fresh.switched));
+    // The walk ends after some passes, whether a switch has been reached by then or not.
+    expect_that!(found.unswitched, eq(fresh.unswitched));
+    expect_that!(found.stuck, eq(0));
+}
+
+#[gtest]
+fn the_walk_finds_agents_that_do_not_tell_of_refused_loads() {
+    let start = World::restarted(setup(Mutation::HideFence), budget());
+
+    let found = walk_from("hidden refusals", start);
+
+    expect_that!(found.switched, eq(0));
+}
+
+#[gtest]
+fn orders_that_are_lost_and_late_after_all_agents_have_started_anew() {
+    let faults = Budget {
+        lost: 1,
+        late: 1,
+        ..budget()
+    };
+
+    let start = World::restarted(setup(Mutation::None), faults);
+    let found = walk_from("restarted, lost and late", start);
+
+    expect_that!(found.violation, none());
+    expect_that!(found.switched, gt(0));
+}
+
 #[gtest]
 fn orders_that_are_lost_and_late() {
     let faults = Budget {
--- a/crates/policy/tests/switch_world/mod.rs
+++ b/crates/policy/tests/switch_world/mod.rs
@@ -5,6 +5,7 @@
     map_switch::{Activation, Goal, MapVersion, Pass, RankView, Step, next_step},
     switch_run::{
         DeputyState, Ending, HeldOrder, Input, Outcome, Output, Stage, SwitchRoles, SwitchRun,
+        next_term, raised_term,
     },
 };
 use jj_utils::{common_derives, ids::Rank};
@@ -12,6 +13,9 @@
 /// Ranks of the group: a leader, a deputy, a gate, and one that finishes or leads as well.
 pub const RANKS: usize = 4;
 
+/// The one that finishes switches, or leads the second one.
+const LATER: Rank = 3;
+
 /// Who does what in the first switch.
 pub const ROLES: SwitchRoles = SwitchRoles {
     leader: 0,
@@ -21,7 +25,7 @@
 
 /// Who does what in a second one.
 const SECOND_ROLES: SwitchRoles = SwitchRoles {
-    leader: 3,
+    leader: LATER,
     deputy: 1,
     gate: 2,
 };
@@ -36,6 +40,8 @@
         ForgetDeputy,
         /// Engines begin passes that are held.
         DropHold,
+        /// Agents don't tell that their engines have refused a load by its fencing number.
+        HideFence,
     }
 }
 
@@ -140,6 +146,8 @@
         /// Requests to the deputy so far.
         pub requests: u64,
         pub ask_deputy: bool,
+        /// Times that it has begun anew.
+        pub raises: u32,
         pub ending: Option<Ending>,
     }
 }
@@ -179,8 +187,6 @@
         pub deputy: Option<(u64, DeputyState)>,
         pub actors: Vec<Actor>,
         pub orders: Vec<Sent>,
-        /// Agents that have led or finished a switch so far.
-        pub launched: u64,
         /// Whether the deputy has given the last order.
         pub deputy_gave: bool,
         pub stopped: bool,
@@ -191,8 +197,8 @@
     }
 }
 
-/// Fencing number of the first leader.
-const FIRST_TERM: u64 = 10;
+/// Fencing number of the first leader: the group has been switched before, and engines remember.
+const FIRST_TERM: u64 = 4_096 * 50;
 
 impl World {
     /// A group at map 0 whose first agent begins a switch to map 1.
@@ -215,17 +221,33 @@
             deputy: None,
             actors: Vec::new(),
             orders: Vec::new(),
-            launched: 0,
             deputy_gave: false,
             stopped: false,
             owes_outcome: false,
             violated: false,
         };
-        let (run, outputs) = SwitchRun::lead(goal(FIRST_TERM, 1), ROLES, RANKS as u32, 100);
-        world.add_actor(0, ROLES, run, outputs);
+        world.lead(FIRST_TERM);
+        world
+    }
+
+    /// The same after all agents have started anew: none of them knows the fencing numbers that the engines
+    /// have seen.
+    pub fn restarted(setup: Setup, budget: Budget) -> Self {
+        let mut world = Self::new(setup, budget);
+        world.actors.clear();
+        world.terms = [0; RANKS];
+        for engine in &mut world.engines {
+            engine.fence = FIRST_TERM;
+        }
+        world.lead(next_term(0, ROLES.leader));
         world
     }
 
+    fn lead(&mut self, term: u64) {
+        let (run, outputs) = SwitchRun::lead(goal(term, 1), ROLES, RANKS as u32, 100);
+        self.add_actor(ROLES.leader, ROLES, run, outputs);
+    }
+
     fn add_actor(&mut self, agent: Rank, roles: SwitchRoles, run: SwitchRun, outputs: Vec<Output>) {
         self.terms[agent as usize] = run.goal().term;
         self.actors.push(Actor {
@@ -236,9 +258,9 @@
             deputise: None,
             requests: 0,
             ask_deputy: false,
+            raises: 0,
             ending: None,
         });
-        self.launched += 1;
         let index = self.actors.len() - 1;
         self.perform(index, outputs);
     }
@@ -377,9 +399,15 @@
             world.actors[actor].asked.remove(index);
             world.terms[agent] = goal.term;
             world.forget_deputy(actor, rank);
-            world.work(rank, Goal { pass: None, ..goal });
+            let outcome = world.work(rank, Goal { pass: None, ..goal });
             let view = world.view(rank);
-            world.input(actor, Input::View { rank, number, view });
+            let input = Input::View {
+                rank,
+                number,
+                view,
+                outcome,
+            };
+            world.input(actor, input);
             next.push((Event::Answer { actor, rank }, world));
             return;
         }
@@ -395,20 +423,25 @@
         }
     }
 
-    /// What an agent does at its own engine for a goal.
-    fn work(&mut self, rank: Rank, goal: Goal) {
+    /// What an agent does at its own engine for a goal; what became of its order, where it gives one.
+    fn work(&mut self, rank: Rank, goal: Goal) -> Option<Outcome> {
         let view = self.view(rank);
         if next_step(&view, &goal, false) != Step::Load || goal.version == 0 {
-            return;
+            return None;
         }
         let engine = &mut self.engines[rank as usize];
-        let is_fenced = self.setup.fencing && goal.term < engine.fence;
-        if goal.version > engine.highest && !is_fenced {
-            engine.highest = goal.version;
-            engine.loaded = Some(goal.version);
-            engine.sequence += 1;
-            engine.fence = engine.fence.max(goal.term);
+        if self.setup.fencing && goal.term < engine.fence {
+            let is_hidden = self.setup.mutation == Mutation::HideFence;
+            return Some(Outcome::Fenced).filter(|_| !is_hidden);
         }
+        engine.fence = engine.fence.max(goal.term);
+        if goal.version <= engine.highest {
+            return Some(Outcome::Refused);
+        }
+        engine.highest = goal.version;
+        engine.loaded = Some(goal.version);
+        engine.sequence += 1;
+        Some(Outcome::Accepted)
     }
 
     fn deputy_events(&self, actor: usize, next: &mut Next) {
@@ -442,7 +475,8 @@
                 Mutation::ForgetDeputy => DeputyState::Nothing,
                 _ => self.deputy.map_or(DeputyState::Nothing, |(_, state)| state),
             };
-            world.input(actor, Input::Deputy(state));
+            let is_fenced = false;
+            world.input(actor, Input::Deputy { state, is_fenced });
             next.push((Event::AskDeputy { actor }, world));
         }
     }
@@ -492,8 +526,8 @@
             let mut world = self.clone();
             world.budget.rescues -= 1;
             let goal = goal(self.next_term(), 0);
-            let (run, outputs) = SwitchRun::rescue(goal, ROLES, 3, RANKS as u32, 200);
-            world.add_actor(3, ROLES, run, outputs);
+            let (run, outputs) = SwitchRun::rescue(goal, ROLES, LATER, RANKS as u32, 200);
+            world.add_actor(LATER, ROLES, run, outputs);
             next.push((Event::Rescue, world));
         }
         if self.budget.kills > 0 && is_held {
@@ -513,8 +547,8 @@
             world.budget.recoveries -= 1;
             let goal = goal(self.next_term(), 0);
             let roles = SwitchRoles::unknown(gate as Rank);
-            let (run, outputs) = SwitchRun::rescue(goal, roles, 3, RANKS as u32, 400);
-            world.add_actor(3, roles, run, outputs);
+            let (run, outputs) = SwitchRun::rescue(goal, roles, LATER, RANKS as u32, 400);
+            world.add_actor(LATER, roles, run, outputs);
             next.push((Event::Recover, world));
         }
         if self.budget.seconds > 0 {
@@ -522,11 +556,25 @@
             world.budget.seconds -= 1;
             let goal = goal(self.next_term(), 2);
             let (run, outputs) = SwitchRun::lead(goal, SECOND_ROLES, RANKS as u32, 300);
-            world.add_actor(3, SECOND_ROLES, run, outputs);
+            world.add_actor(LATER, SECOND_ROLES, run, outputs);
             next.push((Event::SecondLeader, world));
         }
     }
 
+    /// One that was refused by its fencing number before it had done anything tries again under a higher one.
+    fn retry(&mut self, actor: usize) {
+        let it = &mut self.actors[actor];
+        let term = raised_term(it.run.goal().term, it.agent, it.raises);
+        let goal = goal(term, 0);
+        let (run, outputs) = SwitchRun::rescue(goal, it.roles, it.agent, RANKS as u32, 500);
+        it.run = run;
+        it.raises += 1;
+        it.asked.clear();
+        it.ask_deputy = false;
+        self.terms[it.agent as usize] = term;
+        self.perform(actor, outputs);
+    }
+
     /// All agents start again; what they had sent may still be carried out.
     fn kill_all(&mut self) {
         for sent in &mut self.orders {
@@ -537,8 +585,11 @@
         self.terms = [0; RANKS];
     }
 
+    /// The first fencing number of an agent that begins to lead or finish: above all that agents which are
+    /// left know of, not what engines have seen of others.
     fn next_term(&self) -> u64 {
-        FIRST_TERM + self.launched
+        let highest = self.terms.iter().copied().max().unwrap_or_default();
+        next_term(highest, LATER)
     }
 
     fn view(&self, rank: Rank) -> RankView {
@@ -560,7 +611,7 @@
         let pass = self.pass;
         let engine = &mut self.engines[sent.rank as usize];
         if self.setup.fencing && sent.term < engine.fence {
-            return Outcome::Refused;
+            return Outcome::Fenced;
         }
         engine.fence = engine.fence.max(sent.term);
         if engine.sequence != sent.sequence && !ignores {
@@ -581,7 +632,7 @@
                 if outcome == Outcome::Accepted {
                     self.deputy = Some((goal.term, DeputyState::Active(activation(&goal))));
                 }
-                self.tell_leader(request);
+                self.tell_leader(request, outcome);
             }
             Waits::Nobody => {}
         }
@@ -598,7 +649,7 @@
         let (deputy, leader) = (actor.roles.deputy as usize, actor.roles.leader);
         let goal = request.goal;
         if outcome != Outcome::Accepted {
-            return self.tell_leader(request);
+            return self.tell_leader(request, outcome);
         }
         if self.terms[deputy] != goal.term {
             return;
@@ -615,12 +666,13 @@
         self.orders.sort_unstable();
     }
 
-    fn tell_leader(&mut self, request: Deputised) {
+    fn tell_leader(&mut self, request: Deputised, last: Outcome) {
         let actor = request.actor;
         let state = self.deputy.map_or(DeputyState::Nothing, |(_, state)| state);
         let is_newest = self.actors[actor].requests == request.number;
         if is_newest && !self.is_stopped(actor) {
-            self.input(actor, Input::Deputy(state));
+            let is_fenced = last == Outcome::Fenced;
+            self.input(actor, Input::Deputy { state, is_fenced });
         }
     }
 
@@ -628,6 +680,9 @@
     /// an answer that came too late.
     fn input(&mut self, actor: usize, input: Input) {
         let outputs = self.actors[actor].run.handle(input);
+        let it = &self.actors[actor];
+        let own = &mut self.terms[it.agent as usize];
+        *own = (*own).max(it.run.goal().term);
         self.perform(actor, outputs);
     }
 
@@ -670,6 +725,9 @@
                     });
                 }
                 Output::AskDeputy => it.ask_deputy = true,
+                Output::End(Ending::Fenced) if it.run.has_done_nothing() => {
+                    return self.retry(actor);
+                }
                 Output::End(ending) => it.ending = Some(ending),
             }
         }
--- a/crates/rank/src/deputy.rs
+++ b/crates/rank/src/deputy.rs
@@ -6,11 +6,11 @@
 
 use std::net::SocketAddr;
 
-use jj_adapter::engine::{OrderGuard, OrderOutcome};
+use jj_adapter::engine::OrderGuard;
 use jj_news::Message;
 use jj_policy::{
     map_switch::{Activation, Goal, RankOrder},
-    switch_run::DeputyState,
+    switch_run::{DeputyState, Outcome},
 };
 use jj_utils::ids::Term;
 
@@ -37,17 +37,13 @@
     let Some(pass) = goal.pass else {
         return;
     };
-    {
-        let mut known = state.known.borrow_mut();
-        if goal.term < known.term {
-            return;
-        }
-        known.term = goal.term;
+    if !state.obeys(goal.term, (from, request.number)) {
+        return;
     }
     let hold = RankOrder::Hold { pass };
-    if order(state, &goal, request.gate, &hold).await != OrderOutcome::Accepted {
-        let result = known(state);
-        return tell(state, from, request.number, result);
+    let held = order(state, &goal, request.gate, &hold).await;
+    if held != Outcome::Accepted {
+        return tell(state, from, request.number, held);
     }
     // Another agent may have asked to finish the switch meanwhile.
     if state.known.borrow().term != goal.term {
@@ -59,14 +55,14 @@
     };
     note(state, &goal, DeputyState::Unknown);
     let activate = RankOrder::Activate(activation);
-    if order(state, &goal, request.leader, &activate).await == OrderOutcome::Accepted {
+    let activated = order(state, &goal, request.leader, &activate).await;
+    if activated == Outcome::Accepted {
         note(state, &goal, DeputyState::Active(activation));
     }
-    let result = known(state);
-    tell(state, from, request.number, result);
+    tell(state, from, request.number, activated);
 }
 
-async fn order(state: &State, goal: &Goal, target: Target, order: &RankOrder) -> OrderOutcome {
+async fn order(state: &State, goal: &Goal, target: Target, order: &RankOrder) -> Outcome {
     let (addr, sequence) = target;
     let guard = OrderGuard {
         term: goal.term,
@@ -91,20 +87,19 @@
 
 /// Tells one who finishes a switch what this deputy knows, and obeys no earlier leader from then on.
 pub fn answer(state: &State, from: SocketAddr, number: u64, term: Term) {
-    let result = {
+    {
         let mut known = state.known.borrow_mut();
         known.term = known.term.max(term);
-        known
-            .deputy
-            .map_or(DeputyState::Nothing, |(_, state)| state)
-    };
-    tell(state, from, number, result);
+    }
+    tell(state, from, number, Outcome::Accepted);
 }
 
-fn tell(state: &State, to: SocketAddr, number: u64, result: DeputyState) {
+/// Tells what this deputy knows, after the last of its orders has come to something.
+fn tell(state: &State, to: SocketAddr, number: u64, last: Outcome) {
     let message = Message::Deputy {
         number,
-        state: result,
+        state: known(state),
+        is_fenced: last == Outcome::Fenced,
     };
     state.send(to, &message);
 }
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -2,9 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use jj_adapter::engine::{Engine, EngineReport, OrderGuard, OrderOutcome};
+use jj_adapter::engine::{Engine, EngineReport, OrderGuard};
 use jj_news::{Message, RankTask};
-use jj_policy::map_switch::{self, Goal, RankOrder, RankView, SetMap, Step};
+use jj_policy::{
+    map_switch::{self, Goal, RankOrder, RankView, SetMap, Step},
+    switch_run::Outcome,
+};
 
 use jj_utils::{events, log_event};
 
@@ -30,6 +33,9 @@
 /// Looks at it.
 const FAR_LOOKS: u32 = 12;
 
+/// Longest wait for a report of such an engine.
+const FAR_LIMIT: Duration = Duration::from_millis(150);
+
 /// Time after which a load that was accepted and is still not complete is ordered again.
 const LOAD_LIMIT: Duration = Duration::from_secs(4);
 
@@ -63,7 +69,7 @@
         rank: report.rank,
         view,
         version: task.goal.version,
-        unanswered: advanced.unanswered,
+        outcome: advanced.outcome,
     };
     state.send(task.leader, &reply);
     let has_to_load =
@@ -88,26 +94,45 @@
     view
 }
 
-/// Has an engine load a map whose agent does not answer; its view once it has, as far as it is certain: a
-/// report to another instance may be old, so only the number of the accepted order is believed.
-pub async fn load_at(engine: &Engine, goal: &Goal, map: Vec<SetMap>) -> Option<RankView> {
-    let view = engine.report(ANSWER_LIMIT).await.ok()?.view;
+/// Has an engine load a map whose agent does not answer; the engine after that, as far as it is certain: a
+/// report to another instance may be old, so only the number of the accepted order is believed. None where
+/// it does not answer, or can't load.
+pub async fn load_at(engine: &Engine, goal: &Goal, map: Vec<SetMap>) -> Option<Advanced> {
+    let view = match engine.report(FAR_LIMIT).await {
+        Ok(report) => report.view,
+        Err(error) => {
+            log::debug!("no report of an engine whose agent does not answer: {error:#}");
+            return None;
+        }
+    };
     let order = match map_switch::next_step(&view, goal, false) {
         Step::Load => RankOrder::Load {
             version: goal.version,
             map,
         },
-        _ => return None,
+        step => {
+            log::debug!("an engine whose agent does not answer can't load: {step:?}, {view:?}");
+            return None;
+        }
     };
-    if give(engine, &view, goal, &order).await != OrderOutcome::Accepted {
-        return None;
+    let outcome = give(engine, &view, goal, &order).await;
+    let outcome = Some(outcome);
+    if outcome != Some(Outcome::Accepted) {
+        log::debug!("an engine whose agent does not answer did not take the load: {outcome:?}");
+        return Some(Advanced { view, outcome });
     }
     for _ in 0..FAR_LOOKS {
         tokio::time::sleep(FAR_LOOK).await;
-        let seen = engine.report(ANSWER_LIMIT).await.ok()?.view;
-        let is_loaded = seen.loaded == Some(goal.version);
-        if is_loaded && seen.sequence == view.sequence + 1 {
-            return Some(seen);
+        let Ok(report) = engine.report(FAR_LIMIT).await else {
+            continue;
+        };
+        let view_after = report.view;
+        let is_loaded = view_after.loaded == Some(goal.version);
+        if is_loaded && view_after.sequence == view.sequence + 1 {
+            return Some(Advanced {
+                view: view_after,
+                outcome,
+            });
         }
     }
     None
@@ -132,6 +157,7 @@
             "the group's state as its engine reports it"
         );
         state.changed.notify_one();
+        state.tell_now.notify_one();
     }
     if known.read <= asked {
         known.read = asked;
@@ -150,8 +176,8 @@
 pub struct Advanced {
     /// What the engine says of itself.
     pub view: RankView,
-    /// The order had no answer.
-    pub unanswered: bool,
+    /// What became of the order for it; none where none was given.
+    pub outcome: Option<Outcome>,
 }
 
 /// Takes the next step towards the goal.
@@ -162,18 +188,24 @@
     goal: &Goal,
     map: Option<&[SetMap]>,
 ) -> Advanced {
-    let unchanged = |unanswered| Advanced {
+    let unchanged = |outcome| Advanced {
         view: *view,
-        unanswered,
+        outcome,
     };
     let is_loading = is_loading(state, goal.version);
     let step = map_switch::next_step(view, goal, is_loading);
     let Some(order) = order_for(step, goal, map) else {
-        return unchanged(false);
+        return unchanged(None);
     };
     let outcome = give(engine, view, goal, &order).await;
-    if outcome != OrderOutcome::Accepted {
-        return unchanged(outcome == OrderOutcome::Unknown);
+    if outcome != Outcome::Accepted {
+        log_event!(
+            events::ORDER_NOT_TAKEN,
+            version = goal.version, term = goal.term, sequence = view.sequence,
+            outcome = outcome.name();
+            "the engine beside this agent did not take an order"
+        );
+        return unchanged(Some(outcome));
     }
     if matches!(order, RankOrder::Load { .. }) {
         let now = state.clock.now();
@@ -185,17 +217,12 @@
     };
     Advanced {
         view,
-        unanswered: false,
+        outcome: Some(outcome),
     }
 }
 
 /// Gives an order that is void once the engine has accepted another one.
-pub async fn give(
-    engine: &Engine,
-    view: &RankView,
-    goal: &Goal,
-    order: &RankOrder,
-) -> OrderOutcome {
+pub async fn give(engine: &Engine, view: &RankView, goal: &Goal, order: &RankOrder) -> Outcome {
     let guard = OrderGuard {
         term: goal.term,
         sequence: view.sequence,
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -3,12 +3,20 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use jj_news::{GroupNews, MAX_DATAGRAM, Message, RankStatus, RankTask, Roster};
-use jj_utils::{clock::Timestamp, events, ids::Rank, log_event};
+use jj_policy::switch_run::Outcome;
+use jj_utils::{
+    clock::Timestamp,
+    events,
+    ids::{Rank, Term},
+    log_event,
+};
 use tokio::task::spawn_local;
 
 use crate::{
     deputy, driver, orders,
-    state::{HeldExperts, Member, SWITCHING_PAUSE, State, TaskReply, TaskSeen},
+    state::{
+        DeputyWord, HeldExperts, Member, STATUS_PAUSE, SWITCHING_PAUSE, State, TaskReply, TaskSeen,
+    },
 };
 
 /// Time between two words of a leader to entries.
@@ -17,6 +25,9 @@
 /// Time between two questions for the roster.
 const ROSTER_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Time between two looks of an agent that has just started, until it knows enough to tell others.
+const START_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time by which the next sign of life is late when the process was stopped meanwhile.
 const STOPPED_FOR: Duration = Duration::from_millis(400);
 
@@ -34,40 +45,91 @@
 
 /// Says that this agent lives, and asks for the roster.
 pub async fn tell(state: Rc<State>) {
-    let mut due = state.clock.now();
-    let mut asked = None;
-    let mut turn = 0;
-    let mut told_all = Timestamp::ZERO;
+    let mut teller = Teller {
+        due: state.clock.now(),
+        asked: None,
+        turn: 0,
+        told: None,
+        watchers: Vec::new(),
+        state,
+    };
     loop {
-        let now = state.clock.now();
-        if now > due + STOPPED_FOR {
-            drop_stale(&state);
-            let stopped = (now - due).as_millis() as u64;
+        let pause = teller.tell();
+        let more = teller.state.tell_now.notified();
+        if tokio::time::timeout(pause, more).await.is_ok() {
+            teller.told = None;
+        }
+    }
+}
+
+struct Teller {
+    state: Rc<State>,
+    /// When the next look is due.
+    due: Timestamp,
+    /// When the roster was asked for.
+    asked: Option<Timestamp>,
+    turn: usize,
+    /// When all were told that are to hear this agent.
+    told: Option<Timestamp>,
+    /// Agents that watched then.
+    watchers: Vec<SocketAddr>,
+}
+
+impl Teller {
+    /// Tells what is due; the time until the next look.
+    fn tell(&mut self) -> Duration {
+        let now = self.state.clock.now();
+        if now > self.due + STOPPED_FOR {
+            drop_stale(&self.state);
+            let stopped = (now - self.due).as_millis() as u64;
             log_event!(events::PROCESS_STALLED, for_ms = stopped; "the process stood still");
         }
-        let has_roster = state.known.borrow().roster.is_some();
-        if !has_roster || asked.is_none_or(|at| now >= at + ROSTER_PAUSE) {
-            ask_roster(&state, turn);
-            turn += 1;
-            asked = Some(now);
+        self.ask(now);
+        self.state
+            .known
+            .borrow_mut()
+            .choose_watchers(now, self.state.server);
+        let watchers = watchers(&self.state);
+        if watchers != self.watchers && !self.state.known.borrow().watchers.is_small() {
+            log_event!(
+                events::WATCHERS_CHANGED,
+                others = watchers.len(), before = self.watchers.len(), watches = self.state.watches();
+                "other agents hear all the others"
+            );
         }
-        state.known.borrow_mut().choose_watchers(now, state.server);
-        let targets = match now >= told_all + state.status_pause() {
-            true => others(&state),
-            false => watchers(&state),
-        };
-        if now >= told_all + state.status_pause() {
-            told_all = now;
+        let is_due = self
+            .told
+            .is_none_or(|at| now >= at + self.state.status_pause());
+        if is_due || watchers != self.watchers {
+            tell_status(&self.state, others(&self.state));
+            self.told = Some(now);
+        } else if self.state.known.borrow().switching {
+            tell_status(&self.state, watchers.clone());
+        }
+        self.watchers = watchers;
+        let pause = self.pause();
+        self.due = now + pause;
+        pause
+    }
+
+    /// Asks for the roster, often until there is one.
+    fn ask(&mut self, now: Timestamp) {
+        let has_roster = self.state.known.borrow().roster.is_some();
+        if !has_roster || self.asked.is_none_or(|at| now >= at + ROSTER_PAUSE) {
+            ask_roster(&self.state, self.turn);
+            self.turn += 1;
+            self.asked = Some(now);
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        if !self.state.can_tell() {
+            return START_PAUSE;
         }
-        tell_status(&state, targets);
-        let pause = match state.known.borrow().switching {
+        match self.state.known.borrow().switching {
             true => SWITCHING_PAUSE,
-            false => state.status_pause(),
-        };
-        due = now + pause;
-        let begun = state.switch_begun.notified();
-        // A switch that begins is told at once.
-        let _ = tokio::time::timeout(pause, begun).await;
+            false => STATUS_PAUSE,
+        }
     }
 }
 
@@ -135,7 +197,8 @@
             rank: report.rank,
             server: state.server,
             view: report.view,
-            term: known.term,
+            term: known.term.max(known.heard_term),
+            switching: known.switching,
             pace: report.pace,
             running: report.running,
             waiting: report.waiting,
@@ -181,15 +244,16 @@
             rank,
             view,
             version,
-            unanswered,
+            outcome,
         } => {
-            if unanswered {
+            if outcome == Some(Outcome::Unknown) {
                 state.note_unanswered();
             }
             let reply = TaskReply {
                 number,
                 view,
                 version,
+                outcome,
             };
             take_reply(state, rank, reply);
         }
@@ -218,12 +282,19 @@
             state.known.borrow_mut().results.push((number, results));
             state.replied.notify_one();
         }
+        Message::Outranked { number, term } => take_outranked(state, number, term),
         Message::AskDeputy { number, term } => deputy::answer(state, from, number, term),
         Message::Deputy {
             number,
             state: told,
+            is_fenced,
         } => {
-            state.known.borrow_mut().told = Some((number, told));
+            let word = DeputyWord {
+                number,
+                state: told,
+                is_fenced,
+            };
+            state.known.borrow_mut().told = Some(word);
             state.replied.notify_one();
         }
         Message::AskExperts => {
@@ -252,12 +323,15 @@
             servers = roster.servers.len(), before = before; "the service has other servers"
         );
     }
-    known.roster = Some(roster);
+    let is_first = known.roster.replace(roster).is_none();
+    if is_first {
+        state.tell_now.notify_one();
+    }
 }
 
 fn take_status(state: &State, now: Timestamp, mut status: RankStatus) {
     let mut known = state.known.borrow_mut();
-    known.term = known.term.max(status.term);
+    known.heard_term = known.heard_term.max(status.term);
     let rank = status.rank;
     if let Some(member) = known.members.get(&rank) {
         status.view = status.view.newest(member.status.view);
@@ -266,6 +340,15 @@
     known.members.insert(rank, member);
 }
 
+fn take_outranked(state: &State, number: u64, term: Term) {
+    let mut known = state.known.borrow_mut();
+    if known.is_own_number(number) {
+        known.outranked = known.outranked.max(term);
+        known.heard_term = known.heard_term.max(term);
+        state.replied.notify_one();
+    }
+}
+
 fn take_reply(state: &State, rank: Rank, reply: TaskReply) {
     let mut known = state.known.borrow_mut();
     let newest = known.replies.get(&rank).map_or(0, |it| it.number);
@@ -278,12 +361,11 @@
 
 /// A task of a leader that no newer one has replaced is worked on at once.
 fn take_task(state: &Rc<State>, now: Timestamp, task: RankTask) {
+    if !state.obeys(task.goal.term, (task.leader, task.number)) {
+        return;
+    }
     {
         let mut known = state.known.borrow_mut();
-        if task.goal.term < known.term {
-            return;
-        }
-        known.term = task.goal.term;
         // A load begins another switch, for which nothing was done yet.
         if task.map.is_some() && known.deputy.is_some_and(|(term, _)| term < task.goal.term) {
             known.deputy = None;
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -5,7 +5,7 @@
 //! order whose agent does not answer is like one that had no answer itself: it may be carried out later.
 
 use futures_util::future;
-use jj_adapter::engine::{OrderGuard, OrderOutcome};
+use jj_adapter::engine::OrderGuard;
 use jj_news::{Message, OrderBatch, OrderPart, OrderResult};
 use jj_policy::{
     map_switch::{Goal, RankOrder},
@@ -18,10 +18,9 @@
 
 /// Gives the orders of a batch, all at once, and tells what became of them.
 pub async fn give(state: &State, batch: OrderBatch) {
-    if batch.goal.term < state.known.borrow().term {
+    if !state.obeys(batch.goal.term, (batch.leader, batch.number)) {
         return;
     }
-    state.known.borrow_mut().term = batch.goal.term;
     let orders = batch.orders.iter().filter(|it| it.server != state.server);
     let given = orders.map(|part| give_one(state, &batch.goal, part));
     let results = future::join_all(given).await;
@@ -47,14 +46,8 @@
     };
     let engine = state.engine.at(part.server);
     let order = RankOrder::from(part.order);
-    let outcome = engine.order(&order, guard, driver::ANSWER_LIMIT).await;
     OrderResult {
         rank: part.rank,
-        outcome: match outcome {
-            OrderOutcome::Accepted => Outcome::Accepted,
-            OrderOutcome::Refused | OrderOutcome::Fenced => Outcome::Refused,
-            OrderOutcome::Unknown => Outcome::Unknown,
-        },
-        is_fenced: outcome == OrderOutcome::Fenced,
+        outcome: engine.order(&order, guard, driver::ANSWER_LIMIT).await,
     }
 }
--- a/crates/rank/src/rescue.rs
+++ b/crates/rank/src/rescue.rs
@@ -64,7 +64,8 @@
     let watching = state.watching();
     let before = watching.iter().filter(|it| **it < own && **it != leader);
     // One that finishes the switch gives tasks as well.
-    let last = state.known.borrow().advanced.max(task.at);
+    let tried = task.at.max(state.other_switching(Some(leader)));
+    let last = state.known.borrow().advanced.max(tried);
     let patience = match state.is_silent(leader, now) {
         true => STILL_FOR,
         false => LONGEST_STILL,
@@ -78,6 +79,7 @@
     let own = state.rank().filter(|_| state.watches())?;
     let watching = state.watching();
     let before = watching.iter().filter(|it| **it < own);
+    let tried = tried.max(state.other_switching(None));
     let last = state.known.borrow().advanced.max(tried);
     if now < last + LONGEST_STILL + turn(before.count()) {
         return None;
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -87,7 +87,7 @@
         known: std::cell::RefCell::new(Knowledge::new(life)),
         replied: tokio::sync::Notify::new(),
         changed: tokio::sync::Notify::new(),
-        switch_begun: tokio::sync::Notify::new(),
+        tell_now: tokio::sync::Notify::new(),
     });
     let port = maps::addr(&state, state.settings().ip);
     let handler = maps::handler(Rc::clone(&state), metrics);
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -15,7 +16,7 @@
     expert_plan::{self, PlanShape},
     map_switch::{MapVersion, RankView, SetMap},
     pass_clock::PassClock,
-    switch_run::{DeputyState, SwitchRoles},
+    switch_run::{DeputyState, Outcome, SwitchRoles},
     watchers::Watchers,
 };
 use jj_utils::{
@@ -26,7 +27,7 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 /// Time between two signs of life in a small group.
-const STATUS_PAUSE: Duration = Duration::from_millis(300);
+pub const STATUS_PAUSE: Duration = Duration::from_millis(300);
 
 /// Ranks of a group up to which it is small; in larger ones signs of life are rarer, since each goes
 /// to all others.
@@ -72,6 +73,19 @@
     pub view: RankView,
     /// The map of the task.
     pub version: MapVersion,
+    /// What became of the order that its agent gave; none where it gave none.
+    pub outcome: Option<Outcome>,
+}
+
+/// What a deputy has told.
+#[derive(Debug, Clone, Copy)]
+pub struct DeputyWord {
+    /// Number of the question.
+    pub number: u64,
+    /// What it knows of the leader's engine.
+    pub state: DeputyState,
+    /// An engine has refused its last order by the fencing number.
+    pub is_fenced: bool,
 }
 
 /// A task of a leader, as it was seen.
@@ -115,15 +129,21 @@
     /// Answers to batches of orders that were not looked at yet.
     pub results: Vec<(u64, Vec<OrderResult>)>,
     /// Content of the maps that were told last, and in which formation.
-    pub maps: (u64, FastMap<MapVersion, Vec<SetMap>>),
+    pub maps: (u64, BTreeMap<MapVersion, Vec<SetMap>>),
     /// Formation and version of the map that is being fetched.
     pub fetching: Option<(u64, MapVersion)>,
     /// Experts by rank, as they were told last.
     pub experts: FastMap<Rank, HeldExperts>,
     /// Demand for experts, while this agent leads.
     pub demand: Demand,
-    /// Highest fencing number seen.
+    /// Highest fencing number seen in a task or order.
     pub term: Term,
+    /// Highest one that other agents have told of.
+    pub heard_term: Term,
+    /// Runs of a switch in a row that ended since their fencing number was too low.
+    pub refusals: u32,
+    /// Highest number because of which an agent did not do what this one asked.
+    pub outranked: Term,
     /// Map that the engine beside it loads, and since when.
     pub loading: Option<(MapVersion, Timestamp)>,
     /// The last task of a leader.
@@ -139,13 +159,13 @@
     /// What this agent knows as a deputy, and under which fencing number.
     pub deputy: Option<(Term, DeputyState)>,
     /// The last answer of a deputy.
-    pub told: Option<(u64, DeputyState)>,
+    pub told: Option<DeputyWord>,
     /// Number of the last task given.
     pub number: u64,
 }
 
-/// Maps before the newest one whose content is kept.
-const MAPS_KEPT: MapVersion = 16;
+/// Newest maps whose content is kept.
+const MAPS_KEPT: usize = 16;
 
 /// The map with which a group forms.
 pub fn default_map(roster: &Roster, size: u32) -> Option<Vec<SetMap>> {
@@ -169,6 +189,13 @@
         }
     }
 
+    /// Begins to carry a switch out: what was told for an earlier one counts no more.
+    pub fn begin_run(&mut self) {
+        self.switching = true;
+        self.outranked = 0;
+        self.results.clear();
+    }
+
     /// Whether a question with this number is of this life.
     pub fn is_own_number(&self, number: u64) -> bool {
         number >> NUMBER_BITS == self.number >> NUMBER_BITS
@@ -201,9 +228,10 @@
             *known = epoch;
             maps.clear();
         }
-        let oldest = version.saturating_sub(MAPS_KEPT);
-        maps.retain(|version, _| *version >= oldest);
         maps.insert(version, map);
+        while maps.len() > MAPS_KEPT {
+            maps.pop_first();
+        }
     }
 
     /// Chooses the agents that hear all others anew.
@@ -259,8 +287,8 @@
     pub replied: Notify,
     /// The state of the group has changed.
     pub changed: Notify,
-    /// This agent begins to carry a switch out.
-    pub switch_begun: Notify,
+    /// There is something that the other agents should hear at once.
+    pub tell_now: Notify,
 }
 
 impl State {
@@ -318,6 +346,36 @@
         ranks
     }
 
+    /// Whether a leader under this fencing number is obeyed, from now on no earlier one; else the one who
+    /// asks is told why.
+    pub fn obeys(&self, term: Term, (from, number): (SocketAddr, u64)) -> bool {
+        let highest = {
+            let mut known = self.known.borrow_mut();
+            known.term = known.term.max(term);
+            known.term
+        };
+        if term == highest {
+            return true;
+        }
+        let term = highest;
+        self.send(from, &Message::Outranked { number, term });
+        false
+    }
+
+    /// When another agent than the one with this rank was last heard to carry a switch out.
+    pub fn other_switching(&self, except: Option<Rank>) -> Timestamp {
+        let known = self.known.borrow();
+        let members = known.members.iter();
+        let switching = members.filter(|(rank, it)| it.status.switching && Some(**rank) != except);
+        switching.map(|(_, it)| it.heard).max().unwrap_or_default()
+    }
+
+    /// Whether this agent knows enough to tell others of itself.
+    pub fn can_tell(&self) -> bool {
+        let known = self.known.borrow();
+        known.roster.is_some() && known.report.is_some()
+    }
+
     /// Whether this agent hears all others.
     pub fn watches(&self) -> bool {
         let known = self.known.borrow();
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -4,11 +4,13 @@
 use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
-use jj_adapter::engine::{Engine, OrderGuard, OrderOutcome};
+use jj_adapter::engine::{Engine, OrderGuard};
 use jj_news::{MapNews, Message, OrderBatch, OrderPart, RankTask};
 use jj_policy::{
     map_switch::{self, Goal, MapVersion, Pass, RankOrder, RankView, SetMap},
-    switch_run::{self, Ending, HeldOrder, Input, Outcome, Output, SwitchRoles, SwitchRun},
+    switch_run::{
+        self, Ending, HeldOrder, Input, MOST_RAISES, Outcome, Output, Stage, SwitchRoles, SwitchRun,
+    },
 };
 use jj_utils::{
     clock::Timestamp,
@@ -18,7 +20,11 @@
     log_event,
 };
 
-use crate::{deputy, driver, state::State};
+use crate::{
+    deputy,
+    driver::{self, Advanced},
+    state::{DeputyWord, State},
+};
 
 /// Pause before a rank that loads a map is asked again.
 const LOAD_RETRY: Duration = Duration::from_millis(70);
@@ -56,7 +62,7 @@
     let goal = Goal {
         term: next_term(state),
         epoch: views.first().copied().flatten()?.epoch,
-        version: map_switch::next_version(views),
+        version: map_switch::next_version(views, rand::random()),
         pass: None,
     };
     let content = Content {
@@ -90,6 +96,16 @@
     let Some((own, size, epoch)) = told else {
         return;
     };
+    let mut raises = 0;
+    while !finish(state, roles, (own, size, epoch)).await && raises < MOST_RAISES {
+        raises += 1;
+    }
+}
+
+/// Finishes a switch once; false where that was refused before it had done anything, since an engine or an
+/// agent has seen a higher fencing number: the next try has one above it.
+async fn finish(state: &Rc<State>, roles: SwitchRoles, group: (Rank, u32, u64)) -> bool {
+    let (own, size, epoch) = group;
     let goal = Goal {
         term: next_term(state),
         epoch,
@@ -98,9 +114,9 @@
     };
     let number = state.known.borrow().number;
     let (run, outputs) = SwitchRun::rescue(goal, roles, own, size, number);
-    Carrier::new(state, run, roles, None)
-        .carry_out(outputs)
-        .await;
+    let mut carrier = Carrier::new(state, run, roles, None);
+    let ending = carrier.carry_out(outputs).await;
+    ending != Ending::Fenced || !carrier.run.has_done_nothing()
 }
 
 /// A deputy and a rank that holds, among the agents that are heard.
@@ -118,18 +134,16 @@
 fn next_term(state: &State) -> Term {
     let rank = state.rank().unwrap_or_default();
     let mut known = state.known.borrow_mut();
-    known.term = switch_run::next_term(known.term, rank);
+    let highest = known.term.max(known.heard_term);
+    known.term = match known.refusals {
+        0 => switch_run::next_term(highest, rank),
+        refusals => switch_run::raised_term(highest, rank, refusals - 1),
+    };
     known.term
 }
 
-type Work = LocalBoxFuture<'static, Done>;
-
-/// What a call to an engine has come to.
-enum Done {
-    Input(Input),
-    /// An order was refused since a higher fencing number was seen.
-    Fenced(Rank),
-}
+/// A call to an engine, and what it comes to.
+type Work = LocalBoxFuture<'static, Input>;
 
 /// Carries one run out.
 struct Carrier<'a> {
@@ -142,12 +156,16 @@
     asked: FastMap<Rank, u64>,
     /// How often ranks have been asked in vain.
     misses: FastMap<Rank, u32>,
+    /// What became of the last order that the agent of each rank gave for this switch.
+    outcomes: FastMap<Rank, Outcome>,
     /// Number of the last question to the deputy.
     deputy: u64,
     /// Orders that other agents give.
     batches: Vec<Batch>,
     /// What became of such orders.
     ordered: VecDeque<Input>,
+    /// What the run did when something had no answer in time, and the ranks that it waited for.
+    overdue: Option<(Stage, Vec<Rank>)>,
     /// How many times longer than in a small group answers take.
     patience: u32,
     started: Timestamp,
@@ -174,12 +192,13 @@
         roles: SwitchRoles,
         content: Option<&'a Content<'a>>,
     ) -> Self {
-        state.known.borrow_mut().switching = true;
-        state.switch_begun.notify_one();
-        state.known.borrow_mut().results.clear();
+        state.tell_now.notify_one();
+        state.known.borrow_mut().begin_run();
         let size = state.known.borrow().report.as_ref().map_or(0, |it| it.size);
         Self {
             misses: FastMap::default(),
+            outcomes: FastMap::default(),
+            overdue: None,
             batches: Vec::new(),
             ordered: VecDeque::new(),
             patience: 1 + size / PATIENT_RANKS,
@@ -199,12 +218,10 @@
         let mut stage = (self.run.stage().0, self.state.clock.now());
         loop {
             if let Some(ending) = self.perform(outputs) {
-                self.log(ending);
-                return ending;
+                return self.end(ending);
             }
             if !self.is_current() {
-                self.log(Ending::Overtaken);
-                return Ending::Overtaken;
+                return self.end(Ending::Overtaken);
             }
             let now = self.state.clock.now();
             let (name, limit) = self.run.stage();
@@ -213,6 +230,7 @@
             }
             let input = if now >= stage.1 + limit {
                 stage.1 = now;
+                self.overdue = Some((name, self.run.missing()));
                 Input::Timeout
             } else {
                 self.next_input().await
@@ -220,10 +238,23 @@
             if self.state.is_unreliable() {
                 self.run.expect_losses();
             }
-            outputs = self.run.handle(input);
+            outputs = self.handle(input);
         }
     }
 
+    /// Notes how the run has ended. Each one in a row that was refused by its fencing number makes the next
+    /// number rise farther.
+    fn end(&mut self, ending: Ending) -> Ending {
+        self.log(ending);
+        let mut known = self.state.known.borrow_mut();
+        known.refusals = match ending {
+            Ending::Fenced => known.refusals + 1,
+            Ending::Overtaken => known.refusals,
+            _ => 0,
+        };
+        ending
+    }
+
     /// Whether no newer leader was seen.
     fn is_current(&self) -> bool {
         self.state.known.borrow().term == self.run.goal().term
@@ -238,15 +269,31 @@
         let ms = self.state.clock.now().saturating_sub(self.started);
         metrics::counter!("jujube_switches_total", "ending" => ending.name()).increment(1);
         metrics::histogram!("jujube_switch_seconds").record(ms.as_secs_f64());
+        let (stage, missing) = self.overdue.clone().unzip();
+        let missing = missing.unwrap_or_default();
+        let reason = missing.first().map_or("", |rank| self.reason(*rank));
+        if ending == Ending::NotLoaded {
+            metrics::counter!("jujube_loads_missing_total", "reason" => reason).increment(1);
+        }
         log_event!(
             event,
             version = goal.version, pass = goal.pass.unwrap_or_default(), epoch = goal.epoch,
             term = goal.term, ms = ms.as_millis() as u64, leader = self.roles.leader,
-            deputy = self.roles.deputy, gate = self.roles.gate;
+            deputy = self.roles.deputy, gate = self.roles.gate,
+            stage = format!("{stage:?}"), missing = format!("{missing:?}"), reason = reason;
             "switch of the expert map: {ending:?}"
         );
     }
 
+    /// What became of the last order of a rank's agent, as far as it was told.
+    fn reason(&self, rank: Rank) -> &'static str {
+        match self.outcomes.get(&rank) {
+            Some(Outcome::Accepted) => "loading",
+            Some(outcome) => outcome.name(),
+            None => "silent",
+        }
+    }
+
     /// The next thing that happens.
     async fn next_input(&mut self) -> Input {
         let retry = match self.run.is_loading() {
@@ -260,14 +307,7 @@
                 return input;
             }
             tokio::select! {
-                Some(done) = self.work.next() => match done {
-                    Done::Input(input) => return input,
-                    Done::Fenced(rank) => {
-                        self.raise_term();
-                        let outcome = Outcome::Refused;
-                        return Input::Ordered { rank, outcome };
-                    }
-                },
+                Some(input) = self.work.next() => return input,
                 () = state.replied.notified() => {}
                 () = tokio::time::sleep_until(until) => return Input::Tick,
             }
@@ -280,29 +320,58 @@
         if let Some(input) = self.ordered.pop_front() {
             return Some(input);
         }
-        let known = self.state.known.borrow();
-        if let Some((number, state)) = known.told
-            && number == self.deputy
-            && number > 0
+        let mut known = self.state.known.borrow_mut();
+        let outranked = std::mem::take(&mut known.outranked);
+        if outranked > self.run.goal().term {
+            return Some(Input::Outranked(outranked));
+        }
+        if let Some(word) = known.told
+            && word.number == self.deputy
+            && word.number > 0
         {
             self.deputy = 0;
-            return Some(Input::Deputy(state));
+            return Some(Input::Deputy {
+                state: word.state,
+                is_fenced: word.is_fenced,
+            });
         }
         let mut answered = self.asked.iter().filter_map(|(rank, number)| {
             let reply = known.replies.get(rank).filter(|it| it.number == *number)?;
-            Some((*rank, *number, reply.view))
+            Some((*rank, *reply))
         });
-        let (rank, number, view) = answered.next()?;
+        let (rank, reply) = answered.next()?;
         self.asked.remove(&rank);
-        Some(Input::View { rank, number, view })
+        Some(Input::View {
+            rank,
+            number: reply.number,
+            view: reply.view,
+            outcome: reply.outcome,
+        })
     }
 
-    fn raise_term(&mut self) {
-        let rank = self.state.rank().unwrap_or_default();
+    /// Has the run take an input, and obeys no leader under a lower fencing number than it has then.
+    fn handle(&mut self, input: Input) -> Vec<Output> {
+        if let Input::View {
+            rank,
+            outcome: Some(outcome),
+            ..
+        } = input
+        {
+            self.outcomes.insert(rank, outcome);
+        }
+        let before = self.run.goal().term;
+        let outputs = self.run.handle(input);
+        let term = self.run.goal().term;
+        if term > before {
+            log_event!(
+                events::ORDER_FENCED,
+                term = before, raised = term, version = self.run.goal().version;
+                "the fencing number of a switch was too low"
+            );
+        }
         let mut known = self.state.known.borrow_mut();
-        let refused = known.term.max(self.run.goal().term);
-        known.term = switch_run::raised_term(refused, rank);
-        self.run.raise_term(known.term);
+        known.term = known.term.max(term);
+        outputs
     }
 
     /// Does what the run wants; how it ended, where it has.
@@ -400,9 +469,6 @@
             let batch = self.batches.swap_remove(index);
             for rank in batch.ranks {
                 let result = results.iter().find(|it| it.rank == rank);
-                if result.is_some_and(|it| it.is_fenced) {
-                    self.raise_term();
-                }
                 let outcome = result.map_or(Outcome::Unknown, |it| it.outcome);
                 self.note_outcome(rank, outcome);
             }
@@ -458,7 +524,7 @@
         if self.run.is_loading() && before == Some(number) {
             let misses = self.misses.entry(rank).or_default();
             *misses += 1;
-            if *misses == MOST_MISSES {
+            if misses.is_multiple_of(MOST_MISSES) {
                 self.load_for(rank, server, number);
             }
         }
@@ -481,8 +547,13 @@
         );
         self.work.push(Box::pin(async move {
             match driver::load_at(&engine, &goal, map).await {
-                Some(view) => Done::Input(Input::View { rank, number, view }),
-                None => Done::Input(Input::Tick),
+                Some(Advanced { view, outcome }) => Input::View {
+                    rank,
+                    number,
+                    view,
+                    outcome,
+                },
+                None => Input::Tick,
             }
         }));
     }
@@ -530,13 +601,18 @@
                     let engine = &state.engine;
                     let map = map.as_deref();
                     let advanced = driver::advance(&state, engine, &report.view, &goal, map).await;
-                    if advanced.unanswered {
+                    let Advanced { view, outcome } = advanced;
+                    if outcome == Some(Outcome::Unknown) {
                         state.note_unanswered();
                     }
-                    let view = advanced.view;
-                    Done::Input(Input::View { rank, number, view })
+                    Input::View {
+                        rank,
+                        number,
+                        view,
+                        outcome,
+                    }
                 }
-                Err(_) => Done::Input(Input::Tick),
+                Err(_) => Input::Tick,
             }
         }));
     }
@@ -555,9 +631,8 @@
     fn order(&mut self, rank: Rank, order: HeldOrder, sequence: u64) {
         let Some(engine) = self.engine(rank) else {
             let outcome = Outcome::Unknown;
-            return self.work.push(Box::pin(async move {
-                Done::Input(Input::Ordered { rank, outcome })
-            }));
+            let ordered = Input::Ordered { rank, outcome };
+            return self.work.push(Box::pin(async move { ordered }));
         };
         let goal = self.run.goal();
         let guard = OrderGuard {
@@ -568,17 +643,12 @@
         let state = Rc::clone(&self.state);
         self.work.push(Box::pin(async move {
             let order = RankOrder::from(order);
-            let outcome = match engine.order(&order, guard, driver::ANSWER_LIMIT).await {
-                OrderOutcome::Accepted => Outcome::Accepted,
-                OrderOutcome::Refused => Outcome::Refused,
-                OrderOutcome::Fenced => return Done::Fenced(rank),
-                OrderOutcome::Unknown => {
-                    metrics::counter!("jujube_orders_unanswered_total").increment(1);
-                    state.note_unanswered();
-                    Outcome::Unknown
-                }
-            };
-            Done::Input(Input::Ordered { rank, outcome })
+            let outcome = engine.order(&order, guard, driver::ANSWER_LIMIT).await;
+            if outcome == Outcome::Unknown {
+                metrics::counter!("jujube_orders_unanswered_total").increment(1);
+                state.note_unanswered();
+            }
+            Input::Ordered { rank, outcome }
         }));
     }
 
@@ -612,8 +682,12 @@
     fn ask_deputy(&mut self) {
         self.deputy = self.next_number();
         if Some(self.roles.deputy) == self.state.rank() {
-            let state = deputy::known(&self.state);
-            self.state.known.borrow_mut().told = Some((self.deputy, state));
+            let word = DeputyWord {
+                number: self.deputy,
+                state: deputy::known(&self.state),
+                is_fenced: false,
+            };
+            self.state.known.borrow_mut().told = Some(word);
             return;
         }
         let message = Message::AskDeputy {
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -75,6 +75,8 @@
     MAP_FETCHED = 1510 Info "map_fetched";
     ORDERS_GIVEN = 1511 Debug "orders_given";
     LOADED_FOR = 1512 Info "loaded_for";
+    WATCHERS_CHANGED = 1513 Info "watchers_changed";
+    ORDER_NOT_TAKEN = 1514 Debug "order_not_taken";
 }
 
 /// Logs one numbered event, with fields that stand beside the message:
