--- a/crates/agent/src/cache.rs
+++ b/crates/agent/src/cache.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    async fn read(&self, backend: &BackendClient) -> Result<(), reqwest::Error> {
+    async fn read(&self, backend: &BackendClient) -> anyhow::Result<()> {
         let load = read_load(backend, TIMEOUT).await?;
         let after = {
             let mut log = self.lock();
--- a/crates/backend/src/cache.rs
+++ b/crates/backend/src/cache.rs
@@ -53,7 +53,7 @@
     client: &BackendClient,
     after: u64,
     limit: Duration,
-) -> Result<Vec<CacheEvent>, reqwest::Error> {
+) -> anyhow::Result<Vec<CacheEvent>> {
     let path = format!("{EVENTS_PATH}?after={after}");
     let wire: CacheEventsWire = client.get_json(&path, limit).await?;
     let events = wire.events.into_iter();
--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -9,7 +9,7 @@
     attempt::{AttemptHead, Call},
     frames::{Head, Header},
 };
-use jj_utils::ids::RequestId;
+use jj_utils::{bounded, ids::RequestId};
 use reqwest::{Client, ClientBuilder, Method, RequestBuilder, Response};
 
 pub use crate::call_error::{CallError, Parts, REQUEST_ID_HEADER};
@@ -27,6 +27,9 @@
 /// Path below which an engine takes cancellations.
 const REQUESTS_PATH: &str = "/v1/requests";
 
+/// Longest document of a backend server, in bytes.
+const LONGEST_DOCUMENT: usize = 1 << 20;
+
 /// Longest time to wait for the answer to a cancellation.
 const CANCEL_LIMIT: Duration = Duration::from_secs(1);
 
@@ -142,13 +145,13 @@
         &self,
         path: &str,
         limit: Duration,
-    ) -> Result<T, reqwest::Error> {
+    ) -> anyhow::Result<T> {
         let call = self
             .http
             .load()
             .get(format!("{}{path}", self.base))
             .timeout(limit);
-        call.send().await?.error_for_status()?.json().await
+        read_json(call.send().await?.error_for_status()?).await
     }
 
     /// Posts a JSON document to the backend server and returns the response.
@@ -194,6 +197,17 @@
     }
 }
 
+/// Reads the document of an answer.
+///
+/// # Errors
+/// When it breaks off, is too long or is another one.
+pub(crate) async fn read_json<T: serde::de::DeserializeOwned>(
+    answer: Response,
+) -> anyhow::Result<T> {
+    let bytes = bounded::collect(answer.bytes_stream(), LONGEST_DOCUMENT).await?;
+    Ok(serde_json::from_slice(&bytes)?)
+}
+
 fn builder(connect: Duration) -> ClientBuilder {
     Client::builder()
         .connect_timeout(connect)
--- a/crates/backend/src/health.rs
+++ b/crates/backend/src/health.rs
@@ -33,9 +33,6 @@
 ///
 /// # Errors
 /// When the server doesn't answer in time or not with a load report.
-pub async fn read_load(
-    client: &BackendClient,
-    limit: Duration,
-) -> Result<BackendLoad, reqwest::Error> {
+pub async fn read_load(client: &BackendClient, limit: Duration) -> anyhow::Result<BackendLoad> {
     client.get_json(LOAD_PATH, limit).await
 }
--- a/crates/backend/src/orders.rs
+++ b/crates/backend/src/orders.rs
@@ -5,7 +5,7 @@
 use jj_peer::group::{EngineOrder, EngineRefusal, EngineViewWire, GroupReport};
 use reqwest::StatusCode;
 
-use crate::call::BackendClient;
+use crate::call::{self, BackendClient};
 
 /// Path that takes orders.
 const ORDERS_PATH: &str = "/group/orders";
@@ -33,11 +33,11 @@
         return OrderOutcome::Unknown;
     };
     match answer.status() {
-        StatusCode::OK => match answer.json().await {
+        StatusCode::OK => match call::read_json(answer).await {
             Ok(view) => OrderOutcome::Done(view),
             Err(_) => OrderOutcome::Unknown,
         },
-        StatusCode::CONFLICT => match answer.json().await {
+        StatusCode::CONFLICT => match call::read_json(answer).await {
             Ok(refusal) => OrderOutcome::Refused(refusal),
             Err(_) => OrderOutcome::Unknown,
         },
@@ -49,6 +49,6 @@
 ///
 /// # Errors
 /// When the engine doesn't answer in time with a report.
-pub async fn read_report(engine: &BackendClient) -> Result<GroupReport, reqwest::Error> {
+pub async fn read_report(engine: &BackendClient) -> anyhow::Result<GroupReport> {
     engine.get_json(REPORT_PATH, REPORT_TIMEOUT).await
 }
--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -3,7 +3,14 @@
 //! Engines number the tokens of a stream. A token that comes late, twice, or from the stream of
 //! another request is dropped; a missing one ends the stream as not whole.
 
-use std::{borrow::Cow, time::Duration};
+use std::{
+    borrow::Cow,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use async_stream::stream;
 use bytes::Bytes;
@@ -12,6 +19,7 @@
 use jj_utils::{events as log_events, ids::RequestId, log_event};
 use reqwest::Response;
 use serde::Deserialize;
+use tokio::time::Instant;
 
 use crate::call_error::{CallError, Parts, REQUEST_ID_HEADER};
 
@@ -21,6 +29,9 @@
 /// Longest time between two tokens of one stream before its connection is taken for dead.
 pub const TOKEN_SILENCE: Duration = Duration::from_secs(2);
 
+/// Most bytes without a whole event, after which a stream is taken for broken.
+const LONGEST_EVENT: usize = 256 * 1024;
+
 /// Attempts that fit into a request's deadline when each waits in vain for its first token.
 const FIRST_TOKEN_SHARE: u32 = 3;
 
@@ -97,16 +108,28 @@
     let is_ours = echoed.is_some_and(|id| id.as_bytes() == request.as_bytes());
     let mut order = TokenOrder::new(is_ours.then(|| request.clone()), first);
     let request = request.clone();
-    let mut events = response.bytes_stream().eventsource();
-    let mut limit = first_limit;
+    let unread = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&unread);
+    let bytes = response.bytes_stream().map(move |part| {
+        let part = part.map_err(|error| error.to_string())?;
+        let length = counted.fetch_add(part.len(), Ordering::Relaxed) + part.len();
+        match length > LONGEST_EVENT {
+            true => Err("an event is too long".to_owned()),
+            false => Ok(part),
+        }
+    });
+    let mut events = bytes.eventsource();
+    let mut until = Instant::now() + first_limit;
     stream! {
         loop {
-            match tokio::time::timeout(limit, events.next()).await {
+            let next = tokio::time::timeout_at(until, events.next()).await;
+            unread.store(0, Ordering::Relaxed);
+            match next {
                 Ok(Some(Ok(event))) if event.data == DONE => return,
                 Ok(Some(Ok(event))) => match order.place(&event.data) {
                     Place::Next => {
-                        limit = TOKEN_SILENCE;
                         yield Ok(Bytes::from(event.data));
+                        until = Instant::now() + TOKEN_SILENCE;
                     }
                     Place::Stray => {
                         log_event!(log_events::ANSWER_DROPPED, "request {request}: stray token dropped");
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -60,6 +60,11 @@
 }
 
 impl CallAnswer {
+    /// Whether its connection has carried a request before.
+    pub fn on_reused(&self) -> bool {
+        self.connection.reused
+    }
+
     /// Bytes of the body that are still to come, where the server tells its length.
     pub fn bytes_left(&self) -> Option<u64> {
         self.body.size_hint().exact()
--- a/crates/direct/src/caller_io.rs
+++ b/crates/direct/src/caller_io.rs
@@ -24,6 +24,9 @@
 /// Most bytes that are read and dropped meanwhile.
 const LINGER_BYTES: usize = 256 * 1024;
 
+/// Longest time for which a caller takes none of the bytes of its answer.
+const STALLED_WRITE: Duration = Duration::from_secs(8);
+
 /// What a connection does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Phase {
@@ -46,6 +49,8 @@
     head_time: Duration,
     /// Ends the wait for the rest of a head.
     head_end: Option<Pin<Box<Sleep>>>,
+    /// Ends the wait for a caller that reads nothing.
+    write_end: Option<Pin<Box<Sleep>>>,
     /// Ends the reading after the last answer.
     linger_end: Option<Pin<Box<Sleep>>>,
     dropped: usize,
@@ -65,6 +70,7 @@
             phase,
             head_time,
             head_end: None,
+            write_end: None,
             linger_end: None,
             dropped: 0,
             leave,
@@ -87,6 +93,23 @@
         }
     }
 
+    /// Passes the outcome of a write on; fails once the caller has taken nothing for too long.
+    fn check_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.write_end = None;
+            return written;
+        }
+        let end = self
+            .write_end
+            .get_or_insert_with(|| Box::pin(sleep(STALLED_WRITE)));
+        ready!(end.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Reads and drops what the caller still sends, up to its end or the limits.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let end = self
@@ -132,7 +155,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.check_write(cx, written)
     }
 
     fn poll_write_vectored(
@@ -140,7 +164,8 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.check_write(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -96,6 +96,10 @@
         pub load: Option<ServerLoad>,
         /// Server that caused a failure, where it isn't the one that answers.
         pub at_fault: Option<BackendServerId>,
+        /// The server will end soon and takes no new requests.
+        pub leaves: bool,
+        /// Time for which the server wants nothing from the one that it has turned away.
+        pub pause: Option<Duration>,
         /// Time for which the server keeps the connection open while idle.
         pub keep_alive: Option<Duration>,
         /// The server closes the connection after this answer.
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -6,7 +6,7 @@
 use crate::dialect::EventId;
 
 /// Longest event, in bytes; a longer one is taken for a broken stream.
-const LONGEST_EVENT: usize = 1 << 20;
+pub const LONGEST_EVENT: usize = 64 * 1024;
 
 common_derives! {value:
     /// One event as it arrived.
@@ -18,6 +18,18 @@
     }
 }
 
+impl Event {
+    /// Whether it carries the stream on: comments only keep the connection alive.
+    pub fn is_progress(&self) -> bool {
+        self.id.is_some() || lines(&self.bytes).any(|it| it.starts_with(b"data"))
+    }
+}
+
+/// The lines of an event.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    bytes.split(|byte| *byte == b'\n')
+}
+
 /// Bytes of a stream that do not make a whole event yet.
 #[derive(Debug, Default)]
 pub struct Framer {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod reload;
 pub mod server;
 pub mod socket;
+pub mod supervise;
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -18,6 +18,9 @@
 
 use crate::socket;
 
+/// Most bytes of an answer that a connection holds: its head has to fit in.
+const ANSWER_BUFFER: usize = 64 * 1024;
+
 /// Bodies of requests to backend servers.
 pub type RequestBody = Full<Bytes>;
 
@@ -110,7 +113,9 @@
     /// When it can't be opened.
     pub async fn open(&self, addr: SocketAddr) -> io::Result<Connection> {
         let stream = socket::connect(addr, self.config.connect, self.config.silence).await?;
-        let opened = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(ANSWER_BUFFER);
+        let opened = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = opened.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -20,6 +20,13 @@
     socket,
 };
 
+/// Time in which a request may still arrive on a connection without one when the server leaves: it may be
+/// on its way, or wait in a buffer.
+const LAST_REQUEST: Duration = Duration::from_millis(300);
+
+/// Time between two looks at such a connection.
+const LAST_LOOK: Duration = Duration::from_millis(20);
+
 /// Pause after a failed accept, such as one without a free descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -67,7 +74,9 @@
 ) {
     let open = TaskTracker::new();
     loop {
+        // Connections that are there when it leaves are still accepted.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             () = stop.leave.cancelled() => break,
         };
@@ -103,10 +112,11 @@
     socket::prepare_accepted(&stream);
     let phase = SharedPhase::default();
     let io = CallerIo::new(stream, Rc::clone(&phase), config.head_time, leave.clone());
+    let answered = Rc::clone(&phase);
     let service = service_fn(move |request| {
-        phase.set(Phase::Busy);
+        answered.set(Phase::Busy);
         let answer = handler(request, peer);
-        let end = EndOfAnswer(Rc::clone(&phase));
+        let end = EndOfAnswer(Rc::clone(&answered));
         async move { Ok::<_, Infallible>(answer.await.map(|body| body.ended_by(end))) }
     });
     let mut builder = http1::Builder::new();
@@ -117,8 +127,12 @@
         .auto_date_header(false);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(io), service));
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = leave.cancelled() => {
+        ended = connection.as_mut() => Some(ended),
+        () = last_request(&phase, &leave) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -127,3 +141,16 @@
         log::debug!("connection of {peer} ended: {error}");
     }
 }
+
+/// Waits until the server leaves, and then until the connection answers a request or none has come: an
+/// answer under way is the last one, a connection without one is closed at once.
+async fn last_request(phase: &SharedPhase, leave: &CancellationToken) {
+    leave.cancelled().await;
+    let looks = LAST_REQUEST.as_millis() / LAST_LOOK.as_millis();
+    let mut idle = 0;
+    while idle < looks && phase.get() != Phase::Busy {
+        // The head that has begun to arrive has a time of its own.
+        idle += u128::from(phase.get() == Phase::Idle);
+        tokio::time::sleep(LAST_LOOK).await;
+    }
+}
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -10,6 +10,7 @@
     outage::{Outage, OutageConfig, Outlook},
     pass_model::{Forecast, PassConfig, PassModel, PassSpec, PauseMeter},
     server_health::{HealthConfig, ServerHealth, Sign},
+    server_notices::ServerNotices,
 };
 use jj_utils::{
     clock::Timestamp,
@@ -62,6 +63,8 @@
     servers: FastMap<BackendServerId, ServerLoad>,
     /// Requests of all other processes.
     pub sums: LoadSums,
+    /// What servers have said of themselves.
+    pub notices: ServerNotices,
     groups: FastMap<ServiceId, GroupLoad>,
     /// Requests that may still be sent to each cold server.
     cold: FastMap<BackendServerId, ColdAllowance>,
@@ -76,6 +79,7 @@
         Self {
             servers: FastMap::default(),
             sums: LoadSums::new(SumsConfig::default(), life),
+            notices: ServerNotices::default(),
             groups: FastMap::default(),
             cold: FastMap::default(),
             health: HealthConfig::default(),
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -15,14 +15,16 @@
     pass_model::Forecast,
     placement::WaitBound,
     server_health::Sign,
+    server_notices::{self, PauseAnswer},
 };
-use jj_utils::{events, ids::BackendServerId, log_event};
+use jj_utils::{clock::Timestamp, events, ids::BackendServerId, log_event};
 
 use crate::{
     answers::Refusal,
     dispatch,
     failure::Failure,
-    open_stream::{self, OpenStream},
+    long_body::LongBody,
+    open_stream::OpenStream,
     record::Record,
     request::Request,
     shared::{Place, Shared},
@@ -38,8 +40,8 @@
 /// Time left under which no attempt is worth its start.
 const LEAST_LEFT: Duration = Duration::from_millis(10);
 
-/// Longest wait for the first event of a stream; callers leave after two seconds.
-const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_800);
+/// Part of a caller's patience for which the first event of a stream is waited for.
+const FIRST_EVENT_PART: f64 = 0.9;
 
 /// Part of the time left that one attempt of an idempotent request may take while there is
 /// another server to try.
@@ -63,8 +65,10 @@
 
 /// An answer for the caller.
 pub enum Answered {
-    /// All of it is there, or will be read to its end.
+    /// All of it is there.
     Plain(Response<AnswerBody>),
+    /// Its beginning is there.
+    Long(Box<LongBody>),
     /// A stream whose first event is there.
     Stream(Box<OpenStream>),
 }
@@ -135,14 +139,15 @@
         if !is_allowed || !is_in_time || self.tried.len() > MOST_TRIES {
             return false;
         }
-        failure == Failure::NotSent || (sent < route.attempts && self.shared.pay_repeat())
+        failure.is_free() || (sent < route.attempts && self.shared.pay_repeat())
     }
 
     fn route(&self) -> &Route {
         &self.request.admitted.route
     }
 
-    fn left(&self) -> Duration {
+    /// Time left until its answer is worth nothing any more.
+    pub fn left(&self) -> Duration {
         self.request
             .deadline
             .saturating_sub(self.shared.clock.now())
@@ -193,6 +198,9 @@
             return Err(self.give_up("no server takes requests"));
         }
         let wait = self.wait_for_room()?;
+        if let Some(opens) = self.shared.opens(&service) {
+            self.wait_until_open(opens)?;
+        }
         let mut spot = dispatch::wait(&self.shared, &self.request, &self.tried);
         self.shared.room.notify_one();
         match tokio::time::timeout(wait, &mut spot.place).await {
@@ -201,6 +209,29 @@
         }
     }
 
+    /// Goes on where one of the servers, all of which want nothing for a while, opens before the request
+    /// would be given up.
+    fn wait_until_open(&self, opens: Timestamp) -> Result<(), Refusal> {
+        let now = self.shared.clock.now();
+        let give_up = self.wait_bound().give_up();
+        match server_notices::answer(now, opens, give_up, self.shared.draw()) {
+            PauseAnswer::Wait => Ok(()),
+            PauseAnswer::Reject(after) => Err(self.paused(opens, after)),
+        }
+    }
+
+    /// Rejects the request since all servers want nothing for a while, and says why in the log.
+    fn paused(&self, opens: Timestamp, after: Duration) -> Refusal {
+        log_event!(
+            events::REQUEST_REFUSED,
+            request = self.request.id(), service = self.request.service.as_str(),
+            opens_ms = opens.saturating_sub(self.shared.clock.now()).as_millis() as u64,
+            left_ms = self.left().as_millis() as u64, retry_after_ms = after.as_millis() as u64;
+            "all servers have asked for a pause"
+        );
+        self.give_up_until(after, "all servers have asked for a pause")
+    }
+
     /// Rejects the request since no server has room for it, and says why in the log.
     fn full(&self) -> Refusal {
         let service = self.request.service.as_str();
@@ -252,12 +283,7 @@
                 OutageAnswer::Reject(after) => Err(self.out(&outage, after)),
             };
         }
-        let bound = WaitBound {
-            arrived: self.request.arrived,
-            aim: self.route().aim,
-            deadline: self.request.deadline,
-        };
-        let until = bound.give_up();
+        let until = self.wait_bound().give_up();
         let now = self.shared.clock.now();
         match now >= until || !self.tried.is_empty() {
             true => Err(self.full()),
@@ -265,6 +291,14 @@
         }
     }
 
+    fn wait_bound(&self) -> WaitBound {
+        WaitBound {
+            arrived: self.request.arrived,
+            aim: self.route().aim,
+            deadline: self.request.deadline,
+        }
+    }
+
     /// One attempt at one server.
     async fn attempt(
         &mut self,
@@ -277,12 +311,9 @@
         let (answer, facts) = match sent.await {
             Ok(Ok(answered)) => answered,
             Ok(Err(failure)) => {
-                let sign = match failure {
-                    Failure::NotSent => Sign::Unreachable,
-                    Failure::NotRun => Sign::Refused,
-                    Failure::Unknown => Sign::Broken,
-                };
-                place.observe(sign);
+                if let Some(sign) = failure.sign() {
+                    place.observe(sign);
+                }
                 return Err(failure);
             }
             Err(_) if self.record.servers.len() == sent_before => {
@@ -304,7 +335,7 @@
                 .await
                 .map(|it| Answered::Stream(Box::new(it)));
         }
-        self.plain(answer, facts, place).await.map(Answered::Plain)
+        self.plain(answer, facts, place).await
     }
 
     fn attempt_limit(&self) -> Duration {
@@ -314,7 +345,9 @@
                 left.mul_f64(ATTEMPT_PART).max(self.route().aim).min(left)
             }
             RequestKind::Idempotent | RequestKind::Once => left,
-            RequestKind::Stream | RequestKind::ResumableStream => left.min(FIRST_EVENT_LIMIT),
+            RequestKind::Stream | RequestKind::ResumableStream => {
+                left.min(self.route().patience().mul_f64(FIRST_EVENT_PART))
+            }
         }
     }
 
@@ -339,6 +372,11 @@
                     return Err(Failure::NotSent);
                 }
             };
+            // It may have said so while the connection was opened.
+            if !self.shared.access(&place.server).is_allowed() {
+                self.cause = "the server wants nothing now".to_owned();
+                return Err(Failure::NotWanted);
+            }
             let request = self.outgoing(place, last_event);
             // Counted before, since this may be given up while it waits for the answer.
             self.record.servers.push(place.server.id.clone());
@@ -365,6 +403,9 @@
             );
             return Err(Failure::Unknown);
         }
+        if !facts.misdirected {
+            self.shared.take_notices(&place.server, &facts);
+        }
         if facts.not_run {
             let is_full = facts.load.is_some_and(|it| it.waiting > 0);
             if !is_full && !facts.misdirected {
@@ -372,7 +413,7 @@
                 let mut loads = self.shared.loads.borrow_mut();
                 loads.take_refusal(now, &self.request.service);
             }
-            self.cause = format!("refused with status {}", answer.status.as_u16());
+            self.cause = refusal_text(&answer, &facts);
             let keep_alive = facts.keep_alive;
             finish_small(answer, &self.shared, keep_alive).await;
             return Err(Failure::NotRun);
@@ -410,8 +451,8 @@
         mut answer: CallAnswer,
         facts: AnswerFacts,
         place: Place,
-    ) -> Result<Response<AnswerBody>, Failure> {
-        let limit = self.left();
+    ) -> Result<Answered, Failure> {
+        let limit = self.attempt_limit();
         let read = tokio::time::timeout(limit, answer.read(BUFFERED_BODY)).await;
         let Ok(Ok(body)) = read else {
             self.cause = "the answer broke off".to_owned();
@@ -419,7 +460,9 @@
             return Err(Failure::Unknown);
         };
         let is_error = answer.status.is_server_error();
-        place.observe(if is_error { Sign::Failed } else { Sign::Good });
+        if is_error || body.is_ok() {
+            place.observe(if is_error { Sign::Failed } else { Sign::Good });
+        }
         if is_error && self.route().kind == RequestKind::Idempotent && self.has_more_tries(0) {
             self.cause = format!("status {}", answer.status.as_u16());
             return Err(Failure::Unknown);
@@ -435,7 +478,17 @@
                 answer.finish(&self.shared.pool, keep_alive);
                 AnswerBody::whole(whole)
             }
-            Err(begun) => open_stream::rest(begun, answer, place),
+            Err(begun) => {
+                let long = LongBody {
+                    status,
+                    headers,
+                    begun,
+                    answer,
+                    facts,
+                    place,
+                };
+                return Ok(Answered::Long(Box::new(long)));
+            }
         };
         if let Some(stated) = stated.filter(|_| is_head) {
             headers.insert(header::CONTENT_LENGTH, stated);
@@ -443,7 +496,7 @@
         let mut response = Response::new(body);
         *response.status_mut() = status;
         *response.headers_mut() = headers;
-        Ok(response)
+        Ok(Answered::Plain(response))
     }
 }
 
@@ -453,15 +506,25 @@
 /// Most connections in a row that may turn out closed by the server.
 const MOST_CLOSED: u32 = 3;
 
-/// Whether an answer is the one to this request, and as the server made it.
+/// Whether an answer is the one to this request, and as the server made it. On a connection that has been
+/// in use before, one that does not name the request may be a late copy of an earlier answer.
 fn is_own(facts: &AnswerFacts, answer: &CallAnswer, id: Option<&str>) -> bool {
-    let is_other = id.is_some() && facts.request_id.as_deref() != id;
-    let is_success = answer.status.is_success();
-    let is_altered = answer.headers.contains_key(header::CONTENT_ENCODING);
-    match is_success {
-        true => !is_other && facts.signed && !is_altered,
-        false => facts.request_id.is_none() || !is_other,
+    let is_named = id.is_none() || facts.request_id.as_deref() == id;
+    if answer.status.is_success() {
+        let is_altered = answer.headers.contains_key(header::CONTENT_ENCODING);
+        return is_named && facts.signed && !is_altered;
     }
+    let is_first = facts.request_id.is_none() && !answer.on_reused();
+    is_named || is_first
+}
+
+/// A server's refusal, for the log.
+fn refusal_text(answer: &CallAnswer, facts: &AnswerFacts) -> String {
+    let status = answer.status.as_u16();
+    let fault = facts.at_fault.as_deref().unwrap_or("itself");
+    let load = facts.load.map_or((0, 0), |it| (it.running, it.waiting));
+    let pause = facts.pause.unwrap_or_default().as_millis();
+    format!("refused with status {status}, at fault {fault}, load {load:?}, pause {pause} ms")
 }
 
 /// Time for which the server keeps the connection; nothing where it closes it.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod follower;
 pub mod forward;
+pub mod long_body;
 pub mod mesh;
 pub mod open_stream;
 pub mod peers;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -37,7 +37,7 @@
 const WORD_PAUSE: Duration = Duration::from_millis(150);
 
 /// Exchanges datagrams for as long as the process runs.
-pub async fn run(shared: Rc<Shared>, socket: UdpSocket) {
+pub async fn run(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut tick = tokio::time::interval(ROUND);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut mesh = Mesh {
@@ -56,7 +56,7 @@
                 }
             }
             _ = tick.tick() => mesh.round(),
-            () = mesh.shared.changed.notified() => mesh.shared.loads.borrow_mut().sums.touch(),
+            () = mesh.shared.changed.notified() => mesh.take_change(),
             () = tokio::time::sleep_until(due) => mesh.tell_use(),
         }
     }
@@ -64,7 +64,7 @@
 
 struct Mesh {
     shared: Rc<Shared>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     buffer: Vec<u8>,
     last_round: Timestamp,
     /// What was passed on last of each group, and when.
@@ -78,6 +78,18 @@
         Instant::now() + due.saturating_sub(self.shared.clock.now())
     }
 
+    /// Requests in flight have changed, or a server has said that it leaves.
+    fn take_change(&mut self) {
+        let left = std::mem::take(&mut *self.shared.left.borrow_mut());
+        let mut loads = self.shared.loads.borrow_mut();
+        loads.sums.touch();
+        let targets = loads.sums.gossip_targets();
+        drop(loads);
+        for news in left {
+            self.send_all(&Message::ServerLeaves(news), &targets);
+        }
+    }
+
     /// Takes in a datagram, and those that have arrived with it.
     fn take_batch(&mut self, length: usize, from: SocketAddr) {
         self.look_at_clock();
@@ -108,6 +120,11 @@
             }
             Some(Message::AskRoster { server }) => self.tell_roster(server, from),
             Some(Message::GroupNews(news)) => self.take_group(news),
+            Some(Message::ServerLeaves(news)) => {
+                // One that is new here is passed on.
+                self.shared
+                    .take_leave(&news.server, news.life, &ip.to_string());
+            }
             // The rest is for agents, or can't be read.
             _ => {}
         }
--- a/crates/front/src/open_stream.rs
+++ b/crates/front/src/open_stream.rs
@@ -1,15 +1,13 @@
-//! The stream of events of one server, and the rest of a long body.
+//! The stream of events of one server.
 
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
 use http::StatusCode;
 use jj_direct::{
-    body::AnswerBody,
     call::CallAnswer,
     dialect::{AnswerFacts, EventId},
-    events::Framer,
+    events::{Framer, LONGEST_EVENT},
 };
 use jj_policy::server_health::Sign;
 
@@ -24,14 +22,14 @@
     pub(crate) place: Place,
     framer: Framer,
     /// Events that are there and not passed on.
-    ready: Bytes,
+    ready: BytesMut,
     ready_events: u32,
     pub(crate) last: Option<EventId>,
 }
 
 /// What comes next of a stream.
 pub(crate) enum Next {
-    /// Whole events, one after the other.
+    /// Whole events, one after the other, and how many of them carry the stream on.
     Events(Bytes, u32),
     /// The server has sent everything.
     End,
@@ -53,7 +51,7 @@
             facts,
             place,
             framer: Framer::default(),
-            ready: Bytes::new(),
+            ready: BytesMut::new(),
             ready_events: 0,
             last,
         }
@@ -64,26 +62,42 @@
     /// # Errors
     /// When the stream breaks before it, or has none in time.
     pub async fn start(mut self, limit: Duration) -> Result<Self, Failure> {
-        match tokio::time::timeout(limit, self.next()).await {
-            Ok(Next::Events(bytes, count)) => {
-                self.ready = bytes;
-                self.ready_events = count;
-                Ok(self)
-            }
-            // A stream without events is whole as well.
-            Ok(Next::End) => Ok(self),
-            Ok(Next::Broken(_)) | Err(_) => {
+        match tokio::time::timeout(limit, self.first()).await {
+            Ok(true) => Ok(self),
+            Ok(false) | Err(_) => {
                 self.place.observe(Sign::Failed);
                 Err(Failure::Unknown)
             }
         }
     }
 
+    /// Reads up to the first event that carries the stream on; false where it breaks off before. A stream
+    /// without events is whole as well.
+    async fn first(&mut self) -> bool {
+        let mut begun = BytesMut::new();
+        loop {
+            let count = match self.next().await {
+                Next::Events(bytes, count) => {
+                    begun.extend_from_slice(&bytes);
+                    count
+                }
+                Next::End => break,
+                Next::Broken(_) => return false,
+            };
+            if count > 0 || begun.len() > LONGEST_EVENT {
+                self.ready_events = count;
+                break;
+            }
+        }
+        self.ready = begun;
+        true
+    }
+
     /// What comes next.
     pub(crate) async fn next(&mut self) -> Next {
         if !self.ready.is_empty() {
             let count = std::mem::take(&mut self.ready_events);
-            return Next::Events(std::mem::take(&mut self.ready), count);
+            return Next::Events(std::mem::take(&mut self.ready).freeze(), count);
         }
         loop {
             let bytes = match self.answer.next().await {
@@ -104,9 +118,9 @@
                 }
                 self.last = event.id.or(self.last);
                 whole.extend_from_slice(&event.bytes);
-                count += 1;
+                count += u32::from(event.is_progress());
             }
-            if count > 0 {
+            if !whole.is_empty() {
                 return Next::Events(whole.freeze(), count);
             }
             if self.framer.is_overlong() {
@@ -115,24 +129,3 @@
         }
     }
 }
-
-/// A long body whose beginning has arrived.
-pub fn rest(begun: Bytes, mut answer: CallAnswer, place: Place) -> AnswerBody {
-    let length = answer.bytes_left().map(|left| left + begun.len() as u64);
-    let parts = async_stream::stream! {
-        // Holds the place for as long as the server works on the answer.
-        let _place = place;
-        yield Ok(begun);
-        loop {
-            match answer.next().await {
-                Ok(Some(bytes)) => yield Ok(bytes),
-                Ok(None) => return,
-                Err(error) => {
-                    yield Err(error);
-                    return;
-                }
-            }
-        }
-    };
-    AnswerBody::parts(parts.boxed_local(), length)
-}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -8,7 +8,7 @@
     instance::InstanceSettings,
     metrics_port, reload,
     server::{self, Handler, ServerConfig, ServerStop},
-    socket,
+    socket, supervise,
 };
 use jj_utils::{
     clock::SystemClock,
@@ -17,6 +17,7 @@
 };
 use log::LevelFilter;
 use tokio::{
+    net::UdpSocket,
     signal::unix::{SignalKind, signal},
     task::{JoinHandle, LocalSet, spawn_local},
 };
@@ -70,15 +71,12 @@
     }
     let datagrams = socket::datagrams(SocketAddr::new(own.ip, own.ports.0))
         .context("bind the port for datagrams")?;
-    spawn_local(mesh::run(Rc::clone(&shared), datagrams));
-    spawn_local(follow(Rc::clone(&shared)));
-    spawn_local(dispatch::run(Rc::clone(&shared)));
+    start(&shared, Rc::new(datagrams));
     let reloaded = Rc::clone(&shared);
     let take = move |settings| *reloaded.settings.borrow_mut() = settings;
     let path = options.path.clone();
     spawn_local(reload::watch(path, settings::read, take));
     spawn_local(metrics_port::upkeep(metrics));
-    spawn_local(upkeep(Rc::clone(&shared)));
     let stop = ServerStop::default();
     let handler = traffic::handler(Rc::clone(&shared));
     let limits = Rc::clone(&shared);
@@ -95,6 +93,20 @@
     Ok(())
 }
 
+/// Starts what goes on beside the requests.
+fn start(shared: &Rc<Shared>, datagrams: Rc<UdpSocket>) {
+    let state = Rc::clone(shared);
+    supervise::spawn("mesh", move || {
+        mesh::run(Rc::clone(&state), Rc::clone(&datagrams))
+    });
+    let state = Rc::clone(shared);
+    supervise::spawn("follower", move || follow(Rc::clone(&state)));
+    let state = Rc::clone(shared);
+    supervise::spawn("dispatch", move || dispatch::run(Rc::clone(&state)));
+    let state = Rc::clone(shared);
+    supervise::spawn("upkeep", move || upkeep(Rc::clone(&state)));
+}
+
 /// Readiness, directory and control, and a port of the system's own for operators.
 fn small_ports(settings: &InstanceSettings) -> Vec<SocketAddr> {
     let listen = &settings.listen;
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -8,10 +8,11 @@
 
 use jj_adapter::headers;
 use jj_direct::{
-    dialect::Dialect,
+    dialect::{AnswerFacts, Dialect},
     instance::InstanceSettings,
     pool::{Pool, PoolConfig},
 };
+use jj_news::LeaveNews;
 use jj_policy::{
     cold_rate,
     gossip::{LifeTag, Standing},
@@ -21,12 +22,15 @@
     repeat_budget::{RepeatBudget, RepeatConfig},
     returning::{Returning, ReturningConfig},
     server_health::Sign,
-    server_list::ServerRecord,
+    server_list::{ServerLife, ServerRecord},
+    server_notices::Access,
 };
 use jj_utils::{
     clock::{SharedClock, Timestamp},
     collections::FastMap,
+    events,
     ids::{BackendServerId, Incarnation},
+    log_event,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -67,8 +71,10 @@
     pub waiting: RefCell<Waiting<Place>>,
     /// The store should be looked at sooner than planned.
     pub look: Notify,
-    /// Requests in flight have changed.
+    /// Requests in flight have changed, or there is something to tell other entries.
     pub changed: Notify,
+    /// Servers that leave, of which other entries were not told yet.
+    pub left: RefCell<Vec<LeaveNews>>,
     budget: RefCell<RepeatBudget>,
     /// How long first callers of each route wait.
     returning: RefCell<FastMap<String, Returning>>,
@@ -144,6 +150,7 @@
             waiting: RefCell::default(),
             look: Notify::new(),
             changed: Notify::new(),
+            left: RefCell::default(),
             budget: RefCell::default(),
             returning: RefCell::default(),
             rejected: Cell::default(),
@@ -186,19 +193,24 @@
                 return None;
             }
         }
-        let candidates: Vec<Candidate> = records
-            .iter()
-            .map(|record| Candidate {
+        let drain = self.settings().promises.drain;
+        let mut candidates = Vec::with_capacity(records.len());
+        for record in &records {
+            let access = loads.notices.access(now, &record.id, record.born, drain);
+            if !access.is_allowed() {
+                continue;
+            }
+            candidates.push(Candidate {
                 id: record.id.clone(),
                 is_near: record.domain == domain,
                 slots: record.slots,
                 own: loads.own(&record.id),
                 others: loads.others(&record.id),
-                avoid: loads.is_avoided(now, &record.id),
+                avoid: access == Access::Reluctant || loads.is_avoided(now, &record.id),
                 cold_room: self.cold_room(&replica, &mut loads, &record.id),
                 tried: tried.contains(&record.id),
-            })
-            .collect();
+            });
+        }
         let config = PlacementConfig {
             depth: if is_model { ENGINE_DEPTH } else { PLAIN_DEPTH },
             ..PlacementConfig::default()
@@ -272,9 +284,80 @@
         }
     }
 
-    /// Whether any server of a service may take requests at all.
+    /// Whether a server may get new requests, by what it has said itself.
+    pub fn access(&self, server: &ServerRecord) -> Access {
+        let now = self.clock.now();
+        let drain = self.settings().promises.drain;
+        let loads = self.loads.borrow();
+        loads.notices.access(now, &server.id, server.born, drain)
+    }
+
+    /// Whether any server of a service may take requests now or after a pause.
     pub fn has_servers(&self, service: &str) -> bool {
-        self.replica.borrow().usable(service).next().is_some()
+        let replica = self.replica.borrow();
+        let mut usable = replica.usable(service);
+        usable.any(|it| self.access(it) != Access::Closed)
+    }
+
+    /// When the first server of a service opens, where all of them want nothing for a while.
+    pub fn opens(&self, service: &str) -> Option<Timestamp> {
+        let replica = self.replica.borrow();
+        let mut first = None;
+        for server in replica.usable(service) {
+            match self.access(server) {
+                Access::Open | Access::Reluctant => return None,
+                Access::Paused { until } => first = Some(first.map_or(until, |it| until.min(it))),
+                Access::Closed => {}
+            }
+        }
+        first
+    }
+
+    /// Takes in what a server has said of itself in an answer.
+    pub fn take_notices(&self, server: &ServerRecord, facts: &AnswerFacts) {
+        if facts.leaves {
+            self.take_leave(&server.id, server.born, "the server itself");
+        }
+        let Some(pause) = facts.pause else {
+            return;
+        };
+        let now = self.clock.now();
+        let mut loads = self.loads.borrow_mut();
+        let until = loads
+            .notices
+            .take_pause(now, &server.id, server.born, pause);
+        metrics::counter!("jujube_server_notices_total", "notice" => "pause").increment(1);
+        log_event!(
+            events::SERVER_PAUSES,
+            server = server.id.as_str(), service = server.service.as_str(),
+            asked_ms = pause.as_millis() as u64,
+            pause_ms = until.saturating_sub(now).as_millis() as u64;
+            "a server wants nothing for a while"
+        );
+    }
+
+    /// Takes in that a server leaves; true where that was not known.
+    pub fn take_leave(&self, server: &str, life: Option<ServerLife>, by: &str) -> bool {
+        let now = self.clock.now();
+        let is_new = self
+            .loads
+            .borrow_mut()
+            .notices
+            .take_leave(now, server, life);
+        if !is_new {
+            return false;
+        }
+        metrics::counter!("jujube_server_notices_total", "notice" => "leave").increment(1);
+        log_event!(
+            events::SERVER_LEAVES,
+            server = server, life = life.unwrap_or_default(), by = by; "a server leaves"
+        );
+        self.left.borrow_mut().push(LeaveNews {
+            server: server.to_owned(),
+            life,
+        });
+        self.changed.notify_one();
+        true
     }
 
     /// Whether the caller of a request on a route has come back with it, by the time that it has left.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -1,6 +1,6 @@
 //! Passes event streams on, and goes on at another server where one breaks off.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{io, rc::Rc};
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -15,12 +15,12 @@
     shared::Shared,
 };
 
-/// Longest pause between two events after which the connection is taken for dead: a group that
+/// Part of a caller's patience after which a stream without an event is taken for dead: a group that
 /// stands still ends its streams itself before that.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_700);
+const LONGEST_PAUSE_PART: f64 = 0.85;
 
-/// Time after the last event up to which a stream is still resumed; callers leave soon after.
-const RESUME_WITHIN: Duration = Duration::from_millis(1_900);
+/// Part of a caller's patience after the last event up to which a stream is still resumed.
+const RESUME_PART: f64 = 0.95;
 
 /// The answer with a stream that is open.
 pub fn response(forward: Forward, mut open: OpenStream) -> Response<AnswerBody> {
@@ -43,11 +43,25 @@
         let shared = Rc::clone(&forward.shared);
         let _counted = Counted::new(&forward);
         let mut progress: Timestamp = shared.clock.now();
+        let longest = forward.request.admitted.route.patience().mul_f64(LONGEST_PAUSE_PART);
+        // Since when the next event is waited for: not while the caller takes in the last one.
+        let mut asked = progress;
         loop {
-            let left = forward.request.deadline.saturating_sub(shared.clock.now());
-            let limit = LONGEST_PAUSE.min(left);
+            let limit = longest.saturating_sub(shared.since(asked)).min(forward.left());
             let next = tokio::time::timeout(limit, open.next()).await;
+            if forward.left().is_zero() {
+                open.place.observe(Sign::Failed);
+                forward.record.finish("the time for an answer is over");
+                yield Err(io::ErrorKind::TimedOut.into());
+                return;
+            }
             let reason = match next {
+                // What only keeps the connection alive.
+                Ok(Next::Events(bytes, 0)) if !limit.is_zero() => {
+                    yield Ok(bytes);
+                    continue;
+                }
+                Ok(Next::Events(_, 0)) | Err(_) => "no event for too long",
                 Ok(Next::Events(bytes, count)) => {
                     let now = shared.clock.now();
                     let pause = now.saturating_sub(progress);
@@ -60,6 +74,7 @@
                     progress = now;
                     forward.record.events += count;
                     yield Ok(bytes);
+                    asked = shared.clock.now();
                     continue;
                 }
                 Ok(Next::End) => {
@@ -69,7 +84,6 @@
                     return;
                 }
                 Ok(Next::Broken(reason)) => reason,
-                Err(_) => "no event for too long",
             };
             open.place.observe(Sign::Failed);
             let last = open.last;
@@ -86,6 +100,7 @@
                         "{reason}"
                     );
                     open = resumed;
+                    asked = shared.clock.now();
                 }
                 None => {
                     forward.record.finish("the stream broke off");
@@ -126,10 +141,10 @@
     progress: Timestamp,
 ) -> Option<OpenStream> {
     let shared = Rc::clone(&forward.shared);
-    let until = progress + RESUME_WITHIN;
     let now = shared.clock.now();
     let sent = forward.record.servers.len() as u32;
     let route = &forward.request.admitted.route;
+    let until = progress + route.patience().mul_f64(RESUME_PART);
     let is_resumable = route.kind == RequestKind::ResumableStream;
     if !is_resumable || now >= until || sent >= route.attempts || !shared.pay_repeat() {
         return None;
--- a/crates/front/src/traffic.rs
+++ b/crates/front/src/traffic.rs
@@ -18,6 +18,7 @@
 use crate::{
     answers::Refusal,
     forward::{Answered, Forward},
+    long_body,
     request::Request,
     shared::Shared,
     stream,
@@ -81,6 +82,11 @@
             forward.record.end = "answered";
             response
         }
+        Ok(Answered::Long(body)) => {
+            forward.record.status = Some(body.status);
+            forward.record.first = Some(shared.clock.now());
+            long_body::response(forward, *body)
+        }
         Ok(Answered::Stream(open)) => {
             forward.record.status = Some(open.status);
             forward.record.first = Some(shared.clock.now());
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod map_news;
 mod member_table;
+mod plausible;
 
 pub use map_news::MapNews;
 pub use member_table::MemberTable;
@@ -17,12 +18,12 @@
     catalog::ExpertSpec,
     load_sums::{ServerTag, UseNews},
     map_switch::{Goal, MapVersion, RankView},
-    server_list::Revision,
+    server_list::{Revision, ServerLife},
     switch_run::{DeputyState, HeldOrder, Outcome, SwitchRoles},
 };
 use jj_utils::{
     common_derives,
-    ids::{Incarnation, InstanceId, Rank, Term},
+    ids::{BackendServerId, Incarnation, InstanceId, Rank, Term},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -90,6 +91,17 @@
     }
 }
 
+common_derives! {wire:
+    /// A server has told an entry that it will end soon.
+    #[derive(Eq)]
+    pub struct LeaveNews {
+        /// The server.
+        pub server: BackendServerId,
+        /// Its life when it said so, where that was known.
+        pub life: Option<ServerLife>,
+    }
+}
+
 common_derives! {wire:
     /// Sign of life of an agent, for the other agents of its group.
     pub struct RankStatus {
@@ -202,6 +214,8 @@
         Roster(Roster),
         /// State of a group, for entries.
         GroupNews(GroupNews),
+        /// A server has said that it leaves.
+        ServerLeaves(LeaveNews),
         /// Sign of life of an agent.
         RankStatus(RankStatus),
         /// Counts for the agent that leads.
@@ -296,8 +310,9 @@
         postcard::to_stdvec(self).ok()
     }
 
-    /// Reads a datagram; none where it isn't one of these.
+    /// Reads a datagram; none where it isn't one of these, or says what can't be.
     pub fn read(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        let message: Self = postcard::from_bytes(bytes).ok()?;
+        message.is_plausible().then_some(message)
     }
 }
--- a/crates/policy/src/catalog.rs
+++ b/crates/policy/src/catalog.rs
@@ -78,6 +78,23 @@
     }
 }
 
+/// Least time after which a caller of a stream leaves that has no event.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
+/// The same in times that the first event aims at.
+const PATIENCE_AIMS: u32 = 4;
+
+/// The same in pauses that a stream aims at.
+const PATIENCE_GAPS: u32 = 8;
+
+impl Route {
+    /// Time without an event after which a caller of a stream leaves.
+    pub fn patience(&self) -> Duration {
+        let gaps = self.gap.unwrap_or_default() * PATIENCE_GAPS;
+        LEAST_PATIENCE.max(self.aim * PATIENCE_AIMS).max(gaps)
+    }
+}
+
 common_derives! {value:
     /// How a model engine works through its requests.
     pub struct EngineSpec {
--- a/crates/policy/src/expert_plan.rs
+++ b/crates/policy/src/expert_plan.rs
@@ -128,6 +128,14 @@
     vec![set; sets]
 }
 
+/// Whether a map and what is known of the demand are of the shape that is planned for.
+pub fn fits(shape: &PlanShape, map: &[SetMap], shares: &[Shares]) -> bool {
+    let is_known = |expert: &u32| (*expert as usize) < shape.experts;
+    let is_set = |set: &SetMap| set.len() == shape.ranks && set.iter().flatten().all(is_known);
+    let is_counted = |it: &Shares| it.len() == shape.experts;
+    map.len() == shares.len() && map.iter().all(is_set) && shares.iter().all(is_counted)
+}
+
 /// Highest load of a rank over what it would be if all had an equal part, as a mean over the sets.
 /// Slow ranks count as more loaded.
 pub fn imbalance(shape: &PlanShape, map: &[SetMap], shares: &[Shares]) -> f64 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod routing;
 pub mod server_health;
 pub mod server_list;
+pub mod server_notices;
 pub mod standstill;
 pub mod subset;
 pub mod switch_messages;
--- a/crates/policy/src/server_list.rs
+++ b/crates/policy/src/server_list.rs
@@ -16,6 +16,9 @@
 /// Number of a change in the platform's store; rises with each change.
 pub type Revision = u64;
 
+/// Start of one life of a server, in Unix milliseconds by its own clock; a later life has a larger one.
+pub type ServerLife = u64;
+
 /// Time after the platform's return within which entries of living servers come back.
 const RETURN_TIME: Duration = Duration::from_millis(2_000);
 
@@ -47,7 +50,7 @@
         /// Time for which it stays cold, when the entry was written.
         pub cold_left: Duration,
         /// Start of this life of the server, where it says so.
-        pub born: Option<u64>,
+        pub born: Option<ServerLife>,
     }
 }
 
--- a/crates/rank/src/lead.rs
+++ b/crates/rank/src/lead.rs
@@ -77,7 +77,8 @@
         let Some(views) = self.views() else {
             return;
         };
-        if map_switch::is_quiet(&views) {
+        let is_leaving = self.state.known.borrow().is_leaving;
+        if map_switch::is_quiet(&views) && !is_leaving {
             self.consider(&views).await;
         }
     }
@@ -162,6 +163,9 @@
             loads: 0,
             paces: known.paces(ranks),
         };
+        if !expert_plan::fits(&shape, map, &shares) {
+            return None;
+        }
         let imbalance = expert_plan::imbalance(&shape, map, &shares);
         shape.loads = expert_plan::loads_a_rank(ranks, spec.load_time(), imbalance);
         let times = PassTimes {
--- a/crates/rank/src/mesh.rs
+++ b/crates/rank/src/mesh.rs
@@ -331,6 +331,13 @@
 
 fn take_status(state: &State, now: Timestamp, mut status: RankStatus) {
     let mut known = state.known.borrow_mut();
+    if known
+        .report
+        .as_ref()
+        .is_some_and(|it| status.rank >= it.size)
+    {
+        return;
+    }
     known.heard_term = known.heard_term.max(status.term);
     let rank = status.rank;
     if let Some(member) = known.members.get(&rank) {
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -8,7 +8,7 @@
     instance::InstanceSettings,
     metrics_port,
     pool::{Pool, PoolConfig},
-    reload, socket,
+    reload, socket, supervise,
 };
 use jj_news::{Message, RankCounts};
 use jj_policy::demand::{Growth, Sampling};
@@ -43,6 +43,12 @@
 /// Longest wait for the counts.
 const COUNTS_LIMIT: Duration = Duration::from_millis(100);
 
+/// Longest time for which an agent that is asked to stop goes on with a switch.
+const SWITCH_END: Duration = Duration::from_millis(900);
+
+/// Time between two looks at whether it has ended.
+const SWITCH_END_LOOK: Duration = Duration::from_millis(10);
+
 /// What the command line says.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -94,13 +100,13 @@
     for addr in options.metrics.iter().copied().chain([port]) {
         metrics_port::open(addr, Rc::clone(&handler))?;
     }
-    spawn_local(mesh::receive(Rc::clone(&state)));
-    spawn_local(mesh::tell(Rc::clone(&state)));
-    spawn_local(mesh::tell_entries(Rc::clone(&state)));
-    spawn_local(reports(Rc::clone(&state)));
-    spawn_local(counts(Rc::clone(&state)));
-    spawn_local(lead::run(Rc::clone(&state)));
-    spawn_local(rescue::run(Rc::clone(&state)));
+    start("receive", &state, mesh::receive);
+    start("tell", &state, mesh::tell);
+    start("tell_entries", &state, mesh::tell_entries);
+    start("reports", &state, reports);
+    start("counts", &state, counts);
+    start("lead", &state, lead::run);
+    start("rescue", &state, rescue::run);
     let reloaded = Rc::clone(&state);
     let take = move |settings| *reloaded.settings.borrow_mut() = settings;
     let path = options.path.clone();
@@ -112,10 +118,30 @@
     );
     let mut terminate = signal(SignalKind::terminate())?;
     terminate.recv().await;
+    log_event!(events::PROCESS_DRAINING, instance = name.as_str(); "agent leaves");
+    state.known.borrow_mut().is_leaving = true;
+    end_switch(&state).await;
     log_event!(events::PROCESS_STOPPED, instance = name.as_str(); "agent stopped");
     Ok(())
 }
 
+/// Starts one of the agent's tasks.
+fn start<F>(name: &'static str, state: &Rc<State>, task: fn(Rc<State>) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    let state = Rc::clone(state);
+    supervise::spawn(name, move || task(Rc::clone(&state)));
+}
+
+/// Waits until this agent carries no switch out, so that it leaves no pass held.
+async fn end_switch(state: &State) {
+    let end = state.clock.now() + SWITCH_END;
+    while state.known.borrow().switching && state.clock.now() < end {
+        tokio::time::sleep(SWITCH_END_LOOK).await;
+    }
+}
+
 async fn reports(state: Rc<State>) {
     let mut was_read = true;
     loop {
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -154,6 +154,8 @@
     pub unanswered: Option<Timestamp>,
     /// Whether this agent carries a switch out.
     pub switching: bool,
+    /// Whether this agent is asked to stop, and begins no switch any more.
+    pub is_leaving: bool,
     /// When switches with these ranks as deputies failed.
     pub unfit: FastMap<Rank, Timestamp>,
     /// What this agent knows as a deputy, and under which fencing number.
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -13,6 +13,25 @@
     pub name: &'static str,
 }
 
+/// Target of log lines that come with each request or pass.
+pub const FREQUENT: &str = "jujube::frequent";
+
+/// Target of all others.
+const RARE: &str = "jujube";
+
+/// Numbers of the events of requests.
+const REQUESTS: std::ops::Range<u16> = 1_100..1_200;
+
+impl Event {
+    /// Target of its log lines.
+    pub fn target(&self) -> &'static str {
+        match REQUESTS.contains(&self.code) || self.level >= Level::Debug {
+            true => FREQUENT,
+            false => RARE,
+        }
+    }
+}
+
 macro_rules! catalogue {
     ($($ident:ident = $code:literal $level:ident $name:literal;)*) => {
         $(
@@ -33,6 +52,7 @@
     PROCESS_FAILED = 1004 Error "process_failed";
     PROCESS_STALLED = 1005 Warn "process_stalled";
     SETTINGS_RELOADED = 1006 Info "settings_reloaded";
+    TASK_FAILED = 1007 Error "task_failed";
     // 11xx: requests
     REQUEST_REFUSED = 1101 Debug "request_refused";
     ATTEMPT_RETRIED = 1102 Info "attempt_retried";
@@ -62,6 +82,8 @@
     AUTHORITY_LOST = 1404 Warn "authority_lost";
     AUTHORITY_BACK = 1405 Info "authority_back";
     AGGREGATOR_CHANGED = 1406 Info "aggregator_changed";
+    SERVER_LEAVES = 1407 Info "server_leaves";
+    SERVER_PAUSES = 1408 Info "server_pauses";
     // 15xx: groups
     MAP_PREPARED = 1501 Info "map_prepared";
     MAP_COMMITTED = 1502 Info "map_committed";
@@ -86,11 +108,11 @@
     ($event:expr, $($key:ident = $value:expr),+; $($arg:tt)+) => {{
         let event: $crate::events::Event = $event;
         ::log::log!(
-            target: "jujube", event.level, event = event.code, $($key = $value),+; $($arg)+
+            target: event.target(), event.level, event = event.code, $($key = $value),+; $($arg)+
         )
     }};
     ($event:expr, $($arg:tt)+) => {{
         let event: $crate::events::Event = $event;
-        ::log::log!(target: "jujube", event.level, event = event.code; $($arg)+)
+        ::log::log!(target: event.target(), event.level, event = event.code; $($arg)+)
     }};
 }
--- a/crates/utils/src/lib.rs
+++ b/crates/utils/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+pub mod bounded;
 pub mod clock;
 pub mod collections;
 pub mod derives;
--- a/crates/utils/src/log_output.rs
+++ b/crates/utils/src/log_output.rs
@@ -19,9 +19,35 @@
 /// Lines that may come at once.
 const BURST: f64 = 1_000.0;
 
-/// Longest line, in bytes: a pipe takes that much in one piece, or says that it can't.
+/// Longest line with its end, in bytes: a pipe takes that much in one piece, or says that it can't.
 const LONGEST_LINE: usize = 4_096;
 
+/// Puts lines together from the pieces in which they are written, so that one is written whole or left out
+/// whole.
+#[derive(Debug, Default)]
+pub struct LineBuffer {
+    pending: Vec<u8>,
+}
+
+impl LineBuffer {
+    /// Takes a piece in, and hands over each line that it ends. A line that is too long is cut, and the
+    /// end of the line kept.
+    pub fn push(&mut self, piece: &[u8], mut take: impl FnMut(&[u8])) {
+        for part in piece.split_inclusive(|byte| *byte == b'\n') {
+            let room = LONGEST_LINE - 1 - self.pending.len();
+            let is_end = part.ends_with(b"\n");
+            let text = part.strip_suffix(b"\n").unwrap_or(part);
+            self.pending
+                .extend_from_slice(&text[..text.len().min(room)]);
+            if is_end {
+                self.pending.push(b'\n');
+                take(&self.pending);
+                self.pending.clear();
+            }
+        }
+    }
+}
+
 /// Decides which lines are written.
 #[derive(Debug)]
 pub struct LineBudget {
@@ -67,6 +93,7 @@
 
 /// Writes whole lines to standard output, or leaves them out.
 pub struct LogOutput {
+    lines: LineBuffer,
     budget: LineBudget,
     started: Instant,
 }
@@ -74,6 +101,7 @@
 impl Default for LogOutput {
     fn default() -> Self {
         Self {
+            lines: LineBuffer::default(),
             budget: LineBudget::default(),
             started: Instant::now(),
         }
@@ -81,18 +109,10 @@
 }
 
 impl Write for LogOutput {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if !self.budget.take(self.started.elapsed()) {
-            return Ok(line.len());
-        }
-        let left_out = self.budget.take_left_out();
-        if left_out > 0 {
-            put(format!("{{\"left_out\":{left_out}}}\n").as_bytes());
-        }
-        if !put(&line[..line.len().min(LONGEST_LINE)]) {
-            self.budget.lost();
-        }
-        Ok(line.len())
+    fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
+        let (budget, now) = (&mut self.budget, self.started.elapsed());
+        self.lines.push(piece, |line| put_line(budget, now, line));
+        Ok(piece.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
@@ -100,6 +120,20 @@
     }
 }
 
+/// Writes a line where the budget allows it.
+fn put_line(budget: &mut LineBudget, now: Duration, line: &[u8]) {
+    if !budget.take(now) {
+        return;
+    }
+    let left_out = budget.take_left_out();
+    if left_out > 0 {
+        put(format!("{{\"left_out\":{left_out}}}\n").as_bytes());
+    }
+    if !put(line) {
+        budget.lost();
+    }
+}
+
 /// Writes bytes if the output takes them without a wait.
 fn put(bytes: &[u8]) -> bool {
     let output = stdout();
--- a/crates/utils/src/logging.rs
+++ b/crates/utils/src/logging.rs
@@ -1,15 +1,15 @@
 //! Log set-up: text or JSON lines on standard output, through `fern`.
 
-use std::{fmt, io::Write, str::FromStr};
+use std::{fmt, io::Write, panic::PanicHookInfo, str::FromStr};
 
 use anyhow::Context;
 use log::{
-    LevelFilter, Record,
+    LevelFilter, Metadata, Record,
     kv::{self, Key, Value, VisitSource},
 };
 use serde_json::Map;
 
-use crate::{clock::unix_millis, log_output::LogOutput};
+use crate::{clock::unix_millis, events, log_event, log_output::LogOutput};
 
 /// Form of a log line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -38,6 +38,11 @@
 /// # Errors
 /// When a logger is installed already.
 pub fn install(format: LogFormat, level: LevelFilter) -> anyhow::Result<()> {
+    let output = || Box::new(LogOutput::default()) as Box<dyn Write + Send>;
+    let requests = fern::Dispatch::new().filter(is_frequent).chain(output());
+    let others = fern::Dispatch::new()
+        .filter(|it| !is_frequent(it))
+        .chain(output());
     fern::Dispatch::new()
         .format(move |out, message, record| match format {
             LogFormat::Text => out.finish(format_args!("{}", text_line(message, record))),
@@ -45,9 +50,31 @@
         })
         .level(LevelFilter::Warn)
         .level_for("jujube", level)
-        .chain(Box::new(LogOutput::default()) as Box<dyn Write + Send>)
+        .chain(requests)
+        .chain(others)
         .apply()
-        .context("install the logger")
+        .context("install the logger")?;
+    std::panic::set_hook(Box::new(log_panic));
+    Ok(())
+}
+
+/// Logs where and why a part of the process has panicked.
+fn log_panic(panic: &PanicHookInfo<'_>) {
+    let place = panic.location().map(ToString::to_string);
+    let payload = panic.payload();
+    let text = payload.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+    let reason = text.unwrap_or("no reason is known");
+    log_event!(
+        events::TASK_FAILED,
+        place = place.unwrap_or_default(); "panicked: {reason}"
+    );
+}
+
+/// Whether a line comes with each request or pass: these have a bound of their own, so that a flood of
+/// them does not hide what the process has come to believe.
+fn is_frequent(metadata: &Metadata<'_>) -> bool {
+    metadata.target() == events::FREQUENT
 }
 
 fn text_line(message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
