feat(front): log lines tell a crash under a request from a timeout, and name the shared parts of its prompt

The logs could not tell the hypotheses apart: "no first event" stood for a broken connection and for a timeout alike, and no line named the parts of a prompt. Nothing else changes.

--- a/crates/front/src/attempt_failure.rs
+++ b/crates/front/src/attempt_failure.rs
@@ -2,6 +2,17 @@
 
 use jj_policy::server_health::AttemptOutcome;
 
+/// How far an attempt got. Variant names are logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptStage {
+    /// No part of the request has been written.
+    Connecting,
+    /// The request was written, and nothing of a response has arrived.
+    Sent,
+    /// The head of a response has arrived.
+    HeadReceived,
+}
+
 /// Reason why one attempt gave no response for the caller. Variant names are logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptFailure {
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -21,7 +21,7 @@
 use jj_utils::{clock::Timestamp, events, ids::BackendServerId, log_event};
 
 use crate::{
-    attempt_failure::AttemptFailure,
+    attempt_failure::{AttemptFailure, AttemptStage},
     dispatch,
     error_response::ErrorResponse,
     long_body::LongBody,
@@ -89,6 +89,8 @@
     may_have_run: bool,
     /// Why the last attempt failed, for the log.
     failure_cause: String,
+    /// How far the last attempt got.
+    stage: AttemptStage,
 }
 
 impl Forwarder {
@@ -101,6 +103,7 @@
             tried_servers: Vec::new(),
             may_have_run: false,
             failure_cause: String::new(),
+            stage: AttemptStage::Connecting,
         }
     }
 
@@ -129,6 +132,7 @@
                 events::ATTEMPT_FAILED,
                 request = self.request.id(), server = server,
                 failure = format!("{failure:?}"), again = again,
+                stage = format!("{:?}", self.stage), parts = self.request.shared_parts_text(),
                 left_ms = self.time_left().as_millis() as u64;
                 "attempt {} failed: {}", self.tried_servers.len(), self.failure_cause
             );
@@ -337,6 +341,7 @@
     ) -> Result<ForwardedResponse, AttemptFailure> {
         let limit = self.attempt_timeout();
         let sent_before = self.request_log.servers.len();
+        self.stage = AttemptStage::Connecting;
         let sent = tokio::time::timeout(limit, self.send(&reservation, last_event));
         let (answer, facts) = match sent.await {
             Ok(Ok(received)) => received,
@@ -359,11 +364,13 @@
         };
         if self.route().kind.is_stream() && answer.status.is_success() {
             let stream = ServerStream::new(answer, facts, reservation, last_event);
-            self.failure_cause = "no first event".to_owned();
-            return stream
-                .wait_for_first_event(limit)
-                .await
-                .map(|it| ForwardedResponse::Stream(Box::new(it)));
+            let started = stream.wait_for_first_event(limit).await;
+            return started
+                .map(|it| ForwardedResponse::Stream(Box::new(it)))
+                .map_err(|cause| {
+                    self.failure_cause = format!("no first event: {cause}");
+                    AttemptFailure::Unknown
+                });
         }
         self.read_response(answer, facts, reservation).await
     }
@@ -413,6 +420,7 @@
             let request = self.outgoing_request(reservation, last_event);
             // Recorded before sending, since the attempt's timeout may cancel this call.
             self.request_log.servers.push(reservation.server.id.clone());
+            self.stage = AttemptStage::Sent;
             let error = match call::send(connection, request).await {
                 Ok(answer) => break answer,
                 Err(error) => error,
@@ -422,12 +430,14 @@
                 return Err(AttemptFailure::Unknown);
             }
             self.request_log.servers.pop();
+            self.stage = AttemptStage::Connecting;
             // The server closed the idle connection before it read the request.
             closed_connections += 1;
             if closed_connections > MAX_CLOSED_CONNECTIONS {
                 return Err(AttemptFailure::NotSent);
             }
         };
+        self.stage = AttemptStage::HeadReceived;
         let facts = (self.shared.header_codec.read_response)(answer.status, &answer.headers);
         if !belongs_to_request(&facts, &answer, self.request.facts.id.as_deref()) {
             self.failure_cause = format!(
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -2,10 +2,13 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use jj_direct::header_codec::RequestHeaders;
+use jj_direct::header_codec::{PromptPart, RequestHeaders};
 use jj_policy::catalog::AuthorizedRequest;
 use jj_utils::{clock::Timestamp, ids::ServiceId};
 
+/// Number of prompt parts up to which a log line names them.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// A request that has been received in full and authorized.
 pub struct Request {
     /// Request head as received.
@@ -33,4 +36,17 @@
     pub fn id(&self) -> &str {
         self.facts.id.as_deref().unwrap_or("-")
     }
+
+    /// Returns the parts of the prompt that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let parts = &self.facts.prompt_parts;
+        &parts[..parts.len().saturating_sub(1)]
+    }
+
+    /// Returns the ids of the first [`MAX_LOGGED_PARTS`] shared parts for logs, in hexadecimal.
+    pub fn shared_parts_text(&self) -> String {
+        let parts = self.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        let ids: Vec<String> = parts.map(|it| format!("{:x}", it.id)).collect();
+        ids.join(",")
+    }
 }
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -96,6 +96,7 @@
             first_ms = first.map_or(-1, |it| it.as_millis() as i64),
             ms = total.as_millis() as u64,
             prompt = self.request.facts.token_usage.prompt_tokens,
+            parts = self.request.shared_parts_text(),
             answer = self.request.facts.token_usage.max_answer_tokens,
             sent_events = self.events_sent,
             pause_ms = self.longest_gap.0.as_millis() as u64,
--- a/crates/front/src/server_stream.rs
+++ b/crates/front/src/server_stream.rs
@@ -11,7 +11,7 @@
 };
 use jj_policy::server_health::AttemptOutcome;
 
-use crate::{attempt_failure::AttemptFailure, shared_state::Reservation};
+use crate::shared_state::Reservation;
 
 /// An open event stream from a server.
 pub struct ServerStream {
@@ -64,20 +64,23 @@
     /// Waits up to `limit` for the first event or the end of the stream.
     ///
     /// # Errors
-    /// When the stream breaks off before its first event, or there is none in time.
-    pub async fn wait_for_first_event(mut self, limit: Duration) -> Result<Self, AttemptFailure> {
-        match tokio::time::timeout(limit, self.read_first_event()).await {
-            Ok(true) => Ok(self),
-            Ok(false) | Err(_) => {
+    /// When the stream breaks off before its first event, or there is none in time; with the cause.
+    pub async fn wait_for_first_event(mut self, limit: Duration) -> Result<Self, &'static str> {
+        let started = tokio::time::timeout(limit, self.read_first_event()).await;
+        match started.unwrap_or(Err("timeout")) {
+            Ok(()) => Ok(self),
+            Err(cause) => {
                 self.reservation.record_outcome(AttemptOutcome::Failed);
-                Err(AttemptFailure::Unknown)
+                Err(cause)
             }
         }
     }
 
-    /// Reads up to the first event that is progress; returns false if the stream breaks off before.
-    /// A stream that ends without events is valid.
-    async fn read_first_event(&mut self) -> bool {
+    /// Reads up to the first event that is progress. A stream that ends without events is valid.
+    ///
+    /// # Errors
+    /// When the stream breaks off before, with the cause.
+    async fn read_first_event(&mut self) -> Result<(), &'static str> {
         let mut received = BytesMut::new();
         loop {
             let count = match self.next().await {
@@ -86,7 +89,7 @@
                     count
                 }
                 StreamItem::End => break,
-                StreamItem::Broken(_) => return false,
+                StreamItem::Broken(cause) => return Err(cause),
             };
             if count > 0 || received.len() > MAX_EVENT_BYTES {
                 self.buffered_events = count;
@@ -94,7 +97,7 @@
             }
         }
         self.buffered = received;
-        true
+        Ok(())
     }
 
     /// Returns the next events, or how the stream has ended.
