fix(policy): a crash told again with another delay is no news

Cause: the change was found by comparing all conclusions, the time of the last crash among them, which differs by the delay of each message. Now by the suspects and their numbers of crashes. Test: same_crash_told_again_with_other_delays_is_no_news fails before, passes now.

--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -430,7 +430,13 @@
         };
         self.trials
             .retain(|part, began| is_before_trial(part, *began));
-        std::mem::replace(&mut self.suspects, suspects) != self.suspects
+        let has_changed = suspects.len() != self.suspects.len()
+            || suspects.iter().any(|(part, it)| {
+                let before = self.suspects.get(part);
+                before.is_none_or(|before| before.crashes != it.crashes)
+            });
+        self.suspects = suspects;
+        has_changed
     }
 
     /// Returns the suspects of a crash: of its parts not served since, those never served or, if
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -92,6 +92,25 @@
     expect_that!(tell(1_030, &first, &mut second), eq(NewsEffect::default()));
 }
 
+#[gtest]
+fn same_crash_told_again_with_other_delays_is_no_news() {
+    let (mut first, mut second) = (CrashSuspects::default(), CrashSuspects::default());
+    first.record_crash(at(1_000), 7, &[CRASHING]);
+    let deliver = |sent: u64, delay: u64, from: &CrashSuspects, to: &mut CrashSuspects| {
+        let news = from.news(at(sent)).unwrap();
+        to.apply_news(at(sent + delay), &news)
+    };
+    deliver(1_020, 5, &first, &mut second);
+
+    let effects = [
+        deliver(1_500, 1, &first, &mut second),
+        deliver(1_600, 4, &second, &mut first),
+        deliver(1_700, 0, &second, &mut first),
+    ];
+
+    expect_that!(effects, each(eq(NewsEffect::default())));
+}
+
 #[gtest]
 fn part_that_was_served_before_is_held_after_two_crashes_without_a_success_in_between() {
     let mut suspects = CrashSuspects::default();
