fix(policy): after one part that crashed a server, unknown parts in its place are held as well

Cause: what was learned from the first crash concerned one part only. Change: entries count at which positions of prompts parts were ever served, and tell each other up to three of them. Of the parts in a crash, those at a position with fewer are suspected first; and while such a suspect is held, parts never served at such a position are held too. With three parts served at a position nothing changes there. Why it works: the next unknown part in the place of one that crashed a server, where none was ever sound, probably crashes one, too: 4 s of a group against some requests for a minute.

--- a/crates/news/src/plausible.rs
+++ b/crates/news/src/plausible.rs
@@ -5,7 +5,7 @@
 
 use jj_policy::{
     catalog::ExpertSpec,
-    crash_suspects::{self, SuspectNews},
+    crash_suspects::{self, CrashReport, SuspectNews},
     load_sums::InFlightUpdate,
     map_switch::{Goal, RankView},
 };
@@ -129,12 +129,12 @@
 }
 
 fn is_valid_suspect_news(news: &SuspectNews) -> bool {
-    let is_bounded = |requests: &Vec<Vec<u64>>| {
-        requests.len() <= crash_suspects::MAX_REQUESTS
-            && requests
+    let is_bounded = |report: &CrashReport| {
+        report.requests.len() <= crash_suspects::MAX_REQUESTS
+            && report
+                .requests
                 .iter()
                 .all(|it| it.len() <= crash_suspects::MAX_PARTS)
     };
-    news.crashes.len() <= crash_suspects::MAX_CRASHES
-        && news.crashes.iter().all(|it| is_bounded(&it.requests))
+    news.crashes.len() <= crash_suspects::MAX_CRASHES && news.crashes.iter().all(is_bounded)
 }
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -8,13 +8,22 @@
 //! A part that was served, in a request whose response has begun, is not the cause of an earlier
 //! crash. The suspects of a crash are the other parts of the requests whose responses were about to
 //! begin: those never served at all or, if there are none, those that have been in a second crash
-//! since they were served. Entries share crashes and what they know of the parts involved, and each
+//! since they were served; of these, the ones at positions of a prompt where hardly any part was ever
+//! served, and the ones in the most crashes. Entries share crashes and what they know of the parts involved, and each
 //! draws the conclusions itself. A suspect is held for a time that doubles with each of its crashes;
 //! then one request at a time may try it again.
+//!
+//! Several parts may crash servers at the same time. So while a suspect is held, other parts that
+//! were never served are held as well if hardly any part was ever served at its position: there the
+//! next one would probably crash a server, too.
 
 use std::time::Duration;
 
-use jj_utils::{clock::Timestamp, collections::FastMap, common_derives};
+use jj_utils::{
+    clock::Timestamp,
+    collections::{FastMap, FastSet},
+    common_derives,
+};
 
 use crate::load_sums::ServerTag;
 
@@ -30,12 +39,14 @@
         pub first_hold: Duration,
         /// Maximum time for which a suspect is held.
         pub max_hold: Duration,
-        /// Time after which a request may try some of several suspects of one crash, to clear them.
+        /// Time for each crash after which a request may try some of several candidates of it.
         pub shared_hold: Duration,
         /// Time after which a trial without a result no longer excludes another one.
         pub trial_timeout: Duration,
         /// Two reports on one server within this time are of the same crash.
         pub crash_window: Duration,
+        /// Number of parts served at a position of prompts from which others there are less suspect.
+        pub min_served: usize,
         /// Maximum number of suspects of one crash; more say too little about each.
         pub max_suspects: usize,
         /// Maximum number of crashes that are kept.
@@ -54,6 +65,7 @@
             shared_hold: Duration::from_secs(3),
             trial_timeout: Duration::from_secs(3),
             crash_window: Duration::from_secs(2),
+            min_served: 3,
             max_suspects: 6,
             max_crashes: MAX_CRASHES,
             max_served: 16_384,
@@ -62,14 +74,28 @@
 }
 
 /// Maximum number of crashes in a message.
-pub const MAX_CRASHES: usize = 16;
+pub const MAX_CRASHES: usize = 8;
 
 /// Maximum number of requests of one crash.
-pub const MAX_REQUESTS: usize = 4;
+pub const MAX_REQUESTS: usize = 3;
 
 /// Maximum number of parts of one request.
 pub const MAX_PARTS: usize = 8;
 
+/// Position of a part in its prompt, counted from 0.
+pub type PartPosition = u8;
+
+common_derives! {wire:
+    /// Part of the prompt of a request that was lost in a crash.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub struct LostPart {
+        /// The part.
+        pub part: PartId,
+        /// Its position.
+        pub position: PartPosition,
+    }
+}
+
 common_derives! {wire:
     /// A server that crashed while it was about to respond to requests.
     #[derive(Eq)]
@@ -79,31 +105,45 @@
         /// Time since the crash, in milliseconds.
         pub age_ms: u32,
         /// Shared parts of the prompts of these requests.
-        pub requests: Vec<Vec<PartId>>,
+        pub requests: Vec<Vec<LostPart>>,
     }
 }
 
 common_derives! {wire:
-    /// Part to which something happened some time ago.
+    /// Part that was served.
     #[derive(Copy, Eq)]
-    pub struct PartAge {
+    pub struct ServedPart {
         /// The part.
         pub part: PartId,
+        /// Its position in the prompt that was served last.
+        pub position: PartPosition,
         /// Time since then, in milliseconds.
         pub age_ms: u32,
     }
 }
 
+common_derives! {wire:
+    /// Suspect that is being tried.
+    #[derive(Copy, Eq)]
+    pub struct TrialReport {
+        /// The suspect.
+        pub part: PartId,
+        /// Time since the trial began, in milliseconds.
+        pub age_ms: u32,
+    }
+}
+
 common_derives! {wire:
     /// What an entry knows of crashes and of the parts involved, for the other entries.
     #[derive(Eq, Default)]
     pub struct SuspectNews {
-        /// Crashes with parts that have not been served since.
+        /// Crashes that are kept.
         pub crashes: Vec<CrashReport>,
-        /// When parts of these crashes were served last, by any entry.
-        pub served: Vec<PartAge>,
-        /// When trials of such parts began that have no result yet.
-        pub trials: Vec<PartAge>,
+        /// When parts of these crashes were served last by any entry, and some parts served at the
+        /// positions of suspects.
+        pub served: Vec<ServedPart>,
+        /// Trials of suspects that have no result yet.
+        pub trials: Vec<TrialReport>,
     }
 }
 
@@ -144,20 +184,20 @@
     server: ServerTag,
     at: Timestamp,
     /// Shared parts of each request whose response was about to begin.
-    requests: Vec<Vec<PartId>>,
+    requests: Vec<Vec<LostPart>>,
 }
 
 impl Crash {
-    /// Returns the parts of all requests, each once.
-    fn parts(&self) -> Vec<PartId> {
-        let mut parts = self.requests.concat();
-        parts.sort_unstable();
-        parts.dedup();
-        parts
+    fn lost_parts(&self) -> impl Iterator<Item = &LostPart> {
+        self.requests.iter().flatten()
+    }
+
+    fn involves(&self, part: PartId) -> bool {
+        self.lost_parts().any(|it| it.part == part)
     }
 
     /// Adds a request. If there are too many, the same ones are kept whatever their order was.
-    fn add_request(&mut self, parts: &[PartId]) {
+    fn add_request(&mut self, parts: &[LostPart]) {
         self.requests
             .push(parts[..parts.len().min(MAX_PARTS)].to_vec());
         self.requests.sort_unstable();
@@ -173,8 +213,22 @@
     crashes: u32,
     /// Time of the last one.
     last_crash: Timestamp,
-    /// All suspects of each crash of which it is one.
-    groups: Vec<Vec<PartId>>,
+    /// The candidates of each crash of which it is a suspect.
+    alternatives: Vec<Vec<PartId>>,
+}
+
+impl Suspect {
+    /// Returns whether it is the only suspect of some crash.
+    fn is_sole(&self) -> bool {
+        self.alternatives.iter().any(|it| it.len() == 1)
+    }
+}
+
+/// Last time at which a part was served.
+#[derive(Debug, Clone, Copy)]
+struct Served {
+    at: Timestamp,
+    position: PartPosition,
 }
 
 /// Crashes, parts that were served, and the conclusions from both. Times are shifted by
@@ -184,11 +238,16 @@
     config: SuspectConfig,
     crashes: Vec<Crash>,
     /// When each part was served last.
-    served: FastMap<PartId, Timestamp>,
+    served: FastMap<PartId, Served>,
+    /// Number of parts in `served` by position.
+    served_at: FastMap<PartPosition, usize>,
     /// When the running trial of a suspect began.
     trials: FastMap<PartId, Timestamp>,
     /// Conclusions from the crashes and the served parts.
     suspects: FastMap<PartId, Suspect>,
+    /// Positions at which parts that were never served are held, and the last crash by a part
+    /// there.
+    doubtful: FastMap<PartPosition, Timestamp>,
 }
 
 /// Added to all times that are kept, so that those before the start of this process's clock, of
@@ -199,20 +258,27 @@
     /// Records that the response to a request with these shared parts has begun; returns whether
     /// that has changed the suspects.
     pub fn record_served(&mut self, now: Timestamp, parts: &[PartId]) -> bool {
-        for part in parts {
-            self.set_served(*part, now + HISTORY);
+        let now = now + HISTORY;
+        let mut may_change = false;
+        for (position, part) in (0..).zip(parts) {
+            let is_new = self.set_served(*part, Served { at: now, position });
+            may_change |= is_new && self.doubtful.contains_key(&position);
+            may_change |= self.is_in_crash(*part);
         }
-        // Parts of no crash change nothing; that is the usual case.
-        parts.iter().any(|it| self.is_in_crash(*it)) && self.conclude(now + HISTORY)
+        may_change && self.conclude(now)
     }
 
     /// Records that a server crashed when it was about to respond to a request with these shared
     /// parts; returns whether that has changed the suspects.
     pub fn record_crash(&mut self, now: Timestamp, server: ServerTag, parts: &[PartId]) -> bool {
+        let lost = (0..).zip(parts).map(|(position, part)| LostPart {
+            part: *part,
+            position,
+        });
+        let mut lost: Vec<LostPart> = lost.collect();
         // Parts that were never served say most, if there are too many.
-        let mut parts = parts.to_vec();
-        parts.sort_by_key(|it| self.served.contains_key(it));
-        self.add_crash(now + HISTORY, server, &[parts]);
+        lost.sort_by_key(|it| self.served.contains_key(&it.part));
+        self.add_crash(now + HISTORY, server, &[lost]);
         self.conclude(now + HISTORY)
     }
 
@@ -220,9 +286,10 @@
     pub fn admission(&self, now: Timestamp, parts: &[PartId]) -> PromptAdmission {
         let now = now + HISTORY;
         let suspects = self.suspects_among(parts);
-        let Some(settled_at) = self.settled_at(&suspects) else {
-            return PromptAdmission::Allowed;
-        };
+        if suspects.is_empty() {
+            return self.admission_of_unknown(now, parts);
+        }
+        let settled_at = self.last_crash(&suspects) + self.config.settle_time;
         if now < settled_at {
             let until = settled_at - HISTORY;
             return PromptAdmission::Wait { until };
@@ -242,6 +309,29 @@
         }
     }
 
+    /// Decides on a request without suspects, which may have parts that were never served at a
+    /// doubtful position.
+    fn admission_of_unknown(&self, now: Timestamp, parts: &[PartId]) -> PromptAdmission {
+        let unknown = (0..)
+            .zip(parts)
+            .filter(|(_, it)| !self.served.contains_key(it));
+        let crashes = unknown.filter_map(|(position, _)| self.doubtful.get(&position));
+        let Some(last_crash) = crashes.max() else {
+            return PromptAdmission::Allowed;
+        };
+        let settled_at = *last_crash + self.config.settle_time;
+        let end = *last_crash + self.config.first_hold;
+        match now {
+            _ if now < settled_at => PromptAdmission::Wait {
+                until: settled_at - HISTORY,
+            },
+            _ if now < end => PromptAdmission::Held {
+                remaining: end - now,
+            },
+            _ => PromptAdmission::Allowed,
+        }
+    }
+
     /// Returns the suspects among some parts.
     pub fn suspects_among(&self, parts: &[PartId]) -> Vec<PartId> {
         let parts = parts.iter().copied();
@@ -275,21 +365,51 @@
             return None;
         }
         let now = now + HISTORY;
-        let mut parts: Vec<PartId> = self.crashes.iter().flat_map(Crash::parts).collect();
-        parts.sort_unstable();
-        parts.dedup();
         let crashes = self.crashes.iter().map(|it| CrashReport {
             server: it.server,
             age_ms: age_ms(now, it.at),
             requests: it.requests.clone(),
         });
+        let trials = self.trials.iter().map(|(part, began)| TrialReport {
+            part: *part,
+            age_ms: age_ms(now, *began),
+        });
         Some(SuspectNews {
             crashes: crashes.collect(),
-            served: ages(now, &parts, &self.served),
-            trials: ages(now, &parts, &self.trials),
+            served: self.served_to_tell(now),
+            trials: trials.collect(),
         })
     }
 
+    /// Returns when the parts of crashes were served, and for each of their positions enough parts
+    /// served there to show that it is usual.
+    fn served_to_tell(&self, now: Timestamp) -> Vec<ServedPart> {
+        let lost = || self.crashes.iter().flat_map(Crash::lost_parts);
+        let mut parts: Vec<PartId> = lost().map(|it| it.part).collect();
+        let positions: FastSet<PartPosition> = lost().map(|it| it.position).collect();
+        for position in positions {
+            parts.extend(self.served_at_position(position));
+        }
+        parts.sort_unstable();
+        parts.dedup();
+        let known = parts
+            .iter()
+            .filter_map(|it| Some((*it, self.served.get(it)?)));
+        let told = known.map(|(part, served)| ServedPart {
+            part,
+            position: served.position,
+            age_ms: age_ms(now, served.at),
+        });
+        told.collect()
+    }
+
+    /// Returns parts served at a position, as many as make it a usual one.
+    fn served_at_position(&self, position: PartPosition) -> impl Iterator<Item = PartId> {
+        let served = self.served.iter();
+        let there = served.filter(move |(_, it)| it.position == position);
+        there.map(|(part, _)| *part).take(self.config.min_served)
+    }
+
     /// Applies the news of another entry.
     pub fn apply_news(&mut self, now: Timestamp, news: &SuspectNews) -> NewsEffect {
         let now = now + HISTORY;
@@ -298,12 +418,12 @@
             self.add_crash(at, report.server, &report.requests);
         }
         let needs_reply = self.knows_more(now, news);
-        for PartAge { part, age_ms } in &news.served {
-            if self.is_in_crash(*part) {
-                self.set_served(*part, time_of(now, *age_ms));
-            }
+        for it in &news.served {
+            let at = time_of(now, it.age_ms);
+            let position = it.position;
+            self.set_served(it.part, Served { at, position });
         }
-        for PartAge { part, age_ms } in &news.trials {
+        for TrialReport { part, age_ms } in &news.trials {
             let at = time_of(now, *age_ms);
             let trial = self.trials.entry(*part).or_insert(at);
             *trial = at.max(*trial);
@@ -317,39 +437,45 @@
     /// Returns whether this entry knows of a served part that the sender of some news would judge
     /// otherwise if it knew.
     fn knows_more(&self, now: Timestamp, news: &SuspectNews) -> bool {
-        let told = |part: PartId| {
-            let told = news.served.iter().find(|it| it.part == part);
-            told.map(|it| time_of(now, it.age_ms))
+        let told = |part: PartId| news.served.iter().find(|it| it.part == part);
+        let knows_more_of = |crashed_at: Timestamp, part: PartId| {
+            let clears = |served_at: Timestamp| served_at > crashed_at;
+            let known = self.served.get(&part).map(|it| it.at);
+            match (known, told(part)) {
+                (Some(known), Some(told)) => clears(known) && !clears(time_of(now, told.age_ms)),
+                (known, told) => known.is_some() && told.is_none(),
+            }
+        };
+        let knows_more_at = |position: PartPosition| {
+            let there = news.served.iter().filter(|it| it.position == position);
+            there.count() < self.config.min_served
+                && self
+                    .served_at_position(position)
+                    .any(|it| told(it).is_none())
         };
         news.crashes.iter().any(|report| {
-            let crashed_at = time_of(now, report.age_ms);
-            let parts = report.requests.iter().flatten();
-            parts.copied().any(|part| {
-                let (known, told) = (self.served.get(&part), told(part));
-                let clears = |it: Timestamp| it > crashed_at;
-                known.is_some_and(|it| told.is_none_or(|told| clears(*it) && !clears(told)))
-            })
+            let at = time_of(now, report.age_ms);
+            let mut lost = report.requests.iter().flatten();
+            lost.any(|it| knows_more_of(at, it.part) || knows_more_at(it.position))
         })
     }
 
-    /// Returns when the suspects of the last crash of some parts have had time to be cleared;
-    /// `None` without suspects.
-    fn settled_at(&self, suspects: &[PartId]) -> Option<Timestamp> {
+    /// Returns the last crash of any of some suspects.
+    fn last_crash(&self, suspects: &[PartId]) -> Timestamp {
         let suspects = suspects.iter().filter_map(|it| self.suspects.get(it));
-        let last = suspects.map(|it| it.last_crash).max();
-        last.map(|it| it + self.config.settle_time)
+        suspects.map(|it| it.last_crash).max().unwrap_or_default()
     }
 
-    /// Returns from when a request whose suspects are `among` may try one of them: early if it has
-    /// only some of the suspects of each crash, since one of the others may be the cause.
+    /// Returns from when a request whose suspects are `among` may try one of them: early if each
+    /// crash has candidates that the request doesn't have, since one of them may be the cause.
     fn trial_due(&self, part: PartId, among: &[PartId]) -> Timestamp {
         let Some(suspect) = self.suspects.get(&part) else {
             return Timestamp::ZERO;
         };
-        let has_all = |group: &[PartId]| group.iter().all(|it| among.contains(it));
-        let hold = match suspect.groups.iter().any(|group| has_all(group)) {
+        let has_all = |candidates: &[PartId]| candidates.iter().all(|it| among.contains(it));
+        let hold = match suspect.alternatives.iter().any(|it| has_all(it)) {
             true => self.hold_time(suspect.crashes),
-            false => self.config.shared_hold,
+            false => self.config.shared_hold * suspect.crashes,
         };
         suspect.last_crash + hold
     }
@@ -363,32 +489,54 @@
 
     /// Returns whether a part belongs to a crash that is kept.
     fn is_in_crash(&self, part: PartId) -> bool {
-        let mut requests = self.crashes.iter().flat_map(|it| &it.requests);
-        requests.any(|it| it.contains(&part))
+        self.crashes.iter().any(|it| it.involves(part))
     }
 
-    /// Records when a part was served.
-    fn set_served(&mut self, part: PartId, at: Timestamp) {
+    /// Records when and where a part was served; returns whether it never was before.
+    fn set_served(&mut self, part: PartId, served: Served) -> bool {
+        self.trials.remove(&part);
         if self.served.len() >= self.config.max_served && !self.served.contains_key(&part) {
             self.forget_served();
         }
-        let served = self.served.entry(part).or_insert(at);
-        *served = at.max(*served);
-        self.trials.remove(&part);
+        let known = self.served.get(&part).copied();
+        let merged = known.map_or(served, |known| Served {
+            at: known.at.max(served.at),
+            position: known.position.min(served.position),
+        });
+        self.served.insert(part, merged);
+        if let Some(known) = known {
+            self.count_at(known.position, false);
+        }
+        self.count_at(merged.position, true);
+        known.is_none()
+    }
+
+    /// Counts a part as served at a position, or no longer.
+    fn count_at(&mut self, position: PartPosition, is_there: bool) {
+        let count = self.served_at.entry(position).or_default();
+        *count = match is_there {
+            true => *count + 1,
+            false => count.saturating_sub(1),
+        };
     }
 
     /// Forgets the half of the served parts that was served first.
     fn forget_served(&mut self) {
-        let mut times: Vec<Timestamp> = self.served.values().copied().collect();
+        let mut times: Vec<Timestamp> = self.served.values().map(|it| it.at).collect();
         let middle = times.len() / 2;
         let (_, median, _) = times.select_nth_unstable(middle);
         let median = *median;
-        self.served.retain(|_, at| *at > median);
+        self.served.retain(|_, it| it.at > median);
+        self.served_at.clear();
+        let positions: Vec<PartPosition> = self.served.values().map(|it| it.position).collect();
+        for position in positions {
+            self.count_at(position, true);
+        }
     }
 
     /// Adds the requests of a crash; two reports on one server at about the same time are of one
     /// crash.
-    fn add_crash(&mut self, at: Timestamp, server: ServerTag, requests: &[Vec<PartId>]) {
+    fn add_crash(&mut self, at: Timestamp, server: ServerTag, requests: &[Vec<LostPart>]) {
         let window = self.config.crash_window;
         let is_same = |it: &Crash| it.server == server && it.at.abs_diff(at) < window;
         let known = self.crashes.iter().position(is_same);
@@ -413,15 +561,15 @@
         self.forget_crashes(now);
         let mut suspects: FastMap<PartId, Suspect> = FastMap::default();
         for crash in &self.crashes {
-            let group = self.suspects_of(crash);
-            for part in &group {
-                let suspect = suspects.entry(*part).or_insert_with(|| Suspect {
-                    crashes: self.count_crashes(*part),
+            let candidates = self.candidates(crash);
+            for part in self.suspects_of(&candidates) {
+                let suspect = suspects.entry(part).or_insert_with(|| Suspect {
+                    crashes: self.count_crashes(part),
                     last_crash: crash.at,
-                    groups: Vec::new(),
+                    alternatives: Vec::new(),
                 });
                 suspect.last_crash = suspect.last_crash.max(crash.at);
-                suspect.groups.push(group.clone());
+                suspect.alternatives.push(candidates.clone());
             }
         }
         let is_before_trial = |part: &PartId, began: Timestamp| {
@@ -436,36 +584,74 @@
                 before.is_none_or(|before| before.crashes != it.crashes)
             });
         self.suspects = suspects;
+        let mut doubtful = self.suspect_positions();
+        doubtful.retain(|position, _| !self.is_usual_position(*position));
+        self.doubtful = doubtful;
         has_changed
     }
 
-    /// Returns the suspects of a crash: of its parts not served since, those never served or, if
-    /// there are none, those of a second crash; of these the ones with the most crashes.
-    fn suspects_of(&self, crash: &Crash) -> Vec<PartId> {
-        let mut candidates = crash.parts();
-        candidates.retain(|it| !self.is_served_after(*it, crash.at));
-        match candidates.iter().any(|it| !self.served.contains_key(it)) {
-            true => candidates.retain(|it| !self.served.contains_key(it)),
-            false => candidates.retain(|it| self.count_crashes(*it) > 1),
+    /// Returns the positions of parts that are the only suspect of a crash, with the last crash of
+    /// each.
+    fn suspect_positions(&self) -> FastMap<PartPosition, Timestamp> {
+        let mut positions = FastMap::default();
+        for lost in self.crashes.iter().flat_map(Crash::lost_parts) {
+            let suspect = self.suspects.get(&lost.part);
+            let Some(suspect) = suspect.filter(|it| it.is_sole()) else {
+                continue;
+            };
+            let last_crash = positions.entry(lost.position).or_insert(suspect.last_crash);
+            *last_crash = suspect.last_crash.max(*last_crash);
         }
-        let most = candidates.iter().map(|it| self.count_crashes(*it)).max();
-        candidates.retain(|it| Some(self.count_crashes(*it)) == most);
-        match candidates.len() <= self.config.max_suspects {
-            true => candidates,
-            false => Vec::new(),
+        positions
+    }
+
+    /// Returns the parts of a crash that may have caused it: of those not served since, the ones
+    /// never served or, if there are none, the ones of a second crash. Parts at positions where
+    /// others were served are left out if there are also some where hardly any was.
+    fn candidates(&self, crash: &Crash) -> Vec<PartId> {
+        let mut lost: Vec<LostPart> = crash.lost_parts().copied().collect();
+        lost.retain(|it| !self.is_served_after(it.part, crash.at));
+        match lost.iter().any(|it| !self.served.contains_key(&it.part)) {
+            true => lost.retain(|it| !self.served.contains_key(&it.part)),
+            false => lost.retain(|it| self.count_crashes(it.part) > 1),
+        }
+        if lost.iter().any(|it| !self.is_usual_position(it.position)) {
+            lost.retain(|it| !self.is_usual_position(it.position));
         }
+        let mut parts: Vec<PartId> = lost.into_iter().map(|it| it.part).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        parts
+    }
+
+    /// Returns the suspects among the candidates of a crash: those with the most crashes.
+    fn suspects_of(&self, candidates: &[PartId]) -> Vec<PartId> {
+        if candidates.len() > self.config.max_suspects {
+            return Vec::new();
+        }
+        let most = candidates.iter().map(|it| self.count_crashes(*it)).max();
+        let candidates = candidates.iter().copied();
+        candidates
+            .filter(|it| Some(self.count_crashes(*it)) == most)
+            .collect()
+    }
+
+    /// Returns whether other parts were served at a position.
+    fn is_usual_position(&self, position: PartPosition) -> bool {
+        let served = self.served_at.get(&position);
+        served.is_some_and(|it| *it >= self.config.min_served)
     }
 
     /// Returns the number of crashes that involved a part since it was served last.
     fn count_crashes(&self, part: PartId) -> u32 {
         let crashes = self.crashes.iter();
-        let involved = crashes.filter(|it| it.requests.iter().any(|it| it.contains(&part)));
+        let involved = crashes.filter(|it| it.involves(part));
         let counted = involved.filter(|it| !self.is_served_after(part, it.at));
         counted.count() as u32
     }
 
     fn is_served_after(&self, part: PartId, at: Timestamp) -> bool {
-        self.served.get(&part).is_some_and(|served| *served > at)
+        self.served.get(&part).is_some_and(|it| it.at > at)
     }
 
     /// Forgets crashes that are old, and those beyond the maximum number: first those without
@@ -474,7 +660,7 @@
         let suspicious: Vec<bool> = self
             .crashes
             .iter()
-            .map(|it| !self.suspects_of(it).is_empty())
+            .map(|it| !self.suspects_of(&self.candidates(it)).is_empty())
             .collect();
         let age_limit = |is_suspicious: bool| match is_suspicious {
             true => self.config.max_hold * 2,
@@ -492,16 +678,6 @@
 /// Number of doublings of the hold time beyond which it doesn't grow.
 const MAX_DOUBLINGS: u32 = 16;
 
-/// Returns the ages of the parts whose time is known.
-fn ages(now: Timestamp, parts: &[PartId], times: &FastMap<PartId, Timestamp>) -> Vec<PartAge> {
-    let known = parts.iter().filter_map(|it| Some((*it, *times.get(it)?)));
-    let aged = known.map(|(part, at)| PartAge {
-        part,
-        age_ms: age_ms(now, at),
-    });
-    aged.collect()
-}
-
 fn age_ms(now: Timestamp, at: Timestamp) -> u32 {
     u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -5,8 +5,8 @@
 
 use googletest::prelude::*;
 use jj_policy::crash_suspects::{
-    CrashReport, CrashSuspects, MAX_CRASHES, NewsEffect, PartAge, PartId, PromptAdmission,
-    SuspectConfig, SuspectNews,
+    CrashReport, CrashSuspects, LostPart, MAX_CRASHES, NewsEffect, PartId, PromptAdmission,
+    ServedPart, SuspectConfig, SuspectNews, TrialReport,
 };
 use jj_utils::clock::Timestamp;
 use rand::{RngExt, SeedableRng};
@@ -158,6 +158,50 @@
     expect_that!(suspects.all(), eq(&[CRASHING]));
 }
 
+/// Other parts that crash servers.
+const OTHERS_CRASHING: [PartId; 2] = [97, 98];
+
+#[gtest]
+fn unknown_part_is_held_where_no_part_was_ever_served_but_one_crashed_a_server() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_served(at(900), &[SOUND]);
+    let before = suspects.admission(at(950), &[SOUND, OTHERS_CRASHING[0]]);
+
+    suspects.record_crash(at(1_000), 7, &[SOUND, CRASHING]);
+
+    expect_that!(before, eq(PromptAdmission::Allowed));
+    expect_that!(
+        suspects.admission(at(2_000), &[SOUND, OTHERS_CRASHING[0]]),
+        eq(held(HOLD - 1_000))
+    );
+    // Other first parts have nothing to do with it, and the hold ends with that of the suspect.
+    expect_that!(
+        suspects.admission(at(2_000), &[OTHER]),
+        eq(PromptAdmission::Allowed)
+    );
+    expect_that!(
+        suspects.admission(at(1_000 + HOLD), &[SOUND, OTHERS_CRASHING[0]]),
+        eq(PromptAdmission::Allowed)
+    );
+}
+
+#[gtest]
+fn unknown_part_is_sent_where_other_parts_were_served() {
+    let (mut first, mut restarted) = (CrashSuspects::default(), CrashSuspects::default());
+    for part in 10..13 {
+        first.record_served(at(500), &[SOUND, part]);
+    }
+    first.record_crash(at(1_000), 7, &[SOUND, CRASHING]);
+    tell(2_000, &first, &mut restarted);
+
+    for entry in [&first, &restarted] {
+        expect_that!(
+            entry.admission(at(2_000), &[SOUND, 20]),
+            eq(PromptAdmission::Allowed)
+        );
+    }
+}
+
 #[gtest]
 fn part_in_most_crashes_is_the_suspect_of_each() {
     let mut suspects = CrashSuspects::default();
@@ -257,27 +301,33 @@
 /// Draws random news. Entries see one crash within some milliseconds of each other, and the crashes
 /// of one server are seconds apart.
 fn random_news(rng: &mut Pcg64Mcg) -> SuspectNews {
-    let parts = |rng: &mut Pcg64Mcg, most: usize| -> Vec<PartId> {
-        let count = rng.random_range(0..=most);
-        (0..count).map(|_| rng.random_range(0..12)).collect()
-    };
-    let ages = |rng: &mut Pcg64Mcg| -> Vec<PartAge> {
-        let parts = parts(rng, 3);
-        let aged = parts.into_iter().map(|part| PartAge {
-            part,
-            age_ms: rng.random_range(0..20_000),
+    let lost = |rng: &mut Pcg64Mcg| -> Vec<LostPart> {
+        let parts = (0..rng.random_range(0..4)).map(|position| LostPart {
+            part: rng.random_range(0..12),
+            position,
         });
-        aged.collect()
+        parts.collect()
     };
     let crashes = (0..rng.random_range(0..4)).map(|_| CrashReport {
         server: rng.random_range(0..5),
         age_ms: 5_000 * rng.random_range(0..4) + rng.random_range(0..20),
-        requests: (0..2).map(|_| parts(rng, 4)).collect(),
+        requests: (0..2).map(|_| lost(rng)).collect(),
+    });
+    let crashes = crashes.collect();
+    let served = (0..rng.random_range(0..4)).map(|_| ServedPart {
+        part: rng.random_range(0..12),
+        position: rng.random_range(0..3),
+        age_ms: rng.random_range(0..20_000),
+    });
+    let served = served.collect();
+    let trials = (0..rng.random_range(0..4)).map(|_| TrialReport {
+        part: rng.random_range(0..12),
+        age_ms: rng.random_range(0..20_000),
     });
     SuspectNews {
-        crashes: crashes.collect(),
-        served: ages(rng),
-        trials: ages(rng),
+        crashes,
+        served,
+        trials: trials.collect(),
     }
 }
 
@@ -339,9 +389,10 @@
 const REPLAY_MS: u64 = 30_000;
 
 /// Replays 34 requests a second with 60 first parts at six entries; from 4 s on one in twenty of
-/// them also holds [`CRASHING`], always with the first part [`SOUND`]. What arrives while the group
-/// is away is sent when it is back.
-fn replay(seed: u64, handling: Handling) -> Outcome {
+/// them also holds one of the parts that crash servers, always after the first part [`SOUND`]. What
+/// arrives while the group is away is sent when it is back.
+fn replay(seed: u64, handling: Handling, crashing: &[PartId]) -> Outcome {
+    let is_sound = |parts: &[PartId]| !parts.iter().any(|it| crashing.contains(it));
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut entries: Vec<CrashSuspects> = (0..ENTRIES).map(|_| CrashSuspects::default()).collect();
     let mut waiting: Vec<(usize, Vec<PartId>)> = Vec::new();
@@ -353,7 +404,7 @@
         if rng.random_bool(0.034) {
             let mut parts = vec![1 + rng.random_range(0..60)];
             if now > 4_000 && rng.random_bool(0.05) {
-                parts = vec![SOUND, CRASHING];
+                parts = vec![SOUND, crashing[rng.random_range(0..crashing.len())]];
             }
             waiting.push((rng.random_range(0..ENTRIES), parts));
         }
@@ -378,13 +429,13 @@
                 match admission {
                     PromptAdmission::Wait { .. } => return true,
                     PromptAdmission::Held { .. } => {
-                        outcome.sound_held += u32::from(!parts.contains(&CRASHING));
+                        outcome.sound_held += u32::from(is_sound(parts));
                         return false;
                     }
                     PromptAdmission::Trial => entries[*index].begin_trial(at(now), parts),
                     PromptAdmission::Allowed => {}
                 }
-                outcome.sound_sent += u32::from(!parts.contains(&CRASHING));
+                outcome.sound_sent += u32::from(is_sound(parts));
                 started.push_back((now + START_MS, *index, parts.clone()));
                 false
             });
@@ -392,9 +443,9 @@
         while started.front().is_some_and(|(due, ..)| *due <= now) {
             let (_, index, parts) = started.pop_front().unwrap();
             let entry = &mut entries[index];
-            let is_new = match parts.contains(&CRASHING) {
-                false => entry.record_served(at(now), &parts),
-                true => {
+            let is_new = match is_sound(&parts) {
+                true => entry.record_served(at(now), &parts),
+                false => {
                     outcome.crashes += 1;
                     back_at = now + DOWN_MS;
                     // The rest of the group loses what it had begun.
@@ -413,9 +464,9 @@
 #[gtest]
 fn crashing_part_costs_one_crash_where_entries_share_what_they_know() {
     for seed in 1..=20 {
-        let none = replay(seed, Handling::None);
-        let alone = replay(seed, Handling::Alone);
-        let shared = replay(seed, Handling::Shared);
+        let none = replay(seed, Handling::None, &[CRASHING]);
+        let alone = replay(seed, Handling::Alone, &[CRASHING]);
+        let shared = replay(seed, Handling::Shared, &[CRASHING]);
 
         println!("seed {seed}: {none:?}\n    {alone:?}\n    {shared:?}");
         expect_that!(none.crashes, ge(5), "seed {seed}");
@@ -427,6 +478,16 @@
     }
 }
 
+#[gtest]
+fn several_crashing_parts_cost_one_crash_where_no_part_was_ever_served_in_their_place() {
+    for seed in 1..=20 {
+        let shared = replay(seed, Handling::Shared, &[CRASHING, 98, 97]);
+
+        println!("seed {seed}: {shared:?}");
+        expect_that!(shared.crashes, eq(1), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn configuration_leaves_time_for_a_trial_before_callers_of_sound_requests_have_waited_too_long() {
     let config = SuspectConfig::default();
