fix(front): a stream without length or chunks that ends without an event has broken off

What callers saw: a server that crashes at the start of such a stream ends its connection; callers got a complete 200 with no event. And no crash was noticed: in crash_at_the_start_of_a_stream_without_length_or_chunks_is_noticed four of four servers crashed, one after the other. Cause: any clean end of the connection was taken for the end of the stream. Now one without an event, whose body has neither a length nor chunks, has broken off: it is tried at another server, and the crash is looked into. Tests: stream_without_length_or_chunks_that_ends_early_is_no_success and the one above failed before, pass now; a whole stream of this kind passed before, too.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -3,7 +3,7 @@
 use std::{io, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Request, StatusCode, response::Parts};
+use http::{HeaderMap, Request, StatusCode, header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
@@ -28,6 +28,9 @@
     pub headers: HeaderMap,
     body: Incoming,
     has_ended: bool,
+    /// Whether the body has neither a length nor chunks, so that only the end of the connection
+    /// ends it.
+    pub ends_with_connection: bool,
     connection: Connection,
 }
 
@@ -51,9 +54,12 @@
         },
         body,
     ) = response.into_parts();
+    let is_delimited = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
     Ok(CallResponse {
         status,
         headers,
+        ends_with_connection: !is_delimited,
         has_ended: body.is_end_stream(),
         body,
         connection,
--- a/crates/front/src/server_stream.rs
+++ b/crates/front/src/server_stream.rs
@@ -25,6 +25,8 @@
     buffered: BytesMut,
     /// Number of buffered events that are progress.
     buffered_events: u32,
+    /// Whether an event that is progress has arrived.
+    has_progress: bool,
     /// Id of the last received event.
     pub(crate) last_event_id: Option<EventId>,
 }
@@ -68,6 +70,7 @@
             framer: EventParser::default(),
             buffered: BytesMut::new(),
             buffered_events: 0,
+            has_progress: false,
             last_event_id,
         }
     }
@@ -89,7 +92,7 @@
 
     /// Returns whether the server has begun to produce output.
     pub fn has_output(&self) -> bool {
-        self.buffered_events > 0
+        self.has_progress
     }
 
     /// Reads up to the first event that is progress. A stream that ends without events is valid.
@@ -128,6 +131,10 @@
                 Ok(None) if self.framer.has_partial() => {
                     return StreamItem::Broken("the stream ended inside an event");
                 }
+                // A server that crashes at the start of its response ends its connection, too.
+                Ok(None) if self.answer.ends_with_connection && !self.has_progress => {
+                    return StreamItem::Broken("the connection ended without an event");
+                }
                 Ok(None) => return StreamItem::End,
                 Err(_) => return StreamItem::Broken("the connection broke"),
             };
@@ -145,6 +152,7 @@
                 whole.extend_from_slice(&event.bytes);
                 count += u32::from(event.is_progress());
             }
+            self.has_progress |= count > 0;
             if !whole.is_empty() {
                 return StreamItem::Events(whole.freeze(), count);
             }
