fix(front): an answer that only the end of its connection ends is cut off if its server crashed

What callers saw: an answer or a stream without length and chunks whose server crashes halfway reached them as a complete success; a stream was not resumed. Cause: the kernel closes the connections of a process that ends as if they had been finished, and a clean end was taken for the end of the answer. Found while looking for crashes at the start of such streams. Change: at such an end the server's port is tried (the connection is kept for the next request). If it refuses, and the server has not announced its end, the answer broke off: streams are resumed, idempotent requests tried again, others get 502. The same check now tells a crash from a broken connection everywhere (`Reservation::has_server_crashed`). Weighed: trusting every clean end (as before); never trusting one (no answer of this kind could be complete). Limit: a server that ends without notice right after its last answer of this kind is taken for crashed.

--- a/crates/front/src/attempt_failure.rs
+++ b/crates/front/src/attempt_failure.rs
@@ -23,9 +23,9 @@
     NotWanted,
     /// The server refused the request without executing it.
     NotRun,
-    /// The connection broke after the head of the response and before its first event or, if it is
-    /// no stream, before its end.
-    BrokenOff,
+    /// The server crashed after the head of the response and before its first event or, if it is no
+    /// stream, before its end.
+    Crashed,
     /// The request was withdrawn from the server, since its prompt may crash it.
     Withdrawn,
     /// The request may have been executed.
@@ -40,7 +40,7 @@
 
     /// Returns whether the request may have been executed.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Self::BrokenOff | Self::Withdrawn | Self::Unknown)
+        matches!(self, Self::Crashed | Self::Withdrawn | Self::Unknown)
     }
 
     /// Returns what the failure means for the server's health; `None` if it means nothing.
@@ -49,7 +49,7 @@
             Self::NotSent => Some(AttemptOutcome::Unreachable),
             Self::NotWanted | Self::Withdrawn => None,
             Self::NotRun => Some(AttemptOutcome::Refused),
-            Self::BrokenOff => Some(AttemptOutcome::Failed),
+            Self::Crashed => Some(AttemptOutcome::Failed),
             Self::Unknown => Some(AttemptOutcome::Broken),
         }
     }
@@ -60,7 +60,7 @@
             Self::NotSent => "not_sent",
             Self::NotWanted => "not_wanted",
             Self::NotRun => "not_run",
-            Self::BrokenOff => "broken_off",
+            Self::Crashed => "crashed",
             Self::Withdrawn => "withdrawn",
             Self::Unknown => "unknown",
         }
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -129,8 +129,8 @@
                 }
                 Err(failure) => failure,
             };
-            if failure == AttemptFailure::BrokenOff {
-                prompt_guard::investigate_crash(&self.shared, &self.request, &server).await;
+            if failure == AttemptFailure::Crashed {
+                prompt_guard::record_crash(&self.shared, &self.request, &server);
             }
             drop(trial);
             self.tried_servers.push(server.id.clone());
@@ -454,8 +454,8 @@
     fn describe_missing_event(&mut self, cause: NoFirstEvent) -> AttemptFailure {
         self.failure_cause = format!("no first event: {cause}");
         match cause {
-            NoFirstEvent::BrokenOff(_) => AttemptFailure::BrokenOff,
-            NoFirstEvent::Timeout => AttemptFailure::Unknown,
+            NoFirstEvent::Crashed(_) => AttemptFailure::Crashed,
+            NoFirstEvent::BrokenOff(_) | NoFirstEvent::Timeout => AttemptFailure::Unknown,
         }
     }
 
@@ -582,9 +582,17 @@
     ) -> Result<ForwardedResponse, AttemptFailure> {
         let limit = self.attempt_timeout();
         let read = tokio::time::timeout(limit, answer.read_body(MAX_BUFFERED_BODY)).await;
+        let may_be_cut = match &read {
+            Ok(Ok(Ok(_))) => answer.ends_with_connection,
+            Ok(result) => result.is_err(),
+            Err(_) => false,
+        };
         let (failure, cause) = match read {
+            _ if may_be_cut && reservation.has_server_crashed().await => {
+                (AttemptFailure::Crashed, "the server crashed".to_owned())
+            }
             Ok(Ok(body)) => return self.use_response(answer, facts, reservation, body),
-            Ok(Err(error)) => (AttemptFailure::BrokenOff, error.to_string()),
+            Ok(Err(error)) => (AttemptFailure::Unknown, error.to_string()),
             Err(_) => (AttemptFailure::Unknown, "timeout".to_owned()),
         };
         self.failure_cause = format!("the response body broke off: {cause}");
--- a/crates/front/src/long_body.rs
+++ b/crates/front/src/long_body.rs
@@ -61,6 +61,11 @@
                     yield Ok(bytes);
                     continue;
                 }
+                Ok(Ok(None))
+                    if answer.ends_with_connection && reservation.has_server_crashed().await =>
+                {
+                    io::ErrorKind::UnexpectedEof.into()
+                }
                 Ok(Ok(None)) => {
                     reservation.record_outcome(AttemptOutcome::Succeeded);
                     forward.request_log.set_ending("answered");
--- a/crates/front/src/prompt_guard.rs
+++ b/crates/front/src/prompt_guard.rs
@@ -14,9 +14,6 @@
     shared_state::SharedState,
 };
 
-/// Time in which the port of a crashed server has to refuse a connection.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// A request that is the only one to try the suspects in its prompt; the trial ends on drop.
 pub struct Trial {
     shared: Rc<SharedState>,
@@ -105,17 +102,11 @@
     }
 }
 
-/// Records a crash if the server, whose connection broke as it was about to respond to a request,
-/// refuses connections.
-pub async fn investigate_crash(shared: &SharedState, request: &Request, server: &ServerRecord) {
+/// Records that a server crashed as it was about to respond to a request.
+pub fn record_crash(shared: &SharedState, request: &Request, server: &ServerRecord) {
     if request.shared_parts.is_empty() {
         return;
     }
-    let check = shared.pool.is_refused(server.addr);
-    let is_refused = tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await;
-    if is_refused != Ok(true) {
-        return;
-    }
     metrics::counter!("jujube_server_crashes_total").increment(1);
     log_event!(
         events::SERVER_CRASHED,
--- a/crates/front/src/server_stream.rs
+++ b/crates/front/src/server_stream.rs
@@ -34,6 +34,9 @@
 /// Reason why a stream had no first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum NoFirstEvent {
+    /// It broke off since the server crashed.
+    #[error("the server crashed: {0}")]
+    Crashed(&'static str),
     /// It broke off, with the reason.
     #[error("{0}")]
     BrokenOff(&'static str),
@@ -83,6 +86,9 @@
         let started = tokio::time::timeout(limit, self.read_first_event()).await;
         let error = match started {
             Ok(Ok(())) => return Ok(self),
+            Ok(Err(cause)) if self.reservation.has_server_crashed().await => {
+                NoFirstEvent::Crashed(cause)
+            }
             Ok(Err(cause)) => NoFirstEvent::BrokenOff(cause),
             Err(_) => NoFirstEvent::Timeout,
         };
@@ -119,6 +125,18 @@
         Ok(())
     }
 
+    /// Returns how a stream has ended that only the end of its connection ends: a crash of the server
+    /// ends the connection, too.
+    async fn check_end(&self) -> StreamItem {
+        if !self.has_progress {
+            return StreamItem::Broken("the connection ended without an event");
+        }
+        match self.reservation.has_server_crashed().await {
+            true => StreamItem::Broken("the server crashed"),
+            false => StreamItem::End,
+        }
+    }
+
     /// Returns the next events, or how the stream has ended.
     pub(crate) async fn next(&mut self) -> StreamItem {
         if !self.buffered.is_empty() {
@@ -131,10 +149,7 @@
                 Ok(None) if self.framer.has_partial() => {
                     return StreamItem::Broken("the stream ended inside an event");
                 }
-                // A server that crashes at the start of its response ends its connection, too.
-                Ok(None) if self.answer.ends_with_connection && !self.has_progress => {
-                    return StreamItem::Broken("the connection ended without an event");
-                }
+                Ok(None) if self.answer.ends_with_connection => return self.check_end().await,
                 Ok(None) => return StreamItem::End,
                 Err(_) => return StreamItem::Broken("the connection broke"),
             };
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -50,6 +50,9 @@
 /// requests are short.
 const PLAIN_REQUESTS_PER_SLOT: f64 = 2.0;
 
+/// Time in which the port of a crashed server has to refuse a connection.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// State of one entry process.
 pub struct SharedState {
     /// Settings in force; replaced when the settings file changes.
@@ -146,6 +149,17 @@
             .borrow_mut()
             .record_outcome(now, &self.server.id, outcome);
     }
+
+    /// Returns whether the server has crashed: it has not announced its end, and its port refuses
+    /// connections.
+    pub async fn has_server_crashed(&self) -> bool {
+        if !self.shared.is_serving(&self.server) {
+            return false;
+        }
+        let check = self.shared.pool.is_refused(self.server.addr);
+        let is_refused = tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await;
+        is_refused == Ok(true)
+    }
 }
 
 impl SharedState {
@@ -328,6 +342,17 @@
             .access(now, &server.id, server.incarnation, drain)
     }
 
+    /// Returns whether a server has not announced its end, itself or in the store.
+    fn is_serving(&self, server: &ServerRecord) -> bool {
+        let is_leaving = matches!(
+            self.server_access(server),
+            ServerAccess::LastResort | ServerAccess::Closed
+        );
+        let replica = self.replica.borrow();
+        let mut usable = replica.usable_servers(&server.service);
+        !is_leaving && usable.any(|it| it.id == server.id)
+    }
+
     /// Returns whether any server of a service may get requests now or after a pause.
     pub fn has_usable_server(&self, service: &str) -> bool {
         let replica = self.replica.borrow();
