fix(direct): a planned stop answers the connections in its listen queue that the runtime has not seen

Cause: a process that wakes from a stop handles its timers before it polls its sockets; the port was closed as soon as the runtime reported no connection, though the kernel had some. Change: after the drain begins the kernel is asked until it has none; then the port is closed.

--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -3,7 +3,7 @@
 //! `poem` is built on the same library, but can't limit the size and time of a request's head,
 //! close idle connections while others stay open, or report when the last connection has ended.
 
-use std::{convert::Infallible, net::SocketAddr, pin::pin, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, time::Duration};
 
 use futures_util::future::LocalBoxFuture;
 use http::{Request, Response};
@@ -66,8 +66,8 @@
     pub drain: CancellationToken,
 }
 
-/// Serves a port until `stop.drain` is cancelled; returns once every connection has ended. `config`
-/// is read for each new connection.
+/// Serves a port until `stop.drain` is cancelled, also the connections in the listen queue then;
+/// returns once every connection has ended. `config` is read for each new connection.
 pub async fn serve(
     listener: TcpListener,
     config: impl Fn() -> ServerConfig,
@@ -75,35 +75,73 @@
     stop: ServerStop,
 ) {
     let connections = TaskTracker::new();
+    let serve_accepted = |stream: TcpStream, peer: SocketAddr| {
+        let handler = Rc::clone(&handler);
+        let connection = serve_connection(stream, peer, config(), handler, stop.drain.clone());
+        connections.spawn_local(connection);
+    };
     loop {
-        // Connections already in the listen queue when the drain begins are still accepted.
         let accepted = tokio::select! {
-            biased;
             accepted = listener.accept() => accepted,
             () = stop.drain.cancelled() => break,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let connection = serve_connection(
-                    stream,
-                    peer,
-                    config(),
-                    Rc::clone(&handler),
-                    stop.drain.clone(),
-                );
-                connections.spawn_local(connection);
-            }
+            Ok((stream, peer)) => serve_accepted(stream, peer),
             Err(error) => {
                 log::warn!("accepting a connection failed: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
-    drop(listener);
+    for (stream, peer) in accept_queued(listener) {
+        serve_accepted(stream, peer);
+    }
     connections.close();
     connections.wait().await;
 }
 
+/// Closes a port and returns the connections that were in its listen queue. The kernel is asked for
+/// them, since the runtime may not have noticed them yet, for instance after the process was stopped.
+fn accept_queued(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut queued = Vec::new();
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!("queued connections can't be accepted: {error}");
+            return queued;
+        }
+    };
+    loop {
+        match listener.accept().and_then(into_tokio) {
+            Ok(accepted) => queued.push(accepted),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return queued,
+            Err(error) if is_of_one_connection(&error) => {}
+            Err(error) => {
+                log::warn!("accepting queued connections failed: {error}");
+                return queued;
+            }
+        }
+    }
+}
+
+/// Hands an accepted connection over to the runtime.
+fn into_tokio(
+    (stream, peer): (std::net::TcpStream, SocketAddr),
+) -> io::Result<(TcpStream, SocketAddr)> {
+    stream.set_nonblocking(true)?;
+    Ok((TcpStream::from_std(stream)?, peer))
+}
+
+/// Returns whether an error of accepting concerns one connection only, so that others may follow.
+fn is_of_one_connection(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::Interrupted
+    )
+}
+
 async fn serve_connection(
     stream: TcpStream,
     peer: SocketAddr,
