fix(front): an entry that has just started waits for what the others know of parts that crash servers

Change: whoever hears the first heartbeat of an entry tells it what it knows, also if that is nothing, and requests with shared parts wait in the entry until then; 1 s after its start at most, 0.3 s if only entries answer that have just started themselves, not at all without other seeds. Also: unknown parts are held in an unusual position only if some other position is usual. Else a crash by a first part right after a start of all entries would have held all first parts for a minute (found while writing the test; policy test unknown_parts_are_sent_while_hardly_any_was_served_anywhere).

--- a/crates/front/src/peer_datagrams.rs
+++ b/crates/front/src/peer_datagrams.rs
@@ -103,10 +103,10 @@
         }
     }
 
-    /// Sends what is known of crashes of servers and their suspects.
+    /// Sends what is known of crashes of servers and their suspects, if there is anything.
     fn send_suspects(&self, targets: &[IpAddr]) {
-        let news = self.shared.suspects.borrow().news(self.shared.clock.now());
-        if let Some(news) = news {
+        let news = prompt_guard::news(&self.shared);
+        if !news.news.crashes.is_empty() {
             self.send_all(&Message::Suspects(news), targets);
         }
     }
@@ -134,7 +134,7 @@
     fn handle_datagram(&mut self, length: usize, from: SocketAddr) {
         let ip = from.ip();
         match Message::decode(&self.buffer[..length]) {
-            Some(Message::Hello(hello)) => apply_hello(&self.shared, ip, hello),
+            Some(Message::Hello(hello)) => self.receive_hello(ip, hello),
             Some(Message::InFlight { uses, store }) => {
                 let now = self.shared.clock.now();
                 self.shared
@@ -159,6 +159,15 @@
         }
     }
 
+    /// Applies an entry's heartbeat. One that has appeared waits for news of suspects before it sends
+    /// requests.
+    fn receive_hello(&self, from: IpAddr, hello: Hello) {
+        if apply_hello(&self.shared, from, hello) {
+            let news = prompt_guard::news(&self.shared);
+            self.send_all(&Message::Suspects(news), &[from]);
+        }
+    }
+
     /// Sends an agent the roster of its service, if that is known.
     fn send_roster(&self, server: SocketAddr, to: SocketAddr) {
         if let Some(roster) = roster(&self.shared, server) {
@@ -348,20 +357,22 @@
     order.into_iter().map(|it| servers[it].addr).collect()
 }
 
-/// Applies an entry's heartbeat.
-fn apply_hello(shared: &Rc<SharedState>, from: IpAddr, hello: Hello) {
+/// Applies an entry's heartbeat; returns whether the entry is new or was silent.
+fn apply_hello(shared: &Rc<SharedState>, from: IpAddr, hello: Hello) -> bool {
     let mut peers = shared.peers.borrow_mut();
     peers.set_name(from, hello.name);
     let now = peers.now;
     let changes = peers.gossip.receive(now, from, hello.members.into());
+    let has_appeared = changes.iter().any(|it| match it {
+        MemberChange::Joined(ip) | MemberChange::Returned(ip) => *ip == from,
+        MemberChange::StateChanged(_) | MemberChange::Silent(_) => false,
+    });
     for change in changes {
         log_change(&peers, change);
-        if matches!(change, MemberChange::Joined(_) | MemberChange::Returned(_)) {
-            prompt_guard::tell_others(shared);
-        }
     }
     drop(peers);
     apply_store_status(shared, from, hello.store);
+    has_appeared
 }
 
 /// Logs a change of the membership.
--- a/crates/front/src/prompt_guard.rs
+++ b/crates/front/src/prompt_guard.rs
@@ -2,9 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use jj_news::server_tag;
+use jj_direct::instance_settings::InstanceSettings;
+use jj_news::{SuspectExchange, server_tag};
 use jj_policy::{
-    crash_suspects::{NewsEffect, PromptAdmission, SuspectNews},
+    crash_suspects::{NewsEffect, PromptAdmission},
     server_list::ServerRecord,
 };
 use jj_utils::{events, log_event};
@@ -14,6 +15,21 @@
     shared_state::SharedState,
 };
 
+/// Time since its start for which a process waits for what other entries know of suspects.
+const MAX_NEWS_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The same once it has heard of an entry that has just started as well.
+const STARTING_PEER_WAIT: Duration = Duration::from_millis(300);
+
+/// Returns the time since its start for which a process waits at most for what other entries know.
+pub fn max_wait_for_news(settings: &InstanceSettings) -> Duration {
+    let is_alone = settings.seeds.iter().all(|it| it.ip() == settings.ip);
+    match is_alone {
+        true => Duration::ZERO,
+        false => MAX_NEWS_WAIT,
+    }
+}
+
 /// A request that is the only one to try the suspects in its prompt; the trial ends on drop.
 pub struct Trial {
     shared: Rc<SharedState>,
@@ -39,12 +55,12 @@
 
 /// Decides whether a request may be sent now, and begins a trial if it is one.
 pub fn decide_to_send(shared: &Rc<SharedState>, request: &Rc<Request>) -> SendDecision {
-    let now = shared.clock.now();
-    let mut suspects = shared.suspects.borrow_mut();
-    match suspects.admission(now, &request.shared_parts) {
+    match admission(shared, request) {
         PromptAdmission::Allowed => SendDecision::Send(None),
         PromptAdmission::Wait { .. } | PromptAdmission::Held { .. } => SendDecision::Recheck,
         PromptAdmission::Trial => {
+            let now = shared.clock.now();
+            let mut suspects = shared.suspects.borrow_mut();
             suspects.begin_trial(now, &request.shared_parts);
             drop(suspects);
             tell_others(shared);
@@ -56,6 +72,18 @@
     }
 }
 
+/// Returns whether a request may be sent to a server as far as its prompt is concerned. In a process
+/// that has just started it has to wait for what other entries know.
+fn admission(shared: &SharedState, request: &Request) -> PromptAdmission {
+    let now = shared.clock.now();
+    let until = shared.knows_suspects_at.get();
+    if now < until && !request.shared_parts.is_empty() {
+        return PromptAdmission::Wait { until };
+    }
+    let suspects = shared.suspects.borrow();
+    suspects.admission(now, &request.shared_parts)
+}
+
 /// Waits until a request may be sent to a server as far as its prompt is concerned.
 ///
 /// # Errors
@@ -64,11 +92,7 @@
     loop {
         let changed = shared.suspects_changed.notified();
         let now = shared.clock.now();
-        let admission = shared
-            .suspects
-            .borrow()
-            .admission(now, &request.shared_parts);
-        let until = match admission {
+        let until = match admission(shared, request) {
             PromptAdmission::Allowed | PromptAdmission::Trial => return Ok(()),
             PromptAdmission::Held { remaining } => return Err(remaining),
             PromptAdmission::Wait { until } if now >= request.deadline => return Err(until - now),
@@ -123,10 +147,27 @@
     }
 }
 
+/// Returns what other entries need to know of crashes and suspects.
+pub fn news(shared: &SharedState) -> SuspectExchange {
+    let now = shared.clock.now();
+    SuspectExchange {
+        news: shared.suspects.borrow().news(now).unwrap_or_default(),
+        is_starting: now < shared.knows_suspects_at.get(),
+    }
+}
+
 /// Applies another entry's news of crashes and suspects; `by` names the entry in the log.
-pub fn apply_news(shared: &SharedState, news: &SuspectNews, by: &str) {
+pub fn apply_news(shared: &SharedState, received: &SuspectExchange, by: &str) {
     let now = shared.clock.now();
-    let effect = shared.suspects.borrow_mut().apply_news(now, news);
+    let known_at = match received.is_starting {
+        true => STARTING_PEER_WAIT,
+        false => now,
+    };
+    let effect = shared.suspects.borrow_mut().apply_news(now, &received.news);
+    if known_at < shared.knows_suspects_at.get() {
+        shared.knows_suspects_at.set(known_at);
+        shared.suspects_changed.notify_waiters();
+    }
     let NewsEffect {
         is_new,
         needs_reply,
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -38,7 +38,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    load_tracker::LoadTracker, peers::Peers, request_queues::RequestQueues,
+    load_tracker::LoadTracker, peers::Peers, prompt_guard, request_queues::RequestQueues,
     store_replica::StoreReplica,
 };
 
@@ -87,6 +87,8 @@
     pub suspects: RefCell<CrashSuspects>,
     /// Wakes the requests that wait for a change of the suspects.
     pub suspects_changed: Notify,
+    /// When this process no longer waits for what other entries know of suspects.
+    pub knows_suspects_at: Cell<Timestamp>,
     /// Whether other entries have to be told at once about the suspects.
     pub has_unsent_suspects: Cell<bool>,
     /// Limits the share of requests that are sent again.
@@ -169,7 +171,6 @@
         Rc::new(Self {
             peers: RefCell::new(Peers::new(&settings, incarnation as IncarnationTag)),
             loads: RefCell::new(LoadTracker::new(incarnation as IncarnationTag)),
-            settings: RefCell::new(Rc::new(settings)),
             incarnation,
             header_codec: headers::HEADER_CODEC,
             replica: RefCell::default(),
@@ -182,11 +183,13 @@
             unsent_leaves: RefCell::default(),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
+            knows_suspects_at: Cell::new(prompt_guard::max_wait_for_news(&settings)),
             has_unsent_suspects: Cell::default(),
             retry_budget: RefCell::default(),
             retry_detectors: RefCell::default(),
             last_rejection: Cell::default(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
+            settings: RefCell::new(Rc::new(settings)),
             clock,
         })
     }
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -195,6 +195,17 @@
     }
 }
 
+common_derives! {wire:
+    /// What an entry knows of crashes of servers and the parts of prompts involved.
+    #[derive(Eq, Default)]
+    pub struct SuspectExchange {
+        /// Crashes, and parts that were served.
+        pub news: SuspectNews,
+        /// Whether the entry has just started and has not heard from others yet.
+        pub is_starting: bool,
+    }
+}
+
 common_derives! {wire:
     /// Content of one datagram.
     pub enum Message {
@@ -304,7 +315,7 @@
             outcome: Option<RankOrderOutcome>,
         },
         /// Crashes of servers and the prompt parts involved, exchanged among entries.
-        Suspects(SuspectNews),
+        Suspects(SuspectExchange),
     }
 }
 
--- a/crates/news/src/plausible.rs
+++ b/crates/news/src/plausible.rs
@@ -51,7 +51,7 @@
             Self::RankExperts { rank, sets, .. } => {
                 is_valid_rank(*rank) && sets.len() <= MAX_SETS as usize
             }
-            Self::Suspects(news) => is_valid_suspect_news(news),
+            Self::Suspects(exchange) => is_valid_suspect_news(&exchange.news),
             Self::Hello(_)
             | Self::AskRoster { .. }
             | Self::ServerLeaves(_)
--- a/crates/news/tests/suspects.rs
+++ b/crates/news/tests/suspects.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use jj_news::{MAX_DATAGRAM_BYTES, Message};
+use jj_news::{MAX_DATAGRAM_BYTES, Message, SuspectExchange};
 use jj_policy::crash_suspects::{CrashSuspects, MAX_CRASHES, MAX_PARTS, MAX_REQUESTS};
 
 #[gtest]
@@ -26,7 +26,10 @@
     }
 
     let news = suspects.news(Duration::from_secs(50)).unwrap();
-    let message = Message::Suspects(news);
+    let message = Message::Suspects(SuspectExchange {
+        news,
+        is_starting: false,
+    });
     let bytes = message.encode().unwrap();
 
     expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -245,8 +245,7 @@
     trials: FastMap<PartId, Timestamp>,
     /// Conclusions from the crashes and the served parts.
     suspects: FastMap<PartId, Suspect>,
-    /// Positions at which parts that were never served are held, and the last crash by a part
-    /// there.
+    /// Positions at which parts that were never served are held, and the last crash by a part there.
     doubtful: FastMap<PartPosition, Timestamp>,
 }
 
@@ -584,21 +583,25 @@
                 before.is_none_or(|before| before.crashes != it.crashes)
             });
         self.suspects = suspects;
-        let mut doubtful = self.suspect_positions();
-        doubtful.retain(|position, _| !self.is_usual_position(*position));
-        self.doubtful = doubtful;
+        self.doubtful = self.doubtful_positions();
         has_changed
     }
 
-    /// Returns the positions of parts that are the only suspect of a crash, with the last crash of
-    /// each.
-    fn suspect_positions(&self) -> FastMap<PartPosition, Timestamp> {
+    /// Returns the unusual positions of parts that are the only suspect of a crash, with the last
+    /// crash of each. Without a usual one to compare with there is none: all may be unknown yet.
+    fn doubtful_positions(&self) -> FastMap<PartPosition, Timestamp> {
         let mut positions = FastMap::default();
+        if !self.served_at.keys().any(|it| self.is_usual_position(*it)) {
+            return positions;
+        }
         for lost in self.crashes.iter().flat_map(Crash::lost_parts) {
             let suspect = self.suspects.get(&lost.part);
             let Some(suspect) = suspect.filter(|it| it.is_sole()) else {
                 continue;
             };
+            if self.is_usual_position(lost.position) {
+                continue;
+            }
             let last_crash = positions.entry(lost.position).or_insert(suspect.last_crash);
             *last_crash = suspect.last_crash.max(*last_crash);
         }
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -164,7 +164,9 @@
 #[gtest]
 fn unknown_part_is_held_where_no_part_was_ever_served_but_one_crashed_a_server() {
     let mut suspects = CrashSuspects::default();
-    suspects.record_served(at(900), &[SOUND]);
+    for part in [SOUND, 11, 12] {
+        suspects.record_served(at(900), &[part]);
+    }
     let before = suspects.admission(at(950), &[SOUND, OTHERS_CRASHING[0]]);
 
     suspects.record_crash(at(1_000), 7, &[SOUND, CRASHING]);
@@ -185,6 +187,19 @@
     );
 }
 
+#[gtest]
+fn unknown_parts_are_sent_while_hardly_any_was_served_anywhere() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_served(at(900), &[SOUND]);
+
+    suspects.record_crash(at(1_000), 7, &[CRASHING]);
+
+    expect_that!(
+        suspects.admission(at(2_000), &[OTHER]),
+        eq(PromptAdmission::Allowed)
+    );
+}
+
 #[gtest]
 fn unknown_part_is_sent_where_other_parts_were_served() {
     let (mut first, mut restarted) = (CrashSuspects::default(), CrashSuspects::default());
