feat(front): log the request rate that a server states in its responses

A response that may be older than the last statement (its request was sent before that arrived) does not end a limit; values that are no finite, non-negative numbers say nothing.

--- a/crates/direct/src/header_codec.rs
+++ b/crates/direct/src/header_codec.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode};
+use jj_policy::rate_limits::RequestRate;
 use jj_utils::{common_derives, ids::BackendServerId};
 
 /// Position of an event in its stream; increases from event to event.
@@ -80,6 +81,18 @@
     }
 }
 
+/// What a response says of the rate that its server accepts from all processes together.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum RateHeader {
+    /// The response states no rate: the server accepts any.
+    #[default]
+    Absent,
+    /// The server accepts this rate.
+    Rate(RequestRate),
+    /// The header has an invalid format and says nothing.
+    Malformed,
+}
+
 common_derives! {value:
     /// Parsed headers of a backend server's response.
     #[derive(Default)]
@@ -100,6 +113,8 @@
         pub is_leaving: bool,
         /// Time for which the sender of a refused request should send the server no requests.
         pub retry_after: Option<Duration>,
+        /// Request rate that the server accepts from all processes together.
+        pub rate_limit: RateHeader,
         /// Time for which the server keeps an idle connection open.
         pub keep_alive: Option<Duration>,
         /// Whether the server closes the connection after this response.
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -488,6 +488,7 @@
     ) -> Result<(CallResponse, ResponseHeaders), AttemptFailure> {
         let addr = reservation.server.addr;
         let mut closed_connections = 0;
+        let mut sent_at;
         let answer = loop {
             let connection = match self.shared.pool.acquire(addr).await {
                 Ok(connection) => connection,
@@ -505,6 +506,7 @@
             // Recorded before sending, since the attempt's timeout may cancel this call.
             self.request_log.servers.push(reservation.server.id.clone());
             self.stage = AttemptStage::Sent;
+            sent_at = self.shared.clock.now();
             let error = match call::send(connection, request).await {
                 Ok(answer) => break answer,
                 Err(error) => error,
@@ -532,6 +534,8 @@
         }
         if !facts.is_misdirected {
             self.shared.apply_notices(&reservation.server, &facts);
+            let rate = facts.rate_limit;
+            self.shared.record_rate(&reservation.server, sent_at, rate);
         }
         if facts.not_run {
             let is_full = facts.load.is_some_and(|it| it.waiting > 0);
--- a/crates/front/src/load_tracker.rs
+++ b/crates/front/src/load_tracker.rs
@@ -13,6 +13,7 @@
     },
     outage::{Outage, OutageConfig, OutageForecast},
     pass_model::{PassConfig, PassForecast, PassModel, PassSpec, StreamPassEstimator},
+    rate_limits::RateLimits,
     server_health::{AttemptOutcome, HealthConfig, ServerHealth},
     server_notices::ServerNotices,
 };
@@ -72,6 +73,8 @@
     pub peer_loads: LoadSums,
     /// Notices of servers that are leaving or have asked for a pause.
     pub notices: ServerNotices,
+    /// Request rates that servers accept from all processes together.
+    pub rate_limits: RateLimits,
     groups: FastMap<ServiceId, GroupState>,
     /// Requests that may still be sent to each cold server.
     cold_allowances: FastMap<BackendServerId, ColdAllowance>,
@@ -87,6 +90,7 @@
             servers: FastMap::default(),
             peer_loads: LoadSums::new(LoadSumsConfig::default(), incarnation),
             notices: ServerNotices::default(),
+            rate_limits: RateLimits::default(),
             groups: FastMap::default(),
             cold_allowances: FastMap::default(),
             health_config: HealthConfig::default(),
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -8,7 +8,7 @@
 
 use jj_adapter::headers;
 use jj_direct::{
-    header_codec::{HeaderCodec, ResponseHeaders},
+    header_codec::{HeaderCodec, RateHeader, ResponseHeaders},
     instance_settings::InstanceSettings,
     pool::{Pool, PoolConfig},
 };
@@ -21,6 +21,7 @@
     outage::OutageForecast,
     pass_model::{PassForecast, PassSpec},
     placement::{self, PlacementConfig, ServerCandidate},
+    rate_limits::RequestRate,
     server_health::AttemptOutcome,
     server_list::{ServerIncarnation, ServerRecord},
     server_notices::ServerAccess,
@@ -131,6 +132,11 @@
     requests.sum()
 }
 
+/// Returns a rate limit as text for the log.
+fn rate_text(limit: Option<RequestRate>) -> String {
+    limit.map_or_else(|| "none".to_owned(), |it| format!("{it:.2}"))
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.shared
@@ -403,6 +409,31 @@
         );
     }
 
+    /// Records the request rate that a server has stated in the response to a request sent at
+    /// `sent`.
+    pub fn record_rate(&self, server: &ServerRecord, sent: Timestamp, rate: RateHeader) {
+        let limit = match rate {
+            RateHeader::Absent => None,
+            RateHeader::Rate(limit) => Some(limit),
+            RateHeader::Malformed => return,
+        };
+        let now = self.clock.now();
+        let mut loads = self.loads.borrow_mut();
+        let limits = &mut loads.rate_limits;
+        let before = limits.limit(&server.id, server.incarnation);
+        if !limits.record(now, sent, &server.id, server.incarnation, limit) {
+            return;
+        }
+        let limit = limits.limit(&server.id, server.incarnation);
+        metrics::gauge!("jujube_rate_limited_servers").set(limits.count() as f64);
+        log_event!(
+            events::SERVER_RATE_LIMIT,
+            server = server.id.as_str(), service = server.service.as_str(),
+            limit = rate_text(limit), before = rate_text(before);
+            "the rate that a server accepts has changed"
+        );
+    }
+
     /// Records that a server is leaving, as reported by `by`; returns whether that was new. A new
     /// notice is passed on to other entries.
     pub fn record_leaving_server(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod popularity;
 pub mod prefix;
 pub mod rank_load;
+pub mod rate_limits;
 pub mod rebalance;
 pub mod rebalance_replay;
 pub mod rendezvous;
