fix(front): keep to the request rates that servers state, over all entries together

Cause: servers are chosen by requests in flight, health, notices and the cold rate; a rate that a server states was not read.

Every attempt takes its part when its server is reserved: first ones, retries, resumed streams, those out of queues. A server with a limit of zero gets one request in 4 s, which tells when the limit ends. If all servers of a service limit what they accept, a request that would be given up before its turn is rejected at once with the time of its turn. cold_rate becomes part of rate_share, its figures unchanged.

--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -27,10 +27,11 @@
     error_response::ErrorResponse,
     long_body::LongBody,
     prompt_guard::{self, SendDecision, Trial},
+    rate_limits,
     request::{self, Request},
     request_log::RequestLog,
     server_stream::{NoFirstEvent, ServerStream},
-    shared_state::{Reservation, SharedState},
+    shared_state::{NextOpening, Reservation, SharedState},
 };
 
 /// Longest response body that is buffered in full, in bytes; longer ones are passed on as they
@@ -299,9 +300,7 @@
             return Err(self.give_up("no server takes requests"));
         }
         let wait = self.queue_timeout()?;
-        if let Some(opens) = self.shared.next_opening(&service) {
-            self.check_server_pauses(opens)?;
-        }
+        self.check_next_opening(&service)?;
         let mut position = dispatch::enqueue(&self.shared, &self.request, &self.tried_servers);
         self.shared.capacity_changed.notify_one();
         match tokio::time::timeout(wait, &mut position.reservation).await {
@@ -310,28 +309,34 @@
         }
     }
 
-    /// Rejects the request if all servers have asked for a pause and none of the pauses ends before
-    /// the request would be given up.
-    fn check_server_pauses(&self, opens: Timestamp) -> Result<(), ErrorResponse> {
+    /// Rejects the request if all servers limit what they accept, and none accepts it before it
+    /// would be given up.
+    fn check_next_opening(&self, service: &str) -> Result<(), ErrorResponse> {
+        let waiting = dispatch::queue_length(&self.shared, service);
+        let opens = match self.shared.next_opening(service, waiting) {
+            NextOpening::Now => return Ok(()),
+            NextOpening::At(opens) => opens,
+            NextOpening::Unknown => self.shared.clock.now() + DEFAULT_RETRY_AFTER,
+        };
         let now = self.shared.clock.now();
         let give_up = self.wait_limit().reject_at();
         match server_notices::decide_while_paused(now, opens, give_up, self.shared.draw()) {
             PauseAction::Wait => Ok(()),
-            PauseAction::Reject(retry_after) => Err(self.reject_paused(opens, retry_after)),
+            PauseAction::Reject(retry_after) => Err(self.reject_limited(opens, retry_after)),
         }
     }
 
-    /// Logs that all servers have asked for a pause, and returns the rejection.
-    fn reject_paused(&self, opens: Timestamp, retry_after: Duration) -> ErrorResponse {
+    /// Logs that all servers limit what they accept, and returns the rejection.
+    fn reject_limited(&self, opens: Timestamp, retry_after: Duration) -> ErrorResponse {
         log_event!(
             events::REQUEST_REFUSED,
             request = self.request.id(), service = self.request.service.as_str(),
             opens_ms = opens.saturating_sub(self.shared.clock.now()).as_millis() as u64,
             left_ms = self.time_left().as_millis() as u64,
             retry_after_ms = retry_after.as_millis() as u64;
-            "rejected: all servers of the service have asked for a pause"
+            "rejected: all servers of the service have asked for a pause or for fewer requests"
         );
-        self.give_up_with(retry_after, "all servers have asked for a pause")
+        self.give_up_with(retry_after, "all servers have asked for fewer requests")
     }
 
     /// Logs that no server has capacity for the request, with the load of the service, and returns
@@ -534,8 +539,8 @@
         }
         if !facts.is_misdirected {
             self.shared.apply_notices(&reservation.server, &facts);
-            let rate = facts.rate_limit;
-            self.shared.record_rate(&reservation.server, sent_at, rate);
+            let server = &reservation.server;
+            rate_limits::record_response(&self.shared, server, sent_at, facts.rate_limit);
         }
         if facts.not_run {
             let is_full = facts.load.is_some_and(|it| it.waiting > 0);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peer_datagrams;
 pub mod peers;
 pub mod prompt_guard;
+pub mod rate_limits;
 pub mod request;
 pub mod request_handler;
 pub mod request_log;
--- a/crates/front/src/load_tracker.rs
+++ b/crates/front/src/load_tracker.rs
@@ -5,7 +5,6 @@
 
 use jj_news::server_tag;
 use jj_policy::{
-    cold_rate::ColdAllowance,
     gossip::IncarnationTag,
     load_sums::{
         InFlightUpdate, LoadSums, LoadSumsConfig, LocalInFlight, OutgoingUpdate, ServerInFlight,
@@ -14,6 +13,7 @@
     outage::{Outage, OutageConfig, OutageForecast},
     pass_model::{PassConfig, PassForecast, PassModel, PassSpec, StreamPassEstimator},
     rate_limits::RateLimits,
+    rate_share::RateAllowances,
     server_health::{AttemptOutcome, HealthConfig, ServerHealth},
     server_notices::ServerNotices,
 };
@@ -77,7 +77,9 @@
     pub rate_limits: RateLimits,
     groups: FastMap<ServiceId, GroupState>,
     /// Requests that may still be sent to each cold server.
-    cold_allowances: FastMap<BackendServerId, ColdAllowance>,
+    pub cold_allowances: RateAllowances,
+    /// Requests that may still be sent to each server that states a limit.
+    pub limit_allowances: RateAllowances,
     health_config: HealthConfig,
     pass_config: PassConfig,
     outage_config: OutageConfig,
@@ -92,31 +94,18 @@
             notices: ServerNotices::default(),
             rate_limits: RateLimits::default(),
             groups: FastMap::default(),
-            cold_allowances: FastMap::default(),
+            cold_allowances: RateAllowances::default(),
+            limit_allowances: RateAllowances::default(),
             health_config: HealthConfig::default(),
             pass_config: PassConfig::default(),
             outage_config: OutageConfig::default(),
         }
     }
 
-    /// Returns how many requests this process may send to a cold server now, at `rate` requests a
-    /// second; `draw` is a random number.
-    pub fn cold_allowance(&mut self, now: Timestamp, server: &str, rate: f64, draw: u64) -> u32 {
-        let cold = self.cold_allowances.entry(server.to_owned());
-        let allowance = cold.or_insert_with(|| ColdAllowance::new(now, draw));
-        allowance.available(rate, now)
-    }
-
-    /// Removes the allowance of a server that is warm now.
-    pub fn clear_cold_allowance(&mut self, server: &str) {
-        self.cold_allowances.remove(server);
-    }
-
     /// Counts a request as in flight at a server.
     pub fn add_request(&mut self, server: &str) {
-        if let Some(allowance) = self.cold_allowances.get_mut(server) {
-            allowance.consume();
-        }
+        self.cold_allowances.consume(server);
+        self.limit_allowances.consume(server);
         self.servers
             .entry(server.to_owned())
             .or_default()
--- a/crates/front/src/peer_datagrams.rs
+++ b/crates/front/src/peer_datagrams.rs
@@ -1,5 +1,6 @@
 //! Datagrams between entries and with agents: heartbeats, requests in flight, revisions of the
-//! store replica, group status and leaving servers.
+//! store replica, group status, and what servers state: that they leave, and the rates that they
+//! accept.
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -7,10 +8,11 @@
     time::Duration,
 };
 
-use jj_news::{GroupStatus, Hello, MAX_DATAGRAM_BYTES, Message, Roster, StoreStatus};
+use jj_news::{GroupStatus, Hello, MAX_DATAGRAM_BYTES, MAX_RATES, Message, Roster, StoreStatus};
 use jj_policy::{
     gossip::MemberChange,
     load_sums::{LoadScope, OutgoingUpdate},
+    rate_limits::RateStatement,
     server_list::ServerRecord,
     subset::{self, Node},
 };
@@ -21,7 +23,8 @@
 };
 
 use crate::{
-    peers::Peers, prompt_guard, shared_state::SharedState, store_replica::DEFAULT_EVENT_GAP,
+    peers::Peers, prompt_guard, rate_limits, shared_state::SharedState,
+    store_replica::DEFAULT_EVENT_GAP,
 };
 
 /// Time between two rounds of heartbeats.
@@ -33,8 +36,8 @@
 /// Maximum number of datagrams that are read at once.
 const MAX_BATCH: usize = 64;
 
-/// Number of heartbeat rounds between two messages on unchanged suspects.
-const SUSPECTS_INTERVAL_ROUNDS: u64 = 5;
+/// Number of heartbeat rounds between two messages on suspects and rates that have not changed.
+const NEWS_INTERVAL_ROUNDS: u64 = 5;
 
 /// Entries of each failure domain to which agents report the group status in a large fleet.
 const ROSTER_ENTRIES_PER_DOMAIN: usize = 2;
@@ -101,6 +104,24 @@
         if self.shared.has_unsent_suspects.take() {
             self.send_suspects(&targets);
         }
+        let rates = std::mem::take(&mut *self.shared.unsent_rates.borrow_mut());
+        self.send_rates(rates, &targets);
+    }
+
+    /// Sends the rates that servers accept.
+    fn send_rates(&self, rates: Vec<RateStatement>, targets: &[IpAddr]) {
+        for part in rates.chunks(MAX_RATES) {
+            self.send_all(&Message::ServerRates(part.to_vec()), targets);
+        }
+    }
+
+    /// Applies the rates that another entry knows, and tells it where it knows less.
+    fn receive_rates(&self, told: &[RateStatement], from: IpAddr) {
+        let by = from.to_string();
+        let replies = told
+            .iter()
+            .filter_map(|it| rate_limits::apply_news(&self.shared, it, &by));
+        self.send_rates(replies.collect(), &[from]);
     }
 
     /// Sends what is known of crashes of servers and their suspects, if there is anything.
@@ -154,6 +175,7 @@
             Some(Message::Suspects(news)) => {
                 prompt_guard::apply_news(&self.shared, &news, &ip.to_string());
             }
+            Some(Message::ServerRates(rates)) => self.receive_rates(&rates, ip),
             // Other messages are for agents; unreadable ones are ignored.
             _ => {}
         }
@@ -164,6 +186,7 @@
     fn receive_hello(&self, from: IpAddr, hello: Hello) {
         if apply_hello(&self.shared, from, hello) {
             let news = prompt_guard::news(&self.shared);
+            self.send_rates(rate_limits::news(&self.shared), &[from]);
             self.send_all(&Message::Suspects(news), &[from]);
         }
     }
@@ -225,8 +248,9 @@
         });
         self.send_all(&message, &targets);
         self.round += 1;
-        if self.round.is_multiple_of(SUSPECTS_INTERVAL_ROUNDS) {
+        if self.round.is_multiple_of(NEWS_INTERVAL_ROUNDS) {
             self.send_suspects(&targets);
+            self.send_rates(rate_limits::news(&self.shared), &targets);
         }
     }
 
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -8,20 +8,20 @@
 
 use jj_adapter::headers;
 use jj_direct::{
-    header_codec::{HeaderCodec, RateHeader, ResponseHeaders},
+    header_codec::{HeaderCodec, ResponseHeaders},
     instance_settings::InstanceSettings,
     pool::{Pool, PoolConfig},
 };
 use jj_news::LeaveNotice;
 use jj_policy::{
     caller_retries::{CallerRetryConfig, CallerRetryDetector},
-    cold_rate,
     crash_suspects::CrashSuspects,
     gossip::{EntryState, IncarnationTag},
     outage::OutageForecast,
     pass_model::{PassForecast, PassSpec},
     placement::{self, PlacementConfig, ServerCandidate},
-    rate_limits::RequestRate,
+    rate_limits::RateStatement,
+    rate_share,
     server_health::AttemptOutcome,
     server_list::{ServerIncarnation, ServerRecord},
     server_notices::ServerAccess,
@@ -39,8 +39,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    load_tracker::LoadTracker, peers::Peers, prompt_guard, request_queues::RequestQueues,
-    store_replica::StoreReplica,
+    load_tracker::LoadTracker, peers::Peers, prompt_guard, rate_limits,
+    request_queues::RequestQueues, store_replica::StoreReplica,
 };
 
 /// Requests in flight per slot from which a model server gets no more: the engine's own queue takes
@@ -84,6 +84,8 @@
     pub news_to_send: Notify,
     /// Notices of leaving servers that have not been sent to other entries yet.
     pub unsent_leaves: RefCell<Vec<LeaveNotice>>,
+    /// Changes of the rates that servers accept, not sent to other entries yet.
+    pub unsent_rates: RefCell<Vec<RateStatement>>,
     /// Parts of prompts that are suspected to crash servers.
     pub suspects: RefCell<CrashSuspects>,
     /// Wakes the requests that wait for a change of the suspects.
@@ -101,6 +103,16 @@
     rng: RefCell<Pcg64Mcg>,
 }
 
+/// When servers that limit what they accept will accept a request.
+pub enum NextOpening {
+    /// A server accepts any now.
+    Now,
+    /// At this time.
+    At(Timestamp),
+    /// This process may not send any.
+    Unknown,
+}
+
 /// One request counted as in flight at a server; it is uncounted on drop.
 pub struct Reservation {
     /// The reserved server.
@@ -132,11 +144,6 @@
     requests.sum()
 }
 
-/// Returns a rate limit as text for the log.
-fn rate_text(limit: Option<RequestRate>) -> String {
-    limit.map_or_else(|| "none".to_owned(), |it| format!("{it:.2}"))
-}
-
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.shared
@@ -187,6 +194,7 @@
             store_read_requested: Notify::new(),
             news_to_send: Notify::new(),
             unsent_leaves: RefCell::default(),
+            unsent_rates: RefCell::default(),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
             knows_suspects_at: Cell::new(prompt_guard::max_wait_for_news(&settings)),
@@ -253,7 +261,7 @@
                 local_requests: loads.local_requests(&record.id),
                 remote_requests: loads.remote_requests(&record.id),
                 is_avoided: access == ServerAccess::LastResort || loads.is_avoided(now, &record.id),
-                cold_allowance: self.cold_allowance(&replica, &mut loads, &record.id),
+                allowance: rate_limits::allowance(self, &replica, &mut loads, record),
                 was_tried: tried.contains(&record.id),
             });
         }
@@ -280,22 +288,6 @@
         })
     }
 
-    /// Returns how many requests this process may send to a cold server now; `None` if it is warm.
-    fn cold_allowance(
-        &self,
-        replica: &StoreReplica,
-        loads: &mut LoadTracker,
-        server: &str,
-    ) -> Option<u32> {
-        let now = self.clock.now();
-        let Some(rate) = replica.cold_requests_per_sec(now, server) else {
-            loads.clear_cold_allowance(server);
-            return None;
-        };
-        let rate = cold_rate::entry_rate(rate, self.count_entries());
-        Some(loads.cold_allowance(now, server, rate, self.draw()))
-    }
-
     /// Forecasts the pass lengths of a service's engine group with one more request, and returns
     /// the requests in flight there; `None` if the servers form no group or nothing is known of it.
     pub fn forecast(&self, service: &str, prompt: u32) -> Option<(PassForecast, u32)> {
@@ -369,21 +361,31 @@
         usable.any(|it| self.server_access(it) != ServerAccess::Closed)
     }
 
-    /// Returns when the first pause of a service's servers ends; `None` if a server accepts
-    /// requests now or none is paused.
-    pub fn next_opening(&self, service: &str) -> Option<Timestamp> {
+    /// Returns when a request behind `ahead` others may be sent to a server of a service, as far as
+    /// the servers limit what they accept.
+    pub fn next_opening(&self, service: &str, ahead: usize) -> NextOpening {
+        let now = self.clock.now();
         let replica = self.replica.borrow();
-        let mut earliest = None;
+        let loads = self.loads.borrow();
+        let mut first_pause_end = None;
+        let mut limited = Vec::new();
         for server in replica.usable_servers(service) {
             match self.server_access(server) {
-                ServerAccess::Open | ServerAccess::LastResort => return None,
+                ServerAccess::Open | ServerAccess::LastResort => {
+                    match rate_limits::request_times(&loads, now, server) {
+                        Some(times) => limited.extend(times),
+                        None => return NextOpening::Now,
+                    }
+                }
                 ServerAccess::Paused { until } => {
-                    earliest = Some(earliest.map_or(until, |it| until.min(it)))
+                    first_pause_end = Some(first_pause_end.map_or(until, |it| until.min(it)))
                 }
                 ServerAccess::Closed => {}
             }
         }
-        earliest
+        let allowed = rate_share::time_of_request(&limited, ahead);
+        let earliest = [first_pause_end, allowed].into_iter().flatten().min();
+        earliest.map_or(NextOpening::Unknown, NextOpening::At)
     }
 
     /// Applies a server's notices in a response: that it is leaving, or a pause that it asks for.
@@ -409,31 +411,6 @@
         );
     }
 
-    /// Records the request rate that a server has stated in the response to a request sent at
-    /// `sent`.
-    pub fn record_rate(&self, server: &ServerRecord, sent: Timestamp, rate: RateHeader) {
-        let limit = match rate {
-            RateHeader::Absent => None,
-            RateHeader::Rate(limit) => Some(limit),
-            RateHeader::Malformed => return,
-        };
-        let now = self.clock.now();
-        let mut loads = self.loads.borrow_mut();
-        let limits = &mut loads.rate_limits;
-        let before = limits.limit(&server.id, server.incarnation);
-        if !limits.record(now, sent, &server.id, server.incarnation, limit) {
-            return;
-        }
-        let limit = limits.limit(&server.id, server.incarnation);
-        metrics::gauge!("jujube_rate_limited_servers").set(limits.count() as f64);
-        log_event!(
-            events::SERVER_RATE_LIMIT,
-            server = server.id.as_str(), service = server.service.as_str(),
-            limit = rate_text(limit), before = rate_text(before);
-            "the rate that a server accepts has changed"
-        );
-    }
-
     /// Records that a server is leaving, as reported by `by`; returns whether that was new. A new
     /// notice is passed on to other entries.
     pub fn record_leaving_server(
@@ -499,7 +476,7 @@
     }
 
     /// Returns the number of live entries, including this one.
-    fn count_entries(&self) -> usize {
+    pub fn count_entries(&self) -> usize {
         self.peers.borrow().count_alive() + 1
     }
 
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -20,6 +20,7 @@
     crash_suspects::SuspectNews,
     load_sums::{InFlightUpdate, ServerTag},
     map_switch::{Goal, MapVersion, RankView},
+    rate_limits::RateStatement,
     server_list::{Revision, ServerIncarnation},
     switch_run::{DeputyState, RankOrderOutcome, SwitchOrder, SwitchRoles},
 };
@@ -32,6 +33,9 @@
 /// Largest datagram that is read.
 pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
+/// Maximum number of servers whose rates stand in one datagram.
+pub const MAX_RATES: usize = 64;
+
 /// Returns the 32-bit tag that stands for the name of a server or service in messages.
 pub fn server_tag(id: &str) -> ServerTag {
     xxh3_64(id.as_bytes()) as ServerTag
@@ -316,6 +320,8 @@
         },
         /// Crashes of servers and the prompt parts involved, exchanged among entries.
         Suspects(SuspectExchange),
+        /// Rates that servers accept, exchanged among entries.
+        ServerRates(Vec<RateStatement>),
     }
 }
 
--- a/crates/news/src/plausible.rs
+++ b/crates/news/src/plausible.rs
@@ -8,10 +8,11 @@
     crash_suspects::{self, CrashReport, SuspectNews},
     load_sums::InFlightUpdate,
     map_switch::{Goal, RankView},
+    rate_limits::RateStatement,
 };
 use jj_utils::ids::{Rank, Term};
 
-use crate::{GroupStatus, Message, OrderBatch, RankStatus, RankTask, Roster};
+use crate::{GroupStatus, MAX_RATES, Message, OrderBatch, RankStatus, RankTask, Roster};
 
 /// Maximum number of ranks in a group.
 const MAX_RANKS: Rank = 4_096;
@@ -51,6 +52,9 @@
             Self::RankExperts { rank, sets, .. } => {
                 is_valid_rank(*rank) && sets.len() <= MAX_SETS as usize
             }
+            Self::ServerRates(rates) => {
+                rates.len() <= MAX_RATES && rates.iter().all(RateStatement::is_valid)
+            }
             Self::Suspects(exchange) => is_valid_suspect_news(&exchange.news),
             Self::Hello(_)
             | Self::AskRoster { .. }
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -327,6 +327,11 @@
         self.members.get(&ip)
     }
 
+    /// Returns the addresses of all other entries that are known, alive or not.
+    pub fn known_ips(&self) -> impl ExactSizeIterator<Item = IpAddr> {
+        self.members.keys().copied()
+    }
+
     /// Returns whether another entry has sent a heartbeat within the timeout.
     pub fn is_alive(&self, now: Timestamp, ip: IpAddr) -> bool {
         let timeout = self.failure_timeout();
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -22,9 +22,9 @@
         pub remote_requests: u32,
         /// Whether new requests should go elsewhere for now; see [`crate::server_health`].
         pub is_avoided: bool,
-        /// Requests that this process may send now while the server is cold; `None` if it is
-        /// warm.
-        pub cold_allowance: Option<u32>,
+        /// Requests that this process may send now; `None` if the server accepts any rate. See
+        /// [`crate::rate_share`].
+        pub allowance: Option<u32>,
         /// Whether this request was already sent there.
         pub was_tried: bool,
     }
@@ -38,7 +38,7 @@
 
     /// Returns whether the server can take this request at a maximum load.
     fn has_room(&self, max_load: f64) -> bool {
-        self.load() < max_load && self.cold_allowance != Some(0) && !self.was_tried
+        self.load() < max_load && self.allowance != Some(0) && !self.was_tried
     }
 }
 
--- a/crates/policy/tests/cold_rate.rs
+++ b/crates/policy/tests/cold_rate.rs
@@ -5,8 +5,8 @@
 
 use googletest::prelude::*;
 use jj_policy::{
-    cold_rate::{ColdAllowance, entry_rate},
     placement::{PlacementConfig, ServerCandidate, choose_server},
+    rate_share::{RateAllowances, SharedRate, equal_share},
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -18,8 +18,10 @@
 const SLOTS: u32 = 10;
 /// Declared rate of one cold server, in requests per second.
 const RATE: f64 = 14.0;
-/// Accepted maximum of requests in any second: half more than the rate, and five.
-const MAX_PER_SECOND: usize = 26;
+/// Accepted maximum of requests in any second, as a multiple of the rate and an addition.
+const OVERAGE: f64 = 1.5;
+const SLACK: f64 = 5.0;
+const MAX_PER_SECOND: usize = (OVERAGE * RATE + SLACK) as usize;
 const RESPONSE_TIME: Duration = Duration::from_millis(250);
 /// Age of what an entry knows of the others' requests.
 const UPDATE_AGE: Duration = Duration::from_millis(10);
@@ -37,17 +39,14 @@
 
 struct World {
     sent: VecDeque<Sent>,
-    allowances: Vec<Vec<ColdAllowance>>,
+    allowances: Vec<RateAllowances>,
     starts: Vec<Vec<Duration>>,
     without_server: usize,
     is_limited: bool,
 }
 
-fn world(is_limited: bool, draws: &mut Pcg64Mcg) -> World {
-    let allowances = (0..ENTRIES).map(|_| {
-        let draw = |_| ColdAllowance::new(Duration::ZERO, draws.random());
-        (0..COLD).map(draw).collect()
-    });
+fn world(is_limited: bool) -> World {
+    let allowances = (0..ENTRIES).map(|_| RateAllowances::default());
     World {
         sent: VecDeque::new(),
         allowances: allowances.collect(),
@@ -58,13 +57,21 @@
 }
 
 impl World {
-    fn candidate(&mut self, now: Duration, entry: usize, server: usize) -> ServerCandidate {
+    fn candidate(
+        &mut self,
+        now: Duration,
+        entry: usize,
+        server: usize,
+        draw: u64,
+    ) -> ServerCandidate {
         let here = self.sent.iter().filter(|it| it.server == server);
         let (own, others): (Vec<&Sent>, Vec<&Sent>) = here.partition(|it| it.entry == entry);
         let known = others.iter().filter(|it| it.at + UPDATE_AGE <= now).count() as u32;
         let is_cold = server < COLD;
-        let rate = entry_rate(RATE, ENTRIES);
-        let room = || self.allowances[entry][server].available(rate, now);
+        let id = server.to_string();
+        let rate = SharedRate::of_cold_server(RATE);
+        let share_of = |rate| equal_share(rate, ENTRIES);
+        let room = || self.allowances[entry].available(now, &id, rate, draw, share_of);
         ServerCandidate {
             id: server.to_string(),
             is_same_domain: false,
@@ -76,14 +83,14 @@
                 known.max(WARM_REQUESTS)
             },
             is_avoided: false,
-            cold_allowance: (is_cold && self.is_limited).then(room),
+            allowance: (is_cold && self.is_limited).then(room),
             was_tried: false,
         }
     }
 
     fn arrive(&mut self, now: Duration, entry: usize, draw: u64) {
         let candidates: Vec<ServerCandidate> = (0..SERVERS)
-            .map(|server| self.candidate(now, entry, server))
+            .map(|server| self.candidate(now, entry, server, draw))
             .collect();
         let Some(chosen) = choose_server(&PlacementConfig::default(), &candidates, draw) else {
             self.without_server += 1;
@@ -92,7 +99,7 @@
         let server: usize = chosen.id.parse().unwrap();
         if server < COLD {
             self.starts[server].push(now);
-            self.allowances[entry][server].consume();
+            self.allowances[entry].consume(&chosen.id);
         }
         let at = now;
         self.sent.push_back(Sent { at, entry, server });
@@ -115,7 +122,7 @@
 /// entries.
 fn replay(is_limited: bool) -> World {
     let mut draws = Pcg64Mcg::seed_from_u64(20_261_204);
-    let mut world = world(is_limited, &mut draws);
+    let mut world = world(is_limited);
     let mut now = Duration::ZERO;
     while now < END {
         while world
@@ -150,17 +157,3 @@
     expect_that!(limited.max_per_second(), le(MAX_PER_SECOND));
     expect_that!(limited.without_server, eq(0));
 }
-
-#[gtest]
-fn unused_allowance_does_not_accumulate() {
-    let mut allowance = ColdAllowance::new(Duration::ZERO, 0);
-
-    expect_that!(allowance.available(2.0, Duration::from_millis(400)), eq(0));
-    expect_that!(allowance.available(2.0, Duration::from_millis(500)), eq(1));
-    expect_that!(allowance.available(2.0, Duration::from_secs(60)), eq(1));
-    allowance.consume();
-    expect_that!(
-        allowance.available(2.0, Duration::from_millis(60_400)),
-        eq(0)
-    );
-}
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -14,7 +14,7 @@
         local_requests,
         remote_requests,
         is_avoided: false,
-        cold_allowance: None,
+        allowance: None,
         was_tried: false,
     }
 }
@@ -100,7 +100,7 @@
         ..candidate("tried", 0, 0)
     };
     let cold = ServerCandidate {
-        cold_allowance: Some(0),
+        allowance: Some(0),
         ..candidate("cold", 0, 0)
     };
 
--- a/crates/policy/tests/server_health.rs
+++ b/crates/policy/tests/server_health.rs
@@ -172,7 +172,7 @@
                     local_requests: requests(&entries[own], server),
                     remote_requests: all - requests(&entries[own], server),
                     is_avoided: avoids(&entries[own]) || is_shared,
-                    cold_allowance: None,
+                    allowance: None,
                     was_tried: false,
                 }
             })
