fix(policy): a large fleet sends no burst to a cold server after a quiet time

Cold servers had an equal part of their rate at each entry, and each entry saves up one request: 149 entries that have been quiet send 149 requests at once to one cold server that bears 14 a second (26 allowed). Now the rate is shared by as many entries as half of the declared slack allows, like the limits that servers state: 6 at once.

Test: large_fleet_sends_no_burst_to_a_cold_server_after_a_quiet_time, 149 with equal parts (fails), 6 now.

--- a/crates/front/src/rate_limits.rs
+++ b/crates/front/src/rate_limits.rs
@@ -92,25 +92,25 @@
 ) -> Option<u32> {
     let now = shared.clock.now();
     let id = &server.id;
+    let share_of = |rate: SharedRate| entry_share(shared, rate, id);
     let cold = replica.cold_requests_per_sec(now, id).map(|rate| {
-        let rate = SharedRate::of_cold_server(rate);
-        let equal_share = |rate| rate_share::equal_share(rate, shared.count_entries());
-        let allowances = &mut loads.cold_allowances;
-        allowances.available(now, id, rate, shared.draw(), equal_share)
+        let objectives = &shared.settings().objectives;
+        SharedRate::of_cold_server(rate, objectives.cold_overage, objectives.cold_slack)
     });
-    if cold.is_none() {
-        loads.cold_allowances.clear(id);
-    }
     let limit = loads.rate_limits.limit(id, server.incarnation);
-    let limited = limit.map(SharedRate::of_limit).map(|rate| {
-        let share_of = |rate: SharedRate| entry_share(shared, rate, id);
-        let allowances = &mut loads.limit_allowances;
-        allowances.available(now, id, rate, shared.draw(), share_of)
+    let limit = limit.map(SharedRate::of_limit);
+    let rates = [
+        (cold, &mut loads.cold_allowances),
+        (limit, &mut loads.limit_allowances),
+    ];
+    let allowances = rates.into_iter().filter_map(|(rate, allowances)| {
+        let Some(rate) = rate else {
+            allowances.clear(id);
+            return None;
+        };
+        Some(allowances.available(now, id, rate, shared.draw(), share_of))
     });
-    if limited.is_none() {
-        loads.limit_allowances.clear(id);
-    }
-    [cold, limited].into_iter().flatten().min()
+    allowances.min()
 }
 
 /// Returns this process's share of a rate that a server accepts.
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -476,7 +476,7 @@
     }
 
     /// Returns the number of live entries, including this one.
-    pub fn count_entries(&self) -> usize {
+    fn count_entries(&self) -> usize {
         self.peers.borrow().count_alive() + 1
     }
 
--- a/crates/policy/src/rate_share.rs
+++ b/crates/policy/src/rate_share.rs
@@ -44,27 +44,18 @@
         }
     }
 
-    /// Returns what may be sent to a cold server that bears a rate.
-    pub fn of_cold_server(rate: RequestRate) -> Self {
+    /// Returns what may be sent to a cold server that bears a rate, where `overage` times the rate
+    /// and `slack` requests are accepted in any second. Half of what is above the rate is left for
+    /// requests that arrive late.
+    pub fn of_cold_server(rate: RequestRate, overage: f64, slack: f64) -> Self {
+        let above = rate * (overage - 1.0).max(0.0) + slack;
         Self {
             rate,
-            burst: rate * COLD_BURST_TIME.as_secs_f64(),
+            burst: (above / 2.0).max(1.0),
         }
     }
 }
 
-/// Time whose requests may be sent at once to a cold server.
-const COLD_BURST_TIME: Duration = Duration::from_millis(100);
-
-/// Returns an equal share of a rate for each of a number of entries.
-pub fn equal_share(shared: SharedRate, entries: usize) -> EntryShare {
-    let entries = entries.max(1) as f64;
-    EntryShare {
-        rate: shared.rate / entries,
-        burst: (shared.burst / entries).max(1.0),
-    }
-}
-
 common_derives! {value:
     /// What one entry may send to a server.
     #[derive(Copy)]
--- a/crates/policy/tests/cold_rate.rs
+++ b/crates/policy/tests/cold_rate.rs
@@ -1,12 +1,16 @@
 //! Cold servers that return together get no more requests than their declared rate, over all
 //! entries.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::VecDeque,
+    net::{IpAddr, Ipv4Addr},
+    time::Duration,
+};
 
 use googletest::prelude::*;
 use jj_policy::{
     placement::{PlacementConfig, ServerCandidate, choose_server},
-    rate_share::{RateAllowances, SharedRate, equal_share},
+    rate_share::{EntryShare, RateAllowances, SharedRate, entry_share},
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -45,6 +49,10 @@
     is_limited: bool,
 }
 
+fn ip(entry: usize) -> IpAddr {
+    Ipv4Addr::from_bits(0x0a00_0000 + entry as u32).into()
+}
+
 fn world(is_limited: bool) -> World {
     let allowances = (0..ENTRIES).map(|_| RateAllowances::default());
     World {
@@ -69,8 +77,11 @@
         let known = others.iter().filter(|it| it.at + UPDATE_AGE <= now).count() as u32;
         let is_cold = server < COLD;
         let id = server.to_string();
-        let rate = SharedRate::of_cold_server(RATE);
-        let share_of = |rate| equal_share(rate, ENTRIES);
+        let rate = SharedRate::of_cold_server(RATE, OVERAGE, SLACK);
+        let share_of = |rate| {
+            let others: Vec<IpAddr> = (0..ENTRIES).filter(|it| *it != entry).map(ip).collect();
+            entry_share(rate, &id, ip(entry), others.into_iter())
+        };
         let room = || self.allowances[entry].available(now, &id, rate, draw, share_of);
         ServerCandidate {
             id: server.to_string(),
@@ -157,3 +168,39 @@
     expect_that!(limited.max_per_second(), le(MAX_PER_SECOND));
     expect_that!(limited.without_server, eq(0));
 }
+
+/// Entries of a large fleet, each with a request for the only cold server at the same moment, after
+/// a time without any.
+const LARGE_FLEET: usize = 149;
+
+/// Returns how many requests reach a cold server in the second after a quiet time.
+fn burst_after_quiet_time(share_of: impl Fn(SharedRate, usize) -> EntryShare) -> usize {
+    let rate = SharedRate::of_cold_server(RATE, OVERAGE, SLACK);
+    let mut sent = 0;
+    for entry in 0..LARGE_FLEET {
+        let mut allowances = RateAllowances::default();
+        let mut available = |ms: u64| {
+            let now = Duration::from_millis(ms);
+            allowances.available(now, "cold", rate, 0, |rate| share_of(rate, entry))
+        };
+        available(0);
+        sent += available(20_000) as usize;
+    }
+    sent
+}
+
+#[gtest]
+fn large_fleet_sends_no_burst_to_a_cold_server_after_a_quiet_time() {
+    let equal_shares = burst_after_quiet_time(|rate, _| EntryShare {
+        rate: rate.rate / LARGE_FLEET as f64,
+        burst: 1.0,
+    });
+    let shares_of_few = burst_after_quiet_time(|rate, entry| {
+        let others: Vec<IpAddr> = (0..LARGE_FLEET).filter(|it| *it != entry).map(ip).collect();
+        entry_share(rate, "cold", ip(entry), others.into_iter())
+    });
+
+    println!("requests at once: {equal_shares} with equal shares, {shares_of_few} with few");
+    expect_that!(equal_shares, gt(MAX_PER_SECOND));
+    expect_that!(shares_of_few + RATE as usize, le(MAX_PER_SECOND));
+}
--- a/crates/policy/tests/rate_share.rs
+++ b/crates/policy/tests/rate_share.rs
@@ -314,6 +314,16 @@
     expect_that!(available(&mut allowances, 1_600, low), eq(1));
 }
 
+#[gtest]
+fn cold_server_shares_leave_half_of_the_slack() {
+    let shared = SharedRate::of_cold_server(36.0, 1.5, 5.0);
+
+    expect_that!(shared.rate, approx_eq(36.0));
+    expect_that!(shared.burst, approx_eq(11.5));
+    let without_slack = SharedRate::of_cold_server(4.0, 1.0, 0.0);
+    expect_that!(without_slack.burst, approx_eq(1.0));
+}
+
 #[gtest]
 fn request_behind_others_is_sent_when_its_turn_has_come_at_any_server() {
     let times = |first: u64, interval: u64| RequestTimes {
