fix(policy): servers that keep failing are the last choice after their pauses as well

Cause: a server is avoided for a pause of 3 s at most, and after it counts as good as any other. A lookup at two servers that hang takes 3.2 s, so where 30 of 33 hang, the pauses of nearly all are over whenever a server is chosen: most choices are blind again, and it stays so. Change: placement adds the part of recent attempts that failed, which fades with a half-life of 5 s without an attempt, to the load of a server. Not in groups, whose ranks fail together and have to be loaded evenly. Tests: sound_servers_are_used_though_most_hang_and_their_pauses_are_over: over 30 of 60 lookups hang without the penalty, at most 6 with it.

--- a/crates/front/src/load_tracker.rs
+++ b/crates/front/src/load_tracker.rs
@@ -154,6 +154,12 @@
         !is_fresh && reported.is_some_and(|(until, _)| now < until)
     }
 
+    /// Returns the part of recent attempts at a server that failed.
+    pub fn failed_part(&self, now: Timestamp, server: &str) -> f64 {
+        let load = self.servers.get(server);
+        load.map_or(0.0, |it| it.health.failed_part(&self.health_config, now))
+    }
+
     /// Returns whether the last attempt to connect to a server failed.
     pub fn is_unreachable(&self, server: &str) -> bool {
         let load = self.servers.get(server);
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -261,17 +261,22 @@
                 local_requests: loads.local_requests(&record.id),
                 remote_requests: loads.remote_requests(&record.id),
                 is_avoided: access == ServerAccess::LastResort || loads.is_avoided(now, &record.id),
+                failed_part: loads.failed_part(now, &record.id),
                 allowance: rate_limits::allowance(self, &replica, &mut loads, record),
                 was_tried: tried.contains(&record.id),
             });
         }
-        let config = PlacementConfig {
-            max_load: if is_model {
-                MODEL_REQUESTS_PER_SLOT
-            } else {
-                PLAIN_REQUESTS_PER_SLOT
+        let config = match is_model {
+            true => PlacementConfig {
+                max_load: MODEL_REQUESTS_PER_SLOT,
+                // The ranks of a group fail together, and have to be loaded evenly.
+                failure_penalty: 0.0,
+                ..PlacementConfig::default()
+            },
+            false => PlacementConfig {
+                max_load: PLAIN_REQUESTS_PER_SLOT,
+                ..PlacementConfig::default()
             },
-            ..PlacementConfig::default()
         };
         let chosen = placement::choose_server(&config, &candidates, draw)?;
         let record = records.iter().find(|it| it.id == chosen.id)?;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -22,6 +22,8 @@
         pub remote_requests: u32,
         /// Whether new requests should go elsewhere for now; see [`crate::server_health`].
         pub is_avoided: bool,
+        /// Part of its recent attempts from this process that failed.
+        pub failed_part: f64,
         /// Requests that this process may send now; `None` if the server accepts any rate. See
         /// [`crate::rate_share`].
         pub allowance: Option<u32>,
@@ -49,6 +51,9 @@
     pub max_load: f64,
     /// Added to the load (requests per slot) of a server in another failure domain.
     pub other_domain_penalty: f64,
+    /// Added to the load (requests per slot) of a server whose attempts all failed, for others in
+    /// proportion.
+    pub failure_penalty: f64,
 }
 
 impl Default for PlacementConfig {
@@ -56,12 +61,24 @@
         Self {
             max_load: 1.0,
             other_domain_penalty: 0.10,
+            failure_penalty: 1.0,
         }
     }
 }
 
-/// Returns the server with room that has the lowest load, avoided servers last. `draw` is a random
-/// number that decides between equal ones.
+impl PlacementConfig {
+    /// Returns the load of a server plus its penalties.
+    fn cost(&self, candidate: &ServerCandidate) -> f64 {
+        let domain = match candidate.is_same_domain {
+            true => 0.0,
+            false => self.other_domain_penalty,
+        };
+        candidate.load() + domain + self.failure_penalty * candidate.failed_part
+    }
+}
+
+/// Returns the server with room that has the lowest load with penalties, avoided servers last.
+/// `draw` is a random number that decides between equal ones.
 pub fn choose_server<'a>(
     config: &PlacementConfig,
     candidates: &'a [ServerCandidate],
@@ -73,13 +90,8 @@
             .enumerate()
             .filter(|(_, it)| it.is_avoided == is_avoided && it.has_room(config.max_load));
         let keyed = open.map(|(index, it)| {
-            let penalty = if it.is_same_domain {
-                0.0
-            } else {
-                config.other_domain_penalty
-            };
             let tie_break = (index as u64).wrapping_add(draw) % candidates.len() as u64;
-            (it.load() + penalty, tie_break, it)
+            (config.cost(it), tie_break, it)
         });
         let least = keyed.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         least.map(|(_, _, it)| it)
--- a/crates/policy/src/server_health.rs
+++ b/crates/policy/src/server_health.rs
@@ -4,7 +4,9 @@
 //! requests. The failures are spread over the entries, so each has to decide on few of them. An
 //! avoided server is tried again after a pause that doubles as long as it keeps failing. A server
 //! that breaks off every request at once has the lowest load of all and attracts new ones, so one
-//! broken attempt is enough for a pause, and entries share which servers they avoid.
+//! broken attempt is enough for a pause, and entries share which servers they avoid. Where most
+//! servers hang, pauses end before all of them have been tried again; so placement also prefers
+//! servers with fewer failures.
 
 use std::time::Duration;
 
@@ -39,6 +41,8 @@
     pub max_pause: Duration,
     /// Time for which a success here overrides the avoidance by other entries.
     pub success_lifetime: Duration,
+    /// Time without an attempt in which past failures lose half of their weight.
+    pub failure_half_life: Duration,
 }
 
 impl Default for HealthConfig {
@@ -49,6 +53,7 @@
             first_pause: Duration::from_millis(400),
             max_pause: Duration::from_secs(3),
             success_lifetime: Duration::from_millis(500),
+            failure_half_life: Duration::from_secs(5),
         }
     }
 }
@@ -57,6 +62,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerHealth {
     failed_part: f64,
+    last_attempt: Timestamp,
     consecutive_pauses: u32,
     paused_until: Timestamp,
     /// Whether the last attempt could not reach the server.
@@ -74,6 +80,7 @@
         outcome: AttemptOutcome,
     ) {
         self.is_unreachable = outcome == AttemptOutcome::Unreachable;
+        self.last_attempt = now;
         let failed = match outcome {
             AttemptOutcome::Succeeded => 0.0,
             AttemptOutcome::Refused => return self.start_pause(config, now),
@@ -94,6 +101,13 @@
         now < self.paused_until
     }
 
+    /// Returns the part of failed attempts, as a moving average that fades while there are none, so
+    /// that the server is tried again.
+    pub fn failed_part(&self, config: &HealthConfig, now: Timestamp) -> f64 {
+        let idle = now.saturating_sub(self.last_attempt).as_secs_f64();
+        self.failed_part * 0.5_f64.powf(idle / config.failure_half_life.as_secs_f64())
+    }
+
     /// Returns whether the last attempt could not connect to the server, so that it has probably
     /// stopped although it is still listed.
     pub fn is_unreachable(&self) -> bool {
--- a/crates/policy/tests/cold_rate.rs
+++ b/crates/policy/tests/cold_rate.rs
@@ -94,6 +94,7 @@
                 known.max(WARM_REQUESTS)
             },
             is_avoided: false,
+            failed_part: 0.0,
             allowance: (is_cold && self.is_limited).then(room),
             was_tried: false,
         }
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -14,6 +14,7 @@
         local_requests,
         remote_requests,
         is_avoided: false,
+        failed_part: 0.0,
         allowance: None,
         was_tried: false,
     }
--- a/crates/policy/tests/server_health.rs
+++ b/crates/policy/tests/server_health.rs
@@ -172,6 +172,7 @@
                     local_requests: requests(&entries[own], server),
                     remote_requests: all - requests(&entries[own], server),
                     is_avoided: avoids(&entries[own]) || is_shared,
+                    failed_part: 0.0,
                     allowance: None,
                     was_tried: false,
                 }
@@ -211,3 +212,60 @@
     expect_that!(alone * 10, gt(all * 3));
     expect_that!(shared * 20, lt(all));
 }
+
+/// Replays lookups, one after the other, at 33 servers of which 30 hang for 1.6 s; all have been
+/// tried twice before, and the pauses of that are over. Returns how many of 60 lookups hang.
+fn lookups_that_hang(failure_penalty: f64) -> u32 {
+    const HANGING: usize = 30;
+    let config = HealthConfig::default();
+    let placement = PlacementConfig {
+        failure_penalty,
+        ..PlacementConfig::default()
+    };
+    let mut random = Pcg64Mcg::seed_from_u64(20261204);
+    let mut health = vec![ServerHealth::default(); HANGING + 3];
+    for server in health.iter_mut().take(HANGING) {
+        for _ in 0..2 {
+            server.record_attempt(&config, at(0), AttemptOutcome::Failed);
+        }
+    }
+    let mut now = config.max_pause;
+    let mut hanging = 0;
+    for _ in 0..60 {
+        let candidates = health
+            .iter()
+            .enumerate()
+            .map(|(server, it)| ServerCandidate {
+                id: server.to_string(),
+                is_same_domain: true,
+                slots: 6,
+                local_requests: 0,
+                remote_requests: 0,
+                is_avoided: it.is_avoided(now),
+                failed_part: it.failed_part(&config, now),
+                allowance: None,
+                was_tried: false,
+            });
+        let candidates: Vec<ServerCandidate> = candidates.collect();
+        let chosen = choose_server(&placement, &candidates, random.random()).unwrap();
+        let server: usize = chosen.id.parse().unwrap();
+        let hangs = server < HANGING;
+        hanging += u32::from(hangs);
+        now += at(if hangs { 1_600 } else { 5 });
+        let outcome = match hangs {
+            true => AttemptOutcome::Failed,
+            false => AttemptOutcome::Succeeded,
+        };
+        health[server].record_attempt(&config, now, outcome);
+    }
+    hanging
+}
+
+#[gtest]
+fn sound_servers_are_used_though_most_hang_and_their_pauses_are_over() {
+    let without = lookups_that_hang(0.0);
+    let with = lookups_that_hang(PlacementConfig::default().failure_penalty);
+
+    expect_that!(without, gt(30));
+    expect_that!(with, le(6));
+}
