fix(front): a stream that holds no event is not handed to the caller as a success

Cause, by the log of the request: a server sends comments without end. After 64 KB of them the stream counted as begun, so it was handed on as a 200; where that happened at the deadline, the connection was closed before the head was sent. Without a deadline near, the caller got the comments as a success, and no other server was tried. Change: so many bytes without an event are a failure of the attempt. And a first event that is ready as the deadline passes is delivered before the stream is broken off, so that the caller has an answer.

--- a/crates/front/src/server_stream.rs
+++ b/crates/front/src/server_stream.rs
@@ -116,10 +116,13 @@
                 StreamItem::End => break,
                 StreamItem::Broken(cause) => return Err(cause),
             };
-            if count > 0 || received.len() > MAX_EVENT_BYTES {
+            if count > 0 {
                 self.buffered_events = count;
                 break;
             }
+            if received.len() > MAX_EVENT_BYTES {
+                return Err("no event within the maximum length");
+            }
         }
         self.buffered = received;
         Ok(())
--- a/crates/front/src/stream_relay.rs
+++ b/crates/front/src/stream_relay.rs
@@ -56,7 +56,9 @@
                 .saturating_sub(shared.elapsed_since(wait_start))
                 .min(forward.time_left());
             let next = tokio::time::timeout(limit, stream.next()).await;
-            if forward.time_left().is_zero() {
+            let is_first_event = forward.request_log.events_sent == 0
+                && matches!(next, Ok(StreamItem::Events(_, 1..)));
+            if forward.time_left().is_zero() && !is_first_event {
                 stream.reservation.record_outcome(AttemptOutcome::Failed);
                 forward.request_log.set_ending("deadline exceeded during the stream");
                 yield Err(io::ErrorKind::TimedOut.into());
