fix(rank): a call to an engine that fails is no reason to repeat all tasks of a switch

KNOWN-RED, large groups beside load: no switch within 10 s; orders to 6 engines unanswered, NotLoaded. Each of these calls that failed counted as a tick of the run, and a tick repeats the tasks of all ranks that have not answered; each third repeat begins a load for each of them. So one failed call made up to 40 more: a storm that a short slowness starts and that keeps itself going. Change: a failed call is no input; the run repeats after its interval. One load at a time for each engine, eight in all, since each order carries the whole map through a narrow link, and where all are silent the leader is the slow one.

--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -15,7 +15,7 @@
 };
 use jj_utils::{
     clock::Timestamp,
-    collections::FastMap,
+    collections::{FastMap, FastSet},
     events,
     ids::{Rank, Term},
     log_event,
@@ -37,6 +37,10 @@
 /// map, and again after as many more.
 const REPEATS_PER_REMOTE_LOAD: u32 = 3;
 
+/// Maximum number of engines that the leader itself has load the map at the same time: each order
+/// contains the complete map, and where many agents don't answer, the leader is the slow one.
+const MAX_REMOTE_LOADS: usize = 8;
+
 /// Timeout for another agent to send a batch of orders and to report their results.
 const BATCH_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -149,8 +153,11 @@
     group.accepted_term
 }
 
-/// Call to an engine, which completes with an input for the run.
-type EngineCall = LocalBoxFuture<'static, SwitchInput>;
+/// Call to an engine, which completes with an input for the run; none if the call failed.
+type EngineCall = LocalBoxFuture<'static, Option<SwitchInput>>;
+
+/// Load of the map at the engine of another rank.
+type RemoteLoad = LocalBoxFuture<'static, (Rank, Option<SwitchInput>)>;
 
 /// Executes one run of a switch.
 struct SwitchExecutor<'a> {
@@ -161,6 +168,10 @@
     content: Option<&'a MapContent<'a>>,
     /// Calls to engines that have not completed.
     calls: FuturesUnordered<EngineCall>,
+    /// Loads at engines of other ranks that have not completed.
+    remote_loads: FuturesUnordered<RemoteLoad>,
+    /// Ranks of these engines.
+    loading_ranks: FastSet<Rank>,
     /// Number of the unanswered task of each rank.
     open_tasks: FastMap<Rank, u64>,
     /// How often the task of each rank was repeated without an answer.
@@ -224,6 +235,8 @@
             roles,
             content,
             calls: FuturesUnordered::new(),
+            remote_loads: FuturesUnordered::new(),
+            loading_ranks: FastSet::default(),
             open_tasks: FastMap::default(),
             deputy_request: 0,
         }
@@ -326,7 +339,17 @@
                 return input;
             }
             tokio::select! {
-                Some(input) = self.calls.next() => return input,
+                Some(result) = self.calls.next() => {
+                    if let Some(input) = result {
+                        return input;
+                    }
+                }
+                Some((rank, result)) = self.remote_loads.next() => {
+                    self.loading_ranks.remove(&rank);
+                    if let Some(input) = result {
+                        return input;
+                    }
+                }
                 () = state.answer_received.notified() => {}
                 () = tokio::time::sleep_until(deadline) => return SwitchInput::Tick,
             }
@@ -568,6 +591,9 @@
         let Some(content) = self.content else {
             return;
         };
+        if self.loading_ranks.len() >= MAX_REMOTE_LOADS || !self.loading_ranks.insert(rank) {
+            return;
+        }
         let engine = self.state.engine.with_addr(server);
         let goal = self.load_goal();
         let map = content.full.to_vec();
@@ -576,16 +602,15 @@
             rank = rank, server = server.to_string(), version = goal.version;
             "loading the map at an engine whose agent does not answer"
         );
-        self.calls.push(Box::pin(async move {
-            match driver::load_remote(&engine, &goal, map).await {
-                Some(StepResult { view, outcome }) => SwitchInput::View {
-                    rank,
-                    number,
-                    view,
-                    outcome,
-                },
-                None => SwitchInput::Tick,
-            }
+        self.remote_loads.push(Box::pin(async move {
+            let result = driver::load_remote(&engine, &goal, map).await;
+            let input = result.map(|StepResult { view, outcome }| SwitchInput::View {
+                rank,
+                number,
+                view,
+                outcome,
+            });
+            (rank, input)
         }));
     }
 
@@ -638,14 +663,14 @@
                     if outcome == Some(RankOrderOutcome::Unknown) {
                         state.record_unanswered();
                     }
-                    SwitchInput::View {
+                    Some(SwitchInput::View {
                         rank,
                         number,
                         view,
                         outcome,
-                    }
+                    })
                 }
-                Err(_) => SwitchInput::Tick,
+                Err(_) => None,
             }
         }));
     }
@@ -666,7 +691,7 @@
         let Some(engine) = self.engine(rank) else {
             let outcome = RankOrderOutcome::Unknown;
             let input = SwitchInput::OrderOutcome { rank, outcome };
-            return self.calls.push(Box::pin(async move { input }));
+            return self.calls.push(Box::pin(async move { Some(input) }));
         };
         let goal = self.run.goal();
         let guard = OrderGuard {
@@ -684,7 +709,7 @@
                 metrics::counter!("jujube_orders_unanswered_total").increment(1);
                 state.record_unanswered();
             }
-            SwitchInput::OrderOutcome { rank, outcome }
+            Some(SwitchInput::OrderOutcome { rank, outcome })
         }));
     }
 
