fix(front): a store that comes back from an older copy is followed from its first response

What was seen: after a drill entries stayed on the old contents until the revisions had caught up; a read below the replica's revision was ignored, and peers compared revisions alone. Cause and class: a number that only rises within one history was taken for one that rises for good. Change: the order of two states is era, then revision (StorePosition). Places: StoreReplica (full reads, changes, confirmations, updates since, removals kept), StoreSync (watches, pages, the peer to fetch from), Peers and what datagrams tell, ReplicaUpdate and its query. None of: configuration versions (operators'), terms and sequence numbers (engines'), rosters for agents. A response of an earlier era or with one that is no number isn't used. Messages carry the era in a last field, which builds before ignore; theirs without it read as era 0 (recorded bytes).

--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{anyhow, ensure};
 use http::{Request, header};
+use jj_utils::wire;
 use serde::de::DeserializeOwned;
 
 use crate::{
@@ -31,5 +32,5 @@
     let body = response.read_body(max_bytes).await?;
     let body = body.map_err(|_| anyhow!("response is longer than {max_bytes} bytes"))?;
     response.finish(pool, None);
-    Ok(postcard::from_bytes(&body)?)
+    Ok(wire::decode_any_build(&body)?)
 }
--- a/crates/front/src/auxiliary_ports.rs
+++ b/crates/front/src/auxiliary_ports.rs
@@ -9,15 +9,14 @@
     metrics_port::{self, METRICS_PATH, text_response},
     server::{Handler, IncomingRequest},
 };
+use jj_policy::{gossip::EntryState, server_list::StorePosition};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::{
     peers::Peers,
     shared_state::SharedState,
-    store_sync::{REPLICA_PATH, SINCE_QUERY},
+    store_sync::{ERA_QUERY, REPLICA_PATH, SINCE_QUERY},
 };
-use jj_policy::gossip::EntryState;
-
 /// Returns the handler of all auxiliary ports; every path is served on each of them.
 pub fn handler(shared: Rc<SharedState>, metrics: PrometheusHandle) -> Handler {
     Rc::new(move |arrival, _| {
@@ -85,9 +84,18 @@
     addresses
 }
 
-/// Returns the update of this entry's replica since the revision in the query.
+/// Returns the position of the store in the query of a request for this entry's replica.
+fn position_in(query: &str) -> Option<StorePosition> {
+    let (revision, era) = query.strip_prefix(SINCE_QUERY)?.split_once(ERA_QUERY)?;
+    Some(StorePosition {
+        era: era.parse().ok()?,
+        revision: revision.parse().ok()?,
+    })
+}
+
+/// Returns the update of this entry's replica since the position in the query.
 fn replica(shared: &Rc<SharedState>, query: Option<&str>) -> Response<ResponseBody> {
-    let since = query.and_then(|it| it.strip_prefix(SINCE_QUERY)?.parse().ok());
+    let since = query.and_then(position_in);
     let update = shared.replica.borrow().update_since(since);
     match update.and_then(|update| postcard::to_stdvec(&update).ok()) {
         Some(bytes) => Response::new(ResponseBody::whole(bytes)),
--- a/crates/front/src/peer_datagrams.rs
+++ b/crates/front/src/peer_datagrams.rs
@@ -13,7 +13,7 @@
     gossip::MemberChange,
     load_sums::{LoadScope, OutgoingUpdate},
     rate_limits::RateStatement,
-    server_list::ServerRecord,
+    server_list::{Era, ServerRecord},
     subset::{self, Node},
 };
 use jj_utils::{clock::Timestamp, collections::FastMap, events, ids::ServiceId, log_event};
@@ -23,7 +23,9 @@
 };
 
 use crate::{
-    peers::Peers, prompt_guard, rate_limits, shared_state::SharedState,
+    peers::{Peers, ReplicaStatus},
+    prompt_guard, rate_limits,
+    shared_state::SharedState,
     store_replica::DEFAULT_EVENT_GAP,
 };
 
@@ -156,14 +158,14 @@
         let ip = from.ip();
         match Message::decode(&self.buffer[..length]) {
             Some(Message::Hello(hello)) => self.receive_hello(ip, hello),
-            Some(Message::InFlight { uses, store }) => {
+            Some(Message::InFlight { uses, store, era }) => {
                 let now = self.shared.clock.now();
                 self.shared
                     .loads
                     .borrow_mut()
                     .apply_in_flight_update(now, ip, &uses);
                 self.shared.capacity_changed.notify_one();
-                apply_store_status(&self.shared, ip, store);
+                apply_store_status(&self.shared, ip, store, era);
             }
             Some(Message::AskRoster { server }) => self.send_roster(server, from),
             Some(Message::GroupStatus(news)) => self.receive_group_status(news),
@@ -237,6 +239,7 @@
         let settings = self.shared.settings();
         let message = Message::Hello(Hello {
             name: settings.name.clone(),
+            era: self.shared.store_position().era,
             store: store_status(&self.shared),
             members: self
                 .shared
@@ -288,6 +291,7 @@
         let now = self.shared.clock.now();
         let updates = self.shared.loads.borrow_mut().prepare_updates(now);
         let store = store_status(&self.shared);
+        let era = self.shared.store_position().era;
         for OutgoingUpdate {
             recipients: to,
             update: news,
@@ -304,6 +308,7 @@
                 let message = Message::InFlight {
                     uses: uses.clone(),
                     store,
+                    era,
                 };
                 self.send_all(&message, &[ip]);
             }
@@ -336,7 +341,7 @@
     let replica = shared.replica.borrow();
     let age = shared.elapsed_since(replica.verified_at);
     StoreStatus {
-        revision: replica.revision.unwrap_or_default(),
+        revision: replica.position.unwrap_or_default().revision,
         age_ms: age.as_millis() as u32,
         digest: replica.digest,
     }
@@ -395,7 +400,7 @@
         log_change(&peers, change);
     }
     drop(peers);
-    apply_store_status(shared, from, hello.store);
+    apply_store_status(shared, from, hello.store, hello.era);
     has_appeared
 }
 
@@ -420,17 +425,25 @@
 }
 
 /// Applies a peer's report on its replica: an equal replica that was verified later confirms this
-/// one, a newer and different one wakes the store task to fetch it.
-fn apply_store_status(shared: &Rc<SharedState>, from: IpAddr, news: StoreStatus) {
-    shared.peers.borrow_mut().record_store_status(from, news);
+/// one, a newer one wakes the store task to fetch it.
+fn apply_store_status(shared: &Rc<SharedState>, from: IpAddr, news: StoreStatus, era: Era) {
+    let theirs = ReplicaStatus {
+        position: news.position(era),
+        digest: news.digest,
+    };
+    shared.peers.borrow_mut().record_store_status(from, theirs);
     let now = shared.clock.now();
     let verified_at = now.saturating_sub(Duration::from_millis(u64::from(news.age_ms)));
     let mut replica = shared.replica.borrow_mut();
-    if replica.revision.is_none_or(|at| news.revision > at) && news.digest != replica.digest {
+    let own = ReplicaStatus {
+        position: replica.position.unwrap_or_default(),
+        digest: replica.digest,
+    };
+    if theirs.is_newer_than(&own) {
         shared.store_read_requested.notify_one();
         return;
     }
-    if news.digest == replica.digest {
-        replica.confirm(verified_at, news.revision);
+    if theirs.digest == replica.digest {
+        replica.confirm(verified_at, theirs.position);
     }
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -6,8 +6,10 @@
 };
 
 use jj_direct::instance_settings::InstanceSettings;
-use jj_news::StoreStatus;
-use jj_policy::gossip::{EntryState, Gossip, GossipConfig, IncarnationTag, Member, MemberStatus};
+use jj_policy::{
+    gossip::{EntryState, Gossip, GossipConfig, IncarnationTag, Member, MemberStatus},
+    server_list::StorePosition,
+};
 use jj_utils::{
     clock::Timestamp,
     collections::FastMap,
@@ -18,10 +20,27 @@
 /// Time for which an entry's report on its replica is used to choose a peer to fetch from.
 const STORE_STATUS_EXPIRY: Duration = Duration::from_millis(1_500);
 
+/// State of a replica of the store.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReplicaStatus {
+    /// Position of the store up to which it is complete.
+    pub position: StorePosition,
+    /// Digest of its content.
+    pub digest: u64,
+}
+
+impl ReplicaStatus {
+    /// Returns whether this replica holds something newer than another one.
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        let is_later = self.position > other.position;
+        is_later && (self.position.era > other.position.era || self.digest != other.digest)
+    }
+}
+
 /// Last report of an entry on its replica of the store.
 #[derive(Debug, Clone, Copy)]
 struct ReceivedStoreStatus {
-    status: StoreStatus,
+    status: ReplicaStatus,
     received: Timestamp,
 }
 
@@ -107,7 +126,7 @@
     }
 
     /// Records an entry's report on its replica of the store, and drops expired reports.
-    pub fn record_store_status(&mut self, ip: IpAddr, status: StoreStatus) {
+    pub fn record_store_status(&mut self, ip: IpAddr, status: ReplicaStatus) {
         let received = self.now;
         self.store_status
             .insert(ip, ReceivedStoreStatus { status, received });
@@ -115,20 +134,15 @@
             .retain(|_, it| it.received + STORE_STATUS_EXPIRY >= received);
     }
 
-    /// Picks an entry with the newest content among those whose replica has a higher revision than
-    /// this one's and another digest, preferably in the same failure domain; among equals the
+    /// Picks an entry with the newest content among those whose replica is newer than this one's,
+    /// preferably in the same failure domain; among equals the
     /// random number `draw` decides, which spreads the requests. `None` if there is none.
-    pub fn pick_fresher_peer(&self, own: StoreStatus, draw: u64) -> Option<IpAddr> {
+    pub fn pick_fresher_peer(&self, own: ReplicaStatus, draw: u64) -> Option<IpAddr> {
         let fresh = self.store_status.iter();
         let fresh = fresh.filter(|(_, it)| it.received + STORE_STATUS_EXPIRY >= self.now);
-        let better = fresh
-            .filter(|(_, it)| it.status.revision > own.revision && it.status.digest != own.digest);
-        let newest = better
-            .clone()
-            .max_by_key(|(_, it)| it.status.revision)?
-            .1
-            .status
-            .digest;
+        let better = fresh.filter(|(_, it)| it.status.is_newer_than(&own));
+        let newest = better.clone().max_by_key(|(_, it)| it.status.position)?;
+        let newest = newest.1.status.digest;
         let is_same_domain = |ip: &IpAddr| {
             let member = self.gossip.member(*ip);
             member.is_some_and(|it| &it.status.domain == self.gossip.domain())
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -23,7 +23,7 @@
     rate_limits::RateStatement,
     rate_share,
     server_health::AttemptOutcome,
-    server_list::{ServerIncarnation, ServerRecord},
+    server_list::{ServerIncarnation, ServerRecord, StorePosition},
     server_notices::ServerAccess,
     windowed_retry_budget::{WindowedRetryBudget, WindowedRetryConfig},
 };
@@ -213,6 +213,11 @@
         Rc::clone(&self.settings.borrow())
     }
 
+    /// Returns the position of the store up to which this process has read it.
+    pub fn store_position(&self) -> StorePosition {
+        self.replica.borrow().position.unwrap_or_default()
+    }
+
     /// Draws a random number.
     pub fn draw(&self) -> u64 {
         self.rng.borrow_mut().next_u64()
--- a/crates/front/src/store_replica.rs
+++ b/crates/front/src/store_replica.rs
@@ -1,7 +1,7 @@
 //! Local replica of the platform's store, filled from the store itself or from peers.
 
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -14,7 +14,7 @@
 use jj_policy::{
     catalog::Catalog,
     pass_model::PassSpec,
-    server_list::{Revision, ServerList, ServerRecord},
+    server_list::{Era, Revision, ServerList, ServerRecord, ServerState, StorePosition},
 };
 use jj_utils::{
     clock::Timestamp,
@@ -59,12 +59,28 @@
         pub items: Vec<ItemCopy>,
         /// Items that were removed since the base revision.
         pub removed: Vec<Removal>,
+        /// Era of all these revisions.
+        pub era: Era,
+    }
+}
+
+impl ReplicaUpdate {
+    /// Returns the position of the store that the update corresponds to.
+    fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.revision,
+        }
     }
 }
 
 /// Number of latest removals that are kept for incremental updates.
 const MAX_REMOVALS_KEPT: usize = 512;
 
+/// Time for which a withdrawal of a failure domain holds that is missing after the store has come
+/// back from an older copy; operators write it again.
+const WITHDRAWAL_HOLD_TIME: Duration = Duration::from_secs(10);
+
 /// Items of the store, and the servers, configuration and withdrawn failure domains derived from
 /// them.
 #[derive(Default)]
@@ -76,8 +92,14 @@
     removed: VecDeque<Removal>,
     /// Revision after which `removed` contains all removals.
     removals_complete_since: Revision,
-    /// Revision up to which the items are complete; `None` before the first read.
-    pub revision: Option<Revision>,
+    /// Position of the store up to which the items are complete; `None` before the first read.
+    pub position: Option<StorePosition>,
+    /// Revision up to which the items may be from the older copy with which the era began; `None`
+    /// in the first era of this process.
+    copied_until: Option<Revision>,
+    /// Withdrawn failure domains that are missing since the era began, with the time until which
+    /// they hold.
+    held_domains: BTreeMap<FailureDomainId, Timestamp>,
     /// Latest time at which the items are known to have matched the store.
     pub verified_at: Timestamp,
     /// Configuration in force; `None` before the first valid one.
@@ -93,44 +115,118 @@
 
 impl StoreReplica {
     /// Replaces all items by those of a full read; ignored if the replica is newer.
-    pub fn replace_all(&mut self, now: Timestamp, revision: Revision, items: Vec<Item>) {
-        if self.revision.is_some_and(|known| revision < known) {
+    pub fn replace_all(&mut self, now: Timestamp, position: StorePosition, items: Vec<Item>) {
+        if self.position.is_some_and(|known| position < known) {
             return;
         }
-        self.removals_complete_since = if self.revision.is_none() {
-            revision
-        } else {
-            self.removals_complete_since
-        };
+        let known = self.position.replace(position);
+        let is_new_era = known.is_some_and(|it| it.era < position.era);
+        if known.is_none() || is_new_era {
+            self.removals_complete_since = position.revision;
+        }
+        if is_new_era {
+            self.removed.clear();
+            self.changed_at.clear();
+            self.copied_until = Some(position.revision);
+            // Records of live servers come back as after an outage.
+            self.servers.record_platform_error(now);
+        }
         let items = items.into_iter().map(|it| (it.key.clone(), it));
         let before = std::mem::replace(&mut self.items, items.collect());
-        for (key, item) in before {
-            match self.items.get(&key) {
-                Some(new) if new.revision == item.revision => {}
-                Some(new) => drop(self.changed_at.insert(key, new.revision)),
-                None => self.record_removal(key, revision),
-            }
+        if is_new_era {
+            self.hold_withdrawals(now);
+        } else {
+            self.record_differences(before, position.revision);
         }
         for (key, item) in &self.items {
             if !self.changed_at.contains_key(key) {
                 self.changed_at.insert(key.clone(), item.revision);
             }
         }
-        self.revision = Some(revision);
-        let records = self.items.values().filter_map(server_record);
-        self.servers.replace_all(now, records.collect());
+        let records = self.items.values().filter_map(|it| self.listed_record(it));
+        let records: Vec<ServerRecord> = records.collect();
+        if is_new_era {
+            self.log_new_era(known.unwrap_or_default(), &records);
+        }
+        self.servers.replace_all(now, records);
         self.update_catalog();
         self.update_withdrawn_domains();
         self.update_digest();
     }
 
-    /// Applies changes that follow the replica's revision.
-    pub fn apply_changes(&mut self, now: Timestamp, revision: Revision, changes: Vec<ItemChange>) {
+    /// Records the changes and removals between the items before a full read and those after it.
+    fn record_differences(&mut self, before: FastMap<String, Item>, revision: Revision) {
+        for (key, item) in before {
+            match self.items.get(&key) {
+                Some(new) if new.revision == item.revision => {}
+                Some(new) => drop(self.changed_at.insert(key, new.revision)),
+                None => self.record_removal(key, revision),
+            }
+        }
+    }
+
+    /// Returns the server record of an item as it is listed. One from the copy with which the era
+    /// began is older than what is known: a server that was leaving goes on leaving, and one that
+    /// was gone stays so, until its record is written again.
+    fn listed_record(&self, item: &Item) -> Option<ServerRecord> {
+        let mut record = server_record(item)?;
+        if self.copied_until.is_none_or(|until| item.revision > until) {
+            return Some(record);
+        }
+        if self.servers.has_departed(&record) {
+            return None;
+        }
+        let known = self.servers.get(&record.id).map(|it| &it.record);
+        let was_leaving = known.is_some_and(|it| {
+            it.state == ServerState::Leaving && it.incarnation == record.incarnation
+        });
+        if was_leaving {
+            record.state = ServerState::Leaving;
+        }
+        Some(record)
+    }
+
+    /// Keeps the withdrawn failure domains that are missing in the copy with which an era begins.
+    fn hold_withdrawals(&mut self, now: Timestamp) {
+        let until = now + WITHDRAWAL_HOLD_TIME;
+        let listed = self.listed_withdrawals();
+        let missing = self.withdrawn_domains.difference(&listed).cloned();
+        let missing: Vec<FailureDomainId> = missing.collect();
+        self.held_domains
+            .extend(missing.into_iter().map(|it| (it, until)));
+    }
+
+    /// Logs the start of an era, with the servers of the copy.
+    fn log_new_era(&self, before: StorePosition, records: &[ServerRecord]) {
+        let is_known = |it: &&ServerRecord| self.servers.get(&it.id).is_some();
+        let kept = records.iter().filter(is_known).count();
+        metrics::counter!("jujube_store_eras_total").increment(1);
+        let position = self.position.unwrap_or_default();
+        log_event!(
+            events::STORE_ERA_CHANGED,
+            era = position.era, at = position.revision,
+            era_before = before.era, at_before = before.revision,
+            kept = kept, missing = self.servers.all().count() - kept,
+            added = records.len() - kept, held_domains = self.held_domains.len();
+            "the store has come back from an older copy"
+        );
+    }
+
+    /// Applies changes that follow the replica's position; ignored if they are of another era.
+    pub fn apply_changes(
+        &mut self,
+        now: Timestamp,
+        position: StorePosition,
+        changes: Vec<ItemChange>,
+    ) {
+        if self.position.is_some_and(|known| known.era != position.era) {
+            return;
+        }
         let mut has_news = false;
         for change in changes {
             has_news |= self.apply_one(now, change);
         }
-        self.revision = Some(revision.max(self.revision.unwrap_or_default()));
+        self.position = Some(position.max(self.position.unwrap_or_default()));
         if has_news {
             self.update_withdrawn_domains();
             self.update_digest();
@@ -142,7 +238,8 @@
         match change {
             ItemChange::Put(item) => {
                 let is_config = item.key == config::CONFIG_KEY;
-                let has_news = match server_record(&item) {
+                self.end_hold(&item.key);
+                let has_news = match self.listed_record(&item) {
                     Some(record) => self.servers.put(now, record),
                     None => true,
                 };
@@ -156,6 +253,7 @@
                 has_news
             }
             ItemChange::Removed { key, revision } => {
+                self.end_hold(&key);
                 self.items.remove(&key);
                 if let Some(id) = servers::server_id(&key) {
                     self.servers.mark_missing(now, id);
@@ -166,6 +264,13 @@
         }
     }
 
+    /// Ends the hold of a withdrawn failure domain whose key has been written or removed.
+    fn end_hold(&mut self, key: &str) {
+        if let Some(domain) = config::evacuated_zone(key) {
+            self.held_domains.remove(domain);
+        }
+    }
+
     /// Records a removal, and drops the oldest one if there are too many.
     fn record_removal(&mut self, key: String, revision: Revision) {
         self.changed_at.remove(&key);
@@ -177,10 +282,14 @@
         }
     }
 
-    /// Records that the items still matched the store at `verified_at` and at `revision`.
-    pub fn confirm(&mut self, verified_at: Timestamp, revision: Revision) {
+    /// Records that the items still matched the store at `verified_at` and at `position`; ignored if
+    /// that is of another era.
+    pub fn confirm(&mut self, verified_at: Timestamp, position: StorePosition) {
+        if self.position.is_some_and(|known| known.era != position.era) {
+            return;
+        }
         self.verified_at = self.verified_at.max(verified_at);
-        self.revision = self.revision.map(|known| known.max(revision));
+        self.position = self.position.map(|known| known.max(position));
     }
 
     /// Returns the servers of a service that may get new requests.
@@ -220,16 +329,27 @@
         PassSpec::new(engine, ranks, gap)
     }
 
-    /// Drops servers that have been missing for so long that they are certainly gone.
-    pub fn drop_gone_servers(&mut self, now: Timestamp) {
-        if self.servers.drop_gone(now) {
+    /// Drops servers that have been missing for so long that they are certainly gone, and
+    /// withdrawals that have not been written again.
+    pub fn drop_expired(&mut self, now: Timestamp) {
+        let held = self.held_domains.len();
+        self.held_domains.retain(|_, until| now < *until);
+        let has_ended = self.held_domains.len() < held;
+        if has_ended {
+            self.update_withdrawn_domains();
+        }
+        if self.servers.drop_gone(now) || has_ended {
             self.update_digest();
         }
     }
 
-    /// Returns the changes since a revision, for a peer that is complete up to it, or all items if
-    /// the removals since then are no longer known. `None` before the first read.
-    pub fn update_since(&self, since: Option<Revision>) -> Option<ReplicaUpdate> {
+    /// Returns the changes since a position, for a peer that is complete up to it, or all items if
+    /// it is of another era or the removals since then are no longer known. `None` before the first
+    /// read.
+    pub fn update_since(&self, since: Option<StorePosition>) -> Option<ReplicaUpdate> {
+        let position = self.position?;
+        let since = since.filter(|it| it.era == position.era);
+        let since = since.map(|it| it.revision);
         let since = since.filter(|it| *it >= self.removals_complete_since);
         let is_new = |key: &str| {
             let changed = self.changed_at.get(key).copied().unwrap_or(Revision::MAX);
@@ -244,27 +364,29 @@
         let removed = self.removed.iter();
         let removed = removed.filter(|it| since.is_some_and(|since| it.revision > since));
         Some(ReplicaUpdate {
-            revision: self.revision?,
+            revision: position.revision,
             base_revision: since,
             items: items.collect(),
             removed: removed.cloned().collect(),
+            era: position.era,
         })
     }
 
-    /// Applies a peer's update. An incremental one is ignored unless its revisions enclose the
-    /// replica's.
+    /// Applies a peer's update. An incremental one is ignored unless it is of the same era and its
+    /// revisions enclose the replica's.
     pub fn apply_update(&mut self, now: Timestamp, update: ReplicaUpdate) {
+        let position = update.position();
         let items = update.items.into_iter().map(|it| Item {
             key: it.key,
             value: it.value,
             revision: it.revision,
         });
         match update.base_revision {
-            None => self.replace_all(now, update.revision, items.collect()),
+            None => self.replace_all(now, position, items.collect()),
             Some(since)
-                if self
-                    .revision
-                    .is_some_and(|at| at >= since && at <= update.revision) =>
+                if self.position.is_some_and(|at| {
+                    at.era == position.era && at.revision >= since && at <= position
+                }) =>
             {
                 let removed = update.removed.into_iter().map(|it| ItemChange::Removed {
                     key: it.key,
@@ -276,7 +398,7 @@
                 let news = items.iter().map(|it| (it.key.clone(), it.revision));
                 let news: Vec<(String, Revision)> = news.collect();
                 let changes = removed.chain(items.into_iter().map(ItemChange::Put));
-                self.apply_changes(now, update.revision, changes.collect());
+                self.apply_changes(now, position, changes.collect());
                 self.changed_at.extend(news);
             }
             // The replica has changed since the update was requested.
@@ -310,13 +432,17 @@
         self.catalog = Some(Rc::new(catalog));
     }
 
+    /// Returns the failure domains that are withdrawn by the items.
+    fn listed_withdrawals(&self) -> BTreeSet<FailureDomainId> {
+        let keys = self.items.keys();
+        let domains = keys.filter_map(|key| config::evacuated_zone(key));
+        domains.map(str::to_owned).collect()
+    }
+
     /// Recomputes the withdrawn failure domains, and logs which were added or removed.
     fn update_withdrawn_domains(&mut self) {
-        let domains = self
-            .items
-            .keys()
-            .filter_map(|key| config::evacuated_zone(key));
-        let withdrawn: BTreeSet<FailureDomainId> = domains.map(str::to_owned).collect();
+        let mut withdrawn = self.listed_withdrawals();
+        withdrawn.extend(self.held_domains.keys().cloned());
         for domain in withdrawn.difference(&self.withdrawn_domains) {
             log_event!(
                 events::DOMAIN_WITHDRAWN,
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -8,14 +8,16 @@
     pool::{Pool, PoolConfig},
 };
 use jj_policy::{
-    server_list::Revision,
+    server_list::StorePosition,
     store_reader::{self, ReaderConfig},
 };
 use jj_utils::{clock::Timestamp, events, log_event};
 
-use jj_news::StoreStatus;
-
-use crate::{peers::Peers, shared_state::SharedState, store_replica::ReplicaUpdate};
+use crate::{
+    peers::{Peers, ReplicaStatus},
+    shared_state::SharedState,
+    store_replica::{ReplicaUpdate, StoreReplica},
+};
 
 /// Key prefix that matches the whole store: servers and operators' keys.
 const ALL_KEYS: &str = "";
@@ -38,9 +40,12 @@
 pub const REPLICA_PATH: &str = "/replica";
 
 /// Start of that path's query string; followed by the revision up to which the requester's replica
-/// is complete.
+/// is complete and [`ERA_QUERY`].
 pub const SINCE_QUERY: &str = "since=";
 
+/// Part of that query string before the era of the revision.
+pub const ERA_QUERY: &str = "&era=";
+
 /// Keeps the replica current for as long as the process runs.
 ///
 /// # Errors
@@ -101,7 +106,7 @@
         if now >= self.not_before && self.is_due(now) {
             self.read().await;
         }
-        self.drop_gone_servers();
+        self.drop_expired();
     }
 
     /// Returns whether the replica is so old that this process should read the store. The age
@@ -109,7 +114,7 @@
     /// entry reads for all.
     fn is_due(&self, now: Timestamp) -> bool {
         let replica = self.shared.replica.borrow();
-        if replica.revision.is_none() {
+        if replica.position.is_none() {
             return now >= self.first_read_at;
         }
         let before = self.shared.peers.borrow().count_ahead_in_read_order();
@@ -123,10 +128,10 @@
             .shared
             .replica
             .borrow()
-            .revision
+            .position
             .filter(|_| !self.needs_full_read);
         let result = match known {
-            Some(revision) => self.watch(revision).await,
+            Some(position) => self.watch(position).await,
             None => self.read_all().await,
         };
         match result {
@@ -134,11 +139,12 @@
             Err(StoreError::Compacted) => {
                 log_event!(
                     events::STORE_COMPACTED,
-                    at = known.unwrap_or_default();
+                    at = known.unwrap_or_default().revision;
                     "store has compacted the revision; reading all items"
                 );
                 self.needs_full_read = true;
             }
+            Err(StoreError::EraChanged) => self.needs_full_read = true,
             Err(error) => self.record_failure(&error),
         }
     }
@@ -149,22 +155,21 @@
         metrics::counter!("jujube_store_calls_total", "call" => "range").increment(1);
         let answer = self.store.range(ALL_KEYS, STORE_TIMEOUT).await?;
         let now = self.shared.clock.now();
-        self.shared
-            .replica
-            .borrow_mut()
-            .replace_all(now, answer.revision, answer.entries);
+        let mut replica = self.shared.replica.borrow_mut();
+        check_era(&replica, answer.position)?;
+        replica.replace_all(now, answer.position, answer.entries);
         self.needs_full_read = false;
         Ok(Duration::ZERO)
     }
 
-    /// Waits for changes after a revision. Returns the time from the start of the call to the last
+    /// Waits for changes after a position. Returns the time from the start of the call to the last
     /// moment at which the result is known to have been current: the whole wait if nothing has
     /// changed.
-    async fn watch(&mut self, revision: Revision) -> Result<Duration, StoreError> {
+    async fn watch(&mut self, after: StorePosition) -> Result<Duration, StoreError> {
         metrics::counter!("jujube_store_calls_total", "call" => "watch").increment(1);
         let answer = self
             .store
-            .watch(ALL_KEYS, revision, WATCH_WAIT, STORE_TIMEOUT)
+            .watch(ALL_KEYS, after.revision, WATCH_WAIT, STORE_TIMEOUT)
             .await?;
         let now = self.shared.clock.now();
         let waited = match answer.entries.is_empty() {
@@ -172,9 +177,13 @@
             false => Duration::ZERO,
         };
         let mut replica = self.shared.replica.borrow_mut();
+        check_era(&replica, answer.position)?;
+        if answer.position.era > after.era {
+            return Err(StoreError::EraChanged);
+        }
         // An update from a peer may have been applied meanwhile.
-        if replica.revision == Some(revision) {
-            replica.apply_changes(now, answer.revision, answer.entries);
+        if replica.position == Some(after) {
+            replica.apply_changes(now, answer.position, answer.entries);
         }
         Ok(waited)
     }
@@ -188,7 +197,7 @@
         if self.is_down {
             log_event!(
                 events::CONFIG_SERVICE_BACK,
-                at = replica.revision.unwrap_or_default(); "store responds again"
+                at = replica.position.unwrap_or_default().revision; "store responds again"
             );
         }
         self.is_down = false;
@@ -252,17 +261,17 @@
 
     /// Fetches the changes since this replica's revision from a peer.
     async fn fetch_update(&self, addr: SocketAddr) -> anyhow::Result<ReplicaUpdate> {
-        let revision = self.shared.replica.borrow().revision.unwrap_or_default();
-        let path = format!("{REPLICA_PATH}?{SINCE_QUERY}{revision}");
+        let position = self.shared.replica.borrow().position.unwrap_or_default();
+        let StorePosition { era, revision } = position;
+        let path = format!("{REPLICA_PATH}?{SINCE_QUERY}{revision}{ERA_QUERY}{era}");
         fetch::get(&self.pool, addr, &path, MAX_UPDATE_BYTES).await
     }
 
     /// Returns the address of a peer with a newer replica.
     fn fresher_peer(&self) -> Option<SocketAddr> {
         let replica = self.shared.replica.borrow();
-        let own = StoreStatus {
-            revision: replica.revision.unwrap_or_default(),
-            age_ms: 0,
+        let own = ReplicaStatus {
+            position: replica.position.unwrap_or_default(),
             digest: replica.digest,
         };
         let ip = self
@@ -273,10 +282,22 @@
         Peers::listen_addr(ip, self.shared.settings().listen.control)
     }
 
-    /// Drops servers that have been missing for so long that they are certainly gone.
-    fn drop_gone_servers(&self) {
+    /// Drops what the replica keeps for a time only.
+    fn drop_expired(&self) {
         let now = self.shared.clock.now();
-        self.shared.replica.borrow_mut().drop_gone_servers(now);
+        self.shared.replica.borrow_mut().drop_expired(now);
+    }
+}
+
+/// Checks that a response of the store is not of an earlier era than the replica.
+fn check_era(replica: &StoreReplica, position: StorePosition) -> Result<(), StoreError> {
+    let known = replica.position.unwrap_or_default().era;
+    match position.era < known {
+        true => Err(StoreError::EarlierEra {
+            era: position.era,
+            known,
+        }),
+        false => Ok(()),
     }
 }
 
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -1,5 +1,6 @@
 //! Datagrams that the processes of the system exchange: heartbeats, load reports, and the messages
-//! by which the agents of a group switch its expert map. They are encoded with postcard, by position.
+//! by which the agents of a group switch its expert map. They are encoded with postcard, by position; a
+//! build adds variants and fields at the end only, so that messages of other builds can be read.
 
 #![warn(clippy::unwrap_used)]
 
@@ -21,12 +22,13 @@
     load_sums::{InFlightUpdate, ServerTag},
     map_switch::{Goal, MapVersion, RankView},
     rate_limits::RateStatement,
-    server_list::{Revision, ServerIncarnation},
+    server_list::{Era, Revision, ServerIncarnation, StorePosition},
     switch_run::{DeputyState, RankOrderOutcome, SwitchOrder, SwitchRoles},
 };
 use jj_utils::{
     common_derives,
     ids::{BackendServerId, Incarnation, InstanceId, Rank, Term},
+    wire,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -54,6 +56,16 @@
     }
 }
 
+impl StoreStatus {
+    /// Returns the position in the store, which is in an era.
+    pub fn position(&self, era: Era) -> StorePosition {
+        StorePosition {
+            era,
+            revision: self.revision,
+        }
+    }
+}
+
 common_derives! {wire:
     /// Heartbeat of an entry.
     pub struct Hello {
@@ -63,6 +75,8 @@
         pub store: StoreStatus,
         /// Entries that it considers alive, itself included.
         pub members: MemberTable,
+        /// Era of the store that `store` is of.
+        pub era: Era,
     }
 }
 
@@ -221,6 +235,8 @@
             uses: InFlightUpdate,
             /// How far the sending entry has read the store.
             store: StoreStatus,
+            /// Era of the store that `store` is of.
+            era: Era,
         },
         /// Request of an agent to an entry for the roster of its service.
         AskRoster {
@@ -331,9 +347,17 @@
         postcard::to_stdvec(self).ok()
     }
 
+    /// Decodes a message of a build that knew no eras of the store.
+    fn decode_without_era(bytes: &[u8]) -> Option<Self> {
+        let message: Self = wire::decode_any_build(bytes).ok()?;
+        let has_era = matches!(message, Self::Hello(_) | Self::InFlight { .. });
+        has_era.then_some(message)
+    }
+
     /// Decodes a datagram; returns none if it is malformed or holds implausible values.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let message: Self = postcard::from_bytes(bytes).ok()?;
+        let decoded = postcard::from_bytes(bytes).ok();
+        let message: Self = decoded.or_else(|| Self::decode_without_era(bytes))?;
         message.is_plausible().then_some(message)
     }
 }
--- a/crates/policy/src/server_list.rs
+++ b/crates/policy/src/server_list.rs
@@ -16,9 +16,28 @@
 /// Number of a change in the platform's store; increases with each change.
 pub type Revision = u64;
 
+/// Number of times that the platform's store has come back from an older copy; revisions are given
+/// out again then. 0 for a store that has no eras.
+pub type Era = u64;
+
+common_derives! {copy:
+    /// Position in the history of the platform's store. All of a later era is newer than all of an
+    /// earlier one.
+    #[derive(Default)]
+    pub struct StorePosition {
+        /// Era of the store.
+        pub era: Era,
+        /// Number of the last change within it.
+        pub revision: Revision,
+    }
+}
+
 /// Start time of a server in Unix milliseconds by its own clock; higher in a later incarnation.
 pub type ServerIncarnation = u64;
 
+/// Time for which servers that are gone are remembered.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(60);
+
 /// Time after the platform's recovery within which the records of live servers come back.
 const RECORD_RETURN_TIME: Duration = Duration::from_millis(2_000);
 
@@ -72,6 +91,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerList {
     servers: FastMap<BackendServerId, ListedServer>,
+    /// Servers dropped lately: their incarnation, and when.
+    departed: FastMap<BackendServerId, (Option<ServerIncarnation>, Timestamp)>,
     /// Last time at which the platform could not be reached.
     last_error: Timestamp,
 }
@@ -91,6 +112,7 @@
             last_seen: now,
             missing_since: None,
         };
+        self.departed.remove(&listed.record.id);
         self.servers.insert(listed.record.id.clone(), listed);
         has_changed
     }
@@ -128,10 +150,23 @@
     /// Drops the servers whose records are gone for certain; returns whether there were any.
     pub fn drop_gone(&mut self, now: Timestamp) -> bool {
         let last_error = self.last_error;
-        let before = self.servers.len();
-        self.servers
-            .retain(|_, listed| !is_gone(listed, last_error, now));
-        self.servers.len() != before
+        let gone = self.servers.values();
+        let gone = gone.filter(|it| is_gone(it, last_error, now));
+        let gone: Vec<ServerRecord> = gone.map(|it| it.record.clone()).collect();
+        for record in &gone {
+            self.servers.remove(&record.id);
+            let departure = (record.incarnation, now);
+            self.departed.insert(record.id.clone(), departure);
+        }
+        self.departed
+            .retain(|_, (_, at)| now < *at + DEPARTURE_MEMORY);
+        !gone.is_empty()
+    }
+
+    /// Returns whether the incarnation of a server in a record was dropped lately.
+    pub fn has_departed(&self, record: &ServerRecord) -> bool {
+        let departed = self.departed.get(&record.id);
+        departed.is_some_and(|(incarnation, _)| *incarnation == record.incarnation)
     }
 
     /// Returns the servers that take requests, in no order.
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -75,6 +75,7 @@
     CONFIG_STALE_READ = 1305 Warn "config_stale_read";
     STORE_COMPACTED = 1306 Info "store_compacted";
     STORE_NEWS = 1307 Info "store_news";
+    STORE_ERA_CHANGED = 1308 Warn "store_era_changed";
     // 14xx: membership and failure domains
     MEMBER_CHANGED = 1401 Info "member_changed";
     DOMAIN_WITHDRAWN = 1402 Warn "domain_withdrawn";
--- a/crates/utils/src/lib.rs
+++ b/crates/utils/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod log_output;
 pub mod logging;
 pub mod settings;
+pub mod wire;
