--- a/crates/policy/src/server_health.rs
+++ b/crates/policy/src/server_health.rs
@@ -104,6 +104,9 @@
     /// Returns the part of failed attempts, as a moving average that fades while there are none, so
     /// that the server is tried again.
     pub fn failed_part(&self, config: &HealthConfig, now: Timestamp) -> f64 {
+        if self.failed_part == 0.0 {
+            return 0.0;
+        }
         let idle = now.saturating_sub(self.last_attempt).as_secs_f64();
         self.failed_part * 0.5_f64.powf(idle / config.failure_half_life.as_secs_f64())
     }
