fix(front): a request that no server will accept doesn't wait in the queue

Found reading the change: an entry without a part in any limited server's rate took its default retry time for the time at which one opens, so a request of a route with a long target waited for nothing. It is rejected at once now. Test: request_that_no_server_will_accept_is_rejected_at_once_however_long_it_could_wait (a wait before).

--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -27,7 +27,7 @@
 const MAX_TRIES: usize = 4;
 
 /// Retry-after time of a rejection whose cause gives no better estimate.
-pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Response of a server that can be passed to the caller.
 pub enum ForwardedResponse {
--- a/crates/front/src/server_wait.rs
+++ b/crates/front/src/server_wait.rs
@@ -14,7 +14,7 @@
 use crate::{
     dispatch,
     error_response::ErrorResponse,
-    forward::{DEFAULT_RETRY_AFTER, Forwarder},
+    forward::Forwarder,
     shared_state::{NextOpening, Reservation},
 };
 
@@ -57,25 +57,25 @@
     /// would be given up.
     fn check_next_opening(&self, service: &str) -> Result<(), ErrorResponse> {
         let waiting = dispatch::queue_length(&self.shared, service);
-        let opens = match self.shared.next_opening(service, waiting) {
+        let opening = match self.shared.next_opening(service, waiting) {
             NextOpening::Now => return Ok(()),
-            NextOpening::At(opens) => opens,
-            NextOpening::Unknown => self.shared.clock.now() + DEFAULT_RETRY_AFTER,
+            NextOpening::Later(opening) => opening,
         };
         let now = self.shared.clock.now();
         let give_up = self.wait_limit().reject_at();
-        match server_notices::decide_while_paused(now, opens, give_up, self.shared.draw()) {
+        match server_notices::decide_while_paused(now, opening, give_up, self.shared.draw()) {
             PauseAction::Wait => Ok(()),
-            PauseAction::Reject(retry_after) => Err(self.reject_limited(opens, retry_after)),
+            PauseAction::Reject(retry_after) => Err(self.reject_limited(opening, retry_after)),
         }
     }
 
     /// Logs that all servers limit what they accept, and returns the rejection.
-    fn reject_limited(&self, opens: Timestamp, retry_after: Duration) -> ErrorResponse {
+    fn reject_limited(&self, opening: Option<Timestamp>, retry_after: Duration) -> ErrorResponse {
+        let opens = opening.map(|it| it.saturating_sub(self.shared.clock.now()));
         log_event!(
             events::REQUEST_REFUSED,
             request = self.request.id(), service = self.request.service.as_str(),
-            opens_ms = opens.saturating_sub(self.shared.clock.now()).as_millis() as u64,
+            opens_ms = opens.map_or(-1, |it| it.as_millis() as i64),
             left_ms = self.time_left().as_millis() as u64,
             retry_after_ms = retry_after.as_millis() as u64;
             "rejected: all servers of the service have asked for a pause or for fewer requests"
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -105,12 +105,10 @@
 
 /// When servers that limit what they accept will accept a request.
 pub enum NextOpening {
-    /// A server accepts any now.
+    /// A server accepts any rate now.
     Now,
-    /// At this time.
-    At(Timestamp),
-    /// This process may not send any.
-    Unknown,
+    /// At this time; `None` if this process may send to none of them.
+    Later(Option<Timestamp>),
 }
 
 /// One request counted as in flight at a server; it is uncounted on drop.
@@ -394,8 +392,7 @@
             }
         }
         let allowed = rate_share::time_of_request(&limited, ahead);
-        let earliest = [first_pause_end, allowed].into_iter().flatten().min();
-        earliest.map_or(NextOpening::Unknown, NextOpening::At)
+        NextOpening::Later([first_pause_end, allowed].into_iter().flatten().min())
     }
 
     /// Applies a server's notices in a response: that it is leaving, or a pause that it asks for.
--- a/crates/policy/src/server_notices.rs
+++ b/crates/policy/src/server_notices.rs
@@ -192,9 +192,9 @@
 }
 
 common_derives! {copy:
-    /// Decision on a request while all servers of its service are paused.
+    /// Decision on a request while no server of its service accepts it.
     pub enum PauseAction {
-        /// Queue like any other request: a pause ends in time.
+        /// Queue like any other request: a server accepts it in time.
         Wait,
         /// Reject at once, with this retry delay.
         Reject(Duration),
@@ -204,17 +204,21 @@
 /// Time over which retries are spread that would otherwise arrive together when a pause ends.
 const RETRY_SPREAD: Duration = Duration::from_millis(400);
 
-/// Decides on a request that is rejected at `reject_at` at the latest, where the first pause ends
-/// at `pause_end`. `draw` is a random number that spreads the retries.
+/// Retry delay if this process may send to none of the servers: others may.
+const DELAY_WITHOUT_OPENING: Duration = Duration::from_millis(500);
+
+/// Decides on a request that is rejected at `reject_at` at the latest, where a server accepts it at
+/// `opening`, or none does. `draw` is a random number that spreads the retries.
 pub fn decide_while_paused(
     now: Timestamp,
-    pause_end: Timestamp,
+    opening: Option<Timestamp>,
     reject_at: Timestamp,
     draw: u64,
 ) -> PauseAction {
-    if pause_end < reject_at {
+    if opening.is_some_and(|it| it < reject_at) {
         return PauseAction::Wait;
     }
+    let delay = opening.map_or(DELAY_WITHOUT_OPENING, |it| it.saturating_sub(now));
     let part = draw as f64 / u64::MAX as f64;
-    PauseAction::Reject(pause_end.saturating_sub(now) + RETRY_SPREAD.mul_f64(part))
+    PauseAction::Reject(delay + RETRY_SPREAD.mul_f64(part))
 }
--- a/crates/policy/tests/server_notices.rs
+++ b/crates/policy/tests/server_notices.rs
@@ -116,12 +116,19 @@
     expect_that!(oldest, eq(ServerAccess::Open));
 }
 
+#[gtest]
+fn request_that_no_server_will_accept_is_rejected_at_once_however_long_it_could_wait() {
+    let rejected = decide_while_paused(at(100), None, at(60_000), 0);
+
+    expect_that!(rejected, eq(PauseAction::Reject(ms(500))));
+}
+
 #[gtest]
 fn request_waits_if_a_pause_ends_in_time_and_else_is_rejected_until_its_end() {
-    let in_time = decide_while_paused(at(100), at(140), at(167), 0);
+    let in_time = decide_while_paused(at(100), Some(at(140)), at(167), 0);
     let retry_delays: Vec<Duration> = (0..50)
         .filter_map(
-            |draw| match decide_while_paused(at(100), at(900), at(167), draw << 58) {
+            |draw| match decide_while_paused(at(100), Some(at(900)), at(167), draw << 58) {
                 PauseAction::Reject(after) => Some(after),
                 PauseAction::Wait => None,
             },
