--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -58,6 +58,7 @@
         let limit = self.attempt_timeout();
         let sent_before = self.request_log.servers.len();
         self.stage = AttemptStage::Connecting;
+        self.sent_at = None;
         let sent = tokio::time::timeout(limit, self.send(&reservation, last_event));
         let (answer, facts) = match sent.await {
             Ok(Ok(received)) => received,
@@ -144,13 +145,14 @@
             self.request_log.servers.push(reservation.server.id.clone());
             self.stage = AttemptStage::Sent;
             sent_at = self.shared.clock.now();
+            self.sent_at = Some(sent_at);
             let error = match call::send(connection, request).await {
                 Ok(answer) => break answer,
                 Err(error) => error,
             };
             self.failure_cause = error.to_string();
             if matches!(error, CallError::Lost(_)) {
-                return Err(AttemptFailure::Unknown);
+                return Err(self.classify_lost_connection(reservation).await);
             }
             self.request_log.servers.pop();
             self.stage = AttemptStage::Connecting;
@@ -189,6 +191,15 @@
         Ok((answer, facts))
     }
 
+    /// Returns the failure of an attempt whose connection broke before the head of a response. A
+    /// stream whose head has not come waits at its server, and doesn't run yet.
+    async fn classify_lost_connection(&self, reservation: &Reservation) -> AttemptFailure {
+        if self.route().kind.is_stream() || !reservation.has_server_crashed().await {
+            return AttemptFailure::Unknown;
+        }
+        AttemptFailure::Crashed
+    }
+
     /// Builds the request as it is sent to a server.
     fn outgoing_request(
         &self,
--- a/crates/front/src/attempt_failure.rs
+++ b/crates/front/src/attempt_failure.rs
@@ -24,7 +24,7 @@
     /// The server refused the request without executing it.
     NotRun,
     /// The server crashed after the head of the response and before its first event or, if it is no
-    /// stream, before its end.
+    /// stream, before the end of the response.
     Crashed,
     /// The request was withdrawn from the server, since its prompt may crash it.
     Withdrawn,
@@ -49,8 +49,7 @@
             Self::NotSent => Some(AttemptOutcome::Unreachable),
             Self::NotWanted | Self::Withdrawn => None,
             Self::NotRun => Some(AttemptOutcome::Refused),
-            Self::Crashed => Some(AttemptOutcome::Failed),
-            Self::Unknown => Some(AttemptOutcome::Broken),
+            Self::Crashed | Self::Unknown => Some(AttemptOutcome::Broken),
         }
     }
 
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -6,7 +6,7 @@
 use http::Response;
 use jj_direct::{body::ResponseBody, header_codec::EventId};
 use jj_policy::catalog::{RequestKind, Route};
-use jj_utils::{events, ids::BackendServerId, log_event};
+use jj_utils::{clock::Timestamp, events, ids::BackendServerId, log_event};
 
 use crate::{
     attempt_failure::{AttemptFailure, AttemptStage},
@@ -55,6 +55,8 @@
     pub(crate) failure_cause: String,
     /// How far the last attempt got.
     pub(crate) stage: AttemptStage,
+    /// When the last attempt was sent.
+    pub(crate) sent_at: Option<Timestamp>,
 }
 
 impl Forwarder {
@@ -68,6 +70,7 @@
             may_have_run: false,
             failure_cause: String::new(),
             stage: AttemptStage::Connecting,
+            sent_at: None,
         }
     }
 
@@ -106,6 +109,8 @@
                 request = self.request.id(), server = server.id.as_str(),
                 failure = format!("{failure:?}"), again = again,
                 stage = format!("{:?}", self.stage), parts = self.request.shared_parts_text(),
+                fingerprint = self.request.fingerprint_text(),
+                sent_ms = self.sent_at.map_or(-1, |it| self.shared.elapsed_since(it).as_millis() as i64),
                 left_ms = self.time_left().as_millis() as u64;
                 "attempt {} failed: {}", self.tried_servers.len(), self.failure_cause
             );
--- a/crates/front/src/prompt_guard.rs
+++ b/crates/front/src/prompt_guard.rs
@@ -128,16 +128,17 @@
 
 /// Records that a server crashed as it was about to respond to a request.
 pub fn record_crash(shared: &SharedState, request: &Request, server: &ServerRecord) {
-    if request.shared_parts.is_empty() {
-        return;
-    }
     metrics::counter!("jujube_server_crashes_total").increment(1);
     log_event!(
         events::SERVER_CRASHED,
         request = request.id(), server = server.id.as_str(),
-        service = server.service.as_str(), parts = request.shared_parts_text();
+        service = server.service.as_str(), parts = request.shared_parts_text(),
+        fingerprint = request.fingerprint_text();
         "server crashed when it was about to respond to a request"
     );
+    if request.shared_parts.is_empty() {
+        return;
+    }
     let now = shared.clock.now();
     let mut suspects = shared.suspects.borrow_mut();
     let has_changed = suspects.record_crash(now, server_tag(&server.id), &request.shared_parts);
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -5,6 +5,10 @@
 use jj_direct::header_codec::RequestHeaders;
 use jj_policy::{catalog::AuthorizedRequest, crash_suspects::PartId};
 use jj_utils::{clock::Timestamp, ids::ServiceId};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Hash that identifies the content of a request.
+pub type Fingerprint = u64;
 
 /// Number of prompt parts up to which a log line names them.
 const MAX_LOGGED_PARTS: usize = 8;
@@ -19,6 +23,8 @@
     pub facts: RequestHeaders,
     /// Parts of its prompt that other requests may share.
     pub shared_parts: Vec<PartId>,
+    /// Equal for two requests with the same method, path, client account and body.
+    pub fingerprint: Fingerprint,
     /// Matched route and client account.
     pub authorized: AuthorizedRequest,
     /// Service to which it is forwarded.
@@ -39,12 +45,35 @@
         self.facts.id.as_deref().unwrap_or("-")
     }
 
+    /// Returns the fingerprint for logs, in hexadecimal.
+    pub fn fingerprint_text(&self) -> String {
+        format!("{:x}", self.fingerprint)
+    }
+
     /// Returns the ids of the first [`MAX_LOGGED_PARTS`] shared parts for logs, in hexadecimal.
     pub fn shared_parts_text(&self) -> String {
         parts_text(&self.shared_parts)
     }
 }
 
+/// Returns the fingerprint of a request of a client account.
+pub fn fingerprint(head: &Parts, account: Option<&str>, body: &[u8]) -> Fingerprint {
+    let target = head.uri.path_and_query().map_or("/", |it| it.as_str());
+    let fields = [
+        head.method.as_str().as_bytes(),
+        target.as_bytes(),
+        account.unwrap_or_default().as_bytes(),
+        body,
+    ];
+    let mut hash = Xxh3::new();
+    for field in fields {
+        // The length keeps fields apart.
+        hash.update(&(field.len() as u64).to_le_bytes());
+        hash.update(field);
+    }
+    hash.digest()
+}
+
 /// Returns the ids of the parts of a prompt that other requests may share: all but the last one.
 pub fn shared_parts(facts: &RequestHeaders) -> Vec<PartId> {
     let parts = &facts.prompt_parts;
--- a/crates/front/src/request_handler.rs
+++ b/crates/front/src/request_handler.rs
@@ -174,7 +174,9 @@
     let wait = facts.timeout.unwrap_or(authorized.route.timeout);
     let is_caller_retry =
         facts.last_event_id.is_some() || shared.detect_caller_retry(&authorized.route.name, wait);
+    let account = authorized.account.as_ref().map(|it| it.name.as_str());
     Ok(Request {
+        fingerprint: request::fingerprint(&head, account, &body),
         shared_parts: request::shared_parts(&facts),
         is_caller_retry,
         config_version: catalog.version,
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -97,6 +97,7 @@
             ms = total.as_millis() as u64,
             prompt = self.request.facts.token_usage.prompt_tokens,
             parts = self.request.shared_parts_text(),
+            fingerprint = self.request.fingerprint_text(),
             answer = self.request.facts.token_usage.max_answer_tokens,
             sent_events = self.events_sent,
             pause_ms = self.longest_gap.0.as_millis() as u64,
