--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -123,19 +123,20 @@
         }
     }
 
-    /// Records that a server has begun to respond to the request.
+    /// Records that a server has begun to respond to the request. An error response shows nothing
+    /// of the parts of the prompt, which may not have been read.
     fn record_output(&self, response: &ForwardedResponse) {
-        let has_output = match response {
-            ForwardedResponse::Complete(response) => response.status().is_success(),
-            ForwardedResponse::Partial(body) => body.status.is_success(),
-            ForwardedResponse::Stream(stream) => stream.has_output(),
+        let (has_output, is_success) = match response {
+            ForwardedResponse::Complete(response) => (true, response.status().is_success()),
+            ForwardedResponse::Partial(body) => (true, body.status.is_success()),
+            ForwardedResponse::Stream(stream) => (stream.has_output(), true),
         };
         if has_output {
-            prompt_guard::record_served(&self.shared, &self.request);
+            prompt_guard::record_response(&self.shared, &self.request, is_success);
         }
     }
 
-    /// Reserves a server for a request whose prompt may be sent to it; with the trial if it is one.
+    /// Reserves a server for a request that may be sent to it; with the trial if it is one.
     async fn wait_for_permission(&mut self) -> Result<(Reservation, Option<Trial>), ErrorResponse> {
         let (shared, request) = (Rc::clone(&self.shared), Rc::clone(&self.request));
         loop {
@@ -152,8 +153,8 @@
         }
     }
 
-    /// Makes an attempt, and withdraws it if a suspect is found in the prompt before the server has
-    /// responded; a trial and a request that must not be repeated are not withdrawn.
+    /// Makes an attempt, and withdraws it if the request is found to hold a suspect before the
+    /// server has responded; a trial and a request that must not be repeated are not withdrawn.
     async fn attempt_unless_held(
         &mut self,
         reservation: Reservation,
@@ -166,26 +167,30 @@
             result = self.attempt(reservation, last_event) => return result,
             _ = prompt_guard::wait_until_held(shared, request), if may_withdraw => {}
         }
-        self.failure_cause = "a part of the prompt may crash servers".to_owned();
+        self.failure_cause = "the request may crash servers".to_owned();
         Err(match self.stage {
             AttemptStage::Connecting => AttemptFailure::NotWanted,
             AttemptStage::Sent | AttemptStage::HeadReceived => AttemptFailure::Withdrawn,
         })
     }
 
-    /// Logs that the prompt holds suspects, and returns the rejection.
+    /// Logs that the request may crash servers, and returns the rejection.
     fn reject_suspect(&self, remaining: Duration) -> ErrorResponse {
         let suspects = self.shared.suspects.borrow();
-        let suspects = suspects.suspects_among(&self.request.shared_parts);
+        let suspects = suspects.suspects_among(&self.request.parts);
         log_event!(
             events::REQUEST_REFUSED,
             request = self.request.id(), service = self.request.service.as_str(),
-            suspects = request::parts_text(&suspects), parts = self.request.shared_parts_text(),
+            suspects = request::parts_text(suspects), parts = self.request.shared_parts_text(),
+            fingerprint = self.request.fingerprint_text(),
             left_ms = self.time_left().as_millis() as u64,
             retry_after_ms = remaining.as_millis() as u64;
-            "rejected: a part of the prompt is suspected to crash servers"
+            "rejected: the request or a part of its prompt is suspected to crash servers"
         );
-        self.give_up_with(remaining, "a part of the prompt crashes servers")
+        self.give_up_with(
+            remaining,
+            "the request or a part of its prompt crashes servers",
+        )
     }
 
     /// Returns whether the request may be sent to another server after a failed attempt, and takes
--- a/crates/front/src/prompt_guard.rs
+++ b/crates/front/src/prompt_guard.rs
@@ -1,10 +1,11 @@
-//! Keeps requests whose prompts may crash servers away from them, and finds out which these are.
+//! Keeps requests that may crash servers away from them, and finds out which these are.
 
 use std::{rc::Rc, time::Duration};
 
 use jj_direct::instance_settings::InstanceSettings;
 use jj_news::{SuspectExchange, server_tag};
 use jj_policy::{
+    crash_reports::RequestPart,
     crash_suspects::{NewsEffect, PromptAdmission},
     server_list::ServerRecord,
 };
@@ -30,7 +31,7 @@
     }
 }
 
-/// A request that is the only one to try the suspects in its prompt; the trial ends on drop.
+/// A request that is the only one to try its suspects; the trial ends on drop.
 pub struct Trial {
     shared: Rc<SharedState>,
     request: Rc<Request>,
@@ -39,7 +40,7 @@
 impl Drop for Trial {
     fn drop(&mut self) {
         let mut suspects = self.shared.suspects.borrow_mut();
-        suspects.end_trial(&self.request.shared_parts);
+        suspects.end_trial(&self.request.parts);
         drop(suspects);
         self.shared.suspects_changed.notify_waiters();
     }
@@ -61,7 +62,7 @@
         PromptAdmission::Trial => {
             let now = shared.clock.now();
             let mut suspects = shared.suspects.borrow_mut();
-            suspects.begin_trial(now, &request.shared_parts);
+            suspects.begin_trial(now, &request.parts);
             drop(suspects);
             tell_others(shared);
             SendDecision::Send(Some(Trial {
@@ -72,22 +73,22 @@
     }
 }
 
-/// Returns whether a request may be sent to a server as far as its prompt is concerned. In a process
+/// Returns whether a request may be sent to a server as far as its content is concerned. In a process
 /// that has just started it has to wait for what other entries know.
 fn admission(shared: &SharedState, request: &Request) -> PromptAdmission {
     let now = shared.clock.now();
     let until = shared.knows_suspects_at.get();
-    if now < until && !request.shared_parts.is_empty() {
+    if now < until {
         return PromptAdmission::Wait { until };
     }
     let suspects = shared.suspects.borrow();
-    suspects.admission(now, &request.shared_parts)
+    suspects.admission(now, &request.parts)
 }
 
-/// Waits until a request may be sent to a server as far as its prompt is concerned.
+/// Waits until a request may be sent to a server as far as its content is concerned.
 ///
 /// # Errors
-/// When its prompt holds a suspect: the time until that may be tried again.
+/// When it holds a suspect: the time until that may be tried again.
 pub async fn wait_for_admission(shared: &SharedState, request: &Request) -> Result<(), Duration> {
     loop {
         let changed = shared.suspects_changed.notified();
@@ -103,7 +104,7 @@
     }
 }
 
-/// Waits until a suspect is found in the prompt of a request, and returns the time until that may
+/// Waits until a suspect is found in a request, and returns the time until that may
 /// be tried again.
 pub async fn wait_until_held(shared: Rc<SharedState>, request: Rc<Request>) -> Duration {
     loop {
@@ -115,11 +116,16 @@
     }
 }
 
-/// Records that the response to a request has begun.
-pub fn record_served(shared: &SharedState, request: &Request) {
+/// Records that the response to a request has begun, a successful one or an error, which shows only
+/// that the request as a whole crashes no server.
+pub fn record_response(shared: &SharedState, request: &Request, is_success: bool) {
     let now = shared.clock.now();
     let mut suspects = shared.suspects.borrow_mut();
-    let has_changed = suspects.record_served(now, &request.shared_parts);
+    let parts = request.parts.iter().copied();
+    let served: Vec<RequestPart> = parts
+        .filter(|it| is_success || it.is_whole_request())
+        .collect();
+    let has_changed = suspects.record_served(now, &served);
     drop(suspects);
     if has_changed {
         announce_change(shared, "a served request");
@@ -136,12 +142,9 @@
         fingerprint = request.fingerprint_text();
         "server crashed when it was about to respond to a request"
     );
-    if request.shared_parts.is_empty() {
-        return;
-    }
     let now = shared.clock.now();
     let mut suspects = shared.suspects.borrow_mut();
-    let has_changed = suspects.record_crash(now, server_tag(&server.id), &request.shared_parts);
+    let has_changed = suspects.record_crash(now, server_tag(&server.id), &request.parts);
     drop(suspects);
     if has_changed {
         announce_change(shared, "a crash");
@@ -186,8 +189,8 @@
     metrics::gauge!("jujube_prompt_suspects").set(suspects.len() as f64);
     log_event!(
         events::SUSPECTS_CHANGED,
-        parts = request::parts_text(&suspects), suspects = suspects.len(), by = by;
-        "prompt parts that are suspected to crash servers changed"
+        parts = request::parts_text(suspects.iter().copied()), suspects = suspects.len(), by = by;
+        "requests and prompt parts that are suspected to crash servers changed"
     );
     shared.suspects_changed.notify_waiters();
     tell_others(shared);
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -3,13 +3,13 @@
 use bytes::Bytes;
 use http::request::Parts;
 use jj_direct::header_codec::RequestHeaders;
-use jj_policy::{catalog::AuthorizedRequest, crash_suspects::PartId};
+use jj_policy::{
+    catalog::AuthorizedRequest,
+    crash_reports::{self, PartId, RequestPart},
+};
 use jj_utils::{clock::Timestamp, ids::ServiceId};
 use xxhash_rust::xxh3::Xxh3;
 
-/// Hash that identifies the content of a request.
-pub type Fingerprint = u64;
-
 /// Number of prompt parts up to which a log line names them.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -21,10 +21,9 @@
     pub body: Bytes,
     /// Values of the headers that the load balancer interprets.
     pub facts: RequestHeaders,
-    /// Parts of its prompt that other requests may share.
-    pub shared_parts: Vec<PartId>,
-    /// Equal for two requests with the same method, path, client account and body.
-    pub fingerprint: Fingerprint,
+    /// Parts of its prompt that other requests may share, and the request as a whole, whose part is
+    /// its fingerprint.
+    pub parts: Vec<RequestPart>,
     /// Matched route and client account.
     pub authorized: AuthorizedRequest,
     /// Service to which it is forwarded.
@@ -47,17 +46,34 @@
 
     /// Returns the fingerprint for logs, in hexadecimal.
     pub fn fingerprint_text(&self) -> String {
-        format!("{:x}", self.fingerprint)
+        let whole = self.parts.iter().filter(|it| it.is_whole_request());
+        parts_text(whole.map(|it| it.part))
     }
 
     /// Returns the ids of the first [`MAX_LOGGED_PARTS`] shared parts for logs, in hexadecimal.
     pub fn shared_parts_text(&self) -> String {
-        parts_text(&self.shared_parts)
+        let shared = self.parts.iter().filter(|it| !it.is_whole_request());
+        parts_text(shared.map(|it| it.part))
     }
 }
 
-/// Returns the fingerprint of a request of a client account.
-pub fn fingerprint(head: &Parts, account: Option<&str>, body: &[u8]) -> Fingerprint {
+/// Returns the parts of a request of a client account that may crash a server: the parts of its
+/// prompt that other requests may share, which are all but the last one, and its fingerprint.
+pub fn parts(
+    head: &Parts,
+    facts: &RequestHeaders,
+    account: Option<&str>,
+    body: &[u8],
+) -> Vec<RequestPart> {
+    let prompt = &facts.prompt_parts;
+    let shared = &prompt[..prompt.len().saturating_sub(1)];
+    let shared = shared.iter().map(|it| it.id);
+    crash_reports::request_parts(shared, Some(fingerprint(head, account, body)))
+}
+
+/// Returns the fingerprint of a request: equal for two with the same method, path, client account
+/// and body, whatever their ids.
+fn fingerprint(head: &Parts, account: Option<&str>, body: &[u8]) -> PartId {
     let target = head.uri.path_and_query().map_or("/", |it| it.as_str());
     let fields = [
         head.method.as_str().as_bytes(),
@@ -74,16 +90,9 @@
     hash.digest()
 }
 
-/// Returns the ids of the parts of a prompt that other requests may share: all but the last one.
-pub fn shared_parts(facts: &RequestHeaders) -> Vec<PartId> {
-    let parts = &facts.prompt_parts;
-    let shared = &parts[..parts.len().saturating_sub(1)];
-    shared.iter().map(|it| it.id).collect()
-}
-
 /// Returns the first [`MAX_LOGGED_PARTS`] parts for logs, in hexadecimal.
-pub fn parts_text(parts: &[PartId]) -> String {
-    let parts = parts.iter().take(MAX_LOGGED_PARTS);
+pub fn parts_text(parts: impl IntoIterator<Item = PartId>) -> String {
+    let parts = parts.into_iter().take(MAX_LOGGED_PARTS);
     let ids: Vec<String> = parts.map(|it| format!("{it:x}")).collect();
     ids.join(",")
 }
--- a/crates/front/src/request_handler.rs
+++ b/crates/front/src/request_handler.rs
@@ -176,8 +176,7 @@
         facts.last_event_id.is_some() || shared.detect_caller_retry(&authorized.route.name, wait);
     let account = authorized.account.as_ref().map(|it| it.name.as_str());
     Ok(Request {
-        fingerprint: request::fingerprint(&head, account, &body),
-        shared_parts: request::shared_parts(&facts),
+        parts: request::parts(&head, &facts, account, &body),
         is_caller_retry,
         config_version: catalog.version,
         deadline: arrived + wait.min(authorized.route.timeout),
--- a/crates/news/src/plausible.rs
+++ b/crates/news/src/plausible.rs
@@ -5,7 +5,8 @@
 
 use jj_policy::{
     catalog::ExpertSpec,
-    crash_suspects::{self, CrashReport, SuspectNews},
+    crash_reports::{self, CrashReport},
+    crash_suspects::SuspectNews,
     load_sums::InFlightUpdate,
     map_switch::{Goal, RankView},
     rate_limits::RateStatement,
@@ -133,12 +134,6 @@
 }
 
 fn is_valid_suspect_news(news: &SuspectNews) -> bool {
-    let is_bounded = |report: &CrashReport| {
-        report.requests.len() <= crash_suspects::MAX_REQUESTS
-            && report
-                .requests
-                .iter()
-                .all(|it| it.len() <= crash_suspects::MAX_PARTS)
-    };
-    news.crashes.len() <= crash_suspects::MAX_CRASHES && news.crashes.iter().all(is_bounded)
+    news.crashes.len() <= crash_reports::MAX_CRASHES
+        && news.crashes.iter().all(CrashReport::is_bounded)
 }
--- a/crates/news/tests/suspects.rs
+++ b/crates/news/tests/suspects.rs
@@ -4,22 +4,26 @@
 
 use googletest::prelude::*;
 use jj_news::{MAX_DATAGRAM_BYTES, Message, SuspectExchange};
-use jj_policy::crash_suspects::{CrashSuspects, MAX_CRASHES, MAX_PARTS, MAX_REQUESTS};
+use jj_policy::{
+    crash_reports::{self, MAX_CRASHES, MAX_PARTS, MAX_PLAIN_REQUESTS, MAX_REQUESTS, RequestPart},
+    crash_suspects::CrashSuspects,
+};
 
 #[gtest]
 fn news_of_the_most_crashes_and_parts_fit_into_a_datagram() {
     let mut suspects = CrashSuspects::default();
     let mut next_part = u64::MAX;
-    let mut parts = || -> Vec<u64> {
-        let parts = (0..MAX_PARTS).map(|_| {
+    let mut parts = |count: usize| -> Vec<RequestPart> {
+        let parts = (0..count).map(|_| {
             next_part -= 1;
             next_part
         });
-        parts.collect()
+        crash_reports::request_parts(parts, None)
     };
     for crash in 0..2 * MAX_CRASHES as u32 {
-        for _ in 0..2 * MAX_REQUESTS {
-            let lost = parts();
+        let plain = [1; 2 * MAX_PLAIN_REQUESTS];
+        for count in [MAX_PARTS; 2 * MAX_REQUESTS].into_iter().chain(plain) {
+            let lost = parts(count);
             suspects.record_served(Duration::from_secs(1), &lost);
             suspects.record_crash(Duration::from_secs(2), u32::MAX - crash, &lost);
         }
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -1,9 +1,12 @@
-//! Finds the part of a prompt that crashes backend servers, so that requests with it are kept away
+//! Finds the request, or the part of a prompt, that crashes backend servers, so that it is kept away
 //! from them.
 //!
 //! Load pattern: one part of a prompt ends each server that begins to respond to it, whatever else
-//! the prompt holds. Requests with that part arrive at all entries, and are retried by their callers
-//! and after an outage. Sound requests share their other parts.
+//! the prompt holds, or one request does so by its whole content. It arrives at all entries, and is
+//! retried by its callers and after an outage. Sound requests share the other parts.
+//!
+//! A request as a whole counts as a part that only its repeats share, so that what holds for parts
+//! holds for plain requests, too.
 //!
 //! A part that was served, in a request whose response has begun, is not the cause of an earlier
 //! crash. The suspects of a crash are the other parts of the requests whose responses were about to
@@ -25,10 +28,14 @@
     common_derives,
 };
 
-use crate::load_sums::ServerTag;
-
-/// Id of a part of a prompt.
-pub type PartId = u64;
+use crate::{
+    crash_reports::{
+        Crash, CrashLog, CrashReport, MAX_CRASHES, PartId, PartPosition, RequestPart,
+        WHOLE_REQUEST, age_ms, time_of,
+    },
+    load_sums::ServerTag,
+    served_parts::ServedParts,
+};
 
 common_derives! {value:
     /// Times and limits.
@@ -39,6 +46,8 @@
         pub first_hold: Duration,
         /// Maximum time for which a suspect is held.
         pub max_hold: Duration,
+        /// Time for which a request as a whole is held after its first crash.
+        pub request_hold: Duration,
         /// Time for each crash after which a request may try some of several candidates of it.
         pub shared_hold: Duration,
         /// Time after which a trial without a result no longer excludes another one.
@@ -47,11 +56,12 @@
         pub crash_window: Duration,
         /// Number of parts served at a position of prompts from which others there are less suspect.
         pub min_served: usize,
-        /// Maximum number of suspects of one crash; more say too little about each.
+        /// Maximum number of suspects of one crash, of parts and of requests each; more say too little
+        /// about each.
         pub max_suspects: usize,
         /// Maximum number of crashes that are kept.
         pub max_crashes: usize,
-        /// Maximum number of served parts that are remembered.
+        /// Maximum number of served parts of prompts, and of served requests, that are remembered.
         pub max_served: usize,
     }
 }
@@ -62,6 +72,7 @@
             settle_time: Duration::from_millis(60),
             first_hold: Duration::from_secs(60),
             max_hold: Duration::from_secs(3_600),
+            request_hold: Duration::from_secs(30),
             shared_hold: Duration::from_secs(3),
             trial_timeout: Duration::from_secs(3),
             crash_window: Duration::from_secs(2),
@@ -73,55 +84,29 @@
     }
 }
 
-/// Maximum number of crashes in a message.
-pub const MAX_CRASHES: usize = 8;
-
-/// Maximum number of requests of one crash.
-pub const MAX_REQUESTS: usize = 3;
-
-/// Maximum number of parts of one request.
-pub const MAX_PARTS: usize = 8;
-
-/// Position of a part in its prompt, counted from 0.
-pub type PartPosition = u8;
-
-common_derives! {wire:
-    /// Part of the prompt of a request that was lost in a crash.
-    #[derive(Copy, Eq, PartialOrd, Ord)]
-    pub struct LostPart {
-        /// The part.
-        pub part: PartId,
-        /// Its position.
-        pub position: PartPosition,
-    }
-}
-
-common_derives! {wire:
-    /// A server that crashed while it was about to respond to requests.
-    #[derive(Eq)]
-    pub struct CrashReport {
-        /// The server.
-        pub server: ServerTag,
-        /// Time since the crash, in milliseconds.
-        pub age_ms: u32,
-        /// Shared parts of the prompts of these requests.
-        pub requests: Vec<Vec<LostPart>>,
-    }
-}
-
 common_derives! {wire:
     /// Part that was served.
     #[derive(Copy, Eq)]
     pub struct ServedPart {
         /// The part.
         pub part: PartId,
-        /// Its position in the prompt that was served last.
+        /// A position at which it was served.
         pub position: PartPosition,
         /// Time since then, in milliseconds.
         pub age_ms: u32,
     }
 }
 
+impl ServedPart {
+    /// Returns the part and its position.
+    fn request_part(&self) -> RequestPart {
+        RequestPart {
+            part: self.part,
+            position: self.position,
+        }
+    }
+}
+
 common_derives! {wire:
     /// Suspect that is being tried.
     #[derive(Copy, Eq)]
@@ -178,34 +163,6 @@
     }
 }
 
-/// Crash of a server.
-#[derive(Debug, Clone)]
-struct Crash {
-    server: ServerTag,
-    at: Timestamp,
-    /// Shared parts of each request whose response was about to begin.
-    requests: Vec<Vec<LostPart>>,
-}
-
-impl Crash {
-    fn lost_parts(&self) -> impl Iterator<Item = &LostPart> {
-        self.requests.iter().flatten()
-    }
-
-    fn involves(&self, part: PartId) -> bool {
-        self.lost_parts().any(|it| it.part == part)
-    }
-
-    /// Adds a request. If there are too many, the same ones are kept whatever their order was.
-    fn add_request(&mut self, parts: &[LostPart]) {
-        self.requests
-            .push(parts[..parts.len().min(MAX_PARTS)].to_vec());
-        self.requests.sort_unstable();
-        self.requests.dedup();
-        self.requests.truncate(MAX_REQUESTS);
-    }
-}
-
 /// What is concluded about one suspect.
 #[derive(Debug, Clone, PartialEq)]
 struct Suspect {
@@ -213,7 +170,10 @@
     crashes: u32,
     /// Time of the last one.
     last_crash: Timestamp,
-    /// The candidates of each crash of which it is a suspect.
+    /// Whether it is a request as a whole.
+    is_whole_request: bool,
+    /// The candidates among the parts of prompts of each crash of which it is a suspect. Requests as
+    /// a whole are none: their repeats cost less than another crash.
     alternatives: Vec<Vec<PartId>>,
 }
 
@@ -224,23 +184,13 @@
     }
 }
 
-/// Last time at which a part was served.
-#[derive(Debug, Clone, Copy)]
-struct Served {
-    at: Timestamp,
-    position: PartPosition,
-}
-
 /// Crashes, parts that were served, and the conclusions from both. Times are shifted by
 /// [`HISTORY`].
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     config: SuspectConfig,
-    crashes: Vec<Crash>,
-    /// When each part was served last.
-    served: FastMap<PartId, Served>,
-    /// Number of parts in `served` by position.
-    served_at: FastMap<PartPosition, usize>,
+    crashes: CrashLog,
+    served: ServedParts,
     /// When the running trial of a suspect began.
     trials: FastMap<PartId, Timestamp>,
     /// Conclusions from the crashes and the served parts.
@@ -254,35 +204,36 @@
 const HISTORY: Duration = Duration::from_secs(24 * 3_600);
 
 impl CrashSuspects {
-    /// Records that the response to a request with these shared parts has begun; returns whether
-    /// that has changed the suspects.
-    pub fn record_served(&mut self, now: Timestamp, parts: &[PartId]) -> bool {
+    /// Records that the response to a request with these parts has begun; returns whether that has
+    /// changed the suspects.
+    pub fn record_served(&mut self, now: Timestamp, parts: &[RequestPart]) -> bool {
         let now = now + HISTORY;
         let mut may_change = false;
-        for (position, part) in (0..).zip(parts) {
-            let is_new = self.set_served(*part, Served { at: now, position });
-            may_change |= is_new && self.doubtful.contains_key(&position);
-            may_change |= self.is_in_crash(*part);
+        for part in parts.iter().copied() {
+            let is_new = self.set_served(now, part);
+            may_change |= is_new && self.doubtful.contains_key(&part.position);
+            may_change |= self.crashes.involves(part.part);
         }
         may_change && self.conclude(now)
     }
 
-    /// Records that a server crashed when it was about to respond to a request with these shared
-    /// parts; returns whether that has changed the suspects.
-    pub fn record_crash(&mut self, now: Timestamp, server: ServerTag, parts: &[PartId]) -> bool {
-        let lost = (0..).zip(parts).map(|(position, part)| LostPart {
-            part: *part,
-            position,
-        });
-        let mut lost: Vec<LostPart> = lost.collect();
-        // Parts that were never served say most, if there are too many.
-        lost.sort_by_key(|it| self.served.contains_key(&it.part));
+    /// Records that a server crashed when it was about to respond to a request with these parts;
+    /// returns whether that has changed the suspects.
+    pub fn record_crash(
+        &mut self,
+        now: Timestamp,
+        server: ServerTag,
+        parts: &[RequestPart],
+    ) -> bool {
+        let mut lost = parts.to_vec();
+        // The request as a whole and parts that were never served say most, if there are too many.
+        lost.sort_by_key(|it| (!it.is_whole_request(), self.served.contains(it)));
         self.add_crash(now + HISTORY, server, &[lost]);
         self.conclude(now + HISTORY)
     }
 
-    /// Decides whether a request with these shared parts may be sent to a server.
-    pub fn admission(&self, now: Timestamp, parts: &[PartId]) -> PromptAdmission {
+    /// Decides whether a request with these parts may be sent to a server.
+    pub fn admission(&self, now: Timestamp, parts: &[RequestPart]) -> PromptAdmission {
         let now = now + HISTORY;
         let suspects = self.suspects_among(parts);
         if suspects.is_empty() {
@@ -310,11 +261,9 @@
 
     /// Decides on a request without suspects, which may have parts that were never served at a
     /// doubtful position.
-    fn admission_of_unknown(&self, now: Timestamp, parts: &[PartId]) -> PromptAdmission {
-        let unknown = (0..)
-            .zip(parts)
-            .filter(|(_, it)| !self.served.contains_key(it));
-        let crashes = unknown.filter_map(|(position, _)| self.doubtful.get(&position));
+    fn admission_of_unknown(&self, now: Timestamp, parts: &[RequestPart]) -> PromptAdmission {
+        let unknown = parts.iter().filter(|it| !self.served.contains(it));
+        let crashes = unknown.filter_map(|it| self.doubtful.get(&it.position));
         let Some(last_crash) = crashes.max() else {
             return PromptAdmission::Allowed;
         };
@@ -332,8 +281,8 @@
     }
 
     /// Returns the suspects among some parts.
-    pub fn suspects_among(&self, parts: &[PartId]) -> Vec<PartId> {
-        let parts = parts.iter().copied();
+    pub fn suspects_among(&self, parts: &[RequestPart]) -> Vec<PartId> {
+        let parts = parts.iter().map(|it| it.part);
         parts.filter(|it| self.suspects.contains_key(it)).collect()
     }
 
@@ -345,15 +294,15 @@
     }
 
     /// Records that a request with these parts is sent to try its suspects.
-    pub fn begin_trial(&mut self, now: Timestamp, parts: &[PartId]) {
+    pub fn begin_trial(&mut self, now: Timestamp, parts: &[RequestPart]) {
         for part in self.suspects_among(parts) {
             self.trials.insert(part, now + HISTORY);
         }
     }
 
     /// Ends a trial that had no result.
-    pub fn end_trial(&mut self, parts: &[PartId]) {
-        for part in parts {
+    pub fn end_trial(&mut self, parts: &[RequestPart]) {
+        for RequestPart { part, .. } in parts {
             self.trials.remove(part);
         }
     }
@@ -364,11 +313,7 @@
             return None;
         }
         let now = now + HISTORY;
-        let crashes = self.crashes.iter().map(|it| CrashReport {
-            server: it.server,
-            age_ms: age_ms(now, it.at),
-            requests: it.requests.clone(),
-        });
+        let crashes = self.crashes.iter().map(|it| it.report(now));
         let trials = self.trials.iter().map(|(part, began)| TrialReport {
             part: *part,
             age_ms: age_ms(now, *began),
@@ -383,30 +328,29 @@
     /// Returns when the parts of crashes were served, and for each of their positions enough parts
     /// served there to show that it is usual.
     fn served_to_tell(&self, now: Timestamp) -> Vec<ServedPart> {
-        let lost = || self.crashes.iter().flat_map(Crash::lost_parts);
-        let mut parts: Vec<PartId> = lost().map(|it| it.part).collect();
+        let lost = || self.crashes.lost_parts().copied();
         let positions: FastSet<PartPosition> = lost().map(|it| it.position).collect();
-        for position in positions {
-            parts.extend(self.served_at_position(position));
-        }
+        let usual = positions
+            .into_iter()
+            .flat_map(|it| self.served_at_position(it));
+        let mut parts: Vec<RequestPart> = lost().chain(usual).collect();
         parts.sort_unstable();
         parts.dedup();
         let known = parts
             .iter()
-            .filter_map(|it| Some((*it, self.served.get(it)?)));
-        let told = known.map(|(part, served)| ServedPart {
+            .filter_map(|it| Some((*it, self.served.last_served(it.part)?)));
+        let told = known.map(|(RequestPart { part, position }, at)| ServedPart {
             part,
-            position: served.position,
-            age_ms: age_ms(now, served.at),
+            position,
+            age_ms: age_ms(now, at),
         });
         told.collect()
     }
 
     /// Returns parts served at a position, as many as make it a usual one.
-    fn served_at_position(&self, position: PartPosition) -> impl Iterator<Item = PartId> {
-        let served = self.served.iter();
-        let there = served.filter(move |(_, it)| it.position == position);
-        there.map(|(part, _)| *part).take(self.config.min_served)
+    fn served_at_position(&self, position: PartPosition) -> impl Iterator<Item = RequestPart> {
+        let there = self.served.at_position(position);
+        there.take(self.config.min_served)
     }
 
     /// Applies the news of another entry.
@@ -418,9 +362,7 @@
         }
         let needs_reply = self.knows_more(now, news);
         for it in &news.served {
-            let at = time_of(now, it.age_ms);
-            let position = it.position;
-            self.set_served(it.part, Served { at, position });
+            self.set_served(time_of(now, it.age_ms), it.request_part());
         }
         for TrialReport { part, age_ms } in &news.trials {
             let at = time_of(now, *age_ms);
@@ -439,7 +381,7 @@
         let told = |part: PartId| news.served.iter().find(|it| it.part == part);
         let knows_more_of = |crashed_at: Timestamp, part: PartId| {
             let clears = |served_at: Timestamp| served_at > crashed_at;
-            let known = self.served.get(&part).map(|it| it.at);
+            let known = self.served.last_served(part);
             match (known, told(part)) {
                 (Some(known), Some(told)) => clears(known) && !clears(time_of(now, told.age_ms)),
                 (known, told) => known.is_some() && told.is_none(),
@@ -450,7 +392,7 @@
             there.count() < self.config.min_served
                 && self
                     .served_at_position(position)
-                    .any(|it| told(it).is_none())
+                    .any(|own| news.served.iter().all(|it| it.request_part() != own))
         };
         news.crashes.iter().any(|report| {
             let at = time_of(now, report.age_ms);
@@ -465,93 +407,43 @@
         suspects.map(|it| it.last_crash).max().unwrap_or_default()
     }
 
-    /// Returns from when a request whose suspects are `among` may try one of them: early if each
-    /// crash has candidates that the request doesn't have, since one of them may be the cause.
+    /// Returns from when a request whose suspects are `among` may try one of them: early if it is a
+    /// part of prompts and each crash has candidates that the request doesn't have, since one of
+    /// them may be the cause.
     fn trial_due(&self, part: PartId, among: &[PartId]) -> Timestamp {
         let Some(suspect) = self.suspects.get(&part) else {
             return Timestamp::ZERO;
         };
         let has_all = |candidates: &[PartId]| candidates.iter().all(|it| among.contains(it));
-        let hold = match suspect.alternatives.iter().any(|it| has_all(it)) {
-            true => self.hold_time(suspect.crashes),
+        let is_decided = suspect.alternatives.iter().any(|it| has_all(it));
+        let hold = match is_decided || suspect.is_whole_request {
+            true => self.hold_time(suspect),
             false => self.config.shared_hold * suspect.crashes,
         };
         suspect.last_crash + hold
     }
 
     /// Returns the time for which a suspect is held after its last crash.
-    fn hold_time(&self, crashes: u32) -> Duration {
-        let doublings = crashes.saturating_sub(1).min(MAX_DOUBLINGS);
-        let hold = self.config.first_hold * 2_u32.pow(doublings);
-        hold.min(self.config.max_hold)
-    }
-
-    /// Returns whether a part belongs to a crash that is kept.
-    fn is_in_crash(&self, part: PartId) -> bool {
-        self.crashes.iter().any(|it| it.involves(part))
-    }
-
-    /// Records when and where a part was served; returns whether it never was before.
-    fn set_served(&mut self, part: PartId, served: Served) -> bool {
-        self.trials.remove(&part);
-        if self.served.len() >= self.config.max_served && !self.served.contains_key(&part) {
-            self.forget_served();
-        }
-        let known = self.served.get(&part).copied();
-        let merged = known.map_or(served, |known| Served {
-            at: known.at.max(served.at),
-            position: known.position.min(served.position),
-        });
-        self.served.insert(part, merged);
-        if let Some(known) = known {
-            self.count_at(known.position, false);
-        }
-        self.count_at(merged.position, true);
-        known.is_none()
-    }
-
-    /// Counts a part as served at a position, or no longer.
-    fn count_at(&mut self, position: PartPosition, is_there: bool) {
-        let count = self.served_at.entry(position).or_default();
-        *count = match is_there {
-            true => *count + 1,
-            false => count.saturating_sub(1),
+    fn hold_time(&self, suspect: &Suspect) -> Duration {
+        let first_hold = match suspect.is_whole_request {
+            true => self.config.request_hold,
+            false => self.config.first_hold,
         };
+        let doublings = suspect.crashes.saturating_sub(1).min(MAX_DOUBLINGS);
+        let hold = first_hold * 2_u32.pow(doublings);
+        hold.min(self.config.max_hold)
     }
 
-    /// Forgets the half of the served parts that was served first.
-    fn forget_served(&mut self) {
-        let mut times: Vec<Timestamp> = self.served.values().map(|it| it.at).collect();
-        let middle = times.len() / 2;
-        let (_, median, _) = times.select_nth_unstable(middle);
-        let median = *median;
-        self.served.retain(|_, it| it.at > median);
-        self.served_at.clear();
-        let positions: Vec<PartPosition> = self.served.values().map(|it| it.position).collect();
-        for position in positions {
-            self.count_at(position, true);
-        }
+    /// Records when a part was served, and where; returns whether it never was before.
+    fn set_served(&mut self, at: Timestamp, part: RequestPart) -> bool {
+        self.trials.remove(&part.part);
+        self.served.record(at, part, self.config.max_served)
     }
 
-    /// Adds the requests of a crash; two reports on one server at about the same time are of one
-    /// crash.
-    fn add_crash(&mut self, at: Timestamp, server: ServerTag, requests: &[Vec<LostPart>]) {
+    /// Adds the requests of a crash.
+    fn add_crash(&mut self, at: Timestamp, server: ServerTag, requests: &[Vec<RequestPart>]) {
         let window = self.config.crash_window;
-        let is_same = |it: &Crash| it.server == server && it.at.abs_diff(at) < window;
-        let known = self.crashes.iter().position(is_same);
-        let index = known.unwrap_or_else(|| {
-            self.crashes.push(Crash {
-                server,
-                at,
-                requests: Vec::new(),
-            });
-            self.crashes.len() - 1
-        });
-        let crash = &mut self.crashes[index];
-        crash.at = crash.at.min(at);
-        for parts in requests {
-            crash.add_request(parts);
-        }
+        self.crashes.add(at, server, requests, window);
     }
 
     /// Draws the conclusions from what is known; returns whether the suspects are others than
@@ -559,16 +451,19 @@
     fn conclude(&mut self, now: Timestamp) -> bool {
         self.forget_crashes(now);
         let mut suspects: FastMap<PartId, Suspect> = FastMap::default();
-        for crash in &self.crashes {
+        for crash in self.crashes.iter() {
             let candidates = self.candidates(crash);
-            for part in self.suspects_of(&candidates) {
-                let suspect = suspects.entry(part).or_insert_with(|| Suspect {
-                    crashes: self.count_crashes(part),
+            let of_prompts = candidates.iter().filter(|it| !it.is_whole_request());
+            let alternatives: Vec<PartId> = of_prompts.map(|it| it.part).collect();
+            for it in self.suspects_of(&candidates) {
+                let suspect = suspects.entry(it.part).or_insert_with(|| Suspect {
+                    crashes: self.count_crashes(it.part),
                     last_crash: crash.at,
+                    is_whole_request: it.is_whole_request(),
                     alternatives: Vec::new(),
                 });
                 suspect.last_crash = suspect.last_crash.max(crash.at);
-                suspect.alternatives.push(candidates.clone());
+                suspect.alternatives.push(alternatives.clone());
             }
         }
         let is_before_trial = |part: &PartId, began: Timestamp| {
@@ -588,13 +483,13 @@
     }
 
     /// Returns the unusual positions of parts that are the only suspect of a crash, with the last
-    /// crash of each. Without a usual one to compare with there is none: all may be unknown yet.
+    /// crash of each; none where there is no usual one to compare with.
     fn doubtful_positions(&self) -> FastMap<PartPosition, Timestamp> {
         let mut positions = FastMap::default();
-        if !self.served_at.keys().any(|it| self.is_usual_position(*it)) {
+        if !self.has_usual_position() {
             return positions;
         }
-        for lost in self.crashes.iter().flat_map(Crash::lost_parts) {
+        for lost in self.crashes.lost_parts() {
             let suspect = self.suspects.get(&lost.part);
             let Some(suspect) = suspect.filter(|it| it.is_sole()) else {
                 continue;
@@ -611,80 +506,75 @@
     /// Returns the parts of a crash that may have caused it: of those not served since, the ones
     /// never served or, if there are none, the ones of a second crash. Parts at positions where
     /// others were served are left out if there are also some where hardly any was.
-    fn candidates(&self, crash: &Crash) -> Vec<PartId> {
-        let mut lost: Vec<LostPart> = crash.lost_parts().copied().collect();
-        lost.retain(|it| !self.is_served_after(it.part, crash.at));
-        match lost.iter().any(|it| !self.served.contains_key(&it.part)) {
-            true => lost.retain(|it| !self.served.contains_key(&it.part)),
+    fn candidates(&self, crash: &Crash) -> Vec<RequestPart> {
+        let mut lost: Vec<RequestPart> = crash.lost_parts().copied().collect();
+        lost.retain(|it| !self.served.is_served_after(it.part, crash.at));
+        match lost.iter().any(|it| !self.served.contains(it)) {
+            true => lost.retain(|it| !self.served.contains(it)),
             false => lost.retain(|it| self.count_crashes(it.part) > 1),
         }
-        if lost.iter().any(|it| !self.is_usual_position(it.position)) {
-            lost.retain(|it| !self.is_usual_position(it.position));
+        let is_unusual = |it: &RequestPart| !self.is_usual_position(it.position);
+        if self.has_usual_position() && lost.iter().any(is_unusual) {
+            lost.retain(is_unusual);
         }
-        let mut parts: Vec<PartId> = lost.into_iter().map(|it| it.part).collect();
-        parts.sort_unstable();
-        parts.dedup();
-        parts
+        lost.sort_unstable();
+        lost.dedup_by_key(|it| it.part);
+        lost
+    }
+
+    /// Returns the suspects among the candidates of a crash: those with the most crashes, if there are
+    /// not too many.
+    fn suspects_of(&self, candidates: &[RequestPart]) -> Vec<RequestPart> {
+        let counts = candidates.iter().map(|it| self.count_crashes(it.part));
+        let counted: Vec<(RequestPart, u32)> = candidates.iter().copied().zip(counts).collect();
+        let most = counted.iter().map(|(_, count)| *count).max();
+        let suspects = counted.into_iter().filter(|(_, it)| Some(*it) == most);
+        let suspects = suspects.map(|(part, _)| part);
+        let (mut requests, mut parts): (Vec<_>, Vec<_>) =
+            suspects.partition(RequestPart::is_whole_request);
+        for group in [&mut requests, &mut parts] {
+            if group.len() > self.config.max_suspects {
+                group.clear();
+            }
+        }
+        requests.append(&mut parts);
+        requests
     }
 
-    /// Returns the suspects among the candidates of a crash: those with the most crashes.
-    fn suspects_of(&self, candidates: &[PartId]) -> Vec<PartId> {
-        if candidates.len() > self.config.max_suspects {
-            return Vec::new();
-        }
-        let most = candidates.iter().map(|it| self.count_crashes(*it)).max();
-        let candidates = candidates.iter().copied();
-        candidates
-            .filter(|it| Some(self.count_crashes(*it)) == most)
-            .collect()
+    /// Returns whether there is a usual position of prompts. Without one, all may be unknown yet.
+    fn has_usual_position(&self) -> bool {
+        self.served.max_count() >= self.config.min_served
     }
 
-    /// Returns whether other parts were served at a position.
+    /// Returns whether other parts were served at a position. New requests are usual.
     fn is_usual_position(&self, position: PartPosition) -> bool {
-        let served = self.served_at.get(&position);
-        served.is_some_and(|it| *it >= self.config.min_served)
+        position == WHOLE_REQUEST || self.served.count_at(position) >= self.config.min_served
     }
 
     /// Returns the number of crashes that involved a part since it was served last.
     fn count_crashes(&self, part: PartId) -> u32 {
         let crashes = self.crashes.iter();
         let involved = crashes.filter(|it| it.involves(part));
-        let counted = involved.filter(|it| !self.is_served_after(part, it.at));
+        let counted = involved.filter(|it| !self.served.is_served_after(part, it.at));
         counted.count() as u32
     }
 
-    fn is_served_after(&self, part: PartId, at: Timestamp) -> bool {
-        self.served.get(&part).is_some_and(|it| it.at > at)
-    }
-
-    /// Forgets crashes that are old, and those beyond the maximum number: first those without
-    /// suspects, then the oldest.
+    /// Forgets crashes that are old, and those beyond the maximum number.
     fn forget_crashes(&mut self, now: Timestamp) {
-        let suspicious: Vec<bool> = self
+        let has_suspects: Vec<bool> = self
             .crashes
             .iter()
             .map(|it| !self.suspects_of(&self.candidates(it)).is_empty())
             .collect();
-        let age_limit = |is_suspicious: bool| match is_suspicious {
+        let age_limit = |has_suspects: bool| match has_suspects {
             true => self.config.max_hold * 2,
             false => self.config.first_hold,
         };
-        let crashes = std::mem::take(&mut self.crashes).into_iter();
-        let mut kept: Vec<(bool, Crash)> = suspicious.into_iter().zip(crashes).collect();
-        kept.retain(|(is_suspicious, it)| now < it.at + age_limit(*is_suspicious));
-        kept.sort_by_key(|(is_suspicious, it)| std::cmp::Reverse((*is_suspicious, it.at)));
-        kept.truncate(self.config.max_crashes);
-        self.crashes = kept.into_iter().map(|(_, it)| it).collect();
+        let max_crashes = self.config.max_crashes;
+        self.crashes
+            .forget(now, max_crashes, &has_suspects, age_limit);
     }
 }
 
 /// Number of doublings of the hold time beyond which it doesn't grow.
 const MAX_DOUBLINGS: u32 = 16;
-
-fn age_ms(now: Timestamp, at: Timestamp) -> u32 {
-    u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX)
-}
-
-fn time_of(now: Timestamp, age_ms: u32) -> Timestamp {
-    now.saturating_sub(Duration::from_millis(u64::from(age_ms)))
-}
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -4,9 +4,12 @@
 use std::{collections::VecDeque, time::Duration};
 
 use googletest::prelude::*;
-use jj_policy::crash_suspects::{
-    CrashReport, CrashSuspects, LostPart, MAX_CRASHES, NewsEffect, PartId, PromptAdmission,
-    ServedPart, SuspectConfig, SuspectNews, TrialReport,
+use jj_policy::{
+    crash_reports::{self, CrashReport, MAX_CRASHES, PartId, RequestPart},
+    crash_suspects::{
+        CrashSuspects, NewsEffect, PromptAdmission, ServedPart, SuspectConfig, SuspectNews,
+        TrialReport,
+    },
 };
 use jj_utils::clock::Timestamp;
 use rand::{RngExt, SeedableRng};
@@ -24,6 +27,11 @@
 /// Time after a crash until its suspects count.
 const SETTLE: u64 = 60;
 
+/// Returns the parts of a request of which only the shared parts of the prompt are looked at.
+fn shared(parts: &[PartId]) -> Vec<RequestPart> {
+    crash_reports::request_parts(parts.iter().copied(), None)
+}
+
 fn at(ms: u64) -> Timestamp {
     Timestamp::ZERO + Duration::from_millis(ms)
 }
@@ -45,29 +53,32 @@
 #[gtest]
 fn part_never_served_is_held_after_its_first_crash_and_served_ones_are_not() {
     let mut suspects = CrashSuspects::default();
-    suspects.record_served(at(900), &[SOUND]);
+    suspects.record_served(at(900), &shared(&[SOUND]));
 
-    let is_new = suspects.record_crash(at(1_000), 7, &[SOUND, CRASHING]);
+    let is_new = suspects.record_crash(at(1_000), 7, &shared(&[SOUND, CRASHING]));
 
     expect_that!(is_new, eq(true));
     expect_that!(
-        suspects.admission(at(1_100), &[SOUND]),
+        suspects.admission(at(1_100), &shared(&[SOUND])),
         eq(PromptAdmission::Allowed)
     );
     expect_that!(
-        suspects.admission(at(1_100), &[SOUND, CRASHING]),
+        suspects.admission(at(1_100), &shared(&[SOUND, CRASHING])),
         eq(held(HOLD - 100))
     );
-    expect_that!(suspects.suspects_among(&[SOUND, CRASHING]), eq(&[CRASHING]));
+    expect_that!(
+        suspects.suspects_among(&shared(&[SOUND, CRASHING])),
+        eq(&[CRASHING])
+    );
 }
 
 #[gtest]
 fn requests_wait_while_other_entries_may_clear_a_suspect() {
     let mut suspects = CrashSuspects::default();
-    suspects.record_crash(at(1_000), 7, &[SOUND]);
+    suspects.record_crash(at(1_000), 7, &shared(&[SOUND]));
 
     expect_that!(
-        suspects.admission(at(1_010), &[SOUND]),
+        suspects.admission(at(1_010), &shared(&[SOUND])),
         eq(PromptAdmission::Wait {
             until: at(1_000 + SETTLE)
         })
@@ -77,9 +88,9 @@
 #[gtest]
 fn part_that_another_entry_has_served_is_cleared_by_its_reply() {
     let (mut first, mut second) = (CrashSuspects::default(), CrashSuspects::default());
-    second.record_served(at(800), &[SOUND]);
+    second.record_served(at(800), &shared(&[SOUND]));
 
-    first.record_crash(at(1_000), 7, &[SOUND, CRASHING]);
+    first.record_crash(at(1_000), 7, &shared(&[SOUND, CRASHING]));
     let effect = tell(1_010, &first, &mut second);
     let cleared = tell(1_020, &second, &mut first);
 
@@ -95,7 +106,7 @@
 #[gtest]
 fn same_crash_told_again_with_other_delays_is_no_news() {
     let (mut first, mut second) = (CrashSuspects::default(), CrashSuspects::default());
-    first.record_crash(at(1_000), 7, &[CRASHING]);
+    first.record_crash(at(1_000), 7, &shared(&[CRASHING]));
     let deliver = |sent: u64, delay: u64, from: &CrashSuspects, to: &mut CrashSuspects| {
         let news = from.news(at(sent)).unwrap();
         to.apply_news(at(sent + delay), &news)
@@ -114,14 +125,14 @@
 #[gtest]
 fn part_that_was_served_before_is_held_after_two_crashes_without_a_success_in_between() {
     let mut suspects = CrashSuspects::default();
-    suspects.record_served(at(0), &[SOUND, OTHER]);
+    suspects.record_served(at(0), &shared(&[SOUND, OTHER]));
 
-    suspects.record_crash(at(1_000), 7, &[SOUND]);
-    suspects.record_crash(at(2_000), 8, &[OTHER]);
-    suspects.record_served(at(3_000), &[SOUND]);
-    suspects.record_crash(at(5_000), 9, &[SOUND]);
+    suspects.record_crash(at(1_000), 7, &shared(&[SOUND]));
+    suspects.record_crash(at(2_000), 8, &shared(&[OTHER]));
+    suspects.record_served(at(3_000), &shared(&[SOUND]));
+    suspects.record_crash(at(5_000), 9, &shared(&[SOUND]));
     let one_each = suspects.all();
-    suspects.record_crash(at(6_000), 10, &[OTHER]);
+    suspects.record_crash(at(6_000), 10, &shared(&[OTHER]));
 
     expect_that!(one_each, is_empty());
     expect_that!(suspects.all(), eq(&[OTHER]));
@@ -130,10 +141,10 @@
 #[gtest]
 fn two_reports_on_one_crash_count_once() {
     let mut suspects = CrashSuspects::default();
-    suspects.record_served(at(0), &[SOUND]);
+    suspects.record_served(at(0), &shared(&[SOUND]));
 
-    suspects.record_crash(at(1_000), 7, &[SOUND]);
-    suspects.record_crash(at(1_005), 7, &[SOUND]);
+    suspects.record_crash(at(1_000), 7, &shared(&[SOUND]));
+    suspects.record_crash(at(1_005), 7, &shared(&[SOUND]));
 
     expect_that!(suspects.all(), is_empty());
 }
@@ -141,15 +152,15 @@
 #[gtest]
 fn one_of_two_suspects_is_tried_early_and_its_success_leaves_the_other() {
     let mut suspects = CrashSuspects::default();
-    suspects.record_crash(at(1_000), 7, &[SOUND, CRASHING]);
+    suspects.record_crash(at(1_000), 7, &shared(&[SOUND, CRASHING]));
 
     // Both are held; a request with only one of them may show which it is.
-    let early = suspects.admission(at(3_900), &[SOUND]);
-    let trial = suspects.admission(at(4_000), &[SOUND]);
-    let both = suspects.admission(at(4_000), &[SOUND, CRASHING]);
-    suspects.begin_trial(at(4_000), &[SOUND]);
-    let second_trial = suspects.admission(at(4_100), &[SOUND]);
-    suspects.record_served(at(4_200), &[SOUND]);
+    let early = suspects.admission(at(3_900), &shared(&[SOUND]));
+    let trial = suspects.admission(at(4_000), &shared(&[SOUND]));
+    let both = suspects.admission(at(4_000), &shared(&[SOUND, CRASHING]));
+    suspects.begin_trial(at(4_000), &shared(&[SOUND]));
+    let second_trial = suspects.admission(at(4_100), &shared(&[SOUND]));
+    suspects.record_served(at(4_200), &shared(&[SOUND]));
 
     expect_that!(early, eq(held(100)));
     expect_that!(trial, eq(PromptAdmission::Trial));
@@ -165,24 +176,24 @@
 fn unknown_part_is_held_where_no_part_was_ever_served_but_one_crashed_a_server() {
     let mut suspects = CrashSuspects::default();
     for part in [SOUND, 11, 12] {
-        suspects.record_served(at(900), &[part]);
+        suspects.record_served(at(900), &shared(&[part]));
     }
-    let before = suspects.admission(at(950), &[SOUND, OTHERS_CRASHING[0]]);
+    let before = suspects.admission(at(950), &shared(&[SOUND, OTHERS_CRASHING[0]]));
 
-    suspects.record_crash(at(1_000), 7, &[SOUND, CRASHING]);
+    suspects.record_crash(at(1_000), 7, &shared(&[SOUND, CRASHING]));
 
     expect_that!(before, eq(PromptAdmission::Allowed));
     expect_that!(
-        suspects.admission(at(2_000), &[SOUND, OTHERS_CRASHING[0]]),
+        suspects.admission(at(2_000), &shared(&[SOUND, OTHERS_CRASHING[0]])),
         eq(held(HOLD - 1_000))
     );
     // Other first parts have nothing to do with it, and the hold ends with that of the suspect.
     expect_that!(
-        suspects.admission(at(2_000), &[OTHER]),
+        suspects.admission(at(2_000), &shared(&[OTHER])),
         eq(PromptAdmission::Allowed)
     );
     expect_that!(
-        suspects.admission(at(1_000 + HOLD), &[SOUND, OTHERS_CRASHING[0]]),
+        suspects.admission(at(1_000 + HOLD), &shared(&[SOUND, OTHERS_CRASHING[0]])),
         eq(PromptAdmission::Allowed)
     );
 }
@@ -190,12 +201,12 @@
 #[gtest]
 fn unknown_parts_are_sent_while_hardly_any_was_served_anywhere() {
     let mut suspects = CrashSuspects::default();
-    suspects.record_served(at(900), &[SOUND]);
+    suspects.record_served(at(900), &shared(&[SOUND]));
 
-    suspects.record_crash(at(1_000), 7, &[CRASHING]);
+    suspects.record_crash(at(1_000), 7, &shared(&[CRASHING]));
 
     expect_that!(
-        suspects.admission(at(2_000), &[OTHER]),
+        suspects.admission(at(2_000), &shared(&[OTHER])),
         eq(PromptAdmission::Allowed)
     );
 }
@@ -204,14 +215,14 @@
 fn unknown_part_is_sent_where_other_parts_were_served() {
     let (mut first, mut restarted) = (CrashSuspects::default(), CrashSuspects::default());
     for part in 10..13 {
-        first.record_served(at(500), &[SOUND, part]);
+        first.record_served(at(500), &shared(&[SOUND, part]));
     }
-    first.record_crash(at(1_000), 7, &[SOUND, CRASHING]);
+    first.record_crash(at(1_000), 7, &shared(&[SOUND, CRASHING]));
     tell(2_000, &first, &mut restarted);
 
     for entry in [&first, &restarted] {
         expect_that!(
-            entry.admission(at(2_000), &[SOUND, 20]),
+            entry.admission(at(2_000), &shared(&[SOUND, 20])),
             eq(PromptAdmission::Allowed)
         );
     }
@@ -221,8 +232,8 @@
 fn part_in_most_crashes_is_the_suspect_of_each() {
     let mut suspects = CrashSuspects::default();
 
-    suspects.record_crash(at(1_000), 7, &[SOUND, CRASHING]);
-    suspects.record_crash(at(1_010), 8, &[OTHER, CRASHING]);
+    suspects.record_crash(at(1_000), 7, &shared(&[SOUND, CRASHING]));
+    suspects.record_crash(at(1_010), 8, &shared(&[OTHER, CRASHING]));
 
     expect_that!(suspects.all(), eq(&[CRASHING]));
 }
@@ -230,20 +241,20 @@
 #[gtest]
 fn hold_doubles_with_each_crash_and_ends_with_a_success() {
     let mut suspects = CrashSuspects::default();
-    suspects.record_crash(at(0), 1, &[CRASHING]);
+    suspects.record_crash(at(0), 1, &shared(&[CRASHING]));
     expect_that!(
-        suspects.admission(at(HOLD), &[CRASHING]),
+        suspects.admission(at(HOLD), &shared(&[CRASHING])),
         eq(PromptAdmission::Trial)
     );
 
-    suspects.begin_trial(at(HOLD), &[CRASHING]);
-    suspects.record_crash(at(HOLD + 100), 2, &[CRASHING]);
-    let after_second = suspects.admission(at(HOLD + 200), &[CRASHING]);
-    suspects.record_served(at(200_000), &[CRASHING]);
+    suspects.begin_trial(at(HOLD), &shared(&[CRASHING]));
+    suspects.record_crash(at(HOLD + 100), 2, &shared(&[CRASHING]));
+    let after_second = suspects.admission(at(HOLD + 200), &shared(&[CRASHING]));
+    suspects.record_served(at(200_000), &shared(&[CRASHING]));
 
     expect_that!(after_second, eq(held(2 * HOLD - 100)));
     expect_that!(
-        suspects.admission(at(200_000), &[CRASHING]),
+        suspects.admission(at(200_000), &shared(&[CRASHING])),
         eq(PromptAdmission::Allowed)
     );
 }
@@ -251,21 +262,21 @@
 #[gtest]
 fn trial_without_a_result_ends_and_other_entries_wait_for_a_running_one() {
     let (mut first, mut second) = (CrashSuspects::default(), CrashSuspects::default());
-    first.record_crash(at(0), 1, &[CRASHING]);
+    first.record_crash(at(0), 1, &shared(&[CRASHING]));
     tell(10, &first, &mut second);
 
-    first.begin_trial(at(HOLD), &[CRASHING]);
+    first.begin_trial(at(HOLD), &shared(&[CRASHING]));
     tell(HOLD + 10, &first, &mut second);
-    let elsewhere = second.admission(at(HOLD + 20), &[CRASHING]);
-    first.end_trial(&[CRASHING]);
+    let elsewhere = second.admission(at(HOLD + 20), &shared(&[CRASHING]));
+    first.end_trial(&shared(&[CRASHING]));
 
     expect_that!(elsewhere, matches_pattern!(PromptAdmission::Wait { .. }));
     expect_that!(
-        first.admission(at(HOLD + 30), &[CRASHING]),
+        first.admission(at(HOLD + 30), &shared(&[CRASHING])),
         eq(PromptAdmission::Trial)
     );
     expect_that!(
-        second.admission(at(HOLD + 3_000), &[CRASHING]),
+        second.admission(at(HOLD + 3_000), &shared(&[CRASHING])),
         eq(PromptAdmission::Trial)
     );
 }
@@ -274,7 +285,7 @@
 fn crash_with_many_unserved_parts_holds_none_of_them() {
     let mut suspects = CrashSuspects::default();
 
-    suspects.record_crash(at(1_000), 7, &[1, 2, 3, 4, 5, 6, 7]);
+    suspects.record_crash(at(1_000), 7, &shared(&[1, 2, 3, 4, 5, 6, 7]));
 
     expect_that!(suspects.all(), is_empty());
 }
@@ -282,8 +293,8 @@
 #[gtest]
 fn news_from_before_the_start_of_the_process_keeps_its_order() {
     let (mut old, mut young) = (CrashSuspects::default(), CrashSuspects::default());
-    old.record_crash(at(50_000), 7, &[SOUND, CRASHING]);
-    old.record_served(at(54_000), &[SOUND]);
+    old.record_crash(at(50_000), 7, &shared(&[SOUND, CRASHING]));
+    old.record_served(at(54_000), &shared(&[SOUND]));
 
     // The clock of the other process has just started.
     let news = old.news(at(60_000)).unwrap();
@@ -291,7 +302,7 @@
 
     expect_that!(young.all(), eq(&[CRASHING]));
     expect_that!(
-        young.admission(at(100), &[CRASHING]),
+        young.admission(at(100), &shared(&[CRASHING])),
         eq(held(HOLD - 10_000))
     );
 }
@@ -299,12 +310,16 @@
 #[gtest]
 fn memory_is_bounded_and_suspects_outlast_crashes_without_any() {
     let mut suspects = CrashSuspects::default();
-    suspects.record_crash(at(0), 1, &[CRASHING]);
+    suspects.record_crash(at(0), 1, &shared(&[CRASHING]));
     for number in 0..40_000_u64 {
-        suspects.record_served(at(1 + number), &[1_000 + number]);
+        suspects.record_served(at(1 + number), &shared(&[1_000 + number]));
     }
     for number in 0..200_u32 {
-        suspects.record_crash(at(40_001), 10 + number, &[40_000 + u64::from(number)]);
+        suspects.record_crash(
+            at(40_001),
+            10 + number,
+            &shared(&[40_000 + u64::from(number)]),
+        );
     }
 
     let news = suspects.news(at(40_002)).unwrap();
@@ -316,8 +331,8 @@
 /// Draws random news. Entries see one crash within some milliseconds of each other, and the crashes
 /// of one server are seconds apart.
 fn random_news(rng: &mut Pcg64Mcg) -> SuspectNews {
-    let lost = |rng: &mut Pcg64Mcg| -> Vec<LostPart> {
-        let parts = (0..rng.random_range(0..4)).map(|position| LostPart {
+    let lost = |rng: &mut Pcg64Mcg| -> Vec<RequestPart> {
+        let parts = (0..rng.random_range(0..4)).map(|position| RequestPart {
             part: rng.random_range(0..12),
             position,
         });
@@ -352,7 +367,10 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut entries: Vec<CrashSuspects> = (0..3).map(|_| CrashSuspects::default()).collect();
         for entry in &mut entries {
-            entry.record_served(at(rng.random_range(0..30_000)), &[rng.random_range(0..12)]);
+            entry.record_served(
+                at(rng.random_range(0..30_000)),
+                &shared(&[rng.random_range(0..12)]),
+            );
             entry.apply_news(at(30_000), &random_news(&mut rng));
         }
 
@@ -439,7 +457,7 @@
             waiting.retain(|(index, parts)| {
                 let admission = match handling {
                     Handling::None => PromptAdmission::Allowed,
-                    _ => entries[*index].admission(at(now), parts),
+                    _ => entries[*index].admission(at(now), &shared(parts)),
                 };
                 match admission {
                     PromptAdmission::Wait { .. } => return true,
@@ -447,7 +465,7 @@
                         outcome.sound_held += u32::from(is_sound(parts));
                         return false;
                     }
-                    PromptAdmission::Trial => entries[*index].begin_trial(at(now), parts),
+                    PromptAdmission::Trial => entries[*index].begin_trial(at(now), &shared(parts)),
                     PromptAdmission::Allowed => {}
                 }
                 outcome.sound_sent += u32::from(is_sound(parts));
@@ -459,13 +477,13 @@
             let (_, index, parts) = started.pop_front().unwrap();
             let entry = &mut entries[index];
             let is_new = match is_sound(&parts) {
-                true => entry.record_served(at(now), &parts),
+                true => entry.record_served(at(now), &shared(&parts)),
                 false => {
                     outcome.crashes += 1;
                     back_at = now + DOWN_MS;
                     // The rest of the group loses what it had begun.
                     waiting.extend(started.drain(..).map(|(_, index, parts)| (index, parts)));
-                    entry.record_crash(at(now), outcome.crashes, &parts)
+                    entry.record_crash(at(now), outcome.crashes, &shared(&parts))
                 }
             };
             if let (true, Handling::Shared, Some(news)) = (is_new, handling, entry.news(at(now))) {
@@ -503,6 +521,183 @@
     }
 }
 
+/// Content of a request that crashes servers.
+const CRASHING_REQUEST: PartId = 0xdead;
+/// Content of a sound one.
+const SOUND_REQUEST: PartId = 0x900d;
+/// First hold of a request as a whole.
+const REQUEST_HOLD: u64 = 30_000;
+
+/// Returns the parts of a request with a prompt.
+fn chat(parts: &[PartId], whole: PartId) -> Vec<RequestPart> {
+    crash_reports::request_parts(parts.iter().copied(), Some(whole))
+}
+
+/// Returns the parts of a request without a prompt.
+fn plain(whole: PartId) -> Vec<RequestPart> {
+    chat(&[], whole)
+}
+
+/// Returns suspects after other requests with some first parts were served.
+fn with_served(parts: &[PartId]) -> CrashSuspects {
+    let mut suspects = CrashSuspects::default();
+    for (number, part) in (0..).zip(parts) {
+        suspects.record_served(at(100), &chat(&[*part], 0x1000 + number));
+    }
+    suspects
+}
+
+#[gtest]
+fn request_that_crashed_a_server_is_held_and_others_with_its_parts_are_not() {
+    let mut suspects = with_served(&[SOUND, 5, 6]);
+
+    suspects.record_crash(at(1_000), 7, &chat(&[SOUND], CRASHING_REQUEST));
+
+    expect_that!(
+        suspects.admission(at(1_100), &chat(&[SOUND], CRASHING_REQUEST)),
+        eq(held(REQUEST_HOLD - 100))
+    );
+    expect_that!(
+        suspects.admission(at(1_100), &chat(&[SOUND], SOUND_REQUEST)),
+        eq(PromptAdmission::Allowed)
+    );
+}
+
+#[gtest]
+fn request_stays_held_while_sound_ones_with_its_parts_are_served() {
+    let mut suspects = with_served(&[SOUND, 5, 6]);
+    let crashing = chat(&[SOUND], CRASHING_REQUEST);
+    suspects.record_crash(at(1_000), 7, &crashing);
+
+    suspects.record_served(at(5_000), &chat(&[SOUND], SOUND_REQUEST));
+
+    expect_that!(
+        suspects.admission(at(6_000), &crashing),
+        eq(held(REQUEST_HOLD - 5_000))
+    );
+}
+
+#[gtest]
+fn plain_request_lost_beside_the_cause_is_cleared_by_its_success_before_or_by_the_second_crash() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_served(at(500), &plain(1));
+    for whole in [1, 2, CRASHING_REQUEST] {
+        suspects.record_crash(at(1_000), 7, &plain(whole));
+    }
+    let after_one = suspects.all();
+    suspects.record_crash(at(2_000), 8, &plain(CRASHING_REQUEST));
+
+    expect_that!(after_one, eq(&[2, CRASHING_REQUEST]));
+    expect_that!(suspects.all(), eq(&[CRASHING_REQUEST]));
+}
+
+#[gtest]
+fn sound_plain_request_lost_in_a_crash_is_tried_after_the_hold_and_then_cleared() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_crash(at(1_000), 7, &plain(SOUND_REQUEST));
+
+    let due = suspects.admission(at(1_000 + REQUEST_HOLD), &plain(SOUND_REQUEST));
+    suspects.begin_trial(at(31_000), &plain(SOUND_REQUEST));
+    suspects.record_served(at(31_100), &plain(SOUND_REQUEST));
+
+    expect_that!(due, eq(PromptAdmission::Trial));
+    expect_that!(
+        suspects.admission(at(31_200), &plain(SOUND_REQUEST)),
+        eq(PromptAdmission::Allowed)
+    );
+}
+
+#[gtest]
+fn plain_requests_of_a_busy_server_are_not_suspected_before_a_second_crash() {
+    let mut suspects = CrashSuspects::default();
+    for whole in 0..7 {
+        suspects.record_crash(at(1_000), 7, &plain(whole));
+    }
+    let after_one = suspects.all();
+    for whole in [3, 100, 101, 102, 103, 104, 105] {
+        suspects.record_crash(at(2_000), 8, &plain(whole));
+    }
+
+    expect_that!(after_one, is_empty());
+    expect_that!(suspects.all(), eq(&[3]));
+}
+
+#[gtest]
+fn crashing_part_is_the_suspect_although_each_request_with_it_is_another_one() {
+    let mut suspects = with_served(&[SOUND, 5, 6]);
+    suspects.record_crash(at(1_000), 7, &chat(&[SOUND, CRASHING], 0x2000));
+
+    let next = suspects.admission(at(9_000), &chat(&[SOUND, CRASHING], 0x2001));
+
+    expect_that!(suspects.all(), eq(&[CRASHING]));
+    expect_that!(next, eq(held(HOLD - 8_000)));
+}
+
+#[gtest]
+fn request_that_crashes_beside_a_crashing_part_is_held_as_well() {
+    let mut suspects = with_served(&[SOUND, 5, 6]);
+    suspects.record_crash(at(1_000), 7, &chat(&[SOUND, CRASHING], 0x2000));
+    suspects.record_crash(at(1_020), 8, &chat(&[SOUND], CRASHING_REQUEST));
+
+    expect_that!(suspects.all(), eq(&[CRASHING, CRASHING_REQUEST]));
+    expect_that!(
+        suspects.admission(at(2_000), &chat(&[SOUND], SOUND_REQUEST)),
+        eq(PromptAdmission::Allowed)
+    );
+}
+
+#[gtest]
+fn request_whose_parts_were_never_served_is_held_as_a_whole_once_they_are() {
+    let mut suspects = CrashSuspects::default();
+    let crashing = chat(&[SOUND], CRASHING_REQUEST);
+    suspects.record_crash(at(1_000), 7, &crashing);
+    let before = suspects.all();
+
+    suspects.record_served(at(2_000), &chat(&[SOUND], SOUND_REQUEST));
+
+    expect_that!(before, eq(&[SOUND, CRASHING_REQUEST]));
+    expect_that!(suspects.all(), eq(&[CRASHING_REQUEST]));
+}
+
+#[gtest]
+fn served_requests_do_not_displace_served_parts() {
+    let mut suspects = with_served(&[SOUND, 5, 6]);
+    for whole in 0..40_000 {
+        suspects.record_served(at(200), &plain(0x1_0000 + whole));
+    }
+
+    suspects.record_crash(at(1_000), 7, &chat(&[SOUND, CRASHING], 0x2000));
+
+    expect_that!(suspects.all(), eq(&[CRASHING]));
+}
+
+#[gtest]
+fn caller_that_sends_a_new_crashing_request_each_time_takes_bounded_memory() {
+    let mut suspects = CrashSuspects::default();
+    for number in 0..1_000 {
+        let crashing = plain(0x3000 + u64::from(number));
+        suspects.record_crash(at(1_000 + u64::from(number)), number, &crashing);
+    }
+
+    let news = suspects.news(at(3_000)).unwrap();
+
+    expect_that!(news.crashes.len(), eq(MAX_CRASHES));
+    expect_that!(suspects.all().len(), eq(MAX_CRASHES));
+}
+
+#[gtest]
+fn prompt_with_more_parts_than_positions_is_handled() {
+    let mut suspects = CrashSuspects::default();
+    let parts: Vec<PartId> = (0..1_000).collect();
+
+    suspects.record_crash(at(1_000), 7, &chat(&parts, CRASHING_REQUEST));
+
+    expect_that!(
+        suspects.admission(at(1_100), &chat(&parts, CRASHING_REQUEST)),
+        matches_pattern!(PromptAdmission::Held { .. })
+    );
+}
+
 #[gtest]
 fn configuration_leaves_time_for_a_trial_before_callers_of_sound_requests_have_waited_too_long() {
     let config = SuspectConfig::default();
