fix(front): a request without an id doesn't use a connection that may carry a copy of an earlier response

With an id, a response of another request is told by it and proves nothing (shown). A request without an id took the copy for its own refusal: told 'not run' although it ran, and run by a second server. It gets a new connection now.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -128,7 +128,12 @@
         let mut closed_connections = 0;
         let mut sent_at;
         let answer = loop {
-            let connection = match self.shared.pool.acquire(addr).await {
+            // On a new connection, a response without an id can't be a copy of an earlier one.
+            let connection = match self.request.facts.id {
+                Some(_) => self.shared.pool.acquire(addr).await,
+                None => self.shared.pool.open(addr).await,
+            };
+            let connection = match connection {
                 Ok(connection) => connection,
                 Err(error) => {
                     self.failure_cause = error.to_string();
