fix(front): a stream is resumed only by a response of the same status and content type

Error statuses broke the stream off here, as they should (shown: 302, 404, 429, 500, 503, no head at all). But a 200 of another content type was taken for the rest of the stream: its text reached the caller between the events and the stream ended as complete. Test: broken_stream_whose_next_server_sends_an_error_ends_incomplete_and_without_its_text (case 5 failed before).

--- a/crates/front/src/stream_relay.rs
+++ b/crates/front/src/stream_relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use http::{HeaderMap, Response, header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use jj_direct::{body::ResponseBody, header_codec::EventId};
 use jj_policy::{catalog::RequestKind, server_health::AttemptOutcome};
 use jj_utils::{clock::Timestamp, events, ids::ServiceId, log_event};
@@ -30,7 +30,11 @@
     let mut headers: HeaderMap = std::mem::take(&mut stream.answer.headers);
     attempt::remove_hop_headers(&mut headers);
     let status = stream.status;
-    let body = relay_events(forward, stream).boxed_local();
+    let form = StreamForm {
+        status,
+        content_type: headers.get(header::CONTENT_TYPE).cloned(),
+    };
+    let body = relay_events(forward, stream, form).boxed_local();
     let mut response = Response::new(ResponseBody::stream(body, None));
     *response.status_mut() = status;
     headers.remove(header::CONTENT_LENGTH);
@@ -43,6 +47,7 @@
 fn relay_events(
     mut forward: Forwarder,
     mut stream: ServerStream,
+    form: StreamForm,
 ) -> impl futures_util::Stream<Item = io::Result<Bytes>> {
     async_stream::stream! {
         let shared = Rc::clone(&forward.shared);
@@ -99,7 +104,7 @@
             let last_event = stream.last_event_id;
             let server = stream.reservation.server.id.clone();
             drop(stream);
-            match resume(&mut forward, last_event, last_progress).await {
+            match resume(&mut forward, &form, last_event, last_progress).await {
                 Some(resumed) => {
                     log_event!(
                         events::STREAM_RESUMED,
@@ -145,10 +150,26 @@
     }
 }
 
+/// What the responses of all servers of one stream have in common.
+struct StreamForm {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl StreamForm {
+    /// Returns whether a response can go on with the stream.
+    fn fits(&self, stream: &ServerStream) -> bool {
+        let content_type = stream.answer.headers.get(header::CONTENT_TYPE);
+        stream.status == self.status && content_type == self.content_type.as_ref()
+    }
+}
+
 /// Resumes a stream at another server after the last event sent to the caller; `None` if the route,
-/// the time or the retry budget doesn't allow it, or the attempt fails.
+/// the time or the retry budget doesn't allow it, the attempt fails or its response is of another
+/// form.
 async fn resume(
     forward: &mut Forwarder,
+    form: &StreamForm,
     last_event: Option<EventId>,
     last_progress: Timestamp,
 ) -> Option<ServerStream> {
@@ -162,7 +183,7 @@
         return None;
     }
     match tokio::time::timeout(until - now, forward.obtain_response(last_event)).await {
-        Ok(Ok(ForwardedResponse::Stream(stream))) => Some(*stream),
+        Ok(Ok(ForwardedResponse::Stream(stream))) if form.fits(&stream) => Some(*stream),
         _ => None,
     }
 }
