--- a/crates/front/src/prompt_guard.rs
+++ b/crates/front/src/prompt_guard.rs
@@ -5,9 +5,8 @@
 use jj_direct::instance_settings::InstanceSettings;
 use jj_news::{SuspectExchange, server_tag};
 use jj_policy::{
-    crash_reports::RequestPart,
-    crash_suspects::{NewsEffect, PromptAdmission},
-    server_list::ServerRecord,
+    crash_reports::RequestPart, crash_suspects::PromptAdmission, server_list::ServerRecord,
+    suspect_exchange::NewsEffect,
 };
 use jj_utils::{events, log_event};
 
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -18,7 +18,7 @@
 
 use jj_policy::{
     catalog::ExpertSpec,
-    crash_suspects::SuspectNews,
+    crash_reports::SuspectNews,
     load_sums::{InFlightUpdate, ServerTag},
     map_switch::{Goal, MapVersion, RankView},
     rate_limits::RateStatement,
--- a/crates/news/src/plausible.rs
+++ b/crates/news/src/plausible.rs
@@ -5,8 +5,7 @@
 
 use jj_policy::{
     catalog::ExpertSpec,
-    crash_reports::{self, CrashReport},
-    crash_suspects::SuspectNews,
+    crash_reports::{self, CrashReport, SuspectNews},
     load_sums::InFlightUpdate,
     map_switch::{Goal, RankView},
     rate_limits::RateStatement,
--- a/crates/policy/src/crash_reports.rs
+++ b/crates/policy/src/crash_reports.rs
@@ -1,5 +1,5 @@
-//! Crashes of backend servers, and the requests that were lost in them, as entries report them to
-//! each other.
+//! What entries tell each other of crashes of backend servers and of the requests that were lost in
+//! them.
 
 use std::time::Duration;
 
@@ -83,129 +83,57 @@
     }
 }
 
-/// Returns whether a request has one part only.
-fn is_plain(parts: &[RequestPart]) -> bool {
-    parts.len() <= 1
-}
-
-/// Crash of a server.
-#[derive(Debug, Clone)]
-pub(crate) struct Crash {
-    server: ServerTag,
-    /// Time of the crash.
-    pub at: Timestamp,
-    /// Parts of each request to which the server was about to respond.
-    requests: Vec<Vec<RequestPart>>,
-}
-
-impl Crash {
-    /// Returns the parts of all its requests.
-    pub fn lost_parts(&self) -> impl Iterator<Item = &RequestPart> {
-        self.requests.iter().flatten()
-    }
-
-    /// Returns whether one of its requests has a part.
-    pub fn involves(&self, part: PartId) -> bool {
-        self.lost_parts().any(|it| it.part == part)
-    }
-
-    /// Returns the report on it for other entries.
-    pub fn report(&self, now: Timestamp) -> CrashReport {
-        CrashReport {
-            server: self.server,
-            age_ms: age_ms(now, self.at),
-            requests: self.requests.clone(),
-        }
-    }
-
-    /// Adds a request. If there are too many, the same ones are kept whatever their order was.
-    fn add_request(&mut self, parts: &[RequestPart]) {
-        self.requests
-            .push(parts[..parts.len().min(MAX_PARTS)].to_vec());
-        self.requests.sort_unstable();
-        self.requests.dedup();
-        let (mut plain_left, mut others_left) = (MAX_PLAIN_REQUESTS, MAX_REQUESTS);
-        self.requests.retain(|it| {
-            let left = match is_plain(it) {
-                true => &mut plain_left,
-                false => &mut others_left,
-            };
-            let is_kept = *left > 0;
-            *left = left.saturating_sub(1);
-            is_kept
-        });
+common_derives! {wire:
+    /// Part that was served.
+    #[derive(Copy, Eq)]
+    pub struct ServedPart {
+        /// The part.
+        pub part: PartId,
+        /// A position at which it was served.
+        pub position: PartPosition,
+        /// Time since then, in milliseconds.
+        pub age_ms: u32,
     }
 }
 
-/// The crashes that are kept.
-#[derive(Debug, Default)]
-pub(crate) struct CrashLog {
-    crashes: Vec<Crash>,
-}
-
-impl CrashLog {
-    /// Adds the requests of a crash. Two reports on one server within `window` are of one crash.
-    pub fn add(
-        &mut self,
-        at: Timestamp,
-        server: ServerTag,
-        requests: &[Vec<RequestPart>],
-        window: Duration,
-    ) {
-        let is_same = |it: &Crash| it.server == server && it.at.abs_diff(at) < window;
-        let known = self.crashes.iter().position(is_same);
-        let index = known.unwrap_or_else(|| {
-            self.crashes.push(Crash {
-                server,
-                at,
-                requests: Vec::new(),
-            });
-            self.crashes.len() - 1
-        });
-        let crash = &mut self.crashes[index];
-        crash.at = crash.at.min(at);
-        for parts in requests {
-            crash.add_request(parts);
+impl ServedPart {
+    /// Returns the part and its position.
+    pub(crate) fn request_part(&self) -> RequestPart {
+        RequestPart {
+            part: self.part,
+            position: self.position,
         }
     }
+}
 
-    /// Returns the crashes.
-    pub fn iter(&self) -> impl Iterator<Item = &Crash> {
-        self.crashes.iter()
-    }
-
-    /// Returns whether there are none.
-    pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty()
-    }
-
-    /// Returns the parts of the requests of all crashes.
-    pub fn lost_parts(&self) -> impl Iterator<Item = &RequestPart> {
-        self.crashes.iter().flat_map(Crash::lost_parts)
+common_derives! {wire:
+    /// Suspect that is being tried.
+    #[derive(Copy, Eq)]
+    pub struct TrialReport {
+        /// The suspect.
+        pub part: PartId,
+        /// Time since the trial began, in milliseconds.
+        pub age_ms: u32,
     }
+}
 
-    /// Returns whether a request with a part was lost in a crash.
-    pub fn involves(&self, part: PartId) -> bool {
-        self.crashes.iter().any(|it| it.involves(part))
+common_derives! {wire:
+    /// What an entry knows of crashes and of the parts involved, for the other entries.
+    #[derive(Eq, Default)]
+    pub struct SuspectNews {
+        /// Crashes that are kept.
+        pub crashes: Vec<CrashReport>,
+        /// When parts of these crashes were served last by any entry, and some parts served at the
+        /// positions of suspects.
+        pub served: Vec<ServedPart>,
+        /// Trials of suspects that have no result yet.
+        pub trials: Vec<TrialReport>,
     }
+}
 
-    /// Keeps the crashes younger than their age limit and, of too many, first those with suspects,
-    /// then the newest. `has_suspects` says of each crash, in order, whether it has any, and
-    /// `age_limit` returns the limit for both cases.
-    pub fn forget(
-        &mut self,
-        now: Timestamp,
-        max_crashes: usize,
-        has_suspects: &[bool],
-        age_limit: impl Fn(bool) -> Duration,
-    ) {
-        let crashes = std::mem::take(&mut self.crashes).into_iter();
-        let mut kept: Vec<(bool, Crash)> = has_suspects.iter().copied().zip(crashes).collect();
-        kept.retain(|(has_suspects, it)| now < it.at + age_limit(*has_suspects));
-        kept.sort_by_key(|(has_suspects, it)| std::cmp::Reverse((*has_suspects, it.at)));
-        kept.truncate(max_crashes);
-        self.crashes = kept.into_iter().map(|(_, it)| it).collect();
-    }
+/// Returns whether a request has one part only.
+pub(crate) fn is_plain(parts: &[RequestPart]) -> bool {
+    parts.len() <= 1
 }
 
 /// Returns the time since `at` in milliseconds.
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -22,17 +22,11 @@
 
 use std::time::Duration;
 
-use jj_utils::{
-    clock::Timestamp,
-    collections::{FastMap, FastSet},
-    common_derives,
-};
+use jj_utils::{clock::Timestamp, collections::FastMap, common_derives};
 
 use crate::{
-    crash_reports::{
-        Crash, CrashLog, CrashReport, MAX_CRASHES, PartId, PartPosition, RequestPart,
-        WHOLE_REQUEST, age_ms, time_of,
-    },
+    crash_log::{Crash, CrashLog},
+    crash_reports::{MAX_CRASHES, PartId, PartPosition, RequestPart, WHOLE_REQUEST},
     load_sums::ServerTag,
     served_parts::ServedParts,
 };
@@ -84,54 +78,6 @@
     }
 }
 
-common_derives! {wire:
-    /// Part that was served.
-    #[derive(Copy, Eq)]
-    pub struct ServedPart {
-        /// The part.
-        pub part: PartId,
-        /// A position at which it was served.
-        pub position: PartPosition,
-        /// Time since then, in milliseconds.
-        pub age_ms: u32,
-    }
-}
-
-impl ServedPart {
-    /// Returns the part and its position.
-    fn request_part(&self) -> RequestPart {
-        RequestPart {
-            part: self.part,
-            position: self.position,
-        }
-    }
-}
-
-common_derives! {wire:
-    /// Suspect that is being tried.
-    #[derive(Copy, Eq)]
-    pub struct TrialReport {
-        /// The suspect.
-        pub part: PartId,
-        /// Time since the trial began, in milliseconds.
-        pub age_ms: u32,
-    }
-}
-
-common_derives! {wire:
-    /// What an entry knows of crashes and of the parts involved, for the other entries.
-    #[derive(Eq, Default)]
-    pub struct SuspectNews {
-        /// Crashes that are kept.
-        pub crashes: Vec<CrashReport>,
-        /// When parts of these crashes were served last by any entry, and some parts served at the
-        /// positions of suspects.
-        pub served: Vec<ServedPart>,
-        /// Trials of suspects that have no result yet.
-        pub trials: Vec<TrialReport>,
-    }
-}
-
 common_derives! {copy:
     /// Whether a request may be sent to a server.
     pub enum PromptAdmission {
@@ -152,17 +98,6 @@
     }
 }
 
-common_derives! {copy:
-    /// What applying news of another entry has changed.
-    #[derive(Default)]
-    pub struct NewsEffect {
-        /// Whether the suspects may have changed here.
-        pub is_new: bool,
-        /// Whether this entry knows something that the sender doesn't and needs.
-        pub needs_reply: bool,
-    }
-}
-
 /// What is concluded about one suspect.
 #[derive(Debug, Clone, PartialEq)]
 struct Suspect {
@@ -188,11 +123,11 @@
 /// [`HISTORY`].
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
-    config: SuspectConfig,
-    crashes: CrashLog,
-    served: ServedParts,
+    pub(crate) config: SuspectConfig,
+    pub(crate) crashes: CrashLog,
+    pub(crate) served: ServedParts,
     /// When the running trial of a suspect began.
-    trials: FastMap<PartId, Timestamp>,
+    pub(crate) trials: FastMap<PartId, Timestamp>,
     /// Conclusions from the crashes and the served parts.
     suspects: FastMap<PartId, Suspect>,
     /// Positions at which parts that were never served are held, and the last crash by a part there.
@@ -201,7 +136,7 @@
 
 /// Added to all times that are kept, so that those before the start of this process's clock, of
 /// which other entries tell, can be represented.
-const HISTORY: Duration = Duration::from_secs(24 * 3_600);
+pub(crate) const HISTORY: Duration = Duration::from_secs(24 * 3_600);
 
 impl CrashSuspects {
     /// Records that the response to a request with these parts has begun; returns whether that has
@@ -307,100 +242,6 @@
         }
     }
 
-    /// Returns what other entries need to know; `None` if there is nothing.
-    pub fn news(&self, now: Timestamp) -> Option<SuspectNews> {
-        if self.crashes.is_empty() {
-            return None;
-        }
-        let now = now + HISTORY;
-        let crashes = self.crashes.iter().map(|it| it.report(now));
-        let trials = self.trials.iter().map(|(part, began)| TrialReport {
-            part: *part,
-            age_ms: age_ms(now, *began),
-        });
-        Some(SuspectNews {
-            crashes: crashes.collect(),
-            served: self.served_to_tell(now),
-            trials: trials.collect(),
-        })
-    }
-
-    /// Returns when the parts of crashes were served, and for each of their positions enough parts
-    /// served there to show that it is usual.
-    fn served_to_tell(&self, now: Timestamp) -> Vec<ServedPart> {
-        let lost = || self.crashes.lost_parts().copied();
-        let positions: FastSet<PartPosition> = lost().map(|it| it.position).collect();
-        let usual = positions
-            .into_iter()
-            .flat_map(|it| self.served_at_position(it));
-        let mut parts: Vec<RequestPart> = lost().chain(usual).collect();
-        parts.sort_unstable();
-        parts.dedup();
-        let known = parts
-            .iter()
-            .filter_map(|it| Some((*it, self.served.last_served(it.part)?)));
-        let told = known.map(|(RequestPart { part, position }, at)| ServedPart {
-            part,
-            position,
-            age_ms: age_ms(now, at),
-        });
-        told.collect()
-    }
-
-    /// Returns parts served at a position, as many as make it a usual one.
-    fn served_at_position(&self, position: PartPosition) -> impl Iterator<Item = RequestPart> {
-        let there = self.served.at_position(position);
-        there.take(self.config.min_served)
-    }
-
-    /// Applies the news of another entry.
-    pub fn apply_news(&mut self, now: Timestamp, news: &SuspectNews) -> NewsEffect {
-        let now = now + HISTORY;
-        for report in &news.crashes {
-            let at = time_of(now, report.age_ms);
-            self.add_crash(at, report.server, &report.requests);
-        }
-        let needs_reply = self.knows_more(now, news);
-        for it in &news.served {
-            self.set_served(time_of(now, it.age_ms), it.request_part());
-        }
-        for TrialReport { part, age_ms } in &news.trials {
-            let at = time_of(now, *age_ms);
-            let trial = self.trials.entry(*part).or_insert(at);
-            *trial = at.max(*trial);
-        }
-        NewsEffect {
-            is_new: self.conclude(now),
-            needs_reply,
-        }
-    }
-
-    /// Returns whether this entry knows of a served part that the sender of some news would judge
-    /// otherwise if it knew.
-    fn knows_more(&self, now: Timestamp, news: &SuspectNews) -> bool {
-        let told = |part: PartId| news.served.iter().find(|it| it.part == part);
-        let knows_more_of = |crashed_at: Timestamp, part: PartId| {
-            let clears = |served_at: Timestamp| served_at > crashed_at;
-            let known = self.served.last_served(part);
-            match (known, told(part)) {
-                (Some(known), Some(told)) => clears(known) && !clears(time_of(now, told.age_ms)),
-                (known, told) => known.is_some() && told.is_none(),
-            }
-        };
-        let knows_more_at = |position: PartPosition| {
-            let there = news.served.iter().filter(|it| it.position == position);
-            there.count() < self.config.min_served
-                && self
-                    .served_at_position(position)
-                    .any(|own| news.served.iter().all(|it| it.request_part() != own))
-        };
-        news.crashes.iter().any(|report| {
-            let at = time_of(now, report.age_ms);
-            let mut lost = report.requests.iter().flatten();
-            lost.any(|it| knows_more_of(at, it.part) || knows_more_at(it.position))
-        })
-    }
-
     /// Returns the last crash of any of some suspects.
     fn last_crash(&self, suspects: &[PartId]) -> Timestamp {
         let suspects = suspects.iter().filter_map(|it| self.suspects.get(it));
@@ -435,20 +276,25 @@
     }
 
     /// Records when a part was served, and where; returns whether it never was before.
-    fn set_served(&mut self, at: Timestamp, part: RequestPart) -> bool {
+    pub(crate) fn set_served(&mut self, at: Timestamp, part: RequestPart) -> bool {
         self.trials.remove(&part.part);
         self.served.record(at, part, self.config.max_served)
     }
 
     /// Adds the requests of a crash.
-    fn add_crash(&mut self, at: Timestamp, server: ServerTag, requests: &[Vec<RequestPart>]) {
+    pub(crate) fn add_crash(
+        &mut self,
+        at: Timestamp,
+        server: ServerTag,
+        requests: &[Vec<RequestPart>],
+    ) {
         let window = self.config.crash_window;
         self.crashes.add(at, server, requests, window);
     }
 
     /// Draws the conclusions from what is known; returns whether the suspects are others than
     /// before.
-    fn conclude(&mut self, now: Timestamp) -> bool {
+    pub(crate) fn conclude(&mut self, now: Timestamp) -> bool {
         self.forget_crashes(now);
         let mut suspects: FastMap<PartId, Suspect> = FastMap::default();
         for crash in self.crashes.iter() {
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -5,11 +5,11 @@
 
 use googletest::prelude::*;
 use jj_policy::{
-    crash_reports::{self, CrashReport, MAX_CRASHES, PartId, RequestPart},
-    crash_suspects::{
-        CrashSuspects, NewsEffect, PromptAdmission, ServedPart, SuspectConfig, SuspectNews,
-        TrialReport,
+    crash_reports::{
+        self, CrashReport, MAX_CRASHES, PartId, RequestPart, ServedPart, SuspectNews, TrialReport,
     },
+    crash_suspects::{CrashSuspects, PromptAdmission, SuspectConfig},
+    suspect_exchange::NewsEffect,
 };
 use jj_utils::clock::Timestamp;
 use rand::{RngExt, SeedableRng};
