review: a request that crashes servers before the head of a stream comes again without end

Cause: a connection of a stream that is lost before the head never counts as a crash of the server. Change: a script; the scripts' routes are those of the site.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,8 +21,8 @@
 async def case(record, addresses, programs, trouble):
     store = Store()
     await store.listen(addresses.ip(1), addresses.store)
-    store.put("op/config", config(3, [route("lc-draft", "/lohu930/", "streaming", "llm",
-                                            gapTargetMs=120)], [service("llm", engine=engine())]))
+    store.put("op/config", config(3, [route("lc-draft", "/lohu930/", "streaming", "llm")],
+                                  [service("llm", engine=engine())]))
     group = Group(SIZE, record)
     passes = asyncio.create_task(group.run())
     servers = [addresses.ip(2 + index) for index in range(SIZE)]
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -15,6 +15,8 @@
         "targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2,
         "anonymous": False,
     }
+    if kind == "streaming":
+        fields |= {"sessionAffinity": True, "streamResume": True, "gapTargetMs": 120}
     return {**fields, **more}
 
 
