--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 ZONE = "nam-a"
 SIZE = 4
 # The agents that are killed, and the seconds after which each is started again.
-KILLED = {1: 0.6, 0: 1.6}
+KILLED = {1: 0.3, 0: 0.8}
 
 
 async def case(record, addresses, programs, trouble):
