fix(rank): an order that an engine answers as done is not taken for a counted one

Callers saw: a pause of one to three passes at each switch of the expert map, longer in a takeover, where each rank gets two orders more.

Cause: the run that leads a switch predicts the number of orders that an engine has counted, since the next order has to name it. It took 200 and 202 alike and added one. Engines answer 202 where an order has begun something, and count that; 200 where the state holds or the order is done. On engines that answer 200 to holds, activations and releases and count none of them, each release named a number that was one too high, was refused with 409, and was sent again after the gate had been read once more, with the group waiting.

Change: the outcome of an order says whether the engine has counted it. The stand-in of the group answers 200 where the state holds, as the protocol says, and can count loads only.

Why it works: the next number is known from the answer, not guessed.

--- a/crates/policy/src/switch_messages.rs
+++ b/crates/policy/src/switch_messages.rs
@@ -111,7 +111,7 @@
     /// Result of an order to an engine.
     #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
     pub enum RankOrderOutcome {
-        /// The engine has accepted the order.
+        /// The engine has accepted the order and counted it.
         Accepted,
         /// The order does not fit the engine's state.
         Refused,
@@ -119,10 +119,17 @@
         Fenced,
         /// No answer was received; the order may still be executed later.
         Unknown,
+        /// The state that the order asks for is in force, and the engine has not counted the order.
+        InForce,
     }
 }
 
 impl RankOrderOutcome {
+    /// Returns whether the state that the order asks for is in force now.
+    pub fn is_in_force(self) -> bool {
+        matches!(self, Self::Accepted | Self::InForce)
+    }
+
     /// Returns the name in metrics and logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -130,6 +137,7 @@
             Self::Refused => "refused",
             Self::Fenced => "fenced",
             Self::Unknown => "unanswered",
+            Self::InForce => "in_force",
         }
     }
 }
@@ -251,29 +259,26 @@
     }
 }
 
-/// Returns the state of an engine after it has accepted an order.
-pub fn apply_order(view: RankView, order: SwitchOrder) -> RankView {
-    let sequence = view.sequence + 1;
+/// Returns the state of an engine after an order is in force; an order that the engine has
+/// `counted` raises its sequence.
+pub fn apply_order(view: RankView, order: SwitchOrder, counted: bool) -> RankView {
+    let view = RankView {
+        sequence: view.sequence + u64::from(counted),
+        ..view
+    };
     match order {
         SwitchOrder::Hold(pass) => RankView {
-            sequence,
             held: Some(pass),
             ..view
         },
         SwitchOrder::Activate(activation) => RankView {
-            sequence,
             active: Some(activation),
             ..view
         },
         SwitchOrder::Cancel(_) => RankView {
-            sequence,
             active: None,
             ..view
         },
-        SwitchOrder::Release(_) => RankView {
-            sequence,
-            held: None,
-            ..view
-        },
+        SwitchOrder::Release(_) => RankView { held: None, ..view },
     }
 }
--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -331,7 +331,7 @@
         };
         let view = progress.view.take();
         match outcome {
-            RankOrderOutcome::Accepted => {}
+            RankOrderOutcome::Accepted | RankOrderOutcome::InForce => {}
             RankOrderOutcome::Unknown => {
                 self.may_have_effect = true;
                 return;
@@ -348,7 +348,8 @@
             // The state after the order has to be read from the engine.
             return;
         }
-        progress.view = view.map(|view| apply_order(view, order));
+        let counted = outcome == RankOrderOutcome::Accepted;
+        progress.view = view.map(|view| apply_order(view, order, counted));
     }
 
     fn handle_deputy_reply(&mut self, state: DeputyState, is_fenced: bool) {
--- a/crates/rank/src/deputy.rs
+++ b/crates/rank/src/deputy.rs
@@ -45,7 +45,7 @@
     }
     let hold = RankOrder::Hold { pass };
     let held = send_order(state, &goal, request.gate, &hold).await;
-    if held != RankOrderOutcome::Accepted {
+    if !held.is_in_force() {
         return reply(state, from, request.number, held);
     }
     // Another agent may have taken the switch over in the meantime.
@@ -59,7 +59,7 @@
     record_state(state, &goal, DeputyState::Unknown);
     let activate = RankOrder::Activate(activation);
     let activated = send_order(state, &goal, request.leader, &activate).await;
-    if activated == RankOrderOutcome::Accepted {
+    if activated.is_in_force() {
         record_state(state, &goal, DeputyState::Active(activation));
     }
     reply(state, from, request.number, activated);
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -98,8 +98,7 @@
 
 /// Orders an engine whose agent does not answer to load a map, and waits for the load. Returns none
 /// if the engine can't be read, can't load the map or does not confirm the load; if it only did not
-/// accept the order, returns its state before. Reports read from another instance may be old, so one
-/// confirms the load only if it counts exactly one more accepted order.
+/// accept the order, returns its state before.
 pub async fn load_remote(
     engine: &EngineClient,
     goal: &Goal,
@@ -123,21 +122,20 @@
         }
     };
     let outcome = send_order(engine, &view, goal, &order).await;
-    let outcome = Some(outcome);
-    if outcome != Some(RankOrderOutcome::Accepted) {
+    if !outcome.is_in_force() {
         log::debug!("remote engine did not accept the load of the map: {outcome:?}");
+        let outcome = Some(outcome);
         return Some(StepResult { view, outcome });
     }
+    let outcome = Some(outcome);
     for _ in 0..MAX_REMOTE_POLLS {
         tokio::time::sleep(REMOTE_POLL_INTERVAL).await;
         let Ok(report) = engine.fetch_report(REMOTE_REPORT_TIMEOUT).await else {
             continue;
         };
-        let view_after = report.view;
-        let is_loaded = view_after.loaded == Some(goal.version);
-        if is_loaded && view_after.sequence == view.sequence + 1 {
+        if report.view.loaded == Some(goal.version) {
             return Some(StepResult {
-                view: view_after,
+                view: report.view,
                 outcome,
             });
         }
@@ -207,7 +205,7 @@
         return unchanged(None);
     };
     let outcome = send_order(engine, view, goal, &order).await;
-    if outcome != RankOrderOutcome::Accepted {
+    if !outcome.is_in_force() {
         log_event!(
             events::ORDER_NOT_TAKEN,
             version = goal.version, term = goal.term, sequence = view.sequence,
@@ -220,8 +218,9 @@
         let now = state.clock.now();
         state.group.borrow_mut().loading_map = Some((goal.version, now));
     }
+    let counted = outcome == RankOrderOutcome::Accepted;
     let view = RankView {
-        sequence: view.sequence + 1,
+        sequence: view.sequence + u64::from(counted),
         ..*view
     };
     StepResult {
