--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -169,6 +169,9 @@
         pub goal: Goal,
         /// The map, while the rank has to load it and has not acknowledged it.
         pub map: Option<MapDelta>,
+        /// Version of the switch's map, also once it need not be loaded; 0 if the sender doesn't
+        /// know it.
+        pub switch_version: MapVersion,
     }
 }
 
@@ -286,6 +289,8 @@
             server: SocketAddr,
             /// Number of orders that the leader's engine has accepted.
             leader_sequence: u64,
+            /// Process of the deputy to which the request goes.
+            deputy: Incarnation,
         },
         /// Rejection of a request whose term is lower than one that the agent has accepted.
         HigherTerm {
@@ -309,6 +314,9 @@
             state: DeputyState,
             /// Whether an engine refused the deputy's last order because it has seen a higher term.
             is_fenced: bool,
+            /// Version of the map of the switch that `state` is about; 0 if the deputy has no
+            /// record of any switch.
+            version: MapVersion,
         },
         /// Request of a leader for the experts of a rank under the map in force.
         AskExperts,
@@ -347,17 +355,26 @@
         postcard::to_stdvec(self).ok()
     }
 
-    /// Decodes a message of a build that knew no eras of the store.
-    fn decode_without_era(bytes: &[u8]) -> Option<Self> {
+    /// Decodes a message of a build before the last one, which lacks the field that was added at the
+    /// end of its kind since.
+    fn decode_shorter(bytes: &[u8]) -> Option<Self> {
         let message: Self = wire::decode_any_build(bytes).ok()?;
-        let has_era = matches!(message, Self::Hello(_) | Self::InFlight { .. });
-        has_era.then_some(message)
+        let was_extended = matches!(
+            message,
+            Self::Hello(_)
+                | Self::InFlight { .. }
+                | Self::RankTask(_)
+                | Self::TaskBatch { .. }
+                | Self::DelegateActivation { .. }
+                | Self::DeputyReply { .. }
+        );
+        was_extended.then_some(message)
     }
 
     /// Decodes a datagram; returns none if it is malformed or holds implausible values.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let decoded = postcard::from_bytes(bytes).ok();
-        let message: Self = decoded.or_else(|| Self::decode_without_era(bytes))?;
+        let message: Self = decoded.or_else(|| Self::decode_shorter(bytes))?;
         message.is_plausible().then_some(message)
     }
 }
--- a/crates/news/src/plausible.rs
+++ b/crates/news/src/plausible.rs
@@ -114,12 +114,16 @@
 
 fn is_valid_view(view: &RankView) -> bool {
     let numbers = [view.epoch, view.pass, view.sequence, view.map];
-    numbers.into_iter().all(is_valid_number)
+    let active = view.active.map(|it| it.version.max(it.pass));
+    let optional = [view.loaded, view.held, active].into_iter().flatten();
+    numbers.into_iter().chain(optional).all(is_valid_number)
 }
 
 fn is_valid_task(task: &RankTask) -> bool {
     let roles = [task.roles.leader, task.roles.deputy, task.roles.gate];
-    roles.into_iter().all(is_valid_rank) && is_valid_goal(&task.goal)
+    roles.into_iter().all(is_valid_rank)
+        && is_valid_goal(&task.goal)
+        && is_valid_number(task.switch_version)
 }
 
 fn is_valid_batch(batch: &OrderBatch) -> bool {
--- a/crates/policy/src/switch_messages.rs
+++ b/crates/policy/src/switch_messages.rs
@@ -75,11 +75,31 @@
         NotOrdered,
         /// The engine has accepted the activation.
         Active(Activation),
-        /// The deputy has sent the activation; its outcome is unknown.
+        /// The deputy has sent the activation and doesn't know the outcome, or has no record of
+        /// the switch.
         Unknown,
     }
 }
 
+common_derives! {copy:
+    /// What a deputy says about its orders.
+    pub struct DeputyReport {
+        /// Version of the map of the switch that the report is about; 0 if the deputy has no
+        /// record of any switch.
+        pub version: MapVersion,
+        /// State of the activation in that switch.
+        pub state: DeputyState,
+    }
+}
+
+impl DeputyReport {
+    /// Report of a deputy that knows of no switch, such as one that has just started.
+    pub const UNINFORMED: Self = Self {
+        version: 0,
+        state: DeputyState::Unknown,
+    };
+}
+
 common_derives! {wire:
     /// Order to an engine in a switch after the map was loaded: to hold or release a pass, to
     /// activate the map or to cancel the activation.
@@ -167,7 +187,7 @@
         /// Reply of the deputy.
         DeputyReply {
             /// What the deputy knows of the leader's engine.
-            state: DeputyState,
+            report: DeputyReport,
             /// Whether an engine refused one of the deputy's orders because of a higher term.
             is_fenced: bool,
         },
@@ -282,3 +302,45 @@
         SwitchOrder::Release(_) => RankView { held: None, ..view },
     }
 }
+
+/// Number of passes between a held pass and the one for which the gate's map is activated to mark
+/// a switch as rolled back; a group never gets there before the mark is removed.
+const ROLLBACK_PASSES: Pass = 1 << 32;
+
+common_derives! {copy:
+    /// Decision on a switch, which the engine of the gate keeps while it holds a pass. It outlives
+    /// the agents, and changes only from open to one of the others and from committed to rolled
+    /// back.
+    pub enum Decision {
+        /// None yet: no rank but the leader's can have an order to activate the map.
+        Open,
+        /// The switch is completed; the leader's engine has activated the map.
+        Committed(Activation),
+        /// The switch is rolled back.
+        RolledBack,
+    }
+}
+
+/// Returns the decision that the gate shows while it holds `pass`.
+pub fn decision(gate: &RankView, pass: Pass) -> Decision {
+    match gate.active {
+        None => Decision::Open,
+        Some(active) if active.pass == pass => Decision::Committed(active),
+        Some(_) => Decision::RolledBack,
+    }
+}
+
+/// Returns the activation that marks a switch as rolled back, for the map that the gate has loaded.
+pub fn rollback_mark(version: MapVersion, pass: Pass) -> Activation {
+    Activation {
+        version,
+        pass: pass.saturating_add(ROLLBACK_PASSES),
+    }
+}
+
+/// Returns whether a rank still has the mark of a switch that was rolled back, and holds no pass.
+pub fn has_stale_mark(view: &RankView) -> bool {
+    let far = view.pass.saturating_add(ROLLBACK_PASSES / 2);
+    let is_mark = |it: Activation| it.pass > far;
+    view.held.is_none() && view.active.is_some_and(is_mark)
+}
--- a/crates/policy/src/switch_run.rs
+++ b/crates/policy/src/switch_run.rs
@@ -2,20 +2,28 @@
 //! switch, or takes it over from a leader that is gone.
 //!
 //! All ranks load the map, each by its own agent. Then the leader's deputy holds a pass at one
-//! rank, the gate, and activates the map at the leader's engine; the leader activates it at all
-//! other ranks and releases the pass at the gate.
+//! rank, the gate, and activates the map at the leader's engine. The leader records the decision
+//! to switch at the gate, by activating the map there; only then it activates the map at the other
+//! ranks, and releases the pass.
 //!
 //! When an instance stops, its engine becomes unreachable together with its agent. So while a pass
-//! is held, no agent sends orders to its own engine (a leader whose deputy does not reply does, to
-//! roll back), and the leader sends none to the others before its own engine has activated the map.
-//! An agent that takes over can then find out what was ordered: orders to the leader's engine are
-//! known to the deputy, and orders to other engines show in their views.
+//! is held, no agent sends orders to its own engine (a leader that rolls back does), and an agent
+//! that takes over must be able to find out what was ordered. It relies on nothing that an agent
+//! remembers unless no later order can have changed it:
 //!
-//! A view is requested by a numbered task and was read after that task was sent. The release
-//! carries the sequence from a view of the gate that was read before the other ranks were
-//! confirmed, so it is void if the gate has accepted another order since. To roll a switch back,
-//! each rank to which an order may be under way first accepts another order, which voids the late
-//! one.
+//! - The decision stands at the gate's engine, see [`Decision`]. While it is open, only the
+//!   leader's engine can have activated the map. Once the switch is committed, the leader's engine
+//!   has activated it, and nobody cancels an activation; the switch can only be completed, or
+//!   rolled back after the decision has been changed. Once it is rolled back, it stays so until the
+//!   pass has been released.
+//! - The deputy is the only agent that activates the map at the leader's engine while the decision
+//!   is open. Its report counts if it names this switch.
+//! - A takeover first sends the gate an order that changes nothing, so that the gate refuses
+//!   orders with lower terms, and reads the decision after that.
+//!
+//! A view is requested by a numbered task and was read after that task was sent. An order names
+//! the number of orders that the engine had counted at that view, and the term of the run; an
+//! engine that counts orders or checks terms refuses one that comes after another agent's.
 
 use std::time::Duration;
 
@@ -26,8 +34,9 @@
 
 use crate::map_switch::{Activation, Goal, Pass, RankView};
 pub use crate::switch_messages::{
-    DeputyState, Ending, MAX_TERM_RAISES, RankOrderOutcome, SwitchInput, SwitchOrder, SwitchOutput,
-    SwitchRoles, apply_order, next_term, raised_term,
+    Decision, DeputyReport, DeputyState, Ending, MAX_TERM_RAISES, RankOrderOutcome, SwitchInput,
+    SwitchOrder, SwitchOutput, SwitchRoles, apply_order, decision, has_stale_mark, next_term,
+    raised_term,
 };
 
 common_derives! {copy:
@@ -37,18 +46,14 @@
         Load,
         /// The deputy holds a pass and activates the map at the leader's engine.
         Deputy,
-        /// The map is activated at the other ranks, then the pass is released.
+        /// The switch is committed at the gate and completed at the other ranks.
         Forward,
         /// The switch is rolled back.
         Back,
-        /// A takeover queries the gate whether it holds a pass.
+        /// A takeover reads the decision at the gate.
         FindGate,
-        /// A takeover queries the deputy about its orders to the leader's engine.
-        FindDeputy,
-        /// A takeover queries the leader's engine.
+        /// A takeover queries the deputy and the leader's engine.
         FindLeader,
-        /// A takeover queries the other ranks.
-        FindOthers,
         /// The run has ended.
         Ended,
     }
@@ -61,51 +66,76 @@
 /// stopped.
 const DEPUTY_TIMEOUT: Duration = Duration::from_millis(140);
 
-/// Time limit for a query to one rank while the group may wait at a held pass.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time limit to read the gate, or the deputy and the leader's engine, in a takeover. A rank that
+/// is silent for longer may be reached by the next agent that takes over.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Time limit to release a held pass before another agent may take over.
 const HELD_PASS_TIMEOUT: Duration = Duration::from_secs(2);
 
 common_derives! {copy:
-    /// Step of the protocol that a run is at. `sequence` is that of the gate, from a view that was
-    /// read before the other ranks were confirmed.
-    enum Phase {
+    /// Step of the protocol that a run is at. `sequence` is that of the gate at the decision on
+    /// which the step is based.
+    pub(crate) enum Phase {
         Loading,
-        /// `is_confirmed` tells whether the deputy has reported the activation.
-        DelegateActivation { is_requested: bool, is_confirmed: bool, attempts: u32 },
-        /// Rolls back at the leader's own engine, the only one where the map may be activated.
-        DeactivateOwn,
-        ActivateGate,
-        ActivateOthers,
-        ReleaseGate { sequence: u64 },
-        /// The gate is deactivated first; an order that it accepts later voids the release.
-        DeactivateGate,
-        DeactivateOthers { sequence: u64 },
-        /// Releases the holds that were ordered only to void late orders.
-        ReleaseOthers { sequence: u64 },
-        /// Releases the pass at the gate without a switch.
-        ReleaseGateUnswitched { sequence: u64 },
-        FindGate,
-        FindDeputy,
-        FindLeader { deputy: Option<DeputyState> },
-        FindOthers { sequence: u64 },
+        /// The deputy is asked to hold the pass and to activate the map at the leader's engine.
+        DelegateActivation { is_requested: bool, attempts: u32 },
+        /// The leader rolls its own switch back.
+        Withdraw,
+        CommitAtGate { sequence: u64 },
+        ActivateOthers { sequence: u64 },
+        ReleaseSwitched { sequence: u64 },
+        MarkRollback,
+        /// `sequence` is `None` if the gate can't be marked, since it has loaded no map.
+        Deactivate { sequence: u64 },
+        ReleaseUnswitched { sequence: u64 },
+        /// Removes the mark of the rollback, once the released pass has begun.
+        RemoveMark,
+        FindGate { is_fenced: bool },
+        /// `deputy_ticks` counts the times that the deputy was asked again; `None` once it has
+        /// replied.
+        FindLeader { sequence: u64, deputy_ticks: Option<u32> },
         Ended,
     }
 }
 
+common_derives! {copy:
+    /// Ranks that may have activated the map when a switch is rolled back.
+    pub(crate) enum RollbackScope {
+        /// The leader's alone, since the decision was still open.
+        Leader,
+        /// All but the gate.
+        All,
+    }
+}
+
+common_derives! {copy:
+    /// Whether the decision at the gate was read after a view of another rank.
+    #[derive(Default)]
+    pub(crate) enum ViewAge {
+        /// It was not, and has not been requested since.
+        #[default]
+        Newer,
+        /// It has been requested since.
+        GateRequested,
+        /// It was.
+        Older,
+    }
+}
+
 common_derives! {key:
     /// State of a rank as far as a run knows it, and what the run waits for from the rank.
     #[derive(Default)]
-    struct RankProgress {
-        view: Option<RankView>,
+    pub(crate) struct RankProgress {
+        pub(crate) view: Option<RankView>,
+        /// Age of that view, against the last one of the gate.
+        pub(crate) view_age: ViewAge,
         /// Number of the unanswered task.
-        open_task: Option<u64>,
+        pub(crate) open_task: Option<u64>,
         /// Order without a known outcome.
-        open_order: Option<SwitchOrder>,
-        /// Whether the rank has accepted an order of this run, which voids older orders to it;
-        /// reset when a rollback or the release begins.
-        has_accepted_order: bool,
+        pub(crate) open_order: Option<SwitchOrder>,
+        /// Whether an order of this rollback is in force, which voids older orders to the rank.
+        pub(crate) has_obeyed: bool,
     }
 }
 
@@ -121,24 +151,26 @@
 const UNRELIABLE_LEAD_PASSES: Pass = 5;
 
 /// Maximum requests to the deputy; each names a later pass while none is held.
-const MAX_DELEGATION_ATTEMPTS: u32 = 5;
+pub(crate) const MAX_DELEGATION_ATTEMPTS: u32 = 5;
 
 common_derives! {key:
     /// One run of a switch by the agent that leads it or has taken it over.
     pub struct SwitchRun {
-        goal: Goal,
-        roles: SwitchRoles,
+        /// `version` is 0 in a takeover by an agent that doesn't know the switch.
+        pub(crate) goal: Goal,
+        pub(crate) roles: SwitchRoles,
         /// Rank of this agent.
-        own: Rank,
-        /// Whether another agent has begun the switch, so that its orders may still be under way.
-        is_takeover: bool,
-        /// Whether this takeover reaches the leader's engine with orders; never set in the leader's
-        /// own run.
-        may_order_leader: bool,
-        phase: Phase,
+        pub(crate) own: Rank,
+        /// Whether another agent has begun the switch.
+        pub(crate) is_takeover: bool,
+        pub(crate) phase: Phase,
+        /// Ranks that a rollback covers.
+        pub(crate) scope: RollbackScope,
+        /// Sequence of the gate at which a rollback found the decision open.
+        pub(crate) open_sequence: Option<u64>,
         /// Number of passes from the last begun one to the first one with the new map.
-        lead_passes: Pass,
-        ranks: Vec<RankProgress>,
+        pub(crate) lead_passes: Pass,
+        pub(crate) ranks: Vec<RankProgress>,
         /// Number of the last task.
         last_task: u64,
         /// How often the term was too low and has been raised.
@@ -146,7 +178,7 @@
         /// Whether the term was too low when it could not be raised any more.
         is_fenced: bool,
         /// Whether an order of this run or its deputy may have been executed.
-        may_have_effect: bool,
+        pub(crate) may_have_effect: bool,
     }
 }
 
@@ -162,8 +194,9 @@
         Self::start(goal, roles, (roles.leader, size), last_task, Phase::Loading)
     }
 
-    /// Takes over a switch whose leader is gone; returns the run and its first outputs. A switch
-    /// whose roles are unknown is rolled back, which needs the agents of all ranks.
+    /// Takes over a switch whose leader is gone; returns the run and its first outputs. The goal's
+    /// version is that of the switch's map, or 0 if the agent doesn't know the switch; unless it
+    /// is committed, it is rolled back then, for which all ranks have to be read.
     pub fn take_over(
         goal: Goal,
         roles: SwitchRoles,
@@ -171,7 +204,8 @@
         size: u32,
         last_task: u64,
     ) -> (Self, Vec<SwitchOutput>) {
-        Self::start(goal, roles, (own, size), last_task, Phase::FindGate)
+        let phase = Phase::FindGate { is_fenced: false };
+        Self::start(goal, roles, (own, size), last_task, phase)
     }
 
     fn start(
@@ -186,8 +220,9 @@
             roles,
             own,
             is_takeover: phase != Phase::Loading,
-            may_order_leader: false,
             phase,
+            scope: RollbackScope::All,
+            open_sequence: None,
             lead_passes: MIN_LEAD_PASSES + Pass::from(size / RANKS_PER_LEAD_PASS),
             ranks: vec![RankProgress::default(); size as usize],
             last_task,
@@ -260,18 +295,16 @@
         match self.phase {
             Phase::Loading => (Stage::Load, LOAD_TIMEOUT),
             Phase::DelegateActivation { .. } => (Stage::Deputy, DEPUTY_TIMEOUT),
-            Phase::ActivateGate | Phase::ActivateOthers | Phase::ReleaseGate { .. } => {
-                (Stage::Forward, HELD_PASS_TIMEOUT)
-            }
-            Phase::DeactivateOwn
-            | Phase::DeactivateGate
-            | Phase::DeactivateOthers { .. }
-            | Phase::ReleaseOthers { .. }
-            | Phase::ReleaseGateUnswitched { .. } => (Stage::Back, HELD_PASS_TIMEOUT),
-            Phase::FindGate => (Stage::FindGate, QUERY_TIMEOUT),
-            Phase::FindDeputy => (Stage::FindDeputy, QUERY_TIMEOUT),
+            Phase::CommitAtGate { .. }
+            | Phase::ActivateOthers { .. }
+            | Phase::ReleaseSwitched { .. } => (Stage::Forward, HELD_PASS_TIMEOUT),
+            Phase::Withdraw
+            | Phase::MarkRollback
+            | Phase::Deactivate { .. }
+            | Phase::ReleaseUnswitched { .. }
+            | Phase::RemoveMark => (Stage::Back, HELD_PASS_TIMEOUT),
+            Phase::FindGate { .. } => (Stage::FindGate, QUERY_TIMEOUT),
             Phase::FindLeader { .. } => (Stage::FindLeader, QUERY_TIMEOUT),
-            Phase::FindOthers { .. } => (Stage::FindOthers, QUERY_TIMEOUT * 2),
             Phase::Ended => (Stage::Ended, Duration::MAX),
         }
     }
@@ -289,8 +322,8 @@
                 outcome,
             } => self.handle_view(rank, number, view, outcome),
             SwitchInput::OrderOutcome { rank, outcome } => self.handle_order_outcome(rank, outcome),
-            SwitchInput::DeputyReply { state, is_fenced } => {
-                self.handle_deputy_reply(state, is_fenced)
+            SwitchInput::DeputyReply { report, is_fenced } => {
+                self.handle_deputy_reply(report, is_fenced)
             }
             SwitchInput::HigherTerm(term) if term > self.goal.term => {
                 self.raise_term_or_fence(next_term(term, self.own));
@@ -317,9 +350,31 @@
         }
         progress.open_task = None;
         progress.view = Some(view);
+        progress.view_age = ViewAge::Newer;
         if outcome == Some(RankOrderOutcome::Fenced) {
             self.handle_fenced();
         }
+        if rank == self.roles.gate {
+            self.record_gate_read();
+        }
+    }
+
+    /// Records that the gate was read after the views that were known when it was requested.
+    fn record_gate_read(&mut self) {
+        for progress in &mut self.ranks {
+            if progress.view_age == ViewAge::GateRequested {
+                progress.view_age = ViewAge::Older;
+            }
+        }
+    }
+
+    /// Records that the gate is read, or receives an order, after the views that are known now.
+    fn record_gate_requested(&mut self) {
+        for progress in &mut self.ranks {
+            if progress.view.is_some() && progress.view_age == ViewAge::Newer {
+                progress.view_age = ViewAge::GateRequested;
+            }
+        }
     }
 
     fn handle_order_outcome(&mut self, rank: Rank, outcome: RankOrderOutcome) {
@@ -337,59 +392,39 @@
                 return;
             }
             RankOrderOutcome::Fenced => return self.handle_fenced(),
-            RankOrderOutcome::Refused => return,
+            RankOrderOutcome::Refused => return self.handle_gate_order(rank),
         }
-        self.may_have_effect = true;
-        progress.has_accepted_order = true;
-        let deactivating = [Phase::DeactivateGate, Phase::DeactivateOwn];
-        let is_deactivating = deactivating.contains(&self.phase)
-            || matches!(self.phase, Phase::DeactivateOthers { .. });
-        if is_deactivating {
-            // The state after the order has to be read from the engine.
-            return;
+        // To hold a pass that is held already changes nothing.
+        self.may_have_effect |= !matches!(self.phase, Phase::FindGate { .. });
+        let is_first = !std::mem::replace(&mut progress.has_obeyed, true);
+        // An older order may have been executed between the view and the first order of a rollback.
+        let is_exact = !(is_first && matches!(self.phase, Phase::Deactivate { .. }));
+        if is_exact {
+            let counted = outcome == RankOrderOutcome::Accepted;
+            progress.view = view.map(|view| apply_order(view, order, counted));
+        }
+        if rank == self.roles.gate {
+            self.record_gate_read();
         }
-        let counted = outcome == RankOrderOutcome::Accepted;
-        progress.view = view.map(|view| apply_order(view, order, counted));
+        self.handle_gate_order(rank);
     }
 
-    fn handle_deputy_reply(&mut self, state: DeputyState, is_fenced: bool) {
+    fn handle_deputy_reply(&mut self, report: DeputyReport, is_fenced: bool) {
         match self.phase {
             Phase::DelegateActivation {
                 is_requested: true,
                 attempts,
-                ..
             } => {
                 if is_fenced {
                     return self.handle_fenced();
                 }
-                let is_confirmed = matches!(state, DeputyState::Active(_));
-                self.reread_roles(is_confirmed, attempts);
-            }
-            Phase::FindDeputy => {
-                self.phase = Phase::FindLeader {
-                    deputy: Some(state),
-                };
+                self.reread_roles(attempts);
             }
+            Phase::FindLeader { sequence, .. } => self.use_deputy_report(report, sequence),
             _ => {}
         }
     }
 
-    /// Reads the leader's engine and the gate again to learn the outcome of the deputy's orders.
-    /// Reads the deputy's engine as well: an order that is sent to an instance that has just
-    /// stopped would leave the state of its engine unknown.
-    fn reread_roles(&mut self, is_confirmed: bool, attempts: u32) {
-        for rank in [self.own, self.roles.gate, self.roles.deputy] {
-            let progress = &mut self.ranks[rank as usize];
-            progress.view = None;
-            progress.open_task = None;
-        }
-        self.phase = Phase::DelegateActivation {
-            is_requested: false,
-            is_confirmed,
-            attempts,
-        };
-    }
-
     /// Sends unanswered tasks and queries again.
     fn resend(&mut self) -> Vec<SwitchOutput> {
         let version = self.goal.version;
@@ -404,9 +439,9 @@
             Phase::DelegateActivation {
                 is_requested: true,
                 attempts,
-                ..
-            } => self.reread_roles(false, attempts),
-            Phase::FindDeputy => return vec![SwitchOutput::AskDeputy],
+            } => self.reread_roles(attempts),
+            // The pass that was released may have begun since.
+            Phase::RemoveMark => self.ranks[self.roles.gate as usize].view = None,
             _ => {}
         }
         let open = self.ranks.iter().enumerate();
@@ -414,6 +449,7 @@
         let mut outputs: Vec<SwitchOutput> = open
             .map(|(rank, number)| SwitchOutput::SendTask { rank, number })
             .collect();
+        outputs.extend(self.ask_deputy_again());
         outputs.extend(self.advance());
         outputs
     }
@@ -424,29 +460,21 @@
             // The deputy's engine is unreachable as well, so not all ranks can activate the map.
             Phase::DelegateActivation { .. } => {
                 self.clear_progress();
-                self.phase = Phase::DeactivateOwn;
-                self.advance()
-            }
-            Phase::FindDeputy => {
-                self.phase = Phase::FindLeader { deputy: None };
+                self.phase = Phase::Withdraw;
                 self.advance()
             }
-            Phase::FindLeader { deputy } => {
-                self.ranks[self.roles.leader as usize].open_task = None;
-                self.choose_direction(None, deputy)
-            }
             _ => self.end(Ending::Unclear),
         }
     }
 
-    fn end(&mut self, ending: Ending) -> Vec<SwitchOutput> {
+    pub(crate) fn end(&mut self, ending: Ending) -> Vec<SwitchOutput> {
         self.phase = Phase::Ended;
         vec![SwitchOutput::End(ending)]
     }
 
     /// Returns the next outputs that follow from what is known, and moves to the next phase where
     /// it can.
-    fn advance(&mut self) -> Vec<SwitchOutput> {
+    pub(crate) fn advance(&mut self) -> Vec<SwitchOutput> {
         if self.has_group_reformed() {
             return self.end(Ending::Lost);
         }
@@ -457,21 +485,21 @@
             Phase::Loading => self.load_map(),
             Phase::DelegateActivation {
                 is_requested,
-                is_confirmed,
                 attempts,
-            } => self.delegate_activation(is_requested, is_confirmed, attempts),
-            Phase::DeactivateOwn => self.deactivate_own(),
-            Phase::ActivateGate => self.activate_gate(),
-            Phase::ActivateOthers => self.activate_others(),
-            Phase::ReleaseGate { sequence } => self.release_gate(sequence),
-            Phase::DeactivateGate => self.deactivate_gate(),
-            Phase::DeactivateOthers { sequence } => self.deactivate_others(sequence),
-            Phase::ReleaseOthers { sequence } => self.release_others(sequence),
-            Phase::ReleaseGateUnswitched { sequence } => self.release_gate_unswitched(sequence),
-            Phase::FindGate => self.find_gate(),
-            Phase::FindDeputy => vec![SwitchOutput::AskDeputy],
-            Phase::FindLeader { deputy } => self.find_leader(deputy),
-            Phase::FindOthers { sequence } => self.find_others(sequence),
+            } => self.delegate_activation(is_requested, attempts),
+            Phase::Withdraw => self.withdraw(),
+            Phase::CommitAtGate { sequence } => self.commit_at_gate(sequence),
+            Phase::ActivateOthers { sequence } => self.activate_others(sequence),
+            Phase::ReleaseSwitched { sequence } => self.release_switched(sequence),
+            Phase::MarkRollback => self.mark_rollback(),
+            Phase::Deactivate { sequence } => self.deactivate(sequence),
+            Phase::ReleaseUnswitched { sequence } => self.release_unswitched(sequence),
+            Phase::RemoveMark => self.remove_mark(),
+            Phase::FindGate { is_fenced } => self.find_gate(is_fenced),
+            Phase::FindLeader {
+                sequence,
+                deputy_ticks,
+            } => self.find_leader(sequence, deputy_ticks),
             Phase::Ended => Vec::new(),
         }
     }
@@ -482,19 +510,41 @@
         views.any(|it| it.epoch != self.goal.epoch || !it.is_open)
     }
 
-    fn activation(&self) -> Activation {
+    /// Returns the held pass; 0 before one is held.
+    pub(crate) fn pass(&self) -> Pass {
+        self.goal.pass.unwrap_or_default()
+    }
+
+    pub(crate) fn activation(&self) -> Activation {
         Activation {
             version: self.goal.version,
-            pass: self.goal.pass.unwrap_or_default(),
+            pass: self.pass(),
         }
     }
 
-    fn view(&self, rank: Rank) -> Option<RankView> {
+    pub(crate) fn view(&self, rank: Rank) -> Option<RankView> {
         self.ranks.get(rank as usize)?.view
     }
 
+    /// Drops the views and unanswered tasks of some ranks, so that they are read again.
+    pub(crate) fn drop_views(&mut self, ranks: &[Rank]) {
+        for rank in ranks {
+            let progress = &mut self.ranks[*rank as usize];
+            progress.view = None;
+            progress.open_task = None;
+        }
+    }
+
+    /// Forgets the views of all ranks and which of them have obeyed.
+    pub(crate) fn clear_progress(&mut self) {
+        self.drop_views(&self.all_ranks());
+        for progress in &mut self.ranks {
+            progress.has_obeyed = false;
+        }
+    }
+
     /// Requests the view of a rank, unless it is known or an answer is awaited.
-    fn request_view(&mut self, rank: Rank) -> Option<SwitchOutput> {
+    pub(crate) fn request_view(&mut self, rank: Rank) -> Option<SwitchOutput> {
         let progress = &mut self.ranks[rank as usize];
         if progress.view.is_some() || progress.open_task.is_some() || progress.open_order.is_some()
         {
@@ -503,24 +553,28 @@
         self.last_task += 1;
         progress.open_task = Some(self.last_task);
         let number = self.last_task;
+        if rank == self.roles.gate {
+            self.record_gate_requested();
+        }
         Some(SwitchOutput::SendTask { rank, number })
     }
 
-    fn request_views(&mut self, ranks: &[Rank]) -> Vec<SwitchOutput> {
-        ranks
-            .iter()
-            .filter_map(|rank| self.request_view(*rank))
-            .collect()
+    pub(crate) fn request_views(&mut self, ranks: &[Rank]) -> Vec<SwitchOutput> {
+        let requests = ranks.iter().filter_map(|rank| self.request_view(*rank));
+        requests.collect()
     }
 
     /// Sends an order to a rank whose view is known, unless one is unanswered.
-    fn send_order(&mut self, rank: Rank, order: SwitchOrder) -> Option<SwitchOutput> {
+    pub(crate) fn send_order(&mut self, rank: Rank, order: SwitchOrder) -> Option<SwitchOutput> {
         let progress = &mut self.ranks[rank as usize];
         let sequence = progress.view?.sequence;
         if progress.open_order.is_some() {
             return None;
         }
         progress.open_order = Some(order);
+        if rank == self.roles.gate {
+            self.record_gate_requested();
+        }
         Some(SwitchOutput::SendOrder {
             rank,
             order,
@@ -528,396 +582,25 @@
         })
     }
 
-    fn all_ranks(&self) -> Vec<Rank> {
-        (0..self.ranks.len() as Rank).collect()
-    }
-
-    fn all_but_gate(&self) -> Vec<Rank> {
-        let mut ranks = self.all_ranks();
-        ranks.retain(|rank| *rank != self.roles.gate);
-        ranks
-    }
-
-    /// Returns all ranks without the gate, and without the leader unless this run may send it
-    /// orders.
-    fn others(&self) -> Vec<Rank> {
-        let mut others = self.all_but_gate();
-        others.retain(|rank| *rank != self.roles.leader || self.may_order_leader);
-        others
-    }
-
-    /// Sends each rank the order that `next` returns for its view, and requests the views that are
-    /// not known. Returns `None` once all views are known and need no order.
-    fn send_orders(
-        &mut self,
-        ranks: &[Rank],
-        next: impl Fn(&Self, Rank, &RankView) -> Option<SwitchOrder>,
-    ) -> Option<Vec<SwitchOutput>> {
-        let mut outputs = Vec::new();
-        let mut is_done = true;
-        for rank in ranks.iter().copied() {
-            let Some(view) = self.view(rank) else {
-                is_done = false;
-                outputs.extend(self.request_view(rank));
-                continue;
-            };
-            if let Some(order) = next(self, rank, &view) {
-                is_done = false;
-                outputs.extend(self.send_order(rank, order));
-            }
-        }
-        (!is_done).then_some(outputs)
-    }
-
-    /// Returns the next order that a rank needs to activate the map; `None` once it has. In a
-    /// takeover each rank has to accept an order of this run, which voids older ones under way to
-    /// it.
-    fn forward_order(&self, rank: Rank, view: &RankView) -> Option<SwitchOrder> {
-        let activation = self.activation();
-        if view.active != Some(activation) {
-            return Some(SwitchOrder::Activate(activation));
-        }
-        let is_certain = !self.is_takeover || self.ranks[rank as usize].has_accepted_order;
-        (!is_certain).then_some(SwitchOrder::Cancel(activation.version))
-    }
-
-    fn load_map(&mut self) -> Vec<SwitchOutput> {
-        let all = self.all_ranks();
-        let outputs = self.request_views(&all);
-        let version = Some(self.goal.version);
-        let is_loaded = |it: &RankProgress| it.view.is_some_and(|it| it.loaded == version);
-        if !self.ranks.iter().all(is_loaded) {
-            return outputs;
-        }
-        self.reread_roles(false, 0);
-        self.advance()
-    }
-
-    /// Asks the deputy to hold the pass and to activate the map at this engine, and reads the
-    /// result from the engines, since the deputy's orders may be lost or late. The leader proceeds
-    /// only once the deputy has confirmed: then it is known what was ordered, even if the deputy
-    /// stops later.
-    fn delegate_activation(
-        &mut self,
-        is_requested: bool,
-        is_confirmed: bool,
-        attempts: u32,
-    ) -> Vec<SwitchOutput> {
-        let (own, gate) = (self.own, self.roles.gate);
-        let deputy = self.roles.deputy;
-        let outputs = self.request_views(&[own, gate, deputy]);
-        let (Some(view), Some(gate_view)) = (self.view(own), self.view(gate)) else {
-            return outputs;
-        };
-        if self.view(deputy).is_none() {
-            return outputs;
-        }
-        self.goal.pass = gate_view.held;
-        let is_active = gate_view.held.is_some() && view.active == Some(self.activation());
-        if is_active && is_confirmed {
-            self.phase = Phase::ActivateGate;
-            return self.advance();
-        }
-        if is_requested {
-            return Vec::new();
-        }
-        if attempts >= MAX_DELEGATION_ATTEMPTS {
-            return match gate_view.held {
-                None => self.end(Ending::NotHeld),
-                // Late orders of several attempts may name different passes at gate and leader.
-                Some(_) => self.handle_timeout(),
-            };
-        }
-        self.may_have_effect = true;
-        self.phase = Phase::DelegateActivation {
-            is_requested: true,
-            is_confirmed: false,
-            attempts: attempts + 1,
-        };
-        vec![SwitchOutput::DelegateActivation {
-            pass: gate_view.held.unwrap_or(view.pass + self.lead_passes),
-            gate_sequence: gate_view.sequence,
-            leader_sequence: view.sequence,
-        }]
-    }
-
-    /// Makes the leader's own engine accept an order after which the map is not activated there,
-    /// then releases the gate. If the gate does not hold, the deputy's order may still be under
-    /// way; it is void once the gate has held a pass and released it.
-    fn deactivate_own(&mut self) -> Vec<SwitchOutput> {
-        let (own, gate) = (self.own, self.roles.gate);
-        let Some(gate_view) = self.view(gate) else {
-            return self.request_view(gate).into_iter().collect();
-        };
-        let Some(pass) = gate_view.held else {
-            let hold = SwitchOrder::Hold(gate_view.pass + MIN_LEAD_PASSES);
-            return self.send_order(gate, hold).into_iter().collect();
-        };
-        self.goal.pass = Some(pass);
-        let Some(view) = self.view(own) else {
-            return self.request_view(own).into_iter().collect();
-        };
-        let order = match (view.active, view.held) {
-            (Some(active), _) => SwitchOrder::Cancel(active.version),
-            (None, Some(held)) => SwitchOrder::Release(held),
-            (None, None) if !self.ranks[own as usize].has_accepted_order => SwitchOrder::Hold(pass),
-            (None, None) => {
-                self.phase = Phase::ReleaseGateUnswitched {
-                    sequence: gate_view.sequence,
-                };
-                return self.advance();
-            }
-        };
-        self.send_order(own, order).into_iter().collect()
-    }
-
-    fn activate_gate(&mut self) -> Vec<SwitchOutput> {
-        let gate = self.roles.gate;
-        let Some(view) = self.view(gate) else {
-            return self.request_view(gate).into_iter().collect();
-        };
-        if view.held != self.goal.pass {
-            return self.end(Ending::Overtaken);
-        }
-        if self.cannot_use_map(&view) {
-            self.begin_rollback();
-            return self.advance();
-        }
-        if let Some(order) = self.forward_order(gate, &view) {
-            return self.send_order(gate, order).into_iter().collect();
-        }
-        self.phase = Phase::ActivateOthers;
-        // Ranks that were read as active before the gate was read have to be read again.
-        let activation = Some(self.activation());
-        for rank in self.others() {
-            let progress = &mut self.ranks[rank as usize];
-            if progress.view.is_some_and(|it| it.active == activation) {
-                progress.view = None;
-                progress.open_task = None;
-            }
-        }
-        self.advance()
-    }
-
-    fn activate_others(&mut self) -> Vec<SwitchOutput> {
-        let version = self.goal.version;
-        let others = self.others();
-        let mut views = others.iter().filter_map(|rank| self.view(*rank));
-        if views.any(|it| it.map != version && self.cannot_use_map(&it)) {
-            self.begin_rollback();
-            return self.advance();
-        }
-        let next = |run: &Self, rank: Rank, view: &RankView| match view.map == version {
-            true => None,
-            false => run.forward_order(rank, view),
-        };
-        if let Some(outputs) = self.send_orders(&others, next) {
-            return outputs;
-        }
-        let Some(gate) = self.view(self.roles.gate) else {
-            self.phase = Phase::ActivateGate;
-            return self.advance();
-        };
-        self.phase = Phase::ReleaseGate {
-            sequence: gate.sequence,
-        };
-        self.advance()
-    }
-
-    /// Returns whether a rank can no longer use the map at the held pass.
-    fn cannot_use_map(&self, view: &RankView) -> bool {
-        let version = self.goal.version;
-        match view.active {
-            Some(active) => active != self.activation(),
-            None => view.map != version && view.loaded != Some(version),
-        }
-    }
-
-    fn release_gate(&mut self, sequence: u64) -> Vec<SwitchOutput> {
-        let gate = self.roles.gate;
-        let pass = self.goal.pass.unwrap_or_default();
-        if self.ranks[gate as usize].open_order.is_some() {
-            return Vec::new();
-        }
-        let Some(view) = self.view(gate) else {
-            return self.request_view(gate).into_iter().collect();
-        };
-        if view.held != Some(pass) {
-            let ending = match self.ranks[gate as usize].has_accepted_order && view.held.is_none() {
-                true => Ending::Switched,
-                false => Ending::Overtaken,
-            };
-            return self.end(ending);
-        }
-        if view.sequence != sequence {
-            self.phase = Phase::ActivateGate;
-            return self.advance();
-        }
-        self.ranks[gate as usize].has_accepted_order = false;
-        self.send_order(gate, SwitchOrder::Release(pass))
+    /// Sends an order to the gate, as [`Self::send_order`].
+    pub(crate) fn order_gate(&mut self, order: SwitchOrder) -> Vec<SwitchOutput> {
+        self.send_order(self.roles.gate, order)
             .into_iter()
             .collect()
     }
 
-    /// Begins to roll the switch back at all ranks.
-    fn begin_rollback(&mut self) {
-        self.clear_progress();
-        self.phase = Phase::DeactivateGate;
-    }
-
-    fn clear_progress(&mut self) {
-        for progress in &mut self.ranks {
-            progress.open_task = None;
-            progress.view = None;
-            progress.has_accepted_order = false;
-        }
-    }
-
-    /// Makes the gate accept an order after which the map is not activated there; its hold stays.
-    fn deactivate_gate(&mut self) -> Vec<SwitchOutput> {
-        let gate = self.roles.gate;
-        let Some(view) = self.view(gate) else {
-            return self.request_view(gate).into_iter().collect();
-        };
-        if view.held != self.goal.pass {
-            return self.end(Ending::Overtaken);
-        }
-        let pass = self.goal.pass.unwrap_or_default();
-        let order = match (view.active, view.loaded) {
-            (Some(active), _) => SwitchOrder::Cancel(active.version),
-            // If no map is loaded, no late order can activate one.
-            (None, Some(version)) if !self.ranks[gate as usize].has_accepted_order => {
-                SwitchOrder::Activate(Activation { version, pass })
-            }
-            (None, _) => {
-                self.phase = Phase::DeactivateOthers {
-                    sequence: view.sequence,
-                };
-                return self.advance();
-            }
-        };
-        self.send_order(gate, order).into_iter().collect()
-    }
-
-    /// Makes each other rank accept an order after which the map is not activated there.
-    fn deactivate_others(&mut self, sequence: u64) -> Vec<SwitchOutput> {
-        let pass = self.goal.pass.unwrap_or_default();
-        let next = |run: &Self, rank: Rank, view: &RankView| match (view.active, view.held) {
-            (Some(active), _) => Some(SwitchOrder::Cancel(active.version)),
-            (None, _) if run.ranks[rank as usize].has_accepted_order => None,
-            // Holding a pass that is held already would change nothing and so void no late order.
-            (None, Some(held)) => Some(SwitchOrder::Release(held)),
-            (None, None) => Some(SwitchOrder::Hold(pass)),
-        };
-        if let Some(outputs) = self.send_orders(&self.all_but_gate(), next) {
-            return outputs;
-        }
-        self.phase = Phase::ReleaseOthers { sequence };
-        self.advance()
-    }
-
-    /// Releases the holds that were ordered only to void late orders.
-    fn release_others(&mut self, sequence: u64) -> Vec<SwitchOutput> {
-        let next = |_: &Self, _, view: &RankView| view.held.map(SwitchOrder::Release);
-        if let Some(outputs) = self.send_orders(&self.all_but_gate(), next) {
-            return outputs;
-        }
-        self.phase = Phase::ReleaseGateUnswitched { sequence };
-        self.advance()
-    }
-
-    /// Releases the gate without a switch, unless it has accepted another order since `sequence`.
-    fn release_gate_unswitched(&mut self, sequence: u64) -> Vec<SwitchOutput> {
-        let gate = self.roles.gate;
-        let Some(view) = self.view(gate) else {
-            return self.request_view(gate).into_iter().collect();
-        };
-        match view.held {
-            Some(pass) if Some(pass) == self.goal.pass && view.sequence == sequence => {
-                let order = SwitchOrder::Release(pass);
-                self.send_order(gate, order).into_iter().collect()
-            }
-            Some(_) => self.end(Ending::Overtaken),
-            None => self.end(Ending::TakenBack),
-        }
-    }
-
-    fn find_gate(&mut self) -> Vec<SwitchOutput> {
-        let gate = self.roles.gate;
-        let Some(view) = self.view(gate) else {
-            return self.request_view(gate).into_iter().collect();
-        };
-        if view.held.is_none() {
-            return self.end(Ending::Nothing);
-        }
-        self.goal.pass = view.held;
-        match self.roles.has_known_leader() {
-            true => self.phase = Phase::FindDeputy,
-            false => self.begin_rollback(),
-        }
-        self.advance()
-    }
-
-    /// Reads the leader's engine. This follows the query to the deputy, which from then on sends no
-    /// orders there for a lower term.
-    fn find_leader(&mut self, deputy: Option<DeputyState>) -> Vec<SwitchOutput> {
-        let leader = self.roles.leader;
-        match self.view(leader) {
-            None => self.request_view(leader).into_iter().collect(),
-            view => self.choose_direction(view, deputy),
-        }
+    /// Requests the view of the gate, as [`Self::request_view`].
+    pub(crate) fn request_gate(&mut self) -> Vec<SwitchOutput> {
+        self.request_view(self.roles.gate).into_iter().collect()
     }
 
-    /// Decides whether the switch is completed or rolled back, by the activation at the leader's
-    /// engine.
-    fn choose_direction(
-        &mut self,
-        leader: Option<RankView>,
-        deputy: Option<DeputyState>,
-    ) -> Vec<SwitchOutput> {
-        let pass = self.goal.pass.unwrap_or_default();
-        let leader_activation = match (leader, deputy) {
-            (Some(view), _) => view.active,
-            (None, Some(DeputyState::Active(active))) => Some(active),
-            (None, _) => None,
-        };
-        if let Some(active) = leader_activation.filter(|it| it.pass == pass) {
-            self.goal.version = active.version;
-            self.may_order_leader = leader.is_some();
-            self.ranks[self.roles.gate as usize].view = None;
-            self.phase = Phase::ActivateGate;
-            return self.advance();
-        }
-        match (leader, deputy) {
-            // The leader's engine is reachable, so late orders to it can be voided.
-            (Some(_), _) => {
-                self.begin_rollback();
-                self.advance()
-            }
-            (None, Some(DeputyState::NotOrdered | DeputyState::Active(_))) => {
-                let gate = self.view(self.roles.gate);
-                let sequence = gate.map_or(0, |it| it.sequence);
-                self.phase = Phase::FindOthers { sequence };
-                self.advance()
-            }
-            (None, Some(DeputyState::Unknown) | None) => self.end(Ending::Unclear),
-        }
+    pub(crate) fn all_ranks(&self) -> Vec<Rank> {
+        (0..self.ranks.len() as Rank).collect()
     }
 
-    /// Checks that the map is activated at no other rank, then releases the pass without a switch.
-    /// The leader activates the map at other ranks only after its own engine, which has not
-    /// activated it.
-    fn find_others(&mut self, sequence: u64) -> Vec<SwitchOutput> {
-        let others = self.others();
-        let outputs = self.request_views(&others);
-        let views: Option<Vec<RankView>> = others.iter().map(|it| self.view(*it)).collect();
-        let Some(views) = views else {
-            return outputs;
-        };
-        if views.iter().any(|it| it.active.is_some()) {
-            return self.end(Ending::Unclear);
-        }
-        self.phase = Phase::ReleaseGateUnswitched { sequence };
-        self.advance()
+    pub(crate) fn all_but_gate(&self) -> Vec<Rank> {
+        let mut ranks = self.all_ranks();
+        ranks.retain(|rank| *rank != self.roles.gate);
+        ranks
     }
 }
--- a/crates/policy/tests/switch_run.rs
+++ b/crates/policy/tests/switch_run.rs
@@ -4,7 +4,7 @@
 use jj_policy::{
     map_switch::{Goal, RankView},
     switch_run::{
-        DeputyState, Ending, RankOrderOutcome, Stage, SwitchInput, SwitchOutput, SwitchRoles,
+        DeputyReport, Ending, RankOrderOutcome, Stage, SwitchInput, SwitchOutput, SwitchRoles,
         SwitchRun, next_term, raised_term,
     },
 };
@@ -156,7 +156,7 @@
 #[gtest]
 fn switch_past_loading_ends_fenced_when_its_term_is_too_low() {
     let by_deputy = run_after_loading().handle(SwitchInput::DeputyReply {
-        state: DeputyState::NotOrdered,
+        report: DeputyReport::UNINFORMED,
         is_fenced: true,
     });
     let by_agent = run_after_loading().handle(SwitchInput::HigherTerm(50_000));
@@ -176,34 +176,46 @@
         ..loaded(21)
     };
     let take_over = || SwitchRun::take_over(goal(), SwitchRoles::unknown(2), 3, RANKS, 100);
-    let after_order = |outcome| {
+    let after_orders = |outcomes: &[RankOrderOutcome]| {
         let (mut run, first) = take_over();
         let mut open = tasks_in(&first);
-        for _ in 0..2 {
+        for outcome in outcomes {
             let (rank, number) = open[0];
-            let outputs = run.handle(view_input(rank, number, held, None));
-            open = [tasks_in(&outputs), open].concat();
+            run.handle(view_input(rank, number, held, None));
+            let outcome = *outcome;
+            let outputs = run.handle(SwitchInput::OrderOutcome { rank, outcome });
+            open = tasks_in(&outputs);
+            if open.is_empty() {
+                break;
+            }
+            if run.stage().0 == Stage::FindGate {
+                let outputs = run.handle(view_input(open[0].0, open[0].1, held, None));
+                open = tasks_in(&outputs);
+            }
         }
-        run.handle(SwitchInput::OrderOutcome { rank: 2, outcome });
         run
     };
 
     expect_that!(
-        after_order(RankOrderOutcome::Fenced).had_no_effect(),
+        after_orders(&[RankOrderOutcome::Fenced]).had_no_effect(),
         eq(true)
     );
     expect_that!(
-        after_order(RankOrderOutcome::Fenced).stage().0,
+        after_orders(&[RankOrderOutcome::Fenced]).stage().0,
         eq(Stage::Ended)
     );
+    // The first order holds the pass that is held already.
     expect_that!(
-        after_order(RankOrderOutcome::Accepted).had_no_effect(),
-        eq(false)
-    );
-    expect_that!(
-        after_order(RankOrderOutcome::Unknown).had_no_effect(),
-        eq(false)
+        after_orders(&[RankOrderOutcome::InForce]).had_no_effect(),
+        eq(true)
     );
+    for outcome in [RankOrderOutcome::Accepted, RankOrderOutcome::Unknown] {
+        expect_that!(
+            after_orders(&[RankOrderOutcome::InForce, outcome]).had_no_effect(),
+            eq(false),
+            "{outcome:?}"
+        );
+    }
 }
 
 /// Engines may remember the terms of agents that are gone: here of ten switches a second for a
--- a/crates/policy/tests/switch_run_walk.rs
+++ b/crates/policy/tests/switch_run_walk.rs
@@ -7,11 +7,13 @@
 use std::{
     collections::hash_map::Entry,
     hash::{DefaultHasher, Hash, Hasher},
+    ops::Range,
 };
 
 use googletest::prelude::*;
-use jj_utils::collections::FastMap;
-use switch_world::{Budget, Event, Mutation, Setup, World};
+use jj_utils::{collections::FastMap, ids::Rank};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IteratorRandom};
+use switch_world::{Budget, Event, Mutation, Setup, World, engine::EngineKind};
 
 /// Result of a walk.
 #[derive(Default)]
@@ -21,8 +23,11 @@
     switched: usize,
     /// Number of final states in which the ranks do not all use a new map.
     unswitched: usize,
-    /// Number of final states in which a pass is held and can't be released.
+    /// Number of final states in which the group can't go on although all faults have ended.
     stuck: usize,
+    /// Number of final states without a decision in which the group goes on only after a stopped
+    /// instance has woken.
+    waiting: usize,
     /// Shortest list of events that leads to a pass with two maps.
     violation: Option<Vec<Event>>,
 }
@@ -40,10 +45,6 @@
 }
 
 /// Visits every reachable state, nearest first, up to the first violation.
-fn walk(name: &str, setup: Setup, budget: Budget) -> Walk {
-    walk_from(name, World::new(setup, budget))
-}
-
 fn walk_from(name: &str, start: World) -> Walk {
     let mut parents: FastMap<Fingerprint, Fingerprint> = FastMap::default();
     parents.insert(fingerprint(&start), fingerprint(&start));
@@ -64,8 +65,10 @@
             }
             let successors = world.successors();
             walk.unswitched += usize::from(successors.is_empty() && !world.has_switched());
-            walk.stuck +=
-                usize::from(successors.is_empty() && world.holds_pass() && !world.can_recover());
+            if successors.is_empty() && !world.is_settled() {
+                walk.stuck += usize::from(!world.can_recover(true));
+                walk.waiting += usize::from(world.is_undecided() && !world.can_recover(false));
+            }
             for (_, next) in successors {
                 if let Entry::Vacant(entry) = parents.entry(fingerprint(&next)) {
                     entry.insert(fingerprint(world));
@@ -75,7 +78,10 @@
         }
         layer = next_layer;
     }
-    println!("{name}: {} states, {} switched", walk.states, walk.switched);
+    println!(
+        "{name}: {} states, {} switched, {} waiting, {} stuck",
+        walk.states, walk.switched, walk.waiting, walk.stuck
+    );
     for (number, event) in walk.violation.iter().flatten().enumerate() {
         println!("  {number}: {event:?}");
     }
@@ -106,9 +112,27 @@
     events
 }
 
+/// Engines that count orders and check terms.
+const COUNTING_AND_FENCING: EngineKind = EngineKind {
+    fences: true,
+    counts: true,
+};
+
+/// Engines whose count of orders does not change with the orders of a switch.
+const FENCING: EngineKind = EngineKind {
+    fences: true,
+    counts: false,
+};
+
+/// Engines that do not check terms.
+const COUNTING: EngineKind = EngineKind {
+    fences: false,
+    counts: true,
+};
+
 fn setup(mutation: Mutation) -> Setup {
     Setup {
-        fencing: true,
+        engines: COUNTING_AND_FENCING,
         mutation,
     }
 }
@@ -117,35 +141,91 @@
     Budget {
         lost_answers: 0,
         late_orders: 0,
-        stopping_rank: 0,
+        late_ranks: &[0, 1, 2, 3],
+        stopping_ranks: &[],
         stops: 0,
         wakes: 0,
-        takeovers: 0,
+        takeover_agents: &[],
+        takeovers_end: false,
+        killed_agents: &[],
         kills: 0,
         recoveries: 0,
         concurrent_recoveries: false,
         second_leaders: 0,
         timeouts: 0,
-        ticks: 1,
-        last_pass: 3,
+        runs_time_out: false,
+        ticks: 0,
+        last_pass: 2,
+    }
+}
+
+/// All kinds of engines.
+const ALL_KINDS: &[EngineKind] = &[COUNTING_AND_FENCING, FENCING, COUNTING];
+
+/// Kinds of engines for walks that would be too long with several agents that order at once.
+const FENCING_KINDS: &[EngineKind] = &[COUNTING_AND_FENCING, FENCING];
+
+/// Walks with engines of some kinds; no pass may begin with two maps, the group goes on after the
+/// faults, and the switch may succeed. Returns the walks.
+fn expect_in_step(
+    name: &str,
+    kinds: &[EngineKind],
+    start: fn(Setup, Budget) -> World,
+    faults: Budget,
+) -> Vec<Walk> {
+    let walk = |engines| {
+        let setup = Setup {
+            engines,
+            mutation: Mutation::None,
+        };
+        let name = format!("{name}, {engines:?}");
+
+        let found = walk_from(&name, start(setup, faults));
+
+        expect_that!(found.violation, none(), "{name}");
+        expect_that!(found.switched, gt(0), "{name}");
+        expect_that!(found.stuck, eq(0), "{name}");
+        found
+    };
+    kinds.iter().copied().map(walk).collect()
+}
+
+/// As [`expect_in_step`]; while nothing is decided, the group also goes on without the instances
+/// that have stopped.
+fn expect_no_wait(
+    name: &str,
+    kinds: &[EngineKind],
+    start: fn(Setup, Budget) -> World,
+    faults: Budget,
+) {
+    for found in expect_in_step(name, kinds, start, faults) {
+        expect_that!(found.waiting, eq(0), "{name}");
     }
 }
 
 #[gtest]
 fn no_violation_without_faults() {
-    let found = walk("no faults", setup(Mutation::None), budget());
+    let faults = Budget {
+        ticks: 1,
+        last_pass: 3,
+        ..budget()
+    };
 
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
+    expect_in_step("no faults", ALL_KINDS, World::new, faults);
 }
 
 /// The agents begin far below the terms that the engines have seen.
 #[gtest]
 fn no_violation_after_all_agents_restarted() {
-    let start = World::restarted(setup(Mutation::None), budget());
+    let budget = Budget {
+        ticks: 1,
+        last_pass: 3,
+        ..budget()
+    };
+    let start = World::restarted(setup(Mutation::None), budget);
 
     let found = walk_from("restarted", start);
-    let fresh = walk("no faults", setup(Mutation::None), budget());
+    let fresh = walk_from("no faults", World::new(setup(Mutation::None), budget));
 
     expect_that!(found.violation, none());
     expect_that!(found.switched, eq(fresh.switched));
@@ -168,14 +248,17 @@
     let faults = Budget {
         lost_answers: 1,
         late_orders: 1,
+        ticks: 1,
+        last_pass: 3,
         ..budget()
     };
 
-    let start = World::restarted(setup(Mutation::None), faults);
-    let found = walk_from("restarted, lost and late", start);
-
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
+    expect_in_step(
+        "restarted, lost and late",
+        ALL_KINDS,
+        World::restarted,
+        faults,
+    );
 }
 
 #[gtest]
@@ -183,68 +266,56 @@
     let faults = Budget {
         lost_answers: 1,
         late_orders: 1,
+        ticks: 1,
+        last_pass: 3,
         ..budget()
     };
 
-    let found = walk("lost and late", setup(Mutation::None), faults);
-
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
+    expect_in_step("lost and late", ALL_KINDS, World::new, faults);
 }
 
 #[gtest]
 fn no_violation_when_a_takeover_follows_a_stopped_leader() {
     let faults = Budget {
+        stopping_ranks: &[0],
         stops: 1,
-        takeovers: 1,
-        lost_answers: 1,
+        takeover_agents: &[3],
         timeouts: 1,
-        ticks: 0,
-        last_pass: 2,
         ..budget()
     };
 
-    let found = walk("stopped leader", setup(Mutation::None), faults);
-
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
+    expect_no_wait("stopped leader", FENCING_KINDS, World::loaded, faults);
 }
 
 #[gtest]
 fn no_violation_with_late_orders_during_a_takeover() {
     let faults = Budget {
-        takeovers: 1,
+        takeover_agents: &[3],
         late_orders: 1,
-        ticks: 0,
-        last_pass: 2,
         ..budget()
     };
 
-    let found = walk(
+    expect_in_step(
         "late orders during a takeover",
-        setup(Mutation::None),
+        ALL_KINDS,
+        World::loaded,
         faults,
     );
-
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
 }
 
 #[gtest]
 fn no_violation_when_a_stopped_leader_wakes_during_a_takeover() {
     let faults = Budget {
+        stopping_ranks: &[0],
         stops: 1,
         wakes: 1,
-        takeovers: 1,
+        takeover_agents: &[3],
         timeouts: 1,
-        ticks: 0,
+        last_pass: 3,
         ..budget()
     };
 
-    let found = walk("woken leader", setup(Mutation::None), faults);
-
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
+    expect_in_step("woken leader", FENCING_KINDS, World::loaded, faults);
 }
 
 #[gtest]
@@ -255,151 +326,329 @@
         ..budget()
     };
 
-    let found = walk("two leaders", setup(Mutation::None), faults);
+    expect_in_step("two leaders", ALL_KINDS, World::new, faults);
+}
 
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
+#[gtest]
+fn no_violation_with_two_leaders_and_a_stopped_deputy() {
+    let faults = Budget {
+        second_leaders: 1,
+        stopping_ranks: &[1],
+        stops: 1,
+        timeouts: 2,
+        ..budget()
+    };
+
+    expect_in_step(
+        "two leaders, stopped deputy",
+        ALL_KINDS,
+        World::loaded,
+        faults,
+    );
 }
 
 #[gtest]
 fn no_violation_when_the_deputy_stops() {
     let faults = Budget {
-        stopping_rank: 1,
+        stopping_ranks: &[1],
         stops: 1,
         timeouts: 1,
-        ticks: 0,
         last_pass: 3,
         ..budget()
     };
 
-    let found = walk("stopped deputy", setup(Mutation::None), faults);
-
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
-    expect_that!(found.stuck, eq(0));
+    expect_no_wait("stopped deputy", ALL_KINDS, World::loaded, faults);
 }
 
 #[gtest]
 fn no_violation_when_a_stopped_deputy_wakes_during_a_takeover() {
     let faults = Budget {
-        stopping_rank: 1,
+        stopping_ranks: &[1],
         stops: 1,
         wakes: 1,
-        takeovers: 1,
+        takeover_agents: &[3],
         timeouts: 1,
-        ticks: 0,
-        last_pass: 2,
         ..budget()
     };
 
-    let found = walk("woken deputy", setup(Mutation::None), faults);
-
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
+    expect_in_step("woken deputy", FENCING_KINDS, World::loaded, faults);
 }
 
 #[gtest]
 fn no_violation_when_all_agents_are_killed() {
     let faults = Budget {
+        killed_agents: &[0, 1, 2, 3],
         kills: 1,
-        recoveries: 2,
-        ticks: 0,
-        last_pass: 2,
+        recoveries: 1,
         ..budget()
     };
 
-    let found = walk("all killed", setup(Mutation::None), faults);
-
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
-    expect_that!(found.stuck, eq(0));
+    expect_in_step("all killed", FENCING_KINDS, World::held, faults);
 }
 
 #[gtest]
 fn no_violation_with_two_concurrent_recoveries() {
     let faults = Budget {
+        killed_agents: &[0, 1],
         kills: 1,
         recoveries: 2,
         concurrent_recoveries: true,
-        ticks: 0,
-        last_pass: 2,
         ..budget()
     };
 
-    let found = walk("two recoveries", setup(Mutation::None), faults);
-
-    expect_that!(found.violation, none());
-    expect_that!(found.stuck, eq(0));
+    expect_in_step(
+        "two recoveries",
+        &[COUNTING_AND_FENCING],
+        World::held,
+        faults,
+    );
 }
 
 #[gtest]
 fn no_violation_with_a_recovery_beside_a_live_leader() {
     let faults = Budget {
         recoveries: 1,
-        ticks: 0,
-        last_pass: 2,
         ..budget()
     };
 
-    let found = walk("recovery beside the leader", setup(Mutation::None), faults);
+    expect_in_step(
+        "recovery beside the leader",
+        ALL_KINDS,
+        World::loaded,
+        faults,
+    );
+}
 
-    expect_that!(found.violation, none());
-    expect_that!(found.switched, gt(0));
+/// Guards against a deputy that has restarted and answers that it has ordered nothing.
+#[gtest]
+fn no_violation_when_leader_and_deputy_are_killed() {
+    let faults = Budget {
+        killed_agents: &[0, 1],
+        kills: 1,
+        takeover_agents: &[3],
+        ..budget()
+    };
+
+    expect_in_step("leader and deputy killed", ALL_KINDS, World::loaded, faults);
 }
 
+/// Guards against a deputy's word that is older than an order of an agent that has taken over.
 #[gtest]
-fn no_violation_with_engines_that_do_not_fence() {
-    let setup = Setup {
-        fencing: false,
-        mutation: Mutation::None,
+fn no_violation_with_two_takeovers_and_late_orders() {
+    let faults = Budget {
+        takeover_agents: &[1, 3],
+        takeovers_end: true,
+        late_orders: 2,
+        ..budget()
     };
+
+    expect_in_step("two takeovers", ALL_KINDS, World::leader_killed, faults);
+}
+
+#[gtest]
+fn no_violation_when_a_leader_stops_while_it_rolls_back() {
     let faults = Budget {
+        stopping_ranks: &[0],
         stops: 1,
-        wakes: 1,
-        takeovers: 1,
-        timeouts: 1,
-        ticks: 0,
+        takeover_agents: &[3],
+        timeouts: 2,
         ..budget()
     };
 
-    let found = walk("no fencing", setup, faults);
-
-    expect_that!(found.violation, none());
+    expect_in_step(
+        "leader stops rolling back",
+        FENCING_KINDS,
+        World::loaded,
+        faults,
+    );
 }
 
 #[gtest]
-fn walk_finds_a_violation_without_sequence_checks() {
+fn walk_finds_a_violation_if_a_restarted_deputy_guesses() {
     let faults = Budget {
-        late_orders: 1,
-        takeovers: 1,
-        stops: 1,
-        wakes: 1,
-        timeouts: 1,
+        killed_agents: &[0, 1],
+        kills: 1,
+        takeover_agents: &[3],
         ..budget()
     };
 
-    let found = walk("sequence ignored", setup(Mutation::DropSequence), faults);
+    let start = World::held(setup(Mutation::GuessDeputy), faults);
+    let found = walk_from("guessing deputy", start);
 
     expect_that!(found.violation, some(len(gt(0))));
 }
 
+/// Two copies of a request to the deputy may arrive on both sides of its restart.
+#[gtest]
+fn random_histories_find_a_violation_if_a_deputy_handles_requests_to_earlier_processes() {
+    let setup = Setup {
+        engines: COUNTING,
+        mutation: Mutation::AnyDeputy,
+    };
+
+    let found = find_bad_history(setup, many_faults(&[1], &[2, 3], 0), 0..400_000);
+
+    expect_that!(found, some(len(gt(0))));
+}
+
 #[gtest]
-fn walk_finds_a_violation_if_the_deputy_forgets_its_orders() {
+fn random_histories_find_a_violation_if_a_restarted_deputy_guesses() {
+    let setup = setup(Mutation::GuessDeputy);
+
+    let found = find_bad_history(setup, many_faults(&[0, 1], &[2, 3], 0), 0..1_500);
+
+    expect_that!(found, some(len(gt(0))));
+}
+
+/// No order of the protocol can void a late one at such engines.
+#[gtest]
+fn random_histories_find_a_violation_with_engines_that_neither_count_nor_fence() {
+    let setup = Setup {
+        engines: EngineKind {
+            fences: false,
+            counts: false,
+        },
+        mutation: Mutation::None,
+    };
+
+    let found = find_bad_history(setup, many_faults(&[0, 1], &[2, 3], 0), 0..300_000);
+
+    expect_that!(found, some(len(gt(0))));
+}
+
+#[gtest]
+fn no_violation_with_engines_that_do_not_fence() {
     let faults = Budget {
+        stopping_ranks: &[0],
         stops: 1,
-        takeovers: 1,
-        timeouts: 1,
+        wakes: 1,
+        takeover_agents: &[3],
         ..budget()
     };
 
-    let found = walk("forgetful deputy", setup(Mutation::ForgetDeputy), faults);
-
-    expect_that!(found.violation, some(len(gt(0))));
+    expect_in_step("no fencing", &[COUNTING], World::held, faults);
 }
 
 #[gtest]
 fn walk_finds_a_violation_if_held_passes_begin() {
-    let found = walk("no hold", setup(Mutation::DropHold), budget());
+    let start = World::new(
+        setup(Mutation::DropHold),
+        Budget {
+            last_pass: 3,
+            ..budget()
+        },
+    );
+
+    let found = walk_from("no hold", start);
 
     expect_that!(found.violation, some(len(gt(0))));
 }
+
+/// Steps of a random history, after which it is cut off.
+const MAX_HISTORY: usize = 400;
+
+/// Probability that the next event of a random history is a fault, if one is left.
+const FAULT_PROBABILITY: f64 = 0.12;
+
+fn is_fault(event: &Event) -> bool {
+    !matches!(
+        event,
+        Event::Pass
+            | Event::Execute(_)
+            | Event::ExecuteTask { .. }
+            | Event::HandleDelegation { .. }
+            | Event::AskDeputy { .. }
+            | Event::TakeOver { .. }
+            | Event::Restart { .. }
+    )
+}
+
+/// Plays histories in which events are drawn at random, with many faults at once; returns the
+/// events of the first one that breaks the rule or stays stuck.
+fn find_bad_history(setup: Setup, faults: Budget, seeds: Range<u64>) -> Option<Vec<Event>> {
+    for seed in seeds {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut world = World::new(setup, faults);
+        let mut events = Vec::new();
+        while events.len() < MAX_HISTORY && !world.violated {
+            let (faults, progress): (Vec<_>, Vec<_>) = world
+                .successors()
+                .into_iter()
+                .partition(|(event, _)| is_fault(event));
+            let is_fault = progress.is_empty() || random.random_bool(FAULT_PROBABILITY);
+            let next = if is_fault { faults } else { progress };
+            let Some((event, next)) = next.into_iter().choose(&mut random) else {
+                break;
+            };
+            events.push(event);
+            world = next;
+        }
+        if world.violated || !world.can_recover(true) {
+            println!("seed {seed}: violated {}", world.violated);
+            for event in &events {
+                println!("  {event:?}");
+            }
+            println!("{:?} {:?}", world.engines, world.agents);
+            return Some(events);
+        }
+    }
+    None
+}
+
+/// Faults of a random history.
+fn many_faults(
+    killed_agents: &'static [Rank],
+    stopping_ranks: &'static [Rank],
+    second_leaders: u32,
+) -> Budget {
+    Budget {
+        lost_answers: 2,
+        late_orders: 3,
+        late_ranks: &[0, 1, 2, 3],
+        stopping_ranks,
+        stops: 2,
+        wakes: 2,
+        takeover_agents: &[3, 1, 2, 0, 3, 1],
+        takeovers_end: false,
+        killed_agents,
+        kills: 2,
+        recoveries: 1,
+        concurrent_recoveries: false,
+        second_leaders,
+        timeouts: 3,
+        runs_time_out: true,
+        ticks: 4,
+        last_pass: 12,
+    }
+}
+
+/// Guards against whatever several faults of different kinds do together: kills of any agents,
+/// stopped instances, late and lost orders, two leaders, takeovers that follow each other.
+#[gtest]
+fn no_violation_in_random_histories() {
+    let kills: [&'static [Rank]; 6] = [&[0], &[0, 1], &[1, 2], &[0, 3], &[2], &[0, 1, 2, 3]];
+    let stopping_ranks: [&'static [Rank]; 3] = [&[0, 1], &[2, 3], &[0, 2]];
+    for engines in ALL_KINDS.iter().copied() {
+        for (number, killed_agents) in kills.into_iter().enumerate() {
+            let setup = Setup {
+                engines,
+                mutation: Mutation::None,
+            };
+            let second_leaders = (number % 2) as u32;
+            let faults = many_faults(killed_agents, stopping_ranks[number % 3], second_leaders);
+
+            let found = find_bad_history(setup, faults, history_seeds());
+
+            expect_that!(found, none(), "{engines:?}, {killed_agents:?}");
+        }
+    }
+}
+
+/// Returns the seeds of the random histories: a few fixed ones, or those of
+/// `JUJUBE_HISTORY_SEEDS`, such as `1000-90000`.
+fn history_seeds() -> Range<u64> {
+    let given = std::env::var("JUJUBE_HISTORY_SEEDS").ok();
+    let range = given.as_ref().and_then(|it| it.split_once('-'));
+    let range = range.and_then(|(first, last)| Some(first.parse().ok()?..last.parse().ok()?));
+    range.unwrap_or(0..1_500)
+}
--- a/crates/policy/tests/switch_world/mod.rs
+++ b/crates/policy/tests/switch_world/mod.rs
@@ -1,21 +1,26 @@
 //! Model of a group of four ranks whose agents switch its expert map. Answers of engines may be
-//! lost, orders may be executed late, and agents may stop and wake.
+//! lost, orders may be executed late, agents may be killed and restart without any state, and
+//! instances may stop and wake.
 
+pub mod engine;
+mod faults;
+
+use engine::{Engine, EngineKind};
 use jj_policy::{
     map_switch::{Activation, Goal, MapVersion, NextAction, Pass, RankView, next_action},
+    switch_deputy::DeputyRecord,
     switch_run::{
-        DeputyState, Ending, RankOrderOutcome, Stage, SwitchInput, SwitchOrder, SwitchOutput,
+        DeputyReport, Ending, RankOrderOutcome, Stage, SwitchInput, SwitchOrder, SwitchOutput,
         SwitchRoles, SwitchRun, next_term, raised_term,
     },
 };
 use jj_utils::{common_derives, ids::Rank};
 
-/// Number of ranks: a leader, a deputy, a gate, and one whose agent takes over or leads a second
-/// switch.
+/// Number of ranks: a leader, a deputy, a gate, and one without a role.
 pub const RANKS: usize = 4;
 
-/// Rank whose agent takes over switches, or leads the second one.
-const SECOND_AGENT: Rank = 3;
+/// Rank without a role in the first switch, whose agent leads a second one.
+pub const SPARE_AGENT: Rank = 3;
 
 /// Roles in the first switch.
 pub const ROLES: SwitchRoles = SwitchRoles {
@@ -24,9 +29,12 @@
     gate: 2,
 };
 
+/// Version of the map in the first switch.
+const FIRST_VERSION: MapVersion = 1;
+
 /// Roles in the second switch.
 const SECOND_ROLES: SwitchRoles = SwitchRoles {
-    leader: SECOND_AGENT,
+    leader: SPARE_AGENT,
     deputy: 1,
     gate: 2,
 };
@@ -35,10 +43,10 @@
     /// Part of the protocol that is left out.
     pub enum Mutation {
         None,
-        /// Engines execute orders without checking their sequence.
-        DropSequence,
-        /// The deputy forgets what it has ordered.
-        ForgetDeputy,
+        /// The deputy says that it has ordered nothing where it has no record.
+        GuessDeputy,
+        /// A deputy that has restarted handles requests to the process before it.
+        AnyDeputy,
         /// Engines begin passes that are held.
         DropHold,
         /// Agents do not report that their engines have refused a load because of its term.
@@ -47,9 +55,9 @@
 }
 
 common_derives! {copy:
-    /// Whether engines fence, and the part of the protocol that is left out.
+    /// How engines void late orders, and the part of the protocol that is left out.
     pub struct Setup {
-        pub fencing: bool,
+        pub engines: EngineKind,
         pub mutation: Mutation,
     }
 }
@@ -61,18 +69,25 @@
         pub lost_answers: u32,
         /// Orders that are executed after their sender has given them up.
         pub late_orders: u32,
-        /// Rank whose instance may stop, with its agent and engine; the deputy's instance stops
-        /// only after an order of the deputy and before the next order of a run.
-        pub stopping_rank: Rank,
-        /// Times that this instance stops.
+        /// Ranks whose engines execute them late.
+        pub late_ranks: &'static [Rank],
+        /// Ranks whose instances may stop, with their agents and engines.
+        pub stopping_ranks: &'static [Rank],
+        /// Times that one of these instances stops.
         pub stops: u32,
-        /// Times that this instance wakes.
+        /// Times that a stopped instance wakes.
         pub wakes: u32,
-        /// Takeovers of the first switch by an agent that knows its roles.
-        pub takeovers: u32,
-        /// Times that all agents are killed at once; they restart without any state.
+        /// Ranks whose agents take the switch over, in this order.
+        pub takeover_agents: &'static [Rank],
+        /// Whether an agent that has taken over acts no more once the next one does; its orders may
+        /// still be executed.
+        pub takeovers_end: bool,
+        /// Ranks whose agents are killed at once while a pass is held, and restart one by one. Their
+        /// engines go on.
+        pub killed_agents: &'static [Rank],
+        /// Times that these agents are killed.
         pub kills: u32,
-        /// Takeovers by an agent that does not know the roles and rolls the switch back.
+        /// Takeovers by the spare agent that do not know the switch.
         pub recoveries: u32,
         /// Whether a recovery may begin before another one has ended; all then begin after the
         /// kills.
@@ -81,6 +96,8 @@
         pub second_leaders: u32,
         /// Stages that time out.
         pub timeouts: u32,
+        /// Whether stages time out in which a run then only ends.
+        pub runs_time_out: bool,
         /// Times that unanswered requests are sent again.
         pub ticks: u32,
         /// Last pass that may begin.
@@ -89,15 +106,19 @@
 }
 
 common_derives! {copy:
-    /// State of a rank's engine.
-    pub struct Engine {
-        pub map: MapVersion,
-        pub highest_loaded: MapVersion,
-        pub loaded: Option<MapVersion>,
-        pub active: Option<Activation>,
-        pub held: Option<Pass>,
-        pub sequence: u64,
-        pub highest_term: u64,
+    /// Agent of a rank.
+    #[derive(Default)]
+    pub struct Agent {
+        /// Highest term that it has seen.
+        pub term: u64,
+        /// What it remembers as a deputy.
+        pub record: Option<DeputyRecord>,
+        /// Whether it knows the first switch, from a task.
+        pub knows_switch: bool,
+        /// Number of its process.
+        pub incarnation: u32,
+        /// Whether it has been killed and has not restarted.
+        pub is_killed: bool,
     }
 }
 
@@ -133,8 +154,10 @@
         pub actor: usize,
         /// Number of the request; replies to earlier ones are ignored.
         pub number: u64,
+        /// Incarnation of the deputy to which the request goes.
+        pub incarnation: u32,
         pub goal: Goal,
-        /// Numbers of orders that the gate and the leader's engine must have accepted.
+        /// Numbers of orders that the gate and the leader's engine must have counted.
         pub gate_sequence: u64,
         pub leader_sequence: u64,
     }
@@ -146,6 +169,8 @@
         pub agent: Rank,
         pub roles: SwitchRoles,
         pub run: SwitchRun,
+        /// Incarnation of the deputy when the run began.
+        pub deputy_incarnation: u32,
         /// Unanswered tasks by rank and number.
         pub open_tasks: Vec<(Rank, u64)>,
         /// Request that the deputy has not handled yet.
@@ -171,10 +196,11 @@
         AskDeputy { actor: usize },
         Tick { actor: usize },
         Timeout { actor: usize },
-        Stop,
-        Wake,
-        TakeOver,
-        KillAll,
+        Stop { rank: Rank },
+        Wake { rank: Rank },
+        TakeOver { agent: Rank },
+        Kill,
+        Restart { rank: Rank },
         Recover,
         SecondLeader,
     }
@@ -190,18 +216,13 @@
         pub budget: Budget,
         pub pass: Pass,
         pub engines: [Engine; RANKS],
-        /// Highest term that each agent has seen.
-        pub terms: [u64; RANKS],
-        /// State that the deputy remembers, with the term of the run that it belongs to.
-        pub deputy_state: Option<(u64, DeputyState)>,
+        pub agents: [Agent; RANKS],
         pub actors: Vec<Actor>,
         pub orders: Vec<PendingOrder>,
-        /// Whether the deputy has sent the last order, after which its instance may stop; set only
-        /// if `stopping_rank` is the deputy's.
-        pub deputy_ordered_last: bool,
-        pub is_stopped: bool,
-        /// Whether an order was sent to the stopped instance, whose engine's state is unknown until
-        /// it wakes.
+        /// Whether the instance of each rank is stopped.
+        pub stopped: [bool; RANKS],
+        /// Whether an order was sent to a stopped instance, whose engine's state is unknown until it
+        /// wakes.
         pub has_unknown_outcome: bool,
         pub violated: bool,
     }
@@ -213,26 +234,15 @@
 impl World {
     /// Returns a group at map 0 whose first agent begins a switch to map 1.
     pub fn new(setup: Setup, budget: Budget) -> Self {
-        let engine = Engine {
-            map: 0,
-            highest_loaded: 0,
-            loaded: None,
-            active: None,
-            held: None,
-            sequence: 0,
-            highest_term: 0,
-        };
         let mut world = Self {
             setup,
             budget,
             pass: 0,
-            engines: [engine; RANKS],
-            terms: [0; RANKS],
-            deputy_state: None,
+            engines: [Engine::default(); RANKS],
+            agents: [Agent::default(); RANKS],
             actors: Vec::new(),
             orders: Vec::new(),
-            deputy_ordered_last: false,
-            is_stopped: false,
+            stopped: [false; RANKS],
             has_unknown_outcome: false,
             violated: false,
         };
@@ -245,7 +255,7 @@
     pub fn restarted(setup: Setup, budget: Budget) -> Self {
         let mut world = Self::new(setup, budget);
         world.actors.clear();
-        world.terms = [0; RANKS];
+        world.agents = [Agent::default(); RANKS];
         for engine in &mut world.engines {
             engine.highest_term = FIRST_TERM;
         }
@@ -253,9 +263,49 @@
         world
     }
 
+    /// Returns the same group once the leader has asked its deputy to hold a pass, without a fault
+    /// until then.
+    pub fn loaded(setup: Setup, budget: Budget) -> Self {
+        Self::new(setup, budget).without_faults_until(|it| it.actors[0].delegation.is_some())
+    }
+
+    /// Returns the same group once the leader's engine has activated the map at the held pass,
+    /// without a fault until then.
+    pub fn held(setup: Setup, budget: Budget) -> Self {
+        let has_activated = |it: &Self| it.engines[ROLES.leader as usize].active.is_some();
+        Self::new(setup, budget).without_faults_until(has_activated)
+    }
+
+    /// Returns the group of [`Self::held`] after the leader's agent has been killed and has
+    /// restarted.
+    pub fn leader_killed(setup: Setup, budget: Budget) -> Self {
+        let mut world = Self::held(setup, budget);
+        world.kill_agent(ROLES.leader);
+        world.agents[ROLES.leader as usize].is_killed = false;
+        world
+    }
+
+    fn without_faults_until(self, is_reached: impl Fn(&Self) -> bool) -> Self {
+        let mut world = self;
+        while !is_reached(&world) {
+            let next = world.successors().into_iter();
+            let mut progress = next.filter(|(event, _)| {
+                matches!(
+                    event,
+                    Event::Execute(_) | Event::ExecuteTask { .. } | Event::HandleDelegation { .. }
+                )
+            });
+            let (_, next) = progress.next().expect("the switch goes on");
+            world = next;
+        }
+        world
+    }
+
     fn start_first_switch(&mut self, term: u64) {
-        let (run, outputs) = SwitchRun::lead(goal(term, 1), ROLES, RANKS as u32, 100);
+        let goal = goal(term, FIRST_VERSION);
+        let (run, outputs) = SwitchRun::lead(goal, ROLES, RANKS as u32, 100);
         self.add_actor(ROLES.leader, ROLES, run, outputs);
+        self.agents[ROLES.leader as usize].knows_switch = true;
     }
 
     fn add_actor(
@@ -265,11 +315,12 @@
         run: SwitchRun,
         outputs: Vec<SwitchOutput>,
     ) {
-        self.terms[agent as usize] = run.goal().term;
+        self.agents[agent as usize].term = run.goal().term;
         self.actors.push(Actor {
             agent,
             roles,
             run,
+            deputy_incarnation: self.agents[roles.deputy as usize].incarnation,
             open_tasks: Vec::new(),
             delegation: None,
             delegations: 0,
@@ -291,24 +342,9 @@
         self.engines.iter().any(|it| it.held.is_some())
     }
 
-    /// Returns whether the held pass is released once no more faults happen and agents roll
-    /// switches back whenever a pass is held, in one fair order of events. A stopped instance wakes
-    /// only if an order was sent to it meanwhile.
-    pub fn can_recover(&self) -> bool {
-        /// Recoveries that follow each other; each late order can make one of them fail.
-        const MAX_RECOVERIES: u32 = 3;
-        let mut world = self.clone();
-        world.is_stopped &= !world.has_unknown_outcome;
-        for _ in 0..MAX_RECOVERIES {
-            world.budget.recoveries = 1;
-            while let Some((_, next)) = world.successors().into_iter().next() {
-                world = next;
-            }
-            if !world.holds_pass() {
-                return true;
-            }
-        }
-        false
+    /// Returns whether no pass is held and no activation is left, so that the next switch may begin.
+    pub fn is_settled(&self) -> bool {
+        !self.holds_pass() && self.engines.iter().all(|it| it.active.is_none())
     }
 
     /// Returns every event that may come next, with the state after it.
@@ -330,11 +366,7 @@
         let mut world = self.clone();
         world.pass = pass;
         for engine in &mut world.engines {
-            if engine.active.is_some_and(|it| it.pass == pass) {
-                engine.map = engine.active.map_or(0, |it| it.version);
-                engine.active = None;
-                engine.loaded = None;
-            }
+            engine.begin_pass(pass);
         }
         let first = world.engines[0].map;
         world.violated = world.engines.iter().any(|it| it.map != first);
@@ -354,7 +386,7 @@
             }
             let mut world = self.clone();
             world.orders.remove(index);
-            if self.is_unreachable(sent.rank) {
+            if self.stopped[sent.rank as usize] {
                 world.has_unknown_outcome = true;
                 world.deliver_outcome(sent.recipient, sent.rank, RankOrderOutcome::Unknown);
                 next.push((Event::LoseAnswer(sent), world));
@@ -372,7 +404,7 @@
                 world.deliver_outcome(sent.recipient, sent.rank, RankOrderOutcome::Unknown);
                 next.push((Event::LoseAnswer(sent), world));
             }
-            if self.budget.late_orders > 0 {
+            if self.budget.late_orders > 0 && self.budget.late_ranks.contains(&sent.rank) {
                 let mut world = self.clone();
                 world.budget.late_orders -= 1;
                 world.orders[index].recipient = Recipient::Nobody;
@@ -382,21 +414,22 @@
         }
     }
 
-    fn may_deputy_stop(&self) -> bool {
-        self.budget.stops > 0 && self.budget.stopping_rank == ROLES.deputy
-    }
-
-    fn is_unreachable(&self, rank: Rank) -> bool {
-        self.is_stopped && rank == self.budget.stopping_rank
+    fn execute_order(&mut self, sent: &PendingOrder) -> RankOrderOutcome {
+        let guard = (sent.term, sent.sequence);
+        let engine = &mut self.engines[sent.rank as usize];
+        engine.execute(self.setup.engines, guard, sent.order, self.pass)
     }
 
-    fn is_agent_stopped(&self, actor: usize) -> bool {
-        self.is_unreachable(self.actors[actor].agent)
+    /// Returns whether the agent of a rank answers no messages.
+    fn is_silent(&self, rank: Rank) -> bool {
+        self.stopped[rank as usize] || self.agents[rank as usize].is_killed
     }
 
     fn actor_events(&self, next: &mut Next) {
         for actor in 0..self.actors.len() {
-            if self.is_agent_stopped(actor) || self.actors[actor].ending.is_some() {
+            self.delegation_events(actor, next);
+            let is_stopped = self.stopped[self.actors[actor].agent as usize];
+            if is_stopped || self.actors[actor].ending.is_some() {
                 continue;
             }
             self.answer_events(actor, next);
@@ -406,19 +439,24 @@
     }
 
     /// Has the first agent that can execute its task do so and answer; the order of several answers
-    /// makes no difference.
+    /// makes no difference. The engine of an agent that has been killed is read directly.
     fn answer_events(&self, actor: usize, next: &mut Next) {
         for (index, (rank, number)) in self.actors[actor].open_tasks.iter().copied().enumerate() {
-            let agent = rank as usize;
-            let goal = self.actors[actor].run.goal();
-            if self.is_unreachable(rank) || self.terms[agent] > goal.term {
+            let run = &self.actors[actor].run;
+            let agent = self.agents[rank as usize];
+            let is_unanswered = match agent.is_killed {
+                true => run.is_loading(),
+                false => agent.term > run.goal().term,
+            };
+            if self.stopped[rank as usize] || is_unanswered {
                 continue;
             }
             let mut world = self.clone();
             world.actors[actor].open_tasks.remove(index);
-            world.terms[agent] = goal.term;
-            world.reset_deputy(actor, rank);
-            let outcome = world.execute_task(rank, Goal { pass: None, ..goal });
+            let outcome = match agent.is_killed {
+                true => None,
+                false => world.execute_task(actor, rank),
+            };
             let view = world.view(rank);
             let input = SwitchInput::View {
                 rank,
@@ -432,76 +470,88 @@
         }
     }
 
-    /// Clears the deputy's state when a load of a later switch reaches it.
-    fn reset_deputy(&mut self, actor: usize, rank: Rank) {
-        let actor = &self.actors[actor];
-        let goal = actor.run.goal();
-        let is_older = self.deputy_state.is_some_and(|(term, _)| term < goal.term);
-        if actor.run.is_loading() && rank == actor.roles.deputy && is_older {
-            self.deputy_state = None;
-        }
-    }
-
     /// Executes a task at the agent's own engine; returns the outcome of its order if it sends one.
-    fn execute_task(&mut self, rank: Rank, goal: Goal) -> Option<RankOrderOutcome> {
-        let view = self.view(rank);
-        if next_action(&view, &goal, false) != NextAction::Load || goal.version == 0 {
-            return None;
-        }
+    fn execute_task(&mut self, actor: usize, rank: Rank) -> Option<RankOrderOutcome> {
+        let it = &self.actors[actor];
+        let (goal, is_loading) = (it.run.goal(), it.run.is_loading());
+        let agent = &mut self.agents[rank as usize];
+        agent.term = goal.term;
+        agent.knows_switch |= it.roles == ROLES && goal.version == FIRST_VERSION;
+        let goal = Goal { pass: None, ..goal };
         let engine = &mut self.engines[rank as usize];
-        if self.setup.fencing && goal.term < engine.highest_term {
-            let is_hidden = self.setup.mutation == Mutation::HideFence;
-            return Some(RankOrderOutcome::Fenced).filter(|_| !is_hidden);
-        }
-        engine.highest_term = engine.highest_term.max(goal.term);
-        if goal.version <= engine.highest_loaded {
-            return Some(RankOrderOutcome::Refused);
+        let action = next_action(&engine.view(self.pass), &goal, false);
+        if action != NextAction::Load || !is_loading {
+            return None;
         }
-        engine.highest_loaded = goal.version;
-        engine.loaded = Some(goal.version);
-        engine.sequence += 1;
-        Some(RankOrderOutcome::Accepted)
+        let outcome = engine.load(self.setup.engines, goal.term, goal.version);
+        let is_hidden = self.setup.mutation == Mutation::HideFence;
+        Some(outcome).filter(|it| *it != RankOrderOutcome::Fenced || !is_hidden)
     }
 
-    fn deputy_events(&self, actor: usize, next: &mut Next) {
-        let deputy = self.actors[actor].roles.deputy as usize;
-        let goal = self.actors[actor].run.goal();
-        if self.is_unreachable(deputy as Rank) {
-            return;
-        }
+    /// Delivers a request to the deputy, which may be after its sender has gone.
+    fn delegation_events(&self, actor: usize, next: &mut Next) {
+        let deputy = self.actors[actor].roles.deputy;
         if let Some(request) = self.actors[actor].delegation
-            && goal.term >= self.terms[deputy]
+            && !self.is_silent(deputy)
+            && request.goal.term >= self.agents[deputy as usize].term
         {
             let mut world = self.clone();
             world.actors[actor].delegation = None;
-            world.terms[deputy] = goal.term;
-            world.deputy_ordered_last = self.may_deputy_stop();
-            world.orders.push(PendingOrder {
-                recipient: Recipient::DeputyHold(request),
-                rank: world.actors[actor].roles.gate,
-                order: SwitchOrder::Hold(activation(&request.goal).pass),
-                term: goal.term,
-                sequence: request.gate_sequence,
-            });
-            world.orders.sort_unstable();
+            world.accept_delegation(deputy, request);
             next.push((Event::HandleDelegation { actor }, world));
         }
+    }
+
+    fn deputy_events(&self, actor: usize, next: &mut Next) {
+        let deputy = self.actors[actor].roles.deputy;
+        let goal = self.actors[actor].run.goal();
+        if self.is_silent(deputy) {
+            return;
+        }
         if self.actors[actor].is_deputy_queried {
             let mut world = self.clone();
             world.actors[actor].is_deputy_queried = false;
-            world.terms[deputy] = world.terms[deputy].max(goal.term);
-            let state = match self.setup.mutation {
-                Mutation::ForgetDeputy => DeputyState::NotOrdered,
-                _ => self
-                    .deputy_state
-                    .map_or(DeputyState::NotOrdered, |(_, state)| state),
-            };
+            let agent = &mut world.agents[deputy as usize];
+            agent.term = agent.term.max(goal.term);
+            let report = world.deputy_report(deputy);
             let is_fenced = false;
-            world.handle_input(actor, SwitchInput::DeputyReply { state, is_fenced });
+            world.handle_input(actor, SwitchInput::DeputyReply { report, is_fenced });
             next.push((Event::AskDeputy { actor }, world));
         }
     }
 
+    /// Has the deputy send the hold to the gate, unless the request is to an earlier process.
+    fn accept_delegation(&mut self, deputy: Rank, request: Delegation) {
+        let agent = &mut self.agents[deputy as usize];
+        let is_any = self.setup.mutation == Mutation::AnyDeputy;
+        if request.incarnation != agent.incarnation && !is_any {
+            return;
+        }
+        agent.term = request.goal.term;
+        agent.record = Some(DeputyRecord::begin(agent.record, request.goal.version));
+        self.send(PendingOrder {
+            recipient: Recipient::DeputyHold(request),
+            rank: self.actors[request.actor].roles.gate,
+            order: SwitchOrder::Hold(request.goal.pass.unwrap_or_default()),
+            term: request.goal.term,
+            sequence: request.gate_sequence,
+        });
+    }
+
+    fn deputy_report(&self, deputy: Rank) -> DeputyReport {
+        let record = self.agents[deputy as usize].record;
+        let guess = Some(DeputyRecord::begin(None, FIRST_VERSION));
+        DeputyRecord::report(match self.setup.mutation {
+            Mutation::GuessDeputy => record.or(guess),
+            _ => record,
+        })
+    }
+
+    /// Has a run send its unanswered requests again.
+    fn tick(&mut self, actor: usize) {
+        self.handle_input(actor, SwitchInput::Tick);
+    }
+
     fn time_events(&self, actor: usize, next: &mut Next) {
         if self.budget.ticks > 0 {
             let mut world = self.clone();
@@ -509,9 +559,8 @@
             world.handle_input(actor, SwitchInput::Tick);
             next.push((Event::Tick { actor }, world));
         }
-        let stage = self.actors[actor].run.stage().0;
-        let may_time_out = [Stage::Deputy, Stage::FindDeputy, Stage::FindLeader];
-        if self.budget.timeouts > 0 && may_time_out.contains(&stage) {
+        let is_at_deputy = self.actors[actor].run.stage().0 == Stage::Deputy;
+        if self.budget.timeouts > 0 && (is_at_deputy || self.budget.runs_time_out) {
             let mut world = self.clone();
             world.budget.timeouts -= 1;
             world.actors[actor].is_deputy_queried = false;
@@ -520,125 +569,40 @@
         }
     }
 
-    fn fault_events(&self, next: &mut Next) {
-        let is_held = self.holds_pass();
-        let is_holding = self
-            .orders
-            .iter()
-            .any(|it| matches!(it.order, SwitchOrder::Hold(_)));
-        let may_stop = match self.may_deputy_stop() {
-            true => self.deputy_ordered_last,
-            false => is_held || is_holding,
-        };
-        if self.budget.stops > 0 && !self.is_stopped && may_stop {
-            let mut world = self.clone();
-            world.budget.stops -= 1;
-            world.is_stopped = true;
-            next.push((Event::Stop, world));
-        }
-        if self.budget.wakes > 0 && self.is_stopped {
-            let mut world = self.clone();
-            world.budget.wakes -= 1;
-            world.is_stopped = false;
-            next.push((Event::Wake, world));
-        }
-        // A takeover begins only while a pass is held.
-        if self.budget.takeovers > 0 && is_held {
-            let mut world = self.clone();
-            world.budget.takeovers -= 1;
-            let goal = goal(self.next_term(), 0);
-            let (run, outputs) = SwitchRun::take_over(goal, ROLES, SECOND_AGENT, RANKS as u32, 200);
-            world.add_actor(SECOND_AGENT, ROLES, run, outputs);
-            next.push((Event::TakeOver, world));
-        }
-        if self.budget.kills > 0 && is_held {
-            let mut world = self.clone();
-            world.budget.kills -= 1;
-            world.kill_all();
-            next.push((Event::KillAll, world));
-        }
-        let gate = self.engines.iter().position(|it| it.held.is_some());
-        let mut open = self.actors.iter().filter(|it| it.ending.is_none());
-        let may_recover = match self.budget.concurrent_recoveries {
-            true => self.budget.kills == 0,
-            false => open.all(|it| it.roles.has_known_leader()),
-        };
-        if let Some(gate) = gate.filter(|_| may_recover && self.budget.recoveries > 0) {
-            let mut world = self.clone();
-            world.budget.recoveries -= 1;
-            let goal = goal(self.next_term(), 0);
-            let roles = SwitchRoles::unknown(gate as Rank);
-            let (run, outputs) = SwitchRun::take_over(goal, roles, SECOND_AGENT, RANKS as u32, 400);
-            world.add_actor(SECOND_AGENT, roles, run, outputs);
-            next.push((Event::Recover, world));
-        }
-        if self.budget.second_leaders > 0 {
-            let mut world = self.clone();
-            world.budget.second_leaders -= 1;
-            let goal = goal(self.next_term(), 2);
-            let (run, outputs) = SwitchRun::lead(goal, SECOND_ROLES, RANKS as u32, 300);
-            world.add_actor(SECOND_AGENT, SECOND_ROLES, run, outputs);
-            next.push((Event::SecondLeader, world));
-        }
-    }
-
     /// Restarts a takeover that was fenced before it had any effect, under a higher term.
     fn retry(&mut self, actor: usize) {
         let it = &mut self.actors[actor];
         let term = raised_term(it.run.goal().term, it.agent, it.raises);
-        let goal = goal(term, 0);
+        let goal = goal(term, it.run.goal().version);
         let (run, outputs) = SwitchRun::take_over(goal, it.roles, it.agent, RANKS as u32, 500);
         it.run = run;
         it.raises += 1;
         it.open_tasks.clear();
         it.is_deputy_queried = false;
-        self.terms[it.agent as usize] = term;
+        self.agents[it.agent as usize].term = term;
         self.perform(actor, outputs);
     }
 
-    /// Restarts all agents without state; the orders that they had sent may still be executed.
-    fn kill_all(&mut self) {
-        for sent in &mut self.orders {
-            sent.recipient = Recipient::Nobody;
-        }
-        self.actors.clear();
-        self.deputy_state = None;
-        self.terms = [0; RANKS];
-    }
-
     /// Returns the first term of an agent that begins to lead or to take over: above all terms that
-    /// the agents know, though not above all that the engines have seen.
-    fn next_term(&self) -> u64 {
-        let highest = self.terms.iter().copied().max().unwrap_or_default();
-        next_term(highest, SECOND_AGENT)
+    /// the agents know, though not above all that the engines have seen. Each run that ended fenced
+    /// raises it farther.
+    fn next_term(&self, agent: Rank) -> u64 {
+        let terms = self.agents.iter().map(|it| it.term);
+        let highest = terms.max().unwrap_or_default();
+        let is_fenced = |it: &&Actor| it.ending == Some(Ending::Fenced);
+        match self.actors.iter().filter(is_fenced).count() as u32 {
+            0 => next_term(highest, agent),
+            fenced_runs => raised_term(highest, agent, fenced_runs - 1),
+        }
     }
 
     fn view(&self, rank: Rank) -> RankView {
-        let engine = &self.engines[rank as usize];
-        RankView {
-            epoch: 1,
-            is_open: true,
-            pass: self.pass,
-            sequence: engine.sequence,
-            map: engine.map,
-            loaded: engine.loaded,
-            active: engine.active,
-            held: engine.held,
-        }
+        self.engines[rank as usize].view(self.pass)
     }
 
-    fn execute_order(&mut self, sent: &PendingOrder) -> RankOrderOutcome {
-        let ignores_sequence = self.setup.mutation == Mutation::DropSequence;
-        let pass = self.pass;
-        let engine = &mut self.engines[sent.rank as usize];
-        if self.setup.fencing && sent.term < engine.highest_term {
-            return RankOrderOutcome::Fenced;
-        }
-        engine.highest_term = engine.highest_term.max(sent.term);
-        if engine.sequence != sent.sequence && !ignores_sequence {
-            return RankOrderOutcome::Refused;
-        }
-        engine.execute(sent.order, pass)
+    fn send(&mut self, order: PendingOrder) {
+        self.orders.push(order);
+        self.orders.sort_unstable();
     }
 
     fn deliver_outcome(&mut self, recipient: Recipient, rank: Rank, outcome: RankOrderOutcome) {
@@ -648,12 +612,13 @@
             }
             Recipient::DeputyHold(request) => self.handle_hold_outcome(request, outcome),
             Recipient::DeputyActivation(request) => {
-                let goal = request.goal;
-                if self.is_unreachable(self.actors[request.actor].roles.deputy) {
+                let deputy = self.actors[request.actor].roles.deputy as usize;
+                if self.stopped[deputy] {
                     return;
                 }
-                if outcome == RankOrderOutcome::Accepted {
-                    self.deputy_state = Some((goal.term, DeputyState::Active(activation(&goal))));
+                let record = self.agents[deputy].record.as_mut();
+                if let Some(record) = record.filter(|_| outcome.is_in_force()) {
+                    record.record_active(request.goal.pass.unwrap_or_default());
                 }
                 self.send_deputy_reply(request, outcome);
             }
@@ -664,49 +629,55 @@
     /// Has the deputy send the activation once the gate holds, unless it has seen another term
     /// meanwhile. An outcome that reaches a stopped deputy is lost.
     fn handle_hold_outcome(&mut self, request: Delegation, outcome: RankOrderOutcome) {
-        let stopped = self.is_unreachable(self.actors[request.actor].roles.deputy);
-        if stopped {
+        let roles = self.actors[request.actor].roles;
+        let deputy = roles.deputy as usize;
+        if self.stopped[deputy] {
             return;
         }
-        let actor = &self.actors[request.actor];
-        let (deputy, leader) = (actor.roles.deputy as usize, actor.roles.leader);
         let goal = request.goal;
-        if outcome != RankOrderOutcome::Accepted {
+        if !outcome.is_in_force() {
             return self.send_deputy_reply(request, outcome);
         }
-        if self.terms[deputy] != goal.term {
+        if self.agents[deputy].term != goal.term {
             return;
         }
-        self.deputy_state = Some((goal.term, DeputyState::Unknown));
-        self.deputy_ordered_last = self.may_deputy_stop();
-        self.orders.push(PendingOrder {
+        if let Some(record) = &mut self.agents[deputy].record {
+            record.record_sent();
+        }
+        self.send(PendingOrder {
             recipient: Recipient::DeputyActivation(request),
-            rank: leader,
+            rank: roles.leader,
             order: SwitchOrder::Activate(activation(&goal)),
             term: goal.term,
             sequence: request.leader_sequence,
         });
-        self.orders.sort_unstable();
     }
 
     fn send_deputy_reply(&mut self, request: Delegation, last: RankOrderOutcome) {
-        let actor = request.actor;
-        let state = self
-            .deputy_state
-            .map_or(DeputyState::NotOrdered, |(_, state)| state);
-        let is_newest = self.actors[actor].delegations == request.number;
-        if is_newest && !self.is_agent_stopped(actor) {
+        let it = &self.actors[request.actor];
+        let is_awaited = it.delegations == request.number && it.ending.is_none();
+        if is_awaited && !self.stopped[it.agent as usize] {
+            let report = self.deputy_report(it.roles.deputy);
             let is_fenced = last == RankOrderOutcome::Fenced;
-            self.handle_input(actor, SwitchInput::DeputyReply { state, is_fenced });
+            let input = SwitchInput::DeputyReply { report, is_fenced };
+            self.handle_input(request.actor, input);
         }
     }
 
     /// Passes an input to a run and performs its outputs. What happens while an agent is stopped is
-    /// lost to it, like an answer that comes too late.
+    /// lost to it, like an answer that comes too late. A run ends once its agent has accepted a
+    /// higher term.
     fn handle_input(&mut self, actor: usize, input: SwitchInput) {
-        let outputs = self.actors[actor].run.handle(input);
-        let it = &self.actors[actor];
-        let own = &mut self.terms[it.agent as usize];
+        let it = &mut self.actors[actor];
+        let own = &mut self.agents[it.agent as usize].term;
+        if it.ending.is_some() {
+            return;
+        }
+        if *own > it.run.goal().term {
+            it.ending = Some(Ending::Overtaken);
+            return;
+        }
+        let outputs = it.run.handle(input);
         *own = (*own).max(it.run.goal().term);
         self.perform(actor, outputs);
     }
@@ -725,17 +696,13 @@
                     rank,
                     order,
                     sequence,
-                } => {
-                    self.deputy_ordered_last = false;
-                    self.orders.push(PendingOrder {
-                        recipient: Recipient::Run(actor),
-                        rank,
-                        order,
-                        term,
-                        sequence,
-                    });
-                    self.orders.sort_unstable();
-                }
+                } => self.send(PendingOrder {
+                    recipient: Recipient::Run(actor),
+                    rank,
+                    order,
+                    term,
+                    sequence,
+                }),
                 SwitchOutput::DelegateActivation {
                     pass,
                     gate_sequence,
@@ -745,6 +712,7 @@
                     it.delegation = Some(Delegation {
                         actor,
                         number: it.delegations,
+                        incarnation: it.deputy_incarnation,
                         goal: Goal {
                             pass: Some(pass),
                             ..it.run.goal()
@@ -754,7 +722,9 @@
                     });
                 }
                 SwitchOutput::AskDeputy => it.is_deputy_queried = true,
-                SwitchOutput::End(Ending::Fenced) if it.run.had_no_effect() => {
+                SwitchOutput::End(Ending::Fenced)
+                    if it.run.had_no_effect() && it.run.stage().0 == Stage::Ended =>
+                {
                     return self.retry(actor);
                 }
                 SwitchOutput::End(ending) => it.ending = Some(ending),
@@ -763,44 +733,6 @@
     }
 }
 
-impl Engine {
-    fn execute(&mut self, order: SwitchOrder, pass: Pass) -> RankOrderOutcome {
-        let is_done = match order {
-            SwitchOrder::Hold(held) if self.held == Some(held) => {
-                return RankOrderOutcome::Accepted;
-            }
-            SwitchOrder::Hold(held) if self.held.is_none() && held > pass => {
-                self.held = Some(held);
-                true
-            }
-            SwitchOrder::Activate(it) if self.active == Some(it) => {
-                return RankOrderOutcome::Accepted;
-            }
-            SwitchOrder::Activate(it) if self.active.is_none() => {
-                let can = self.loaded == Some(it.version) && it.pass > pass;
-                if can {
-                    self.active = Some(it);
-                }
-                can
-            }
-            SwitchOrder::Cancel(version) if self.active.is_some_and(|it| it.version == version) => {
-                self.active = None;
-                true
-            }
-            SwitchOrder::Release(held) if self.held == Some(held) => {
-                self.held = None;
-                true
-            }
-            _ => false,
-        };
-        if !is_done {
-            return RankOrderOutcome::Refused;
-        }
-        self.sequence += 1;
-        RankOrderOutcome::Accepted
-    }
-}
-
 fn goal(term: u64, version: MapVersion) -> Goal {
     Goal {
         term,
--- a/crates/rank/src/datagrams.rs
+++ b/crates/rank/src/datagrams.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use jj_news::{GroupStatus, MAX_DATAGRAM_BYTES, Message, RankStatus, RankTask, Roster};
-use jj_policy::switch_run::RankOrderOutcome;
+use jj_policy::switch_run::{DeputyReport, RankOrderOutcome};
 use jj_utils::{
     clock::Timestamp,
     events,
@@ -16,8 +16,8 @@
 use crate::{
     deputy, driver, orders,
     state::{
-        DeputyReply, HEARTBEAT_INTERVAL, HeldExperts, Member, ReceivedTask,
-        SWITCH_HEARTBEAT_INTERVAL, State, TaskReply,
+        DeputyReply, HEARTBEAT_INTERVAL, HeldExperts, Member, SWITCH_HEARTBEAT_INTERVAL, State,
+        TaskReply,
     },
 };
 
@@ -286,10 +286,12 @@
             gate_sequence,
             server,
             leader_sequence,
+            deputy,
         } => {
             let state = Rc::clone(state);
             let request = deputy::Request {
                 number,
+                deputy,
                 goal,
                 gate: (gate, gate_sequence),
                 leader: (server, leader_sequence),
@@ -314,10 +316,14 @@
             number,
             state: deputy_state,
             is_fenced,
+            version,
         } => {
             let reply = DeputyReply {
                 number,
-                state: deputy_state,
+                report: DeputyReport {
+                    version,
+                    state: deputy_state,
+                },
                 is_fenced,
             };
             state.group.borrow_mut().deputy_reply = Some(reply);
@@ -405,21 +411,7 @@
     if !state.accept_term(task.goal.term, (task.leader, task.number)) {
         return;
     }
-    {
-        let mut group = state.group.borrow_mut();
-        // A task with a map begins another switch, for which this agent has ordered nothing as deputy.
-        if task.map.is_some()
-            && group
-                .deputy_state
-                .is_some_and(|(term, _)| term < task.goal.term)
-        {
-            group.deputy_state = None;
-        }
-        group.last_task = Some(ReceivedTask {
-            at: now,
-            roles: task.roles,
-        });
-    }
+    state.group.borrow_mut().record_task(now, &task);
     let state = Rc::clone(state);
     spawn_local(async move { driver::execute_task(&state, task).await });
 }
--- a/crates/rank/src/deputy.rs
+++ b/crates/rank/src/deputy.rs
@@ -4,7 +4,8 @@
 //! When an instance stops, its engine is unreachable too, and no other agent can find out whether an
 //! order that the instance sent to its own engine was accepted. So while a pass is held no agent
 //! sends orders to its own engine, except a leader that rolls back because its deputy does not
-//! reply; and the deputy knows what was ordered at the leader's engine.
+//! reply; and the deputy knows what it has ordered at the leader's engine. It knows nothing of what
+//! a deputy process before it has ordered, and handles no request to that one.
 
 use std::net::SocketAddr;
 
@@ -12,9 +13,14 @@
 use jj_news::Message;
 use jj_policy::{
     map_switch::{Activation, Goal, RankOrder},
-    switch_run::{DeputyState, RankOrderOutcome},
+    switch_deputy::DeputyRecord,
+    switch_run::{DeputyReport, RankOrderOutcome},
+};
+use jj_utils::{
+    events,
+    ids::{Incarnation, Term},
+    log_event,
 };
-use jj_utils::ids::Term;
 
 use crate::{driver, state::State};
 
@@ -26,6 +32,8 @@
 pub struct Request {
     /// Number of the request, which the reply repeats.
     pub number: u64,
+    /// Process of the deputy to which the request goes.
+    pub deputy: Incarnation,
     /// Map, first pass that uses it, and the leader's term.
     pub goal: Goal,
     /// Engine that holds the pass.
@@ -40,9 +48,19 @@
     let Some(pass) = goal.pass else {
         return;
     };
+    if request.deputy != state.incarnation || state.group.borrow().is_leaving {
+        log_event!(
+            events::DELEGATION_REJECTED,
+            number = request.number, version = goal.version, pass = pass, term = goal.term,
+            deputy = request.deputy, own = state.incarnation;
+            "rejected a leader's request to hold a pass"
+        );
+        return;
+    }
     if !state.accept_term(goal.term, (from, request.number)) {
         return;
     }
+    update_record(state, |known| DeputyRecord::begin(known, goal.version));
     let hold = RankOrder::Hold { pass };
     let held = send_order(state, &goal, request.gate, &hold).await;
     if !held.is_in_force() {
@@ -56,11 +74,19 @@
         version: goal.version,
         pass,
     };
-    record_state(state, &goal, DeputyState::Unknown);
+    update_record(state, |known| {
+        let mut record = DeputyRecord::begin(known, goal.version);
+        record.record_sent();
+        record
+    });
     let activate = RankOrder::Activate(activation);
     let activated = send_order(state, &goal, request.leader, &activate).await;
     if activated.is_in_force() {
-        record_state(state, &goal, DeputyState::Active(activation));
+        update_record(state, |known| {
+            let mut record = DeputyRecord::begin(known, goal.version);
+            record.record_active(pass);
+            record
+        });
     }
     reply(state, from, request.number, activated);
 }
@@ -85,17 +111,15 @@
         .await
 }
 
-/// Records what this agent has ordered at the leader's engine.
-fn record_state(state: &State, goal: &Goal, deputy_state: DeputyState) {
-    state.group.borrow_mut().deputy_state = Some((goal.term, deputy_state));
+/// Replaces what this agent remembers of its orders.
+fn update_record(state: &State, update: impl Fn(Option<DeputyRecord>) -> DeputyRecord) {
+    let mut group = state.group.borrow_mut();
+    group.deputy_record = Some(update(group.deputy_record));
 }
 
-/// Returns what this agent has ordered at the leader's engine, and with which result.
-pub fn leader_engine_state(state: &State) -> DeputyState {
-    let group = state.group.borrow();
-    group
-        .deputy_state
-        .map_or(DeputyState::NotOrdered, |(_, state)| state)
+/// Returns what this agent has ordered at the leader's engine, and for which switch.
+pub fn report(state: &State) -> DeputyReport {
+    DeputyRecord::report(state.group.borrow().deputy_record)
 }
 
 /// Answers the query of an agent that takes a switch over, and accepts its term, so that requests of
@@ -108,13 +132,15 @@
     reply(state, from, number, RankOrderOutcome::Accepted);
 }
 
-/// Sends a reply with this deputy's state. `outcome` is that of the last order sent for the
+/// Sends a reply with this deputy's report. `outcome` is that of the last order sent for the
 /// request, or `Accepted` if none was sent; the reply only says whether it is `Fenced`.
 fn reply(state: &State, to: SocketAddr, number: u64, outcome: RankOrderOutcome) {
+    let report = report(state);
     let message = Message::DeputyReply {
         number,
-        state: leader_engine_state(state),
+        state: report.state,
         is_fenced: outcome == RankOrderOutcome::Fenced,
+        version: report.version,
     };
     state.send(to, &message);
 }
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -16,7 +16,8 @@
     expert_plan::{self, PlanShape},
     map_switch::{MapVersion, RankView, SetMap},
     pass_length::PassLengthEstimator,
-    switch_run::{DeputyState, RankOrderOutcome, SwitchRoles},
+    switch_deputy::DeputyRecord,
+    switch_run::{DeputyReport, RankOrderOutcome, SwitchRoles},
     watchers::Watchers,
 };
 use jj_utils::{
@@ -82,8 +83,8 @@
 pub struct DeputyReply {
     /// Number of the request or query.
     pub number: u64,
-    /// What the deputy has ordered at the leader's engine, and with which result.
-    pub state: DeputyState,
+    /// What the deputy has ordered at the leader's engine, and for which switch.
+    pub report: DeputyReport,
     /// Whether an engine refused the deputy's last order because it has seen a higher term.
     pub is_fenced: bool,
 }
@@ -93,8 +94,10 @@
 pub struct ReceivedTask {
     /// Time at which it was received.
     pub at: Timestamp,
-    /// Ranks with a part in the switch.
+    /// Ranks with a part in the switch, as far as any task has told.
     pub roles: SwitchRoles,
+    /// Version of the map of that switch; 0 if it is not known.
+    pub version: MapVersion,
 }
 
 /// Experts that one rank holds.
@@ -159,8 +162,8 @@
     pub is_leaving: bool,
     /// Time of the last failed switch with each rank as deputy.
     pub failed_deputies: FastMap<Rank, Timestamp>,
-    /// What this agent has ordered as a deputy at the leader's engine, and under which term.
-    pub deputy_state: Option<(Term, DeputyState)>,
+    /// What this agent has ordered as a deputy at the leader's engine.
+    pub deputy_record: Option<DeputyRecord>,
     /// Last reply of this agent's deputy.
     pub deputy_reply: Option<DeputyReply>,
     /// Number of the last request that this agent sent.
@@ -199,6 +202,20 @@
         self.batch_results.clear();
     }
 
+    /// Records a received task. The task of an agent that doesn't know the switch tells nothing
+    /// about its roles.
+    pub fn record_task(&mut self, now: Timestamp, task: &RankTask) {
+        let same_switch =
+            |it: &ReceivedTask| !task.roles.has_known_leader() || it.version == task.switch_version;
+        let known = self.last_task.filter(same_switch);
+        let received = ReceivedTask {
+            at: now,
+            roles: task.roles,
+            version: task.switch_version,
+        };
+        self.last_task = Some(known.map_or(received, |known| ReceivedTask { at: now, ..known }));
+    }
+
     /// Returns whether a request number was assigned by this process, not an earlier incarnation.
     pub fn is_own_request(&self, number: u64) -> bool {
         number >> REQUEST_COUNT_BITS == self.last_number >> REQUEST_COUNT_BITS
@@ -420,10 +437,15 @@
         }
     }
 
-    /// Returns whether the engine of a rank holds a pass, by its last reported state.
-    pub fn is_holding(&self, rank: Rank) -> bool {
-        let view = self.group.borrow().view(rank);
-        view.is_some_and(|it| it.held.is_some())
+    /// Returns the lowest rank, this one or that of a live agent, whose last reported state meets a
+    /// condition.
+    pub fn find_rank(&self, condition: impl Fn(&RankView) -> bool) -> Option<Rank> {
+        let mut ranks = self.live_ranks();
+        ranks.extend(self.rank());
+        ranks.sort_unstable();
+        let group = self.group.borrow();
+        let meets = |rank: &Rank| group.view(*rank).is_some_and(|it| condition(&it));
+        ranks.into_iter().find(meets)
     }
 
     /// Returns the ranks of the other agents that are not considered gone, in ascending order.
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -17,7 +17,7 @@
     clock::Timestamp,
     collections::{FastMap, FastSet},
     events,
-    ids::{Rank, Term},
+    ids::{Incarnation, Rank, Term},
     log_event,
 };
 
@@ -33,9 +33,9 @@
 /// Retry interval later, when the group may be waiting at a held pass.
 const HELD_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Unanswered repeats of a task after which the leader itself orders the rank's engine to load the
-/// map, and again after as many more.
-const REPEATS_PER_REMOTE_LOAD: u32 = 3;
+/// Unanswered repeats of a task after which the rank's engine is called directly, to load the map or
+/// to read its state, and again after as many more.
+const REPEATS_PER_REMOTE_CALL: u32 = 3;
 
 /// Maximum number of engines that the leader itself has load the map at the same time: each order
 /// contains the complete map, and where many agents don't answer, the leader is the slow one.
@@ -93,8 +93,13 @@
     (ending == Ending::Switched).then_some((goal.version, map))
 }
 
-/// Takes over the switch of a leader that is gone, and finishes it if a pass is held.
-pub async fn take_over(state: &Rc<State>, roles: SwitchRoles) {
+/// Takes over the switch of a leader that is gone, and finishes it if a pass is held; `version` is
+/// that of its map, or 0 if it is not known. Returns how the last attempt ended.
+pub async fn take_over(
+    state: &Rc<State>,
+    roles: SwitchRoles,
+    version: MapVersion,
+) -> Option<Ending> {
     let position = {
         let group = state.group.borrow();
         group
@@ -102,31 +107,31 @@
             .as_ref()
             .map(|it| (it.rank, it.group_size, it.view.epoch))
     };
-    let Some((own, size, epoch)) = position else {
-        return;
-    };
-    let mut raises = 0;
-    while !try_take_over(state, roles, (own, size, epoch)).await && raises < MAX_TERM_RAISES {
-        raises += 1;
+    let (own, size, epoch) = position?;
+    if [roles.leader, roles.deputy, roles.gate]
+        .iter()
+        .any(|it| *it >= size)
+    {
+        return None;
     }
-}
-
-/// Runs one attempt to take a switch over. Returns false if it was fenced before it had any effect,
-/// because an engine or an agent has seen a higher term; the next attempt uses a term above that.
-/// `position` is this agent's rank and the size and epoch of the group.
-async fn try_take_over(state: &Rc<State>, roles: SwitchRoles, position: (Rank, u32, u64)) -> bool {
-    let (own, size, epoch) = position;
-    let goal = Goal {
-        term: next_term(state),
-        epoch,
-        version: 0,
-        pass: None,
-    };
-    let number = state.group.borrow().last_number;
-    let (run, outputs) = SwitchRun::take_over(goal, roles, own, size, number);
-    let mut executor = SwitchExecutor::new(state, run, roles, None);
-    let ending = executor.execute(outputs).await;
-    ending != Ending::Fenced || !executor.run.had_no_effect()
+    for _ in 0..=MAX_TERM_RAISES {
+        let goal = Goal {
+            term: next_term(state),
+            epoch,
+            version,
+            pass: None,
+        };
+        let number = state.group.borrow().last_number;
+        let (run, outputs) = SwitchRun::take_over(goal, roles, own, size, number);
+        let mut executor = SwitchExecutor::new(state, run, roles, None);
+        let ending = executor.execute(outputs).await;
+        // Fenced before it had any effect: the next attempt uses a term above the one that the engine
+        // or agent has seen.
+        if ending != Ending::Fenced || !executor.run.had_no_effect() {
+            return Some(ending);
+        }
+    }
+    Some(Ending::Fenced)
 }
 
 /// Chooses the deputy and the gate among the live agents, with this agent as leader.
@@ -156,22 +161,24 @@
 /// Call to an engine, which completes with an input for the run; none if the call failed.
 type EngineCall = LocalBoxFuture<'static, Option<SwitchInput>>;
 
-/// Load of the map at the engine of another rank.
-type RemoteLoad = LocalBoxFuture<'static, (Rank, Option<SwitchInput>)>;
+/// Call to the engine of a rank whose agent does not answer.
+type RemoteCall = LocalBoxFuture<'static, (Rank, Option<SwitchInput>)>;
 
 /// Executes one run of a switch.
 struct SwitchExecutor<'a> {
     state: Rc<State>,
     run: SwitchRun,
     roles: SwitchRoles,
+    /// The deputy's process when the run began.
+    deputy: Incarnation,
     /// The map to load; none when a switch is taken over.
     content: Option<&'a MapContent<'a>>,
     /// Calls to engines that have not completed.
     calls: FuturesUnordered<EngineCall>,
-    /// Loads at engines of other ranks that have not completed.
-    remote_loads: FuturesUnordered<RemoteLoad>,
+    /// Calls to engines of ranks whose agents don't answer that have not completed.
+    remote_calls: FuturesUnordered<RemoteCall>,
     /// Ranks of these engines.
-    loading_ranks: FastSet<Rank>,
+    remote_ranks: FastSet<Rank>,
     /// Number of the unanswered task of each rank.
     open_tasks: FastMap<Rank, u64>,
     /// How often the task of each rank was repeated without an answer.
@@ -216,13 +223,14 @@
     ) -> Self {
         state.heartbeat_due.notify_one();
         state.group.borrow_mut().begin_switch();
-        let size = state
-            .group
-            .borrow()
-            .report
-            .as_ref()
-            .map_or(0, |it| it.group_size);
+        let (size, deputy) = {
+            let group = state.group.borrow();
+            let size = group.report.as_ref().map_or(0, |it| it.group_size);
+            let deputy = group.members.get(&roles.deputy);
+            (size, deputy.map_or(0, |it| it.status.incarnation))
+        };
         Self {
+            deputy,
             unanswered_tasks: FastMap::default(),
             outcomes: FastMap::default(),
             timed_out: None,
@@ -235,8 +243,8 @@
             roles,
             content,
             calls: FuturesUnordered::new(),
-            remote_loads: FuturesUnordered::new(),
-            loading_ranks: FastSet::default(),
+            remote_calls: FuturesUnordered::new(),
+            remote_ranks: FastSet::default(),
             open_tasks: FastMap::default(),
             deputy_request: 0,
         }
@@ -344,8 +352,8 @@
                         return input;
                     }
                 }
-                Some((rank, result)) = self.remote_loads.next() => {
-                    self.loading_ranks.remove(&rank);
+                Some((rank, result)) = self.remote_calls.next() => {
+                    self.remote_ranks.remove(&rank);
                     if let Some(input) = result {
                         return input;
                     }
@@ -372,8 +380,15 @@
             && reply.number > 0
         {
             self.deputy_request = 0;
+            log_event!(
+                events::DEPUTY_REPORTED,
+                deputy = self.roles.deputy, about = reply.report.version,
+                state = format!("{:?}", reply.report.state), fenced = reply.is_fenced,
+                term = self.run.goal().term;
+                "the deputy reported what it has ordered"
+            );
             return Some(SwitchInput::DeputyReply {
-                state: reply.state,
+                report: reply.report,
                 is_fenced: reply.is_fenced,
             });
         }
@@ -404,10 +419,21 @@
         {
             self.outcomes.insert(rank, outcome);
         }
-        let before = self.run.goal().term;
+        if let SwitchInput::View { rank, view, .. } = input
+            && rank == self.roles.gate
+            && self.run.stage().0 == Stage::FindGate
+        {
+            log_event!(
+                events::DECISION_READ,
+                gate = rank, version = self.run.goal().version, term = self.run.goal().term,
+                view = format!("{view:?}");
+                "read the gate of a switch that is taken over"
+            );
+        }
+        let (before, was_loading) = (self.run.goal().term, self.run.is_loading());
         let outputs = self.run.handle(input);
         let term = self.run.goal().term;
-        if term > before {
+        if term > before && was_loading {
             log_event!(
                 events::ORDER_FENCED,
                 term = before, raised = term, version = self.run.goal().version;
@@ -575,12 +601,14 @@
         }
         let previous = self.open_tasks.insert(rank, number);
         let server = server_of(&self.state, rank)?;
-        if self.run.is_loading() && previous == Some(number) {
-            let unanswered = self.unanswered_tasks.entry(rank).or_default();
-            *unanswered += 1;
-            if unanswered.is_multiple_of(REPEATS_PER_REMOTE_LOAD) {
-                self.order_remote_load(rank, server, number);
-            }
+        let unanswered = self.unanswered_tasks.entry(rank).or_default();
+        *unanswered = match previous == Some(number) {
+            true => *unanswered + 1,
+            false => 0,
+        };
+        let is_due = *unanswered > 0 && unanswered.is_multiple_of(REPEATS_PER_REMOTE_CALL);
+        if is_due && self.run.is_loading() {
+            self.order_remote_load(rank, server, number);
         }
         Some(self.state.agent_addr(server.ip()))
     }
@@ -591,7 +619,7 @@
         let Some(content) = self.content else {
             return;
         };
-        if self.loading_ranks.len() >= MAX_REMOTE_LOADS || !self.loading_ranks.insert(rank) {
+        if self.remote_ranks.len() >= MAX_REMOTE_LOADS || !self.remote_ranks.insert(rank) {
             return;
         }
         let engine = self.state.engine.with_addr(server);
@@ -602,7 +630,7 @@
             rank = rank, server = server.to_string(), version = goal.version;
             "loading the map at an engine whose agent does not answer"
         );
-        self.remote_loads.push(Box::pin(async move {
+        self.remote_calls.push(Box::pin(async move {
             let result = driver::load_remote(&engine, &goal, map).await;
             let input = result.map(|StepResult { view, outcome }| SwitchInput::View {
                 rank,
@@ -623,6 +651,7 @@
             roles: self.roles,
             goal: self.load_goal(),
             map: map.clone(),
+            switch_version: self.run.goal().version,
         };
         if to.len() <= MAX_DIRECT {
             for (agent, number) in to {
@@ -640,11 +669,18 @@
         }
     }
 
-    /// Returns the goal of the tasks: agents only load the map at their own engines.
+    /// Returns the goal of the tasks: agents only load the map at their own engines, and only while
+    /// no pass is held.
     fn load_goal(&self) -> Goal {
+        let goal = self.run.goal();
+        let version = match self.run.is_loading() {
+            true => goal.version,
+            false => 0,
+        };
         Goal {
             pass: None,
-            ..self.run.goal()
+            version,
+            ..goal
         }
     }
 
@@ -738,6 +774,7 @@
             gate_sequence,
             server: self.state.server,
             leader_sequence,
+            deputy: self.deputy,
         };
         self.send_to_deputy(&message);
     }
@@ -748,7 +785,7 @@
         if Some(self.roles.deputy) == self.state.rank() {
             let reply = DeputyReply {
                 number: self.deputy_request,
-                state: deputy::leader_engine_state(&self.state),
+                report: deputy::report(&self.state),
                 is_fenced: false,
             };
             self.state.group.borrow_mut().deputy_reply = Some(reply);
--- a/crates/rank/src/takeover.rs
+++ b/crates/rank/src/takeover.rs
@@ -3,13 +3,16 @@
 //! The group waits at a held pass until the pass is released, so a leader that is killed or stopped
 //! during a switch stalls every stream. All agents have received its tasks and see that the group
 //! makes no progress. The live watcher with the lowest rank finishes the switch, and the next one if
-//! that fails. Agents that have started since know nothing of the switch; they see the held pass and
-//! roll the switch back.
+//! that fails. Agents that have started since know nothing of the switch; they see the held pass,
+//! and roll the switch back unless it is committed.
 
 use std::{rc::Rc, time::Duration};
 
-use jj_policy::switch_run::SwitchRoles;
-use jj_utils::clock::Timestamp;
+use jj_policy::{
+    map_switch::MapVersion,
+    switch_run::{Ending, SwitchRoles, has_stale_mark},
+};
+use jj_utils::{clock::Timestamp, ids::Rank};
 
 use crate::{
     state::{ReceivedTask, State},
@@ -31,21 +34,59 @@
 /// Time after a leader's last task within which a stall is attributed to that leader's switch.
 const TASK_WINDOW: Duration = Duration::from_secs(8);
 
+/// Time without a hold after which the mark of a rolled back switch is removed from its gate, which
+/// the agent that rolled it back usually does at once.
+const STALE_MARK_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A switch that was left unfinished, as far as an agent knows it.
+#[derive(Debug, Clone, Copy)]
+struct AbandonedSwitch {
+    roles: SwitchRoles,
+    /// Version of its map; 0 if it is not known.
+    version: MapVersion,
+}
+
+impl AbandonedSwitch {
+    /// Returns a switch of which only the gate is known.
+    fn unknown(gate: Rank) -> Self {
+        Self {
+            roles: SwitchRoles::unknown(gate),
+            version: 0,
+        }
+    }
+}
+
 /// Checks for abandoned switches and takes them over, for as long as the process runs.
 pub async fn run(state: Rc<State>) {
+    let mut marked_since = None;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let now = state.clock.now();
-        if let Some(roles) = abandoned_switch(&state, now) {
-            switch::take_over(&state, roles).await;
-            // Restarts the stall timeout, since the group needs a moment to resume.
-            state.group.borrow_mut().last_progress = state.clock.now();
+        let stale_mark = stale_mark(&state, now, &mut marked_since);
+        let Some(switch) = abandoned_switch(&state, now).or(stale_mark) else {
+            continue;
+        };
+        let ending = switch::take_over(&state, switch.roles, switch.version).await;
+        if ending == Some(Ending::Nothing) {
+            forget_switch(&state);
         }
+        // Restarts the stall timeout, since the group needs a moment to resume.
+        state.group.borrow_mut().last_progress = state.clock.now();
+    }
+}
+
+/// Forgets the switch of the last task, whose gate holds no pass: if another rank holds one, that is
+/// for another switch.
+fn forget_switch(state: &State) {
+    let mut group = state.group.borrow_mut();
+    if let Some(task) = &mut group.last_task {
+        task.roles = SwitchRoles::unknown(task.roles.gate);
+        task.version = 0;
     }
 }
 
-/// Returns the roles of the switch that this agent has to take over now, if there is one.
-fn abandoned_switch(state: &State, now: Timestamp) -> Option<SwitchRoles> {
+/// Returns the switch that this agent has to take over now, if there is one.
+fn abandoned_switch(state: &State, now: Timestamp) -> Option<AbandonedSwitch> {
     if state.group.borrow().is_switching {
         return None;
     }
@@ -56,8 +97,31 @@
     }
 }
 
-/// Returns the roles of a switch with a known leader, if it is this agent's turn to take it over.
-fn abandoned_by_leader(state: &State, now: Timestamp, task: &ReceivedTask) -> Option<SwitchRoles> {
+/// Returns the switch to whose gate this agent, if it leads, has to send the order that removes the
+/// mark of its rollback. `since` is when the gate was first seen with it.
+fn stale_mark(
+    state: &State,
+    now: Timestamp,
+    since: &mut Option<Timestamp>,
+) -> Option<AbandonedSwitch> {
+    let marked = match state.is_leader() && !state.group.borrow().is_switching {
+        true => state.find_rank(has_stale_mark),
+        false => None,
+    };
+    let Some(gate) = marked else {
+        *since = None;
+        return None;
+    };
+    let since = *since.get_or_insert(now);
+    (now >= since + STALE_MARK_TIMEOUT).then_some(AbandonedSwitch::unknown(gate))
+}
+
+/// Returns a switch with a known leader, if it is this agent's turn to take it over.
+fn abandoned_by_leader(
+    state: &State,
+    now: Timestamp,
+    task: &ReceivedTask,
+) -> Option<AbandonedSwitch> {
     let leader = task.roles.leader;
     let own = state.rank().filter(|own| *own != leader)?;
     if !state.is_watcher() {
@@ -72,17 +136,21 @@
         true => STALL_TIMEOUT,
         false => LIVE_LEADER_STALL_TIMEOUT,
     };
-    (now >= last_activity + timeout + additional_wait(lower.count())).then_some(task.roles)
+    let switch = AbandonedSwitch {
+        roles: task.roles,
+        version: task.version,
+    };
+    (now >= last_activity + timeout + additional_wait(lower.count())).then_some(switch)
 }
 
-/// Returns the roles of a switch of which this agent only knows that a rank holds a pass, if it is
-/// this agent's turn to roll it back. `last_attempt` is when a task was last received, which may be
+/// Returns a switch of which this agent only knows that a rank holds a pass, if it is this agent's
+/// turn to take it over. `last_attempt` is when a task was last received, which may be
 /// from another agent that rolls the switch back.
 fn abandoned_by_unknown(
     state: &State,
     now: Timestamp,
     last_attempt: Timestamp,
-) -> Option<SwitchRoles> {
+) -> Option<AbandonedSwitch> {
     let own = state.rank().filter(|_| state.is_watcher())?;
     let watchers = state.live_watchers();
     let lower = watchers.iter().filter(|it| **it < own);
@@ -91,11 +159,8 @@
     if now < last_activity + LIVE_LEADER_STALL_TIMEOUT + additional_wait(lower.count()) {
         return None;
     }
-    let mut ranks = state.live_ranks();
-    ranks.push(own);
-    ranks.sort_unstable();
-    let gate = ranks.into_iter().find(|rank| state.is_holding(*rank))?;
-    Some(SwitchRoles::unknown(gate))
+    let gate = state.find_rank(|it| it.held.is_some())?;
+    Some(AbandonedSwitch::unknown(gate))
 }
 
 /// Returns the time for which an agent waits for live watchers of lower ranks to act first.
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -103,6 +103,9 @@
     LOADED_FOR = 1512 Info "loaded_for";
     WATCHERS_CHANGED = 1513 Info "watchers_changed";
     ORDER_NOT_TAKEN = 1514 Debug "order_not_taken";
+    DELEGATION_REJECTED = 1515 Info "delegation_rejected";
+    DECISION_READ = 1516 Info "decision_read";
+    DEPUTY_REPORTED = 1517 Info "deputy_reported";
 }
 
 /// Logs an event of the catalogue with its code and, optionally, fields in addition to the message:
