--- a/crates/front/src/peer_datagrams.rs
+++ b/crates/front/src/peer_datagrams.rs
@@ -369,6 +369,7 @@
             .unwrap_or(DEFAULT_EVENT_GAP),
         servers: interleave_domains(&servers),
         entries: peers.ips_per_domain(entries_per_domain),
+        report_lag_ms: engine.report_lag.as_millis() as u32,
     })
 }
 
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -93,6 +93,8 @@
         pub servers: Vec<SocketAddr>,
         /// Entries that accept requests and reports of agents.
         pub entries: Vec<IpAddr>,
+        /// Maximum age of the reports that engines tell other instances, in milliseconds.
+        pub report_lag_ms: u32,
     }
 }
 
@@ -363,6 +365,7 @@
             message,
             Self::Hello(_)
                 | Self::InFlight { .. }
+                | Self::Roster(_)
                 | Self::RankTask(_)
                 | Self::TaskBatch { .. }
                 | Self::DelegateActivation { .. }
--- a/crates/news/src/plausible.rs
+++ b/crates/news/src/plausible.rs
@@ -33,6 +33,9 @@
 /// Longest duration in a message.
 const MAX_DURATION: Duration = Duration::from_secs(3_600);
 
+/// Maximum age of the reports that engines tell other instances.
+const MAX_REPORT_LAG: Duration = Duration::from_secs(10);
+
 /// Largest slowdown of an engine.
 const MAX_SLOWDOWN: f64 = 10_000.0;
 
@@ -92,6 +95,7 @@
     is_valid_experts(&roster.experts)
         && roster.idle_pass <= MAX_DURATION
         && roster.gap_target <= MAX_DURATION
+        && Duration::from_millis(roster.report_lag_ms.into()) <= MAX_REPORT_LAG
 }
 
 fn is_valid_experts(spec: &ExpertSpec) -> bool {
--- a/crates/policy/tests/switch_run_walk.rs
+++ b/crates/policy/tests/switch_run_walk.rs
@@ -149,6 +149,7 @@
         takeovers_end: false,
         killed_agents: &[],
         kills: 0,
+        restarts_at_once: false,
         recoveries: 0,
         concurrent_recoveries: false,
         second_leaders: 0,
@@ -374,6 +375,21 @@
     expect_in_step("woken deputy", FENCING_KINDS, World::loaded, faults);
 }
 
+#[gtest]
+fn no_violation_when_a_takeover_follows_a_stopped_leader_and_a_lost_answer() {
+    let faults = Budget {
+        stopping_ranks: &[0],
+        stops: 1,
+        takeover_agents: &[3],
+        lost_answers: 1,
+        timeouts: 1,
+        ..budget()
+    };
+
+    let kinds = &[COUNTING_AND_FENCING];
+    expect_in_step("stopped leader, lost answer", kinds, World::loaded, faults);
+}
+
 #[gtest]
 fn no_violation_when_all_agents_are_killed() {
     let faults = Budget {
@@ -387,23 +403,37 @@
 }
 
 #[gtest]
-fn no_violation_with_two_concurrent_recoveries() {
+fn no_violation_with_two_recoveries_after_all_agents_are_killed() {
     let faults = Budget {
-        killed_agents: &[0, 1],
+        killed_agents: &[0, 1, 2, 3],
         kills: 1,
+        restarts_at_once: true,
         recoveries: 2,
-        concurrent_recoveries: true,
         ..budget()
     };
 
     expect_in_step(
-        "two recoveries",
-        &[COUNTING_AND_FENCING],
-        World::held,
+        "all killed, two recoveries",
+        FENCING_KINDS,
+        World::loaded,
         faults,
     );
 }
 
+#[gtest]
+fn no_violation_with_two_concurrent_recoveries() {
+    let faults = Budget {
+        killed_agents: &[0, 1, 2, 3],
+        kills: 1,
+        restarts_at_once: true,
+        recoveries: 2,
+        concurrent_recoveries: true,
+        ..budget()
+    };
+
+    expect_in_step("two recoveries", FENCING_KINDS, World::loaded, faults);
+}
+
 #[gtest]
 fn no_violation_with_a_recovery_beside_a_live_leader() {
     let faults = Budget {
@@ -612,6 +642,7 @@
         takeovers_end: false,
         killed_agents,
         kills: 2,
+        restarts_at_once: false,
         recoveries: 1,
         concurrent_recoveries: false,
         second_leaders,
--- a/crates/policy/tests/switch_world/faults.rs
+++ b/crates/policy/tests/switch_world/faults.rs
@@ -56,6 +56,7 @@
             world.budget.kills -= 1;
             for rank in self.budget.killed_agents {
                 world.kill_agent(*rank);
+                world.agents[*rank as usize].is_killed = !self.budget.restarts_at_once;
             }
             next.push((Event::Kill, world));
         }
--- a/crates/policy/tests/switch_world/mod.rs
+++ b/crates/policy/tests/switch_world/mod.rs
@@ -87,6 +87,8 @@
         pub killed_agents: &'static [Rank],
         /// Times that these agents are killed.
         pub kills: u32,
+        /// Whether they restart at the moment at which they are killed.
+        pub restarts_at_once: bool,
         /// Takeovers by the spare agent that do not know the switch.
         pub recoveries: u32,
         /// Whether a recovery may begin before another one has ended; all then begin after the
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -263,6 +263,19 @@
     }
 }
 
+/// Reads the report of an engine whose agent does not answer, as it was no earlier than the call:
+/// engines tell other instances reports that are up to `lag` old.
+pub async fn read_remote(engine: &EngineClient, lag: Duration) -> Option<RankView> {
+    tokio::time::sleep(lag).await;
+    match engine.fetch_report(REMOTE_REPORT_TIMEOUT).await {
+        Ok(report) => Some(report.view),
+        Err(error) => {
+            log::debug!("failed to read the report of a remote engine: {error:#}");
+            None
+        }
+    }
+}
+
 /// Sends the experts of this agent's engine to a leader.
 pub async fn send_experts(state: &State, to: SocketAddr) {
     let Some(rank) = state.rank() else {
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -50,6 +50,9 @@
 /// Time for which an agent is not chosen as deputy after a switch with it failed, if there are others.
 const FAILED_DEPUTY_WINDOW: Duration = Duration::from_secs(3);
 
+/// Maximum age of the reports of engines on other instances, if no entry has told it.
+const DEFAULT_REPORT_LAG: Duration = Duration::from_millis(500);
+
 /// Heartbeat intervals within which a deputy candidate must have been seen to be preferred.
 const FRESH_INTERVALS: f64 = 1.4;
 
@@ -98,6 +101,8 @@
     pub roles: SwitchRoles,
     /// Version of the map of that switch; 0 if it is not known.
     pub version: MapVersion,
+    /// Process of the leader then, if it was known.
+    pub leader: Option<Incarnation>,
 }
 
 /// Experts that one rank holds.
@@ -208,10 +213,12 @@
         let same_switch =
             |it: &ReceivedTask| !task.roles.has_known_leader() || it.version == task.switch_version;
         let known = self.last_task.filter(same_switch);
+        let leader = self.members.get(&task.roles.leader);
         let received = ReceivedTask {
             at: now,
             roles: task.roles,
             version: task.switch_version,
+            leader: leader.map(|it| it.status.incarnation),
         };
         self.last_task = Some(known.map_or(received, |known| ReceivedTask { at: now, ..known }));
     }
@@ -418,6 +425,17 @@
         last_seen.is_none_or(|last_seen| now > last_seen + LEADER_SILENCE)
     }
 
+    /// Returns whether the agent that led the switch of a task has gone: it is silent, or another
+    /// process has started in its place.
+    pub fn has_leader_gone(&self, task: &ReceivedTask, now: Timestamp) -> bool {
+        let leader = task.roles.leader;
+        let group = self.group.borrow();
+        let current = group.members.get(&leader).map(|it| it.status.incarnation);
+        let has_restarted = task.leader.is_some() && current != task.leader;
+        drop(group);
+        has_restarted || self.is_silent(leader, now)
+    }
+
     /// Records that an order to an engine of the group got no answer.
     pub fn record_unanswered(&self) {
         self.group.borrow_mut().last_unanswered = Some(self.clock.now());
@@ -437,6 +455,16 @@
         }
     }
 
+    /// Returns for how long the engine of another instance may tell an old report.
+    pub fn report_lag(&self) -> Duration {
+        let group = self.group.borrow();
+        let lag = group.roster.as_ref().map(|it| it.report_lag_ms);
+        match lag {
+            None | Some(0) => DEFAULT_REPORT_LAG,
+            Some(lag) => Duration::from_millis(lag.into()),
+        }
+    }
+
     /// Returns the lowest rank, this one or that of a live agent, whose last reported state meets a
     /// condition.
     pub fn find_rank(&self, condition: impl Fn(&RankView) -> bool) -> Option<Rank> {
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -41,6 +41,9 @@
 /// contains the complete map, and where many agents don't answer, the leader is the slow one.
 const MAX_REMOTE_LOADS: usize = 8;
 
+/// Maximum number of engines that are read directly at the same time.
+const MAX_REMOTE_READS: usize = 8;
+
 /// Timeout for another agent to send a batch of orders and to report their results.
 const BATCH_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -606,13 +609,40 @@
             true => *unanswered + 1,
             false => 0,
         };
-        let is_due = *unanswered > 0 && unanswered.is_multiple_of(REPEATS_PER_REMOTE_CALL);
-        if is_due && self.run.is_loading() {
-            self.order_remote_load(rank, server, number);
+        if *unanswered > 0 && unanswered.is_multiple_of(REPEATS_PER_REMOTE_CALL) {
+            match self.run.is_loading() {
+                true => self.order_remote_load(rank, server, number),
+                false => self.read_remote(rank, server, number),
+            }
         }
         Some(self.state.agent_addr(server.ip()))
     }
 
+    /// Reads the engine of a rank whose agent does not answer.
+    fn read_remote(&mut self, rank: Rank, server: SocketAddr, number: u64) {
+        if self.remote_ranks.len() >= MAX_REMOTE_READS || !self.remote_ranks.insert(rank) {
+            return;
+        }
+        let engine = self.state.engine.with_addr(server);
+        let lag = self.state.report_lag();
+        self.remote_calls.push(Box::pin(async move {
+            let view = driver::read_remote(&engine, lag).await;
+            log_event!(
+                events::ENGINE_READ_REMOTELY,
+                rank = rank, server = server.to_string(), answered = view.is_some(),
+                lag_ms = lag.as_millis() as u64, view = format!("{view:?}");
+                "read an engine whose agent does not answer"
+            );
+            let input = view.map(|view| SwitchInput::View {
+                rank,
+                number,
+                view,
+                outcome: None,
+            });
+            (rank, input)
+        }));
+    }
+
     /// Orders the engine of a rank whose agent does not answer to load the map. No pass is held at
     /// this stage, so a late order of that agent does no harm.
     fn order_remote_load(&mut self, rank: Rank, server: SocketAddr, number: u64) {
--- a/crates/rank/src/takeover.rs
+++ b/crates/rank/src/takeover.rs
@@ -22,7 +22,8 @@
 /// Interval between checks for an abandoned switch.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Duration of a stall after which a switch of a silent leader is taken over; longer than any pass.
+/// Duration of a stall after which a switch of a leader that is silent or has restarted is taken over;
+/// longer than any pass.
 const STALL_TIMEOUT: Duration = Duration::from_millis(240);
 
 /// Additional wait for each live watcher with a lower rank, which goes first.
@@ -132,7 +133,7 @@
     // An agent that takes the switch over sends tasks as well.
     let last_attempt = task.at.max(state.last_switching_heartbeat(Some(leader)));
     let last_activity = state.group.borrow().last_progress.max(last_attempt);
-    let timeout = match state.is_silent(leader, now) {
+    let timeout = match state.has_leader_gone(task, now) {
         true => STALL_TIMEOUT,
         false => LIVE_LEADER_STALL_TIMEOUT,
     };
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -106,6 +106,7 @@
     DELEGATION_REJECTED = 1515 Info "delegation_rejected";
     DECISION_READ = 1516 Info "decision_read";
     DEPUTY_REPORTED = 1517 Info "deputy_reported";
+    ENGINE_READ_REMOTELY = 1518 Info "engine_read_remotely";
 }
 
 /// Logs an event of the catalogue with its code and, optionally, fields in addition to the message:
