fix(front): an entry that shuts down accepts only what it can expect to finish

Cause: the entry never compared the time that it has left with what a request needs. The same held for requests in its queue, for a second attempt after a late failure, and for what had been passed on and had no response.

The entry's own log said that the callers had disconnected; it now says what it cut.

Why this works: time limits decide where they are certain, else a forecast from responses that have ended and those in progress; it is asked when a request is whole, while it waits, and before each attempt. What is rejected gets its final answer at once, "not run", on a connection that closes. 150 ms before the end what has no response gets 502. Addresses live 1.5 s; other entries learn of the stop at once.

--- a/crates/front/src/auxiliary_ports.rs
+++ b/crates/front/src/auxiliary_ports.rs
@@ -17,6 +17,7 @@
     shared_state::SharedState,
     store_sync::{ERA_QUERY, REPLICA_PATH, SINCE_QUERY},
 };
+
 /// Returns the handler of all auxiliary ports; every path is served on each of them.
 pub fn handler(shared: Rc<SharedState>, metrics: PrometheusHandle) -> Handler {
     Rc::new(move |arrival, _| {
@@ -51,15 +52,19 @@
     }
 }
 
-/// Returns the addresses of entries that accept requests, valid for half the promised address
-/// lifetime.
+/// Lifetime of addresses as a fraction of the longest one allowed: some callers keep them for longer,
+/// and an entry that shuts down accepts only what it can finish.
+const ADDRESS_LIFETIME_FRACTION: f64 = 0.3;
+
+/// Returns the addresses of entries that accept requests.
 fn resolve(shared: &Rc<SharedState>, query: Option<&str>) -> Response<ResponseBody> {
     let addresses = addresses(shared, query);
     if addresses.is_empty() {
         let reason = "no entry takes requests\n";
         return text_response(StatusCode::SERVICE_UNAVAILABLE, reason);
     }
-    let lifetime = shared.settings().objectives.max_address_ttl / 2;
+    let longest = shared.settings().objectives.max_address_ttl;
+    let lifetime = longest.mul_f64(ADDRESS_LIFETIME_FRACTION);
     let body = directory::resolve_body(addresses, lifetime);
     let mut response = Response::new(ResponseBody::whole(body));
     let content_type = HeaderValue::from_static("application/json");
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     attempt_failure::{AttemptFailure, AttemptStage},
+    entry_shutdown,
     error_response::ErrorResponse,
     long_body::LongBody,
     prompt_guard::{self, SendDecision, Trial},
@@ -29,6 +30,9 @@
 /// Retry-after time of a rejection whose cause gives no better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Reason of a rejection by a process that shuts down.
+const SHUTDOWN_REASON: &str = "the entry shuts down";
+
 /// Response of a server that can be passed to the caller.
 pub enum ForwardedResponse {
     /// A response that has been received in full.
@@ -78,13 +82,30 @@
     /// the event with the id `last_event`.
     ///
     /// # Errors
-    /// When no server has responded and no further attempt is allowed.
+    /// When no server has responded and no further attempt is allowed, or this process is about to
+    /// end.
     pub async fn obtain_response(
         &mut self,
         last_event: Option<EventId>,
+    ) -> Result<ForwardedResponse, ErrorResponse> {
+        let shared = Rc::clone(&self.shared);
+        tokio::select! {
+            response = self.try_servers(last_event) => return response,
+            () = shared.shutdown.wait_for_final_responses() => {}
+        }
+        self.may_have_run |= self.stage != AttemptStage::Connecting;
+        Err(self.give_up_with(Duration::ZERO, SHUTDOWN_REASON))
+    }
+
+    /// Sends the request to one server after another until one responds.
+    async fn try_servers(
+        &mut self,
+        last_event: Option<EventId>,
     ) -> Result<ForwardedResponse, ErrorResponse> {
         loop {
-            let (reservation, trial) = self.wait_for_permission().await?;
+            self.stage = AttemptStage::Connecting;
+            let is_resumed = last_event.is_some();
+            let (reservation, trial) = self.wait_for_permission_in_time(is_resumed).await?;
             let server = Rc::clone(&reservation.server);
             let attempt = self.attempt_unless_held(reservation, last_event, trial.is_some());
             let failure = match attempt.await {
@@ -136,6 +157,23 @@
         }
     }
 
+    /// Reserves a server, unless this process shuts down and the response could not be expected to
+    /// end before it does. A stream that the caller is reading goes on in any case.
+    async fn wait_for_permission_in_time(
+        &mut self,
+        is_resumed: bool,
+    ) -> Result<(Reservation, Option<Trial>), ErrorResponse> {
+        let (shared, request) = (Rc::clone(&self.shared), Rc::clone(&self.request));
+        let too_late = entry_shutdown::wait_until_too_late(shared, request);
+        tokio::select! {
+            biased;
+            () = too_late, if !is_resumed => {}
+            permission = self.wait_for_permission() => return permission,
+        }
+        entry_shutdown::log_rejection(&self.shared, &self.request);
+        Err(self.give_up_with(Duration::ZERO, SHUTDOWN_REASON))
+    }
+
     /// Reserves a server for a request that may be sent to it; with the trial if it is one.
     async fn wait_for_permission(&mut self) -> Result<(Reservation, Option<Trial>), ErrorResponse> {
         let (shared, request) = (Rc::clone(&self.shared), Rc::clone(&self.request));
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempt_failure;
 pub mod auxiliary_ports;
 pub mod dispatch;
+mod entry_shutdown;
 pub mod error_response;
 pub mod forward;
 pub mod load_tracker;
--- a/crates/front/src/long_body.rs
+++ b/crates/front/src/long_body.rs
@@ -8,7 +8,7 @@
 use jj_direct::{body::ResponseBody, call::CallResponse, header_codec::ResponseHeaders};
 use jj_policy::server_health::AttemptOutcome;
 
-use crate::{attempt, forward::Forwarder, shared_state::Reservation};
+use crate::{attempt, forward::Forwarder, request_log, shared_state::Reservation};
 
 /// A response of which the head and the beginning of the body have been received.
 pub struct LongBody {
@@ -65,7 +65,7 @@
                 }
                 Ok(Ok(None)) => {
                     reservation.record_outcome(AttemptOutcome::Succeeded);
-                    forward.request_log.set_ending("answered");
+                    forward.request_log.set_ending(request_log::COMPLETE);
                     answer.finish(&forward.shared.pool, attempt::keep_alive_time(&facts));
                     return;
                 }
--- a/crates/front/src/peer_datagrams.rs
+++ b/crates/front/src/peer_datagrams.rs
@@ -10,7 +10,7 @@
 
 use jj_news::{GroupStatus, Hello, MAX_DATAGRAM_BYTES, MAX_RATES, Message, Roster, StoreStatus};
 use jj_policy::{
-    gossip::MemberChange,
+    gossip::{EntryState, MemberChange},
     load_sums::{LoadScope, OutgoingUpdate},
     rate_limits::RateStatement,
     server_list::{Era, ServerRecord},
@@ -53,6 +53,7 @@
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut exchange = PeerDatagrams {
         last_round_at: shared.clock.now(),
+        announced_state: EntryState::Starting,
         round: 0,
         buffer: vec![0; MAX_DATAGRAM_BYTES],
         forwarded_group_status: FastMap::default(),
@@ -80,6 +81,8 @@
     socket: Rc<UdpSocket>,
     buffer: Vec<u8>,
     last_round_at: Timestamp,
+    /// State of this entry in the last heartbeats.
+    announced_state: EntryState,
     /// Number of heartbeat rounds.
     round: u64,
     /// Whether each group works according to the news forwarded last, and when that was.
@@ -93,8 +96,12 @@
         Instant::now() + due.saturating_sub(self.shared.clock.now())
     }
 
-    /// Marks the requests in flight as changed, and sends the notices of leaving servers.
+    /// Marks the requests in flight as changed, and sends the notices of leaving servers. A shutdown
+    /// of this entry goes out with a round of heartbeats.
     fn handle_local_news(&mut self) {
+        if self.shared.entry_state.get() != self.announced_state {
+            self.send_heartbeats();
+        }
         let leaves = std::mem::take(&mut *self.shared.unsent_leaves.borrow_mut());
         let mut loads = self.shared.loads.borrow_mut();
         loads.peer_loads.mark_changed();
@@ -235,6 +242,7 @@
             );
         }
         self.last_round_at = now;
+        self.announced_state = self.shared.entry_state.get();
         let targets = self.begin_round(now);
         let settings = self.shared.settings();
         let message = Message::Hello(Hello {
--- a/crates/front/src/request_handler.rs
+++ b/crates/front/src/request_handler.rs
@@ -20,6 +20,7 @@
     forward::{ForwardedResponse, Forwarder},
     long_body,
     request::{self, Request},
+    request_log,
     shared_state::SharedState,
     stream_relay,
 };
@@ -85,7 +86,7 @@
         Ok(ForwardedResponse::Complete(response)) => {
             forward.request_log.status = Some(response.status());
             forward.request_log.first_response_at = Some(shared.clock.now());
-            forward.request_log.ending = "answered";
+            forward.request_log.ending = request_log::COMPLETE;
             response
         }
         Ok(ForwardedResponse::Partial(body)) => {
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use http::StatusCode;
+use jj_policy::response_times::ResponseTicket;
 use jj_utils::{clock::Timestamp, events, ids::BackendServerId, log_event};
 
 use crate::{request::Request, shared_state::SharedState};
@@ -23,12 +24,25 @@
     pub longest_gap: (Duration, Timestamp),
     /// How it ended, as the text of the log line.
     pub ending: &'static str,
+    /// Response that the request has asked for.
+    response: ResponseTicket,
 }
 
+/// Ending of a request whose response was passed on in full.
+pub const COMPLETE: &str = "answered";
+
+/// Ending of a request whose caller has closed the connection.
+const DISCONNECTED: &str = "the caller disconnected";
+
+/// Ending of a request that was still in progress when the process ended.
+const CUT_OFF: &str = "cut off: the entry stopped";
+
 impl RequestLog {
     /// Returns the log of a request that has just been authorized.
     pub fn new(shared: &Rc<SharedState>, request: &Rc<Request>) -> Self {
+        let route = &request.authorized.route.name;
         Self {
+            response: shared.shutdown.begin_response(request.arrived, route),
             shared: Rc::clone(shared),
             request: Rc::clone(request),
             servers: Vec::new(),
@@ -36,7 +50,7 @@
             first_response_at: None,
             events_sent: 0,
             longest_gap: Default::default(),
-            ending: "the caller disconnected",
+            ending: DISCONNECTED,
         }
     }
 
@@ -45,6 +59,16 @@
         self.ending = ending;
     }
 
+    /// Records the duration of a complete response.
+    fn record_response_time(&self) {
+        let is_success = self.status.is_some_and(|it| it.is_success());
+        let is_complete = is_success && self.ending == COMPLETE;
+        let now = self.shared.clock.now();
+        let route = &self.request.authorized.route.name;
+        let shutdown = &self.shared.shutdown;
+        shutdown.end_response(now, route, self.response, is_complete);
+    }
+
     /// Counts a request that was a caller's retry, by its result.
     fn count_caller_retry(&self) {
         if !self.request.is_caller_retry {
@@ -84,6 +108,10 @@
         metrics::histogram!("jujube_request_seconds").record(total.as_secs_f64());
         self.count_late(first);
         self.count_caller_retry();
+        self.record_response_time();
+        if self.ending == DISCONNECTED && self.shared.shutdown.is_over() {
+            self.ending = CUT_OFF;
+        }
         log_event!(
             events::REQUEST_ENDED,
             request = self.request.id(),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts an entry, and shuts it down gracefully on SIGTERM.
 
-use std::{net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, pin::pin, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use jj_adapter::settings;
@@ -11,7 +11,7 @@
     settings_reload, socket, supervise,
 };
 use jj_utils::{
-    clock::SystemClock,
+    clock::{SystemClock, Timestamp},
     events, log_event,
     logging::{self, LogFormat},
 };
@@ -147,20 +147,27 @@
     }
 }
 
-/// Announces the shutdown to peers and the directory, serves new requests for [`DRAIN_TIME`] (half
-/// the grace period at most), then stops accepting connections and waits for the remaining
-/// requests.
+/// Announces the shutdown to peers and the directory, serves new requests that end in time for
+/// [`DRAIN_TIME`] (half the grace period at most), then stops accepting connections and waits for
+/// the remaining requests. What has no response shortly before the end gets a final one.
 async fn shut_down(shared: &Rc<SharedState>, stop: ServerStop, server: JoinHandle<()>) {
     let settings = shared.settings();
     log_event!(events::PROCESS_DRAINING, instance = settings.name.as_str(); "entry shuts down");
-    shared.entry_state.set(EntryState::Leaving);
     let grace = settings.objectives.stop_grace.saturating_sub(EXIT_MARGIN);
+    let shutdown = shared.begin_shutdown(grace);
     let drain_time = DRAIN_TIME.min(grace / 2);
     tokio::time::sleep(drain_time).await;
     stop.drain.cancel();
-    let all_ended = tokio::time::timeout(grace - drain_time, server)
-        .await
-        .is_ok();
+    let time_until = |end: Timestamp| end.saturating_sub(shared.clock.now());
+    let mut server = pin!(server);
+    let left = time_until(shutdown.final_responses_at());
+    let mut all_ended = tokio::time::timeout(left, server.as_mut()).await.is_ok();
+    if !all_ended {
+        shared.shutdown.demand_final_responses();
+        let left = time_until(shutdown.ends());
+        all_ended = tokio::time::timeout(left, server.as_mut()).await.is_ok();
+    }
+    shared.shutdown.finish();
     log_event!(
         events::PROCESS_STOPPED,
         instance = settings.name.as_str(), all_ended = all_ended; "entry stopped"
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -25,6 +25,7 @@
     server_health::AttemptOutcome,
     server_list::{ServerIncarnation, ServerRecord, StorePosition},
     server_notices::ServerAccess,
+    shutdown::Shutdown,
     windowed_retry_budget::{WindowedRetryBudget, WindowedRetryConfig},
 };
 use jj_utils::{
@@ -39,8 +40,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    load_tracker::LoadTracker, peers::Peers, prompt_guard, rate_limits,
-    request_queues::RequestQueues, store_replica::StoreReplica,
+    entry_shutdown::EntryShutdown, load_tracker::LoadTracker, peers::Peers, prompt_guard,
+    rate_limits, request_queues::RequestQueues, store_replica::StoreReplica,
 };
 
 /// Requests in flight per slot from which a model server gets no more: the engine's own queue takes
@@ -74,6 +75,8 @@
     pub pool: Pool,
     /// Whether this entry is starting, accepts requests or is about to stop.
     pub entry_state: Cell<EntryState>,
+    /// Shutdown of this entry, and what it needs to know of requests.
+    pub shutdown: EntryShutdown,
     /// Signals the dispatcher that a server may have capacity for a queued request.
     pub capacity_changed: Notify,
     /// Requests that wait for a server with capacity.
@@ -187,6 +190,7 @@
             replica: RefCell::default(),
             pool: Pool::new(PoolConfig::default(), clock.clone()),
             entry_state: Cell::new(EntryState::Starting),
+            shutdown: EntryShutdown::default(),
             capacity_changed: Notify::new(),
             request_queues: RefCell::default(),
             store_read_requested: Notify::new(),
@@ -461,6 +465,14 @@
         detector.is_some_and(|it| it.observe(&config, now, self.last_rejection.get(), left))
     }
 
+    /// Begins the shutdown of this entry, which ends after `grace`, and has the other entries told at
+    /// once.
+    pub fn begin_shutdown(&self, grace: Duration) -> Shutdown {
+        self.entry_state.set(EntryState::Leaving);
+        self.news_to_send.notify_one();
+        self.shutdown.begin(self.clock.now(), grace)
+    }
+
     /// Records that a request was rejected that its caller may retry.
     pub fn record_rejection(&self) {
         self.last_rejection.set(Some(self.clock.now()));
--- a/crates/front/src/stream_relay.rs
+++ b/crates/front/src/stream_relay.rs
@@ -12,6 +12,7 @@
 use crate::{
     attempt,
     forward::{ForwardedResponse, Forwarder},
+    request_log,
     server_stream::{ServerStream, StreamItem},
     shared_state::SharedState,
 };
@@ -93,7 +94,7 @@
                     continue;
                 }
                 Ok(StreamItem::End) => {
-                    forward.request_log.set_ending("answered");
+                    forward.request_log.set_ending(request_log::COMPLETE);
                     stream.reservation.record_outcome(AttemptOutcome::Succeeded);
                     stream.answer.finish(&shared.pool, attempt::keep_alive_time(&stream.facts));
                     return;
