Review: a planned stop cuts streams that it has accepted

Cause: an entry that shuts down accepts a stream by twice the longest response of its route that it remembers, not by the time that the stream may take.

--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -54,6 +54,14 @@
     }
 }
 
+impl Process {
+    /// Sends a signal, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-s", name, &pid]).status();
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
@@ -183,6 +191,11 @@
         self.record.line("all entries are ready");
     }
 
+    /// Returns the address at which an entry takes requests.
+    pub fn front_addr(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.entry_ips[index], FRONT_PORT)
+    }
+
     /// Asks the directory where to connect, as a client does.
     pub fn resolve(&self) -> Vec<SocketAddr> {
         let path = format!("/jujubejunction/resolve?name={HOST}&region=nam-central&zone=nam-a");
--- a/review/standins-2/load.rs
+++ b/review/standins-2/load.rs
@@ -46,12 +46,23 @@
     }
 }
 
-/// Requests streams for a time, one every `interval`, each over a new connection.
+/// Requests streams of various lengths for a time, one every `interval`, each over a new connection.
 pub fn request_streams(
     deployment: &Deployment,
     seen: &Arc<Seen>,
     time: Duration,
     interval: Duration,
+) -> Vec<JoinHandle<()>> {
+    request_streams_of(deployment, seen, time, interval, streams::length_of)
+}
+
+/// Does the same with streams whose length follows from the number of the request.
+pub fn request_streams_of(
+    deployment: &Deployment,
+    seen: &Arc<Seen>,
+    time: Duration,
+    interval: Duration,
+    length_of: fn(u64) -> u64,
 ) -> Vec<JoinHandle<()>> {
     let end = Instant::now() + time;
     let mut addresses = deployment.resolve();
@@ -66,15 +77,15 @@
             continue;
         };
         let (seen, record) = (Arc::clone(seen), deployment.record.clone());
-        clients.push(thread::spawn(move || request_stream(addr, number, &seen, &record)));
+        let last = length_of(number);
+        clients.push(thread::spawn(move || request_stream(addr, number, last, &seen, &record)));
         next += interval;
         thread::sleep(next.saturating_duration_since(Instant::now()));
     }
     clients
 }
 
-fn request_stream(addr: SocketAddr, number: u64, seen: &Seen, record: &Record) {
-    let last = streams::length_of(number);
+fn request_stream(addr: SocketAddr, number: u64, last: u64, seen: &Seen, record: &Record) {
     let id = format!("{number:016x}");
     let path = format!("/lohu930/2f?n={last}");
     let request = client_request("POST", &path, &id, DEADLINE_MS, "close", "", b"prompt");
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod load;
+mod planned_stop;
 mod record;
 mod repeated_event;
 mod server_ends;
@@ -39,6 +40,7 @@
     let deployment = Deployment::start(root.into(), temporary.into(), record.clone());
     let is_broken = match case.as_str() {
         "repeated-event" => repeated_event::run(deployment, has_trouble),
+        "planned-stop" => planned_stop::run(deployment, has_trouble),
         "two-groups" => two_groups::run(deployment, has_trouble),
         "server-taken-away" => server_ends::run(deployment, has_trouble),
         _ => deployment::cannot_run("no such case"),
