Review: streams look complete when their server crashes

Cause: an entry takes an answer without a length for whole if the port of its server still accepts a connection just after the answer's connection has ended; a process that dies closes its listener among the last of its sockets.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A planned stop of an entry that has been asked for a long stream. 1: the rule LOST was broken, 0: it
-# held, 2: the case could not run. TROUBLE=0 runs the same without the stop.
-exec "$(dirname "$0")/../standins-2/run-case.sh" planned-stop review/9
+# Streams in which a server writes one event twice. 1: the rule ORDER was broken, 0: it held, 2: the
+# case could not run. TROUBLE=0 runs the same without the disruption.
+exec "$(dirname "$0")/../standins-2/run-case.sh" repeated-event review/9
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -29,6 +29,9 @@
 /// Port of all servers.
 pub const SERVER_PORT: u16 = 8080;
 
+/// First start of the servers, in Unix milliseconds.
+const FIRST_START_MS: u64 = 1_790_000_000_000;
+
 /// Interval at which servers write their entries.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -300,7 +303,7 @@
     [head.as_bytes(), body].concat()
 }
 
-/// Returns the entry that a server writes about itself.
+/// Returns the entry that a server writes about itself; `life` counts its earlier starts.
 pub fn server_entry(
     service: &str,
     addr: SocketAddr,
@@ -308,11 +311,13 @@
     slots: u32,
     state: &str,
     sequence: u64,
+    life: u64,
 ) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\
          \"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"coldRemainingMs\":0,\
-         \"stage\":\"hybrid\",\"models\":[],\"sequence\":{sequence},\"born\":1790000000000}}"
+         \"stage\":\"hybrid\",\"models\":[],\"sequence\":{sequence},\"born\":{}}}",
+        FIRST_START_MS + life * 1_000
     )
 }
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -42,7 +42,8 @@
         "repeated-event" => repeated_event::run(deployment, has_trouble),
         "planned-stop" => planned_stop::run(deployment, has_trouble),
         "two-groups" => two_groups::run(deployment, has_trouble),
-        "server-taken-away" => server_ends::run(deployment, has_trouble),
+        "server-crashes" => server_ends::run(deployment, server_ends::CRASHES, has_trouble),
+        "server-taken-away" => server_ends::run(deployment, server_ends::TAKEN_AWAY, has_trouble),
         _ => deployment::cannot_run("no such case"),
     };
     record.announce(if is_broken { "the rule was broken" } else { "the rule held" });
--- a/review/standins-2/planned_stop.rs
+++ b/review/standins-2/planned_stop.rs
@@ -111,7 +111,7 @@
     });
     let zone = deployment::zone(index);
     deployment.register(&id, move |sequence| {
-        Some(deployment::server_entry(SERVICE, addr, zone, SLOTS, "ready", sequence))
+        Some(deployment::server_entry(SERVICE, addr, zone, SLOTS, "ready", sequence, 0))
     });
 }
 
--- a/review/standins-2/repeated_event.rs
+++ b/review/standins-2/repeated_event.rs
@@ -97,6 +97,6 @@
     });
     let zone = deployment::zone(index);
     deployment.register(&id, move |sequence| {
-        Some(deployment::server_entry(SERVICE, addr, zone, SLOTS, "ready", sequence))
+        Some(deployment::server_entry(SERVICE, addr, zone, SLOTS, "ready", sequence, 0))
     });
 }
--- a/review/standins-2/server_ends.rs
+++ b/review/standins-2/server_ends.rs
@@ -1,9 +1,9 @@
-//! Servers are taken away some seconds after their notice while their event streams, which end with
-//! their connections, are under way.
+//! The processes of servers end while their event streams, which end with their connections, are under
+//! way: servers crash, or are taken away some seconds after a notice.
 
 use std::{
     io::{BufRead, BufReader},
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     process::{Command, Stdio},
     sync::{
         Arc,
@@ -15,6 +15,7 @@
 
 use crate::{
     deployment::{self, Deployment, Process, Registration, SERVER_PORT},
+    http,
     load::{self, Seen},
     stream_server::{self, Behavior, Framing},
 };
@@ -28,13 +29,35 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 const PIECE_PAUSE: Duration = Duration::from_millis(60);
 
-/// The disruption comes twice, at one server of eight each time.
-const DISRUPTED: [usize; 2] = [1, 4];
-const CALM: Duration = Duration::from_secs(5);
-/// Time from the notice to the end of the server.
-const NOTICE: Duration = Duration::from_secs(2);
-/// Time from the end of a server until another one replaces it.
-const REPLACEMENT: Duration = Duration::from_secs(4);
+/// Connections without a request that other callers keep open to a server that will crash.
+const IDLE_CONNECTIONS: usize = 150;
+
+/// How servers end, one of eight at a time.
+#[derive(Debug, Clone, Copy)]
+pub struct Disruption {
+    /// Servers that end, one after the other.
+    servers: &'static [usize],
+    /// Time without a disruption before each end.
+    calm: Duration,
+    /// Time from a server's notice to its end; none if it crashes.
+    notice: Option<Duration>,
+    /// Time from its end until it is back or, after a notice, another one is there.
+    down: Duration,
+}
+
+pub const CRASHES: Disruption = Disruption {
+    servers: &[1, 4, 6],
+    calm: Duration::from_secs(4),
+    notice: None,
+    down: Duration::from_millis(4_500),
+};
+
+pub const TAKEN_AWAY: Disruption = Disruption {
+    servers: &[1, 4],
+    calm: Duration::from_secs(5),
+    notice: Some(Duration::from_secs(2)),
+    down: Duration::from_secs(4),
+};
 
 /// What a server writes about itself.
 const READY: u8 = 0;
@@ -43,7 +66,7 @@
 const GONE: u8 = 2;
 
 /// Runs the case; returns whether the rule was broken.
-pub fn run(mut deployment: Deployment, has_trouble: bool) -> bool {
+pub fn run(mut deployment: Deployment, disruption: Disruption, has_trouble: bool) -> bool {
     let routes = [deployment::route(
         "/lohu930/",
         "streaming",
@@ -53,40 +76,55 @@
     )];
     let services = [deployment::service(SERVICE, 328, "")];
     deployment.store.put("op/config", &deployment::configuration(7, &routes, &services));
-    let mut servers: Vec<Server> = (0..SERVERS).map(|it| Server::start(&deployment, it)).collect();
+    let mut servers: Vec<Server> = (0..SERVERS).map(|it| Server::start(&deployment, it, 0)).collect();
     let _entries = deployment.start_entries(ENTRIES);
     deployment.wait_ready();
 
     let seen = Arc::new(Seen::default());
-    let time = (CALM + NOTICE + REPLACEMENT) * DISRUPTED.len() as u32;
+    let _idle: Vec<TcpStream> = match disruption.notice {
+        Some(_) => Vec::new(),
+        None => disruption.servers.iter().flat_map(|it| open_idle(servers[*it].addr)).collect(),
+    };
+    let one = disruption.calm + disruption.notice.unwrap_or_default() + disruption.down;
+    let time = one * disruption.servers.len() as u32;
     thread::scope(|scope| {
         let deployment = &deployment;
         let sender = scope.spawn(|| {
             let clients = load::request_streams(deployment, &seen, time, REQUEST_INTERVAL);
             clients.into_iter().for_each(|it| drop(it.join()));
         });
-        for index in DISRUPTED.into_iter().filter(|_| has_trouble) {
-            thread::sleep(CALM);
-            servers[index].take_away(deployment);
-            thread::sleep(REPLACEMENT);
-            let replacement = Server::start(deployment, SERVERS + index);
-            servers.push(replacement);
+        for index in disruption.servers.iter().copied().filter(|_| has_trouble) {
+            thread::sleep(disruption.calm);
+            servers[index].end(deployment, disruption.notice);
+            thread::sleep(disruption.down);
+            servers[index] = match disruption.notice {
+                Some(_) => Server::start(deployment, SERVERS + index, 0),
+                None => Server::start(deployment, index, 1),
+            };
         }
         let _ = sender.join();
     });
     seen.conclude(&deployment.record)
 }
 
+/// Opens the connections of other callers to a server.
+fn open_idle(addr: SocketAddr) -> Vec<TcpStream> {
+    let open = |_| http::connect(addr, Duration::from_secs(1)).ok();
+    (0..IDLE_CONNECTIONS).filter_map(open).collect()
+}
+
 /// A server in a process of its own.
 struct Server {
     id: String,
+    addr: SocketAddr,
     process: Process,
     state: Arc<AtomicU8>,
     registration: Registration,
 }
 
 impl Server {
-    fn start(deployment: &Deployment, index: usize) -> Self {
+    /// Starts a server; `life` counts its earlier runs under the same id.
+    fn start(deployment: &Deployment, index: usize, life: u64) -> Self {
         let addr = SocketAddr::new(deployment::ip(40 + index as u8), SERVER_PORT);
         let id = format!("i-{index:08x}");
         let program = std::env::current_exe().expect("the path of this program");
@@ -104,7 +142,7 @@
         let state = Arc::new(AtomicU8::new(READY));
         let zone = deployment::zone(index);
         let entry = move |state: &str, sequence: u64| {
-            deployment::server_entry(SERVICE, addr, zone, SLOTS, state, sequence)
+            deployment::server_entry(SERVICE, addr, zone, SLOTS, state, sequence, life)
         };
         let reported = Arc::clone(&state);
         let registration = deployment.register(&id, move |sequence| {
@@ -114,15 +152,17 @@
                 _ => None,
             }
         });
-        Self { id, process: Process { child }, state, registration }
+        Self { id, addr, process: Process { child }, state, registration }
     }
 
-    /// Gives notice, and ends the process [`NOTICE`] later.
-    fn take_away(&mut self, deployment: &Deployment) {
-        deployment.record.line(&format!("server {} says that it is draining", self.id));
-        self.state.store(DRAINING, Ordering::Relaxed);
-        self.registration.write();
-        thread::sleep(NOTICE);
+    /// Ends the process, a time after a notice if there is one.
+    fn end(&mut self, deployment: &Deployment, notice: Option<Duration>) {
+        if let Some(notice) = notice {
+            deployment.record.line(&format!("server {} says that it is draining", self.id));
+            self.state.store(DRAINING, Ordering::Relaxed);
+            self.registration.write();
+            thread::sleep(notice);
+        }
         self.state.store(GONE, Ordering::Relaxed);
         self.process.kill();
         deployment.record.line(&format!("the process of server {} was killed", self.id));
--- a/review/standins-2/two_groups.rs
+++ b/review/standins-2/two_groups.rs
@@ -109,7 +109,7 @@
     for (rank, (id, addr)) in servers.iter().cloned().enumerate() {
         let zone = deployment::zone(rank);
         deployment.register(&id, move |sequence| {
-            Some(deployment::server_entry(SERVICE, addr, zone, SLOTS, "ready", sequence))
+            Some(deployment::server_entry(SERVICE, addr, zone, SLOTS, "ready", sequence, 0))
         });
     }
     Group::start(name, servers, deployment.record.clone())
