Review: crashes with more idle connections, stand-ins formatted

Cause: with idle connections opened for all servers at once, a script could run out of descriptors; an end by signal needed a program beside the shell. Change: 250 idle connections, opened to the next server that crashes; the shell sends signals.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/standins review/standins-2/main.rs
+"${RUSTC:-rustc}" --edition 2024 -O -o target/review-2/standins review/standins-2/main.rs
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -60,8 +60,8 @@
 impl Process {
     /// Sends a signal, such as `TERM`.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &pid]).status();
+        let command = format!("kill -s {name} {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
     }
 }
 
@@ -84,7 +84,13 @@
     /// Starts the store. `root` is the repository, `dir` a folder for settings and logs.
     pub fn start(root: PathBuf, dir: PathBuf, record: Record) -> Self {
         let store = Store::start(SocketAddr::new(ip(1), STORE_PORT));
-        Self { store, record, root, dir, entry_ips: Vec::new() }
+        Self {
+            store,
+            record,
+            root,
+            dir,
+            entry_ips: Vec::new(),
+        }
     }
 
     /// Starts entries with the command of the deploy file.
@@ -104,7 +110,12 @@
                       serves = [\"edge\",\"directory\",\"control_plane\"]\n";
         let limits = "cpuShare = 0.25\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\n";
         let settings = self.settings(index, ip, fields, &listen, limits);
-        self.start_program(&format!("edge-{index}"), "jujubejunction front", ip, &settings)
+        self.start_program(
+            &format!("edge-{index}"),
+            "jujubejunction front",
+            ip,
+            &settings,
+        )
     }
 
     /// Starts the agent beside a server of a service with the command of the deploy file.
@@ -123,7 +134,11 @@
         let settings_path = self.dir.join(format!("{name}.toml"));
         fs::write(&settings_path, settings).expect("write the settings");
         let log = self.dir.join(format!("{name}.log"));
-        let log = File::options().create(true).append(true).open(log).expect("open the log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("open the log");
         let line = format!(
             "target/release/{command} --log-level debug --metrics-addr {ip}:{METRICS_PORT}"
         );
@@ -137,8 +152,13 @@
             }
         }
         process.env("JUJUBEJUNCTION_CONFIG", &settings_path);
-        process.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
-        let child = process.spawn().unwrap_or_else(|error| cannot_run(&format!("{line}: {error}")));
+        process
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null());
+        let child = process
+            .spawn()
+            .unwrap_or_else(|error| cannot_run(&format!("{line}: {error}")));
         self.record.line(&format!("started {name} at {ip}: {line}"));
         Process { child }
     }
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -19,7 +19,10 @@
 impl Head {
     /// Returns the value of a header, or an empty text.
     pub fn get(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(it, _)| it.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(it, _)| it.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value)
     }
 
@@ -43,13 +46,15 @@
         } else if line.is_empty() {
             return Ok(Some(head));
         } else if let Some((name, value)) = line.split_once(':') {
-            head.headers.push((name.to_owned(), value.trim().to_owned()));
+            head.headers
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
 }
 
 fn is_chunked(head: &Head) -> bool {
-    head.get("transfer-encoding").eq_ignore_ascii_case("chunked")
+    head.get("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
 }
 
 /// Reads one chunk of a body; `None` after the last one.
@@ -93,7 +98,10 @@
 impl Answer {
     /// Returns whether a client takes this for a complete success: 2xx, signed and whole.
     pub fn is_success(&self) -> bool {
-        let is_signed = !self.head.get("jujubejunction-response-signature").is_empty();
+        let is_signed = !self
+            .head
+            .get("jujubejunction-response-signature")
+            .is_empty();
         self.status / 100 == 2 && is_signed && self.is_complete
     }
 }
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -49,7 +49,10 @@
 
 /// Parses a text; `None` if it is no JSON.
 pub fn parse(text: &str) -> Option<Json> {
-    let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+    let mut parser = Parser {
+        bytes: text.as_bytes(),
+        at: 0,
+    };
     let value = parser.value()?;
     parser.skip_space();
     (parser.at == parser.bytes.len()).then_some(value)
--- a/review/standins-2/load.rs
+++ b/review/standins-2/load.rs
@@ -73,12 +73,17 @@
         if number % 32 == 0 {
             addresses = deployment.resolve();
         }
-        let Some(addr) = addresses.get(number as usize % addresses.len().max(1)).copied() else {
+        let Some(addr) = addresses
+            .get(number as usize % addresses.len().max(1))
+            .copied()
+        else {
             continue;
         };
         let (seen, record) = (Arc::clone(seen), deployment.record.clone());
         let last = length_of(number);
-        clients.push(thread::spawn(move || request_stream(addr, number, last, &seen, &record)));
+        clients.push(thread::spawn(move || {
+            request_stream(addr, number, last, &seen, &record)
+        }));
         next += interval;
         thread::sleep(next.saturating_duration_since(Instant::now()));
     }
@@ -96,13 +101,21 @@
         "client gets {} for {id}: {} pieces, {}",
         answer.status,
         pieces.len(),
-        if answer.is_complete { "ends as complete" } else { "broken off" }
+        if answer.is_complete {
+            "ends as complete"
+        } else {
+            "broken off"
+        }
     ));
     if answer.status != 200 {
         return;
     }
     match streams::order_fault(&pieces, last, answer.is_success()) {
-        Some(fault) => seen.faults.lock().unwrap().push(format!("request {id}: {fault}")),
+        Some(fault) => seen
+            .faults
+            .lock()
+            .unwrap()
+            .push(format!("request {id}: {fault}")),
         None if answer.is_complete => {
             seen.whole.fetch_add(1, Ordering::Relaxed);
         }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -36,7 +36,14 @@
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let record = Record::create(&PathBuf::from(folder).join("record.txt"));
-    record.line(&format!("case {case}, {}", if has_trouble { "TROUBLE=1" } else { "TROUBLE=0" }));
+    record.line(&format!(
+        "case {case}, {}",
+        if has_trouble {
+            "TROUBLE=1"
+        } else {
+            "TROUBLE=0"
+        }
+    ));
     let deployment = Deployment::start(root.into(), temporary.into(), record.clone());
     let is_broken = match case.as_str() {
         "repeated-event" => repeated_event::run(deployment, has_trouble),
@@ -46,6 +53,10 @@
         "server-taken-away" => server_ends::run(deployment, server_ends::TAKEN_AWAY, has_trouble),
         _ => deployment::cannot_run("no such case"),
     };
-    record.announce(if is_broken { "the rule was broken" } else { "the rule held" });
+    record.announce(if is_broken {
+        "the rule was broken"
+    } else {
+        "the rule held"
+    });
     std::process::exit(i32::from(is_broken));
 }
--- a/review/standins-2/planned_stop.rs
+++ b/review/standins-2/planned_stop.rs
@@ -49,7 +49,10 @@
         ",\"sessionAffinity\":true,\"streamResume\":true,\"gapTargetMs\":120",
     )];
     let services = [deployment::service(SERVICE, 328, "")];
-    deployment.store.put("op/config", &deployment::configuration(7, &routes, &services));
+    deployment.store.put(
+        "op/config",
+        &deployment::configuration(7, &routes, &services),
+    );
     (0..SERVERS).for_each(|it| start_server(&deployment, it));
     let entries = deployment.start_entries(ENTRIES);
     deployment.wait_ready();
@@ -59,13 +62,16 @@
     clients.into_iter().for_each(|it| drop(it.join()));
     let record = deployment.record.clone();
     let stopped = deployment.front_addr(0);
-    let kept: Vec<KeptConnection> =
-        (0..LONG_REQUESTS).map(|it| KeptConnection::open(stopped, it)).collect();
+    let kept: Vec<KeptConnection> = (0..LONG_REQUESTS)
+        .map(|it| KeptConnection::open(stopped, it))
+        .collect();
     let addresses = deployment.resolve();
     if !addresses.contains(&stopped) || kept.iter().any(|it| !it.is_usable) {
         deployment::cannot_run("the entry was not in use before its stop");
     }
-    record.line(&format!("the directory names {addresses:?}; they are kept for up to 4.5 s"));
+    record.line(&format!(
+        "the directory names {addresses:?}; they are kept for up to 4.5 s"
+    ));
 
     let signalled = Instant::now();
     if has_trouble {
@@ -102,16 +108,21 @@
     let addr = SocketAddr::new(deployment::ip(40 + index as u8), SERVER_PORT);
     let id = format!("i-{index:08x}");
     let record = deployment.record.clone();
-    stream_server::start(addr, Behavior {
-        id: id.clone(),
-        framing: Framing::Chunks,
-        pause: PIECE_PAUSE,
-        report: Box::new(move |line| record.line(&line)),
-        repeated_piece: Box::new(|| None),
-    });
+    stream_server::start(
+        addr,
+        Behavior {
+            id: id.clone(),
+            framing: Framing::Chunks,
+            pause: PIECE_PAUSE,
+            report: Box::new(move |line| record.line(&line)),
+            repeated_piece: Box::new(|| None),
+        },
+    );
     let zone = deployment::zone(index);
     deployment.register(&id, move |sequence| {
-        Some(deployment::server_entry(SERVICE, addr, zone, SLOTS, "ready", sequence, 0))
+        Some(deployment::server_entry(
+            SERVICE, addr, zone, SLOTS, "ready", sequence, 0,
+        ))
     });
 }
 
@@ -128,7 +139,12 @@
         let connected = http::connect(addr, Duration::from_millis(DEADLINE_MS));
         let writer = connected.unwrap_or_else(|error| deployment::cannot_run(&error.to_string()));
         let reader = BufReader::new(writer.try_clone().expect("a second handle"));
-        let mut connection = Self { number, writer, reader, is_usable: true };
+        let mut connection = Self {
+            number,
+            writer,
+            reader,
+            is_usable: true,
+        };
         let answer = connection.request(1_000 + number, SHORT);
         connection.is_usable = answer.is_success();
         connection
@@ -146,7 +162,9 @@
 
     fn request_long(mut self, record: &crate::record::Record) -> Answer {
         let id = 2_000 + self.number;
-        record.line(&format!("client sends {id:016x} ({LONG} pieces) on a kept connection"));
+        record.line(&format!(
+            "client sends {id:016x} ({LONG} pieces) on a kept connection"
+        ));
         self.request(id, LONG)
     }
 }
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -19,7 +19,10 @@
     /// Creates the file of the record.
     pub fn create(path: &Path) -> Self {
         let file = File::create(path).expect("create the record");
-        Self { file: Arc::new(Mutex::new(BufWriter::new(file))), start: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(BufWriter::new(file))),
+            start: Instant::now(),
+        }
     }
 
     /// Adds a line.
--- a/review/standins-2/repeated_event.rs
+++ b/review/standins-2/repeated_event.rs
@@ -44,11 +44,19 @@
         ",\"sessionAffinity\":true,\"streamResume\":true,\"gapTargetMs\":120",
     )];
     let services = [deployment::service(SERVICE, 328, "")];
-    deployment.store.put("op/config", &deployment::configuration(7, &routes, &services));
+    deployment.store.put(
+        "op/config",
+        &deployment::configuration(7, &routes, &services),
+    );
     let is_spoiling = Arc::new(AtomicBool::new(false));
     let answers = Arc::new(AtomicU64::new(0));
     for index in 0..SERVERS {
-        start_server(&deployment, index, Arc::clone(&is_spoiling), Arc::clone(&answers));
+        start_server(
+            &deployment,
+            index,
+            Arc::clone(&is_spoiling),
+            Arc::clone(&answers),
+        );
     }
     let _entries = deployment.start_entries(ENTRIES);
     deployment.wait_ready();
@@ -88,15 +96,20 @@
         let number = may_spoil.then(|| answers.fetch_add(1, Ordering::Relaxed))?;
         (number % ANSWERS_PER_SPOILT == ANSWERS_PER_SPOILT / 2).then_some(REPEATED_PIECE)
     };
-    stream_server::start(addr, Behavior {
-        id: id.clone(),
-        framing: Framing::Chunks,
-        pause: PIECE_PAUSE,
-        report: Box::new(move |line| record.line(&line)),
-        repeated_piece: Box::new(repeated_piece),
-    });
+    stream_server::start(
+        addr,
+        Behavior {
+            id: id.clone(),
+            framing: Framing::Chunks,
+            pause: PIECE_PAUSE,
+            report: Box::new(move |line| record.line(&line)),
+            repeated_piece: Box::new(repeated_piece),
+        },
+    );
     let zone = deployment::zone(index);
     deployment.register(&id, move |sequence| {
-        Some(deployment::server_entry(SERVICE, addr, zone, SLOTS, "ready", sequence, 0))
+        Some(deployment::server_entry(
+            SERVICE, addr, zone, SLOTS, "ready", sequence, 0,
+        ))
     });
 }
--- a/review/standins-2/server_ends.rs
+++ b/review/standins-2/server_ends.rs
@@ -30,7 +30,7 @@
 const PIECE_PAUSE: Duration = Duration::from_millis(60);
 
 /// Connections without a request that other callers keep open to a server that will crash.
-const IDLE_CONNECTIONS: usize = 150;
+const IDLE_CONNECTIONS: usize = 250;
 
 /// How servers end, one of eight at a time.
 #[derive(Debug, Clone, Copy)]
@@ -75,16 +75,17 @@
         ",\"sessionAffinity\":true,\"streamResume\":true,\"gapTargetMs\":120",
     )];
     let services = [deployment::service(SERVICE, 328, "")];
-    deployment.store.put("op/config", &deployment::configuration(7, &routes, &services));
-    let mut servers: Vec<Server> = (0..SERVERS).map(|it| Server::start(&deployment, it, 0)).collect();
+    deployment.store.put(
+        "op/config",
+        &deployment::configuration(7, &routes, &services),
+    );
+    let mut servers: Vec<Server> = (0..SERVERS)
+        .map(|it| Server::start(&deployment, it, 0))
+        .collect();
     let _entries = deployment.start_entries(ENTRIES);
     deployment.wait_ready();
 
     let seen = Arc::new(Seen::default());
-    let _idle: Vec<TcpStream> = match disruption.notice {
-        Some(_) => Vec::new(),
-        None => disruption.servers.iter().flat_map(|it| open_idle(servers[*it].addr)).collect(),
-    };
     let one = disruption.calm + disruption.notice.unwrap_or_default() + disruption.down;
     let time = one * disruption.servers.len() as u32;
     thread::scope(|scope| {
@@ -94,8 +95,13 @@
             clients.into_iter().for_each(|it| drop(it.join()));
         });
         for index in disruption.servers.iter().copied().filter(|_| has_trouble) {
+            let idle = match disruption.notice {
+                Some(_) => Vec::new(),
+                None => open_idle(servers[index].addr),
+            };
             thread::sleep(disruption.calm);
             servers[index].end(deployment, disruption.notice);
+            drop(idle);
             thread::sleep(disruption.down);
             servers[index] = match disruption.notice {
                 Some(_) => Server::start(deployment, SERVERS + index, 0),
@@ -152,33 +158,46 @@
                 _ => None,
             }
         });
-        Self { id, addr, process: Process { child }, state, registration }
+        Self {
+            id,
+            addr,
+            process: Process { child },
+            state,
+            registration,
+        }
     }
 
     /// Ends the process, a time after a notice if there is one.
     fn end(&mut self, deployment: &Deployment, notice: Option<Duration>) {
         if let Some(notice) = notice {
-            deployment.record.line(&format!("server {} says that it is draining", self.id));
+            deployment
+                .record
+                .line(&format!("server {} says that it is draining", self.id));
             self.state.store(DRAINING, Ordering::Relaxed);
             self.registration.write();
             thread::sleep(notice);
         }
         self.state.store(GONE, Ordering::Relaxed);
         self.process.kill();
-        deployment.record.line(&format!("the process of server {} was killed", self.id));
+        deployment
+            .record
+            .line(&format!("the process of server {} was killed", self.id));
     }
 }
 
 /// Serves streams at an address as the server with an id, and prints a line for each run and its
 /// end. Never returns.
 pub fn serve(addr: SocketAddr, id: &str) -> ! {
-    stream_server::start(addr, Behavior {
-        id: id.to_owned(),
-        framing: Framing::Connection,
-        pause: PIECE_PAUSE,
-        report: Box::new(|line| println!("{line}")),
-        repeated_piece: Box::new(|| None),
-    });
+    stream_server::start(
+        addr,
+        Behavior {
+            id: id.to_owned(),
+            framing: Framing::Connection,
+            pause: PIECE_PAUSE,
+            report: Box::new(|line| println!("{line}")),
+            repeated_piece: Box::new(|| None),
+        },
+    );
     loop {
         thread::park();
     }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -72,12 +72,19 @@
         let revision = state.revision;
         match &value {
             Some(value) => {
-                let item = Item { value: value.clone(), revision };
+                let item = Item {
+                    value: value.clone(),
+                    revision,
+                };
                 state.items.insert(key.to_owned(), item);
             }
             None => drop(state.items.remove(key)),
         }
-        state.history.push(Change { key: key.to_owned(), value, revision });
+        state.history.push(Change {
+            key: key.to_owned(),
+            value,
+            revision,
+        });
         self.changed.notify_all();
     }
 
@@ -90,7 +97,10 @@
             let (path, query) = head.word(1).split_once('?').unwrap_or((head.word(1), ""));
             let get = |name: &str| {
                 let pairs = query.split('&').filter_map(|it| it.split_once('='));
-                let value = pairs.filter(|(it, _)| *it == name).map(|(_, value)| value).next();
+                let value = pairs
+                    .filter(|(it, _)| *it == name)
+                    .map(|(_, value)| value)
+                    .next();
                 value.unwrap_or("").replace("%2F", "/")
             };
             let body = match path {
@@ -123,7 +133,10 @@
         let has_more = texts.len() > PAGE_ITEMS;
         let page = &texts[..texts.len().min(PAGE_ITEMS)];
         let items = page.join(",");
-        format!("{{\"items\":[{items}],\"hasMore\":{has_more},\"at\":{}}}", state.revision)
+        format!(
+            "{{\"items\":[{items}],\"hasMore\":{has_more},\"at\":{}}}",
+            state.revision
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
@@ -171,7 +184,11 @@
         for digit in 0..4 {
             let value = bits >> (18 - 6 * digit) & 63;
             let is_padding = digit > group.len();
-            text.push(if is_padding { '=' } else { DIGITS[value as usize] as char });
+            text.push(if is_padding {
+                '='
+            } else {
+                DIGITS[value as usize] as char
+            });
         }
     }
     text
--- a/review/standins-2/stream_server.rs
+++ b/review/standins-2/stream_server.rs
@@ -67,7 +67,9 @@
     let last = streams::pieces_asked(head.word(1));
     let repeated = (behavior.repeated_piece)();
     let id = &behavior.id;
-    (behavior.report)(format!("server {id} runs {request} after piece {after} of {last}"));
+    (behavior.report)(format!(
+        "server {id} runs {request} after piece {after} of {last}"
+    ));
     let framing = match behavior.framing {
         Framing::Chunks => "Transfer-Encoding: chunked\r\n",
         Framing::Connection => "",
@@ -83,7 +85,9 @@
         let mut bytes = streams::event(request, piece);
         if repeated == Some(piece) {
             bytes = bytes.repeat(2);
-            (behavior.report)(format!("server {id} writes piece {piece} of {request} twice"));
+            (behavior.report)(format!(
+                "server {id} writes piece {piece} of {request} twice"
+            ));
         }
         if behavior.framing == Framing::Chunks {
             bytes = streams::chunk(&bytes);
