--- a/review/standins-2/group.rs
+++ b/review/standins-2/group.rs
@@ -19,9 +19,9 @@
 /// Sets of layers.
 pub const SETS: usize = 2;
 /// Experts of each set.
-pub const EXPERTS: usize = 16;
+pub const EXPERTS: usize = 18;
 /// Experts of a set that a rank can hold.
-pub const PLACEMENTS: usize = 6;
+pub const PLACEMENTS: usize = 5;
 /// Experts of a set that may be new to a rank in one order.
 pub const SPARE: usize = 2;
 /// Time in which a rank copies one expert: 2,500 MB over 180,000 Mbit/s.
@@ -148,7 +148,10 @@
             }
         }
         let first = &state.ranks[0];
-        let is_mixed = state.ranks.iter().any(|it| it.version != first.version || it.map != first.map);
+        let is_mixed = state
+            .ranks
+            .iter()
+            .any(|it| it.version != first.version || it.map != first.map);
         let versions: Vec<u64> = state.ranks.iter().map(|it| it.version).collect();
         state.switches += u64::from(versions[0] != before);
         state.passes_with_two_maps += u64::from(is_mixed);
@@ -158,7 +161,10 @@
                 "group {name} begins pass {next} while its ranks have maps {versions:?}"
             ));
         } else if versions[0] != before {
-            self.record.line(&format!("group {} uses map {} from pass {next}", self.name, versions[0]));
+            self.record.line(&format!(
+                "group {} uses map {} from pass {next}",
+                self.name, versions[0]
+            ));
         }
         self.pass_begun.notify_all();
     }
@@ -207,7 +213,8 @@
         let request = head.get("jujubejunction-request-id");
         let after: u64 = head.get("last-event-id").parse().unwrap_or(0);
         let last = streams::pieces_asked(head.word(1));
-        self.record.line(&format!("server {} runs {request}", self.servers[rank].0));
+        self.record
+            .line(&format!("server {} runs {request}", self.servers[rank].0));
         self.state.lock().unwrap().ranks[rank].running += 1;
         let answer = format!(
             "HTTP/1.1 200 OK\r\nJujubejunction-Request-Id: {request}\r\n\
@@ -239,7 +246,10 @@
         let (pass, size) = (state.pass, state.ranks.len());
         let it = &state.ranks[rank];
         let is_copied = |copied: &Instant| Instant::now() >= *copied;
-        let prepared = it.prepared.as_ref().filter(|(_, _, copied)| is_copied(copied));
+        let prepared = it
+            .prepared
+            .as_ref()
+            .filter(|(_, _, copied)| is_copied(copied));
         let prepared = prepared.map_or("null".to_owned(), |(version, ..)| version.to_string());
         let armed = it.armed.map_or("null".to_owned(), |(version, step)| {
             format!("{{\"version\":{version},\"step\":{step}}}")
@@ -261,7 +271,10 @@
         let it = &state.ranks[rank];
         if !with_lists {
             let counts = number_list(&it.counts);
-            return format!("{{\"step\":{},\"epoch\":1,\"counts\":{counts}}}", state.pass);
+            return format!(
+                "{{\"step\":{},\"epoch\":1,\"counts\":{counts}}}",
+                state.pass
+            );
         }
         let sets: Vec<String> = it.map.iter().map(|set| number_list(&set[rank])).collect();
         format!(
@@ -294,7 +307,10 @@
             return 409;
         }
         let holds_already = match operation {
-            "prepare" => it.prepared.as_ref().is_some_and(|(known, ..)| *known == version),
+            "prepare" => it
+                .prepared
+                .as_ref()
+                .is_some_and(|(known, ..)| *known == version),
             "arm" => it.armed == Some((version, step)),
             "disarm" => it.armed.is_none() && it.version != version,
             "hold" => it.held == Some(step),
@@ -345,7 +361,10 @@
         }
         let new = (0..SETS).map(|set| {
             let held = &self.map[set][rank];
-            map[set][rank].iter().filter(|it| !held.contains(it)).count()
+            map[set][rank]
+                .iter()
+                .filter(|it| !held.contains(it))
+                .count()
         });
         let new: Vec<usize> = new.collect();
         if new.iter().any(|it| *it > SPARE) {
--- a/review/standins-2/two_groups.rs
+++ b/review/standins-2/two_groups.rs
@@ -11,7 +11,7 @@
 
 const ENTRIES: usize = 2;
 /// Servers of each group.
-const RANKS: usize = 4;
+const RANKS: usize = 6;
 const SERVICE: &str = "huvo11a";
 const SLOTS: u32 = 12;
 
@@ -22,7 +22,7 @@
 /// Time in which the groups run before the first kill.
 const CALM: Duration = Duration::from_secs(6);
 /// How often an agent is killed, and which one.
-const KILLS: u32 = 4;
+const KILLS: u32 = 10;
 const KILLED: usize = 0;
 /// Time for which a killed agent is away, and time until the next one is killed.
 const AWAY: Duration = Duration::from_millis(3_500);
@@ -33,7 +33,10 @@
 /// Runs the case; returns whether the rule was broken.
 pub fn run(mut deployment: Deployment, has_trouble: bool) -> bool {
     write_configuration(&deployment);
-    let groups = [start_group(&deployment, "g-a", 0), start_group(&deployment, "g-b", 1)];
+    let groups = [
+        start_group(&deployment, "g-a", 0),
+        start_group(&deployment, "g-b", 1),
+    ];
     let _entries = deployment.start_entries(ENTRIES);
     let servers = groups.iter().flat_map(|it| &it.servers);
     let servers: Vec<SocketAddr> = servers.map(|(_, addr)| *addr).collect();
@@ -56,7 +59,9 @@
             for shift in 0..time.as_millis() / SHIFT_INTERVAL.as_millis() {
                 let first = shift as usize * 3 % EXPERTS;
                 let experts = [first, (first + 4) % EXPERTS];
-                deployment.record.line(&format!("demand shifts to the experts {experts:?}"));
+                deployment
+                    .record
+                    .line(&format!("demand shifts to the experts {experts:?}"));
                 groups.iter().for_each(|it| it.shift_demand(experts));
                 thread::sleep(SHIFT_INTERVAL);
             }
@@ -65,7 +70,9 @@
         for _ in 0..KILLS {
             if has_trouble {
                 agents.remove(&KILLED);
-                deployment.record.line(&format!("killed the agent side-{KILLED}"));
+                deployment
+                    .record
+                    .line(&format!("killed the agent side-{KILLED}"));
             }
             thread::sleep(AWAY);
             if has_trouble {
@@ -109,7 +116,9 @@
     for (rank, (id, addr)) in servers.iter().cloned().enumerate() {
         let zone = deployment::zone(rank);
         deployment.register(&id, move |sequence| {
-            Some(deployment::server_entry(SERVICE, addr, zone, SLOTS, "ready", sequence, 0))
+            Some(deployment::server_entry(
+                SERVICE, addr, zone, SLOTS, "ready", sequence, 0,
+            ))
         });
     }
     Group::start(name, servers, deployment.record.clone())
@@ -133,5 +142,8 @@
          \"expertMb\":2500.0,\"expertShare\":0.85,\"form_ms\":600.0}}"
     );
     let services = [deployment::service(SERVICE, 328, &engine)];
-    deployment.store.put("op/config", &deployment::configuration(7, &routes, &services));
+    deployment.store.put(
+        "op/config",
+        &deployment::configuration(7, &routes, &services),
+    );
 }
