--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -197,7 +197,8 @@
             if !is_full && !facts.is_misdirected {
                 let now = self.shared.clock.now();
                 let mut loads = self.shared.loads.borrow_mut();
-                loads.record_group_refusal(now, &self.request.service);
+                let server = &reservation.server.id;
+                loads.record_group_refusal(now, &self.request.service, server);
             }
             self.failure_cause = describe_refusal(&answer, &facts);
             let keep_alive = facts.keep_alive;
--- a/crates/front/src/load_tracker.rs
+++ b/crates/front/src/load_tracker.rs
@@ -1,14 +1,15 @@
 //! Load and health of each backend server and engine group, from this process's own requests and
 //! from the messages of other entries.
 
-use std::{net::IpAddr, time::Duration};
+use std::{cell::Cell, net::IpAddr, rc::Rc, time::Duration};
 
-use jj_news::server_tag;
+use jj_news::{GroupStatus, server_tag};
 use jj_policy::{
     gossip::IncarnationTag,
+    group_members::{GroupTag, UNKNOWN_GROUP},
     load_sums::{
         InFlightUpdate, LoadSums, LoadSumsConfig, LocalInFlight, OutgoingUpdate, ServerInFlight,
-        TokensSent,
+        ServerTag, TokensSent,
     },
     outage::{Outage, OutageConfig, OutageForecast},
     pass_model::{PassConfig, PassForecast, PassModel, PassSpec, StreamPassEstimator},
@@ -16,6 +17,7 @@
     rate_share::RateAllowances,
     server_health::{AttemptOutcome, HealthConfig, ServerHealth},
     server_notices::ServerNotices,
+    service_groups::ServiceGroups,
 };
 use jj_utils::{
     clock::Timestamp,
@@ -34,7 +36,7 @@
     health: ServerHealth,
 }
 
-/// State of the engine group that the servers of a service form.
+/// State of one engine group of a service.
 #[derive(Debug, Default)]
 struct GroupState {
     /// Derives pass lengths from the gaps between stream events.
@@ -47,8 +49,8 @@
     epoch: Option<u64>,
     /// Factor by which the slowest server is slower than usual, and when an agent reported it.
     slowdown: Option<(Timestamp, f64)>,
-    /// Open streams of this process that have had their first event.
-    open_streams: u32,
+    /// Open streams of this process that have had their first event; shared with their counts.
+    open_streams: Rc<Cell<u32>>,
     /// Prompt tokens that this process has sent since its start.
     prompt_tokens_sent: u64,
 }
@@ -65,6 +67,28 @@
     }
 }
 
+/// Count of one open stream at its group; it is uncounted on drop.
+#[derive(Debug)]
+pub struct OpenStreamCount {
+    open_streams: Rc<Cell<u32>>,
+}
+
+impl Drop for OpenStreamCount {
+    fn drop(&mut self) {
+        self.open_streams.update(|it| it - 1);
+    }
+}
+
+/// Returns the key by which entries name a group in messages on prompt tokens: the tag of its service
+/// if that has no other group.
+fn group_key(service: &str, groups: &ServiceGroups<GroupState>, group: GroupTag) -> ServerTag {
+    let service = server_tag(service);
+    match groups.tags().len() {
+        0 | 1 => service,
+        _ => service ^ group as ServerTag,
+    }
+}
+
 /// Load and health of all servers and groups.
 #[derive(Debug)]
 pub struct LoadTracker {
@@ -75,7 +99,7 @@
     pub notices: ServerNotices,
     /// Request rates that servers accept from all processes together.
     pub rate_limits: RateLimits,
-    groups: FastMap<ServiceId, GroupState>,
+    groups: FastMap<ServiceId, ServiceGroups<GroupState>>,
     /// Requests that may still be sent to each cold server.
     pub cold_allowances: RateAllowances,
     /// Requests that may still be sent to each server that states a limit.
@@ -189,30 +213,75 @@
 
     /// Returns the prompt tokens that this process has sent, by service.
     fn local_prompt_tokens(&self) -> Vec<TokensSent> {
-        let groups = self.groups.iter();
-        groups
-            .map(|(service, group)| TokensSent {
-                service: server_tag(service),
-                total: group.prompt_tokens_sent,
-            })
-            .collect()
+        let mut tokens = Vec::new();
+        for (service, groups) in &self.groups {
+            for tag in groups.tags() {
+                let sent = groups.get(tag).map(|it| it.prompt_tokens_sent);
+                tokens.push(TokensSent {
+                    service: group_key(service, groups, tag),
+                    total: sent.unwrap_or_default(),
+                });
+            }
+        }
+        tokens
     }
 
     /// Applies an entry's message on requests in flight and prompt tokens sent.
     pub fn apply_in_flight_update(&mut self, now: Timestamp, from: IpAddr, news: &InFlightUpdate) {
         for sent in self.peer_loads.receive(now, from, news) {
-            let mut groups = self.groups.iter_mut();
-            let group = groups.find(|(id, _)| server_tag(id) == sent.service);
-            if let (Some((_, group)), true) = (group, sent.total > 0) {
-                let tokens = u32::try_from(sent.total).unwrap_or(u32::MAX);
+            let tokens = u32::try_from(sent.total).unwrap_or(u32::MAX);
+            if let (Some(group), true) = (self.group_with_key(sent.service), tokens > 0) {
                 group.model.record_prompt(now, tokens);
             }
         }
     }
 
-    /// Records the prompt tokens of a request that is sent to a group.
-    pub fn record_prompt_sent(&mut self, now: Timestamp, service: &str, tokens: u32) {
-        let group = self.groups.entry(service.to_owned()).or_default();
+    /// Returns the group that other entries name by a key.
+    fn group_with_key(&mut self, key: ServerTag) -> Option<&mut GroupState> {
+        self.groups.iter_mut().find_map(|(service, groups)| {
+            let mut tags = groups.tags().into_iter();
+            let tag = tags.find(|tag| group_key(service, groups, *tag) == key)?;
+            groups.get_mut(tag)
+        })
+    }
+
+    /// Returns the tag of the group of a server.
+    pub fn group_of(&self, service: &str, server: &str) -> GroupTag {
+        let groups = self.groups.get(service);
+        groups.map_or(UNKNOWN_GROUP, |it| it.group_of(server))
+    }
+
+    /// Returns whether a server is known to be in a group of its service other than `group`.
+    pub fn is_in_other_group(
+        &self,
+        now: Timestamp,
+        service: &str,
+        server: &str,
+        group: GroupTag,
+    ) -> bool {
+        let groups = self.groups.get(service);
+        groups.is_some_and(|it| it.is_in_other_group(now, server, group))
+    }
+
+    /// Records that a server is in a group of its service; nothing if its agent names none, as beside
+    /// the servers of plain services.
+    pub fn record_member(&mut self, now: Timestamp, service: &str, server: &str, group: GroupTag) {
+        if group == UNKNOWN_GROUP {
+            return;
+        }
+        let groups = self.groups.entry(service.to_owned()).or_default();
+        groups.record_member(now, server, group);
+    }
+
+    /// Returns a group of a service.
+    fn group(&self, service: &str, group: GroupTag) -> Option<&GroupState> {
+        self.groups.get(service)?.get(group)
+    }
+
+    /// Records the prompt tokens of a request that is sent to a server of a group.
+    pub fn record_prompt_sent(&mut self, now: Timestamp, service: &str, server: &str, tokens: u32) {
+        let groups = self.groups.entry(service.to_owned()).or_default();
+        let group = groups.of_server_mut(server);
         group.prompt_tokens_sent += u64::from(tokens);
         group.model.record_prompt(now, tokens);
     }
@@ -222,12 +291,13 @@
     pub fn record_event_gap(
         &mut self,
         now: Timestamp,
-        service: &str,
+        (service, group): (&str, GroupTag),
         spec: &PassSpec,
         gap: Duration,
         requests: u32,
     ) -> bool {
-        let Some(group) = self.groups.get_mut(service) else {
+        let groups = self.groups.get_mut(service);
+        let Some(group) = groups.and_then(|it| it.get_mut(group)) else {
             return false;
         };
         let Some(pass) = group.meter.record_gap(now, gap) else {
@@ -256,55 +326,61 @@
 
     /// Returns the factor by which the slowest server of a group is slower than usual; 1 without a
     /// recent report.
-    pub fn slowdown(&self, now: Timestamp, service: &str) -> f64 {
-        let reported = self.groups.get(service).and_then(|it| it.slowdown);
+    pub fn slowdown(&self, now: Timestamp, service: &str, group: GroupTag) -> f64 {
+        let reported = self.group(service, group).and_then(|it| it.slowdown);
         let fresh = reported.filter(|(at, _)| *at + SLOWDOWN_EXPIRY >= now);
         fresh.map_or(1.0, |(_, slowdown)| slowdown)
     }
 
     /// Estimates the time that a response of `tokens` tokens takes at the current load of a group;
     /// zero if nothing is known of it.
-    pub fn estimated_response_time(&self, service: &str, spec: &PassSpec, tokens: u32) -> Duration {
-        let group = self.groups.get(service);
+    pub fn estimated_response_time(
+        &self,
+        (service, group): (&str, GroupTag),
+        spec: &PassSpec,
+        tokens: u32,
+    ) -> Duration {
+        let group = self.group(service, group);
         group.map_or(Duration::ZERO, |it| {
             it.model.estimated_response_time(spec, tokens)
         })
     }
 
     /// Records that a stream of a group has had an event, which shows that the group works.
-    pub fn record_stream_event(&mut self, now: Timestamp, service: &str) {
-        if let Some(group) = self.groups.get_mut(service) {
+    pub fn record_stream_event(&mut self, now: Timestamp, service: &str, group: GroupTag) {
+        let groups = self.groups.get_mut(service);
+        if let Some(group) = groups.and_then(|it| it.get_mut(group)) {
             group.outage.record_event(now);
             group.detect_new_formation(now);
         }
     }
 
-    /// Counts a stream as open after its first event (`has_begun`), or as ended.
-    pub fn count_open_stream(&mut self, service: &str, has_begun: bool) {
-        if let Some(group) = self.groups.get_mut(service) {
-            match has_begun {
-                true => group.open_streams += 1,
-                false => group.open_streams = group.open_streams.saturating_sub(1),
-            }
-        }
+    /// Counts a stream as open at a server's group, after its first event, until the count is dropped.
+    /// `None` if the servers of the service form no group.
+    pub fn count_open_stream(&mut self, service: &str, server: &str) -> Option<OpenStreamCount> {
+        let groups = self.groups.get_mut(service)?;
+        let open_streams = Rc::clone(&groups.of_server_mut(server).open_streams);
+        open_streams.update(|it| it + 1);
+        Some(OpenStreamCount { open_streams })
     }
 
-    /// Applies an agent's report on the group of a service: its epoch, whether it works and its
-    /// slowdown.
+    /// Applies the report of the agent beside a server on its group: the group's epoch, whether it
+    /// works, and its slowdown.
     pub fn apply_group_status(
         &mut self,
         now: Timestamp,
-        service: &str,
-        epoch: u64,
-        is_open: bool,
-        slowdown: f64,
+        (service, server): (&str, &str),
+        status: &GroupStatus,
     ) {
-        let group = self.groups.entry(service.to_owned()).or_default();
-        group.slowdown = Some((now, slowdown));
-        group.outage.record_agent_report(now, is_open);
+        let groups = self.groups.entry(service.to_owned()).or_default();
+        let Some(group) = groups.record_report(now, server, status.group) else {
+            return;
+        };
+        group.slowdown = Some((now, status.slowdown));
+        group.outage.record_agent_report(now, status.is_open);
         group.detect_new_formation(now);
-        if is_open && group.epoch != Some(epoch) {
-            let is_new_epoch = group.epoch.replace(epoch).is_some();
+        if status.is_open && group.epoch != Some(status.epoch) {
+            let is_new_epoch = group.epoch.replace(status.epoch).is_some();
             if is_new_epoch {
                 group.model.record_formation(now);
             }
@@ -312,19 +388,40 @@
     }
 
     /// Records that a server refused a request because its group does not work.
-    pub fn record_group_refusal(&mut self, now: Timestamp, service: &str) {
-        if let Some(group) = self.groups.get_mut(service) {
-            group.outage.record_refusal(now);
+    pub fn record_group_refusal(&mut self, now: Timestamp, service: &str, server: &str) {
+        if let Some(groups) = self.groups.get_mut(service) {
+            groups.of_server_mut(server).outage.record_refusal(now);
         }
     }
 
-    /// Returns the age and the expected rest of the outage of a service's group; `None` if it
-    /// works.
-    pub fn outage(&mut self, now: Timestamp, service: &str) -> Option<OutageForecast> {
-        let group = self.groups.get_mut(service)?;
-        let is_out = group
-            .outage
-            .is_down(&self.outage_config, now, group.open_streams);
+    /// Returns the age and the expected rest of the outage of a service, if all of the given groups
+    /// are out, or all that are known if none is given; `None` if one works.
+    pub fn service_outage(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        usable: &[GroupTag],
+    ) -> Option<OutageForecast> {
+        let known = match usable {
+            [] => self.groups.get(service)?.tags(),
+            _ => usable.to_vec(),
+        };
+        let outages = known.iter().map(|tag| self.outage(now, service, *tag));
+        let outages: Vec<Option<OutageForecast>> = outages.collect();
+        let outages: Option<Vec<OutageForecast>> = outages.into_iter().collect();
+        outages?.into_iter().min_by_key(|it| it.remaining)
+    }
+
+    /// Returns the age and the expected rest of the outage of a group; `None` if it works.
+    pub fn outage(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        group: GroupTag,
+    ) -> Option<OutageForecast> {
+        let group = self.groups.get_mut(service)?.get_mut(group)?;
+        let open_streams = group.open_streams.get();
+        let is_out = group.outage.is_down(&self.outage_config, now, open_streams);
         group.detect_new_formation(now);
         is_out.then(|| group.outage.forecast(&self.outage_config, now))
     }
@@ -334,12 +431,12 @@
     pub fn forecast(
         &self,
         now: Timestamp,
-        service: &str,
+        (service, group): (&str, GroupTag),
         spec: &PassSpec,
         requests: u32,
         prompt: u32,
     ) -> Option<PassForecast> {
-        let group = self.groups.get(service)?;
+        let group = self.group(service, group)?;
         let model = &group.model;
         Some(model.forecast(&self.pass_config, spec, now, requests, prompt))
     }
--- a/crates/front/src/peer_datagrams.rs
+++ b/crates/front/src/peer_datagrams.rs
@@ -8,9 +8,12 @@
     time::Duration,
 };
 
-use jj_news::{GroupStatus, Hello, MAX_DATAGRAM_BYTES, MAX_RATES, Message, Roster, StoreStatus};
+use jj_news::{
+    GroupStatus, Hello, MAX_DATAGRAM_BYTES, MAX_RATES, Message, Roster, StoreStatus, server_tag,
+};
 use jj_policy::{
     gossip::{EntryState, MemberChange},
+    group_members::GroupTag,
     load_sums::{LoadScope, OutgoingUpdate},
     rate_limits::RateStatement,
     server_list::{Era, ServerRecord},
@@ -86,7 +89,7 @@
     /// Number of heartbeat rounds.
     round: u64,
     /// Whether each group works according to the news forwarded last, and when that was.
-    forwarded_group_status: FastMap<ServiceId, (bool, Timestamp)>,
+    forwarded_group_status: FastMap<(ServiceId, GroupTag), (bool, Timestamp)>,
 }
 
 impl PeerDatagrams {
@@ -174,7 +177,7 @@
                 self.shared.capacity_changed.notify_one();
                 apply_store_status(&self.shared, ip, store, era);
             }
-            Some(Message::AskRoster { server }) => self.send_roster(server, from),
+            Some(Message::AskRoster { server, group }) => self.send_roster(server, group, from),
             Some(Message::GroupStatus(news)) => self.receive_group_status(news),
             Some(Message::ServerLeaves(news)) => {
                 // A new notice is forwarded to other entries.
@@ -201,9 +204,11 @@
         }
     }
 
-    /// Sends an agent the roster of its service, if that is known.
-    fn send_roster(&self, server: SocketAddr, to: SocketAddr) {
-        if let Some(roster) = roster(&self.shared, server) {
+    /// Sends an agent the roster of its service, if that is known, without servers that are known to be
+    /// in another group.
+    fn send_roster(&self, server: SocketAddr, group: GroupTag, to: SocketAddr) {
+        record_member(&self.shared, server, group);
+        if let Some(roster) = roster(&self.shared, server, group) {
             self.send(&Message::Roster(roster), to);
         }
     }
@@ -211,21 +216,24 @@
     /// Applies an agent's report on its group, and forwards it to the entries that report to this
     /// one.
     fn receive_group_status(&mut self, news: GroupStatus) {
-        let service = self.shared.replica.borrow().service_at(news.server);
-        let Some(service) = service else {
+        let Some(reporter) = record_at(&self.shared, news.server) else {
             return;
         };
         let now = self.shared.clock.now();
+        record_servers(&self.shared, &reporter.service, &news);
         let mut loads = self.shared.loads.borrow_mut();
-        loads.apply_group_status(now, &service, news.epoch, news.is_open, news.slowdown);
+        loads.apply_group_status(now, (&reporter.service, &reporter.id), &news);
         self.shared.capacity_changed.notify_one();
-        let last = self.forwarded_group_status.get(&service).copied();
-        if last.is_some_and(|(works, at)| works == news.is_open && now < at + GROUP_STATUS_INTERVAL)
-        {
+        let key = (reporter.service, news.group);
+        let last = self.forwarded_group_status.get(&key).copied();
+        let is_known = news.servers.is_empty()
+            && last.is_some_and(|(works, at)| {
+                works == news.is_open && now < at + GROUP_STATUS_INTERVAL
+            });
+        if is_known {
             return;
         }
-        self.forwarded_group_status
-            .insert(service, (news.is_open, now));
+        self.forwarded_group_status.insert(key, (news.is_open, now));
         let members: Vec<IpAddr> = loads.peer_loads.members().collect();
         drop(loads);
         self.send_all(&Message::GroupStatus(news), &members);
@@ -356,15 +364,53 @@
     }
 }
 
-/// Returns the roster for the agent of the server at an address; `None` if its service is unknown
-/// or its engines have no experts.
-fn roster(shared: &Rc<SharedState>, server: SocketAddr) -> Option<Roster> {
+/// Returns the record of the server at an address.
+fn record_at(shared: &SharedState, addr: SocketAddr) -> Option<ServerRecord> {
+    let replica = shared.replica.borrow();
+    let mut servers = replica.servers.all().map(|it| &it.record);
+    servers.find(|it| it.addr == addr).cloned()
+}
+
+/// Records the group of the server at an address, as its agent has named it.
+fn record_member(shared: &SharedState, addr: SocketAddr, group: GroupTag) {
+    if let Some(record) = record_at(shared, addr) {
+        let now = shared.clock.now();
+        let mut loads = shared.loads.borrow_mut();
+        loads.record_member(now, &record.service, &record.id, group);
+    }
+}
+
+/// Records the servers that an agent has reported for its group.
+fn record_servers(shared: &SharedState, service: &str, status: &GroupStatus) {
+    if status.servers.is_empty() {
+        return;
+    }
+    let now = shared.clock.now();
+    let replica = shared.replica.borrow();
+    let mut loads = shared.loads.borrow_mut();
+    let records = replica.servers.all().map(|it| &it.record);
+    for record in records.filter(|it| it.service == service) {
+        let tag = server_tag(&record.addr.to_string());
+        if status.servers.contains(&tag) {
+            loads.record_member(now, service, &record.id, status.group);
+        }
+    }
+}
+
+/// Returns the roster for the agent of the server at an address, which is in a group; `None` if its
+/// service is unknown or its engines have no experts.
+fn roster(shared: &Rc<SharedState>, server: SocketAddr, group: GroupTag) -> Option<Roster> {
     let replica = shared.replica.borrow();
     let catalog = replica.catalog.as_ref()?;
     let service = replica.service_at(server)?;
     let engine = catalog.services.get(&service)?.engine.as_ref()?;
     let all = replica.servers.all().map(|it| &it.record);
-    let servers: Vec<&ServerRecord> = all.filter(|it| it.service == service).collect();
+    let now = shared.clock.now();
+    let loads = shared.loads.borrow();
+    let may_be_member = |it: &&ServerRecord| {
+        it.service == service && !loads.is_in_other_group(now, &service, &it.id, group)
+    };
+    let servers: Vec<&ServerRecord> = all.filter(may_be_member).collect();
     let peers = shared.peers.borrow();
     let entries_per_domain = match peers.gossip.is_full_mesh() {
         true => usize::MAX,
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -17,6 +17,7 @@
     caller_retries::{CallerRetryConfig, CallerRetryDetector},
     crash_suspects::CrashSuspects,
     gossip::{EntryState, IncarnationTag},
+    group_members::GroupTag,
     outage::OutageForecast,
     pass_model::{PassForecast, PassSpec},
     placement::{self, PlacementConfig, ServerCandidate},
@@ -125,20 +126,62 @@
     shared: Rc<SharedState>,
 }
 
-/// Returns the usable servers of a service and, if they form an engine group, the parameters of its
-/// passes. Unreachable servers don't count as ranks of the group, since the store lists a server
-/// for a while after it has ended.
-fn usable_servers_and_passes<'a>(
+/// Usable servers of a service that form one group.
+struct UsableGroup<'a> {
+    tag: GroupTag,
+    servers: Vec<&'a ServerRecord>,
+    /// Parameters of its passes; `None` if the servers form no engine group.
+    spec: Option<PassSpec>,
+}
+
+/// Returns the usable servers of a service by group. Unreachable servers don't count as ranks of a
+/// group, since the store lists a server for a while after it has ended.
+fn usable_groups<'a>(
     replica: &'a StoreReplica,
     loads: &LoadTracker,
     now: Timestamp,
     service: &str,
-) -> (Vec<&'a ServerRecord>, Option<PassSpec>) {
-    let records: Vec<&ServerRecord> = replica.usable_servers(service).collect();
-    let reached = records.iter().filter(|it| !loads.is_unreachable(&it.id));
-    let spec = replica.pass_spec(service, reached.count());
-    let spec = spec.map(|it| it.with_slowdown(loads.slowdown(now, service)));
-    (records, spec)
+) -> Vec<UsableGroup<'a>> {
+    let mut groups: Vec<UsableGroup> = Vec::new();
+    for record in replica.usable_servers(service) {
+        let tag = loads.group_of(service, &record.id);
+        match groups.iter_mut().find(|it| it.tag == tag) {
+            Some(group) => group.servers.push(record),
+            None => groups.push(UsableGroup {
+                tag,
+                servers: vec![record],
+                spec: None,
+            }),
+        }
+    }
+    for group in &mut groups {
+        let servers = group.servers.iter();
+        let reached = servers.filter(|it| !loads.is_unreachable(&it.id));
+        let spec = replica.pass_spec(service, reached.count());
+        let slowdown = loads.slowdown(now, service, group.tag);
+        group.spec = spec.map(|it| it.with_slowdown(slowdown));
+    }
+    groups
+}
+
+/// Returns whether a group can take one more request, whose prompt has `prompt` tokens: it works and
+/// its passes stay short enough. Servers that form no engine group always can.
+fn has_room(
+    loads: &mut LoadTracker,
+    now: Timestamp,
+    service: &str,
+    group: &UsableGroup,
+    prompt: u32,
+) -> bool {
+    let Some(spec) = &group.spec else {
+        return true;
+    };
+    if loads.outage(now, service, group.tag).is_some() {
+        return false;
+    }
+    let requests = total_requests(loads, &group.servers);
+    let forecast = loads.forecast(now, (service, group.tag), spec, requests, prompt);
+    forecast.is_none_or(|it| it.has_room)
 }
 
 /// Returns the number of requests in flight at the given servers, over all entries.
@@ -225,8 +268,8 @@
         self.rng.borrow_mut().next_u64()
     }
 
-    /// Reserves the best server of a service that has capacity; `None` if there is none or the
-    /// service's engine group is out. `tried` names servers to leave out, `prompt` is the request's
+    /// Reserves the best server of a service that has capacity, in an engine group that works; `None`
+    /// if there is none. `tried` names servers to leave out, `prompt` is the request's
     /// number of prompt tokens.
     pub fn reserve_server(
         self: &Rc<Self>,
@@ -238,20 +281,11 @@
         let now = self.clock.now();
         let domain = self.settings().domain.clone();
         let replica = self.replica.borrow();
-        let (records, spec) =
-            usable_servers_and_passes(&replica, &self.loads.borrow(), now, service);
-        let is_model = spec.is_some();
-        if is_model && self.outage(service).is_some() {
-            return None;
-        }
+        let mut groups = usable_groups(&replica, &self.loads.borrow(), now, service);
+        let is_model = groups.iter().any(|it| it.spec.is_some());
         let mut loads = self.loads.borrow_mut();
-        if let Some(spec) = &spec {
-            let requests = total_requests(&loads, &records);
-            let forecast = loads.forecast(now, service, spec, requests, prompt);
-            if forecast.is_some_and(|it| !it.has_room) {
-                return None;
-            }
-        }
+        groups.retain(|it| has_room(&mut loads, now, service, it, prompt));
+        let records: Vec<&ServerRecord> = groups.into_iter().flat_map(|it| it.servers).collect();
         let drain = self.settings().objectives.max_drain;
         let mut candidates = Vec::with_capacity(records.len());
         for record in &records {
@@ -290,7 +324,7 @@
         let server = Rc::new((*record).clone());
         loads.add_request(&server.id);
         if is_model {
-            loads.record_prompt_sent(now, service, prompt);
+            loads.record_prompt_sent(now, service, &server.id, prompt);
         }
         drop(loads);
         self.news_to_send.notify_one();
@@ -300,24 +334,32 @@
         })
     }
 
-    /// Forecasts the pass lengths of a service's engine group with one more request, and returns
-    /// the requests in flight there; `None` if the servers form no group or nothing is known of it.
+    /// Forecasts the pass lengths with one more request in the least loaded engine group of a service,
+    /// and returns the requests in flight there; `None` if the servers form no group or nothing is
+    /// known of it.
     pub fn forecast(&self, service: &str, prompt: u32) -> Option<(PassForecast, u32)> {
         let now = self.clock.now();
         let replica = self.replica.borrow();
         let loads = self.loads.borrow();
-        let (records, spec) = usable_servers_and_passes(&replica, &loads, now, service);
-        let spec = spec?;
-        let requests = total_requests(&loads, &records);
-        let forecast = loads.forecast(now, service, &spec, requests, prompt)?;
+        let groups = usable_groups(&replica, &loads, now, service);
+        let with_requests = groups
+            .iter()
+            .map(|it| (it, total_requests(&loads, &it.servers)));
+        let (group, requests) = with_requests.min_by_key(|(_, requests)| *requests)?;
+        let spec = group.spec.as_ref()?;
+        let forecast = loads.forecast(now, (service, group.tag), spec, requests, prompt)?;
         Some((forecast, requests))
     }
 
-    /// Returns the age and the expected rest of the outage of a service's group; `None` if it
+    /// Returns the age and the expected rest of the outage of a service; `None` if one of its groups
     /// works.
     pub fn outage(&self, service: &str) -> Option<OutageForecast> {
         let now = self.clock.now();
-        self.loads.borrow_mut().outage(now, service)
+        let replica = self.replica.borrow();
+        let groups = usable_groups(&replica, &self.loads.borrow(), now, service);
+        let usable: Vec<GroupTag> = groups.iter().map(|it| it.tag).collect();
+        let mut loads = self.loads.borrow_mut();
+        loads.service_outage(now, service, &usable)
     }
 
     /// Estimates the time that a response of `tokens` tokens takes at the current load of a
@@ -325,22 +367,35 @@
     pub fn estimated_response_time(&self, service: &str, tokens: u32) -> Option<Duration> {
         let replica = self.replica.borrow();
         let loads = self.loads.borrow();
-        let (_, spec) = usable_servers_and_passes(&replica, &loads, self.clock.now(), service);
-        Some(loads.estimated_response_time(service, &spec?, tokens))
+        let groups = usable_groups(&replica, &loads, self.clock.now(), service);
+        let times = groups.iter().filter_map(|it| {
+            let spec = it.spec.as_ref()?;
+            Some(loads.estimated_response_time((service, it.tag), spec, tokens))
+        });
+        times.min()
     }
 
-    /// Records the time between two events of a stream, from which the pass length is estimated.
-    pub fn record_event_gap(&self, service: &str, gap: Duration) {
+    /// Records the time between two events of a stream from a server, from which the pass length is estimated.
+    pub fn record_event_gap(&self, service: &str, server: &str, gap: Duration) {
         let now = self.clock.now();
         let replica = self.replica.borrow();
         let mut loads = self.loads.borrow_mut();
-        let (records, Some(spec)) = usable_servers_and_passes(&replica, &loads, now, service)
+        let tag = loads.group_of(service, server);
+        let groups = usable_groups(&replica, &loads, now, service);
+        let is_model = groups.iter().any(|it| it.spec.is_some());
+        if !is_model {
+            return;
+        }
+        loads.record_stream_event(now, service, tag);
+        let Some((spec, servers)) = groups
+            .iter()
+            .find(|it| it.tag == tag)
+            .and_then(|it| Some((it.spec.as_ref()?, &it.servers)))
         else {
             return;
         };
-        loads.record_stream_event(now, service);
-        let requests = total_requests(&loads, &records);
-        if loads.record_event_gap(now, service, &spec, gap, requests) {
+        let requests = total_requests(&loads, servers);
+        if loads.record_event_gap(now, (service, tag), spec, gap, requests) {
             self.capacity_changed.notify_one();
         }
     }
--- a/crates/front/src/stream_relay.rs
+++ b/crates/front/src/stream_relay.rs
@@ -7,14 +7,14 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use jj_direct::{body::ResponseBody, header_codec::EventId};
 use jj_policy::{catalog::RequestKind, server_health::AttemptOutcome};
-use jj_utils::{clock::Timestamp, events, ids::ServiceId, log_event};
+use jj_utils::{clock::Timestamp, events, log_event};
 
 use crate::{
     attempt,
     forward::{ForwardedResponse, Forwarder},
+    load_tracker::OpenStreamCount,
     request_log,
     server_stream::{ServerStream, StreamBreak, StreamItem},
-    shared_state::SharedState,
 };
 
 /// Longest time without an event, as a fraction of the route's stream patience, after which a
@@ -52,7 +52,7 @@
 ) -> impl futures_util::Stream<Item = io::Result<Bytes>> {
     async_stream::stream! {
         let shared = Rc::clone(&forward.shared);
-        let _open_count = OpenStreamCount::new(&forward);
+        let mut _open_count = count_open(&forward, &stream);
         let mut last_progress: Timestamp = shared.clock.now();
         let max_gap = forward.request.authorized.route.stream_patience().mul_f64(MAX_EVENT_GAP_FRACTION);
         // Start of the wait for the next event, without the time in which the caller reads the
@@ -82,7 +82,8 @@
                     let now = shared.clock.now();
                     let gap = now.saturating_sub(last_progress);
                     if forward.request_log.events_sent > 0 {
-                        shared.record_event_gap(&forward.request.service, gap);
+                        let server = &stream.reservation.server.id;
+                        shared.record_event_gap(&forward.request.service, server, gap);
                         if gap > forward.request_log.longest_gap.0 {
                             forward.request_log.longest_gap = (gap, now);
                         }
@@ -116,6 +117,7 @@
                         "stream resumed at another server: {reason}"
                     );
                     stream = resumed;
+                    _open_count = count_open(&forward, &stream);
                     wait_start = shared.clock.now();
                 }
                 None => {
@@ -128,27 +130,11 @@
     }
 }
 
-/// Counts a stream as open at its service until drop.
-struct OpenStreamCount {
-    shared: Rc<SharedState>,
-    service: ServiceId,
-}
-
-impl OpenStreamCount {
-    /// Counts the stream of a request as open.
-    fn new(forward: &Forwarder) -> Self {
-        let service = forward.request.service.clone();
-        let shared = Rc::clone(&forward.shared);
-        shared.loads.borrow_mut().count_open_stream(&service, true);
-        Self { shared, service }
-    }
-}
-
-impl Drop for OpenStreamCount {
-    fn drop(&mut self) {
-        let mut loads = self.shared.loads.borrow_mut();
-        loads.count_open_stream(&self.service, false);
-    }
+/// Counts a stream as open at the group of its server.
+fn count_open(forward: &Forwarder, stream: &ServerStream) -> Option<OpenStreamCount> {
+    let mut loads = forward.shared.loads.borrow_mut();
+    let server = &stream.reservation.server.id;
+    loads.count_open_stream(&forward.request.service, server)
 }
 
 /// What the responses of all servers of one stream have in common.
--- a/crates/news/src/lib.rs
+++ b/crates/news/src/lib.rs
@@ -19,6 +19,7 @@
 use jj_policy::{
     catalog::ExpertSpec,
     crash_reports::{LostReport, SuspectNews},
+    group_members::{GroupTag, UNKNOWN_GROUP},
     load_sums::{InFlightUpdate, ServerTag},
     map_switch::{Goal, MapVersion, RankView},
     rate_limits::RateStatement,
@@ -100,7 +101,6 @@
 
 common_derives! {wire:
     /// State of a group, which an agent reports to entries.
-    #[derive(Copy)]
     pub struct GroupStatus {
         /// The agent's engine.
         pub server: SocketAddr,
@@ -110,6 +110,11 @@
         pub is_open: bool,
         /// Slowdown of its slowest engine: 1 is the usual speed, 2 is half of it.
         pub slowdown: f64,
+        /// The group.
+        pub group: GroupTag,
+        /// Tags of the addresses of its servers, as far as the agent knows them; none in most
+        /// reports, since they seldom change.
+        pub servers: Vec<ServerTag>,
     }
 }
 
@@ -147,6 +152,8 @@
         pub waiting: u32,
         /// Age of the engine's report, in milliseconds.
         pub age_ms: u32,
+        /// Group of the engine.
+        pub group: GroupTag,
     }
 }
 
@@ -155,6 +162,8 @@
     pub struct RankCounts {
         /// Counts of all experts of the first set, then of the second, and so on.
         pub increments: Vec<u32>,
+        /// Group of the rank.
+        pub group: GroupTag,
     }
 }
 
@@ -174,6 +183,8 @@
         /// Version of the switch's map, also once it need not be loaded; 0 if the sender doesn't
         /// know it.
         pub switch_version: MapVersion,
+        /// Group that switches.
+        pub group: GroupTag,
     }
 }
 
@@ -204,6 +215,8 @@
         pub goal: Goal,
         /// The orders.
         pub orders: Vec<BatchedOrder>,
+        /// Group that switches.
+        pub group: GroupTag,
     }
 }
 
@@ -256,6 +269,8 @@
         AskRoster {
             /// The agent's engine.
             server: SocketAddr,
+            /// Group of that engine; [`UNKNOWN_GROUP`] before it has named one.
+            group: GroupTag,
         },
         /// Reply to [`Message::AskRoster`].
         Roster(Roster),
@@ -284,6 +299,8 @@
             number: u64,
             /// Outcome of each order.
             results: Vec<OrderResult>,
+            /// Group of the sender.
+            group: GroupTag,
         },
         /// Request of a leader to its deputy to hold a pass at the gate and to activate a map at the
         /// leader's engine.
@@ -302,6 +319,8 @@
             leader_sequence: u64,
             /// Process of the deputy to which the request goes.
             deputy: Incarnation,
+            /// Group of the sender.
+            group: GroupTag,
         },
         /// Rejection of a request whose term is lower than one that the agent has accepted.
         HigherTerm {
@@ -309,6 +328,8 @@
             number: u64,
             /// Highest term that the agent has accepted.
             term: Term,
+            /// Group of the sender.
+            group: GroupTag,
         },
         /// Query to the deputy for its state, sent by an agent that takes a switch over.
         AskDeputy {
@@ -316,6 +337,8 @@
             number: u64,
             /// Term of the sender; from then on the deputy accepts no lower one.
             term: Term,
+            /// Group of the sender.
+            group: GroupTag,
         },
         /// Reply to [`Message::DelegateActivation`] or [`Message::AskDeputy`].
         DeputyReply {
@@ -328,9 +351,14 @@
             /// Version of the map of the switch that `state` is about; 0 if the deputy has no
             /// record of any switch.
             version: MapVersion,
+            /// Group of the sender.
+            group: GroupTag,
         },
         /// Request of a leader for the experts of a rank under the map in force.
-        AskExperts,
+        AskExperts {
+            /// Group of the sender.
+            group: GroupTag,
+        },
         /// Reply to [`Message::AskExperts`].
         RankExperts {
             /// Rank of the engine.
@@ -339,6 +367,8 @@
             version: MapVersion,
             /// Experts that the rank holds, by set.
             sets: Vec<Vec<u32>>,
+            /// Group of the sender.
+            group: GroupTag,
         },
         /// Reply to [`Message::RankTask`].
         RankReply {
@@ -352,6 +382,8 @@
             version: MapVersion,
             /// Outcome of the order that the agent sent for the task; none if it sent none.
             outcome: Option<RankOrderOutcome>,
+            /// Group of the sender.
+            group: GroupTag,
         },
         /// Crashes of servers and the prompt parts involved, exchanged among entries.
         Suspects(SuspectExchange),
@@ -366,21 +398,48 @@
         postcard::to_stdvec(self).ok()
     }
 
-    /// Decodes a message of a build before the last one, which lacks the field that was added at the
-    /// end of its kind since.
+    /// Returns the group that a message among agents is about; `None` for messages of entries and to
+    /// them, which are about no group or tell of one.
+    pub fn group(&self) -> Option<GroupTag> {
+        match self {
+            Self::RankStatus(status) => Some(status.group),
+            Self::RankCounts(counts) => Some(counts.group),
+            Self::RankTask(task) | Self::TaskBatch { task, .. } => Some(task.group),
+            Self::OrderBatch(batch) => Some(batch.group),
+            Self::OrderResults { group, .. }
+            | Self::DelegateActivation { group, .. }
+            | Self::HigherTerm { group, .. }
+            | Self::AskDeputy { group, .. }
+            | Self::DeputyReply { group, .. }
+            | Self::AskExperts { group }
+            | Self::RankExperts { group, .. }
+            | Self::RankReply { group, .. } => Some(*group),
+            Self::Hello(_)
+            | Self::InFlight { .. }
+            | Self::AskRoster { .. }
+            | Self::Roster(_)
+            | Self::GroupStatus(_)
+            | Self::ServerLeaves(_)
+            | Self::Suspects(_)
+            | Self::ServerRates(_) => None,
+        }
+    }
+
+    /// Decodes a message of a build before the last one, which lacks the fields that were added at
+    /// the end of its kind since.
     fn decode_shorter(bytes: &[u8]) -> Option<Self> {
         let message: Self = wire::decode_any_build(bytes).ok()?;
-        let was_extended = matches!(
+        let is_extended_kind = matches!(
             message,
             Self::Hello(_)
                 | Self::InFlight { .. }
                 | Self::Roster(_)
-                | Self::RankTask(_)
-                | Self::TaskBatch { .. }
-                | Self::DelegateActivation { .. }
-                | Self::DeputyReply { .. }
                 | Self::Suspects(_)
+                | Self::AskRoster { .. }
+                | Self::GroupStatus(_)
         );
+        let names_no_group = message.group() == Some(UNKNOWN_GROUP);
+        let was_extended = is_extended_kind || names_no_group;
         was_extended.then_some(message)
     }
 
--- a/crates/news/src/plausible.rs
+++ b/crates/news/src/plausible.rs
@@ -68,7 +68,7 @@
             | Self::RankCounts(_)
             | Self::OrderResults { .. }
             | Self::DeputyReply { .. }
-            | Self::AskExperts => true,
+            | Self::AskExperts { .. } => true,
         }
     }
 }
@@ -108,7 +108,9 @@
 }
 
 fn is_valid_group_status(status: &GroupStatus) -> bool {
-    is_valid_number(status.epoch) && is_valid_slowdown(status.slowdown)
+    is_valid_number(status.epoch)
+        && is_valid_slowdown(status.slowdown)
+        && status.servers.len() <= MAX_RANKS as usize
 }
 
 fn is_valid_rank_status(status: &RankStatus) -> bool {
--- a/crates/rank/src/datagrams.rs
+++ b/crates/rank/src/datagrams.rs
@@ -3,8 +3,12 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use jj_news::{GroupStatus, MAX_DATAGRAM_BYTES, Message, RankStatus, RankTask, Roster};
-use jj_policy::switch_run::{DeputyReport, RankOrderOutcome};
+use jj_news::{GroupStatus, MAX_DATAGRAM_BYTES, Message, RankStatus, RankTask, Roster, server_tag};
+use jj_policy::{
+    group_members::{Sender, UNKNOWN_GROUP},
+    load_sums::ServerTag,
+    switch_run::{DeputyReport, RankOrderOutcome},
+};
 use jj_utils::{
     clock::Timestamp,
     events,
@@ -16,14 +20,17 @@
 use crate::{
     deputy, driver, orders,
     state::{
-        DeputyReply, HEARTBEAT_INTERVAL, HeldExperts, Member, SWITCH_HEARTBEAT_INTERVAL, State,
-        TaskReply,
+        DeputyReply, HEARTBEAT_INTERVAL, HeldExperts, MemberStatus, SWITCH_HEARTBEAT_INTERVAL,
+        State, TaskReply,
     },
 };
 
 /// Interval between group status reports of a leader to entries.
 const GROUP_STATUS_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval between reports of the group's servers to entries, unless they change.
+const SERVERS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Interval between requests for the roster.
 const ROSTER_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -167,6 +174,7 @@
     };
     let message = Message::AskRoster {
         server: state.server,
+        group: state.own_group(),
     };
     state.send(state.agent_addr(*ip), &message);
 }
@@ -174,19 +182,47 @@
 /// Reports the group's status to entries: periodically as leader, and as any watcher at once when
 /// this agent's engine reports a change.
 pub async fn report_group_status(state: Rc<State>) {
+    let mut reported = ReportedServers::default();
     loop {
         let changed = state.group_changed.notified();
         let has_changed = tokio::time::timeout(GROUP_STATUS_INTERVAL, changed)
             .await
             .is_ok();
         if state.is_watcher() && (has_changed || state.is_leader()) {
-            send_group_status(&state);
+            send_group_status(&state, &mut reported);
+        }
+    }
+}
+
+/// Servers of the group that were reported to entries last.
+#[derive(Default)]
+struct ReportedServers {
+    tags: Vec<ServerTag>,
+    at: Timestamp,
+}
+
+impl ReportedServers {
+    /// Returns the servers of the group if they have to be reported: when they have changed, and
+    /// periodically; otherwise none.
+    fn due(&mut self, state: &State) -> Vec<ServerTag> {
+        let now = state.clock.now();
+        let group = state.group.borrow();
+        let members = group.members.iter().map(|(_, it)| it.server);
+        let servers = members.chain([state.server]);
+        let mut tags: Vec<ServerTag> = servers.map(|it| server_tag(&it.to_string())).collect();
+        tags.sort_unstable();
+        if tags == self.tags && now < self.at + SERVERS_INTERVAL {
+            return Vec::new();
         }
+        self.tags.clone_from(&tags);
+        self.at = now;
+        tags
     }
 }
 
 /// Sends the group's status to the entries of the roster.
-fn send_group_status(state: &State) {
+fn send_group_status(state: &State, reported: &mut ReportedServers) {
+    let servers = reported.due(state);
     let group = state.group.borrow();
     let (Some(report), Some(roster)) = (&group.report, &group.roster) else {
         return;
@@ -196,6 +232,8 @@
         epoch: report.view.epoch,
         is_open: report.view.is_open,
         slowdown: state.max_slowdown(&group),
+        group: group.members.group(),
+        servers,
     });
     for ip in &roster.entries {
         state.send(state.agent_addr(*ip), &message);
@@ -224,6 +262,7 @@
                 .now()
                 .saturating_sub(group.report_at)
                 .as_millis() as u32,
+            group: group.members.group(),
         }
     };
     let message = Message::RankStatus(status);
@@ -238,9 +277,8 @@
     if !state.is_watcher() {
         return watchers(state);
     }
-    let group = state.group.borrow();
-    let servers = group.roster.iter().flat_map(|it| &it.servers);
-    let others = servers.filter(|it| **it != state.server);
+    let servers = state.group.borrow().possible_servers(state.clock.now());
+    let others = servers.iter().filter(|it| **it != state.server);
     others.map(|it| state.agent_addr(it.ip())).collect()
 }
 
@@ -255,6 +293,15 @@
 /// Handles a received message.
 fn handle(state: &Rc<State>, from: SocketAddr, message: Message) {
     let now = state.clock.now();
+    if let Some(group) = message.group() {
+        let is_own = {
+            let own = state.group.borrow();
+            own.members.is_own(now, group, from.ip(), own.is_alone())
+        };
+        if !is_own {
+            return reject_other_group(state, from, &message);
+        }
+    }
     match message {
         Message::Roster(roster) => record_roster(state, roster),
         Message::RankStatus(status) => record_heartbeat(state, now, status),
@@ -267,6 +314,7 @@
             view,
             version,
             outcome,
+            ..
         } => {
             if outcome == Some(RankOrderOutcome::Unknown) {
                 state.record_unanswered();
@@ -287,6 +335,7 @@
             server,
             leader_sequence,
             deputy,
+            ..
         } => {
             let state = Rc::clone(state);
             let request = deputy::Request {
@@ -302,7 +351,9 @@
             let state = Rc::clone(state);
             spawn_local(async move { orders::execute_batch(&state, batch).await });
         }
-        Message::OrderResults { number, results } => {
+        Message::OrderResults {
+            number, results, ..
+        } => {
             state
                 .group
                 .borrow_mut()
@@ -310,13 +361,14 @@
                 .push((number, results));
             state.answer_received.notify_one();
         }
-        Message::HigherTerm { number, term } => record_higher_term(state, number, term),
-        Message::AskDeputy { number, term } => deputy::answer_query(state, from, number, term),
+        Message::HigherTerm { number, term, .. } => record_higher_term(state, number, term),
+        Message::AskDeputy { number, term, .. } => deputy::answer_query(state, from, number, term),
         Message::DeputyReply {
             number,
             state: deputy_state,
             is_fenced,
             version,
+            ..
         } => {
             let reply = DeputyReply {
                 number,
@@ -329,7 +381,7 @@
             state.group.borrow_mut().deputy_reply = Some(reply);
             state.answer_received.notify_one();
         }
-        Message::AskExperts => {
+        Message::AskExperts { .. } => {
             let state = Rc::clone(state);
             spawn_local(async move { driver::send_experts(&state, from).await });
         }
@@ -337,6 +389,7 @@
             rank,
             version,
             sets,
+            ..
         } => {
             let held = HeldExperts { version, sets };
             state.group.borrow_mut().held_experts.insert(rank, held);
@@ -346,6 +399,18 @@
     }
 }
 
+/// Handles a message that is not of this agent's group: nothing in it means anything here, except that
+/// its sender is no member.
+fn reject_other_group(state: &State, from: SocketAddr, message: &Message) {
+    metrics::counter!("jujube_other_group_messages_total").increment(1);
+    if let Message::RankStatus(status) = message
+        && state.own_group() != UNKNOWN_GROUP
+        && status.group != UNKNOWN_GROUP
+    {
+        state.record_outsider(from.ip());
+    }
+}
+
 /// Records the roster. The first one makes a heartbeat due, since the other agents are known now.
 fn record_roster(state: &State, roster: Roster) {
     let mut group = state.group.borrow_mut();
@@ -364,7 +429,7 @@
 }
 
 /// Records the heartbeat of another agent; one with a rank outside the group is ignored.
-fn record_heartbeat(state: &State, now: Timestamp, mut status: RankStatus) {
+fn record_heartbeat(state: &State, now: Timestamp, status: RankStatus) {
     let mut group = state.group.borrow_mut();
     if group
         .report
@@ -374,15 +439,13 @@
         return;
     }
     group.reported_term = group.reported_term.max(status.term);
-    let rank = status.rank;
-    if let Some(member) = group.members.get(&rank) {
-        status.view = status.view.newer_of(member.status.view);
-    }
-    let member = Member {
-        status,
-        last_seen: now,
+    let sender = Sender {
+        server: status.server,
+        rank: status.rank,
     };
-    group.members.insert(rank, member);
+    group
+        .members
+        .record(now, sender, |known| MemberStatus::after(now, status, known));
 }
 
 /// Records that an agent has rejected a request of this process because of a higher term.
--- a/crates/rank/src/deputy.rs
+++ b/crates/rank/src/deputy.rs
@@ -136,11 +136,13 @@
 /// request, or `Accepted` if none was sent; the reply only says whether it is `Fenced`.
 fn reply(state: &State, to: SocketAddr, number: u64, outcome: RankOrderOutcome) {
     let report = report(state);
+    let group = state.own_group();
     let message = Message::DeputyReply {
         number,
         state: report.state,
         is_fenced: outcome == RankOrderOutcome::Fenced,
         version: report.version,
+        group,
     };
     state.send(to, &message);
 }
--- a/crates/rank/src/driver.rs
+++ b/crates/rank/src/driver.rs
@@ -2,14 +2,15 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use jj_adapter::engine::{EngineClient, EngineReport, OrderGuard};
+use jj_adapter::engine::{EngineClient, EngineReport, NoGroup, OrderGuard};
 use jj_news::{Message, RankTask};
 use jj_policy::{
+    group_members::{GroupTag, group_tag},
     map_switch::{self, Goal, NextAction, RankOrder, RankView, SetMap},
     switch_run::RankOrderOutcome,
 };
 
-use jj_utils::{events, log_event};
+use jj_utils::{clock::Timestamp, events, ids::Rank, log_event};
 
 use crate::{
     map_transfer,
@@ -44,7 +45,7 @@
 pub async fn execute_task(state: &State, task: RankTask) {
     let goal = task.goal;
     if step_and_reply(state, &task).await
-        && map_transfer::fetch(state, task.leader.ip(), &goal).await
+        && map_transfer::fetch(state, task.leader.ip(), task.group, &goal).await
     {
         step_and_reply(state, &task).await;
     }
@@ -56,6 +57,10 @@
     let Ok(report) = read_report(state).await else {
         return false;
     };
+    // The engine may be in another group by now.
+    if !state.is_own_group(task.group) {
+        return false;
+    }
     let map = state.group.borrow_mut().resolve_map(task);
     let result = take_step(
         state,
@@ -72,6 +77,7 @@
         view,
         version: task.goal.version,
         outcome: result.outcome,
+        group: state.own_group(),
     };
     state.send(task.leader, &reply);
     let has_to_load =
@@ -101,16 +107,11 @@
 /// accept the order, returns its state before.
 pub async fn load_remote(
     engine: &EngineClient,
+    expected: RankInGroup,
     goal: &Goal,
     map: Vec<SetMap>,
 ) -> Option<StepResult> {
-    let view = match engine.fetch_report(REMOTE_REPORT_TIMEOUT).await {
-        Ok(report) => report.view,
-        Err(error) => {
-            log::debug!("failed to read the report of a remote engine: {error:#}");
-            return None;
-        }
-    };
+    let view = fetch_remote_view(engine, expected).await?;
     let order = match map_switch::next_action(&view, goal, false) {
         NextAction::Load => RankOrder::Load {
             version: goal.version,
@@ -130,14 +131,11 @@
     let outcome = Some(outcome);
     for _ in 0..MAX_REMOTE_POLLS {
         tokio::time::sleep(REMOTE_POLL_INTERVAL).await;
-        let Ok(report) = engine.fetch_report(REMOTE_REPORT_TIMEOUT).await else {
+        let Some(view) = fetch_remote_view(engine, expected).await else {
             continue;
         };
-        if report.view.loaded == Some(goal.version) {
-            return Some(StepResult {
-                view: report.view,
-                outcome,
-            });
+        if view.loaded == Some(goal.version) {
+            return Some(StepResult { view, outcome });
         }
     }
     None
@@ -149,7 +147,22 @@
 /// When the engine does not answer in time with a valid report.
 pub async fn read_report(state: &State) -> anyhow::Result<EngineReport> {
     let requested_at = state.clock.now();
-    let report = state.engine.fetch_report(ANSWER_TIMEOUT).await?;
+    let report = match state.engine.fetch_report(ANSWER_TIMEOUT).await {
+        Ok(report) => report,
+        Err(error) => {
+            if error.is::<NoGroup>() {
+                join(state, requested_at, None);
+            }
+            return Err(error);
+        }
+    };
+    if state
+        .group
+        .borrow()
+        .is_of_other_group(requested_at, &report)
+    {
+        join(state, requested_at, Some(group_tag(&report.group_name)));
+    }
     let mut group = state.group.borrow_mut();
     let before = group
         .report
@@ -166,6 +179,7 @@
     }
     if group.report_at <= requested_at {
         group.report_at = requested_at;
+        group.received_at = state.clock.now();
         let pass = group.report.as_ref().map(|it| it.view.pass);
         let has_work = report.running + report.waiting > 0 || report.view.held.is_some();
         if pass != Some(report.view.pass) || !has_work || !report.view.is_open {
@@ -179,6 +193,23 @@
     Ok(report)
 }
 
+/// Begins anew with the group that the engine has named, or with none, unless a report that was
+/// requested later is known.
+fn join(state: &State, requested_at: Timestamp, tag: Option<GroupTag>) {
+    let mut group = state.group.borrow_mut();
+    if group.report_at > requested_at || (tag.is_none() && group.report.is_none()) {
+        return;
+    }
+    let before = group.members.group();
+    group.join(tag);
+    log_event!(
+        events::GROUP_CHANGED,
+        group = tag.unwrap_or_default(), before = before;
+        "the engine has named its group, which is not the one known before"
+    );
+    state.heartbeat_due.notify_one();
+}
+
 /// Result of a step towards a goal.
 pub struct StepResult {
     /// State of the engine after the step.
@@ -263,12 +294,43 @@
     }
 }
 
+/// Rank of a group, as which an engine on another instance has to report itself.
+#[derive(Debug, Clone, Copy)]
+pub struct RankInGroup {
+    /// The group.
+    pub group: GroupTag,
+    /// The rank.
+    pub rank: Rank,
+}
+
 /// Reads the report of an engine whose agent does not answer, as it was no earlier than the call:
 /// engines tell other instances reports that are up to `lag` old.
-pub async fn read_remote(engine: &EngineClient, lag: Duration) -> Option<RankView> {
+pub async fn read_remote(
+    engine: &EngineClient,
+    expected: RankInGroup,
+    lag: Duration,
+) -> Option<RankView> {
     tokio::time::sleep(lag).await;
+    fetch_remote_view(engine, expected).await
+}
+
+/// Reads the report of an engine on another instance; returns none if it can't be read or the engine
+/// is not the expected rank, as its server may have come back in another group.
+async fn fetch_remote_view(engine: &EngineClient, expected: RankInGroup) -> Option<RankView> {
     match engine.fetch_report(REMOTE_REPORT_TIMEOUT).await {
-        Ok(report) => Some(report.view),
+        Ok(report) => {
+            let is_expected =
+                group_tag(&report.group_name) == expected.group && report.rank == expected.rank;
+            if !is_expected {
+                log_event!(
+                    events::OTHER_GROUP,
+                    rank = expected.rank, group = expected.group,
+                    reported_rank = report.rank, reported_group = report.group_name.as_str();
+                    "an engine on another instance is not the expected rank"
+                );
+            }
+            is_expected.then_some(report.view)
+        }
         Err(error) => {
             log::debug!("failed to read the report of a remote engine: {error:#}");
             None
@@ -288,6 +350,7 @@
         rank,
         version: experts.version,
         sets: experts.sets,
+        group: state.own_group(),
     };
     state.send(to, &message);
 }
--- a/crates/rank/src/leader.rs
+++ b/crates/rank/src/leader.rs
@@ -144,7 +144,8 @@
     /// Logs the imbalance, pass duration and requests of the group, to help diagnose a slow one.
     fn log_load(&self, imbalance: f64) {
         let group = self.state.group.borrow();
-        let others = group.members.values().map(|it| it.status.running);
+        let members = group.members.iter();
+        let others = members.map(|(_, it)| it.status.heartbeat.running);
         let own = group.report.as_ref().map_or(0, |it| it.running);
         let running: Vec<u32> = others.chain([own]).collect();
         let pass = group.pass_length.mean().unwrap_or_default();
@@ -220,8 +221,9 @@
         }
         self.requested_at = now;
         driver::record_experts(&self.state).await;
+        let group = self.state.own_group();
         for addr in datagrams::peers(&self.state) {
-            self.state.send(addr, &Message::AskExperts);
+            self.state.send(addr, &Message::AskExperts { group });
         }
         false
     }
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -36,6 +36,7 @@
     let message = Message::OrderResults {
         number: batch.number,
         results,
+        group: batch.group,
     };
     state.send(batch.leader, &message);
 }
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -198,7 +198,11 @@
             continue;
         };
         match state.leader_addr() {
-            Some(leader) => state.send(leader, &Message::RankCounts(RankCounts { increments })),
+            Some(leader) => {
+                let group = state.own_group();
+                let counts = RankCounts { increments, group };
+                state.send(leader, &Message::RankCounts(counts));
+            }
             None => {
                 let mut group = state.group.borrow_mut();
                 group.demand.report_interval = sampling.interval;
--- a/crates/rank/src/state.rs
+++ b/crates/rank/src/state.rs
@@ -14,6 +14,7 @@
 use jj_policy::{
     expert_demand::ExpertDemand,
     expert_plan::{self, PlanShape},
+    group_members::{GroupMembers, GroupTag, Member, UNKNOWN_GROUP, group_tag},
     map_switch::{MapVersion, RankView, SetMap},
     pass_length::PassLengthEstimator,
     switch_deputy::DeputyRecord,
@@ -23,7 +24,9 @@
 use jj_utils::{
     clock::{SharedClock, Timestamp},
     collections::FastMap,
+    events,
     ids::{Incarnation, Rank, Term},
+    log_event,
 };
 use tokio::{net::UdpSocket, sync::Notify};
 
@@ -59,13 +62,42 @@
 /// Heartbeat intervals of silence after which an agent is considered gone.
 const GONE_INTERVALS: f64 = 3.4;
 
-/// Another agent of the group and its last heartbeat.
+/// Time by which heartbeats may arrive in another order than they were sent.
+const MAX_REORDERING: Duration = Duration::from_secs(1);
+
+/// What another agent of the group has reported.
 #[derive(Debug, Clone)]
-pub struct Member {
-    /// Content of the last heartbeat.
-    pub status: RankStatus,
-    /// Time at which that was received.
-    pub last_seen: Timestamp,
+pub struct MemberStatus {
+    /// Last heartbeat.
+    pub heartbeat: RankStatus,
+    /// State of its engine, as far as it is known.
+    pub view: RankView,
+    /// Time at which that state was read.
+    pub view_at: Timestamp,
+}
+
+impl MemberStatus {
+    /// Returns the status after a heartbeat. An engine's map doesn't go back within a formation of the
+    /// group, so a heartbeat with an older one was overtaken, unless it comes long after.
+    pub fn after(now: Timestamp, heartbeat: RankStatus, known: Option<&Member<Self>>) -> Self {
+        let view_at = now.saturating_sub(Duration::from_millis(heartbeat.age_ms.into()));
+        let status = Self {
+            view: heartbeat.view,
+            heartbeat,
+            view_at,
+        };
+        let Some(known) = known.map(|it| &it.status) else {
+            return status;
+        };
+        if view_at > known.view_at + MAX_REORDERING {
+            return status;
+        }
+        Self {
+            view: status.view.newer_of(known.view),
+            view_at: known.view_at.max(view_at),
+            ..status
+        }
+    }
 }
 
 /// Reply of a rank's agent to a task.
@@ -125,12 +157,14 @@
     pub report: Option<EngineReport>,
     /// Time at which that report was requested.
     pub report_at: Timestamp,
+    /// Time at which it was received.
+    pub received_at: Timestamp,
     /// Estimate of the duration of the group's passes.
     pub pass_length: PassLengthEstimator,
     /// Servers and parameters of the service, from an entry.
     pub roster: Option<Roster>,
-    /// Other agents of the group from which heartbeats were received.
-    pub members: FastMap<Rank, Member>,
+    /// The group, and the other agents of it from which heartbeats were received.
+    pub members: GroupMembers<MemberStatus>,
     /// Agents that receive the heartbeats of all others.
     pub watchers: Watchers,
     /// Newest reply to a task from each rank.
@@ -200,6 +234,54 @@
         }
     }
 
+    /// Forgets all about the group, since the engine is in another one (or in none, `None`) or the
+    /// group was formed anew under the same name and a former epoch. What is kept is of the process
+    /// or of the service.
+    pub fn join(&mut self, group: Option<GroupTag>) {
+        *self = Self {
+            roster: self.roster.take(),
+            last_number: self.last_number,
+            is_switching: self.is_switching,
+            is_leaving: self.is_leaving,
+            ..Self::default()
+        };
+        self.members.join(group.unwrap_or(UNKNOWN_GROUP));
+    }
+
+    /// Returns whether a report that was requested at a time is of another group than the state, or of
+    /// one that was formed anew under a former epoch: passes and maps don't go back within an epoch.
+    pub fn is_of_other_group(&self, requested_at: Timestamp, report: &EngineReport) -> bool {
+        if group_tag(&report.group_name) != self.members.group() {
+            return true;
+        }
+        let Some(known) = self.report.as_ref().map(|it| it.view) else {
+            return false;
+        };
+        let seen = report.view;
+        let went_back = seen.pass < known.pass || seen.map < known.map;
+        let began_anew = seen.epoch == known.epoch && seen.is_open && known.is_open && went_back;
+        requested_at >= self.received_at && (seen.epoch < known.epoch || began_anew)
+    }
+
+    /// Returns whether the service can have no other group: it has no more servers than this one has
+    /// ranks.
+    pub fn is_alone(&self) -> bool {
+        let servers = self.roster.as_ref().map(|it| it.servers.len());
+        let size = self.report.as_ref().map(|it| it.group_size as usize);
+        servers
+            .zip(size)
+            .is_some_and(|(servers, size)| servers <= size)
+    }
+
+    /// Returns the servers of the service that may be in this group: all but those of which another
+    /// one is known.
+    pub fn possible_servers(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let servers = self.roster.iter().flat_map(|it| it.servers.iter().copied());
+        servers
+            .filter(|it| !self.members.is_outsider(now, it.ip()))
+            .collect()
+    }
+
     /// Marks a switch as running and discards rejections and results of an earlier one.
     pub fn begin_switch(&mut self) {
         self.is_switching = true;
@@ -213,12 +295,12 @@
         let same_switch =
             |it: &ReceivedTask| !task.roles.has_known_leader() || it.version == task.switch_version;
         let known = self.last_task.filter(same_switch);
-        let leader = self.members.get(&task.roles.leader);
+        let leader = self.members.get(task.roles.leader);
         let received = ReceivedTask {
             at: now,
             roles: task.roles,
             version: task.switch_version,
-            leader: leader.map(|it| it.status.incarnation),
+            leader: leader.map(|it| it.status.heartbeat.incarnation),
         };
         self.last_task = Some(known.map_or(received, |known| ReceivedTask { at: now, ..known }));
     }
@@ -263,21 +345,22 @@
 
     /// Updates which agents are watchers; `own` is this agent's engine.
     pub fn choose_watchers(&mut self, now: Timestamp, own: SocketAddr) {
-        let Some(roster) = &self.roster else {
+        if self.roster.is_none() {
             return;
-        };
-        let members = self.members.values();
-        let last_seen = members.map(|it| (it.status.server, it.last_seen));
+        }
+        let members = self.members.iter();
+        let last_seen = members.map(|(_, it)| (it.server, it.last_seen));
         let last_seen: FastMap<SocketAddr, Timestamp> = last_seen.collect();
         let last_seen = |server: SocketAddr| last_seen.get(&server).copied();
-        self.watchers.choose(now, own, &roster.servers, last_seen);
+        let servers = self.possible_servers(now);
+        self.watchers.choose(now, own, &servers, last_seen);
     }
 
     /// Returns the last reported state of a rank's engine.
     pub fn view(&self, rank: Rank) -> Option<RankView> {
         match self.report.as_ref().filter(|it| it.rank == rank) {
             Some(report) => Some(report.view),
-            None => self.members.get(&rank).map(|it| it.status.view),
+            None => self.members.get(rank).map(|it| it.status.view),
         }
     }
 
@@ -286,7 +369,10 @@
         let own = self.report.as_ref();
         let slowdown = |rank: Rank| match own.filter(|it| it.rank == rank) {
             Some(report) => report.slowdown,
-            None => self.members.get(&rank).map_or(1.0, |it| it.status.slowdown),
+            None => {
+                let member = self.members.get(rank);
+                member.map_or(1.0, |it| it.status.heartbeat.slowdown)
+            }
         };
         (0..ranks as Rank).map(slowdown).collect()
     }
@@ -346,10 +432,12 @@
     /// Returns the largest slowdown of the engines with a recent report.
     pub fn max_slowdown(&self, group: &GroupState) -> f64 {
         let now = self.clock.now();
-        let members = group.members.values();
+        let members = group.members.iter().map(|(_, it)| it);
         let fresh = members.filter(|it| it.last_seen + SLOWDOWN_LIFETIME >= now);
         let own = group.report.as_ref().map_or(1.0, |it| it.slowdown);
-        fresh.map(|it| it.status.slowdown).fold(own, f64::max)
+        fresh
+            .map(|it| it.status.heartbeat.slowdown)
+            .fold(own, f64::max)
     }
 
     /// Returns the heartbeat interval of agents that are not watchers.
@@ -372,8 +460,8 @@
             return ranks;
         }
         let is_watcher = |rank: &Rank| {
-            let member = group.members.get(rank);
-            member.is_some_and(|it| group.watchers.contains(it.status.server))
+            let member = group.members.get(*rank);
+            member.is_some_and(|it| group.watchers.contains(it.server))
         };
         ranks.retain(is_watcher);
         ranks
@@ -382,16 +470,21 @@
     /// Accepts the term of a request unless a higher one was accepted before. Otherwise sends a
     /// rejection to the requester and returns false.
     pub fn accept_term(&self, term: Term, (from, number): (SocketAddr, u64)) -> bool {
-        let highest = {
+        let (highest, group) = {
             let mut group = self.group.borrow_mut();
             group.accepted_term = group.accepted_term.max(term);
-            group.accepted_term
+            (group.accepted_term, group.members.group())
         };
         if term == highest {
             return true;
         }
         let term = highest;
-        self.send(from, &Message::HigherTerm { number, term });
+        let message = Message::HigherTerm {
+            number,
+            term,
+            group,
+        };
+        self.send(from, &message);
         false
     }
 
@@ -399,7 +492,8 @@
     pub fn last_switching_heartbeat(&self, except: Option<Rank>) -> Timestamp {
         let group = self.group.borrow();
         let members = group.members.iter();
-        let switching = members.filter(|(rank, it)| it.status.switching && Some(**rank) != except);
+        let switching =
+            members.filter(|(rank, it)| it.status.heartbeat.switching && Some(*rank) != except);
         switching
             .map(|(_, it)| it.last_seen)
             .max()
@@ -421,7 +515,7 @@
     /// Returns whether an agent has been silent so long that others take over a switch that it leads.
     pub fn is_silent(&self, rank: Rank, now: Timestamp) -> bool {
         let group = self.group.borrow();
-        let last_seen = group.members.get(&rank).map(|it| it.last_seen);
+        let last_seen = group.members.get(rank).map(|it| it.last_seen);
         last_seen.is_none_or(|last_seen| now > last_seen + LEADER_SILENCE)
     }
 
@@ -430,7 +524,8 @@
     pub fn has_leader_gone(&self, task: &ReceivedTask, now: Timestamp) -> bool {
         let leader = task.roles.leader;
         let group = self.group.borrow();
-        let current = group.members.get(&leader).map(|it| it.status.incarnation);
+        let current = group.members.get(leader);
+        let current = current.map(|it| it.status.heartbeat.incarnation);
         let has_restarted = task.leader.is_some() && current != task.leader;
         drop(group);
         has_restarted || self.is_silent(leader, now)
@@ -449,9 +544,11 @@
 
     /// Records that all ranks use a map, ahead of the heartbeats that report it.
     pub fn record_switched(&self, version: MapVersion) {
+        let now = self.clock.now();
         let mut group = self.group.borrow_mut();
         for member in group.members.values_mut() {
             member.status.view = member.status.view.after_switch(version);
+            member.status.view_at = now;
         }
     }
 
@@ -485,7 +582,7 @@
             .members
             .iter()
             .filter(|(_, it)| it.last_seen + max_silence >= now);
-        let mut live: Vec<Rank> = live.map(|(rank, _)| *rank).collect();
+        let mut live: Vec<Rank> = live.map(|(rank, _)| rank).collect();
         live.sort_unstable();
         live
     }
@@ -501,7 +598,7 @@
             let has_failed = failed_at.is_some_and(|at| now < *at + FAILED_DEPUTY_WINDOW);
             let last_seen = group
                 .members
-                .get(rank)
+                .get(*rank)
                 .map_or(Timestamp::ZERO, |it| it.last_seen);
             (
                 has_failed,
@@ -539,13 +636,40 @@
             .is_none_or(|lowest| own < *lowest)
     }
 
+    /// Returns the group of this agent's engine; [`UNKNOWN_GROUP`] before it has named one.
+    pub fn own_group(&self) -> GroupTag {
+        self.group.borrow().members.group()
+    }
+
+    /// Returns whether a task or request with the tag of a group is of this agent's group, as it is now.
+    pub fn is_own_group(&self, group: GroupTag) -> bool {
+        group == UNKNOWN_GROUP || group == self.own_group()
+    }
+
+    /// Records that the engine or agent on an instance has named another group.
+    pub fn record_outsider(&self, instance: IpAddr) {
+        let now = self.clock.now();
+        let was_member = self
+            .group
+            .borrow_mut()
+            .members
+            .record_outsider(now, instance);
+        if was_member {
+            log_event!(
+                events::MEMBER_CHANGED,
+                instance = instance.to_string();
+                "a server of the group is in another one now"
+            );
+        }
+    }
+
     /// Returns the datagram address of the group's leader; none if this agent leads.
     pub fn leader_addr(&self) -> Option<SocketAddr> {
         let own = self.rank()?;
         let lowest = self.live_watchers().first().copied();
         let lowest = lowest.filter(|it| *it < own || !self.is_watcher())?;
         let group = self.group.borrow();
-        let server = group.members.get(&lowest)?.status.server;
+        let server = group.members.server(lowest)?;
         Some(self.agent_addr(server.ip()))
     }
 
--- a/crates/rank/src/switch.rs
+++ b/crates/rank/src/switch.rs
@@ -7,6 +7,7 @@
 use jj_adapter::engine::{EngineClient, OrderGuard};
 use jj_news::{BatchedOrder, MapDelta, Message, OrderBatch, RankTask};
 use jj_policy::{
+    group_members::GroupTag,
     map_switch::{self, Goal, MapVersion, Pass, RankOrder, RankView, SetMap},
     switch_run::{
         self, Ending, MAX_TERM_RAISES, RankOrderOutcome, Stage, SwitchInput, SwitchOrder,
@@ -23,7 +24,7 @@
 
 use crate::{
     deputy,
-    driver::{self, StepResult},
+    driver::{self, RankInGroup, StepResult},
     state::{DeputyReply, State},
 };
 
@@ -170,6 +171,8 @@
 /// Executes one run of a switch.
 struct SwitchExecutor<'a> {
     state: Rc<State>,
+    /// Group that switches.
+    group: GroupTag,
     run: SwitchRun,
     roles: SwitchRoles,
     /// The deputy's process when the run began.
@@ -226,13 +229,18 @@
     ) -> Self {
         state.heartbeat_due.notify_one();
         state.group.borrow_mut().begin_switch();
-        let (size, deputy) = {
+        let (size, deputy, group) = {
             let group = state.group.borrow();
             let size = group.report.as_ref().map_or(0, |it| it.group_size);
-            let deputy = group.members.get(&roles.deputy);
-            (size, deputy.map_or(0, |it| it.status.incarnation))
+            let deputy = group.members.get(roles.deputy);
+            (
+                size,
+                deputy.map_or(0, |it| it.status.heartbeat.incarnation),
+                group.members.group(),
+            )
         };
         Self {
+            group,
             deputy,
             unanswered_tasks: FastMap::default(),
             outcomes: FastMap::default(),
@@ -295,9 +303,11 @@
         ending
     }
 
-    /// Returns whether this agent has accepted no higher term than that of the run.
+    /// Returns whether this agent's engine is still in the group, and the agent has accepted no higher
+    /// term than that of the run.
     fn is_current(&self) -> bool {
-        self.state.group.borrow().accepted_term == self.run.goal().term
+        let group = self.state.group.borrow();
+        group.members.group() == self.group && group.accepted_term == self.run.goal().term
     }
 
     /// Logs and counts the end of the run.
@@ -526,6 +536,7 @@
             number: self.next_number(),
             goal: self.run.goal(),
             orders: batched.collect(),
+            group: self.group,
         };
         self.batches.push(PendingBatch {
             number: batch.number,
@@ -625,8 +636,9 @@
         }
         let engine = self.state.engine.with_addr(server);
         let lag = self.state.report_lag();
+        let expected = self.expected(rank);
         self.remote_calls.push(Box::pin(async move {
-            let view = driver::read_remote(&engine, lag).await;
+            let view = driver::read_remote(&engine, expected, lag).await;
             log_event!(
                 events::ENGINE_READ_REMOTELY,
                 rank = rank, server = server.to_string(), answered = view.is_some(),
@@ -654,6 +666,7 @@
         }
         let engine = self.state.engine.with_addr(server);
         let goal = self.load_goal();
+        let expected = self.expected(rank);
         let map = content.full.to_vec();
         log_event!(
             events::LOADED_FOR,
@@ -661,7 +674,7 @@
             "loading the map at an engine whose agent does not answer"
         );
         self.remote_calls.push(Box::pin(async move {
-            let result = driver::load_remote(&engine, &goal, map).await;
+            let result = driver::load_remote(&engine, expected, &goal, map).await;
             let input = result.map(|StepResult { view, outcome }| SwitchInput::View {
                 rank,
                 number,
@@ -682,6 +695,7 @@
             goal: self.load_goal(),
             map: map.clone(),
             switch_version: self.run.goal().version,
+            group: self.group,
         };
         if to.len() <= MAX_DIRECT {
             for (agent, number) in to {
@@ -779,6 +793,14 @@
         }));
     }
 
+    /// Returns as what the engine of a rank has to report itself.
+    fn expected(&self, rank: Rank) -> RankInGroup {
+        RankInGroup {
+            group: self.group,
+            rank,
+        }
+    }
+
     /// Returns a client of the engine of a rank, if its address is known.
     fn engine(&self, rank: Rank) -> Option<EngineClient> {
         if Some(rank) == self.state.rank() {
@@ -805,6 +827,7 @@
             server: self.state.server,
             leader_sequence,
             deputy: self.deputy,
+            group: self.group,
         };
         self.send_to_deputy(&message);
     }
@@ -824,6 +847,7 @@
         let message = Message::AskDeputy {
             number: self.deputy_request,
             term: self.run.goal().term,
+            group: self.group,
         };
         self.send_to_deputy(&message);
     }
@@ -846,6 +870,5 @@
 
 /// Returns the address of a rank's engine, if a heartbeat of its agent was received.
 fn server_of(state: &State, rank: Rank) -> Option<SocketAddr> {
-    let group = state.group.borrow();
-    group.members.get(&rank).map(|it| it.status.server)
+    state.group.borrow().members.server(rank)
 }
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -107,6 +107,8 @@
     DECISION_READ = 1516 Info "decision_read";
     DEPUTY_REPORTED = 1517 Info "deputy_reported";
     ENGINE_READ_REMOTELY = 1518 Info "engine_read_remotely";
+    OTHER_GROUP = 1519 Info "other_group";
+    GROUP_CHANGED = 1520 Info "group_changed";
 }
 
 /// Logs an event of the catalogue with its code and, optionally, fields in addition to the message:
