fix(front): late in a shutdown only a request's own time limit lets it in

What callers saw: a stream of 4.6 s that was asked for 3.3 s after the SIGTERM of an entry was accepted and cut after 61 of 66 pieces, since the streams of its route before it had been short (LOST). A caller that keeps an address for 4.5 s found the port closed from 3.8 s on.

Cause: what was accepted late was judged by what other requests had taken. However many those are, they say nothing of the first one that is longer.

Ruled out: more responses before a forecast is trusted (20 let it in as well).

Change: after the first 2.9 s of a shutdown the forecast lets nothing in; the request's time limit does, if it ends before the process. The port stays open for 4.5 s, at most three quarters of the grace period.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -28,10 +28,13 @@
 };
 use jj_policy::gossip::EntryState;
 
-/// Time after SIGTERM in which new requests are still served, since callers may have cached the
-/// address.
+/// Time after SIGTERM in which new connections are accepted, since callers may have cached the
+/// address: one that finds an open port gets its request served or learns at once that it was not run.
 const DRAIN_TIME: Duration = Duration::from_millis(4_500);
 
+/// Part of the grace period that this may take at most.
+const MAX_DRAIN_FRACTION: f64 = 0.75;
+
 /// Time before the end of the grace period at which the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
@@ -148,14 +151,14 @@
 }
 
 /// Announces the shutdown to peers and the directory, serves new requests that end in time for
-/// [`DRAIN_TIME`] (half the grace period at most), then stops accepting connections and waits for
-/// the remaining requests. What has no response shortly before the end gets a final one.
+/// [`DRAIN_TIME`] ([`MAX_DRAIN_FRACTION`] of the grace period at most), then stops accepting connections
+/// and waits for the remaining requests. What has no response shortly before the end gets a final one.
 async fn shut_down(shared: &Rc<SharedState>, stop: ServerStop, server: JoinHandle<()>) {
     let settings = shared.settings();
     log_event!(events::PROCESS_DRAINING, instance = settings.name.as_str(); "entry shuts down");
     let grace = settings.objectives.stop_grace.saturating_sub(EXIT_MARGIN);
     let shutdown = shared.begin_shutdown(grace);
-    let drain_time = DRAIN_TIME.min(grace / 2);
+    let drain_time = DRAIN_TIME.min(grace.mul_f64(MAX_DRAIN_FRACTION));
     tokio::time::sleep(drain_time).await;
     stop.drain.cancel();
     let time_until = |end: Timestamp| end.saturating_sub(shared.clock.now());
--- a/crates/policy/src/shutdown.rs
+++ b/crates/policy/src/shutdown.rs
@@ -1,5 +1,8 @@
 //! Which requests an entry that shuts down still accepts: those that end before its process does.
 //!
+//! In the first seconds a forecast decides, from what other requests took; a wrong one costs a caller a
+//! response. Later only what is known of the request itself does: its time limit.
+//!
 //! Load pattern: callers keep an entry's address for some seconds after it has announced its
 //! shutdown, and go on sending requests of all kinds; another entry would accept each of them at once.
 
@@ -9,8 +12,8 @@
 
 use crate::response_times::ResponseForecast;
 
-/// Time from the beginning of a shutdown in which a request that may be repeated is accepted by its
-/// usual time. By the end most callers have learned of the shutdown.
+/// Time from the beginning of a shutdown in which a request is accepted by the forecast of its
+/// response. By the end most callers have learned of the shutdown.
 const EARLY_PHASE: Duration = Duration::from_millis(2_900);
 
 /// Time before the end of the process at which the last responses must have ended, so that they
@@ -56,18 +59,18 @@
         self.ends.saturating_sub(LAST_RESPONSE_MARGIN)
     }
 
-    /// Returns the last time at which a request may be sent to a server, so that its response can be
-    /// expected to end before the process.
+    /// Returns the last time at which a request may be sent to a server: its response ends before the
+    /// process by its time limit, or early in the shutdown can be expected to.
     pub fn latest_send(&self, request: &ShutdownRequest) -> Timestamp {
         let last = self.final_responses_at();
         if request.deadline <= last {
             return request.deadline;
         }
-        let cautious = last.saturating_sub(request.forecast.cautious);
-        if !request.is_repeatable {
-            return cautious;
-        }
-        let usual = last.saturating_sub(request.forecast.usual);
-        cautious.max(usual.min(self.began + EARLY_PHASE))
+        let expected = match request.is_repeatable {
+            true => request.forecast.usual.min(request.forecast.cautious),
+            false => request.forecast.cautious,
+        };
+        let latest = last.saturating_sub(expected);
+        latest.min(self.began + EARLY_PHASE)
     }
 }
