fix(front): a stream goes on after what its caller has, not after what was read

What callers saw: of a stream in which a server wrote an event twice they got a complete, signed success without that piece (ORDER); the more events came in one read, the more were missing. Where the first read held the fault, no stream at all.

Cause: the reader dropped all sound events of a read in which it found a fault, while the place from which the stream is resumed already counted them.

Ruled out: the server that goes on (it got the wrong Last-Event-Id).

Change: event_sequence returns all sound events before a fault, however the bytes are cut; how far a stream is delivered comes with the events and is kept by who sends them on. A piece without an id is no place to go on from. The first attempt of a stream that its client resumes knows the client's place. Ids are read beside bytes that are no text.

--- a/crates/direct/src/event_stream.rs
+++ b/crates/direct/src/event_stream.rs
@@ -81,9 +81,8 @@
     None
 }
 
-/// Returns the number in the `id` line of an event.
+/// Returns the number in the `id` line of an event, whatever its other lines hold.
 fn parse_event_id(bytes: &[u8]) -> Option<EventId> {
-    let text = std::str::from_utf8(bytes).ok()?;
-    let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-    value.trim().parse().ok()
+    let value = lines(bytes).find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod body;
 pub mod call;
 pub mod caller_io;
+pub mod event_sequence;
 pub mod event_stream;
 pub mod fetch;
 pub mod header_codec;
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -85,6 +85,7 @@
         };
         if self.route().kind.is_stream() && answer.status.is_success() {
             let head_at = self.shared.clock.now();
+            let last_event = last_event.or(self.request.facts.last_event_id);
             let stream = ServerStream::new(answer, facts, reservation, last_event);
             let started = stream.wait_for_first_event(limit).await;
             let stream = started.map_err(|cause| self.describe_missing_event(cause))?;
--- a/crates/front/src/server_stream.rs
+++ b/crates/front/src/server_stream.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use http::StatusCode;
 use jj_direct::{
     call::CallResponse,
-    event_stream::{EventParser, MAX_EVENT_BYTES},
+    event_sequence::{Delivered, EventSequence, SoundEvents, StreamFault},
+    event_stream::MAX_EVENT_BYTES,
     header_codec::{EventId, ResponseHeaders},
 };
 use jj_policy::server_health::AttemptOutcome;
@@ -20,15 +20,11 @@
     pub(crate) answer: CallResponse,
     pub(crate) facts: ResponseHeaders,
     pub(crate) reservation: Reservation,
-    framer: EventParser,
+    sequence: EventSequence,
     /// Events received while waiting for the first one, which `next` returns first.
-    buffered: BytesMut,
-    /// Number of buffered events that are progress.
-    buffered_events: u32,
+    buffered: SoundEvents,
     /// Whether an event that is progress has arrived.
     has_progress: bool,
-    /// Id of the last received event.
-    pub(crate) last_event_id: Option<EventId>,
 }
 
 /// Reason why a stream can't go on.
@@ -60,6 +56,15 @@
     Silent,
 }
 
+impl From<StreamFault> for StreamBreak {
+    fn from(fault: StreamFault) -> Self {
+        match fault {
+            StreamFault::IdNotAbove => Self::IdNotAbove,
+            StreamFault::EventTooLong => Self::EventTooLong,
+        }
+    }
+}
+
 impl StreamBreak {
     /// Returns whether it may be the end of the server, and not what the server has sent.
     fn may_be_crash(self) -> bool {
@@ -89,9 +94,8 @@
 
 /// Next part of a stream.
 pub(crate) enum StreamItem {
-    /// Bytes of one or more whole events, and the number of those that are progress (not
-    /// keep-alives).
-    Events(Bytes, u32),
+    /// One or more whole events.
+    Events(SoundEvents),
     /// The server has ended the stream.
     End,
     /// The stream broke off, with the reason.
@@ -100,7 +104,7 @@
 
 impl ServerStream {
     /// Returns the stream of a response whose head has been received. `last_event_id` is the last
-    /// event already sent to the caller.
+    /// event that the caller has.
     pub fn new(
         answer: CallResponse,
         facts: ResponseHeaders,
@@ -112,11 +116,9 @@
             answer,
             facts,
             reservation: place,
-            framer: EventParser::default(),
-            buffered: BytesMut::new(),
-            buffered_events: 0,
+            sequence: EventSequence::after(Delivered::up_to(last_event_id)),
+            buffered: SoundEvents::default(),
             has_progress: false,
-            last_event_id,
         }
     }
 
@@ -149,21 +151,14 @@
     /// # Errors
     /// When the stream breaks off before, with the cause.
     async fn read_first_event(&mut self) -> Result<(), StreamBreak> {
-        let mut received = BytesMut::new();
-        loop {
-            let count = match self.next().await {
-                StreamItem::Events(bytes, count) => {
-                    received.extend_from_slice(&bytes);
-                    count
-                }
+        let mut received = SoundEvents::default();
+        while received.progress == 0 {
+            match self.next().await {
+                StreamItem::Events(events) => received.append(events),
                 StreamItem::End => break,
                 StreamItem::Broken(cause) => return Err(cause),
-            };
-            if count > 0 {
-                self.buffered_events = count;
-                break;
             }
-            if received.len() > MAX_EVENT_BYTES {
+            if received.progress == 0 && received.len() > MAX_EVENT_BYTES {
                 return Err(StreamBreak::NothingButComments);
             }
         }
@@ -183,43 +178,30 @@
         }
     }
 
-    /// Returns the next events, or how the stream has ended.
+    /// Returns the next events, or how the stream has ended: all sound events come before that.
     pub(crate) async fn next(&mut self) -> StreamItem {
         if !self.buffered.is_empty() {
-            let count = std::mem::take(&mut self.buffered_events);
-            return StreamItem::Events(std::mem::take(&mut self.buffered).freeze(), count);
+            return StreamItem::Events(std::mem::take(&mut self.buffered));
         }
         loop {
+            let events = self.sequence.take_events();
+            self.has_progress |= events.progress > 0;
+            if !events.is_empty() {
+                return StreamItem::Events(events);
+            }
+            if let Some(fault) = self.sequence.fault() {
+                return StreamItem::Broken(fault.into());
+            }
             let bytes = match self.answer.next_chunk().await {
                 Ok(Some(bytes)) => bytes,
-                Ok(None) if self.framer.has_partial() => {
+                Ok(None) if self.sequence.has_partial() => {
                     return StreamItem::Broken(StreamBreak::PartialEvent);
                 }
                 Ok(None) if self.answer.ends_with_connection => return self.check_end().await,
                 Ok(None) => return StreamItem::End,
                 Err(_) => return StreamItem::Broken(StreamBreak::ConnectionBroke),
             };
-            self.framer.push(&bytes);
-            let mut whole = BytesMut::new();
-            let mut count = 0;
-            while let Some(event) = self.framer.next_event() {
-                if event
-                    .id
-                    .is_some_and(|id| self.last_event_id.is_some_and(|last| id <= last))
-                {
-                    return StreamItem::Broken(StreamBreak::IdNotAbove);
-                }
-                self.last_event_id = event.id.or(self.last_event_id);
-                whole.extend_from_slice(&event.bytes);
-                count += u32::from(event.is_progress());
-            }
-            self.has_progress |= count > 0;
-            if !whole.is_empty() {
-                return StreamItem::Events(whole.freeze(), count);
-            }
-            if self.framer.is_too_long() {
-                return StreamItem::Broken(StreamBreak::EventTooLong);
-            }
+            self.sequence.push(&bytes);
         }
     }
 }
--- a/crates/front/src/stream_relay.rs
+++ b/crates/front/src/stream_relay.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
-use jj_direct::{body::ResponseBody, header_codec::EventId};
+use jj_direct::{body::ResponseBody, event_sequence::Delivered};
 use jj_policy::{catalog::RequestKind, server_health::AttemptOutcome};
 use jj_utils::{clock::Timestamp, events, log_event};
 
@@ -53,6 +53,7 @@
     async_stream::stream! {
         let shared = Rc::clone(&forward.shared);
         let mut _open_count = count_open(&forward, &stream);
+        let mut delivered = Delivered::up_to(forward.request.facts.last_event_id);
         let mut last_progress: Timestamp = shared.clock.now();
         let max_gap = forward.request.authorized.route.stream_patience().mul_f64(MAX_EVENT_GAP_FRACTION);
         // Start of the wait for the next event, without the time in which the caller reads the
@@ -64,7 +65,7 @@
                 .min(forward.time_left());
             let next = tokio::time::timeout(limit, stream.next()).await;
             let is_first_event = forward.request_log.events_sent == 0
-                && matches!(next, Ok(StreamItem::Events(_, 1..)));
+                && matches!(&next, Ok(StreamItem::Events(events)) if events.progress > 0);
             if forward.time_left().is_zero() && !is_first_event {
                 stream.reservation.record_outcome(AttemptOutcome::Failed);
                 forward.request_log.set_ending("deadline exceeded during the stream");
@@ -73,12 +74,11 @@
             }
             let reason = match next {
                 // Keep-alive comments and other events without progress.
-                Ok(StreamItem::Events(bytes, 0)) if !limit.is_zero() => {
-                    yield Ok(bytes);
+                Ok(StreamItem::Events(events)) if events.progress == 0 && !limit.is_zero() => {
+                    yield Ok(events.into_bytes());
                     continue;
                 }
-                Ok(StreamItem::Events(_, 0)) | Err(_) => StreamBreak::Silent,
-                Ok(StreamItem::Events(bytes, count)) => {
+                Ok(StreamItem::Events(events)) if events.progress > 0 => {
                     let now = shared.clock.now();
                     let gap = now.saturating_sub(last_progress);
                     if forward.request_log.events_sent > 0 {
@@ -89,11 +89,13 @@
                         }
                     }
                     last_progress = now;
-                    forward.request_log.events_sent += count;
-                    yield Ok(bytes);
+                    forward.request_log.events_sent += events.progress;
+                    delivered = events.delivered;
+                    yield Ok(events.into_bytes());
                     wait_start = shared.clock.now();
                     continue;
                 }
+                Ok(StreamItem::Events(_)) | Err(_) => StreamBreak::Silent,
                 Ok(StreamItem::End) => {
                     forward.request_log.set_ending(request_log::COMPLETE);
                     stream.reservation.record_outcome(AttemptOutcome::Succeeded);
@@ -103,16 +105,15 @@
                 Ok(StreamItem::Broken(reason)) => reason,
             };
             stream.reservation.record_outcome(AttemptOutcome::Failed);
-            let last_event = stream.last_event_id;
             let server = stream.reservation.server.id.clone();
             drop(stream);
-            match resume(&mut forward, &form, last_event, last_progress).await {
+            match resume(&mut forward, &form, delivered, last_progress).await {
                 Some(resumed) => {
                     log_event!(
                         events::STREAM_RESUMED,
                         request = forward.request.id(), broken = server,
                         server = resumed.reservation.server.id.as_str(),
-                        after = last_event.unwrap_or_default(),
+                        after = delivered.last_id.unwrap_or_default(),
                         pause_ms = shared.elapsed_since(last_progress).as_millis() as u64;
                         "stream resumed at another server: {reason}"
                     );
@@ -151,13 +152,13 @@
     }
 }
 
-/// Resumes a stream at another server after the last event sent to the caller; `None` if the route,
-/// the time or the retry budget doesn't allow it, the attempt fails or its response is of another
-/// form.
+/// Resumes a stream at another server after what was delivered to the caller; `None` if the route,
+/// the time or the retry budget doesn't allow it, what was delivered has no id, the attempt fails or its
+/// response is of another form.
 async fn resume(
     forward: &mut Forwarder,
     form: &StreamForm,
-    last_event: Option<EventId>,
+    delivered: Delivered,
     last_progress: Timestamp,
 ) -> Option<ServerStream> {
     let shared = Rc::clone(&forward.shared);
@@ -166,10 +167,12 @@
     let route = &forward.request.authorized.route;
     let until = last_progress + route.stream_patience().mul_f64(RESUME_FRACTION);
     let is_resumable = route.kind == RequestKind::ResumableStream;
-    if !is_resumable || now >= until || sent >= route.max_attempts || !shared.spend_retry() {
+    let can_go_on = is_resumable && delivered.is_resumable();
+    if !can_go_on || now >= until || sent >= route.max_attempts || !shared.spend_retry() {
         return None;
     }
-    match tokio::time::timeout(until - now, forward.obtain_response(last_event)).await {
+    let attempt = forward.obtain_response(delivered.last_id);
+    match tokio::time::timeout(until - now, attempt).await {
         Ok(Ok(ForwardedResponse::Stream(stream))) if form.fits(&stream) => Some(*stream),
         _ => None,
     }
