fix(direct): a response whose status is none is a fault of its server

What callers saw: an answer with status 600 to 999 and the server's body (MIXED); a request that may not be repeated ran twice after a 601 that said "not run"; after a 204 or 304 with a body the next caller on the connection got 502.

Change: a final response has a status of 200 to 599, else nothing in it counts: another server's answer where a repeat is allowed, or 502, never "not run". Connections on which a forbidden body may follow are not used again.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -1,6 +1,6 @@
 //! One request to a backend server over one connection.
 
-use std::{io, time::Duration};
+use std::{io, ops::RangeInclusive, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode, header, response::Parts};
@@ -18,8 +18,14 @@
     /// The connection broke after the request may have been read.
     #[error("connection lost: {0}")]
     Lost(String),
+    /// The response has a status that no final response has; nothing in it can be relied on.
+    #[error("status {0} in a final response")]
+    InvalidStatus(StatusCode),
 }
 
+/// Statuses of final responses; RFC 9110 has others taken for a fault of the server.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Response whose body is still arriving. Dropping it before the body's end closes the connection.
 pub struct CallResponse {
     /// HTTP status.
@@ -31,6 +37,8 @@
     /// Whether the body has neither a length nor chunks, so that only the end of the connection
     /// ends it.
     pub ends_with_connection: bool,
+    /// Whether bytes may follow that belong to no response.
+    has_forbidden_body: bool,
     connection: Connection,
 }
 
@@ -38,7 +46,7 @@
 ///
 /// # Errors
 /// [`CallError::NotSent`] when nothing could be written, [`CallError::Lost`] when the connection
-/// broke later.
+/// broke later, [`CallError::InvalidStatus`] when the response has no valid status.
 pub async fn send(
     mut connection: Connection,
     request: Request<RequestBody>,
@@ -54,18 +62,31 @@
         },
         body,
     ) = response.into_parts();
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Err(CallError::InvalidStatus(status));
+    }
     let is_delimited = headers.contains_key(header::CONTENT_LENGTH)
         || headers.contains_key(header::TRANSFER_ENCODING);
     Ok(CallResponse {
         status,
-        headers,
         ends_with_connection: !is_delimited,
+        has_forbidden_body: has_forbidden_body(status, &headers),
+        headers,
         has_ended: body.is_end_stream(),
         body,
         connection,
     })
 }
 
+/// Returns whether a response that can have no body announces one, which may follow.
+fn has_forbidden_body(status: StatusCode, headers: &HeaderMap) -> bool {
+    let has_none = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let length = headers.get(header::CONTENT_LENGTH);
+    let is_announced =
+        length.is_some_and(|it| it != "0") || headers.contains_key(header::TRANSFER_ENCODING);
+    has_none && is_announced
+}
+
 impl CallResponse {
     /// Returns whether the connection has carried an earlier request.
     pub fn is_on_reused_connection(&self) -> bool {
@@ -108,9 +129,10 @@
         Ok(Ok(whole.freeze()))
     }
 
-    /// Returns the connection to the pool if the body was read to its end, else closes it.
+    /// Returns the connection to the pool if the body was read to its end and nothing may follow, else
+    /// closes it.
     pub fn finish(self, pool: &Pool, keep_alive: Option<Duration>) {
-        if self.has_ended {
+        if self.has_ended && !self.has_forbidden_body {
             pool.release(self.connection, keep_alive);
         }
     }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -168,8 +168,15 @@
                 Err(error) => error,
             };
             self.failure_cause = error.to_string();
-            if matches!(error, CallError::Lost(_)) {
-                return Err(self.classify_lost_connection(reservation).await);
+            match error {
+                CallError::Lost(_) => {
+                    return Err(self.classify_lost_connection(reservation).await);
+                }
+                CallError::InvalidStatus(_) => {
+                    self.stage = AttemptStage::HeadReceived;
+                    return Err(AttemptFailure::Unknown);
+                }
+                CallError::NotSent(_) => {}
             }
             self.request_log.servers.pop();
             self.stage = AttemptStage::Connecting;
