fix(front): an answer that ends with its connection is whole only if its server is still there

Cause: one check answered two questions. Whether a server has crashed decides who is suspected, so an announced end does not count; whether it is still there decides whether such an answer is whole. And the port was checked once, at the moment the connection ended, while a dying process closes its port among the last.

Change: has_ended checks the port, and again after 25 ms, whoever announced what; it decides for streams, long bodies and buffered ones. Suspects are recorded as before.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -278,15 +278,14 @@
     ) -> Result<ForwardedResponse, AttemptFailure> {
         let limit = self.attempt_timeout();
         let read = tokio::time::timeout(limit, answer.read_body(MAX_BUFFERED_BODY)).await;
-        let may_be_cut = match &read {
-            Ok(Ok(Ok(_))) => answer.ends_with_connection,
-            Ok(result) => result.is_err(),
-            Err(_) => false,
-        };
+        let ends_with_connection = matches!(&read, Ok(Ok(Ok(_)))) && answer.ends_with_connection;
+        let has_ended = ends_with_connection && reservation.has_server_ended().await;
+        let is_cut = has_ended || matches!(&read, Ok(Err(_)));
         let (failure, cause) = match read {
-            _ if may_be_cut && reservation.has_server_crashed().await => {
+            _ if is_cut && reservation.has_server_crashed().await => {
                 (AttemptFailure::Crashed, "the server crashed".to_owned())
             }
+            Ok(Ok(_)) if has_ended => (AttemptFailure::Lost, "the server ended".to_owned()),
             Ok(Ok(body)) => return self.use_response(answer, facts, reservation, body),
             Ok(Err(error)) => (AttemptFailure::Lost, error.to_string()),
             Err(_) => (AttemptFailure::Lost, "timeout".to_owned()),
--- a/crates/front/src/crash_detector.rs
+++ b/crates/front/src/crash_detector.rs
@@ -17,6 +17,10 @@
 /// Time in which the port of a crashed server has to refuse a connection.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time in which a process that ends closes its port after it has closed a connection; it closes its
+/// sockets one after the other.
+const PORT_CLOSE_TIME: Duration = Duration::from_millis(25);
+
 /// Time after a loss at a server in which its restart explains the loss.
 const RESTART_WINDOW: Duration = Duration::from_secs(5);
 
@@ -116,13 +120,28 @@
     if has_restarted(shared, server) {
         return Some(CrashSign::Restarted);
     }
-    let check = shared.pool.is_refused(server.addr);
-    let is_refused = tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await;
-    match is_refused {
-        Ok(true) => Some(CrashSign::PortRefuses),
+    match refuses_connections(shared, server).await {
+        true => Some(CrashSign::PortRefuses),
         // The store may have told of a restart meanwhile.
-        _ => has_restarted(shared, server).then_some(CrashSign::Restarted),
+        false => has_restarted(shared, server).then_some(CrashSign::Restarted),
+    }
+}
+
+/// Returns whether the server has ended that has closed a connection, whether it had announced its end
+/// or not. Its port is checked again after [`PORT_CLOSE_TIME`].
+pub async fn has_ended(shared: &SharedState, server: &ServerRecord) -> bool {
+    if is_later_listed(shared, server) || refuses_connections(shared, server).await {
+        return true;
     }
+    tokio::time::sleep(PORT_CLOSE_TIME).await;
+    refuses_connections(shared, server).await || is_later_listed(shared, server)
+}
+
+/// Returns whether the port of a server refuses connections.
+async fn refuses_connections(shared: &SharedState, server: &ServerRecord) -> bool {
+    let check = shared.pool.is_refused(server.addr);
+    let is_refused = tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await;
+    is_refused.unwrap_or(false)
 }
 
 /// Returns whether a server has said itself that it is leaving.
@@ -140,8 +159,13 @@
 
 /// Returns whether the store lists a later run of a server that didn't announce its end.
 fn has_restarted(shared: &SharedState, server: &ServerRecord) -> bool {
+    is_later_listed(shared, server) && !is_leaving(shared, server)
+}
+
+/// Returns whether the store lists a later run of a server.
+fn is_later_listed(shared: &SharedState, server: &ServerRecord) -> bool {
     let replica = shared.replica.borrow();
     let listed = replica.servers.get(&server.id);
     let incarnation = listed.and_then(|it| it.record.incarnation);
-    incarnation > server.incarnation && server.incarnation.is_some() && !is_leaving(shared, server)
+    incarnation > server.incarnation && server.incarnation.is_some()
 }
--- a/crates/front/src/long_body.rs
+++ b/crates/front/src/long_body.rs
@@ -59,7 +59,7 @@
                     continue;
                 }
                 Ok(Ok(None))
-                    if answer.ends_with_connection && reservation.has_server_crashed().await =>
+                    if answer.ends_with_connection && reservation.has_server_ended().await =>
                 {
                     io::ErrorKind::UnexpectedEof.into()
                 }
--- a/crates/front/src/server_stream.rs
+++ b/crates/front/src/server_stream.rs
@@ -36,9 +36,9 @@
     /// The connection ended before the first event.
     #[error("the connection ended without an event")]
     NoEvent,
-    /// The server had crashed when the connection ended.
-    #[error("the server crashed")]
-    ServerCrashed,
+    /// The server had ended when the connection ended.
+    #[error("the server ended")]
+    ServerEnded,
     /// The stream ended inside an event.
     #[error("the stream ended inside an event")]
     PartialEvent,
@@ -70,7 +70,7 @@
     fn may_be_crash(self) -> bool {
         matches!(
             self,
-            Self::ConnectionBroke | Self::NoEvent | Self::ServerCrashed | Self::PartialEvent
+            Self::ConnectionBroke | Self::NoEvent | Self::ServerEnded | Self::PartialEvent
         )
     }
 }
@@ -166,14 +166,14 @@
         Ok(())
     }
 
-    /// Returns how a stream has ended that only the end of its connection ends: a crash of the server
+    /// Returns how a stream has ended that only the end of its connection ends: the end of the server
     /// ends the connection, too.
     async fn check_end(&self) -> StreamItem {
         if !self.has_progress {
             return StreamItem::Broken(StreamBreak::NoEvent);
         }
-        match self.reservation.has_server_crashed().await {
-            true => StreamItem::Broken(StreamBreak::ServerCrashed),
+        match self.reservation.has_server_ended().await {
+            true => StreamItem::Broken(StreamBreak::ServerEnded),
             false => StreamItem::End,
         }
     }
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -213,6 +213,12 @@
             .record_outcome(now, &self.server.id, outcome);
     }
 
+    /// Returns whether the server has ended, announced or not, so that a response that only the end of its
+    /// connection ends may not be whole.
+    pub async fn has_server_ended(&self) -> bool {
+        crash_detector::has_ended(&self.shared, &self.server).await
+    }
+
     /// Returns whether the server has crashed.
     pub async fn has_server_crashed(&self) -> bool {
         let sign = crash_detector::crash_sign(&self.shared, &self.server);
