refactor(front): one look-up of a server by its address, and no list of groups to count them

peer_datagrams had a second search of the replica by address beside service_at, which nobody else needs any more: StoreReplica::server_at serves both. group_key built a list of tags to count it; ServiceGroups::has_several tells. Behaviour is unchanged: 83 tests of front, news, direct, groups, maps, streams and failures passed.

--- a/crates/front/src/load_tracker.rs
+++ b/crates/front/src/load_tracker.rs
@@ -83,9 +83,9 @@
 /// if that has no other group.
 fn group_key(service: &str, groups: &ServiceGroups<GroupState>, group: GroupTag) -> ServerTag {
     let service = server_tag(service);
-    match groups.tags().len() {
-        0 | 1 => service,
-        _ => service ^ group as ServerTag,
+    match groups.has_several() {
+        true => service ^ group as ServerTag,
+        false => service,
     }
 }
 
@@ -407,6 +407,7 @@
             _ => usable.to_vec(),
         };
         let outages = known.iter().map(|tag| self.outage(now, service, *tag));
+        // Each group is looked at, which records when its outage begins or ends.
         let outages: Vec<Option<OutageForecast>> = outages.collect();
         let outages: Option<Vec<OutageForecast>> = outages.into_iter().collect();
         outages?.into_iter().min_by_key(|it| it.remaining)
--- a/crates/front/src/peer_datagrams.rs
+++ b/crates/front/src/peer_datagrams.rs
@@ -216,7 +216,8 @@
     /// Applies an agent's report on its group, and forwards it to the entries that report to this
     /// one.
     fn receive_group_status(&mut self, news: GroupStatus) {
-        let Some(reporter) = record_at(&self.shared, news.server) else {
+        let reporter = self.shared.replica.borrow().server_at(news.server).cloned();
+        let Some(reporter) = reporter else {
             return;
         };
         let now = self.shared.clock.now();
@@ -364,16 +365,9 @@
     }
 }
 
-/// Returns the record of the server at an address.
-fn record_at(shared: &SharedState, addr: SocketAddr) -> Option<ServerRecord> {
-    let replica = shared.replica.borrow();
-    let mut servers = replica.servers.all().map(|it| &it.record);
-    servers.find(|it| it.addr == addr).cloned()
-}
-
 /// Records the group of the server at an address, as its agent has named it.
 fn record_member(shared: &SharedState, addr: SocketAddr, group: GroupTag) {
-    if let Some(record) = record_at(shared, addr) {
+    if let Some(record) = shared.replica.borrow().server_at(addr) {
         let now = shared.clock.now();
         let mut loads = shared.loads.borrow_mut();
         loads.record_member(now, &record.service, &record.id, group);
@@ -402,13 +396,13 @@
 fn roster(shared: &Rc<SharedState>, server: SocketAddr, group: GroupTag) -> Option<Roster> {
     let replica = shared.replica.borrow();
     let catalog = replica.catalog.as_ref()?;
-    let service = replica.service_at(server)?;
-    let engine = catalog.services.get(&service)?.engine.as_ref()?;
+    let service = &replica.server_at(server)?.service;
+    let engine = catalog.services.get(service)?.engine.as_ref()?;
     let all = replica.servers.all().map(|it| &it.record);
     let now = shared.clock.now();
     let loads = shared.loads.borrow();
     let may_be_member = |it: &&ServerRecord| {
-        it.service == service && !loads.is_in_other_group(now, &service, &it.id, group)
+        it.service == *service && !loads.is_in_other_group(now, service, &it.id, group)
     };
     let servers: Vec<&ServerRecord> = all.filter(may_be_member).collect();
     let peers = shared.peers.borrow();
@@ -419,9 +413,7 @@
     Some(Roster {
         experts: engine.experts?,
         idle_pass: engine.idle_step * engine.steps_per_pass,
-        gap_target: catalog
-            .min_gap_target(&service)
-            .unwrap_or(DEFAULT_EVENT_GAP),
+        gap_target: catalog.min_gap_target(service).unwrap_or(DEFAULT_EVENT_GAP),
         servers: interleave_domains(&servers),
         entries: peers.ips_per_domain(entries_per_domain),
         report_lag_ms: engine.report_lag.as_millis() as u32,
--- a/crates/front/src/store_replica.rs
+++ b/crates/front/src/store_replica.rs
@@ -17,11 +17,7 @@
     server_list::{Era, Revision, ServerList, ServerRecord, ServerState, StorePosition},
 };
 use jj_utils::{
-    clock::Timestamp,
-    collections::FastMap,
-    common_derives, events,
-    ids::{FailureDomainId, ServiceId},
-    log_event,
+    clock::Timestamp, collections::FastMap, common_derives, events, ids::FailureDomainId, log_event,
 };
 use xxhash_rust::xxh3::Xxh3;
 
@@ -313,11 +309,10 @@
         (rate > 0.0).then_some(rate)
     }
 
-    /// Returns the service of the server at an address.
-    pub fn service_at(&self, addr: SocketAddr) -> Option<ServiceId> {
+    /// Returns the server at an address.
+    pub fn server_at(&self, addr: SocketAddr) -> Option<&ServerRecord> {
         let mut servers = self.servers.all().map(|it| &it.record);
-        let server = servers.find(|it| it.addr == addr)?;
-        Some(server.service.clone())
+        servers.find(|it| it.addr == addr)
     }
 
     /// Returns the parameters of the passes of a service's engine group with `ranks` engines;
--- a/crates/policy/src/service_groups.rs
+++ b/crates/policy/src/service_groups.rs
@@ -67,7 +67,7 @@
             self.record_member(now, server, group);
             self.name_single_group(group);
             self.drop_unreported(now, group);
-        } else if self.groups.len() > 1 {
+        } else if self.has_several() {
             return None;
         }
         let known = self.groups.entry(group).or_default();
@@ -93,7 +93,7 @@
     /// Returns the tag of the group of a server: the only one of the service, or else the reported
     /// one; [`UNKNOWN_GROUP`] if none is known.
     pub fn group_of(&self, server: &str) -> GroupTag {
-        if self.groups.len() <= 1 {
+        if !self.has_several() {
             return self.groups.keys().next().copied().unwrap_or(UNKNOWN_GROUP);
         }
         let reported = self.members.get(server).map(|(group, _)| *group);
@@ -109,6 +109,11 @@
                 .is_some_and(|(other, at)| *other != group && *at + MEMBERSHIP_LIFETIME >= now)
     }
 
+    /// Returns whether the service has more than one group.
+    pub fn has_several(&self) -> bool {
+        self.groups.len() > 1
+    }
+
     /// Returns the tags of the groups, in no order.
     pub fn tags(&self) -> Vec<GroupTag> {
         self.groups.keys().copied().collect()
