fix(direct): each port of a process has a number of connections, and closes one for a new one

What callers saw: nothing yet, but clients that open connections and send nothing, half a head or a part of a body could take every descriptor of an entry or an agent, at any port, so that no ordinary caller, no server and no peer was reached any more.

Cause: accept was bounded by nothing but the kernel's own limit; `maxFds` and `memoryMb` of the settings were not read. A read buffer grew to 400 KB a connection, the kernel held up to 32 MB unread for one.

Ruled out: a limit on accept alone, after which a crowd keeps all places and new callers wait.

Change: `limits.memoryMb` and `limits.maxFds` are read and checked; `process_limits` divides them, so that each port has its own share, apart from that of servers and the store. At its share a port closes one connection for a new one: one that ends anyway, that has waited longest for a request, or that has stalled within a body; a request that is being handled goes on (`connection_limit`, pure). Read buffers end at the size of a head, the receive window is 64 KiB. A refused caller's bytes are read on as long as they come, up to a body, so that it can read the refusal. A response whose caller takes less than 8 KiB in 8 s ends; before, a byte now and then kept it for ever.

--- a/crates/direct/src/body.rs
+++ b/crates/direct/src/body.rs
@@ -10,7 +10,7 @@
 use futures_util::stream::LocalBoxStream;
 use http_body::{Body, Frame, SizeHint};
 
-use crate::caller_io::{ConnectionPhase, SharedConnectionPhase};
+use crate::connection_table::{ConnectionPhase, SharedConnectionStatus};
 
 /// Stream of the chunks of a body; an error closes the connection, so that a partial response never
 /// looks complete.
@@ -36,7 +36,7 @@
 }
 
 /// Sets the phase of a connection to idle when dropped, which is when its response has ended.
-pub struct ResponseEndGuard(pub SharedConnectionPhase);
+pub struct ResponseEndGuard(pub SharedConnectionStatus);
 
 impl Drop for ResponseEndGuard {
     fn drop(&mut self) {
--- a/crates/direct/src/caller_io.rs
+++ b/crates/direct/src/caller_io.rs
@@ -2,10 +2,8 @@
 //! headers) has to arrive, and closes so that the caller can still read the last response.
 
 use std::{
-    cell::Cell,
     io,
     pin::Pin,
-    rc::Rc,
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -17,70 +15,85 @@
 };
 use tokio_util::sync::CancellationToken;
 
-/// Maximum time for which incoming bytes are read and discarded after the write side was shut down.
-/// Closing with unread bytes would reset the connection, and the last response would be lost.
-const MAX_LINGER: Duration = Duration::from_millis(300);
+use crate::{
+    connection_table::{ConnectionPhase, SharedConnectionStatus},
+    server::ServerConfig,
+};
 
-/// Maximum number of bytes discarded in that time.
-const MAX_LINGER_BYTES: usize = 256 * 1024;
+/// Time without a byte after which a connection whose write side was shut down is closed. Until then,
+/// incoming bytes are read and discarded: closing with unread ones would reset the connection, and the
+/// last response would be lost.
+const LINGER_GAP: Duration = Duration::from_millis(300);
 
-/// Time after which a write fails when the caller accepts no bytes of its response.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(8);
+/// Maximum time for which incoming bytes are read and discarded.
+const MAX_LINGER: Duration = Duration::from_secs(2);
 
-/// Phase of a caller's connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum ConnectionPhase {
-    /// Waiting for a request.
-    #[default]
-    Idle,
-    /// Part of a request's head has arrived.
-    Head,
-    /// A request is being handled.
-    Busy,
-}
+/// Time after which a write fails when the caller accepts next to nothing of its response.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// Phase of one connection, shared between its I/O and its request handler.
-pub type SharedConnectionPhase = Rc<Cell<ConnectionPhase>>;
+/// Bytes of a response that a caller has to accept in that time.
+const MIN_WRITE_BYTES: usize = 8 * 1024;
 
 /// TCP stream of a caller with timeouts for request heads, writes and closing.
 pub struct CallerIo {
     stream: TcpStream,
-    phase: SharedConnectionPhase,
-    header_timeout: Duration,
+    status: SharedConnectionStatus,
+    config: ServerConfig,
     /// Set while part of a head has arrived; fires when the rest is late.
     header_timer: Option<Pin<Box<Sleep>>>,
-    /// Set while a write is blocked; fires after [`WRITE_STALL_TIMEOUT`].
+    /// Set from when a write is blocked until nothing is left to write; fires after
+    /// [`WRITE_STALL_TIMEOUT`].
     write_timer: Option<Pin<Box<Sleep>>>,
-    /// Set after the write side was shut down; fires after [`MAX_LINGER`].
-    linger_timer: Option<Pin<Box<Sleep>>>,
-    discarded_bytes: usize,
+    /// Bytes accepted since that timer was set.
+    written_bytes: usize,
+    /// Set after the write side was shut down.
+    linger: Option<Linger>,
     drain: CancellationToken,
 }
 
+/// Timers of a connection whose write side was shut down.
+struct Linger {
+    /// Fires after [`LINGER_GAP`] without a byte.
+    gap: Pin<Box<Sleep>>,
+    /// Fires after [`MAX_LINGER`].
+    end: Pin<Box<Sleep>>,
+    discarded_bytes: usize,
+}
+
+impl Linger {
+    fn begin() -> Self {
+        Self {
+            gap: Box::pin(sleep(LINGER_GAP)),
+            end: Box::pin(sleep(MAX_LINGER)),
+            discarded_bytes: 0,
+        }
+    }
+}
+
 impl CallerIo {
-    /// Wraps a connection on which each head has to arrive within `header_timeout` of its first
-    /// byte. Once `drain` is cancelled, the connection closes without lingering.
+    /// Wraps a connection with the limits of its port. Once `drain` is cancelled, the connection closes
+    /// without lingering.
     pub fn new(
         stream: TcpStream,
-        phase: SharedConnectionPhase,
-        header_timeout: Duration,
+        status: SharedConnectionStatus,
+        config: ServerConfig,
         drain: CancellationToken,
     ) -> Self {
         Self {
             stream,
-            phase,
-            header_timeout,
+            status,
+            config,
             header_timer: None,
             write_timer: None,
-            linger_timer: None,
-            discarded_bytes: 0,
+            written_bytes: 0,
+            linger: None,
             drain,
         }
     }
 
     /// Returns a timeout error if a head that has begun to arrive is late.
     fn check_header_timeout(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
-        if self.phase.get() != ConnectionPhase::Head {
+        if self.status.phase() != ConnectionPhase::Head {
             self.header_timer = None;
             return Ok(());
         }
@@ -94,15 +107,20 @@
         }
     }
 
-    /// Returns the result of a write, or a timeout error if the write has been blocked for
-    /// [`WRITE_STALL_TIMEOUT`].
+    /// Returns the result of a write, or a timeout error if the caller has accepted less than
+    /// [`MIN_WRITE_BYTES`] in [`WRITE_STALL_TIMEOUT`] while there was more to write.
     fn check_write_stall(
         &mut self,
         cx: &mut Context<'_>,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.written_bytes += bytes;
+        }
+        if self.written_bytes >= MIN_WRITE_BYTES {
+            self.end_write_stall();
+        }
         if written.is_ready() {
-            self.write_timer = None;
             return written;
         }
         let timer = self
@@ -112,24 +130,32 @@
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Begins to measure anew what the caller accepts.
+    fn end_write_stall(&mut self) {
+        self.write_timer = None;
+        self.written_bytes = 0;
+    }
+
     /// Reads and discards what the caller still sends, until the stream ends or a linger limit is
     /// reached.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let timer = self
-            .linger_timer
-            .get_or_insert_with(|| Box::pin(sleep(MAX_LINGER)));
-        if timer.as_mut().poll(cx).is_ready() {
+        let linger = self.linger.get_or_insert_with(Linger::begin);
+        if linger.end.as_mut().poll(cx).is_ready() {
             return Poll::Ready(());
         }
         let mut bytes = [0; 4_096];
-        while self.discarded_bytes < MAX_LINGER_BYTES {
+        while linger.discarded_bytes < self.config.max_linger_bytes {
             let mut buffer = ReadBuf::new(&mut bytes);
-            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer));
+            let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(cx, &mut buffer) else {
+                return linger.gap.as_mut().poll(cx);
+            };
             let length = buffer.filled().len();
             if read.is_err() || length == 0 {
                 break;
             }
-            self.discarded_bytes += length;
+            linger.discarded_bytes += length;
+            let gap_end = tokio::time::Instant::now() + LINGER_GAP;
+            linger.gap.as_mut().reset(gap_end);
         }
         Poll::Ready(())
     }
@@ -144,9 +170,9 @@
         self.check_header_timeout(cx)?;
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if buffer.filled().len() > before && self.phase.get() == ConnectionPhase::Idle {
-            self.phase.set(ConnectionPhase::Head);
-            self.header_timer = Some(Box::pin(sleep(self.header_timeout)));
+        if buffer.filled().len() > before && self.status.phase() == ConnectionPhase::Idle {
+            self.status.set(ConnectionPhase::Head);
+            self.header_timer = Some(Box::pin(sleep(self.config.header_timeout)));
         }
         Poll::Ready(Ok(()))
     }
@@ -176,12 +202,15 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // All bytes are with the kernel.
+        self.end_write_stall();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger_timer.is_none() {
+        if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            self.status.set(ConnectionPhase::Closing);
         }
         if !self.drain.is_cancelled() {
             ready!(self.poll_linger(cx));
--- a/crates/direct/src/instance_settings.rs
+++ b/crates/direct/src/instance_settings.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use jj_policy::process_limits::ProcessLimits;
 use jj_utils::{
     common_derives,
     ids::{FailureDomainId, InstanceId, ServiceId},
@@ -80,6 +81,8 @@
         pub service: Option<ServiceId>,
         /// Time between two heartbeats of a backend server in the store.
         pub heartbeat_interval: Duration,
+        /// Memory and descriptors of the process.
+        pub limits: ProcessLimits,
         /// Service objectives of the deployment.
         pub objectives: ServiceObjectives,
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod body;
 pub mod call;
+pub mod caller_body;
 pub mod caller_io;
+pub mod connection_table;
 pub mod event_sequence;
 pub mod event_stream;
 pub mod fetch;
--- a/crates/direct/src/metrics_port.rs
+++ b/crates/direct/src/metrics_port.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use http::{HeaderValue, Response, StatusCode, header};
+use jj_utils::clock::SharedClock;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::task::spawn_local;
 
@@ -50,19 +51,20 @@
     response
 }
 
-/// Starts an HTTP server at an address that runs until the process ends.
+/// Starts an HTTP server at an address that runs until the process ends; `config` is read for each new
+/// connection.
 ///
 /// # Errors
 /// When the address can't be bound.
-pub fn start(addr: SocketAddr, handler: Handler) -> anyhow::Result<()> {
+pub fn start(
+    addr: SocketAddr,
+    clock: SharedClock,
+    config: impl Fn() -> ServerConfig + 'static,
+    handler: Handler,
+) -> anyhow::Result<()> {
     let listener = socket::listen(addr).with_context(|| format!("listen on {addr}"))?;
     let stop = ServerStop::default();
-    spawn_local(server::serve(
-        listener,
-        ServerConfig::default,
-        handler,
-        stop,
-    ));
+    spawn_local(server::serve(listener, clock, config, handler, stop));
     Ok(())
 }
 
--- a/crates/direct/src/socket.rs
+++ b/crates/direct/src/socket.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
+use jj_policy::process_limits::RECEIVE_WINDOW_BYTES;
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 
@@ -28,6 +29,8 @@
 pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    // Connections inherit it; else the kernel holds megabytes for a caller whose bytes aren't read.
+    socket.set_recv_buffer_size(RECEIVE_WINDOW_BYTES as u32)?;
     socket.bind(addr)?;
     socket.listen(LISTEN_BACKLOG as u32)
 }
--- a/crates/direct/tests/server.rs
+++ b/crates/direct/tests/server.rs
@@ -13,6 +13,7 @@
     server::{self, ServerConfig, ServerStop},
     socket,
 };
+use jj_utils::clock::SystemClock;
 use tokio::task::LocalSet;
 
 const CLIENTS: usize = 20;
@@ -49,7 +50,8 @@
 
         let handler: server::Handler =
             Rc::new(|_, _| Box::pin(async { Response::new(ResponseBody::whole("ok")) }));
-        server::serve(listener, ServerConfig::default, handler, stop).await;
+        let clock = SystemClock::shared();
+        server::serve(listener, clock, ServerConfig::default, handler, stop).await;
         clients
     });
 
--- a/crates/front/src/request_handler.rs
+++ b/crates/front/src/request_handler.rs
@@ -6,13 +6,17 @@
 use futures_util::future::LocalBoxFuture;
 use http::{Response, StatusCode, header, request::Parts};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use jj_direct::{
     body::ResponseBody,
+    caller_body::CallerBody,
     header_codec::RequestHeaders,
     server::{Handler, IncomingRequest, ServerConfig},
 };
-use jj_policy::catalog::{AuthorizedRequest, Catalog, Denied, TrafficLimits};
+use jj_policy::{
+    catalog::{AuthorizedRequest, Catalog, Denied, TrafficLimits},
+    gossip::EntryState,
+};
 use jj_utils::{clock::Timestamp, events, log_event};
 
 use crate::{
@@ -24,7 +28,6 @@
     shared_state::SharedState,
     stream_relay,
 };
-use jj_policy::gossip::EntryState;
 
 /// Retry-after time of a request that is rejected before the first configuration is in force.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -51,6 +54,16 @@
         max_header_bytes: limits.max_header_bytes,
         header_timeout: limits.header_timeout,
         idle_timeout: limits.idle_timeout,
+        max_linger_bytes: limits.max_body_bytes,
+        max_connections: shared.settings().limits.traffic_connections(),
+    }
+}
+
+/// Returns the limits of connections at the ports for the system and its operators.
+pub fn auxiliary_server_config(shared: &SharedState) -> ServerConfig {
+    ServerConfig {
+        max_connections: shared.settings().limits.auxiliary_connections(),
+        ..ServerConfig::default()
     }
 }
 
@@ -227,7 +240,7 @@
 }
 
 /// Reads the body of a request within [`BODY_TIMEOUT`] and the configured length.
-async fn read_body(limits: &TrafficLimits, body: Incoming) -> Result<Bytes, ErrorResponse> {
+async fn read_body(limits: &TrafficLimits, body: CallerBody) -> Result<Bytes, ErrorResponse> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
@@ -247,7 +260,7 @@
 }
 
 /// Reads a whole body; `None` if it is longer than `limit` bytes.
-async fn collect(limit: usize, mut body: Incoming) -> Result<Option<Bytes>, hyper::Error> {
+async fn collect(limit: usize, mut body: CallerBody) -> Result<Option<Bytes>, hyper::Error> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(bytes) = frame?.into_data() {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -7,7 +7,7 @@
 use jj_direct::{
     instance_settings::InstanceSettings,
     metrics_port,
-    server::{self, Handler, ServerConfig, ServerStop},
+    server::{self, ServerStop},
     settings_reload, socket, supervise,
 };
 use jj_utils::{
@@ -17,7 +17,7 @@
 };
 use log::LevelFilter;
 use tokio::{
-    net::UdpSocket,
+    net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
     task::{JoinHandle, LocalSet, spawn_local},
 };
@@ -81,13 +81,16 @@
         .into_iter()
         .chain(options.metrics_addrs.clone())
     {
-        metrics_port::start(addr, Rc::clone(&auxiliary_handler))?;
+        let limits = Rc::clone(&shared);
+        let config = move || request_handler::auxiliary_server_config(&limits);
+        let handler = Rc::clone(&auxiliary_handler);
+        metrics_port::start(addr, shared.clock.clone(), config, handler)?;
     }
     let datagrams = socket::bind_datagrams(SocketAddr::new(own.ip, own.internal_ports.0))
         .context("bind the datagram port")?;
     start_tasks(&shared, Rc::new(datagrams));
     let reloaded = Rc::clone(&shared);
-    let apply = move |settings| *reloaded.settings.borrow_mut() = settings;
+    let apply = move |settings| reloaded.apply_settings(settings);
     let path = options.settings_path.clone();
     spawn_local(settings_reload::watch(path, settings::read, apply));
     spawn_local(metrics_port::run_upkeep(metrics));
@@ -95,7 +98,15 @@
     let handler = request_handler::handler(Rc::clone(&shared));
     let limits = Rc::clone(&shared);
     let config = move || request_handler::server_config(&limits);
-    let server = listen(traffic_addr, config, handler, stop.clone())?;
+    let listener = listen(traffic_addr)?;
+    let clock = shared.clock.clone();
+    let server = spawn_local(server::serve(
+        listener,
+        clock,
+        config,
+        handler,
+        stop.clone(),
+    ));
     log_event!(
         events::PROCESS_STARTED,
         instance = own.name.as_str(), life = shared.incarnation, domain = own.domain.as_str();
@@ -132,15 +143,9 @@
     addrs
 }
 
-/// Listens on an address and spawns the HTTP server for it.
-fn listen(
-    addr: SocketAddr,
-    config: impl Fn() -> ServerConfig + 'static,
-    handler: Handler,
-    stop: ServerStop,
-) -> anyhow::Result<JoinHandle<()>> {
-    let listener = socket::listen(addr).with_context(|| format!("listen on {addr}"))?;
-    Ok(spawn_local(server::serve(listener, config, handler, stop)))
+/// Listens on an address.
+fn listen(addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    socket::listen(addr).with_context(|| format!("listen on {addr}"))
 }
 
 /// Runs the store task, and logs the error if it can't start.
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -61,7 +61,7 @@
 /// State of one entry process.
 pub struct SharedState {
     /// Settings in force; replaced when the settings file changes.
-    pub settings: RefCell<Rc<InstanceSettings>>,
+    settings: RefCell<Rc<InstanceSettings>>,
     /// Source of the current time.
     pub clock: SharedClock,
     /// Random number that identifies this run of the process.
@@ -259,6 +259,11 @@
         })
     }
 
+    /// Brings new settings into force.
+    pub fn apply_settings(&self, settings: Rc<InstanceSettings>) {
+        *self.settings.borrow_mut() = settings;
+    }
+
     /// Returns the settings in force.
     pub fn settings(&self) -> Rc<InstanceSettings> {
         Rc::clone(&self.settings.borrow())
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod caller;
+pub mod crowd;
 pub mod datagram_relay;
 pub mod demo;
 pub mod events;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -41,6 +41,15 @@
     pub resident: u64,
 }
 
+/// Open file descriptors of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Descriptors {
+    /// All of them.
+    pub total: usize,
+    /// Sockets and pipes among them.
+    pub sockets_and_pipes: usize,
+}
+
 impl Process {
     /// Starts a program built beside this one, such as `jujube-agent`.
     ///
@@ -154,6 +163,42 @@
         })
     }
 
+    /// Reads the most memory that the process has had resident, in bytes.
+    ///
+    /// # Errors
+    /// When the process has exited.
+    pub fn peak_memory(&self) -> anyhow::Result<u64> {
+        const KILOBYTE: u64 = 1_024;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let mut lines = status.lines();
+        let line = lines.find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        let kilobytes: u64 = number.context("read peak memory")?.parse()?;
+        Ok(kilobytes * KILOBYTE)
+    }
+
+    /// Counts the open file descriptors of the process.
+    ///
+    /// # Errors
+    /// When the process has exited.
+    pub fn descriptors(&self) -> anyhow::Result<Descriptors> {
+        let mut descriptors = Descriptors {
+            total: 0,
+            sockets_and_pipes: 0,
+        };
+        for descriptor in std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))? {
+            // One that was closed meanwhile is not counted.
+            let Ok(target) = std::fs::read_link(descriptor?.path()) else {
+                continue;
+            };
+            let target = target.to_string_lossy();
+            descriptors.total += 1;
+            let is_socket = target.starts_with("socket:") || target.starts_with("pipe:");
+            descriptors.sockets_and_pipes += usize::from(is_socket);
+        }
+        Ok(descriptors)
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         if let Some(pid) = pid {
--- a/crates/rank/src/run.rs
+++ b/crates/rank/src/run.rs
@@ -8,6 +8,7 @@
     instance_settings::InstanceSettings,
     metrics_port,
     pool::{Pool, PoolConfig},
+    server::ServerConfig,
     settings_reload, socket, supervise,
 };
 use jj_news::{Message, RankCounts};
@@ -102,7 +103,9 @@
     let port = map_transfer::http_addr(&state, state.settings().ip);
     let handler = map_transfer::handler(Rc::clone(&state), metrics);
     for addr in options.metrics.iter().copied().chain([port]) {
-        metrics_port::start(addr, Rc::clone(&handler))?;
+        let limits = Rc::clone(&state);
+        let config = move || server_config(&limits);
+        metrics_port::start(addr, state.clock.clone(), config, Rc::clone(&handler))?;
     }
     start("receive", &state, datagrams::receive);
     start("tell", &state, datagrams::send_heartbeats);
@@ -129,6 +132,14 @@
     Ok(())
 }
 
+/// Returns the limits of connections at the agent's ports, which other agents and operators use.
+fn server_config(state: &State) -> ServerConfig {
+    ServerConfig {
+        max_connections: state.settings().limits.traffic_connections(),
+        ..ServerConfig::default()
+    }
+}
+
 /// Starts one of the agent's tasks, which is restarted if it panics.
 fn start<F>(name: &'static str, state: &Rc<State>, task: fn(Rc<State>) -> F)
 where
--- a/crates/utils/src/events.rs
+++ b/crates/utils/src/events.rs
@@ -88,6 +88,7 @@
     SERVER_CRASHED = 1409 Warn "server_crashed";
     SUSPECTS_CHANGED = 1410 Warn "suspects_changed";
     SERVER_RATE_LIMIT = 1411 Info "server_rate_limit";
+    CONNECTIONS_FULL = 1412 Warn "connections_full";
     // 15xx: groups
     MAP_PREPARED = 1501 Info "map_prepared";
     MAP_COMMITTED = 1502 Info "map_committed";
