fix(front): bodies of requests share one bounded memory, and give way when it is short

What callers saw: a crowd of clients with large bodies, whole, in chunks or stopped just short of their end, ended an entry: out of memory. All callers of the entry lost their answers.

Cause: each body was bounded, all together were not. Each was kept in a buffer that doubled, with a copy of the old one at each step, until ten seconds were over or its request had ended.

Ruled out: not reading on, since what has arrived and is not read counts on the users' machines; reserving by the announced length, since a crowd that announces and sends nothing would turn everybody away.

Change: the process has a memory for bodies, from `limits.memoryMb`. A body is received in segments that are charged by capacity before they are allocated, and given back when the last holder of the body is gone: refused, timed out, closed, done or resumed. When memory is short, bodies without progress for 2 s give way, then the largest one of the account that holds most; a body that has arrived in full is kept. A quarter is kept for bodies up to 32 KiB. What gives way is answered 503 with Retry-After: it has not run. Its memory is free at once, not when its task runs next.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -7,7 +7,10 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
-use crate::pool::{Connection, Pool, RequestBody};
+use crate::{
+    body_budget::RequestBody,
+    pool::{Connection, Pool},
+};
 
 /// Reason why a request got no response.
 #[derive(Debug, thiserror::Error)]
--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -7,10 +7,7 @@
 use jj_utils::wire;
 use serde::de::DeserializeOwned;
 
-use crate::{
-    call,
-    pool::{Pool, RequestBody},
-};
+use crate::{body_budget::RequestBody, call, pool::Pool};
 
 /// Requests a path from a process and decodes the response, which may have up to `max_bytes`.
 ///
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod body;
+pub mod body_budget;
 pub mod call;
 pub mod caller_body;
 pub mod caller_io;
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -5,8 +5,6 @@
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use jj_utils::{
@@ -16,15 +14,12 @@
 };
 use tokio::task::AbortHandle;
 
-use crate::socket;
+use crate::{body_budget::RequestBody, socket};
 
 /// Maximum read buffer of a connection in bytes; the status line and headers of a response have to
 /// fit.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Body of a request to a backend server.
-pub type RequestBody = Full<Bytes>;
-
 common_derives! {copy:
     /// Limits of pooled connections.
     pub struct PoolConfig {
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request as HttpRequest, Response, header};
-use http_body_util::Full;
 use jj_direct::{
     body::ResponseBody,
+    body_budget::RequestBody,
     call::{self, CallError, CallResponse},
     header_codec::{EventId, ForwardHeaders, ResponseHeaders},
 };
@@ -249,9 +249,9 @@
         &self,
         reservation: &Reservation,
         last_event: Option<EventId>,
-    ) -> HttpRequest<Full<Bytes>> {
+    ) -> HttpRequest<RequestBody> {
         let head = &self.request.head;
-        let mut request = HttpRequest::new(Full::new(self.request.body.clone()));
+        let mut request = HttpRequest::new(RequestBody::from(self.request.body.clone()));
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = head.uri.clone();
         let mut headers = head.headers.clone();
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -1,8 +1,7 @@
 //! A caller's request that an entry has authorized.
 
-use bytes::Bytes;
 use http::request::Parts;
-use jj_direct::header_codec::RequestHeaders;
+use jj_direct::{body_budget::StoredBody, header_codec::RequestHeaders};
 use jj_policy::{
     catalog::AuthorizedRequest,
     crash_reports::{self, PartId, RequestPart},
@@ -18,7 +17,7 @@
     /// Request head as received.
     pub head: Parts,
     /// Complete body.
-    pub body: Bytes,
+    pub body: StoredBody,
     /// Values of the headers that the load balancer interprets.
     pub facts: RequestHeaders,
     /// Parts of its prompt that other requests may share, and the request as a whole, whose part is
@@ -63,7 +62,7 @@
     head: &Parts,
     facts: &RequestHeaders,
     account: Option<&str>,
-    body: &[u8],
+    body: &StoredBody,
 ) -> Vec<RequestPart> {
     let prompt = &facts.prompt_parts;
     let shared = &prompt[..prompt.len().saturating_sub(1)];
@@ -73,13 +72,12 @@
 
 /// Returns the fingerprint of a request: equal for two with the same method, path, client account
 /// and body, whatever their ids.
-fn fingerprint(head: &Parts, account: Option<&str>, body: &[u8]) -> PartId {
+fn fingerprint(head: &Parts, account: Option<&str>, body: &StoredBody) -> PartId {
     let target = head.uri.path_and_query().map_or("/", |it| it.as_str());
     let fields = [
         head.method.as_str().as_bytes(),
         target.as_bytes(),
         account.unwrap_or_default().as_bytes(),
-        body,
     ];
     let mut hash = Xxh3::new();
     for field in fields {
@@ -87,6 +85,10 @@
         hash.update(&(field.len() as u64).to_le_bytes());
         hash.update(field);
     }
+    hash.update(&(body.len() as u64).to_le_bytes());
+    for segment in body.segments() {
+        hash.update(segment);
+    }
     hash.digest()
 }
 
--- a/crates/front/src/request_handler.rs
+++ b/crates/front/src/request_handler.rs
@@ -2,22 +2,24 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
 use http::{Response, StatusCode, header, request::Parts};
-use http_body_util::BodyExt;
+use http_body_util::BodyDataStream;
 use hyper::body::Body;
 use jj_direct::{
     body::ResponseBody,
+    body_budget::{ReceiveError, StoredBody},
     caller_body::CallerBody,
     header_codec::RequestHeaders,
     server::{Handler, IncomingRequest, ServerConfig},
 };
 use jj_policy::{
+    body_memory::OwnerId,
     catalog::{AuthorizedRequest, Catalog, Denied, TrafficLimits},
     gossip::EntryState,
 };
 use jj_utils::{clock::Timestamp, events, log_event};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     error_response::ErrorResponse,
@@ -32,6 +34,9 @@
 /// Retry-after time of a request that is rejected before the first configuration is in force.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Retry-after time of a request for whose body there is no memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Timeout for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -71,10 +76,10 @@
 async fn handle(
     shared: Rc<SharedState>,
     arrival: IncomingRequest,
-    _: SocketAddr,
+    peer: SocketAddr,
 ) -> Response<ResponseBody> {
     let arrived = shared.clock.now();
-    let mut response = match read(&shared, arrival, arrived).await {
+    let mut response = match read(&shared, arrival, peer, arrived).await {
         Ok(request) => forward_request(&shared, Rc::new(request)).await,
         Err(rejected) => {
             log_rejected(&shared, arrived, &rejected);
@@ -162,6 +167,7 @@
 async fn read(
     shared: &Rc<SharedState>,
     arrival: IncomingRequest,
+    peer: SocketAddr,
     arrived: Timestamp,
 ) -> Result<Request, RejectedRequest> {
     let (head, body) = arrival.into_parts();
@@ -184,7 +190,9 @@
     let authorized = authorize(&catalog, &head, &facts).map_err(rejected)?;
     let service = Catalog::pick_service(&authorized.route, shared.draw()).cloned();
     let service = service.ok_or_else(|| rejected(not_configured()))?;
-    let body = read_body(&catalog.limits, body).await.map_err(rejected)?;
+    let owner = body_owner(&authorized, peer);
+    let body = read_body(shared, owner, &catalog.limits, body).await;
+    let body = body.map_err(rejected)?;
     let wait = facts.timeout.unwrap_or(authorized.route.timeout);
     let is_caller_retry =
         facts.last_event_id.is_some() || shared.detect_caller_retry(&authorized.route.name, wait);
@@ -239,38 +247,42 @@
     })
 }
 
-/// Reads the body of a request within [`BODY_TIMEOUT`] and the configured length.
-async fn read_body(limits: &TrafficLimits, body: CallerBody) -> Result<Bytes, ErrorResponse> {
+/// Reads the body of a request of an owner within [`BODY_TIMEOUT`] and the configured length.
+async fn read_body(
+    shared: &SharedState,
+    owner: OwnerId,
+    limits: &TrafficLimits,
+    body: CallerBody,
+) -> Result<StoredBody, ErrorResponse> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let too_long = || invalid(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
-    if body.size_hint().lower() > limits.max_body_bytes as u64 {
-        return Err(too_long());
-    }
-    match tokio::time::timeout(BODY_TIMEOUT, collect(limits.max_body_bytes, body)).await {
-        Ok(Ok(Some(bytes))) => Ok(bytes),
-        Ok(Ok(None)) => Err(too_long()),
-        Ok(Err(_)) => Err(invalid(StatusCode::BAD_REQUEST, "the body broke off")),
-        Err(_) => Err(invalid(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time",
-        )),
+        return Ok(StoredBody::default());
     }
+    let announced = body.size_hint().exact();
+    let body = BodyDataStream::new(body);
+    let receiving = shared
+        .bodies
+        .receive(owner, limits.max_body_bytes, announced, body);
+    let received = tokio::time::timeout(BODY_TIMEOUT, receiving).await;
+    let reason = "the body did not arrive in time";
+    let received = received.map_err(|_| invalid(StatusCode::REQUEST_TIMEOUT, reason))?;
+    received.map_err(|error| match error {
+        ReceiveError::TooLong => invalid(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
+        ReceiveError::Interrupted(_) => invalid(StatusCode::BAD_REQUEST, "the body broke off"),
+        ReceiveError::NoMemory => ErrorResponse::NotRun {
+            retry_after: NO_MEMORY_RETRY_AFTER,
+            reason: "too many large bodies arrive at once",
+        },
+    })
 }
 
-/// Reads a whole body; `None` if it is longer than `limit` bytes.
-async fn collect(limit: usize, mut body: CallerBody) -> Result<Option<Bytes>, hyper::Error> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(bytes) = frame?.into_data() {
-            whole.extend_from_slice(&bytes);
-        }
-        if whole.len() > limit {
-            return Ok(None);
-        }
+/// Returns whom the body of a request is counted for: its client account, else its address.
+fn body_owner(authorized: &AuthorizedRequest, peer: SocketAddr) -> OwnerId {
+    let mut hash = Xxh3::new();
+    match &authorized.account {
+        Some(account) => hash.update(account.name.as_bytes()),
+        None => hash.update(peer.ip().to_string().as_bytes()),
     }
-    Ok(Some(whole.freeze()))
+    hash.digest()
 }
 
 /// Returns the rejection of an invalid request.
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -8,6 +8,7 @@
 
 use jj_adapter::headers;
 use jj_direct::{
+    body_budget::BodyBudget,
     header_codec::{HeaderCodec, ResponseHeaders},
     instance_settings::InstanceSettings,
     pool::{Pool, PoolConfig},
@@ -76,6 +77,8 @@
     pub loads: RefCell<LoadTracker>,
     /// Pool of connections to servers.
     pub pool: Pool,
+    /// Memory for bodies of requests.
+    pub bodies: BodyBudget,
     /// Whether this entry is starting, accepts requests or is about to stop.
     pub entry_state: Cell<EntryState>,
     /// Shutdown of this entry, and what it needs to know of requests.
@@ -237,6 +240,7 @@
             header_codec: headers::HEADER_CODEC,
             replica: RefCell::default(),
             pool: Pool::new(PoolConfig::default(), clock.clone()),
+            bodies: BodyBudget::new(settings.limits.body_bytes(), clock.clone()),
             entry_state: Cell::new(EntryState::Starting),
             shutdown: EntryShutdown::default(),
             capacity_changed: Notify::new(),
@@ -261,6 +265,7 @@
 
     /// Brings new settings into force.
     pub fn apply_settings(&self, settings: Rc<InstanceSettings>) {
+        self.bodies.set_capacity(settings.limits.body_bytes());
         *self.settings.borrow_mut() = settings;
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod addresses;
 pub mod admission;
 pub mod authority;
+pub mod body_memory;
 pub mod cache_log;
 pub mod call_budget;
 pub mod caller_retries;
--- a/crates/policy/tests/process_limits.rs
+++ b/crates/policy/tests/process_limits.rs
@@ -1,8 +1,9 @@
 //! How memory and descriptors of a process are divided.
 
 use googletest::prelude::*;
-use jj_policy::process_limits::{
-    MIN_DESCRIPTORS, MIN_MEMORY_BYTES, ProcessLimits, RECEIVE_WINDOW_BYTES,
+use jj_policy::{
+    body_memory::{BodyMemory, BodyMemoryConfig},
+    process_limits::{MIN_DESCRIPTORS, MIN_MEMORY_BYTES, ProcessLimits, RECEIVE_WINDOW_BYTES},
 };
 
 /// Ports of an entry besides the one for callers' requests.
@@ -11,6 +12,9 @@
 /// Sockets for the store, other entries, listening and signals.
 const OTHER_SOCKETS: usize = 12;
 
+/// Largest body of a request on the users' pages, in bytes.
+const FULL_BODY: usize = 4 << 20;
+
 /// Returns the machines of the users' deployments, the default and the smallest ones that are allowed.
 fn machines() -> [ProcessLimits; 5] {
     let machine = |memory_bytes, descriptors| ProcessLimits {
@@ -41,3 +45,20 @@
         expect_that!(limits.auxiliary_connections(), ge(2), "{limits:?}");
     }
 }
+
+#[gtest]
+fn single_body_of_the_full_size_fits_each_machine() {
+    for limits in machines() {
+        let config = BodyMemoryConfig {
+            capacity: limits.body_bytes(),
+            ..BodyMemoryConfig::default()
+        };
+        let mut memory = BodyMemory::new(config);
+        let now = std::time::Duration::ZERO;
+        let id = memory.begin(now, 1);
+
+        let grown = memory.grow(now, id, FULL_BODY + FULL_BODY / 64);
+
+        expect_that!(grown, ok(is_empty()), "{limits:?}");
+    }
+}
