fix(front): buffered responses and connections to servers have a bound for the process

What callers saw: nothing yet; many callers that read nothing of a long response, or a byte now and then, each cost an entry up to 700 KB and a connection to a server.

Cause: a response was buffered up to 256 KB in a buffer that doubled, and the library's write buffer took 400 KB more; each was bounded, all together were not. Connections to servers were bounded by server only.

Change: responses over 16 KiB are buffered as long as a memory from `limits.memoryMb` bears it, and counted until their bytes are gone; what finds none goes on as it arrives. The pool keeps to its share of `limits.maxFds` and closes the idle connection that expires first for a new one.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::{io, ops::RangeInclusive, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -10,6 +10,7 @@
 use crate::{
     body_budget::RequestBody,
     pool::{Connection, Pool},
+    response_budget::ResponseBuffer,
 };
 
 /// Reason why a request got no response.
@@ -116,20 +117,22 @@
         Ok(None)
     }
 
-    /// Reads the whole body. If it is longer than `limit` bytes, the inner `Err` holds the bytes
-    /// read so far.
+    /// Reads the whole body into a buffer. If it is longer than `limit` bytes, or there is no memory for
+    /// more, the inner `Err` holds the parts read so far.
     ///
     /// # Errors
     /// When the connection broke before the end.
-    pub async fn read_body(&mut self, limit: usize) -> io::Result<Result<Bytes, Bytes>> {
-        let mut whole = BytesMut::new();
+    pub async fn read_body(
+        &mut self,
+        limit: usize,
+        mut buffer: ResponseBuffer,
+    ) -> io::Result<Result<Bytes, Vec<Bytes>>> {
         while let Some(bytes) = self.next_chunk().await? {
-            whole.extend_from_slice(&bytes);
-            if whole.len() > limit {
-                return Ok(Err(whole.freeze()));
+            if buffer.len() + bytes.len() > limit || !buffer.push(&bytes) {
+                return Ok(Err(vec![buffer.into_bytes(), bytes]));
             }
         }
-        Ok(Ok(whole.freeze()))
+        Ok(Ok(buffer.into_bytes()))
     }
 
     /// Returns the connection to the pool if the body was read to its end and nothing may follow, else
--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -7,7 +7,7 @@
 use jj_utils::wire;
 use serde::de::DeserializeOwned;
 
-use crate::{body_budget::RequestBody, call, pool::Pool};
+use crate::{body_budget::RequestBody, call, pool::Pool, response_budget::ResponseBudget};
 
 /// Requests a path from a process and decodes the response, which may have up to `max_bytes`.
 ///
@@ -26,7 +26,9 @@
     let connection = pool.acquire(addr).await?;
     let mut response = call::send(connection, request).await?;
     ensure!(response.status.is_success(), "status {}", response.status);
-    let body = response.read_body(max_bytes).await?;
+    // One response at a time is read here, so only its own length limits it.
+    let buffer = ResponseBudget::new(usize::MAX).begin();
+    let body = response.read_body(max_bytes, buffer).await?;
     let body = body.map_err(|_| anyhow!("response is longer than {max_bytes} bytes"))?;
     response.finish(pool, None);
     Ok(wire::decode_any_build(&body)?)
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod instance_settings;
 pub mod metrics_port;
 pub mod pool;
+pub mod response_budget;
 pub mod server;
 pub mod settings_reload;
 pub mod socket;
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -3,10 +3,17 @@
 //! `reqwest` hides which connection carries a request, and whether a request was written before the
 //! connection broke; both are needed to decide whether a request may be retried.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use jj_policy::process_limits::ProcessLimits;
 use jj_utils::{
     clock::{SharedClock, Timestamp},
     collections::FastMap,
@@ -36,6 +43,8 @@
         pub keep_alive_margin: Duration,
         /// Maximum number of idle connections kept to one server.
         pub max_idle_per_server: usize,
+        /// Maximum number of connections to all servers.
+        pub max_connections: usize,
     }
 }
 
@@ -47,6 +56,7 @@
             max_idle: Duration::from_secs(4),
             keep_alive_margin: Duration::from_millis(500),
             max_idle_per_server: 32,
+            max_connections: ProcessLimits::default().server_connections(),
         }
     }
 }
@@ -65,10 +75,27 @@
     pub(crate) sender: SendRequest<RequestBody>,
     driver: DriverTask,
     addr: SocketAddr,
+    _count: OpenCount,
     /// Whether the connection has carried an earlier request.
     pub is_reused: bool,
 }
 
+/// Counts a connection as open until dropped.
+struct OpenCount(Rc<Cell<usize>>);
+
+impl OpenCount {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     expires_at: Timestamp,
@@ -79,6 +106,9 @@
 pub struct Pool {
     config: PoolConfig,
     clock: SharedClock,
+    max_connections: Rc<Cell<usize>>,
+    /// Number of connections, idle or in use.
+    open: Rc<Cell<usize>>,
     idle: Rc<RefCell<FastMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
@@ -86,12 +116,19 @@
     /// Returns a pool without connections.
     pub fn new(config: PoolConfig, clock: SharedClock) -> Self {
         Self {
+            max_connections: Rc::new(Cell::new(config.max_connections)),
             config,
             clock,
+            open: Rc::default(),
             idle: Rc::default(),
         }
     }
 
+    /// Changes the maximum number of connections to all servers.
+    pub fn set_max_connections(&self, max_connections: usize) {
+        self.max_connections.set(max_connections);
+    }
+
     /// Returns an idle connection to `addr`, or opens a new one.
     ///
     /// # Errors
@@ -105,11 +142,15 @@
         self.open(addr).await
     }
 
-    /// Opens a new connection.
+    /// Opens a new connection, for which an idle one is closed where there are too many.
     ///
     /// # Errors
-    /// When the connection can't be opened within the connect timeout.
+    /// When the connection can't be opened within the connect timeout, or too many are in use.
     pub async fn open(&self, addr: SocketAddr) -> io::Result<Connection> {
+        if self.open.get() >= self.max_connections.get() && !self.close_one_idle() {
+            return Err(io::Error::other("too many connections to servers"));
+        }
+        let count = OpenCount::new(&self.open);
         let stream =
             socket::connect(addr, self.config.connect_timeout, self.config.ack_timeout).await?;
         let mut builder = http1::Builder::new();
@@ -126,6 +167,7 @@
             sender,
             driver: DriverTask(task.abort_handle()),
             addr,
+            _count: count,
             is_reused: false,
         })
     }
@@ -167,6 +209,17 @@
         }
     }
 
+    /// Closes the idle connection that expires first; returns false if there is none.
+    fn close_one_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let lists = idle.values_mut().filter(|it| !it.is_empty());
+        let Some(list) = lists.min_by_key(|it| it.first().map(|it| it.expires_at)) else {
+            return false;
+        };
+        list.remove(0);
+        true
+    }
+
     /// Closes all idle connections to an address.
     pub fn close_idle(&self, addr: SocketAddr) {
         self.idle.borrow_mut().remove(&addr);
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -277,7 +277,8 @@
         reservation: Reservation,
     ) -> Result<ForwardedResponse, AttemptFailure> {
         let limit = self.attempt_timeout();
-        let read = tokio::time::timeout(limit, answer.read_body(MAX_BUFFERED_BODY)).await;
+        let buffer = self.shared.responses.begin();
+        let read = tokio::time::timeout(limit, answer.read_body(MAX_BUFFERED_BODY, buffer)).await;
         let ends_with_connection = matches!(&read, Ok(Ok(Ok(_)))) && answer.ends_with_connection;
         let has_ended = ends_with_connection && reservation.has_server_ended().await;
         let is_cut = has_ended || matches!(&read, Ok(Err(_)));
@@ -302,7 +303,7 @@
         mut answer: CallResponse,
         facts: ResponseHeaders,
         reservation: Reservation,
-        body: Result<Bytes, Bytes>,
+        body: Result<Bytes, Vec<Bytes>>,
     ) -> Result<ForwardedResponse, AttemptFailure> {
         let is_error = answer.status.is_server_error();
         if is_error || body.is_ok() {
@@ -404,7 +405,9 @@
 ) {
     const TIMEOUT: Duration = Duration::from_millis(20);
     const MAX_BYTES: usize = 4_096;
-    if let Ok(Ok(Ok(_))) = tokio::time::timeout(TIMEOUT, answer.read_body(MAX_BYTES)).await {
+    let buffer = shared.responses.begin();
+    if let Ok(Ok(Ok(_))) = tokio::time::timeout(TIMEOUT, answer.read_body(MAX_BYTES, buffer)).await
+    {
         answer.finish(&shared.pool, keep_alive);
     }
 }
--- a/crates/front/src/long_body.rs
+++ b/crates/front/src/long_body.rs
@@ -16,8 +16,8 @@
     pub status: StatusCode,
     /// Response headers without the hop-by-hop ones.
     pub headers: HeaderMap,
-    /// Beginning of the body.
-    pub(crate) received: Bytes,
+    /// Beginning of the body, in parts.
+    pub(crate) received: Vec<Bytes>,
     pub(crate) answer: CallResponse,
     pub(crate) facts: ResponseHeaders,
     pub(crate) reservation: Reservation,
@@ -28,7 +28,8 @@
 pub fn response(forward: Forwarder, body: LongBody) -> Response<ResponseBody> {
     let (status, headers) = (body.status, body.headers.clone());
     let left = body.answer.bytes_left();
-    let length = left.map(|left| left + body.received.len() as u64);
+    let received: usize = body.received.iter().map(Bytes::len).sum();
+    let length = left.map(|left| left + received as u64);
     let body = relay_body(forward, body).boxed_local();
     let mut response = Response::new(ResponseBody::stream(body, length));
     *response.status_mut() = status;
@@ -50,7 +51,9 @@
         ..
     } = body;
     async_stream::stream! {
-        yield Ok(received);
+        for part in received.into_iter().filter(|it| !it.is_empty()) {
+            yield Ok(part);
+        }
         loop {
             let next = tokio::time::timeout(forward.time_left(), answer.next_chunk()).await;
             let error = match next {
--- a/crates/front/src/shared_state.rs
+++ b/crates/front/src/shared_state.rs
@@ -12,6 +12,7 @@
     header_codec::{HeaderCodec, ResponseHeaders},
     instance_settings::InstanceSettings,
     pool::{Pool, PoolConfig},
+    response_budget::ResponseBudget,
 };
 use jj_news::LeaveNotice;
 use jj_policy::{
@@ -22,6 +23,7 @@
     outage::OutageForecast,
     pass_model::{PassForecast, PassSpec},
     placement::{self, PlacementConfig, ServerCandidate},
+    process_limits::ProcessLimits,
     rate_limits::RateStatement,
     rate_share,
     server_health::AttemptOutcome,
@@ -79,6 +81,8 @@
     pub pool: Pool,
     /// Memory for bodies of requests.
     pub bodies: BodyBudget,
+    /// Memory for responses that are buffered.
+    pub responses: ResponseBudget,
     /// Whether this entry is starting, accepts requests or is about to stop.
     pub entry_state: Cell<EntryState>,
     /// Shutdown of this entry, and what it needs to know of requests.
@@ -229,6 +233,14 @@
     }
 }
 
+/// Returns the limits of connections to servers.
+fn pool_config(limits: &ProcessLimits) -> PoolConfig {
+    PoolConfig {
+        max_connections: limits.server_connections(),
+        ..PoolConfig::default()
+    }
+}
+
 impl SharedState {
     /// Returns the initial state, without configuration, servers or peers.
     pub fn new(settings: InstanceSettings, clock: SharedClock) -> Rc<Self> {
@@ -239,8 +251,9 @@
             incarnation,
             header_codec: headers::HEADER_CODEC,
             replica: RefCell::default(),
-            pool: Pool::new(PoolConfig::default(), clock.clone()),
+            pool: Pool::new(pool_config(&settings.limits), clock.clone()),
             bodies: BodyBudget::new(settings.limits.body_bytes(), clock.clone()),
+            responses: ResponseBudget::new(settings.limits.response_bytes()),
             entry_state: Cell::new(EntryState::Starting),
             shutdown: EntryShutdown::default(),
             capacity_changed: Notify::new(),
@@ -265,7 +278,10 @@
 
     /// Brings new settings into force.
     pub fn apply_settings(&self, settings: Rc<InstanceSettings>) {
-        self.bodies.set_capacity(settings.limits.body_bytes());
+        let limits = settings.limits;
+        self.bodies.set_capacity(limits.body_bytes());
+        self.responses.set_capacity(limits.response_bytes());
+        self.pool.set_max_connections(limits.server_connections());
         *self.settings.borrow_mut() = settings;
     }
 
