fix(caller): bodies and connections at `jujubejunction serve` have the same bounds

`serve` allowed 1 MB a body (16 at most), and any number of bodies and connections.

Change: `--memory` and `--max-fds` (default 256,000,000 and 4,096). The bodies are received by the same account as at an entry, in one piece where that is needed, counted until the request has ended. An acceptor with the same table of connections closes one that waits for a new one; a head has at most 64 KB, a read 16 KB, by which the library's buffers grow. The refusal is a problem document: 503, not-run, Retry-After.

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -3,6 +3,7 @@
 use async_stream::stream;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::BoxStream};
+use jj_direct::body::ResponseEndGuard;
 use jj_peer::frames::Head;
 use poem::{Body, Response, http::StatusCode};
 
@@ -57,6 +58,20 @@
         })
     }
 
+    /// Returns the same answer with a guard that is dropped when it has been handed over to the
+    /// connection.
+    pub fn with_end_guard(self, end: Option<ResponseEndGuard>) -> Self {
+        match self {
+            Self::Whole(_) => self,
+            Self::Stream(tokens) => {
+                let guarded = tokens.inspect(move |_| {
+                    let _held = &end;
+                });
+                Self::Stream(guarded.boxed())
+            }
+        }
+    }
+
     /// Converts the answer to an HTTP response.
     pub fn into_response(self) -> Response {
         match self {
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod answer;
+pub mod connections;
 pub mod problem;
 pub mod request;
 pub mod server;
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -1,15 +1,18 @@
 //! Reads callers' requests within limits.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
+use jj_direct::body_budget::{BodyBudget, ReceiveError};
 use jj_peer::frames::Header;
+use jj_policy::{body_memory::OwnerId, process_limits::ProcessLimits, verdict::Verdict};
 use poem::{
     Request,
     http::{HeaderMap, StatusCode},
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::problem::Refusal;
 
 /// Header with the caller's deadline, in milliseconds from arrival.
@@ -21,6 +24,9 @@
 /// Header with the idempotency key.
 pub const KEY_HEADER: &str = "idempotency-key";
 
+/// Retry-after time of a request for whose body there is no memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 200;
 
@@ -33,6 +39,8 @@
     pub body_timeout: Duration,
     /// Longest time for an idle connection, and for the headers of a request.
     pub idle_timeout: Duration,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
 }
 
 impl Default for CallerConfig {
@@ -41,6 +49,7 @@
             max_body_bytes: 1024 * 1024,
             body_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(75),
+            limits: ProcessLimits::default(),
         }
     }
 }
@@ -84,7 +93,12 @@
 ///
 /// # Errors
 /// A refusal that names the invalid value and what is allowed.
-pub async fn read(request: Request, config: &CallerConfig) -> Result<CallerRequest, Refusal> {
+pub async fn read(
+    request: Request,
+    config: &CallerConfig,
+    bodies: &BodyBudget,
+) -> Result<CallerRequest, Refusal> {
+    let peer = request.remote_addr().to_string();
     let (parts, body) = request.into_parts();
     let headers = &parts.headers;
     let timeout = read_timeout(headers)?;
@@ -93,9 +107,14 @@
     let token = token.and_then(|value| value.strip_prefix("Bearer ").map(str::to_owned));
     let account = header_text(headers, ACCOUNT_HEADER)?;
     let last_event = header_text(headers, "last-event-id")?;
-    check_length(headers, config.max_body_bytes)?;
-    let body = tokio::time::timeout(config.body_timeout, read_body(body, config.max_body_bytes));
-    let body = body.await.map_err(|_| slow_body(config.body_timeout))??;
+    let announced = announced_length(headers)?;
+    let owner = owner(token.as_deref(), account.as_deref(), &peer);
+    let limit = config.max_body_bytes;
+    let receiving = bodies.receive(owner, limit, announced, body.into_bytes_stream());
+    let received = tokio::time::timeout(config.body_timeout, receiving).await;
+    let received = received.map_err(|_| slow_body(config.body_timeout))?;
+    let body = received.map_err(|error| body_refusal(error, limit))?;
+    let body = body.into_contiguous().ok_or_else(no_memory)?;
     Ok(CallerRequest {
         method: parts.method.as_str().to_owned(),
         path: parts.uri.path().to_owned(),
@@ -110,33 +129,38 @@
     })
 }
 
-async fn read_body(body: poem::Body, limit: usize) -> Result<Bytes, Refusal> {
-    let mut stream = body.into_bytes_stream();
-    let mut whole = BytesMut::new();
-    while let Some(chunk) = stream.next().await {
-        let chunk = chunk.map_err(|error| {
+/// Returns whom a body is counted for: the key or account that the request names, else its address.
+fn owner(token: Option<&str>, account: Option<&str>, peer: &str) -> OwnerId {
+    xxh3_64(token.or(account).unwrap_or(peer).as_bytes())
+}
+
+/// Returns the refusal of a request whose body was not received.
+fn body_refusal(error: ReceiveError<io::Error>, limit: usize) -> Refusal {
+    match error {
+        ReceiveError::TooLong => too_large(limit),
+        ReceiveError::NoMemory => no_memory(),
+        ReceiveError::Interrupted(error) => {
             bad_request(format!("the body could not be read to its end: {error}"))
-        })?;
-        if whole.len() + chunk.len() > limit {
-            return Err(too_large(limit));
         }
-        whole.extend_from_slice(&chunk);
     }
-    Ok(whole.freeze())
 }
 
-fn check_length(headers: &HeaderMap, limit: usize) -> Result<(), Refusal> {
+/// Returns the refusal of a request for whose body there is no memory now.
+fn no_memory() -> Refusal {
+    let verdict = Verdict::NotRun {
+        retry_after: NO_MEMORY_RETRY_AFTER,
+    };
+    Refusal::given_up(verdict, "too many large bodies arrive at once")
+}
+
+fn announced_length(headers: &HeaderMap) -> Result<Option<u64>, Refusal> {
     let Some(length) = header_text(headers, "content-length")? else {
-        return Ok(());
+        return Ok(None);
     };
-    let length: usize = length
-        .parse()
-        .map_err(|_| bad_request("content-length is not a number"))?;
-    if length > limit {
-        Err(too_large(limit))
-    } else {
-        Ok(())
-    }
+    let length = length.parse();
+    length
+        .map(Some)
+        .map_err(|_| bad_request("content-length is not a number"))
 }
 
 fn read_timeout(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::future::BoxFuture;
-use jj_utils::listener::NoDelayAcceptor;
+use jj_direct::{
+    body::ResponseEndGuard, body_budget::BodyBudget, connection_table::ConnectionPhase,
+};
+use jj_utils::{clock::SharedClock, listener::NoDelayAcceptor};
 use poem::{
     Request, Response, Server,
     endpoint::{self, Endpoint},
@@ -12,6 +15,7 @@
 
 use crate::{
     answer::Answer,
+    connections::{CallerConnections, LimitedAcceptor},
     problem::Refusal,
     request::{self, CallerConfig, CallerRequest},
 };
@@ -28,35 +32,62 @@
     addr: SocketAddr,
     config: CallerConfig,
     handler: Handler,
+    clock: SharedClock,
     grace: Duration,
     token: CancellationToken,
 ) -> anyhow::Result<()> {
-    let acceptor = NoDelayAcceptor::bind(addr).await?;
-    let idle = config.idle_timeout;
-    let server = Server::new_with_acceptor(acceptor).idle_timeout(idle);
-    let routes = endpoint(config, handler);
+    let connections = CallerConnections::default();
+    let acceptor = LimitedAcceptor::new(
+        NoDelayAcceptor::bind(addr).await?,
+        clock.clone(),
+        connections.clone(),
+        config.limits.traffic_connections(),
+    );
+    let port = Arc::new(Port {
+        bodies: BodyBudget::new(config.limits.body_bytes(), clock),
+        config,
+        connections,
+        handler,
+    });
+    let server = Server::new_with_acceptor(acceptor).idle_timeout(port.config.idle_timeout);
     server
-        .run_with_graceful_shutdown(routes, token.cancelled(), Some(grace))
+        .run_with_graceful_shutdown(endpoint(port), token.cancelled(), Some(grace))
         .await?;
     Ok(())
 }
 
-fn endpoint(config: CallerConfig, handler: Handler) -> impl Endpoint<Output = Response> {
-    let config = Arc::new(config);
+/// What the requests of the port have in common.
+struct Port {
+    config: CallerConfig,
+    bodies: BodyBudget,
+    connections: CallerConnections,
+    handler: Handler,
+}
+
+fn endpoint(port: Arc<Port>) -> impl Endpoint<Output = Response> {
     endpoint::make(move |request: Request| {
-        let config = Arc::clone(&config);
-        let handler = Arc::clone(&handler);
-        async move { Ok::<_, poem::Error>(respond(request, &config, &handler).await) }
+        let port = Arc::clone(&port);
+        async move { Ok::<_, poem::Error>(respond(request, &port).await) }
     })
 }
 
-async fn respond(request: Request, config: &CallerConfig, handler: &Handler) -> Response {
-    let request = match request::read(request, config).await {
+async fn respond(request: Request, port: &Port) -> Response {
+    let peer = request.remote_addr().as_socket_addr().copied();
+    let status = peer.and_then(|peer| port.connections.status(&peer));
+    let set_phase = |phase| {
+        if let Some(status) = &status {
+            status.set(phase);
+        }
+    };
+    set_phase(ConnectionPhase::Body);
+    let end = status.clone().map(ResponseEndGuard);
+    let request = match request::read(request, &port.config, &port.bodies).await {
         Ok(request) => request,
         Err(refusal) => return refusal.into_response(),
     };
-    match handler(request).await {
-        Ok(answer) => answer.into_response(),
+    set_phase(ConnectionPhase::Busy);
+    match (port.handler)(request).await {
+        Ok(answer) => answer.with_end_guard(end).into_response(),
         Err(refusal) => refusal.into_response(),
     }
 }
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -29,6 +29,10 @@
             optional --grace duration: String
             /// Largest body of a caller's request, in bytes.
             optional --max-body bytes: String
+            /// Memory of the process, in bytes.
+            optional --memory bytes: String
+            /// Open file descriptors of the process.
+            optional --max-fds count: String
             /// Number of traffic threads.
             optional --threads count: String
             /// Format of log lines: `text` or `json`.
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -93,12 +93,14 @@
     let context = Arc::new(context);
     let callers = CallerConfig {
         max_body_bytes: settings.max_body_bytes,
+        limits: settings.limits,
         ..CallerConfig::default()
     };
     let server = tokio::spawn(server::serve(
         settings.node.traffic_addr,
         callers,
         handler::new(Arc::clone(&context)),
+        SystemClock::shared(),
         settings.node.grace,
         token.clone(),
     ));
