--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -8,7 +8,7 @@
 };
 
 use anyhow::ensure;
-use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio::{io::AsyncWriteExt, net::TcpStream, task::JoinHandle};
 
 use crate::process::Process;
 
@@ -86,13 +86,7 @@
         let written = Arc::clone(&written);
         tokio::spawn(send_body(addr, head, written, total))
     });
-    let clients: Vec<_> = clients.collect();
-    let streams = futures_util::future::join_all(clients).await;
-    streams
-        .into_iter()
-        .filter_map(Result::ok)
-        .flatten()
-        .collect()
+    collect(clients).await
 }
 
 /// Opens a connection and writes a head, then `total` bytes in writes of `written`. A connection that
@@ -119,6 +113,36 @@
     Some(stream)
 }
 
+/// Opens connections that each send `first`, and then `repeated` until `max_sent` bytes are sent, all at
+/// once. Returns once each has sent everything, or can't.
+pub async fn send_repeatedly(
+    addr: SocketAddr,
+    connections: usize,
+    first: &str,
+    repeated: &str,
+    max_sent: usize,
+) -> Crowd {
+    let times = WRITE_BYTES / repeated.len().max(1) + 1;
+    let written = Arc::new(repeated.repeat(times).into_bytes());
+    let total = if repeated.is_empty() { 0 } else { max_sent };
+    let clients = (0..connections).map(|_| {
+        let (head, written) = (first.as_bytes().to_vec(), Arc::clone(&written));
+        tokio::spawn(send_body(addr, head, written, total))
+    });
+    collect(clients).await
+}
+
+/// Waits until all clients have sent what they send.
+async fn collect(clients: impl Iterator<Item = JoinHandle<Option<TcpStream>>>) -> Crowd {
+    let clients: Vec<_> = clients.collect();
+    let streams = futures_util::future::join_all(clients).await;
+    streams
+        .into_iter()
+        .filter_map(Result::ok)
+        .flatten()
+        .collect()
+}
+
 /// Opens connections that each send `bytes` and nothing more, one after the other.
 pub async fn connect_all(addr: SocketAddr, connections: usize, bytes: &[u8]) -> Crowd {
     let mut streams = Vec::new();
