fix(node): the other ports of `serve` and of its agents have bounds, a response that is being sent is no idle one

What callers saw: nothing yet; a crowd at the control port, the operators' port or an agent's port could take every descriptor, attempts at an agent its memory, and HTTP/2, which was never offered, was answered.

Cause: the libraries behind these ports limit neither connections nor buffers; an agent bounded one attempt (16 MB), not all.

Change: `LimitedListener` (was in `jj-caller`) is behind all of them; `--memory` and `--max-fds` are settings of agents as well. An agent receives attempts within the same account of bodies; a refused one is told "may have run", since its key isn't known yet. A control call has 1 MB at most. A connection that begins like HTTP/2 is closed. `serve` refuses a `--max-body` that its memory can't hold.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -119,6 +119,7 @@
         fleet_context: OpenContext {
             platform: settings.node.platform.clone(),
             control_addr: settings.node.control_addr,
+            limits: settings.node.limits,
             clock: Arc::clone(&clock),
             audit: Arc::clone(&audit),
             token: token.clone(),
@@ -159,9 +160,8 @@
         config,
         clock: Arc::clone(&clock),
     };
-    let addr = settings.node.operator_addr;
     let (readiness, status) = (view.readiness(), view.status());
-    operator_port::start(addr, readiness, status, audit, token.clone()).await?;
+    operator_port::start(&settings.node, readiness, status, audit, token.clone())?;
     let probe = probe::poll_reports(
         backend.clone(),
         control.clone(),
@@ -196,7 +196,7 @@
         link: LinkConfig::default(),
     });
     let server = tokio::spawn(traffic::serve(
-        settings.node.traffic_addr,
+        traffic::TrafficPort::bind(&settings.node)?,
         traffic,
         settings.node.grace,
         token.clone(),
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -48,6 +48,10 @@
             optional --tokens count: String
             /// Maximum wait for requests in progress after SIGTERM, such as 60s.
             optional --grace duration: String
+            /// Memory of the process, in bytes.
+            optional --memory bytes: String
+            /// Open file descriptors of the process.
+            optional --max-fds count: String
             /// Number of traffic threads.
             optional --threads count: String
             /// Format of log lines: `text` or `json`.
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -1,10 +1,16 @@
 //! The traffic port: accepts attempts from entries, releases held ones and returns outcomes.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use async_stream::stream;
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream::BoxStream};
+use jj_direct::{
+    body::ResponseEndGuard,
+    body_budget::{BodyBudget, ReceiveError},
+    limited_listener::{CallerConnections, LimitedListener},
+};
+use jj_node::settings::NodeSettings;
 use jj_peer::{
     attempt::{self, ATTEMPTS_PATH, AttemptHead, AttemptRef},
     client::{LinkConfig, RELEASE},
@@ -12,14 +18,17 @@
     frames::{self, CONTENT_TYPE, Failure, Frame},
 };
 use jj_policy::verdict::Verdict;
-use jj_utils::ids::{AttemptId, Incarnation, RequestId};
-use jj_utils::listener::NoDelayAcceptor;
+use jj_utils::{
+    clock::SystemClock,
+    ids::{AttemptId, Incarnation, RequestId},
+};
 use poem::{
     Body, EndpointExt, Response, Route, Server, handler,
     http::StatusCode,
-    web::{Data, Path, Query},
+    web::{Data, Path, Query, RemoteAddr},
 };
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     attempt::{Attempt, ReadStep, Reader},
@@ -38,6 +47,12 @@
 /// Reason of a refusal when the table of attempts is full.
 const TABLE_FULL: &str = "too many attempts";
 
+/// Reason of a refusal when there is no memory for an attempt.
+const NO_MEMORY: &str = "too many large attempts arrive at once";
+
+/// Maximum time to receive an attempt.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Retry delay sent when the table of attempts is full.
 const TABLE_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -61,24 +76,46 @@
     pub link: LinkConfig,
 }
 
+/// The traffic port of an agent: a listener, and the memory for attempts.
+pub struct TrafficPort {
+    listener: LimitedListener,
+    bodies: BodyBudget,
+}
+
+impl TrafficPort {
+    /// Opens the port.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub fn bind(node: &NodeSettings) -> io::Result<Self> {
+        let (addr, clock) = (node.traffic_addr, SystemClock::shared());
+        let limit = node.limits.traffic_connections();
+        Ok(Self {
+            listener: LimitedListener::bind(addr, Arc::clone(&clock), limit)?,
+            bodies: BodyBudget::new(node.limits.body_bytes(), clock),
+        })
+    }
+}
+
 /// Serves attempts until `token` is cancelled, then waits up to `grace` for open connections.
 ///
 /// # Errors
-/// When the address can't be bound.
+/// When the server fails.
 pub async fn serve(
-    addr: SocketAddr,
+    port: TrafficPort,
     traffic: Arc<Traffic>,
     grace: Duration,
     token: CancellationToken,
 ) -> anyhow::Result<()> {
-    let acceptor = NoDelayAcceptor::bind(addr).await?;
     let attempt_path = format!("{ATTEMPTS_PATH}/:request/:attempt/:incarnation");
     let routes = Route::new()
         .at(ATTEMPTS_PATH, poem::post(submit))
         .at(format!("{attempt_path}{RELEASE}"), poem::post(release))
         .at(attempt_path, poem::get(outcome))
-        .data(traffic);
-    let server = Server::new_with_acceptor(acceptor);
+        .data(traffic)
+        .data(port.bodies)
+        .data(port.listener.connections());
+    let server = Server::new_with_acceptor(port.listener);
     server
         .run_with_graceful_shutdown(routes, token.cancelled(), Some(grace))
         .await?;
@@ -86,16 +123,50 @@
 }
 
 #[handler]
-async fn submit(traffic: Data<&Arc<Traffic>>, body: Body) -> Response {
+async fn submit(
+    traffic: Data<&Arc<Traffic>>,
+    bodies: Data<&BodyBudget>,
+    connections: Data<&CallerConnections>,
+    remote: &RemoteAddr,
+    body: Body,
+) -> Response {
     let traffic = Arc::clone(traffic.0);
-    let Ok(bytes) = body.into_bytes_limit(MAX_ATTEMPT_BYTES).await else {
-        return StatusCode::PAYLOAD_TOO_LARGE.into();
+    let owner = xxh3_64(remote.to_string().as_bytes());
+    let received = bodies.receive(owner, MAX_ATTEMPT_BYTES, None, body.into_bytes_stream());
+    let bytes = match tokio::time::timeout(BODY_TIMEOUT, received).await {
+        Ok(Ok(stored)) => stored.into_contiguous(),
+        Ok(Err(ReceiveError::TooLong)) => return StatusCode::PAYLOAD_TOO_LARGE.into(),
+        Ok(Err(ReceiveError::Interrupted(error))) => return bad_request(&error.to_string()),
+        Ok(Err(ReceiveError::NoMemory)) => None,
+        Err(_) => return StatusCode::REQUEST_TIMEOUT.into(),
+    };
+    let Some(bytes) = bytes else {
+        return no_memory();
     };
+    let peer = remote.as_socket_addr();
+    let end = peer.and_then(|peer| connections.begin_request(peer));
+    let response = submit_attempt(traffic, bytes).await;
+    with_end_guard(response, end)
+}
+
+/// Returns the same response with a guard that is dropped once its body has been handed over.
+fn with_end_guard(response: Response, end: Option<ResponseEndGuard>) -> Response {
+    let (parts, body) = response.into_parts();
+    let guarded = body.into_bytes_stream().inspect(move |_| {
+        let _held = &end;
+    });
+    Response::from_parts(parts, Body::from_bytes_stream(guarded))
+}
+
+/// Runs or refuses an attempt, whose bytes have arrived in full.
+async fn submit_attempt(traffic: Arc<Traffic>, bytes: Bytes) -> Response {
     let attempt = match attempt::decode(&bytes) {
         Ok(attempt) => attempt,
         Err(error) => return bad_request(&error.to_string()),
     };
     let attempt::Attempt { head, body } = attempt;
+    // The bytes that count as the process's memory, not the copy.
+    let body = bytes.slice(bytes.len() - body.len()..);
     if head.id.incarnation != traffic.incarnation {
         let reason = "the attempt was sent to another incarnation of this agent";
         return failure_response(verdict_before_key_check(&head), reason);
@@ -164,6 +235,11 @@
     }
 }
 
+/// Returns the refusal of an attempt for whose bytes there is no memory now. Nothing is known of its key.
+fn no_memory() -> Response {
+    failure_response(Verdict::MayHaveRun, NO_MEMORY)
+}
+
 fn table_full() -> Response {
     failure_response(
         Verdict::NotRun {
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -3,7 +3,6 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod answer;
-pub mod connections;
 pub mod problem;
 pub mod request;
 pub mod server;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -4,9 +4,12 @@
 
 use futures_util::future::BoxFuture;
 use jj_direct::{
-    body::ResponseEndGuard, body_budget::BodyBudget, connection_table::ConnectionPhase,
+    body::ResponseEndGuard,
+    body_budget::BodyBudget,
+    connection_table::ConnectionPhase,
+    limited_listener::{CallerConnections, LimitedListener},
 };
-use jj_utils::{clock::SharedClock, listener::NoDelayAcceptor};
+use jj_utils::clock::SharedClock;
 use poem::{
     Request, Response, Server,
     endpoint::{self, Endpoint},
@@ -15,7 +18,6 @@
 
 use crate::{
     answer::Answer,
-    connections::{CallerConnections, LimitedAcceptor},
     problem::Refusal,
     request::{self, CallerConfig, CallerRequest},
 };
@@ -36,20 +38,15 @@
     grace: Duration,
     token: CancellationToken,
 ) -> anyhow::Result<()> {
-    let connections = CallerConnections::default();
-    let acceptor = LimitedAcceptor::new(
-        NoDelayAcceptor::bind(addr).await?,
-        clock.clone(),
-        connections.clone(),
-        config.limits.traffic_connections(),
-    );
+    let limit = config.limits.traffic_connections();
+    let listener = LimitedListener::bind(addr, clock.clone(), limit)?;
     let port = Arc::new(Port {
         bodies: BodyBudget::new(config.limits.body_bytes(), clock),
         config,
-        connections,
+        connections: listener.connections(),
         handler,
     });
-    let server = Server::new_with_acceptor(acceptor).idle_timeout(port.config.idle_timeout);
+    let server = Server::new_with_acceptor(listener).idle_timeout(port.config.idle_timeout);
     server
         .run_with_graceful_shutdown(endpoint(port), token.cancelled(), Some(grace))
         .await?;
--- a/crates/direct/src/body.rs
+++ b/crates/direct/src/body.rs
@@ -31,16 +31,16 @@
 /// Body of a response to a caller.
 pub struct ResponseBody {
     content: Content,
-    /// Marks the connection as idle when the body is dropped.
+    /// Marks the response as complete when the body is dropped.
     _end: Option<ResponseEndGuard>,
 }
 
-/// Sets the phase of a connection to idle when dropped, which is when its response has ended.
+/// Sets the phase of a connection when dropped, which is when its response is complete.
 pub struct ResponseEndGuard(pub SharedConnectionStatus);
 
 impl Drop for ResponseEndGuard {
     fn drop(&mut self) {
-        self.0.set(ConnectionPhase::Idle);
+        self.0.set(ConnectionPhase::Flushing);
     }
 }
 
--- a/crates/direct/src/caller_io.rs
+++ b/crates/direct/src/caller_io.rs
@@ -116,6 +116,7 @@
     ) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &written {
             self.written_bytes += bytes;
+            self.status.record_sent();
         }
         if self.written_bytes >= MIN_WRITE_BYTES {
             self.end_write_stall();
@@ -170,7 +171,7 @@
         self.check_header_timeout(cx)?;
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if buffer.filled().len() > before && self.status.phase() == ConnectionPhase::Idle {
+        if buffer.filled().len() > before && self.status.is_between_requests() {
             self.status.set(ConnectionPhase::Head);
             self.header_timer = Some(Box::pin(sleep(self.config.header_timeout)));
         }
@@ -204,6 +205,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // All bytes are with the kernel.
         self.end_write_stall();
+        self.status.record_flushed();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/direct/src/connection_table.rs
+++ b/crates/direct/src/connection_table.rs
@@ -27,6 +27,8 @@
     Body,
     /// A request that has arrived in full is being handled.
     Busy,
+    /// The response is complete, and its last bytes are being sent.
+    Flushing,
     /// The last response has been sent.
     Closing,
 }
@@ -64,6 +66,12 @@
         matches!(self.phase(), ConnectionPhase::Body | ConnectionPhase::Busy)
     }
 
+    /// Returns whether the next bytes are those of a new request.
+    pub fn is_between_requests(&self) -> bool {
+        let phase = self.phase();
+        matches!(phase, ConnectionPhase::Idle | ConnectionPhase::Flushing)
+    }
+
     /// Sets the phase, which begins now, or goes on from now. A connection on which a head arrives has
     /// waited since its last response.
     pub fn set(&self, phase: ConnectionPhase) {
@@ -74,12 +82,28 @@
         }
     }
 
+    /// Records that bytes were sent.
+    pub fn record_sent(&self) {
+        let mut current = lock(&self.current);
+        if current.0 == ConnectionPhase::Flushing {
+            current.1 = self.clock.now();
+        }
+    }
+
+    /// Records that all bytes were sent: a connection whose response is complete waits for a request.
+    pub fn record_flushed(&self) {
+        let mut current = lock(&self.current);
+        if current.0 == ConnectionPhase::Flushing {
+            *current = (ConnectionPhase::Idle, self.clock.now());
+        }
+    }
+
     /// Returns the state by which it is decided which connection is closed.
     fn state(&self) -> ConnectionState {
         let (phase, since) = *lock(&self.current);
         let current = match phase {
             ConnectionPhase::Idle | ConnectionPhase::Head => ConnectionUse::Waiting,
-            ConnectionPhase::Body => ConnectionUse::ReceivingBody,
+            ConnectionPhase::Body | ConnectionPhase::Flushing => ConnectionUse::Transferring,
             ConnectionPhase::Busy => ConnectionUse::Busy,
             ConnectionPhase::Closing => ConnectionUse::Closing,
         };
@@ -139,7 +163,10 @@
     pub async fn add(self: &Arc<Self>, limit: usize) -> Option<TrackedConnection> {
         while self.len() >= limit {
             self.log_full(limit);
-            self.close_one()?;
+            // The end of one that was told to close is waited for before another one is.
+            if !self.is_closing_one() {
+                self.close_one()?;
+            }
             self.ended.notified().await;
         }
         // A quarter below the limit, so that a connection that comes and goes isn't logged each time.
@@ -164,8 +191,7 @@
     /// Has the connection closed that is worth least; `None` if all have a request.
     fn close_one(&self) -> Option<()> {
         let entries = lock(&self.entries);
-        let open = entries.iter().filter(|(_, it)| !it.close.is_cancelled());
-        let states = open.map(|(id, it)| (*id, it.status.state()));
+        let states = entries.iter().map(|(id, it)| (*id, it.status.state()));
         let Some(id) = connection_limit::choose_closed(self.clock.now(), states) else {
             count_refused();
             return None;
@@ -175,6 +201,12 @@
         Some(())
     }
 
+    fn is_closing_one(&self) -> bool {
+        lock(&self.entries)
+            .values()
+            .any(|it| it.close.is_cancelled())
+    }
+
     fn len(&self) -> usize {
         lock(&self.entries).len()
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fetch;
 pub mod header_codec;
 pub mod instance_settings;
+pub mod limited_listener;
 pub mod metrics_port;
 pub mod pool;
 pub mod response_budget;
--- a/crates/caller/src/connections.rs
+++ b/crates/direct/src/limited_listener.rs
@@ -1,5 +1,5 @@
-//! Connections of callers: at the limit, one that waits is closed for each new one, and the head of a
-//! request is bounded. The HTTP library behind this port offers neither.
+//! Listener for ports behind an HTTP library that limits neither connections nor heads nor buffers: at the
+//! limit, a connection that waits is closed for each new one, and the head of a request is bounded.
 
 use std::{
     io,
@@ -9,24 +9,34 @@
     task::{Context, Poll, ready},
 };
 
-use jj_direct::connection_table::{
-    ConnectionPhase, ConnectionTable, SharedConnectionStatus, TrackedConnection,
-};
-use jj_utils::{clock::SharedClock, collections::FastMap, listener::NoDelayAcceptor};
+use jj_utils::{clock::SharedClock, collections::FastMap};
 use poem::{
+    Addr,
     http::uri::Scheme,
     listener::Acceptor,
     web::{LocalAddr, RemoteAddr},
 };
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
 };
 use tokio_util::sync::WaitForCancellationFutureOwned;
 
+use crate::{
+    body::ResponseEndGuard,
+    connection_table::{
+        ConnectionPhase, ConnectionTable, SharedConnectionStatus, TrackedConnection,
+    },
+    socket,
+};
+
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// First bytes of an HTTP/2 connection, which no request of HTTP/1.1 begins with. The library would speak
+/// it, with buffers of a megabyte and hundreds of requests for each connection.
+const HTTP2_PREFACE: &[u8] = b"PRI ";
+
 /// Largest read, in bytes: the library's buffers grow with what a read returns.
 const MAX_READ_BYTES: u64 = 16 * 1024;
 
@@ -40,53 +50,66 @@
         self.lock().get(peer).cloned()
     }
 
+    /// Marks the connection from an address as one on which a request is handled, until the guard is
+    /// dropped.
+    pub fn begin_request(&self, peer: &SocketAddr) -> Option<ResponseEndGuard> {
+        let status = self.status(peer)?;
+        status.set(ConnectionPhase::Busy);
+        Some(ResponseEndGuard(status))
+    }
+
     fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, SharedConnectionStatus>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Acceptor that keeps to a number of connections.
-pub struct LimitedAcceptor {
-    inner: NoDelayAcceptor,
+/// Listener that keeps to a number of connections.
+pub struct LimitedListener {
+    listener: TcpListener,
     table: Arc<ConnectionTable>,
     connections: CallerConnections,
     limit: usize,
 }
 
-impl LimitedAcceptor {
-    /// Limits the connections of an acceptor, which are listed in `connections`.
-    pub fn new(
-        inner: NoDelayAcceptor,
-        clock: SharedClock,
-        connections: CallerConnections,
-        limit: usize,
-    ) -> Self {
-        Self {
-            inner,
+impl LimitedListener {
+    /// Listens on `addr` for up to `limit` connections at once.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub fn bind(addr: SocketAddr, clock: SharedClock, limit: usize) -> io::Result<Self> {
+        Ok(Self {
+            listener: socket::listen(addr)?,
             table: ConnectionTable::shared(clock),
-            connections,
+            connections: CallerConnections::default(),
             limit,
-        }
+        })
     }
-}
 
-impl Acceptor for LimitedAcceptor {
-    type Io = CallerStream;
+    /// Returns the open connections.
+    pub fn connections(&self) -> CallerConnections {
+        self.connections.clone()
+    }
 
-    fn local_addr(&self) -> Vec<LocalAddr> {
-        self.inner.local_addr()
+    /// Returns the address of the listener.
+    ///
+    /// # Errors
+    /// When the socket can't be asked.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
     }
 
-    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+    /// Accepts the next connection, for which another one is closed at the limit.
+    ///
+    /// # Errors
+    /// When no connection can be accepted.
+    pub async fn accept_next(&self) -> io::Result<(CallerStream, SocketAddr)> {
         loop {
-            let (stream, local, remote, scheme) = self.inner.accept().await?;
+            let (stream, peer) = self.listener.accept().await?;
             // One that is not added is closed before anything of it is read.
             let Some(tracked) = self.table.add(self.limit).await else {
                 continue;
             };
-            let Ok(peer) = stream.peer_addr() else {
-                continue;
-            };
+            socket::prepare_accepted(&stream);
             let connections = self.connections.clone();
             connections.lock().insert(peer, Arc::clone(&tracked.status));
             let closed = Box::pin(tracked.close.clone().cancelled_owned());
@@ -97,12 +120,29 @@
                 tracked,
                 closed,
                 head_bytes: 0,
+                preface_bytes: Some(0),
             };
-            return Ok((io, local, remote, scheme));
+            return Ok((io, peer));
         }
     }
 }
 
+impl Acceptor for LimitedListener {
+    type Io = CallerStream;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        let addr = self.listener.local_addr().map(Addr::SocketAddr);
+        addr.into_iter().map(LocalAddr).collect()
+    }
+
+    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+        let (io, peer) = self.accept_next().await?;
+        let local = LocalAddr(Addr::SocketAddr(self.listener.local_addr()?));
+        let remote = RemoteAddr(Addr::SocketAddr(peer));
+        Ok((io, local, remote, Scheme::HTTP))
+    }
+}
+
 /// Connection of a caller, which leaves its list on drop.
 pub struct CallerStream {
     stream: TcpStream,
@@ -112,6 +152,9 @@
     closed: Pin<Box<WaitForCancellationFutureOwned>>,
     /// Bytes received of a request's head so far.
     head_bytes: usize,
+    /// Number of bytes at the start of the connection that are those of [`HTTP2_PREFACE`]; `None` once
+    /// one is not.
+    preface_bytes: Option<usize>,
 }
 
 impl Drop for CallerStream {
@@ -129,14 +172,33 @@
         }
     }
 
+    /// Returns an error if the connection begins like one of HTTP/2.
+    fn check_protocol(&mut self, received: &[u8]) -> io::Result<()> {
+        let Some(mut matched) = self.preface_bytes else {
+            return Ok(());
+        };
+        for byte in received {
+            if HTTP2_PREFACE[matched] != *byte {
+                self.preface_bytes = None;
+                return Ok(());
+            }
+            matched += 1;
+            if matched == HTTP2_PREFACE.len() {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+        }
+        self.preface_bytes = Some(matched);
+        Ok(())
+    }
+
     /// Counts the bytes of a head that has not arrived in full, up to [`MAX_HEAD_BYTES`].
     fn count_head(&mut self, received: usize) -> io::Result<()> {
         let status = &self.tracked.status;
+        if received > 0 && status.is_between_requests() {
+            status.set(ConnectionPhase::Head);
+            self.head_bytes = 0;
+        }
         match status.phase() {
-            ConnectionPhase::Idle if received > 0 => {
-                status.set(ConnectionPhase::Head);
-                self.head_bytes = received;
-            }
             ConnectionPhase::Head => self.head_bytes += received,
             _ => self.head_bytes = 0,
         }
@@ -157,6 +219,7 @@
         let before = buffer.filled().len();
         let mut part = AsyncReadExt::take(&mut self.stream, MAX_READ_BYTES);
         ready!(Pin::new(&mut part).poll_read(cx, buffer))?;
+        self.check_protocol(&buffer.filled()[before..])?;
         let received = buffer.filled().len() - before;
         Poll::Ready(self.count_head(received))
     }
@@ -169,7 +232,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check_open(cx)?;
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
+        self.tracked.status.record_sent();
+        Poll::Ready(written)
     }
 
     fn poll_write_vectored(
@@ -178,7 +243,9 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check_open(cx)?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, parts));
+        self.tracked.status.record_sent();
+        Poll::Ready(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -186,6 +253,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.tracked.status.record_flushed();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -242,7 +242,7 @@
     let mut idle_polls = 0;
     while idle_polls < max_idle_polls && !status.has_request() {
         // A head that has begun to arrive is limited by the header timeout instead.
-        idle_polls += u128::from(status.phase() == ConnectionPhase::Idle);
+        idle_polls += u128::from(status.phase() != ConnectionPhase::Head);
         tokio::time::sleep(LAST_REQUEST_POLL).await;
     }
 }
--- a/crates/direct/src/socket.rs
+++ b/crates/direct/src/socket.rs
@@ -27,7 +27,10 @@
 /// # Errors
 /// When the address can't be bound.
 pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
     socket.set_reuseaddr(true)?;
     // Connections inherit it; else the kernel holds megabytes for a caller whose bytes aren't read.
     socket.set_recv_buffer_size(RECEIVE_WINDOW_BYTES as u32)?;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -64,6 +64,7 @@
         opening: OpenContext {
             platform: settings.node.platform.clone(),
             control_addr: settings.node.control_addr,
+            limits: settings.node.limits,
             clock: Arc::clone(&clock),
             audit: Arc::clone(&audit),
             token: token.clone(),
@@ -74,14 +75,7 @@
     let config = control::start(control).await?;
     let prefixes = Arc::new(SharedPrefixIndex::default());
     let (readiness, status) = operator_endpoints(&view, &config, &draining, &prefixes, &settings);
-    operator_port::start(
-        settings.node.operator_addr,
-        readiness,
-        status,
-        audit,
-        token.clone(),
-    )
-    .await?;
+    operator_port::start(&settings.node, readiness, status, audit, token.clone())?;
     let client = AgentClient::new(LinkConfig::default())?;
     let seed = rand::random();
     let identity = EntryIdentity {
@@ -93,7 +87,7 @@
     let context = Arc::new(context);
     let callers = CallerConfig {
         max_body_bytes: settings.max_body_bytes,
-        limits: settings.limits,
+        limits: settings.node.limits,
         ..CallerConfig::default()
     };
     let server = tokio::spawn(server::serve(
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jj_node::{node_flags, settings::NodeSettings};
-use jj_policy::process_limits::{MIN_DESCRIPTORS, MIN_MEMORY_BYTES, ProcessLimits};
+use jj_policy::{body_memory::BodyMemoryConfig, process_limits::ProcessLimits};
 use jj_utils::settings::{EnvLookup, SettingsReader};
 
 use crate::cli::Serve;
@@ -17,8 +17,6 @@
     pub address_lifetime: Duration,
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
-    /// Memory and descriptors of the process.
-    pub limits: ProcessLimits,
 }
 
 impl Settings {
@@ -31,7 +29,6 @@
         let node = NodeSettings::read(&mut reader, node_flags!(flags));
         let address_lifetime = reader.duration("lifetime", flags.lifetime, Duration::from_secs(10));
         let max_body_bytes = reader.optional("max-body", flags.max_body, 1024 * 1024);
-        let limits = read_limits(&mut reader, flags.memory, flags.max_fds);
         reader.check(
             address_lifetime >= Duration::from_secs(1),
             "--lifetime: must be at least 1s",
@@ -40,35 +37,29 @@
             (1..=16 << 20).contains(&max_body_bytes),
             "--max-body: must be 1 to 16777216",
         );
+        if let Some(node) = &node {
+            check_body_fits(&mut reader, &node.limits, max_body_bytes);
+        }
         reader.finish()?;
         let missing = || anyhow::anyhow!("a required setting is missing");
         Ok(Self {
             node: node.ok_or_else(missing)?,
             address_lifetime,
             max_body_bytes,
-            limits,
         })
     }
 }
 
-/// Reads the memory and the descriptors that the process may have.
-fn read_limits(
-    reader: &mut SettingsReader<'_>,
-    memory: Option<String>,
-    max_fds: Option<String>,
-) -> ProcessLimits {
-    let default = ProcessLimits::default();
-    let limits = ProcessLimits {
-        memory_bytes: reader.optional("memory", memory, default.memory_bytes),
-        descriptors: reader.optional("max-fds", max_fds, default.descriptors),
+/// Checks that the largest body fits the memory for bodies. It is held twice for a moment, in segments
+/// and in one piece.
+fn check_body_fits(reader: &mut SettingsReader<'_>, limits: &ProcessLimits, max_body: usize) {
+    let config = BodyMemoryConfig {
+        capacity: limits.body_bytes(),
+        ..BodyMemoryConfig::default()
     };
+    let max = config.large_capacity() / 2;
     reader.check(
-        limits.memory_bytes >= MIN_MEMORY_BYTES,
-        format!("--memory: must be at least {MIN_MEMORY_BYTES}"),
+        max_body <= max,
+        format!("--max-body: must be at most {max} with this --memory"),
     );
-    reader.check(
-        limits.descriptors >= MIN_DESCRIPTORS,
-        format!("--max-fds: must be at least {MIN_DESCRIPTORS}"),
-    );
-    limits
 }
--- a/crates/front/src/request_handler.rs
+++ b/crates/front/src/request_handler.rs
@@ -17,6 +17,7 @@
     body_memory::OwnerId,
     catalog::{AuthorizedRequest, Catalog, Denied, TrafficLimits},
     gossip::EntryState,
+    process_limits::ProcessLimits,
 };
 use jj_utils::{clock::Timestamp, events, log_event};
 use xxhash_rust::xxh3::Xxh3;
@@ -64,10 +65,13 @@
     }
 }
 
-/// Returns the limits of connections at the ports for the system and its operators.
-pub fn auxiliary_server_config(shared: &SharedState) -> ServerConfig {
+/// Returns the limits of a port for the system or its operators, which has this share of connections.
+pub fn auxiliary_config(
+    shared: &SharedState,
+    max_connections: fn(&ProcessLimits) -> usize,
+) -> ServerConfig {
     ServerConfig {
-        max_connections: shared.settings().limits.auxiliary_connections(),
+        max_connections: max_connections(&shared.settings().limits),
         ..ServerConfig::default()
     }
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -26,7 +26,7 @@
     auxiliary_ports, dispatch, peer_datagrams, request_handler, shared_state::SharedState,
     store_sync,
 };
-use jj_policy::gossip::EntryState;
+use jj_policy::{gossip::EntryState, process_limits::ProcessLimits};
 
 /// Time after SIGTERM in which new connections are accepted, since callers may have cached the
 /// address: one that finds an open port gets its request served or learns at once that it was not run.
@@ -77,12 +77,15 @@
         .traffic
         .context("the settings name no listen address for callers")?;
     let auxiliary_handler = auxiliary_ports::handler(Rc::clone(&shared), metrics.clone());
-    for addr in auxiliary_addrs(&own)
-        .into_iter()
-        .chain(options.metrics_addrs.clone())
-    {
-        let limits = Rc::clone(&shared);
-        let config = move || request_handler::auxiliary_server_config(&limits);
+    let metrics_addrs = options.metrics_addrs.iter().copied();
+    let auxiliary_addrs = auxiliary_addrs(&own).into_iter().chain(metrics_addrs);
+    for addr in auxiliary_addrs {
+        let max_connections = match Some(addr) == own.listen.control {
+            true => ProcessLimits::control_connections,
+            false => ProcessLimits::auxiliary_connections,
+        };
+        let limited = Rc::clone(&shared);
+        let config = move || request_handler::auxiliary_config(&limited, max_connections);
         let handler = Rc::clone(&auxiliary_handler);
         metrics_port::start(addr, shared.clock.clone(), config, handler)?;
     }
--- a/crates/lab/src/experiments/leader_bytes.rs
+++ b/crates/lab/src/experiments/leader_bytes.rs
@@ -22,6 +22,7 @@
     group::{ReplyWire, RequestWire},
 };
 use jj_platform::config_reader::ConfigView;
+use jj_policy::process_limits::ProcessLimits;
 use jj_policy::{
     expert_map::{ExpertMap, GroupShape, diff_slots},
     group_leader::{Leader, LeaderConfig, LeaderInput, LeaderOutput},
@@ -29,6 +30,7 @@
     rebalance::{RebalanceConfig, Rebalancer, repack},
     rebalance_replay::{MapPolicy, PopularityTrace},
 };
+use jj_utils::clock::SystemClock;
 use jj_utils::ids::{ExpertId, Rank};
 use tokio::{
     io::copy_bidirectional,
@@ -254,7 +256,12 @@
             async move { reply }.boxed()
         })),
     };
-    let handle = control_port::serve(port, control).await?;
+    let handle = control_port::serve(
+        port,
+        SystemClock::shared(),
+        &ProcessLimits::default(),
+        control,
+    )?;
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let client = control_client::build_client(listener.local_addr()?)?;
     let relayed = async {
--- a/crates/lab/tests/caller_crowds.rs
+++ b/crates/lab/tests/caller_crowds.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use googletest::prelude::*;
+use jj_peer::attempt::ATTEMPTS_PATH;
 use jujube_lab::{
     caller::{Call, Caller, Outcome},
     crowd::{Body, Bounds, connect_all, send_bodies},
@@ -12,6 +13,7 @@
     process::wait_until,
     publication::API_KEY,
 };
+use tokio::io::AsyncReadExt;
 
 /// Largest body that the entry of these tests allows, in bytes.
 const MAX_BODY: usize = 4 << 20;
@@ -34,11 +36,9 @@
     sockets: MAX_FDS - FILE_FDS,
 };
 
-/// Returns the flags with which the entry is started.
-fn entry_flags() -> Vec<String> {
+/// Returns the flags that limit a process.
+fn limit_flags() -> Vec<String> {
     args([
-        "--max-body",
-        &MAX_BODY.to_string(),
         "--memory",
         &MEMORY_BYTES.to_string(),
         "--max-fds",
@@ -46,12 +46,19 @@
     ])
 }
 
+/// Returns the flags with which the entry is started.
+fn entry_flags() -> Vec<String> {
+    let max_body = args(["--max-body", &MAX_BODY.to_string()]);
+    [max_body, limit_flags()].concat()
+}
+
 async fn start() -> anyhow::Result<Fleet> {
     let mut fleet = Fleet::start(FleetConfig {
         entries: 1,
         engines: 1,
         services: 1,
         entry_flags: entry_flags(),
+        agent_flags: limit_flags(),
         ..FleetConfig::default()
     })
     .await?;
@@ -59,10 +66,12 @@
     Ok(fleet)
 }
 
-/// Checks the bounds of the entry.
+/// Checks the bounds of the entry and of the agent of the plain service.
 fn check(fleet: &mut Fleet, what: &str) -> anyhow::Result<()> {
-    let entry = &mut fleet.entries[0];
-    BOUNDS.check(&mut entry.process, entry.listed.traffic.ip(), what)
+    for node in [&mut fleet.entries[0], &mut fleet.services[0].agent] {
+        BOUNDS.check(&mut node.process, node.listed.traffic.ip(), what)?;
+    }
+    Ok(())
 }
 
 /// Waits until an ordinary request is answered.
@@ -127,6 +136,57 @@
     play_bodies(Body::TooLongInChunks).await
 }
 
+/// A connection of HTTP/2 has many requests and a window of a megabyte; nothing here offers it.
+#[gtest]
+#[tokio::test]
+async fn connection_of_http_2_is_closed_without_an_answer() -> anyhow::Result<()> {
+    let fleet = start().await?;
+    let addr = fleet.entries[0].listed.traffic;
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+
+    let mut crowd = connect_all(addr, 1, preface).await;
+    let mut answer = [0; 64];
+    // A reset ends it as well.
+    let length = crowd[0].read(&mut answer).await.unwrap_or_default();
+
+    expect_that!(length, eq(0));
+    wait_until_served(&fleet, "afterwards").await
+}
+
+/// Plays a crowd that sends bodies of [`MAX_BODY`] bytes, without their last 7, to a path of another port.
+async fn play_bodies_at(addr: fn(&Fleet) -> SocketAddr, path: &str) -> anyhow::Result<()> {
+    let mut fleet = start().await?;
+    let addr = addr(&fleet);
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\n\
+         content-length: {MAX_BODY}\r\n\r\n"
+    );
+
+    let heads = (0..BODIES).map(|_| head.clone().into_bytes());
+    let crowd = send_bodies(addr, heads, Body::Short, MAX_BODY).await;
+    check(&mut fleet, "with the crowd")?;
+    wait_until_served(&fleet, "beside the crowd").await?;
+    drop(crowd);
+
+    check(&mut fleet, "after the crowd")
+}
+
+#[gtest]
+#[tokio::test]
+async fn bodies_at_an_agent_stay_within_the_memory() -> anyhow::Result<()> {
+    play_bodies_at(
+        |fleet| fleet.services[0].agent.listed.traffic,
+        ATTEMPTS_PATH,
+    )
+    .await
+}
+
+#[gtest]
+#[tokio::test]
+async fn bodies_at_the_control_port_of_an_entry_stay_within_the_memory() -> anyhow::Result<()> {
+    play_bodies_at(|fleet| fleet.entries[0].listed.control, "/").await
+}
+
 /// Plays a crowd that sends `bytes` on each connection.
 async fn play_connections(addr: fn(&Fleet) -> SocketAddr, bytes: &[u8]) -> anyhow::Result<()> {
     let mut fleet = start().await?;
@@ -153,3 +213,30 @@
     let half = b"GET /desk/entries/1 HTTP/1.1\r\nhost: entry\r\nx-more: ";
     play_connections(|fleet| fleet.entries[0].listed.traffic, half).await
 }
+
+#[gtest]
+#[tokio::test]
+async fn silent_connections_at_the_control_port_stay_within_the_descriptors() -> anyhow::Result<()>
+{
+    play_connections(|fleet| fleet.entries[0].listed.control, b"").await
+}
+
+#[gtest]
+#[tokio::test]
+async fn silent_connections_at_the_operator_port_stay_within_the_descriptors() -> anyhow::Result<()>
+{
+    play_connections(|fleet| fleet.entries[0].operator, b"").await
+}
+
+#[gtest]
+#[tokio::test]
+async fn silent_connections_at_an_agent_stay_within_the_descriptors() -> anyhow::Result<()> {
+    play_connections(|fleet| fleet.services[0].agent.listed.traffic, b"").await
+}
+
+#[gtest]
+#[tokio::test]
+async fn silent_connections_at_the_control_port_of_an_agent_stay_within_the_descriptors()
+-> anyhow::Result<()> {
+    play_connections(|fleet| fleet.services[0].agent.listed.control, b"").await
+}
--- a/crates/node/src/control_port.rs
+++ b/crates/node/src/control_port.rs
@@ -1,21 +1,28 @@
 //! The control port: a JSON-RPC server for the other processes of the system.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use futures_util::future::BoxFuture;
 
+use jj_direct::limited_listener::LimitedListener;
 use jj_peer::{
     control::{ControlServer, ManifestWire},
     group::{ReplyWire, RequestWire},
 };
 use jj_platform::config_reader::ConfigView;
-use jj_utils::ids::ConfigIndex;
+use jj_policy::process_limits::ProcessLimits;
+use jj_utils::{clock::SharedClock, ids::ConfigIndex};
 use jsonrpsee::{
     core::{RpcResult, async_trait},
-    server::{Server, ServerHandle},
+    server::{
+        Server, ServerConfig, ServerHandle, StopHandle, serve_with_graceful_shutdown, stop_channel,
+    },
 };
 use tokio::sync::watch;
 
+/// Pause after a failed accept, for instance when no file descriptor is free.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Handles a request of a group's leader; returns the reply, if any.
 pub type GroupHandler =
     Arc<dyn Fn(RequestWire) -> BoxFuture<'static, Option<ReplyWire>> + Send + Sync>;
@@ -60,11 +67,50 @@
     }
 }
 
+/// Largest control call, in bytes: a whole map of a group of 4,096 ranks has less.
+const MAX_CALL_BYTES: u32 = 1 << 20;
+
 /// Serves control calls until the handle is stopped or dropped.
 ///
 /// # Errors
 /// If the address can't be bound.
-pub async fn serve(addr: SocketAddr, port: ControlPort) -> anyhow::Result<ServerHandle> {
-    let server = Server::builder().build(addr).await?;
-    Ok(server.start(port.into_rpc()))
+pub fn serve(
+    addr: SocketAddr,
+    clock: SharedClock,
+    limits: &ProcessLimits,
+    port: ControlPort,
+) -> anyhow::Result<ServerHandle> {
+    let limit = limits.control_connections();
+    let listener = LimitedListener::bind(addr, clock, limit)?;
+    let (stop, handle) = stop_channel();
+    tokio::spawn(accept_calls(listener, port, stop));
+    Ok(handle)
+}
+
+/// Accepts connections and serves their calls until the port is stopped.
+async fn accept_calls(listener: LimitedListener, port: ControlPort, stop: StopHandle) {
+    let config = ServerConfig::builder()
+        .max_request_body_size(MAX_CALL_BYTES)
+        .http_only()
+        .build();
+    let service = Server::builder().set_config(config).to_service_builder();
+    let methods = port.into_rpc();
+    let mut stopped = pin!(stop.clone().shutdown());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept_next() => accepted,
+            () = &mut stopped => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let service = service.clone().build(methods.clone(), stop.clone());
+                let stopped = stop.clone().shutdown();
+                tokio::spawn(serve_with_graceful_shutdown(stream, service, stopped));
+            }
+            Err(error) => {
+                log::warn!("accepting a control call failed: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -52,7 +52,8 @@
         config: follower.config.clone(),
         group: own.group.clone(),
     };
-    let port = control_port::serve(context.control_addr, port).await?;
+    let clock = Arc::clone(&context.clock);
+    let port = control_port::serve(context.control_addr, clock, &context.limits, port)?;
     let clock = Arc::clone(&context.clock);
     let heartbeats = Heartbeats::bind(context.control_addr, clock, own.incarnation)?;
     let config = FleetConfig::default();
--- a/crates/node/src/fleet_config.rs
+++ b/crates/node/src/fleet_config.rs
@@ -5,7 +5,9 @@
 use jj_operator::audit::AuditTrail;
 use jj_peer::control::LoadReport;
 use jj_platform::wire::Role;
-use jj_policy::{coverage::CoverageConfig, membership::MembershipConfig};
+use jj_policy::{
+    coverage::CoverageConfig, membership::MembershipConfig, process_limits::ProcessLimits,
+};
 use jj_utils::{
     clock::SharedClock,
     ids::{FailureDomainId, Incarnation, InstanceId},
@@ -83,6 +85,8 @@
     pub platform: String,
     /// Address that receives control calls and heartbeats.
     pub control_addr: SocketAddr,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
     /// Process clock.
     pub clock: SharedClock,
     /// Audit trail that records changes.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use jj_policy::process_limits::{MIN_DESCRIPTORS, MIN_MEMORY_BYTES, ProcessLimits};
 use jj_utils::{
     ids::{FailureDomainId, InstanceId},
     logging::LogFormat,
@@ -28,6 +29,10 @@
     pub grace: Option<String>,
     /// `--threads`.
     pub threads: Option<String>,
+    /// `--memory`.
+    pub memory: Option<String>,
+    /// `--max-fds`.
+    pub max_fds: Option<String>,
     /// `--log-format`.
     pub log_format: Option<String>,
     /// `--log-level`.
@@ -47,6 +52,8 @@
             operator_addr: $flags.operator_addr,
             grace: $flags.grace,
             threads: $flags.threads,
+            memory: $flags.memory,
+            max_fds: $flags.max_fds,
             log_format: $flags.log_format,
             log_level: $flags.log_level,
         }
@@ -72,6 +79,8 @@
     pub grace: Duration,
     /// Number of traffic threads.
     pub threads: usize,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
     /// Log format.
     pub log_format: LogFormat,
     /// Minimum log level.
@@ -89,6 +98,7 @@
         let operator_addr = reader.required("operator-addr", flags.operator_addr);
         let grace = reader.duration("grace", flags.grace, Duration::from_secs(60));
         let threads = reader.optional("threads", flags.threads, 2);
+        let limits = read_limits(reader, flags.memory, flags.max_fds);
         let log_format = reader.optional("log-format", flags.log_format, LogFormat::Text);
         let log_level = reader.optional("log-level", flags.log_level, LevelFilter::Info);
         reader.check(
@@ -104,12 +114,35 @@
             operator_addr: operator_addr?,
             grace,
             threads,
+            limits,
             log_format,
             log_level,
         })
     }
 }
 
+/// Reads the memory and the descriptors that the process may have.
+fn read_limits(
+    reader: &mut SettingsReader<'_>,
+    memory: Option<String>,
+    max_fds: Option<String>,
+) -> ProcessLimits {
+    let default = ProcessLimits::default();
+    let limits = ProcessLimits {
+        memory_bytes: reader.optional("memory", memory, default.memory_bytes),
+        descriptors: reader.optional("max-fds", max_fds, default.descriptors),
+    };
+    reader.check(
+        limits.memory_bytes >= MIN_MEMORY_BYTES,
+        format!("--memory: must be at least {MIN_MEMORY_BYTES}"),
+    );
+    reader.check(
+        limits.descriptors >= MIN_DESCRIPTORS,
+        format!("--max-fds: must be at least {MIN_DESCRIPTORS}"),
+    );
+    limits
+}
+
 /// Reads a required base URL.
 pub fn read_url(
     reader: &mut SettingsReader<'_>,
--- a/crates/operator/src/port.rs
+++ b/crates/operator/src/port.rs
@@ -6,7 +6,7 @@
 use poem::{
     EndpointExt, IntoEndpoint, Response, Route, Server, get, handler,
     http::StatusCode,
-    listener::TcpAcceptor,
+    listener::{Acceptor, TcpAcceptor},
     web::{Data, Json},
 };
 use tokio_util::sync::CancellationToken;
@@ -59,21 +59,20 @@
     token: CancellationToken,
 ) -> anyhow::Result<()> {
     let listener = tokio::net::TcpListener::bind(addr).await?;
-    serve_on(listener, context, token).await
+    serve_on(TcpAcceptor::from_tokio(listener)?, context, token).await
 }
 
-/// Serves the port on a bound listener until the token is cancelled.
+/// Serves the port on a listener until the token is cancelled.
 ///
 /// # Errors
 /// If the listener fails.
 pub async fn serve_on(
-    listener: tokio::net::TcpListener,
+    listener: impl Acceptor + 'static,
     context: PortContext,
     token: CancellationToken,
 ) -> anyhow::Result<()> {
     let upkeep = run_upkeep_loop(context.metrics.clone(), token.clone());
-    let server =
-        Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?).idle_timeout(IDLE_TIMEOUT);
+    let server = Server::new_with_acceptor(listener).idle_timeout(IDLE_TIMEOUT);
     let closed = token.cancelled_owned();
     let served = server.run_with_graceful_shutdown(routes(context), closed, Some(CLOSE_TIMEOUT));
     let ((), served) = tokio::join!(upkeep, served);
--- a/crates/operator/tests/port.rs
+++ b/crates/operator/tests/port.rs
@@ -11,6 +11,7 @@
     port::{PortContext, install_metrics, serve_on},
 };
 use jj_utils::events;
+use poem::listener::TcpAcceptor;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -83,7 +84,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let base = format!("http://{}", listener.local_addr().unwrap());
     let token = CancellationToken::new();
-    let served = tokio::spawn(serve_on(listener, context, token.clone()));
+    let served = tokio::spawn(serve_on(
+        TcpAcceptor::from_tokio(listener).unwrap(),
+        context,
+        token.clone(),
+    ));
     metrics::counter!("jujube_test_total").increment(3);
 
     assert_eq!(get(&base, "/healthz").await.status, 200);
--- a/crates/policy/src/connection_limit.rs
+++ b/crates/policy/src/connection_limit.rs
@@ -10,8 +10,9 @@
 /// Number of a connection, unique within its port.
 pub type ConnectionId = u64;
 
-/// Time without progress after which a connection is closed in the middle of a request's body.
-const MAX_BODY_STALL: Duration = Duration::from_millis(500);
+/// Time without progress after which a connection is closed in the middle of a request's body or of a
+/// response.
+const MAX_TRANSFER_STALL: Duration = Duration::from_millis(500);
 
 common_derives! {copy:
     /// What a connection is doing.
@@ -20,8 +21,8 @@
         Closing,
         /// It waits for a request, or for the rest of its head.
         Waiting,
-        /// The body of a request is arriving.
-        ReceivingBody,
+        /// The body of a request is arriving, or the last bytes of a response are being sent.
+        Transferring,
         /// A request that has arrived in full is being handled.
         Busy,
     }
@@ -32,13 +33,13 @@
     pub struct ConnectionState {
         /// What it is doing.
         pub current: ConnectionUse,
-        /// When it began to, or when the last bytes of a body arrived.
+        /// When it began to, or when bytes were last transferred.
         pub since: Timestamp,
     }
 }
 
 /// Returns the connection that is closed for a new one: one that closes anyway, or has waited longest
-/// for a request, or has stalled longest within a body. A request that is being handled goes on, so that
+/// for a request, or has stalled longest in a transfer. A request that is being handled goes on, so that
 /// there may be none.
 pub fn choose_closed(
     now: Timestamp,
@@ -48,7 +49,7 @@
         let since = now.saturating_sub(state.since);
         match state.current {
             ConnectionUse::Closing | ConnectionUse::Waiting => true,
-            ConnectionUse::ReceivingBody => since >= MAX_BODY_STALL,
+            ConnectionUse::Transferring => since >= MAX_TRANSFER_STALL,
             ConnectionUse::Busy => false,
         }
     });
--- a/crates/policy/src/process_limits.rs
+++ b/crates/policy/src/process_limits.rs
@@ -64,19 +64,25 @@
 
     /// Returns the maximum number of connections at the port for callers' requests.
     pub fn traffic_connections(&self) -> usize {
-        let by_memory = self.connections_by_memory() / 4 * 3;
-        by_memory.min(self.sockets() / 8 * 3)
+        let by_memory = self.connections_by_memory() * 60 / 100;
+        by_memory.min(self.sockets() * 35 / 100)
+    }
+
+    /// Returns the maximum number of connections at the port for the system's other processes.
+    pub fn control_connections(&self) -> usize {
+        let by_memory = self.connections_by_memory() * 20 / 100;
+        by_memory.min(self.sockets() * 12 / 100)
     }
 
     /// Returns the maximum number of connections at each other port.
     pub fn auxiliary_connections(&self) -> usize {
-        let by_memory = self.connections_by_memory() / 20;
-        by_memory.min(self.sockets() / 40)
+        let by_memory = self.connections_by_memory() * 5 / 100;
+        by_memory.min(self.sockets() * 2 / 100)
     }
 
     /// Returns the maximum number of connections to servers.
     pub fn server_connections(&self) -> usize {
-        self.sockets() / 8 * 3
+        self.sockets() * 30 / 100
     }
 
     fn shared_bytes(&self) -> usize {
--- a/crates/policy/tests/connection_limit.rs
+++ b/crates/policy/tests/connection_limit.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use jj_policy::connection_limit::{
     ConnectionId, ConnectionState,
-    ConnectionUse::{self, Busy, Closing, ReceivingBody, Waiting},
+    ConnectionUse::{self, Busy, Closing, Transferring, Waiting},
     choose_closed,
 };
 
@@ -25,9 +25,9 @@
 fn closes_what_ends_anyway_then_what_waited_longest_then_what_stalls() {
     let mut connections = vec![
         connection(1, Busy, 9_000),
-        connection(2, ReceivingBody, 800),
-        connection(3, ReceivingBody, 900),
-        connection(4, ReceivingBody, 400),
+        connection(2, Transferring, 800),
+        connection(3, Transferring, 900),
+        connection(4, Transferring, 400),
         connection(5, Waiting, 10),
         connection(6, Waiting, 3_000),
         connection(7, Closing, 0),
--- a/crates/policy/tests/process_limits.rs
+++ b/crates/policy/tests/process_limits.rs
@@ -6,8 +6,8 @@
     process_limits::{MIN_DESCRIPTORS, MIN_MEMORY_BYTES, ProcessLimits, RECEIVE_WINDOW_BYTES},
 };
 
-/// Ports of an entry besides the one for callers' requests.
-const OTHER_PORTS: usize = 5;
+/// Ports of an entry besides those for callers' requests and for the system's other processes.
+const OTHER_PORTS: usize = 4;
 
 /// Sockets for the store, other entries, listening and signals.
 const OTHER_SOCKETS: usize = 12;
@@ -33,8 +33,9 @@
 #[gtest]
 fn all_shares_together_fit_the_machine() {
     for limits in machines() {
-        let connections =
-            limits.traffic_connections() + OTHER_PORTS * limits.auxiliary_connections();
+        let connections = limits.traffic_connections()
+            + limits.control_connections()
+            + OTHER_PORTS * limits.auxiliary_connections();
 
         let sockets = connections + limits.server_connections() + OTHER_SOCKETS;
         let windows = connections * RECEIVE_WINDOW_BYTES;
--- a/crates/utils/src/lib.rs
+++ b/crates/utils/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod events;
 pub mod ids;
 pub mod limited_body;
-pub mod listener;
 pub mod log_output;
 pub mod logging;
 pub mod settings;
