--- a/crates/lab/tests/caller_crowds.rs
+++ b/crates/lab/tests/caller_crowds.rs
@@ -8,7 +8,7 @@
 use jj_peer::attempt::ATTEMPTS_PATH;
 use jujube_lab::{
     caller::{Call, Caller, Outcome},
-    crowd::{Body, Bounds, connect_all, send_bodies},
+    crowd::{Body, Bounds, Crowd, connect_all, send_bodies},
     fleet::{Fleet, FleetConfig, args},
     process::wait_until,
     publication::API_KEY,
@@ -87,6 +87,16 @@
         .context(what.to_owned())
 }
 
+/// Checks that the processes keep their bounds and answer ordinary requests beside a crowd and after it.
+async fn check_beside_and_after(mut fleet: Fleet, crowd: Crowd) -> anyhow::Result<()> {
+    check(&mut fleet, "with the crowd")?;
+    wait_until_served(&fleet, "beside the crowd").await?;
+    check(&mut fleet, "beside the crowd")?;
+    drop(crowd);
+    wait_until_served(&fleet, "after the crowd").await?;
+    check(&mut fleet, "after the crowd")
+}
+
 /// Returns the head of a request with a body.
 fn head(body: Body, key: &str) -> Vec<u8> {
     let (name, value) = body.header(MAX_BODY);
@@ -99,17 +109,13 @@
 
 /// Plays a crowd that sends bodies.
 async fn play_bodies(body: Body) -> anyhow::Result<()> {
-    let mut fleet = start().await?;
+    let fleet = start().await?;
     let addr = fleet.entries[0].listed.traffic;
 
     let heads = (0..BODIES).map(|_| head(body, API_KEY));
     let crowd = send_bodies(addr, heads, body, MAX_BODY).await;
-    check(&mut fleet, "with the crowd")?;
-    wait_until_served(&fleet, "beside the crowd").await?;
-    drop(crowd);
-    wait_until_served(&fleet, "after the crowd").await?;
 
-    check(&mut fleet, "after the crowd")
+    check_beside_and_after(fleet, crowd).await
 }
 
 #[gtest]
@@ -155,7 +161,7 @@
 
 /// Plays a crowd that sends bodies of [`MAX_BODY`] bytes, without their last 7, to a path of another port.
 async fn play_bodies_at(addr: fn(&Fleet) -> SocketAddr, path: &str) -> anyhow::Result<()> {
-    let mut fleet = start().await?;
+    let fleet = start().await?;
     let addr = addr(&fleet);
     let head = format!(
         "POST {path} HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\n\
@@ -164,11 +170,8 @@
 
     let heads = (0..BODIES).map(|_| head.clone().into_bytes());
     let crowd = send_bodies(addr, heads, Body::Short, MAX_BODY).await;
-    check(&mut fleet, "with the crowd")?;
-    wait_until_served(&fleet, "beside the crowd").await?;
-    drop(crowd);
 
-    check(&mut fleet, "after the crowd")
+    check_beside_and_after(fleet, crowd).await
 }
 
 #[gtest]
@@ -189,16 +192,12 @@
 
 /// Plays a crowd that sends `bytes` on each connection.
 async fn play_connections(addr: fn(&Fleet) -> SocketAddr, bytes: &[u8]) -> anyhow::Result<()> {
-    let mut fleet = start().await?;
+    let fleet = start().await?;
     let addr = addr(&fleet);
 
     let crowd = connect_all(addr, CONNECTIONS, bytes).await;
-    check(&mut fleet, "with the crowd")?;
-    wait_until_served(&fleet, "beside the crowd").await?;
-    drop(crowd);
-    wait_until_served(&fleet, "after the crowd").await?;
 
-    check(&mut fleet, "after the crowd")
+    check_beside_and_after(fleet, crowd).await
 }
 
 #[gtest]
