fix(front): an entry reads all items as soon as the store's changes can't be had, and no later than its backoff

What callers saw: after the store had come back from a copy, entries that it turned away followed the new era late, through the one entry that reached it; requests on a new route got 404 meanwhile.

Ruled out: a shorter backoff, since calls to a store that is away are priced.

Change: a full read follows in the same step when the changes can't be had (new era, compacted); the pause before the next look ends with the backoff. No call more than before.

--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -72,7 +72,7 @@
     loop {
         sync.step().await;
         tokio::select! {
-            () = tokio::time::sleep(CHECK_INTERVAL) => {}
+            () = tokio::time::sleep(sync.pause()) => {}
             () = sync.shared.store_read_requested.notified() => {}
         }
     }
@@ -110,6 +110,14 @@
         self.drop_expired();
     }
 
+    /// Returns the time until the next check whether a read is due: at the end of a backoff, if that is
+    /// soon.
+    fn pause(&self) -> Duration {
+        let backoff = self.not_before.checked_sub(self.shared.clock.now());
+        let backoff = backoff.filter(|it| !it.is_zero());
+        backoff.unwrap_or(CHECK_INTERVAL).min(CHECK_INTERVAL)
+    }
+
     /// Returns whether the replica is so old that this process should read the store. The age
     /// from which it reads grows with its position among the live entries, so that usually one
     /// entry reads for all.
@@ -122,30 +130,34 @@
         now >= replica.verified_at + store_reader::read_age(&self.config, before)
     }
 
-    /// Reads the store: changes if the replica is complete up to a revision, else all items.
+    /// Reads the store: changes if the replica is complete up to a revision, else all items, also at once
+    /// if the changes since that revision can't be had.
     async fn read(&mut self) {
-        let started_at = self.shared.clock.now();
+        let mut started_at = self.shared.clock.now();
         let known = self
             .shared
             .replica
             .borrow()
             .position
             .filter(|_| !self.needs_full_read);
-        let result = match known {
+        let mut result = match known {
             Some(position) => self.watch(position).await,
             None => self.read_all().await,
         };
+        if matches!(&result, Err(StoreError::Compacted)) {
+            log_event!(
+                events::STORE_COMPACTED,
+                at = known.unwrap_or_default().revision;
+                "store has compacted the revision; reading all items"
+            );
+        }
+        if matches!(&result, Err(StoreError::Compacted | StoreError::EraChanged)) {
+            self.needs_full_read = true;
+            started_at = self.shared.clock.now();
+            result = self.read_all().await;
+        }
         match result {
             Ok(waited) => self.record_success(started_at + waited),
-            Err(StoreError::Compacted) => {
-                log_event!(
-                    events::STORE_COMPACTED,
-                    at = known.unwrap_or_default().revision;
-                    "store has compacted the revision; reading all items"
-                );
-                self.needs_full_read = true;
-            }
-            Err(StoreError::EraChanged) => self.needs_full_read = true,
             Err(error) => self.record_failure(&error),
         }
     }
