--- a/crates/entry/tests/commands.rs
+++ b/crates/entry/tests/commands.rs
@@ -80,3 +80,27 @@
 
     expect_that!(missing, is_empty());
 }
+
+#[gtest]
+fn limits_of_an_entry_that_are_too_low_are_named() {
+    let required = "serve --instance a --domain b --platform http://127.0.0.1:1 \
+        --traffic-addr 127.0.0.1:0 --control-addr 127.0.0.1:0 --operator-addr 127.0.0.1:0";
+    let cases = [
+        ("--memory 63999999", "--memory: must be at least 64000000"),
+        ("--max-fds 299", "--max-fds: must be at least 300"),
+        (
+            "--max-body 16777216 --memory 64000000",
+            "--max-body: must be at most 3600000 with this --memory",
+        ),
+    ];
+    for (flags, expected) in cases {
+        let words = required.split_whitespace();
+        let args: Vec<&str> = words.chain(flags.split(' ')).collect();
+
+        let output = run(&args);
+
+        let message = String::from_utf8_lossy(&output.stderr).into_owned();
+        expect_that!(output.status.code(), some(eq(2)), "{flags}");
+        expect_that!(message, contains_substring(expected), "{flags}");
+    }
+}
