Review: a request that crashes servers after its first event (case 11)

Cause: a request counts as the possible cause of a crash only if its server is lost before the first event; later the end is taken for a broken stream and is resumed at the next server.

--- a/review/standins-3/cold_again.rs
+++ b/review/standins-3/cold_again.rs
@@ -79,7 +79,7 @@
     deployment.store.put("op/config", &config(&Config::default()));
     let warm: Handler = Arc::new(|received| {
         thread::sleep(WORK);
-        Some(received.response("200 OK", "", "lodged"))
+        received.response("200 OK", "", "lodged")
     });
     let server = Server::start(deployment.allocate_ip(), DESK, "i-warm", warm)?;
     deployment.store.put("servers/i-warm", &server.ready_entry(1));
@@ -169,6 +169,6 @@
             server.end();
         }
         thread::sleep(WORK);
-        Some(received.response("200 OK", "", "lodged"))
+        received.response("200 OK", "", "lodged")
     })
 }
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -10,6 +10,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
+    thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -60,6 +61,7 @@
 /// A request as a server received it.
 pub struct Received<'a> {
     pub head: &'a Head,
+    pub body: &'a [u8],
     pub at: Instant,
 }
 
@@ -69,19 +71,32 @@
     }
 
     /// Returns a response of this server with a status and more header lines.
-    pub fn response(&self, status: &str, more: &str, body: &str) -> Vec<u8> {
-        let (id, length) = (self.id(), body.len());
+    pub fn response(&self, status: &str, more: &str, body: &str) -> Vec<Step> {
+        let length = format!("Content-Length: {}", body.len());
+        let head = self.head(status, &format!("{more}{length}\r\n"));
+        vec![Step::Send(format!("{head}{body}").into_bytes())]
+    }
+
+    /// Returns the head of a response of this server with a status and more header lines.
+    pub fn head(&self, status: &str, more: &str) -> String {
+        let id = self.id();
         format!(
             "HTTP/1.1 {status}\r\nJujubejunction-Request-Id: {id}\r\n\
-             Jujubejunction-Response-Signature: 3e1b.07.{id}\r\n{more}\
-             Content-Length: {length}\r\n\r\n{body}"
+             Jujubejunction-Response-Signature: 3e1b.07.{id}\r\n{more}\r\n"
         )
-        .into_bytes()
     }
 }
 
-/// Returns the bytes of the response to a request; `None` closes the connection.
-pub type Handler = Arc<dyn Fn(&Received) -> Option<Vec<u8>> + Send + Sync>;
+/// Step of a response.
+pub enum Step {
+    Send(Vec<u8>),
+    Pause(Duration),
+    /// Runs something, for instance what ends the server.
+    Run(Box<dyn Fn()>),
+}
+
+/// Returns the steps of the response to a request.
+pub type Handler = Arc<dyn Fn(&Received) -> Vec<Step> + Send + Sync>;
 
 /// A server that runs in this process. A request for another instance is answered 421.
 #[derive(Clone)]
@@ -95,9 +110,19 @@
 
 impl Server {
     pub fn start(ip: IpAddr, service: &'static str, id: &str, handler: Handler) -> io::Result<Self> {
+        Self::start_at(SocketAddr::new(ip, 0), service, id, handler)
+    }
+
+    /// Starts a server at an address, for instance again after its end.
+    pub fn start_at(
+        addr: SocketAddr,
+        service: &'static str,
+        id: &str,
+        handler: Handler,
+    ) -> io::Result<Self> {
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
         let own = id.to_owned();
-        let (addr, port) = Port::open(ip, move |stream| {
+        let (addr, port) = Port::open_at(addr, move |stream| {
             let _ = serve(stream, &own, &handler);
         })?;
         Ok(Self {
@@ -143,18 +168,28 @@
     let mut reader = BufReader::new(stream);
     while let Ok(Some(head)) = http::read_head(&mut reader) {
         let at = Instant::now();
-        http::read_body(&mut reader, &head, false).ok()?;
-        let received = Received { head: &head, at };
+        let body = http::read_body(&mut reader, &head, false).ok()?;
+        let received = Received {
+            head: &head,
+            body: &body,
+            at,
+        };
         let target = head.get("jujubejunction-target-instance");
-        let response = match target.is_none_or(|it| it == id) {
-            true => handler(&received)?,
+        let steps = match target.is_none_or(|it| it == id) {
+            true => handler(&received),
             false => received.response(
                 "421 Misdirected Request",
                 "Jujubejunction-Not-Executed: 1\r\n",
                 "",
             ),
         };
-        reader.get_mut().write_all(&response).ok()?;
+        for step in steps {
+            match step {
+                Step::Send(bytes) => reader.get_mut().write_all(&bytes).ok()?,
+                Step::Pause(time) => thread::sleep(time),
+                Step::Run(it) => it(),
+            }
+        }
     }
     Some(())
 }
@@ -166,6 +201,18 @@
     pub front: SocketAddr,
 }
 
+impl Entry {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) -> io::Result<()> {
+        let process = self.child.id().to_string();
+        let status = Command::new("kill").args([signal, &process]).status()?;
+        match status.success() {
+            true => Ok(()),
+            false => Err(io::Error::other("a signal can't be sent")),
+        }
+    }
+}
+
 impl Drop for Entry {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -278,11 +325,7 @@
         let ips: Vec<IpAddr> = self.entries.iter().map(|it| it.ip).collect();
         for entry in &self.entries {
             self.write_settings(entry.ip, &ips)?;
-            let process = entry.child.id().to_string();
-            let status = Command::new("kill").args(["-HUP", &process]).status()?;
-            if !status.success() {
-                return Err(io::Error::other("SIGHUP can't be sent"));
-            }
+            entry.signal("-HUP")?;
             self.record.note(&format!("entry {} has new settings and gets SIGHUP", entry.ip));
         }
         Ok(())
@@ -393,8 +436,8 @@
     }
 }
 
-/// Returns a configuration with an idempotent route (`/read/`) and one whose requests may run once
-/// (`/lodge/`).
+/// Returns a configuration with an idempotent route (`/read/`), one whose requests may run once
+/// (`/lodge/`), one of streams that can't be resumed (`/draft/`) and one of streams that can (`/chat/`).
 pub fn config(config: &Config) -> String {
     let route = |path: &str, kind: &str, attempts: u32, service: &str| {
         format!(
@@ -403,6 +446,12 @@
              \"service\":\"{service}\",\"maxAttempts\":{attempts},\"anonymous\":false}}"
         )
     };
+    let stream = |path: &str, more: &str, attempts: u32| {
+        let plain = "\"timeoutMs\":4000,\"targetLatencyMs\":300";
+        let times = "\"timeoutMs\":8000,\"targetLatencyMs\":400,\"gapTargetMs\":120";
+        let route = route(path, "streaming", attempts, DESK);
+        route.replace(plain, &format!("{times}{more}"))
+    };
     let service = |name: &str| {
         format!(
             "{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConnections\":328,\
@@ -417,6 +466,8 @@
     let routes = [
         route("read", "idempotent", 2, DESK),
         route("lodge", "non_idempotent", 1, lodge_service),
+        stream("draft", "", 1),
+        stream("chat", ",\"streamResume\":true", 2),
     ];
     let (routes, services) = (routes.join(","), [service(DESK), service(OTHER_DESK)].join(","));
     format!(
--- a/review/standins-3/leaving_entry.rs
+++ b/review/standins-3/leaving_entry.rs
@@ -45,7 +45,7 @@
             true => "Server-Leaving: 1\r\n",
             false => "",
         };
-        Some(received.response("200 OK", more, &format!("lodged by {id}")))
+        received.response("200 OK", more, &format!("lodged by {id}"))
     })
 }
 
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,6 +5,7 @@
 mod cold_again;
 mod deployment;
 mod http;
+mod late_crash;
 mod leaving_entry;
 mod moved_store;
 mod port;
@@ -24,6 +25,7 @@
 
 fn case_named(name: &str) -> Option<Case> {
     Some(match name {
+        "late-crash" => late_crash::play,
         "leaving-entry" => leaving_entry::play,
         "cold-again" => cold_again::play,
         "moved-store" => moved_store::play,
--- a/review/standins-3/moved_store.rs
+++ b/review/standins-3/moved_store.rs
@@ -32,7 +32,7 @@
     Arc::new(move |received| {
         record.note(&format!("service {service} runs {}", received.id()));
         runs.lock().unwrap().push(received.id().to_owned());
-        Some(received.response("200 OK", "", "lodged"))
+        received.response("200 OK", "", "lodged")
     })
 }
 
--- a/review/standins-3/port.rs
+++ b/review/standins-3/port.rs
@@ -27,7 +27,15 @@
         ip: IpAddr,
         serve: impl Fn(TcpStream) + Send + Sync + 'static,
     ) -> io::Result<(SocketAddr, Self)> {
-        let listener = TcpListener::bind((ip, 0))?;
+        Self::open_at(SocketAddr::new(ip, 0), serve)
+    }
+
+    /// Listens on an address, as [`Self::open`] does.
+    pub fn open_at(
+        addr: SocketAddr,
+        serve: impl Fn(TcpStream) + Send + Sync + 'static,
+    ) -> io::Result<(SocketAddr, Self)> {
+        let listener = TcpListener::bind(addr)?;
         let addr = listener.local_addr()?;
         listener.set_nonblocking(true)?;
         let port = Self::default();
--- a/review/standins-3/raised_limit.rs
+++ b/review/standins-3/raised_limit.rs
@@ -41,7 +41,7 @@
     };
     deployment.store.put("op/config", &config(&old));
     let handler: Handler =
-        std::sync::Arc::new(|received| Some(received.response("200 OK", "", "lodged")));
+        std::sync::Arc::new(|received| received.response("200 OK", "", "lodged"));
     let server = Server::start(deployment.allocate_ip(), DESK, "i-1", handler)?;
     deployment.store.put("servers/i-1", &server.ready_entry(1));
     deployment.start_entries(1)?;
