--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -10,6 +10,7 @@
 mod moved_store;
 mod port;
 mod raised_limit;
+mod silent_stream;
 mod store;
 
 use std::{
@@ -30,6 +31,7 @@
         "cold-again" => cold_again::play,
         "moved-store" => moved_store::play,
         "raised-limit" => raised_limit::play,
+        "silent-stream" => silent_stream::play,
         _ => return None,
     })
 }
