--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -1,11 +1,12 @@
 //! A small deployment on loopback addresses: entries as processes of their own, a store and servers.
 
 use std::{
-    fs::{self, File},
+    fs::{self, File, OpenOptions},
     io::{self, BufReader, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    collections::HashMap,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -22,6 +23,8 @@
 
 pub const HOST: &str = "ficu95.example";
 pub const API_KEY: &str = "n2ctnfzs989anu6wsjnb";
+/// Key of the same tenant that a case may take away.
+pub const OTHER_KEY: &str = "w7m0xkq2ehv41udz8tpa";
 pub const ZONE: &str = "nam-a";
 /// Services of the deployment.
 pub const DESK: &str = "lohu930";
@@ -225,6 +228,8 @@
     pub store: Store,
     /// Address at which the entries that are started read the store.
     pub store_address: StoreAddress,
+    /// Addresses of the same store for single entries, where these have one of their own.
+    pub own_store_addresses: HashMap<IpAddr, SocketAddr>,
     pub record: Record,
     pub entries: Vec<Entry>,
     folder: PathBuf,
@@ -253,6 +258,7 @@
         let store = Store::default();
         Ok(Self {
             store_address: store.listen(own_ip(1))?,
+            own_store_addresses: HashMap::new(),
             store,
             record,
             entries: Vec::new(),
@@ -270,8 +276,13 @@
     /// Starts entries that know each other, and waits until they are ready.
     pub fn start_entries(&mut self, count: usize) -> io::Result<()> {
         let ips: Vec<IpAddr> = (0..count).map(|_| self.allocate_ip()).collect();
-        for ip in &ips {
-            let entry = self.start_entry(*ip, &ips)?;
+        self.start_entries_at(&ips)
+    }
+
+    /// Starts entries at addresses, as [`Self::start_entries`] does.
+    pub fn start_entries_at(&mut self, ips: &[IpAddr]) -> io::Result<()> {
+        for ip in ips {
+            let entry = self.start_entry(*ip, ips)?;
             self.entries.push(entry);
         }
         for entry in &self.entries {
@@ -289,13 +300,25 @@
         Ok(())
     }
 
+    /// Starts an entry again if it has exited; returns whether it had.
+    pub fn start_again_if_exited(&mut self, index: usize) -> io::Result<bool> {
+        if self.entries[index].child.try_wait()?.is_none() {
+            return Ok(false);
+        }
+        let ips: Vec<IpAddr> = self.entries.iter().map(|it| it.ip).collect();
+        self.entries[index] = self.start_entry(ips[index], &ips)?;
+        self.record.note(&format!("entry {} is started again", ips[index]));
+        Ok(true)
+    }
+
     fn start_entry(&self, ip: IpAddr, all: &[IpAddr]) -> io::Result<Entry> {
         for port in [FRONT_PORT, READINESS_PORT, CONTROL_PORT, DIRECTORY_PORT, METRICS_PORT] {
             TcpListener::bind((ip, port))?;
         }
         UdpSocket::bind((ip, INTERNAL_PORTS.0))?;
         let path = self.write_settings(ip, all)?;
-        let log = File::create(self.folder.join(format!("{ip}.log")))?;
+        let log = self.folder.join(format!("{ip}.log"));
+        let log = OpenOptions::new().create(true).append(true).open(log)?;
         // The command of the role `entry` in deploy/system.toml.
         let child = Command::new(self.repository.join("target/release/jujubejunction"))
             .args(["front", "--log-level", "debug", "--metrics-addr"])
@@ -316,7 +339,8 @@
     /// Writes the settings file of an entry, with the present address of the store.
     fn write_settings(&self, ip: IpAddr, all: &[IpAddr]) -> io::Result<PathBuf> {
         let path = self.folder.join(format!("{ip}.toml"));
-        fs::write(&path, settings(ip, all, self.store_address.addr))?;
+        let own = self.own_store_addresses.get(&ip);
+        fs::write(&path, settings(ip, all, *own.unwrap_or(&self.store_address.addr)))?;
         Ok(path)
     }
 
@@ -424,6 +448,8 @@
     pub header_bytes: u32,
     /// Service of the route whose requests may run once.
     pub lodge_service: &'static str,
+    /// Keys of the tenant.
+    pub keys: &'static [&'static str],
 }
 
 impl Default for Config {
@@ -432,6 +458,7 @@
             version: 3,
             header_bytes: 8_192,
             lodge_service: DESK,
+            keys: &[API_KEY],
         }
     }
 }
@@ -462,7 +489,10 @@
         version,
         header_bytes,
         lodge_service,
+        keys,
     } = config;
+    let keys = keys.iter().map(|it| format!("\"{it}\""));
+    let keys = keys.collect::<Vec<_>>().join(",");
     let routes = [
         route("read", "idempotent", 2, DESK),
         route("lodge", "non_idempotent", 1, lodge_service),
@@ -474,7 +504,7 @@
         "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{services}],\
          \"limits\":{{\"maxHeaderBytes\":{header_bytes},\"maxBodyBytes\":4194304,\
          \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
-         \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"{API_KEY}\"]}}]}}"
+         \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[{keys}]}}]}}"
     )
 }
 
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,6 +4,7 @@
 
 mod cold_again;
 mod deployment;
+mod false_freshness;
 mod http;
 mod late_crash;
 mod leaving_entry;
@@ -26,6 +27,7 @@
 
 fn case_named(name: &str) -> Option<Case> {
     Some(match name {
+        "false-freshness" => false_freshness::play,
         "late-crash" => late_crash::play,
         "leaving-entry" => leaving_entry::play,
         "cold-again" => cold_again::play,
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -5,7 +5,10 @@
     collections::BTreeMap,
     io::{self, BufReader, Write},
     net::{IpAddr, SocketAddr, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -23,8 +26,10 @@
     revision: u64,
     /// Changes by revision; no value for a removal.
     history: Vec<(u64, String, Option<Vec<u8>>)>,
-    /// Range reads and watches by the caller's address.
-    calls: BTreeMap<(IpAddr, &'static str), u32>,
+    /// Range reads and watches by the address at which they came in.
+    calls: BTreeMap<(SocketAddr, &'static str), u32>,
+    /// Answered calls: when they came, and at which address.
+    answered: Vec<(Instant, SocketAddr)>,
 }
 
 /// A store that runs in this process.
@@ -37,6 +42,7 @@
 pub struct StoreAddress {
     pub addr: SocketAddr,
     port: Port,
+    is_refusing: Arc<AtomicBool>,
 }
 
 impl StoreAddress {
@@ -44,16 +50,27 @@
     pub fn close(&self) {
         self.port.close();
     }
+
+    /// Answers each call at this address with 429 from now on.
+    pub fn refuse(&self) {
+        self.is_refusing.store(true, Ordering::SeqCst);
+    }
 }
 
 impl Store {
     /// Opens an address of the store.
     pub fn listen(&self, ip: IpAddr) -> io::Result<StoreAddress> {
         let store = self.clone();
+        let is_refusing = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&is_refusing);
         let (addr, port) = Port::open(ip, move |stream| {
-            let _ = store.serve(stream);
+            let _ = store.serve(stream, &flag);
         })?;
-        Ok(StoreAddress { addr, port })
+        Ok(StoreAddress {
+            addr,
+            port,
+            is_refusing,
+        })
     }
 
     /// Writes an item.
@@ -68,20 +85,30 @@
         changed.notify_all();
     }
 
-    /// Returns how often each caller has read or watched.
+    /// Returns the calls answered since a moment: how many seconds after it, and at which address.
+    pub fn answered_since(&self, moment: Instant) -> Vec<(f64, SocketAddr)> {
+        let state = self.shared.0.lock().unwrap();
+        let since = state.answered.iter().filter(|it| it.0 > moment);
+        since.map(|it| ((it.0 - moment).as_secs_f64(), it.1)).collect()
+    }
+
+    /// Returns how often the store was read or watched at each address.
     pub fn calls(&self) -> String {
         let state = self.shared.0.lock().unwrap();
         let calls = state.calls.iter();
-        let calls = calls.map(|((ip, call), count)| format!("{ip} {call} {count}"));
+        let calls = calls.map(|((addr, call), count)| format!("{addr} {call} {count}"));
         calls.collect::<Vec<_>>().join(", ")
     }
 
-    fn serve(&self, stream: TcpStream) -> Option<()> {
+    fn serve(&self, stream: TcpStream, is_refusing: &AtomicBool) -> Option<()> {
         stream.set_nodelay(true).ok()?;
-        let peer = stream.peer_addr().ok()?.ip();
+        let at = stream.local_addr().ok()?;
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = http::read_head(&mut reader) {
-            let (status, body) = self.handle(peer, &head);
+            let (status, body) = match is_refusing.load(Ordering::SeqCst) {
+                true => (429, "{}".to_owned()),
+                false => self.handle(at, &head),
+            };
             let text = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\n\
                  Content-Length: {}\r\n\r\n{body}",
@@ -92,7 +119,7 @@
         Some(())
     }
 
-    fn handle(&self, peer: IpAddr, head: &Head) -> (u16, String) {
+    fn handle(&self, at: SocketAddr, head: &Head) -> (u16, String) {
         let (path, query) = head.word(1).split_once('?').unwrap_or((head.word(1), ""));
         let query: BTreeMap<&str, String> = query
             .split('&')
@@ -102,11 +129,11 @@
         let get = |name: &str| query.get(name).cloned().unwrap_or_default();
         match path {
             "/jujubejunction/kv-range" => {
-                self.count(peer, "range");
+                self.count(at, "range");
                 (200, self.range(&get("pathPrefix"), &get("afterRev")))
             }
             "/jujubejunction/kv-watch" => {
-                self.count(peer, "watch");
+                self.count(at, "watch");
                 let wait = Duration::from_millis(get("waitMs").parse().unwrap_or_default());
                 let after = get("afterRev").parse().unwrap_or_default();
                 (200, self.watch(&get("pathPrefix"), after, wait))
@@ -115,9 +142,10 @@
         }
     }
 
-    fn count(&self, peer: IpAddr, call: &'static str) {
+    fn count(&self, at: SocketAddr, call: &'static str) {
         let mut state = self.shared.0.lock().unwrap();
-        *state.calls.entry((peer, call)).or_default() += 1;
+        *state.calls.entry((at, call)).or_default() += 1;
+        state.answered.push((Instant::now(), at));
     }
 
     fn range(&self, prefix: &str, after: &str) -> String {
