--- a/review/standins-3/cold_again.rs
+++ b/review/standins-3/cold_again.rs
@@ -45,21 +45,43 @@
 type Arrivals = Arc<Mutex<Vec<(Instant, String)>>>;
 
 /// Returns the most requests that were sent and arrived inside one second of a time.
-fn most_per_second(arrivals: &[(Instant, String)], sent: &HashMap<String, Instant>, from: Instant, to: Instant) -> usize {
-    let times = arrivals.iter().filter_map(|(at, id)| Some((*sent.get(id)?, *at)));
-    let times: Vec<(Instant, Instant)> = times.filter(|(sent, at)| *sent >= from && *at <= to).collect();
+fn most_per_second(
+    arrivals: &[(Instant, String)],
+    sent: &HashMap<String, Instant>,
+    from: Instant,
+    to: Instant,
+) -> usize {
+    let times = arrivals
+        .iter()
+        .filter_map(|(at, id)| Some((*sent.get(id)?, *at)));
+    let times: Vec<(Instant, Instant)> = times
+        .filter(|(sent, at)| *sent >= from && *at <= to)
+        .collect();
     let count = |start: Instant| {
-        let inside = times.iter().filter(|(sent, at)| *sent >= start && *at <= start + SECOND);
+        let inside = times
+            .iter()
+            .filter(|(sent, at)| *sent >= start && *at <= start + SECOND);
         inside.count()
     };
-    times.iter().map(|(sent, _)| count(*sent)).max().unwrap_or_default()
+    times
+        .iter()
+        .map(|(sent, _)| count(*sent))
+        .max()
+        .unwrap_or_default()
 }
 
-fn client(front: std::net::SocketAddr, sent: Sent, end: Instant, record: crate::deployment::Record) {
+fn client(
+    front: std::net::SocketAddr,
+    sent: Sent,
+    end: Instant,
+    record: crate::deployment::Record,
+) {
     let mut connection = Connection::open(front).ok();
     while Instant::now() < end {
         let request = Request::new("POST", "/lodge/2f", 4_000, "", "presentation");
-        sent.lock().unwrap().insert(request.id.clone(), Instant::now());
+        sent.lock()
+            .unwrap()
+            .insert(request.id.clone(), Instant::now());
         let answer = match &mut connection {
             Some(it) => it.send(&request.bytes, Duration::from_secs(5)),
             None => Err(io::ErrorKind::NotConnected.into()),
@@ -76,13 +98,17 @@
 }
 
 pub fn play(deployment: &mut Deployment, is_troubled: bool) -> io::Result<bool> {
-    deployment.store.put("op/config", &config(&Config::default()));
+    deployment
+        .store
+        .put("op/config", &config(&Config::default()));
     let warm: Handler = Arc::new(|received| {
         thread::sleep(WORK);
         received.response("200 OK", "", "lodged")
     });
     let server = Server::start(deployment.allocate_ip(), DESK, "i-warm", warm)?;
-    deployment.store.put("servers/i-warm", &server.ready_entry(1));
+    deployment
+        .store
+        .put("servers/i-warm", &server.ready_entry(1));
     deployment.start_entries(ENTRIES)?;
     let (sent, arrivals) = (Sent::default(), Arrivals::default());
     let end = Instant::now() + Duration::from_secs(12);
@@ -118,10 +144,18 @@
         if is_due {
             sequence += 1;
             next_heartbeat = now + HEARTBEAT;
-            let left = cold_until.lock().unwrap().saturating_duration_since(now).as_millis();
+            let left = cold_until
+                .lock()
+                .unwrap()
+                .saturating_duration_since(now)
+                .as_millis();
             let more = format!("\"state\":\"ready\",\"slots\":6,\"coldRemainingMs\":{left}");
-            deployment.store.put("servers/i-cold", &cold.entry(sequence, &more));
-            deployment.record.note(&format!("server i-cold writes coldRemainingMs {left}"));
+            deployment
+                .store
+                .put("servers/i-cold", &cold.entry(sequence, &more));
+            deployment
+                .record
+                .note(&format!("server i-cold writes coldRemainingMs {left}"));
         }
         thread::sleep(Duration::from_millis(5));
     }
@@ -132,9 +166,17 @@
     let (arrivals, sent) = (arrivals.lock().unwrap(), sent.lock().unwrap());
     let until = *cold_until.lock().unwrap();
     for second in 0..(until - started).as_secs() {
-        let (from, to) = (started + SECOND * second as u32, started + SECOND * (second as u32 + 1));
-        let count = arrivals.iter().filter(|(at, _)| *at >= from && *at < to).count();
-        deployment.record.note(&format!("second {second} of i-cold: {count} arrivals"));
+        let (from, to) = (
+            started + SECOND * second as u32,
+            started + SECOND * (second as u32 + 1),
+        );
+        let count = arrivals
+            .iter()
+            .filter(|(at, _)| *at >= from && *at < to)
+            .count();
+        deployment
+            .record
+            .note(&format!("second {second} of i-cold: {count} arrivals"));
     }
     let most = most_per_second(&arrivals, &sent, started, until);
     deployment.record.note(&format!(
@@ -152,20 +194,28 @@
     this: &Arc<OnceLock<Server>>,
 ) -> Handler {
     let record = deployment.record.clone();
-    let (arrivals, cold_until, this) = (Arc::clone(arrivals), Arc::clone(cold_until), Arc::clone(this));
+    let (arrivals, cold_until, this) = (
+        Arc::clone(arrivals),
+        Arc::clone(cold_until),
+        Arc::clone(this),
+    );
     Arc::new(move |received| {
         let count = {
             let mut arrivals = arrivals.lock().unwrap();
             arrivals.push((received.at, received.id().to_owned()));
             let last = arrivals.iter().rev();
-            last.take_while(|(at, _)| received.at.saturating_duration_since(*at) < SECOND).count()
+            last.take_while(|(at, _)| received.at.saturating_duration_since(*at) < SECOND)
+                .count()
         };
         let is_cold = received.at < *cold_until.lock().unwrap();
-        if is_cold && count > CRASH_PER_SECOND
+        if is_cold
+            && count > CRASH_PER_SECOND
             && let Some(server) = this.get()
             && !server.has_ended()
         {
-            record.note(&format!("server i-cold crashes: {count} requests in a second"));
+            record.note(&format!(
+                "server i-cold crashes: {count} requests in a second"
+            ));
             server.end();
         }
         thread::sleep(WORK);
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -1,12 +1,12 @@
 //! A small deployment on loopback addresses: entries as processes of their own, a store and servers.
 
 use std::{
+    collections::HashMap,
     fs::{self, File, OpenOptions},
     io::{self, BufReader, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    collections::HashMap,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -70,7 +70,9 @@
 
 impl Received<'_> {
     pub fn id(&self) -> &str {
-        self.head.get("jujubejunction-request-id").unwrap_or_default()
+        self.head
+            .get("jujubejunction-request-id")
+            .unwrap_or_default()
     }
 
     /// Returns a response of this server with a status and more header lines.
@@ -112,7 +114,12 @@
 }
 
 impl Server {
-    pub fn start(ip: IpAddr, service: &'static str, id: &str, handler: Handler) -> io::Result<Self> {
+    pub fn start(
+        ip: IpAddr,
+        service: &'static str,
+        id: &str,
+        handler: Handler,
+    ) -> io::Result<Self> {
         Self::start_at(SocketAddr::new(ip, 0), service, id, handler)
     }
 
@@ -163,7 +170,10 @@
 
     /// Returns the entry of a warm server that takes requests.
     pub fn ready_entry(&self, sequence: u64) -> String {
-        self.entry(sequence, "\"state\":\"ready\",\"slots\":6,\"coldRemainingMs\":0")
+        self.entry(
+            sequence,
+            "\"state\":\"ready\",\"slots\":6,\"coldRemainingMs\":0",
+        )
     }
 }
 
@@ -286,7 +296,8 @@
             self.entries.push(entry);
         }
         for entry in &self.entries {
-            let request = b"GET /jujubejunction/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+            let request =
+                b"GET /jujubejunction/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
             let addr = SocketAddr::new(entry.ip, READINESS_PORT);
             let is_ready = || {
                 let answer = http::send_once(addr, request, Duration::from_secs(1));
@@ -307,12 +318,19 @@
         }
         let ips: Vec<IpAddr> = self.entries.iter().map(|it| it.ip).collect();
         self.entries[index] = self.start_entry(ips[index], &ips)?;
-        self.record.note(&format!("entry {} is started again", ips[index]));
+        self.record
+            .note(&format!("entry {} is started again", ips[index]));
         Ok(true)
     }
 
     fn start_entry(&self, ip: IpAddr, all: &[IpAddr]) -> io::Result<Entry> {
-        for port in [FRONT_PORT, READINESS_PORT, CONTROL_PORT, DIRECTORY_PORT, METRICS_PORT] {
+        for port in [
+            FRONT_PORT,
+            READINESS_PORT,
+            CONTROL_PORT,
+            DIRECTORY_PORT,
+            METRICS_PORT,
+        ] {
             TcpListener::bind((ip, port))?;
         }
         UdpSocket::bind((ip, INTERNAL_PORTS.0))?;
@@ -340,7 +358,10 @@
     fn write_settings(&self, ip: IpAddr, all: &[IpAddr]) -> io::Result<PathBuf> {
         let path = self.folder.join(format!("{ip}.toml"));
         let own = self.own_store_addresses.get(&ip);
-        fs::write(&path, settings(ip, all, *own.unwrap_or(&self.store_address.addr)))?;
+        fs::write(
+            &path,
+            settings(ip, all, *own.unwrap_or(&self.store_address.addr)),
+        )?;
         Ok(path)
     }
 
@@ -350,7 +371,10 @@
         for entry in &self.entries {
             self.write_settings(entry.ip, &ips)?;
             entry.signal("-HUP")?;
-            self.record.note(&format!("entry {} has new settings and gets SIGHUP", entry.ip));
+            self.record.note(&format!(
+                "entry {} has new settings and gets SIGHUP",
+                entry.ip
+            ));
         }
         Ok(())
     }
@@ -499,7 +523,10 @@
         stream("draft", "", 1),
         stream("chat", ",\"streamResume\":true", 2),
     ];
-    let (routes, services) = (routes.join(","), [service(DESK), service(OTHER_DESK)].join(","));
+    let (routes, services) = (
+        routes.join(","),
+        [service(DESK), service(OTHER_DESK)].join(","),
+    );
     format!(
         "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{services}],\
          \"limits\":{{\"maxHeaderBytes\":{header_bytes},\"maxBodyBytes\":4194304,\
--- a/review/standins-3/false_freshness.rs
+++ b/review/standins-3/false_freshness.rs
@@ -57,7 +57,10 @@
 }
 
 /// Has the store turn away, one after the other, the entries that read it most.
-fn refuse_readers(deployment: &Deployment, addresses: &[(IpAddr, StoreAddress)]) -> HashSet<IpAddr> {
+fn refuse_readers(
+    deployment: &Deployment,
+    addresses: &[(IpAddr, StoreAddress)],
+) -> HashSet<IpAddr> {
     let mut refused = HashSet::new();
     while refused.len() < REFUSED {
         let moment = Instant::now();
@@ -127,7 +130,9 @@
     let rolled: Vec<usize> = others.take(ROLLED).collect();
     let calm = (0..ENTRIES).filter(|it| !rolled.contains(it) && !refused.contains(&ips[*it]));
     let calm: Vec<SocketAddr> = calm.map(|it| deployment.entries[it].front).collect();
-    deployment.record.note(&format!("in touch all the while: {calm:?}"));
+    deployment
+        .record
+        .note(&format!("in touch all the while: {calm:?}"));
     let start = Instant::now();
     let mut stopped = 0;
     let mut started = HashSet::new();
@@ -139,7 +144,9 @@
         let now = Instant::now();
         if is_troubled && stopped < ROLLED && now >= start + ROLL_GAP * stopped as u32 {
             let entry = &deployment.entries[rolled[stopped]];
-            deployment.record.note(&format!("entry {} gets SIGTERM", entry.ip));
+            deployment
+                .record
+                .note(&format!("entry {} gets SIGTERM", entry.ip));
             entry.signal("-TERM")?;
             stopped += 1;
         }
@@ -161,7 +168,9 @@
             };
             deployment.store.put("op/config", &config(&new));
             acknowledged = Some(Instant::now());
-            deployment.record.note("the store acknowledges version 5, without the other key");
+            deployment
+                .record
+                .note("the store acknowledges version 5, without the other key");
         }
         if let Some(at) = acknowledged {
             if now > at + IN_FORCE_AFTER + REQUEST_TIME {
@@ -179,8 +188,12 @@
     }
     let moment = acknowledged.unwrap_or(start);
     for (after, address) in deployment.store.answered_since(moment) {
-        let caller = addresses.iter().find(|it| it.1.addr == address).map(|it| it.0);
-        let text = format!("{after:.3} s after the acknowledgement the store answers entry {caller:?}");
+        let caller = addresses
+            .iter()
+            .find(|it| it.1.addr == address)
+            .map(|it| it.0);
+        let text =
+            format!("{after:.3} s after the acknowledgement the store answers entry {caller:?}");
         deployment.record.note(&text);
     }
     let runs = runs.lock().unwrap();
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -47,7 +47,8 @@
         if head.start.is_empty() {
             head.start = line.to_owned();
         } else if let Some((name, value)) = line.split_once(':') {
-            head.headers.push((name.to_owned(), value.trim().to_owned()));
+            head.headers
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
 }
--- a/review/standins-3/late_crash.rs
+++ b/review/standins-3/late_crash.rs
@@ -12,7 +12,9 @@
 };
 
 use crate::{
-    deployment::{Config, DESK, Deployment, Handler, Received, Record, Request, Server, Step, config},
+    deployment::{
+        Config, DESK, Deployment, Handler, Received, Record, Request, Server, Step, config,
+    },
     http::{send_once, wait_until},
     store::Store,
 };
@@ -79,7 +81,10 @@
 fn stream_start(received: &Received) -> (Vec<Step>, u64) {
     let more = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
     let head = Step::Send(received.head("200 OK", more).into_bytes());
-    let last = received.head.get("last-event-id").and_then(|it| it.parse().ok());
+    let last = received
+        .head
+        .get("last-event-id")
+        .and_then(|it| it.parse().ok());
     let first = last.unwrap_or(0) + 1;
     (vec![head, event(first)], first + 1)
 }
@@ -109,7 +114,10 @@
         self.seen.lock().unwrap().arrivals.push(received.at);
         let server = own.get().cloned();
         let id = server.as_ref().map_or("?", |it| it.id.as_str());
-        self.record.note(&format!("server {id} runs {}, which crashes it", received.id()));
+        self.record.note(&format!(
+            "server {id} runs {}, which crashes it",
+            received.id()
+        ));
         let world = self.clone();
         let crash = Box::new(move || {
             if let Some(server) = &server {
@@ -133,14 +141,18 @@
             thread::sleep(DOWN_TIME);
             if !world.is_over.load(Ordering::SeqCst) {
                 let result = world.start_server(addr, &id, 3_000);
-                world.record.note(&format!("server {id} is back: {result:?}"));
+                world
+                    .record
+                    .note(&format!("server {id} is back: {result:?}"));
             }
         });
     }
 }
 
 pub fn play(deployment: &mut Deployment, is_troubled: bool) -> io::Result<bool> {
-    deployment.store.put("op/config", &config(&Config::default()));
+    deployment
+        .store
+        .put("op/config", &config(&Config::default()));
     let world = World {
         store: deployment.store.clone(),
         record: deployment.record.clone(),
@@ -157,7 +169,9 @@
         let request = Request::new("POST", "/chat/2f", 8_000, "", "sound");
         send_once(front, &request.bytes, PATIENCE).is_ok_and(|it| it.status == 200)
     };
-    if !wait_until(Duration::from_secs(10), || fronts.iter().all(|it| is_served(*it))) {
+    if !wait_until(Duration::from_secs(10), || {
+        fronts.iter().all(|it| is_served(*it))
+    }) {
         return Err(io::Error::other("the servers are not used"));
     }
     thread::sleep(STABLE_WINDOW);
@@ -185,7 +199,11 @@
         .collect();
     let mut number = 0;
     while Instant::now() < end {
-        let body = if is_troubled { CRASHING_BODY } else { HARMLESS_BODY };
+        let body = if is_troubled {
+            CRASHING_BODY
+        } else {
+            HARMLESS_BODY
+        };
         let request = Request::new("POST", "/chat/2f", 8_000, "", body);
         let (front, record) = (fronts[number % ENTRIES], world.record.clone());
         thread::spawn(move || {
@@ -200,8 +218,13 @@
     let (sent, lost) = ended.fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
 
     let seen = world.seen.lock().unwrap();
-    let from = seen.crashes.get(COUNTED_CRASH - 1).map(|it| *it + STABLE_WINDOW);
-    let late = from.map_or(0, |from| seen.arrivals.iter().filter(|it| **it > from).count());
+    let from = seen
+        .crashes
+        .get(COUNTED_CRASH - 1)
+        .map(|it| *it + STABLE_WINDOW);
+    let late = from.map_or(0, |from| {
+        seen.arrivals.iter().filter(|it| **it > from).count()
+    });
     world.record.note(&format!(
         "{number} times the same request, {} arrivals at servers, {} crashes; {late} arrivals later than 3000 ms \
          after the third crash, {ALLOWED_RETRIES} are allowed; {lost} of {sent} sound requests got no success",
--- a/review/standins-3/leaving_entry.rs
+++ b/review/standins-3/leaving_entry.rs
@@ -3,7 +3,10 @@
 
 use std::{
     io,
-    sync::{Arc, Mutex, atomic::{AtomicBool, Ordering}},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -34,12 +37,20 @@
 /// Requests that reached a server: when, and their ids.
 type Arrivals = Arc<Mutex<Vec<(Instant, String)>>>;
 
-fn handler(record: &Record, id: &str, arrivals: &Arrivals, is_leaving: &Arc<AtomicBool>) -> Handler {
+fn handler(
+    record: &Record,
+    id: &str,
+    arrivals: &Arrivals,
+    is_leaving: &Arc<AtomicBool>,
+) -> Handler {
     let (record, id) = (record.clone(), id.to_owned());
     let (arrivals, is_leaving) = (Arc::clone(arrivals), Arc::clone(is_leaving));
     Arc::new(move |received| {
         record.note(&format!("server {id} runs {}", received.id()));
-        arrivals.lock().unwrap().push((received.at, received.id().to_owned()));
+        arrivals
+            .lock()
+            .unwrap()
+            .push((received.at, received.id().to_owned()));
         thread::sleep(WORK);
         let more = match is_leaving.load(Ordering::SeqCst) {
             true => "Server-Leaving: 1\r\n",
@@ -70,7 +81,9 @@
 }
 
 pub fn play(deployment: &mut Deployment, is_troubled: bool) -> io::Result<bool> {
-    deployment.store.put("op/config", &config(&Config::default()));
+    deployment
+        .store
+        .put("op/config", &config(&Config::default()));
     let is_leaving = Arc::new(AtomicBool::new(false));
     let (stays, leaves) = (Arrivals::default(), Arrivals::default());
     let mut servers = Vec::new();
@@ -80,13 +93,17 @@
     ] {
         let handler = handler(&deployment.record, id, arrivals, &leaving);
         let server = Server::start(deployment.allocate_ip(), DESK, id, handler)?;
-        deployment.store.put(&format!("servers/{id}"), &server.ready_entry(1));
+        deployment
+            .store
+            .put(&format!("servers/{id}"), &server.ready_entry(1));
         servers.push(server);
     }
     deployment.start_entries(2)?;
     let are_used = || {
         send_together(deployment, WARM_UP_REQUESTS);
-        [&stays, &leaves].iter().all(|it| !it.lock().unwrap().is_empty())
+        [&stays, &leaves]
+            .iter()
+            .all(|it| !it.lock().unwrap().is_empty())
     };
     if !wait_until(Duration::from_secs(10), are_used) {
         return Err(io::Error::other("not both servers are used"));
@@ -96,11 +113,16 @@
     let entry = match is_troubled {
         // From another writer: `slots` is missing.
         true => servers[1].entry(2, "\"state\":\"draining\",\"coldRemainingMs\":0"),
-        false => servers[1].entry(2, "\"state\":\"draining\",\"slots\":6,\"coldRemainingMs\":0"),
+        false => servers[1].entry(
+            2,
+            "\"state\":\"draining\",\"slots\":6,\"coldRemainingMs\":0",
+        ),
     };
     deployment.store.put("servers/i-leaves", &entry);
     let acknowledged = Instant::now();
-    deployment.record.note(&format!("store acknowledges servers/i-leaves = {entry}"));
+    deployment
+        .record
+        .note(&format!("store acknowledges servers/i-leaves = {entry}"));
     thread::sleep(QUIET_TIME);
     let server = servers[1].clone();
     let record = deployment.record.clone();
@@ -113,7 +135,10 @@
     let _ = exit.join();
 
     let late = leaves.lock().unwrap();
-    let late = late.iter().filter(|(at, _)| *at > acknowledged + DRAIN).count();
+    let late = late
+        .iter()
+        .filter(|(at, _)| *at > acknowledged + DRAIN)
+        .count();
     deployment.record.note(&format!(
         "{late} of {LATE_REQUESTS} requests reached i-leaves later than {} ms after the \
          acknowledgement; {unanswered} got no success",
--- a/review/standins-3/moved_store.rs
+++ b/review/standins-3/moved_store.rs
@@ -74,7 +74,9 @@
         let before = std::mem::replace(&mut deployment.store_address, address);
         before.close();
         let (from, to) = (before.addr, deployment.store_address.addr);
-        deployment.record.note(&format!("the store moves from {from} to {to}"));
+        deployment
+            .record
+            .note(&format!("the store moves from {from} to {to}"));
     }
     deployment.reload_settings()?;
     thread::sleep(CALM_TIME);
@@ -84,13 +86,17 @@
         ..old
     };
     deployment.store.put("op/config", &config(&new));
-    deployment.record.note(&format!("store acknowledges version 5: /lodge/ goes to {OTHER_DESK}"));
+    deployment.record.note(&format!(
+        "store acknowledges version 5: /lodge/ goes to {OTHER_DESK}"
+    ));
     thread::sleep(IN_FORCE_AFTER);
     let sent = lodge(deployment, REQUESTS);
 
     for entry in &deployment.entries {
         for line in deployment.log_lines(entry.ip, "\"JJ-1006\"") {
-            deployment.record.note(&format!("entry {} has logged {line}", entry.ip));
+            deployment
+                .record
+                .note(&format!("entry {} has logged {line}", entry.ip));
         }
     }
     let old_runs = old_runs.lock().unwrap();
--- a/review/standins-3/port.rs
+++ b/review/standins-3/port.rs
@@ -44,7 +44,11 @@
         Ok((addr, port))
     }
 
-    fn accept<F: Fn(TcpStream) + Send + Sync + 'static>(&self, listener: &TcpListener, serve: &Arc<F>) {
+    fn accept<F: Fn(TcpStream) + Send + Sync + 'static>(
+        &self,
+        listener: &TcpListener,
+        serve: &Arc<F>,
+    ) {
         while !self.is_closed() {
             let Ok((stream, _)) = listener.accept() else {
                 thread::sleep(ACCEPT_PAUSE);
--- a/review/standins-3/raised_limit.rs
+++ b/review/standins-3/raised_limit.rs
@@ -65,7 +65,9 @@
         }
         connections.push(connection);
     }
-    record.note(&format!("before the change: {total} requests, {denied} denied"));
+    record.note(&format!(
+        "before the change: {total} requests, {denied} denied"
+    ));
 
     let head = match is_troubled {
         true => {
@@ -75,7 +77,9 @@
                 ..old
             };
             deployment.store.put("op/config", &config(&new));
-            record.note(&format!("store acknowledges version 5, maxHeaderBytes {NEW_LIMIT}"));
+            record.note(&format!(
+                "store acknowledges version 5, maxHeaderBytes {NEW_LIMIT}"
+            ));
             12_000
         }
         false => 6_000,
@@ -102,6 +106,8 @@
         }
     }
     let allowed = DENIED_SLACK + total / REQUESTS_PER_DENIED;
-    record.note(&format!("{denied} of {total} proper requests got 431, {allowed} are allowed"));
+    record.note(&format!(
+        "{denied} of {total} proper requests got 431, {allowed} are allowed"
+    ));
     Ok(denied <= allowed)
 }
--- a/review/standins-3/silent_stream.rs
+++ b/review/standins-3/silent_stream.rs
@@ -52,7 +52,9 @@
 }
 
 pub fn play(deployment: &mut Deployment, is_troubled: bool) -> io::Result<bool> {
-    deployment.store.put("op/config", &config(&Config::default()));
+    deployment
+        .store
+        .put("op/config", &config(&Config::default()));
     let record = deployment.record.clone();
     let silence = if is_troubled { SILENCE } else { EVENT_GAP };
     let handler: Handler = Arc::new(move |received| {
@@ -80,13 +82,18 @@
             thread::spawn(move || {
                 let request = Request::new("POST", "/draft/2f", 8_000, "", "prompt");
                 let sent = Instant::now();
-                let answer = Connection::open(front).and_then(|mut it| it.send(&request.bytes, PATIENCE));
+                let answer =
+                    Connection::open(front).and_then(|mut it| it.send(&request.bytes, PATIENCE));
                 let answer = answer.map(|it| it.status);
                 let text = match &answer {
                     Ok(status) => format!("a complete answer with status {status}"),
                     Err(error) => format!("no complete answer: {error}"),
                 };
-                record.note(&format!("client {} gets {text} after {:?}", request.id, sent.elapsed()));
+                record.note(&format!(
+                    "client {} gets {text} after {:?}",
+                    request.id,
+                    sent.elapsed()
+                ));
                 (answer.is_ok(), Instant::now())
             })
         })
@@ -95,10 +102,16 @@
     let stopped = Instant::now();
     entry.signal("-TERM")?;
     deployment.record.note("the entry gets SIGTERM");
-    let ended: Vec<(bool, Instant)> = clients.into_iter().filter_map(|it| it.join().ok()).collect();
+    let ended: Vec<(bool, Instant)> = clients
+        .into_iter()
+        .filter_map(|it| it.join().ok())
+        .collect();
     let cut = ended.iter().filter(|(is_complete, _)| !is_complete).count();
     let is_counted = |at: Instant| at <= stopped + COUNTED_TIME;
-    let counted = ended.iter().filter(|(is_complete, at)| !is_complete && is_counted(*at)).count();
+    let counted = ended
+        .iter()
+        .filter(|(is_complete, at)| !is_complete && is_counted(*at))
+        .count();
     deployment.record.note(&format!(
         "{cut} of {STREAMS} streams ended without a complete answer, {counted} of them around planned work"
     ));
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -89,7 +89,9 @@
     pub fn answered_since(&self, moment: Instant) -> Vec<(f64, SocketAddr)> {
         let state = self.shared.0.lock().unwrap();
         let since = state.answered.iter().filter(|it| it.0 > moment);
-        since.map(|it| ((it.0 - moment).as_secs_f64(), it.1)).collect()
+        since
+            .map(|it| ((it.0 - moment).as_secs_f64(), it.1))
+            .collect()
     }
 
     /// Returns how often the store was read or watched at each address.
@@ -172,9 +174,9 @@
             let events: Vec<String> = changes
                 .map(|(revision, key, value)| match value {
                     Some(value) => item_json(key, value, *revision),
-                    None => format!(
-                        "{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}"
-                    ),
+                    None => {
+                        format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}")
+                    }
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
@@ -204,7 +206,11 @@
         let bits = u32::from_be_bytes([0, group[0], group[1], group[2]]);
         for index in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * index)) as usize & 63];
-            text.push(if index > part.len() { '=' } else { digit as char });
+            text.push(if index > part.len() {
+                '='
+            } else {
+                digit as char
+            });
         }
     }
     text
