--- a/review/standins-3/false_freshness.rs
+++ b/review/standins-3/false_freshness.rs
@@ -17,10 +17,10 @@
     store::StoreAddress,
 };
 
-const ENTRIES: usize = 18;
+const ENTRIES: usize = 24;
 
 /// Entries that the store turns away: a third (pages: `share` 0.35).
-const REFUSED: usize = 6;
+const REFUSED: usize = 8;
 
 /// Entries that are stopped and started in turn, and the time between two of them (`gap_s` 1).
 const ROLLED: usize = 5;
